--- /dev/null
+++ b/balance/request.go
@@ -0,0 +1,20 @@
+package balance
+
+import "cardamompoint.example/cardamompoint/template"
+
+// Request asks for room at an engine.
+type Request struct {
+	// Engine is the engine's address.
+	Engine string
+	// Model is the model that runs the work.
+	Model string
+	// Workspace is whose work it is.
+	Workspace string
+	// Priority is the class.
+	Priority template.Priority
+	// Tokens is the number of tokens that the work is expected to take.
+	Tokens int
+	// MeanTokens is the mean load in progress of the model's engines over the
+	// whole fleet, in tokens.
+	MeanTokens float64
+}
--- /dev/null
+++ b/cmd/cardamompoint/check.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+
+	"github.com/urfave/cli/v3"
+
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/internal/published"
+	"cardamompoint.example/cardamompoint/settings"
+)
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "check",
+		Usage: "check settings files and published documents",
+		Description: "Each fault is printed with its number, the file and the JSON path.\n" +
+			"The exit code is 2 if there is a fault.",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "settings", Usage: "a settings `FILE`; may be given several times"},
+			&cli.StringFlag{Name: "published", Usage: "a `DIR` with workspaces/NAME/template.json, workspaces/NAME/parameters.json, models/NAME.json and vms.json"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			faults := checkSettings(c, c.StringSlice("settings"))
+			if dir := c.String("published"); dir != "" {
+				found, err := published.Check(dir)
+				if err != nil {
+					return err
+				}
+				for _, fault := range found {
+					fmt.Fprintf(c.Root().Writer, "%s: %v\n", fault.File, fault.Error)
+				}
+				faults += len(found)
+			}
+			if faults > 0 {
+				return code.New(code.InvalidDocument, "%d faults were found", faults)
+			}
+			fmt.Fprintln(c.Root().Writer, "no fault was found")
+			return nil
+		},
+	}
+}
+
+// checkSettings prints the faults of the files and returns their number.
+func checkSettings(c *cli.Command, files []string) int {
+	faults := 0
+	var loaded []*settings.Router
+	for _, file := range files {
+		one, err := settings.Load(file)
+		if err != nil {
+			fmt.Fprintf(c.Root().Writer, "%s: %v\n", filepath.Base(file), err)
+			faults++
+			continue
+		}
+		one.Path = filepath.Base(file)
+		loaded = append(loaded, one)
+	}
+	if err := settings.CheckFleet(loaded); err != nil {
+		fmt.Fprintln(c.Root().Writer, err)
+		faults++
+	}
+	return faults
+}
--- /dev/null
+++ b/cmd/cardamompoint/fleet_test.go
@@ -0,0 +1,371 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io/fs"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"cardamompoint.example/cardamompoint/api"
+	"cardamompoint.example/cardamompoint/examples"
+	"cardamompoint.example/cardamompoint/internal/caller"
+	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/settings"
+)
+
+// fleetConfig says which processes of an example deployment run.
+type fleetConfig struct {
+	// deployment is the folder under examples.
+	deployment string
+	// routers, engines and workers bound the number of processes; 0 means all.
+	routers, engines, workers int
+	// engineFlags are added to the engines' command lines.
+	engineFlags []string
+	// workerFlags are added to the workers' command lines.
+	workerFlags []string
+	// adjust changes the routers' settings before they start.
+	adjust func(*settings.Router)
+}
+
+// testFleet is an example deployment as separate processes.
+type testFleet struct {
+	t      testing.TB
+	dir    string
+	net    string
+	logs   string
+	config fleetConfig
+
+	processes map[string]*exec.Cmd
+	settings  []*settings.Router
+	vms       []platform.VM
+}
+
+// startFleet starts a deployment on a network of its own and waits until its
+// routers are ready.
+func startFleet(t testing.TB, config fleetConfig) *testFleet {
+	t.Helper()
+	f := &testFleet{t: t, dir: t.TempDir(), config: config, processes: map[string]*exec.Cmd{}}
+	f.logs = filepath.Join(f.dir, "logs")
+	f.net = reserveNet(t)
+	f.unpack()
+	t.Cleanup(f.killAll)
+	f.startPlatform()
+	f.startEndpoints()
+	for i := range f.settings {
+		f.startRouter(i + 1)
+	}
+	f.waitReady()
+	return f
+}
+
+// reserveNet returns the first two numbers of a loopback network that no other
+// test uses at the same time.
+func reserveNet(t testing.TB) string {
+	t.Helper()
+	for second := 10; second < 250; second++ {
+		prefix := fmt.Sprintf("127.%d", (second+os.Getpid())%240+10)
+		listener, err := net.Listen("tcp", prefix+".255.1:7999")
+		if err != nil {
+			continue
+		}
+		t.Cleanup(func() { listener.Close() })
+		return prefix
+	}
+	t.Fatal("no loopback network is free")
+	return ""
+}
+
+// unpack writes the deployment's files with the test's own network numbers.
+func (f *testFleet) unpack() {
+	f.t.Helper()
+	sub, err := fs.Sub(examples.Files, f.config.deployment)
+	f.must(err)
+	old := map[string]string{"gelek": "127.1.", "urverk": "127.2."}[f.config.deployment]
+	f.must(os.MkdirAll(f.logs, 0o755))
+	f.must(fs.WalkDir(sub, ".", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() {
+			return err
+		}
+		raw, err := fs.ReadFile(sub, path)
+		if err != nil {
+			return err
+		}
+		target := filepath.Join(f.dir, path)
+		if err := os.MkdirAll(filepath.Dir(target), 0o755); err != nil {
+			return err
+		}
+		return os.WriteFile(target, []byte(strings.ReplaceAll(string(raw), `"`+old, `"`+f.net+".")), 0o644)
+	}))
+	f.limitVMs()
+	f.loadSettings()
+}
+
+// limitVMs drops the VMs that do not run from the published list.
+func (f *testFleet) limitVMs() {
+	path := filepath.Join(f.dir, "published", "vms.json")
+	raw, err := os.ReadFile(path)
+	f.must(err)
+	var all []platform.VM
+	f.must(json.Unmarshal(raw, &all))
+	limits := map[platform.Role]int{
+		platform.RoleRouter:  f.config.routers,
+		platform.RoleEngine:  f.config.engines,
+		platform.RoleService: f.config.workers,
+	}
+	counts := map[platform.Role]int{}
+	for _, vm := range all {
+		counts[vm.Role]++
+		if limits[vm.Role] == 0 || counts[vm.Role] <= limits[vm.Role] {
+			f.vms = append(f.vms, vm)
+		}
+	}
+	raw, err = json.Marshal(f.vms)
+	f.must(err)
+	f.must(os.WriteFile(path, raw, 0o644))
+}
+
+func (f *testFleet) loadSettings() {
+	for i, vm := range f.vms {
+		if vm.Role != platform.RoleRouter {
+			continue
+		}
+		loaded, err := settings.Load(f.settingsPath(i + 1))
+		f.must(err)
+		loaded.Seeds = slices.DeleteFunc(loaded.Seeds, func(seed string) bool { return !f.listed(seed) })
+		if f.config.adjust != nil {
+			f.config.adjust(loaded)
+		}
+		raw, err := json.Marshal(loaded)
+		f.must(err)
+		var fields map[string]any
+		f.must(json.Unmarshal(raw, &fields))
+		delete(fields, "Path")
+		delete(fields, "Secret")
+		raw, err = json.Marshal(fields)
+		f.must(err)
+		f.must(os.WriteFile(f.settingsPath(i+1), raw, 0o644))
+		f.settings = append(f.settings, loaded)
+	}
+}
+
+func (f *testFleet) listed(address string) bool {
+	return slices.ContainsFunc(f.vms, func(vm platform.VM) bool { return vm.Address == address })
+}
+
+func (f *testFleet) settingsPath(router int) string {
+	return filepath.Join(f.dir, "settings", fmt.Sprintf("router-%d.json", router))
+}
+
+func (f *testFleet) must(err error) {
+	f.t.Helper()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *testFleet) startPlatform() {
+	f.start("platform", "standin", "platform", "--listen", f.platformAddress(), "--published", filepath.Join(f.dir, "published"))
+}
+
+func (f *testFleet) platformAddress() string {
+	return f.net + ".9.1:7100"
+}
+
+func (f *testFleet) startEndpoints() {
+	engines, workers := 0, 0
+	for _, vm := range f.vms {
+		switch vm.Role {
+		case platform.RoleEngine:
+			engines++
+			f.startEngine(engines)
+		case platform.RoleService:
+			workers++
+			f.startWorker(workers)
+		}
+	}
+}
+
+func (f *testFleet) engineAddress(n int) string { return fmt.Sprintf("%s.1.%d:7200", f.net, n) }
+func (f *testFleet) workerAddress(n int) string { return fmt.Sprintf("%s.2.%d:7300", f.net, n) }
+
+func (f *testFleet) startEngine(n int) {
+	args := append([]string{"standin", "engine", "--listen", f.engineAddress(n)}, f.config.engineFlags...)
+	f.start(fmt.Sprintf("engine-%d", n), args...)
+}
+
+func (f *testFleet) startWorker(n int) {
+	args := append([]string{"standin", "service", "--listen", f.workerAddress(n)}, f.config.workerFlags...)
+	f.start(fmt.Sprintf("worker-%d", n), args...)
+}
+
+func (f *testFleet) startRouter(n int) {
+	f.start(fmt.Sprintf("router-%d", n), "router", "--settings", f.settingsPath(n))
+}
+
+// start starts a process of this program with its log in a file.
+func (f *testFleet) start(name string, args ...string) {
+	f.t.Helper()
+	log, err := os.OpenFile(filepath.Join(f.logs, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	f.must(err)
+	defer log.Close()
+	command := exec.Command("cardamompoint", args...)
+	command.Stdout, command.Stderr = log, log
+	f.must(command.Start())
+	f.processes[name] = command
+}
+
+// signal sends a signal to a process.
+func (f *testFleet) signal(name string, signal syscall.Signal) {
+	f.t.Helper()
+	f.must(f.processes[name].Process.Signal(signal))
+}
+
+// wait waits for a process's end and returns its exit code.
+func (f *testFleet) wait(name string) int {
+	command := f.processes[name]
+	delete(f.processes, name)
+	command.Wait()
+	return command.ProcessState.ExitCode()
+}
+
+func (f *testFleet) killAll() {
+	for _, command := range f.processes {
+		command.Process.Kill()
+	}
+	for _, command := range f.processes {
+		command.Wait()
+	}
+	if f.t.Failed() {
+		f.dumpLogs()
+	}
+}
+
+// dumpLogs prints the end of each process's log after a failure.
+func (f *testFleet) dumpLogs() {
+	const tail = 1500
+	files, _ := filepath.Glob(filepath.Join(f.logs, "router-*.log"))
+	for _, file := range files {
+		raw, _ := os.ReadFile(file)
+		f.t.Logf("%s:\n%s", filepath.Base(file), raw[max(0, len(raw)-tail):])
+	}
+}
+
+// client returns a caller at the n-th router, counted from 1.
+func (f *testFleet) client(n int) *caller.Client {
+	client := caller.New(f.settings[n-1].Callers)
+	f.t.Cleanup(client.Close)
+	return client
+}
+
+// status asks the n-th router for its status.
+func (f *testFleet) status(n int) (*api.Status, error) {
+	return askStatus(context.Background(), f.settings[n-1].Operators)
+}
+
+const (
+	fleetTimeout = 60 * time.Second
+	fleetCheck   = 50 * time.Millisecond
+)
+
+// eventually waits until done reports true.
+func (f *testFleet) eventually(what string, done func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(fleetTimeout)
+	for !done() {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("not reached in time: %s", what)
+		}
+		time.Sleep(fleetCheck)
+	}
+}
+
+// waitReady waits until every router is ready and hears all others.
+func (f *testFleet) waitReady() {
+	f.t.Helper()
+	f.eventually("all routers are ready", func() bool {
+		for n := range f.settings {
+			if !f.ready(n + 1) {
+				return false
+			}
+		}
+		return true
+	})
+	for n := 1; n <= f.count(platform.RoleEngine); n++ {
+		f.waitListening(f.engineAddress(n))
+	}
+	for n := 1; n <= f.count(platform.RoleService); n++ {
+		f.waitListening(f.workerAddress(n))
+	}
+}
+
+func (f *testFleet) count(role platform.Role) int {
+	count := 0
+	for _, vm := range f.vms {
+		if vm.Role == role {
+			count++
+		}
+	}
+	return count
+}
+
+func (f *testFleet) waitListening(address string) {
+	f.t.Helper()
+	f.eventually(address+" listens", func() bool {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			return false
+		}
+		conn.Close()
+		return true
+	})
+}
+
+// ready reports whether the n-th router is ready and hears all others.
+func (f *testFleet) ready(n int) bool {
+	status, err := f.status(n)
+	if err != nil || !status.Ready {
+		return false
+	}
+	alive := 0
+	for _, peer := range status.Peers {
+		if peer.Health == "alive" {
+			alive++
+		}
+	}
+	return alive == len(f.settings)-1
+}
+
+// publish writes a document at the platform's stand-in and returns its version.
+func (f *testFleet) publish(key, document string) (int64, error) {
+	var answer struct {
+		Version int64 `json:"version"`
+	}
+	err := f.put("/operator/v1/values/"+key, document, &answer)
+	return answer.Version, err
+}
+
+// put sends a PUT with a JSON body to the platform's stand-in.
+func (f *testFleet) put(path, body string, out any) error {
+	request, err := http.NewRequest(http.MethodPut, "http://"+f.platformAddress()+path, strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	return jsonhttp.Do(http.DefaultClient, request, out)
+}
+
+// get decodes the JSON answer of a stand-in's test page.
+func (f *testFleet) get(address, path string, out any) {
+	f.t.Helper()
+	f.must(jsonhttp.Get(context.Background(), http.DefaultClient, "http://"+address+path, out))
+}
--- /dev/null
+++ b/cmd/cardamompoint/main.go
@@ -0,0 +1,82 @@
+// Command cardamompoint runs a router of the fleet and the tools around it.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+	"k8s.io/klog/v2"
+
+	"cardamompoint.example/cardamompoint/code"
+)
+
+// The exit codes.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitInvalid = 2
+)
+
+func main() {
+	os.Exit(run(context.Background(), os.Args))
+}
+
+// run runs the command line and returns the exit code.
+func run(ctx context.Context, args []string) int {
+	defer klog.Flush()
+	err := newCommand().Run(ctx, args)
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintln(os.Stderr, "cardamompoint:", err)
+	if code.Is(err, code.InvalidSettings) || code.Is(err, code.InvalidTemplate) || code.Is(err, code.InvalidDocument) {
+		return exitInvalid
+	}
+	return exitFailure
+}
+
+func newCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "cardamompoint",
+		Usage: "a router fleet for returning chats",
+		Description: "Exit codes: 0 success, 1 failure, 2 settings or a published document is not valid.\n" +
+			"Logs go to standard error.",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "log-level", Usage: "verbosity of the log; 0 shows decisions"},
+			&cli.BoolFlag{Name: "quiet", Usage: "log errors only"},
+		},
+		Before: func(ctx context.Context, c *cli.Command) (context.Context, error) {
+			return ctx, setUpLog(c.Int("log-level"), c.Bool("quiet"))
+		},
+		Commands: []*cli.Command{
+			routerCommand(), checkCommand(), statusCommand(), explainCommand(), standinCommand(), demoCommand(),
+		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+}
+
+func setUpLog(level int, quiet bool) error {
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	values := map[string]string{"v": fmt.Sprint(level), "logtostderr": "true"}
+	if quiet {
+		values["logtostderr"] = "false"
+		values["stderrthreshold"] = "ERROR"
+		values["alsologtostderr"] = "false"
+		klog.SetOutput(discard{})
+	}
+	for name, value := range values {
+		if err := flags.Set(name, value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// discard is a writer that drops everything.
+type discard struct{}
+
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
--- /dev/null
+++ b/endpoint/service_client.go
@@ -0,0 +1,92 @@
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+)
+
+// The headers that a plain service sees and answers with. RequestHeader is
+// not Idempotency-Key, which makes http.Transport repeat requests by itself.
+const (
+	RequestHeader   = "X-Request-Id"
+	WorkspaceHeader = "X-Workspace"
+)
+
+const maxAnswerBytes = 16 << 20
+
+// ServiceClient is the adapter for plain services over HTTP. It implements
+// Service and is safe for concurrent use.
+type ServiceClient struct {
+	http *http.Client
+}
+
+// NewServiceClient returns a ServiceClient. The transport must open a new
+// connection for each call, so that no call meets a dead idle connection.
+func NewServiceClient(transport *http.Transport) *ServiceClient {
+	fresh := transport.Clone()
+	fresh.DisableKeepAlives = true
+	return &ServiceClient{http: &http.Client{Transport: fresh, CheckRedirect: keepRedirect}}
+}
+
+func keepRedirect(*http.Request, []*http.Request) error {
+	return http.ErrUseLastResponse
+}
+
+// Call implements Service.
+func (c *ServiceClient) Call(ctx context.Context, address string, call Call) (Answer, error) {
+	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return Answer{}, code.Wrap(err, code.BadRequest, "the call can't be made")
+	}
+	request.GetBody = nil
+	request.Header.Set(RequestHeader, call.RequestID)
+	request.Header.Set(WorkspaceHeader, call.Workspace)
+	if call.ContentType != "" {
+		request.Header.Set("Content-Type", call.ContentType)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return Answer{}, callError(jsonhttp.SendError(err))
+	}
+	defer response.Body.Close()
+	return readAnswer(response, address, call.RequestID)
+}
+
+// callError turns a failed dial into NotSent, which proves that nothing ran.
+func callError(failure *code.Error) *code.Error {
+	if failure.Code == code.PeerUnreachable {
+		return code.Wrap(failure, code.NotSent, "no connection to the endpoint")
+	}
+	return failure
+}
+
+func readAnswer(response *http.Response, address, requestID string) (Answer, error) {
+	if got := response.Header.Get(RequestHeader); got != requestID {
+		return Answer{}, code.New(code.EndpointFault, "the answer belongs to request %q", got)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err != nil {
+		return Answer{}, code.Wrap(err, code.EndpointFault, "the answer was cut")
+	}
+	if len(body) > maxAnswerBytes {
+		return Answer{}, code.New(code.EndpointFault, "the answer has more than %d bytes", maxAnswerBytes)
+	}
+	return Answer{
+		Status:      response.StatusCode,
+		ContentType: response.Header.Get("Content-Type"),
+		Body:        body,
+		Endpoint:    address,
+	}, nil
+}
+
+// Load implements Service.
+func (c *ServiceClient) Load(ctx context.Context, address string) (Load, error) {
+	var load Load
+	err := jsonhttp.Get(ctx, c.http, "http://"+address+"/v1/load", &load)
+	return load, err
+}
--- /dev/null
+++ b/internal/caller/client.go
@@ -0,0 +1,92 @@
+// Package caller is a small client of the fleet for the demo and the tests.
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+
+	"cardamompoint.example/cardamompoint/api"
+	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+)
+
+// Client asks one router. It is safe for concurrent use.
+type Client struct {
+	address string
+	http    *http.Client
+}
+
+// New returns a Client for the router that serves callers at address.
+func New(address string) *Client {
+	return &Client{address: address, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.http.CloseIdleConnections()
+}
+
+// Ask sends a streaming completion and returns the whole answer. After an
+// error, the answer holds what came before it.
+func (c *Client) Ask(ctx context.Context, completion api.Completion) (*Answer, error) {
+	completion.Stream = true
+	request, err := jsonhttp.NewPost(ctx, "http://"+c.address+"/v1/chat/completions", completion)
+	if err != nil {
+		return &Answer{}, err
+	}
+	return c.stream(request, &Answer{})
+}
+
+// Resume goes on with an answer that was cut and adds to it.
+func (c *Client) Resume(ctx context.Context, answer *Answer) (*Answer, error) {
+	url := "http://" + c.address + "/v1/streams/" + answer.Stream + "?offset=" + answer.nextOffset()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return answer, eris.Wrap(err, "the request can't be made")
+	}
+	return c.stream(request, answer)
+}
+
+func (c *Client) stream(request *http.Request, answer *Answer) (*Answer, error) {
+	response, err := c.http.Do(request)
+	if err != nil {
+		return answer, jsonhttp.SendError(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		raw, _ := io.ReadAll(response.Body)
+		return answer, jsonhttp.DecodeError(response.StatusCode, raw)
+	}
+	return answer, answer.read(response.Body)
+}
+
+// Ticket asks for a ticket.
+func (c *Client) Ticket(ctx context.Context, workspace string) (string, error) {
+	var ticket api.Ticket
+	err := jsonhttp.Post(ctx, c.http, "http://"+c.address+"/v1/tickets", api.TicketRequest{Workspace: workspace}, &ticket)
+	return ticket.Ticket, err
+}
+
+// Call calls a plain service and returns the raw answer. The key may be empty.
+func (c *Client) Call(ctx context.Context, workspace, method, path, key string, body any) (json.RawMessage, error) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return nil, eris.Wrap(err, "the body can't be encoded")
+	}
+	url := "http://" + c.address + "/v1/services/" + workspace + path
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(raw))
+	if err != nil {
+		return nil, eris.Wrap(err, "the request can't be made")
+	}
+	request.GetBody = nil
+	if key != "" {
+		request.Header["Idempotency-Key"] = []string{key}
+	}
+	var answer json.RawMessage
+	err = jsonhttp.Do(c.http, request, &answer)
+	return answer, err
+}
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,239 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"cardamompoint.example/cardamompoint/api"
+	"cardamompoint.example/cardamompoint/config"
+	"cardamompoint.example/cardamompoint/internal/caller"
+	"cardamompoint.example/cardamompoint/internal/standin"
+)
+
+// parallelAsks is the number of requests in progress at once.
+const parallelAsks = 32
+
+// Run runs the demo and prints its report to w. The error is not nil if the
+// deployment can't be started or a check failed.
+func Run(ctx context.Context, w io.Writer, options Options) error {
+	f, err := startFleet(ctx, options.Deployment)
+	if err != nil {
+		return err
+	}
+	defer f.close()
+	d := &run{fleet: f, options: options, report: &report{w: w}}
+	d.report.count("%s: %d routers, %d engines, %d service workers, all in this process",
+		options.Deployment, len(f.routers), len(f.engines), len(f.services))
+	begun := time.Now()
+	for _, step := range []func(context.Context) error{d.askChats, d.sendDeposits, d.changeTemplate} {
+		if err := step(ctx); err != nil {
+			return err
+		}
+	}
+	d.reportControl(time.Since(begun))
+	if d.report.failed > 0 {
+		return eris.Errorf("%d checks failed", d.report.failed)
+	}
+	return nil
+}
+
+// run is one run of the demo.
+type run struct {
+	fleet   *fleet
+	options Options
+	report  *report
+}
+
+// client returns a caller at the n-th router.
+func (d *run) client(n int) *caller.Client {
+	return caller.New(d.fleet.settings[n%len(d.fleet.settings)].Callers)
+}
+
+func (d *run) workspaces() []string {
+	var names []string
+	for name := range d.fleet.routers[0].WorkspaceNames() {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// chat is one returning chat.
+type chat struct {
+	workspace, name string
+	messages        []api.Message
+}
+
+// askChats asks every chat several times, each time at another router.
+func (d *run) askChats(ctx context.Context) error {
+	workspaces := d.workspaces()
+	chats := make([]*chat, d.options.Chats)
+	for i := range chats {
+		chats[i] = &chat{workspace: workspaces[i%len(workspaces)], name: fmt.Sprintf("chat-%d", i)}
+	}
+	var asked, whole, returned, found atomic.Int64
+	var mu sync.Mutex
+	var firstError error
+	for round := range d.options.Rounds {
+		var group errgroup.Group
+		group.SetLimit(parallelAsks)
+		for i, c := range chats {
+			group.Go(func() error {
+				asked.Add(1)
+				answer, err := d.ask(ctx, c, i+round, round)
+				if err != nil {
+					mu.Lock()
+					defer mu.Unlock()
+					if firstError == nil {
+						firstError = err
+					}
+					return nil
+				}
+				whole.Add(1)
+				if round > 0 {
+					returned.Add(1)
+				}
+				if round > 0 && answer.Finished.Usage.ReusedTokens > 0 {
+					found.Add(1)
+				}
+				return nil
+			})
+		}
+		group.Wait()
+	}
+	d.report.check(asked.Load() == whole.Load(), "chats: %d answers asked, %d whole and each its own", asked.Load(), whole.Load())
+	if firstError != nil {
+		d.report.count("the first failure: %v", firstError)
+	}
+	d.report.count("cache reuse: %d of %d returning requests found their context", found.Load(), returned.Load())
+	d.reportSkew()
+	return nil
+}
+
+const demoAnswerTokens = 24
+
+// ask sends the chat's next message and checks the answer token by token.
+func (d *run) ask(ctx context.Context, c *chat, router, round int) (*caller.Answer, error) {
+	client := d.client(router)
+	defer client.Close()
+	c.messages = append(c.messages, api.Message{Role: "user", Content: fmt.Sprintf("question %d of %s", round, c.name)})
+	completion := api.Completion{
+		Workspace: c.workspace,
+		Chat:      c.name,
+		Messages:  c.messages,
+		MaxTokens: demoAnswerTokens,
+	}
+	answer, err := client.Ask(ctx, completion)
+	if err != nil {
+		return nil, err
+	}
+	want := standin.Tokens(c.workspace, c.name, completion.Prompt(), demoAnswerTokens)
+	if !slices.Equal(answer.Tokens, want) {
+		return nil, eris.Errorf("the answer of %s is not its own", c.name)
+	}
+	c.messages = append(c.messages, api.Message{Role: "assistant", Content: answer.Text()})
+	return answer, nil
+}
+
+func (d *run) reportSkew() {
+	largest, total := 0, 0
+	for _, engine := range d.fleet.engines {
+		largest = max(largest, len(engine.Runs()))
+		total += len(engine.Runs())
+	}
+	mean := float64(total) / float64(len(d.fleet.engines))
+	d.report.count("skew: the busiest engine had %d requests, the mean is %.1f", largest, mean)
+}
+
+// sendDeposits sends each deposit twice with one ticket, at two routers at the
+// same moment.
+func (d *run) sendDeposits(ctx context.Context) error {
+	path := depositPaths[d.options.Deployment]
+	workspace := d.workspaces()[0]
+	var failed atomic.Int64
+	var group errgroup.Group
+	group.SetLimit(parallelAsks)
+	for i := range d.options.Deposits {
+		ticket, err := d.client(i).Ticket(ctx, workspace)
+		if err != nil {
+			return err
+		}
+		for attempt := 1; attempt <= 2; attempt++ {
+			group.Go(func() error {
+				client := d.client(i + attempt)
+				defer client.Close()
+				body := map[string]string{"deposit": fmt.Sprintf("deposit-%d", i)}
+				if _, err := client.Call(ctx, workspace, "POST", path, ticket, body); err != nil {
+					failed.Add(1)
+				}
+				return nil
+			})
+		}
+	}
+	group.Wait()
+	runs, doubled := d.countBodies()
+	d.report.check(runs == d.options.Deposits && doubled == 0 && failed.Load() == 0,
+		"deposits: %d sent twice each, %d run, %d run more than once, %d without an answer",
+		d.options.Deposits, runs, doubled, failed.Load())
+	return nil
+}
+
+var depositPaths = map[string]string{
+	"gelek":  "/lanes/deposits",
+	"urverk": "/repairs/orders",
+}
+
+// countBodies returns how many bodies were run, and how many more than once.
+func (d *run) countBodies() (runs, doubled int) {
+	totals := map[string]int{}
+	for _, service := range d.fleet.services {
+		for body, count := range service.Runs().Bodies {
+			totals[body] += count
+		}
+	}
+	for _, count := range totals {
+		runs++
+		if count > 1 {
+			doubled++
+		}
+	}
+	return runs, doubled
+}
+
+// changeTemplate publishes a parameter and waits until all routers use it.
+func (d *run) changeTemplate(ctx context.Context) error {
+	workspace := d.workspaces()[0]
+	version, err := d.fleet.platform.Publish(config.ParametersKey(workspace), []byte(`{"answer_tokens": 99}`), -1)
+	if err != nil {
+		return err
+	}
+	begun := time.Now()
+	err = waitFor(ctx, "the new parameters are in force", func() bool {
+		for _, r := range d.fleet.routers {
+			if r.ParameterVersion(workspace) < version {
+				return false
+			}
+		}
+		return true
+	})
+	d.report.check(err == nil, "configuration: a changed parameter is in force on %d routers after %d ms",
+		len(d.fleet.routers), time.Since(begun).Milliseconds())
+	return nil
+}
+
+func (d *run) reportControl(elapsed time.Duration) {
+	var total int64
+	for _, r := range d.fleet.routers {
+		total += r.Status().ControlBytes
+	}
+	perRouter := float64(total) / float64(len(d.fleet.routers)) / elapsed.Seconds()
+	d.report.count("control traffic: %.0f bytes per router per second on connections it opened", perRouter)
+}
--- /dev/null
+++ b/internal/jsonhttp/doc.go
@@ -0,0 +1,2 @@
+// Package jsonhttp sends and receives JSON over HTTP between processes.
+package jsonhttp
--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,199 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+)
+
+// EngineOptions are the settings of an Engine.
+type EngineOptions struct {
+	// TokenInterval is the time between two tokens.
+	TokenInterval time.Duration
+	// CacheTokens is the size of the prefix cache, in tokens.
+	CacheTokens int
+	// KeepStreams is how long a finished or abandoned stream can be resumed.
+	KeepStreams time.Duration
+}
+
+// Engine stands in for a model engine. It generates at a fixed pace, keeps the
+// context of chats in a bounded cache, and lets streams be resumed and
+// canceled. It is safe for concurrent use.
+type Engine struct {
+	options EngineOptions
+
+	mu      sync.Mutex
+	streams map[string]*engineStream
+	cache   *contextCache
+	leaving bool
+	runs    map[string]int
+	peak    int
+}
+
+// NewEngine returns an Engine.
+func NewEngine(options EngineOptions) *Engine {
+	return &Engine{
+		options: options,
+		streams: map[string]*engineStream{},
+		cache:   newContextCache(options.CacheTokens),
+		runs:    map[string]int{},
+	}
+}
+
+// Handler returns the engine's HTTP interface.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/generate", e.serveGenerate)
+	mux.HandleFunc("GET /v1/streams/{stream}", e.serveResume)
+	mux.HandleFunc("DELETE /v1/streams/{stream}", e.serveCancel)
+	mux.HandleFunc("GET /v1/load", func(w http.ResponseWriter, _ *http.Request) {
+		jsonhttp.Write(w, e.Load())
+	})
+	mux.HandleFunc("POST /test/leave", func(w http.ResponseWriter, _ *http.Request) {
+		e.mu.Lock()
+		e.leaving = true
+		e.mu.Unlock()
+		jsonhttp.Write(w, struct{}{})
+	})
+	mux.HandleFunc("GET /test/runs", func(w http.ResponseWriter, _ *http.Request) {
+		jsonhttp.Write(w, e.Runs())
+	})
+	return mux
+}
+
+// Runs returns how often each request was started here.
+func (e *Engine) Runs() map[string]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	runs := make(map[string]int, len(e.runs))
+	for id, count := range e.runs {
+		runs[id] = count
+	}
+	return runs
+}
+
+// Peak returns the largest number of requests that were in progress at once.
+func (e *Engine) Peak() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.peak
+}
+
+// Load returns the engine's report.
+func (e *Engine) Load() endpoint.Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	load := endpoint.Load{Leaving: e.leaving}
+	for _, s := range e.streams {
+		if left := s.left(); left > 0 {
+			load.Requests++
+			load.Tokens += left
+		}
+	}
+	return load
+}
+
+func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
+	var work endpoint.Work
+	if err := jsonhttp.Read(w, r, maxValueBytes, &work); err != nil {
+		jsonhttp.WriteError(w, err)
+		return
+	}
+	s, err := e.start(work)
+	if err != nil {
+		jsonhttp.WriteError(w, err)
+		return
+	}
+	writeStream(w, r, s, len(work.Prefix))
+}
+
+// start begins a stream. It runs on when the connection is lost, so that the
+// answer can be resumed.
+func (e *Engine) start(work endpoint.Work) (*engineStream, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leaving {
+		return nil, code.New(code.EndpointLeaving, "the engine is leaving")
+	}
+	if _, ok := e.streams[work.StreamID]; ok {
+		return nil, code.New(code.BadRequest, "the stream %q exists", work.StreamID)
+	}
+	prompt := PromptTokens(work.Prompt)
+	s := newEngineStream(work, prompt, e.cache.use(work.Workspace, work.Chat, prompt+work.MaxTokens, prompt))
+	e.streams[work.StreamID] = s
+	e.runs[work.RequestID]++
+	e.peak = max(e.peak, e.inProgress())
+	go e.generate(s)
+	return s, nil
+}
+
+func (e *Engine) inProgress() int {
+	count := 0
+	for _, s := range e.streams {
+		if s.left() > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+func (e *Engine) generate(s *engineStream) {
+	for s.advance() {
+		time.Sleep(e.options.TokenInterval)
+	}
+	time.AfterFunc(e.options.KeepStreams, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		delete(e.streams, s.work.StreamID)
+	})
+}
+
+func (e *Engine) find(streamID string) *engineStream {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.streams[streamID]
+}
+
+func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
+	s := e.find(r.PathValue("stream"))
+	offset, err := strconv.Atoi(r.URL.Query().Get("offset"))
+	if s == nil || err != nil {
+		jsonhttp.WriteError(w, code.New(code.UnknownStream, "the engine has no such stream"))
+		return
+	}
+	writeStream(w, r, s, offset)
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	if s := e.find(r.PathValue("stream")); s != nil {
+		s.cancel()
+	}
+	jsonhttp.Write(w, struct{}{})
+}
+
+// writeStream sends the tokens from offset on as JSON lines.
+func writeStream(w http.ResponseWriter, r *http.Request, s *engineStream, offset int) {
+	control := http.NewResponseController(w)
+	encoder := json.NewEncoder(w)
+	for {
+		line, wait, done := s.line(offset)
+		if wait != nil {
+			select {
+			case <-wait:
+			case <-r.Context().Done():
+				return
+			}
+			continue
+		}
+		if encoder.Encode(line) != nil || control.Flush() != nil || done {
+			return
+		}
+		offset++
+	}
+}
--- /dev/null
+++ b/internal/standin/engine_stream.go
@@ -0,0 +1,87 @@
+package standin
+
+import (
+	"sync"
+
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/endpoint"
+)
+
+// engineStream is one answer in progress at an Engine.
+type engineStream struct {
+	work   endpoint.Work
+	tokens []string
+	prompt int
+	reused int
+
+	mu       sync.Mutex
+	made     int
+	canceled bool
+	changed  chan struct{}
+}
+
+func newEngineStream(work endpoint.Work, prompt, reused int) *engineStream {
+	return &engineStream{
+		work:    work,
+		tokens:  Tokens(work.Workspace, work.Chat, work.Prompt, work.MaxTokens),
+		prompt:  prompt,
+		reused:  reused,
+		made:    len(work.Prefix),
+		changed: make(chan struct{}),
+	}
+}
+
+// advance makes the next token and reports whether there are more to come.
+func (s *engineStream) advance() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.canceled || s.made >= len(s.tokens) {
+		return false
+	}
+	s.made++
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.made < len(s.tokens)
+}
+
+func (s *engineStream) cancel() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.canceled {
+		return
+	}
+	s.canceled = true
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// left returns the number of tokens still to come.
+func (s *engineStream) left() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.canceled {
+		return 0
+	}
+	return len(s.tokens) - s.made
+}
+
+// line returns the line at offset and whether it is the last one. While the
+// token is not made yet, it returns a channel to wait for.
+func (s *engineStream) line(offset int) (line endpoint.Line, wait <-chan struct{}, done bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	line = endpoint.Line{RequestID: s.work.RequestID, StreamID: s.work.StreamID, Offset: offset}
+	if offset < s.made {
+		line.Text = s.tokens[offset]
+		return line, nil, false
+	}
+	if s.canceled {
+		line.Error = code.New(code.Canceled, "the stream was canceled")
+		return line, nil, true
+	}
+	if offset < len(s.tokens) {
+		return line, s.changed, false
+	}
+	line.Final = &endpoint.Final{Tokens: len(s.tokens), PromptTokens: s.prompt, ReusedTokens: s.reused}
+	return line, nil, true
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,270 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+	"cardamompoint.example/cardamompoint/platform"
+)
+
+const maxValueBytes = 1 << 20
+
+// Fault is what a test lets the platform do wrong.
+type Fault struct {
+	// Down refuses every read.
+	Down bool `json:"down,omitempty"`
+	// Silent lets every read wait without an answer.
+	Silent bool `json:"silent,omitempty"`
+	// StaleRevision shows the configuration as it was at this revision. 0 means now.
+	StaleRevision int64 `json:"stale_revision,omitempty"`
+}
+
+// Platform stands in for the platform's service. Reads are what routers see;
+// writes belong to operators and tests. It is safe for concurrent use.
+type Platform struct {
+	mu       sync.Mutex
+	revision int64
+	history  []platform.Value
+	newest   map[string]platform.Value
+	list     platform.VMs
+	fault    Fault
+	changed  chan struct{}
+	calls    int64
+}
+
+// NewPlatform returns a Platform without documents.
+func NewPlatform() *Platform {
+	return &Platform{newest: map[string]platform.Value{}, changed: make(chan struct{})}
+}
+
+// Publish writes a document and returns its version. If ifVersion is not
+// negative, the write is refused unless the key has just this version.
+func (p *Platform) Publish(key string, data json.RawMessage, ifVersion int64) (int64, error) {
+	if len(data) > maxValueBytes {
+		return 0, code.New(code.BodyTooLarge, "the document has more than %d bytes", maxValueBytes)
+	}
+	return p.write(platform.Value{Key: key, Data: data}, ifVersion)
+}
+
+// Delete deletes a document and returns the version of the deletion.
+func (p *Platform) Delete(key string, ifVersion int64) (int64, error) {
+	return p.write(platform.Value{Key: key, Deleted: true}, ifVersion)
+}
+
+func (p *Platform) write(value platform.Value, ifVersion int64) (int64, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.newest[value.Key].Version
+	if ifVersion >= 0 && known != ifVersion {
+		return 0, code.New(code.VersionConflict, "the key has version %d", known)
+	}
+	p.revision++
+	value.Version = p.revision
+	p.newest[value.Key] = value
+	p.history = append(p.history, value)
+	p.wake()
+	return value.Version, nil
+}
+
+func (p *Platform) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// SetVMs publishes the list of VMs with the next version.
+func (p *Platform) SetVMs(vms []platform.VM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.list = platform.VMs{Version: p.list.Version + 1, VMs: slices.Clone(vms)}
+}
+
+// SetState changes the state of one VM in the list. An empty state drops it.
+func (p *Platform) SetState(address string, state platform.State) {
+	p.mu.Lock()
+	vms := slices.Clone(p.list.VMs)
+	p.mu.Unlock()
+	kept := vms[:0]
+	for _, vm := range vms {
+		if vm.Address == address {
+			vm.State = state
+		}
+		if vm.State != "" {
+			kept = append(kept, vm)
+		}
+	}
+	p.SetVMs(kept)
+}
+
+// SetFault lets the platform fail from now on.
+func (p *Platform) SetFault(fault Fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault = fault
+	p.wake()
+}
+
+// Calls returns the number of reads, a waiting watch counted as one.
+func (p *Platform) Calls() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls
+}
+
+// Handler returns the platform's HTTP interface.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/changes", p.serveChanges)
+	mux.HandleFunc("GET /v1/vms", p.serveVMs)
+	mux.HandleFunc("PUT /operator/v1/values/{key...}", p.servePublish)
+	mux.HandleFunc("DELETE /operator/v1/values/{key...}", p.serveDelete)
+	mux.HandleFunc("PUT /operator/v1/vms/{address}/{state}", func(w http.ResponseWriter, r *http.Request) {
+		state := platform.State(r.PathValue("state"))
+		if state == "gone" {
+			state = ""
+		}
+		p.SetState(r.PathValue("address"), state)
+		jsonhttp.Write(w, struct{}{})
+	})
+	mux.HandleFunc("PUT /test/fault", func(w http.ResponseWriter, r *http.Request) {
+		var fault Fault
+		if err := jsonhttp.Read(w, r, maxValueBytes, &fault); err != nil {
+			jsonhttp.WriteError(w, err)
+			return
+		}
+		p.SetFault(fault)
+		jsonhttp.Write(w, struct{}{})
+	})
+	mux.HandleFunc("GET /test/calls", func(w http.ResponseWriter, _ *http.Request) {
+		jsonhttp.Write(w, p.Calls())
+	})
+	return mux
+}
+
+// begin counts a read and returns the fault in force.
+func (p *Platform) begin() Fault {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls++
+	return p.fault
+}
+
+func (p *Platform) failed(w http.ResponseWriter, r *http.Request) bool {
+	fault := p.begin()
+	if fault.Silent {
+		<-r.Context().Done()
+		return true
+	}
+	if fault.Down {
+		jsonhttp.WriteError(w, code.New(code.PlatformSilent, "the platform is down"))
+	}
+	return fault.Down
+}
+
+func (p *Platform) serveChanges(w http.ResponseWriter, r *http.Request) {
+	if p.failed(w, r) {
+		return
+	}
+	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	waitMS, _ := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
+	timeout := time.NewTimer(time.Duration(waitMS) * time.Millisecond)
+	defer timeout.Stop()
+	for {
+		changes, changed := p.changesAfter(after)
+		if len(changes.Values) > 0 || changes.Revision < after {
+			jsonhttp.Write(w, changes)
+			return
+		}
+		select {
+		case <-changed:
+			if p.downNow() {
+				jsonhttp.WriteError(w, code.New(code.PlatformSilent, "the platform is down"))
+				return
+			}
+		case <-timeout.C:
+			jsonhttp.Write(w, changes)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (p *Platform) downNow() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fault.Down
+}
+
+// changesAfter returns each document that changed after a revision in its
+// newest version, and a channel that is closed at the next change.
+func (p *Platform) changesAfter(after int64) (platform.Changes, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	limit := p.revision
+	if p.fault.StaleRevision > 0 {
+		limit = min(limit, p.fault.StaleRevision)
+	}
+	newest := map[string]platform.Value{}
+	for _, value := range p.history {
+		if value.Version > after && value.Version <= limit {
+			newest[value.Key] = value
+		}
+	}
+	changes := platform.Changes{Revision: limit}
+	for _, value := range newest {
+		changes.Values = append(changes.Values, value)
+	}
+	slices.SortFunc(changes.Values, func(a, b platform.Value) int { return int(a.Version - b.Version) })
+	return changes, p.changed
+}
+
+func (p *Platform) serveVMs(w http.ResponseWriter, r *http.Request) {
+	if p.failed(w, r) {
+		return
+	}
+	p.mu.Lock()
+	list := p.list
+	p.mu.Unlock()
+	jsonhttp.Write(w, list)
+}
+
+func ifVersion(r *http.Request) int64 {
+	version, err := strconv.ParseInt(r.URL.Query().Get("if_version"), 10, 64)
+	if err != nil {
+		return -1
+	}
+	return version
+}
+
+func (p *Platform) servePublish(w http.ResponseWriter, r *http.Request) {
+	raw, err := io.ReadAll(io.LimitReader(r.Body, maxValueBytes+1))
+	if err == nil && !json.Valid(raw) {
+		err = code.New(code.BadRequest, "the document is not JSON")
+	}
+	if err != nil {
+		jsonhttp.WriteError(w, err)
+		return
+	}
+	version, err := p.Publish(r.PathValue("key"), raw, ifVersion(r))
+	answerVersion(w, version, err)
+}
+
+func (p *Platform) serveDelete(w http.ResponseWriter, r *http.Request) {
+	version, err := p.Delete(r.PathValue("key"), ifVersion(r))
+	answerVersion(w, version, err)
+}
+
+func answerVersion(w http.ResponseWriter, version int64, err error) {
+	if err != nil {
+		jsonhttp.WriteError(w, err)
+		return
+	}
+	jsonhttp.Write(w, map[string]int64{"version": version})
+}
--- /dev/null
+++ b/internal/standin/service.go
@@ -0,0 +1,115 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+)
+
+// ServiceOptions are the settings of a Service.
+type ServiceOptions struct {
+	// Delay is the time that a call takes.
+	Delay time.Duration
+}
+
+// Service stands in for a plain service. It counts every run and detects no
+// repeats by itself. It is safe for concurrent use.
+type Service struct {
+	options ServiceOptions
+
+	mu       sync.Mutex
+	runs     map[string]int
+	bodies   map[string]int
+	requests int
+}
+
+// NewService returns a Service.
+func NewService(options ServiceOptions) *Service {
+	return &Service{options: options, runs: map[string]int{}, bodies: map[string]int{}}
+}
+
+// ServiceAnswer is the body of a Service's answers.
+type ServiceAnswer struct {
+	// Method is the call's method.
+	Method string `json:"method"`
+	// Path is the call's path.
+	Path string `json:"path"`
+	// Workspace is whose call it was.
+	Workspace string `json:"workspace"`
+	// Run counts the runs of this body at this worker.
+	Run int `json:"run"`
+}
+
+// ServiceRuns are the runs that a Service counted.
+type ServiceRuns struct {
+	// Requests counts runs by request id.
+	Requests map[string]int `json:"requests"`
+	// Bodies counts runs of POST calls by body.
+	Bodies map[string]int `json:"bodies"`
+}
+
+// Handler returns the service's HTTP interface.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/load", func(w http.ResponseWriter, _ *http.Request) {
+		s.mu.Lock()
+		load := endpoint.Load{Requests: s.requests}
+		s.mu.Unlock()
+		jsonhttp.Write(w, load)
+	})
+	mux.HandleFunc("GET /test/runs", func(w http.ResponseWriter, _ *http.Request) {
+		jsonhttp.Write(w, s.Runs())
+	})
+	mux.HandleFunc("/", s.serveCall)
+	return mux
+}
+
+// Runs returns what was counted.
+func (s *Service) Runs() ServiceRuns {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	runs := ServiceRuns{Requests: map[string]int{}, Bodies: map[string]int{}}
+	for id, count := range s.runs {
+		runs.Requests[id] = count
+	}
+	for body, count := range s.bodies {
+		runs.Bodies[body] = count
+	}
+	return runs
+}
+
+func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	requestID := r.Header.Get(endpoint.RequestHeader)
+	run := s.count(r.Method, requestID, string(body))
+	time.Sleep(s.options.Delay)
+	s.mu.Lock()
+	s.requests--
+	s.mu.Unlock()
+	w.Header().Set(endpoint.RequestHeader, requestID)
+	jsonhttp.Write(w, ServiceAnswer{
+		Method:    r.Method,
+		Path:      r.URL.Path,
+		Workspace: r.Header.Get(endpoint.WorkspaceHeader),
+		Run:       run,
+	})
+}
+
+func (s *Service) count(method, requestID, body string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests++
+	s.runs[requestID]++
+	if method != http.MethodPost {
+		return 0
+	}
+	s.bodies[body]++
+	return s.bodies[body]
+}
--- /dev/null
+++ b/member/doc.go
@@ -0,0 +1,3 @@
+// Package member keeps a router's view of the fleet: the published list of VMs
+// and what heartbeats tell of the other routers.
+package member
--- /dev/null
+++ b/member/self.go
@@ -0,0 +1,13 @@
+package member
+
+// Self identifies one router process.
+type Self struct {
+	// Address is the peer address; it identifies the VM.
+	Address string `json:"address"`
+	// Name is the VM's name in logs.
+	Name string `json:"name"`
+	// FailureDomain is the VM's failure domain.
+	FailureDomain string `json:"failure_domain"`
+	// Incarnation is new with each start of the process.
+	Incarnation string `json:"incarnation"`
+}
--- /dev/null
+++ b/once/outcome.go
@@ -0,0 +1,14 @@
+package once
+
+import (
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/endpoint"
+)
+
+// Outcome is the end of one piece of work: an answer or an error.
+type Outcome struct {
+	// Answer is the endpoint's answer.
+	Answer *endpoint.Answer `json:"answer,omitempty"`
+	// Error is the numbered result if there is no answer.
+	Error *code.Error `json:"error,omitempty"`
+}
--- /dev/null
+++ b/peer/handler.go
@@ -0,0 +1,47 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+)
+
+const maxMessageBytes = 64 << 20
+
+// Handle returns a handler that checks the signature, decodes the message and
+// answers with what serve returns.
+func Handle[In, Out any](secret []byte, serve func(context.Context, In) (Out, error)) http.Handler {
+	return HandleStream(secret, func(w http.ResponseWriter, r *http.Request, in In) {
+		out, err := serve(r.Context(), in)
+		if err != nil {
+			jsonhttp.WriteError(w, err)
+			return
+		}
+		jsonhttp.Write(w, out)
+	})
+}
+
+// HandleStream returns a handler that checks the signature, decodes the
+// message and leaves the answer to serve.
+func HandleStream[In any](secret []byte, serve func(http.ResponseWriter, *http.Request, In)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		raw, err := jsonhttp.ReadBytes(w, r, maxMessageBytes)
+		if err != nil {
+			jsonhttp.WriteError(w, err)
+			return
+		}
+		if err := verify(secret, r, raw); err != nil {
+			jsonhttp.WriteError(w, err)
+			return
+		}
+		var in In
+		if err := json.Unmarshal(raw, &in); err != nil {
+			jsonhttp.WriteError(w, code.Wrap(err, code.BadRequest, "the message can't be decoded"))
+			return
+		}
+		serve(w, r, in)
+	})
+}
--- /dev/null
+++ b/router/callers.go
@@ -0,0 +1,41 @@
+package router
+
+import (
+	"net/http"
+
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+)
+
+// callersMux returns the handler for callers.
+func (r *Router) callersMux() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", r.serveCompletion)
+	mux.HandleFunc("GET /v1/streams/{stream}", r.serveResume)
+	mux.HandleFunc("DELETE /v1/streams/{stream}", r.serveCancel)
+	mux.HandleFunc("POST /v1/tickets", r.serveTicket)
+	mux.HandleFunc("GET /v1/outcomes/{workspace}/{key}", r.serveOutcome)
+	mux.HandleFunc("/v1/services/{workspace}/{path...}", r.serveService)
+	mux.HandleFunc("/", func(w http.ResponseWriter, request *http.Request) {
+		r.answerError(w, code.New(code.UnknownRoute, "there is no %s %s", request.Method, request.URL.Path))
+	})
+	return r.admit(mux)
+}
+
+// admit counts requests in progress and refuses new ones while the router can't
+// take them.
+func (r *Router) admit(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		r.inProgress.Add(1)
+		defer r.inProgress.Add(-1)
+		if r.closing.Load() {
+			jsonhttp.WriteError(w, code.New(code.Draining, "the router shuts down").After(retryBusy))
+			return
+		}
+		if !r.learned.Load() {
+			jsonhttp.WriteError(w, code.New(code.NotReady, "the router has no configuration yet").After(retryBusy))
+			return
+		}
+		next.ServeHTTP(w, request)
+	})
+}
--- /dev/null
+++ b/router/completion.go
@@ -0,0 +1,149 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"k8s.io/klog/v2"
+
+	"cardamompoint.example/cardamompoint/api"
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+	"cardamompoint.example/cardamompoint/stream"
+	"cardamompoint.example/cardamompoint/template"
+)
+
+// serveCompletion answers POST /v1/chat/completions.
+func (r *Router) serveCompletion(w http.ResponseWriter, request *http.Request) {
+	var body api.Completion
+	if err := jsonhttp.Read(w, request, r.settings.Limits.BodyBytes, &body); err != nil {
+		r.answerError(w, err)
+		return
+	}
+	requestID := uuid.NewString()
+	j, timeout, err := r.newJob(requestID, &body)
+	if err != nil {
+		r.answerError(w, withRequestID(err, requestID))
+		return
+	}
+	ctx, cancel := context.WithTimeout(request.Context(), timeout)
+	defer cancel()
+	if body.Stream {
+		r.streamCompletion(ctx, w, j)
+		return
+	}
+	r.wholeCompletion(ctx, w, j)
+}
+
+// newJob checks body against the snapshot in force and returns its job and the
+// time that it may take.
+func (r *Router) newJob(requestID string, body *api.Completion) (*job, time.Duration, error) {
+	if err := body.Check(); err != nil {
+		return nil, 0, err
+	}
+	snapshot, view := r.store.Snapshot(), r.members.View()
+	rules, err := snapshot.Rules(body.Workspace)
+	if err != nil {
+		return nil, 0, err
+	}
+	choice, err := chooseModel(rules, body.Chat, body.Model)
+	if err != nil {
+		return nil, 0, err
+	}
+	work, err := newWork(requestID, body, rules, choice)
+	if err != nil {
+		return nil, 0, err
+	}
+	hinted := stream.OpenHint(r.settings.Secret, body.Hint, body.Workspace, body.Chat)
+	ranked, err := candidates(snapshot, view, body.Workspace, body.Chat, choice.Model, hinted)
+	if err != nil {
+		return nil, 0, err
+	}
+	timeout := r.timeout(body.TimeoutMS, rules.Completion.TimeoutMS)
+	return &job{router: r, view: view, work: work, candidates: ranked}, timeout, nil
+}
+
+func newWork(requestID string, body *api.Completion, rules *template.Rules, choice template.ModelChoice) (endpoint.Work, error) {
+	maxTokens := rules.Completion.MaxTokens
+	if body.MaxTokens > maxTokens {
+		return endpoint.Work{}, code.New(code.InvalidParameter, "%d is above the template's %d", body.MaxTokens, maxTokens).At("$.max_tokens")
+	}
+	if body.MaxTokens > 0 {
+		maxTokens = body.MaxTokens
+	}
+	priority := body.Priority
+	if priority == "" {
+		priority = rules.Completion.Priority
+	}
+	return endpoint.Work{
+		RequestID: requestID,
+		Workspace: body.Workspace,
+		Chat:      body.Chat,
+		Model:     choice.Model,
+		Adapter:   choice.Adapter,
+		Priority:  priority,
+		Prompt:    body.Prompt(),
+		MaxTokens: maxTokens,
+	}, nil
+}
+
+// timeout returns the least of the given times, in milliseconds, that is set,
+// or the settings' own.
+func (r *Router) timeout(limitsMS ...int) time.Duration {
+	least := r.settings.Timing.RequestMS
+	for _, limit := range limitsMS {
+		if limit > 0 {
+			least = min(least, limit)
+		}
+	}
+	return milliseconds(least)
+}
+
+func (r *Router) streamCompletion(ctx context.Context, w http.ResponseWriter, j *job) {
+	receiver := &streamReceiver{router: r, job: j, w: w}
+	j.receiver = receiver
+	err := j.run(ctx)
+	r.logResult(j.work.RequestID, err)
+	if err == nil {
+		r.metrics.Result(code.OK)
+		return
+	}
+	receiver.fail(withRequestID(err, j.work.RequestID))
+}
+
+func (r *Router) wholeCompletion(ctx context.Context, w http.ResponseWriter, j *job) {
+	receiver := &wholeReceiver{}
+	j.receiver = receiver
+	err := j.run(ctx)
+	r.logResult(j.work.RequestID, err)
+	if err != nil {
+		r.answerError(w, withRequestID(err, j.work.RequestID))
+		return
+	}
+	r.metrics.Result(code.OK)
+	r.metrics.Answer(receiver.final.Tokens, receiver.final.ReusedTokens)
+	jsonhttp.Write(w, receiver.answer(r, j))
+}
+
+func (r *Router) logResult(requestID string, err error) {
+	if err != nil {
+		klog.Infof("exec: request %s ends with %v.", requestID, err)
+		return
+	}
+	klog.Infof("exec: request %s is answered.", requestID)
+}
+
+// answerError answers a caller with the numbered error in err.
+func (r *Router) answerError(w http.ResponseWriter, err error) {
+	r.metrics.Result(code.Of(err).Code)
+	jsonhttp.WriteError(w, err)
+}
+
+func withRequestID(err error, requestID string) *code.Error {
+	coded := *code.Of(err)
+	coded.RequestID = requestID
+	return &coded
+}
--- /dev/null
+++ b/router/options.go
@@ -0,0 +1,22 @@
+package router
+
+import (
+	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/settings"
+)
+
+// Options are what a Router is made of. Nil adapters are made from the
+// settings.
+type Options struct {
+	// Settings are the checked settings.
+	Settings *settings.Router
+	// Config reads published configuration.
+	Config platform.Config
+	// Lister reads the list of VMs.
+	Lister platform.Lister
+	// Engine speaks to model engines.
+	Engine endpoint.Engine
+	// Service speaks to plain services.
+	Service endpoint.Service
+}
--- /dev/null
+++ b/router/peers.go
@@ -0,0 +1,65 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"cardamompoint.example/cardamompoint/member"
+	"cardamompoint.example/cardamompoint/once"
+	"cardamompoint.example/cardamompoint/peer"
+	"cardamompoint.example/cardamompoint/platform"
+)
+
+const (
+	heartbeatPath = "/peer/v1/heartbeat"
+	changesPath   = "/peer/v1/changes"
+)
+
+// knownState is what a router tells a peer that asks what is published.
+type knownState struct {
+	// Changes are the documents that the asker has not got.
+	Changes platform.Changes `json:"changes"`
+	// List is the newest list of VMs.
+	List platform.VMs `json:"list"`
+}
+
+// changesRequest asks a peer for what is published.
+type changesRequest struct {
+	// After is the asker's revision.
+	After int64 `json:"after"`
+}
+
+// peersMux returns the handler for the other routers.
+func (r *Router) peersMux() http.Handler {
+	secret := r.settings.Secret
+	mux := http.NewServeMux()
+	mux.Handle("POST "+heartbeatPath, peer.Handle(secret, r.serveHeartbeat))
+	mux.Handle("POST "+changesPath, peer.Handle(secret, r.serveChanges))
+	mux.Handle("POST "+workPath, peer.HandleStream(secret, r.serveWork))
+	mux.Handle("POST "+executePath, peer.Handle(secret, r.serveExecute))
+	mux.Handle("POST "+outcomePath, peer.Handle(secret, func(ctx context.Context, ticket once.Ticket) (once.Outcome, error) {
+		return r.outcome(ctx, ticket)
+	}))
+	return mux
+}
+
+func (r *Router) serveHeartbeat(_ context.Context, beat member.Heartbeat) (member.Heartbeat, error) {
+	r.members.Heard(beat, time.Now())
+	return r.heartbeat(), nil
+}
+
+func (r *Router) serveChanges(_ context.Context, request changesRequest) (knownState, error) {
+	return knownState{Changes: r.store.Since(request.After), List: r.members.View().List}, nil
+}
+
+// heartbeat returns what this router tells of itself.
+func (r *Router) heartbeat() member.Heartbeat {
+	return member.Heartbeat{
+		From:        r.members.Self(),
+		Leaving:     r.draining.Load(),
+		ListVersion: r.members.View().List.Version,
+		Revision:    r.store.Snapshot().Revision,
+		Loads:       r.ledger.Sums(),
+	}
+}
--- /dev/null
+++ b/router/receivers.go
@@ -0,0 +1,109 @@
+package router
+
+import (
+	"net/http"
+	"strings"
+
+	"cardamompoint.example/cardamompoint/api"
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+	"cardamompoint.example/cardamompoint/stream"
+)
+
+// streamReceiver relays an answer as server-sent events.
+type streamReceiver struct {
+	router *Router
+	job    *job
+	w      http.ResponseWriter
+	events *stream.Writer
+}
+
+func (s *streamReceiver) started(engine, streamID string) error {
+	if s.events == nil {
+		s.events = stream.NewWriter(s.w)
+	}
+	work := s.job.work
+	id := stream.ID{RequestID: work.RequestID, StreamID: streamID, Workspace: work.Workspace, Engine: engine}
+	return s.events.Event("start", -1, api.Started{
+		ID:     work.RequestID,
+		Stream: id.Seal(s.router.settings.Secret),
+		Model:  work.Model,
+		Engine: engine,
+	})
+}
+
+func (s *streamReceiver) token(line endpoint.Line) error {
+	return s.events.Event("", line.Offset, api.NewChunk(line.RequestID, line.Text))
+}
+
+func (s *streamReceiver) finished(final endpoint.Final) error {
+	s.router.metrics.Answer(final.Tokens, final.ReusedTokens)
+	work := s.job.work
+	err := s.events.Event("finish", -1, api.Finished{
+		ID:     work.RequestID,
+		Usage:  usage(final),
+		Engine: final.Engine,
+		Hint:   s.router.hint(work, final.Engine),
+	})
+	if err != nil {
+		return err
+	}
+	return s.events.Close()
+}
+
+// fail ends the answer with an error: as an event if the stream has begun,
+// else as an HTTP error.
+func (s *streamReceiver) fail(err *code.Error) {
+	if s.events == nil {
+		s.router.answerError(s.w, err)
+		return
+	}
+	s.router.metrics.Result(err.Code)
+	s.events.Event("error", -1, jsonhttp.ErrorBody{Error: err})
+}
+
+// wholeReceiver collects an answer.
+type wholeReceiver struct {
+	text  strings.Builder
+	final endpoint.Final
+}
+
+func (c *wholeReceiver) started(string, string) error { return nil }
+
+func (c *wholeReceiver) token(line endpoint.Line) error {
+	c.text.WriteString(line.Text)
+	return nil
+}
+
+func (c *wholeReceiver) finished(final endpoint.Final) error {
+	c.final = final
+	return nil
+}
+
+func (c *wholeReceiver) answer(r *Router, j *job) api.Answer {
+	return api.Answer{
+		ID:     j.work.RequestID,
+		Object: api.ObjectCompletion,
+		Model:  j.work.Model,
+		Choices: []api.AnswerChoice{{
+			Message:      api.Message{Role: "assistant", Content: c.text.String()},
+			FinishReason: "stop",
+		}},
+		Usage:  usage(c.final),
+		Engine: c.final.Engine,
+		Hint:   r.hint(j.work, c.final.Engine),
+	}
+}
+
+func usage(final endpoint.Final) api.Usage {
+	return api.Usage{
+		PromptTokens:     final.PromptTokens,
+		CompletionTokens: final.Tokens,
+		ReusedTokens:     final.ReusedTokens,
+	}
+}
+
+func (r *Router) hint(work endpoint.Work, engine string) string {
+	return stream.Hint{Workspace: work.Workspace, Chat: work.Chat, Engine: engine}.Seal(r.settings.Secret)
+}
--- /dev/null
+++ b/router/route.go
@@ -0,0 +1,135 @@
+package router
+
+import (
+	"time"
+
+	"cardamompoint.example/cardamompoint/api"
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/config"
+	"cardamompoint.example/cardamompoint/member"
+	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/rank"
+	"cardamompoint.example/cardamompoint/template"
+)
+
+// Why a candidate is in its place.
+const (
+	reasonHint   = "hint"
+	reasonRanked = "ranked"
+)
+
+// noEndpointRetry is when to come back if a model has no engine.
+const noEndpointRetry = 2 * time.Second
+
+// candidate is one engine that may serve a chat.
+type candidate struct {
+	vm     platform.VM
+	reason string
+}
+
+// chooseModel returns the model that the template gives the chat. The choice
+// depends on the chat and the template alone.
+func chooseModel(rules *template.Rules, chat, wanted string) (template.ModelChoice, error) {
+	var nodes []rank.Node
+	var choices []template.ModelChoice
+	for _, choice := range rules.Completion.Models {
+		if wanted != "" && choice.Model != wanted {
+			continue
+		}
+		if wanted == "" && choice.Weight <= 0 {
+			continue
+		}
+		choices = append(choices, choice)
+		nodes = append(nodes, rank.NewNode(choice.Model, choice.Weight))
+	}
+	if len(choices) == 0 {
+		return template.ModelChoice{}, code.New(code.InvalidParameter, "the template has no such model").At("$.model")
+	}
+	best := rank.Top(rank.Key(rules.Workspace, chat), nodes, 1)
+	return choices[best[0]], nil
+}
+
+// candidates returns the engines that may serve the chat, best first. hinted
+// is the engine that holds the chat's context, if the caller knows it.
+func candidates(snapshot *config.Snapshot, view *member.View, workspace, chat, model, hinted string) ([]candidate, error) {
+	declared, ok := snapshot.Models[model]
+	if !ok {
+		return nil, code.New(code.NoEndpoint, "the model %q is not declared", model).After(noEndpointRetry)
+	}
+	engines := view.Group(declared.Group)
+	if len(engines) == 0 {
+		return nil, code.New(code.NoEndpoint, "the group %q has no live engine", declared.Group).After(noEndpointRetry)
+	}
+	order := rank.Top(rank.Key(workspace, chat), nodesOf(engines), 0)
+	ranked := make([]candidate, 0, len(order)+1)
+	for _, index := range order {
+		vm := engines[index]
+		if vm.Address == hinted {
+			ranked = append([]candidate{{vm, reasonHint}}, ranked...)
+			continue
+		}
+		ranked = append(ranked, candidate{vm, reasonRanked})
+	}
+	return ranked, nil
+}
+
+func nodesOf(vms []platform.VM) []rank.Node {
+	nodes := make([]rank.Node, len(vms))
+	for i, vm := range vms {
+		nodes[i] = rank.NewNode(vm.Address, vm.Capacity)
+	}
+	return nodes
+}
+
+// homeOf returns the router that admits work to the engine: the first in the
+// engine's order of routers that this router can reach.
+func (r *Router) homeOf(view *member.View, engine string) string {
+	routers := view.Routers
+	order := rank.Top(rank.Key("home", engine), nodesOf(routers), 0)
+	now := time.Now()
+	for _, index := range order {
+		address := routers[index].Address
+		if r.members.Health(address, now) == member.HealthAlive {
+			return address
+		}
+	}
+	return r.members.Self().Address
+}
+
+// explain returns how the chat would be routed now.
+func (r *Router) explain(workspace, chat string) (*api.Explanation, error) {
+	snapshot, view := r.store.Snapshot(), r.members.View()
+	rules, err := snapshot.Rules(workspace)
+	if err != nil {
+		return nil, err
+	}
+	choice, err := chooseModel(rules, chat, "")
+	if err != nil {
+		return nil, err
+	}
+	ranked, err := candidates(snapshot, view, workspace, chat, choice.Model, "")
+	if err != nil {
+		return nil, err
+	}
+	explanation := &api.Explanation{Workspace: workspace, Chat: chat, Model: choice.Model}
+	for _, c := range ranked {
+		explanation.Candidates = append(explanation.Candidates, api.Candidate{
+			Engine:        c.vm.Address,
+			FailureDomain: c.vm.FailureDomain,
+			Home:          r.homeOf(view, c.vm.Address),
+			Reason:        c.reason,
+		})
+	}
+	explanation.PassedOver = passedOver(view, snapshot.Models[choice.Model].Group)
+	return explanation, nil
+}
+
+func passedOver(view *member.View, group string) []api.Candidate {
+	var passed []api.Candidate
+	for _, vm := range view.List.VMs {
+		if vm.Group == group && vm.State == platform.StateLeaving {
+			passed = append(passed, api.Candidate{Engine: vm.Address, FailureDomain: vm.FailureDomain, Reason: "leaving"})
+		}
+	}
+	return passed
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,124 @@
+package router
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"cardamompoint.example/cardamompoint/balance"
+	"cardamompoint.example/cardamompoint/config"
+	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/member"
+	"cardamompoint.example/cardamompoint/metrics"
+	"cardamompoint.example/cardamompoint/once"
+	"cardamompoint.example/cardamompoint/peer"
+	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/settings"
+)
+
+// Router is one router process. It is safe for concurrent use.
+type Router struct {
+	settings *settings.Router
+	config   platform.Config
+	lister   platform.Lister
+	engine   endpoint.Engine
+	service  endpoint.Service
+	metrics  *metrics.Metrics
+
+	store   *config.Store
+	members *member.Table
+	ledger  *balance.Ledger
+	records *once.Table
+	budget  *retryBudget
+
+	workerCounts *workerCounts
+
+	control      *peer.Client
+	work         *peer.Client
+	controlBytes peer.Bytes
+
+	learned    atomic.Bool
+	draining   atomic.Bool
+	closing    atomic.Bool
+	inProgress atomic.Int64
+	tasks      sync.WaitGroup
+	servers    []*http.Server
+}
+
+// New returns a Router that does not run yet.
+func New(options Options) (*Router, error) {
+	meters, err := metrics.New()
+	if err != nil {
+		return nil, err
+	}
+	s := options.Settings
+	r := &Router{
+		settings: s,
+		config:   options.Config,
+		lister:   options.Lister,
+		engine:   options.Engine,
+		service:  options.Service,
+		metrics:  meters,
+		store:    config.NewStore(),
+		ledger:   balance.NewLedger(s.Limits),
+		records:  once.NewTable(s.Limits.Records),
+		budget:   newRetryBudget(s.Limits.RetryRatio),
+
+		workerCounts: newWorkerCounts(),
+	}
+	r.members = member.NewTable(member.Self{
+		Address:       s.Peers,
+		Name:          s.Name,
+		FailureDomain: s.FailureDomain,
+		Incarnation:   uuid.NewString(),
+	}, milliseconds(s.Timing.SuspectMS))
+	r.control = peer.NewClient(s.Secret, peer.NewTransport(&r.controlBytes))
+	r.work = peer.NewClient(s.Secret, peer.NewTransport(nil))
+	r.addAdapters()
+	return r, r.addGauges()
+}
+
+func (r *Router) addAdapters() {
+	s := r.settings
+	if r.config == nil || r.lister == nil {
+		client := platform.NewClient(s.Platform, peer.NewTransport(&r.controlBytes))
+		r.config, r.lister = client, client
+	}
+	if r.engine == nil {
+		r.engine = endpoint.NewEngineClient(peer.NewTransport(nil), milliseconds(s.Timing.ProgressMS))
+	}
+	if r.service == nil {
+		r.service = endpoint.NewServiceClient(peer.NewTransport(nil))
+	}
+}
+
+func (r *Router) addGauges() error {
+	gauges := []struct {
+		name, help string
+		read       func() int64
+	}{
+		{"cardamompoint.in_progress", "Requests of callers in progress.", r.inProgress.Load},
+		{"cardamompoint.control_bytes", "Bytes of control traffic since the start.", r.controlBytes.Total},
+		{"cardamompoint.records", "Outcomes kept for repeated keys.", func() int64 { return int64(r.records.Len()) }},
+		{"cardamompoint.config_revision", "Configuration revision in force.", func() int64 { return r.store.Snapshot().Revision }},
+		{"cardamompoint.list_version", "Version of the list of VMs.", func() int64 { return r.members.View().List.Version }},
+	}
+	for _, gauge := range gauges {
+		if err := r.metrics.Gauge(gauge.name, gauge.help, gauge.read); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func milliseconds(n int) time.Duration {
+	return time.Duration(n) * time.Millisecond
+}
+
+// ready reports whether the balancer may send callers here.
+func (r *Router) ready() bool {
+	return r.learned.Load() && !r.draining.Load()
+}
--- /dev/null
+++ b/router/run.go
@@ -0,0 +1,88 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"cardamompoint.example/cardamompoint/code"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	closeTimeout      = 2 * time.Second
+	drainCheck        = 20 * time.Millisecond
+)
+
+// Run serves until ctx ends, then drains: the router becomes unready, goes on
+// accepting for the linger time, and lets requests in progress end within the
+// drain time. When abort ends, Run returns at once.
+func (r *Router) Run(ctx, abort context.Context) error {
+	background, stop := context.WithCancel(abort)
+	defer stop()
+	if err := r.listen(); err != nil {
+		return err
+	}
+	for _, task := range []func(context.Context){r.watchConfig, r.watchList, r.beat} {
+		r.tasks.Go(func() { task(background) })
+	}
+	klog.Infof("member: router %s serves callers at %s.", r.settings.Name, r.settings.Callers)
+	select {
+	case <-ctx.Done():
+		r.drain(background)
+	case <-abort.Done():
+	}
+	stop()
+	return r.close()
+}
+
+func (r *Router) listen() error {
+	listens := []struct {
+		address string
+		handler http.Handler
+	}{
+		{r.settings.Operators, r.operatorsMux()},
+		{r.settings.Peers, r.peersMux()},
+		{r.settings.Callers, r.callersMux()},
+	}
+	for _, l := range listens {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return errors.Join(code.Wrap(err, code.InvalidSettings, "the address can't be used"), r.close())
+		}
+		server := &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout}
+		r.servers = append(r.servers, server)
+		go server.Serve(listener)
+	}
+	return nil
+}
+
+// drain ends the router's work without cutting a request.
+func (r *Router) drain(ctx context.Context) {
+	r.draining.Store(true)
+	klog.Infof("member: router %s drains.", r.settings.Name)
+	r.beatAll(ctx)
+	sleep(ctx, milliseconds(r.settings.Timing.LingerMS))
+	r.closing.Store(true)
+	deadline := time.Now().Add(milliseconds(r.settings.Timing.DrainMS))
+	for r.inProgress.Load() > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
+		sleep(ctx, drainCheck)
+	}
+	klog.Infof("member: router %s has %d requests left.", r.settings.Name, r.inProgress.Load())
+}
+
+func (r *Router) close() error {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	var failures []error
+	for _, server := range r.servers {
+		if err := server.Shutdown(ctx); err != nil {
+			failures = append(failures, server.Close())
+		}
+	}
+	return errors.Join(failures...)
+}
--- /dev/null
+++ b/router/service.go
@@ -0,0 +1,134 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"k8s.io/klog/v2"
+
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+	"cardamompoint.example/cardamompoint/member"
+	"cardamompoint.example/cardamompoint/rank"
+	"cardamompoint.example/cardamompoint/template"
+)
+
+// The headers of calls to plain services.
+const (
+	keyHeader       = "Idempotency-Key"
+	requestIDHeader = "X-Request-Id"
+	endpointHeader  = "X-Endpoint"
+)
+
+// serveService answers /v1/services/{workspace}/{path...}.
+func (r *Router) serveService(w http.ResponseWriter, request *http.Request) {
+	requestID := uuid.NewString()
+	answer, err := r.callService(w, request, requestID)
+	r.logResult(requestID, err)
+	if err != nil {
+		r.answerError(w, withRequestID(err, requestID))
+		return
+	}
+	r.metrics.Result(code.OK)
+	writeAnswer(w, requestID, answer)
+}
+
+func writeAnswer(w http.ResponseWriter, requestID string, answer *endpoint.Answer) {
+	if answer.ContentType != "" {
+		w.Header().Set("Content-Type", answer.ContentType)
+	}
+	w.Header().Set(requestIDHeader, requestID)
+	w.Header().Set(endpointHeader, answer.Endpoint)
+	w.WriteHeader(answer.Status)
+	w.Write(answer.Body)
+}
+
+func (r *Router) callService(w http.ResponseWriter, request *http.Request, requestID string) (*endpoint.Answer, error) {
+	body, err := jsonhttp.ReadBytes(w, request, r.settings.Limits.BodyBytes)
+	if err != nil {
+		return nil, err
+	}
+	workspace := request.PathValue("workspace")
+	rules, err := r.store.Snapshot().Rules(workspace)
+	if err != nil {
+		return nil, err
+	}
+	path := "/" + request.PathValue("path")
+	route, ok := rules.Match(request.Method, path)
+	if !ok {
+		return nil, code.New(code.UnknownRoute, "the template has no route for %s %s", request.Method, path)
+	}
+	if request.URL.RawQuery != "" {
+		path += "?" + request.URL.RawQuery
+	}
+	call := endpoint.Call{
+		RequestID:   requestID,
+		Workspace:   workspace,
+		Method:      request.Method,
+		Path:        path,
+		Body:        body,
+		ContentType: request.Header.Get("Content-Type"),
+	}
+	ctx, cancel := context.WithTimeout(request.Context(), r.timeout(route.TimeoutMS))
+	defer cancel()
+	if !route.Idempotent {
+		return r.callOnce(ctx, route.Service, call, request.Header.Get(keyHeader))
+	}
+	return r.callIdempotent(ctx, route, call)
+}
+
+// callIdempotent calls workers in the call's own order until one answers.
+func (r *Router) callIdempotent(ctx context.Context, route template.Route, call endpoint.Call) (*endpoint.Answer, error) {
+	r.budget.first()
+	var last error
+	for i, worker := range r.workers(r.members.View(), route.Service, call.RequestID) {
+		if i > 0 && !r.budget.take() {
+			break
+		}
+		klog.Infof("route: request %s %s %s goes to worker %s.", call.RequestID, call.Method, call.Path, worker)
+		answer, err := r.callWorker(ctx, worker, call)
+		if err == nil {
+			return &answer, nil
+		}
+		klog.Infof("route: request %s passes over worker %s: %v.", call.RequestID, worker, err)
+		last = err
+		if ctx.Err() != nil {
+			return nil, code.New(code.DeadlineExceeded, "the deadline has passed").After(time.Second)
+		}
+	}
+	if last == nil {
+		return nil, noWorker(route.Service)
+	}
+	return nil, code.New(code.RetryBudget, "no worker answered: %v", last).After(retryBusy).WithRun(code.Of(last).Run)
+}
+
+func noWorker(service string) error {
+	return code.New(code.NoEndpoint, "the service %q has no live worker", service).After(noEndpointRetry)
+}
+
+// workers returns the addresses of a service's live workers in the order for
+// the request.
+func (r *Router) workers(view *member.View, service, requestID string) []string {
+	vms := view.Group(service)
+	order := rank.Top(rank.Key(requestID), nodesOf(vms), 0)
+	addresses := make([]string, len(order))
+	for i, index := range order {
+		addresses[i] = vms[index].Address
+	}
+	return addresses
+}
+
+// callWorker sends call to one worker while its count is below the cap.
+func (r *Router) callWorker(ctx context.Context, worker string, call endpoint.Call) (endpoint.Answer, error) {
+	if !r.workerCounts.acquire(worker, r.settings.Limits.ServiceRequests) {
+		return endpoint.Answer{}, code.New(code.EndpointFull, "the worker %s is at its cap", worker).After(retryBusy)
+	}
+	defer r.workerCounts.release(worker)
+	if !r.members.View().Live(worker) {
+		return endpoint.Answer{}, code.New(code.EndpointLeaving, "the worker %s is not live", worker)
+	}
+	return r.service.Call(ctx, worker, call)
+}
--- /dev/null
+++ b/settings/load.go
@@ -0,0 +1,76 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"cardamompoint.example/cardamompoint/code"
+)
+
+// Load reads and checks the settings file at path. Errors carry
+// code.InvalidSettings and the JSON path of the fault.
+func Load(path string) (*Router, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, code.Wrap(err, code.InvalidSettings, "the settings file can't be read")
+	}
+	router, err := Parse(raw)
+	if err != nil {
+		return nil, err
+	}
+	router.Path = path
+	router.Secret, err = readSecret(filepath.Join(filepath.Dir(path), router.SecretFile))
+	if err != nil {
+		return nil, err
+	}
+	return router, nil
+}
+
+// Parse checks the settings in raw without reading any file that they name.
+func Parse(raw []byte) (*Router, error) {
+	router := Defaults()
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&router); err != nil {
+		return nil, decodeError(err)
+	}
+	if decoder.More() {
+		return nil, code.New(code.InvalidSettings, "there is text after the settings").At("$")
+	}
+	if err := Check(&router); err != nil {
+		return nil, err
+	}
+	return &router, nil
+}
+
+func decodeError(err error) error {
+	path := "$"
+	if typeErr, ok := err.(*json.UnmarshalTypeError); ok && typeErr.Field != "" {
+		path = "$." + typeErr.Field
+	}
+	if _, field, found := strings.Cut(err.Error(), "unknown field "); found {
+		path = "$." + strings.Trim(field, `"`)
+	}
+	return code.Wrap(err, code.InvalidSettings, "the settings can't be decoded").At(path)
+}
+
+const minSecretBytes = 16
+
+func readSecret(path string) ([]byte, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, code.Wrap(err, code.InvalidSettings, "the secret can't be read").At("$.secret_file")
+	}
+	secret, err := hex.DecodeString(strings.TrimSpace(string(raw)))
+	if err != nil {
+		return nil, code.Wrap(err, code.InvalidSettings, "the secret is not hexadecimal").At("$.secret_file")
+	}
+	if len(secret) < minSecretBytes {
+		return nil, code.New(code.InvalidSettings, "the secret has fewer than %d bytes", minSecretBytes).At("$.secret_file")
+	}
+	return secret, nil
+}
--- /dev/null
+++ b/template/priority.go
@@ -0,0 +1,23 @@
+package template
+
+// Priority is the class of a model request.
+type Priority string
+
+// The priority classes, most urgent first.
+const (
+	// PriorityTag is for short tags on notes and photos.
+	PriorityTag Priority = "tag"
+	// PriorityChat is for replies in a chat.
+	PriorityChat Priority = "chat"
+	// PriorityLong is for rosters and dossiers.
+	PriorityLong Priority = "long"
+)
+
+// Valid reports whether p is a known class.
+func (p Priority) Valid() bool {
+	switch p {
+	case PriorityTag, PriorityChat, PriorityLong:
+		return true
+	}
+	return false
+}
