--- a/router/home.go
+++ b/router/home.go
@@ -8,7 +8,6 @@
 
 	"k8s.io/klog/v2"
 
-	"cardamompoint.example/cardamompoint/balance"
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/endpoint"
 )
@@ -28,17 +27,7 @@
 // runAtHome admits work to an engine that this router manages and relays its
 // answer to sink.
 func (r *Router) runAtHome(ctx context.Context, order workOrder, sink endpoint.Sink) error {
-	if !r.members.View().Live(order.Engine) {
-		return code.New(code.EndpointLeaving, "the engine %s is not live", order.Engine)
-	}
-	reservation, err := r.ledger.Reserve(balance.Request{
-		Engine:     order.Engine,
-		Model:      order.Work.Model,
-		Workspace:  order.Work.Workspace,
-		Priority:   order.Work.Priority,
-		Tokens:     order.Work.MaxTokens - len(order.Work.Prefix),
-		MeanTokens: r.meanTokens(order.Work.Model),
-	})
+	reservation, err := r.admitWork(order)
 	if err != nil {
 		klog.Infof("place: request %s is not admitted to %s: %v.", order.Work.RequestID, order.Engine, err)
 		return err
@@ -52,20 +41,6 @@
 	return err
 }
 
-// meanTokens returns the mean load of the model's engines over the fleet.
-func (r *Router) meanTokens(model string) float64 {
-	declared, ok := r.store.Snapshot().Models[model]
-	if !ok {
-		return 0
-	}
-	engines := len(r.members.View().Group(declared.Group))
-	if engines == 0 {
-		return 0
-	}
-	tokens := r.members.Sum(model, time.Now()).Tokens + r.ledger.Sums()[model].Tokens
-	return float64(tokens) / float64(engines)
-}
-
 // cancelStream ends a stream whose answer nobody waits for.
 func (r *Router) cancelStream(engine, streamID string) {
 	if err := r.engine.Cancel(context.Background(), engine, streamID); err != nil {
