--- a/api/completion.go
+++ b/api/completion.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"slices"
 	"strings"
 
 	"cardamompoint.example/cardamompoint/code"
@@ -29,6 +30,9 @@
 	Model string `json:"model,omitempty"`
 	// Priority is tag, chat or long. Empty means the template's.
 	Priority template.Priority `json:"priority,omitempty"`
+	// Prefix are the tokens of the answer that the caller has already, in order.
+	// The answer goes on after them.
+	Prefix []string `json:"prefix,omitempty"`
 	// MaxTokens bounds the answer. 0 means the template's bound.
 	MaxTokens int `json:"max_tokens,omitempty"`
 	// Stream asks for server-sent events.
@@ -55,6 +59,9 @@
 	if c.Priority != "" && !c.Priority.Valid() {
 		return code.New(code.BadRequest, "%q is not a priority", c.Priority).At("$.priority")
 	}
+	if slices.Contains(c.Prefix, "") {
+		return code.New(code.BadRequest, "a token is empty").At("$.prefix")
+	}
 	if c.MaxTokens < 0 {
 		return code.New(code.BadRequest, "%d is negative", c.MaxTokens).At("$.max_tokens")
 	}
--- a/cmd/cardamompoint/fleet_test.go
+++ b/cmd/cardamompoint/fleet_test.go
@@ -34,6 +34,8 @@
 	engineFlags []string
 	// workerFlags are added to the workers' command lines.
 	workerFlags []string
+	// relayEngines puts a relay before each engine.
+	relayEngines bool
 	// adjust changes the routers' settings before they start.
 	adjust func(*settings.Router)
 }
@@ -49,6 +51,7 @@
 	processes map[string]*exec.Cmd
 	settings  []*settings.Router
 	vms       []platform.VM
+	relays    []*relay
 }
 
 // startFleet starts a deployment on a network of its own and waits until its
@@ -200,7 +203,13 @@
 func (f *testFleet) workerAddress(n int) string { return fmt.Sprintf("%s.2.%d:7300", f.net, n) }
 
 func (f *testFleet) startEngine(n int) {
-	args := append([]string{"standin", "engine", "--listen", f.engineAddress(n)}, f.config.engineFlags...)
+	listen := f.engineAddress(n)
+	if f.config.relayEngines {
+		behind := fmt.Sprintf("%s.1.%d:7201", f.net, n)
+		f.relays = append(f.relays, startRelay(f.t, listen, behind))
+		listen = behind
+	}
+	args := append([]string{"standin", "engine", "--listen", listen}, f.config.engineFlags...)
 	f.start(fmt.Sprintf("engine-%d", n), args...)
 }
 
@@ -231,6 +240,13 @@
 	f.must(f.processes[name].Process.Signal(signal))
 }
 
+// kill ends a process by SIGKILL.
+func (f *testFleet) kill(name string) {
+	f.t.Helper()
+	f.signal(name, syscall.SIGKILL)
+	f.wait(name)
+}
+
 // wait waits for a process's end and returns its exit code.
 func (f *testFleet) wait(name string) int {
 	command := f.processes[name]
--- a/cmd/cardamompoint/main.go
+++ b/cmd/cardamompoint/main.go
@@ -18,6 +18,7 @@
 	exitOK      = 0
 	exitFailure = 1
 	exitInvalid = 2
+	exitCut     = 3
 )
 
 func main() {
@@ -35,6 +36,9 @@
 	if code.Is(err, code.InvalidSettings) || code.Is(err, code.InvalidTemplate) || code.Is(err, code.InvalidDocument) {
 		return exitInvalid
 	}
+	if code.Is(err, code.Draining) {
+		return exitCut
+	}
 	return exitFailure
 }
 
@@ -42,7 +46,8 @@
 	return &cli.Command{
 		Name:  "cardamompoint",
 		Usage: "a router fleet for returning chats",
-		Description: "Exit codes: 0 success, 1 failure, 2 settings or a published document is not valid.\n" +
+		Description: "Exit codes: 0 success, 1 failure, 2 settings or a published document is not valid,\n" +
+			"3 a shutdown cut requests in progress.\n" +
 			"Logs go to standard error.",
 		Flags: []cli.Flag{
 			&cli.IntFlag{Name: "log-level", Usage: "verbosity of the log; 0 shows decisions"},
--- a/cmd/cardamompoint/standin.go
+++ b/cmd/cardamompoint/standin.go
@@ -60,12 +60,16 @@
 			&cli.DurationFlag{Name: "token-interval", Usage: "the time between two tokens", Value: standin.DefaultTokenInterval},
 			&cli.IntFlag{Name: "cache-tokens", Usage: "the size of the prefix cache, in tokens", Value: standin.DefaultCacheTokens},
 			&cli.DurationFlag{Name: "keep-streams", Usage: "how long an ended stream can be resumed", Value: standin.DefaultKeepStreams},
+			&cli.DurationFlag{Name: "keep-alive", Usage: "the time between two empty lines while no token is made", Value: standin.DefaultKeepAlive},
+			&cli.DurationFlag{Name: "first-token", Usage: "the time until the first token"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			engine := standin.NewEngine(standin.EngineOptions{
 				TokenInterval: c.Duration("token-interval"),
 				CacheTokens:   c.Int("cache-tokens"),
 				KeepStreams:   c.Duration("keep-streams"),
+				KeepAlive:     c.Duration("keep-alive"),
+				FirstToken:    c.Duration("first-token"),
 			})
 			return serveUntilSignal(ctx, c, engine.Handler())
 		},
--- /dev/null
+++ b/cmd/cardamompoint/streams_test.go
@@ -0,0 +1,329 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"cardamompoint.example/cardamompoint/api"
+	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/internal/caller"
+	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/settings"
+)
+
+// startStreamFleet starts a small fleet with short timeouts.
+func startStreamFleet(t *testing.T, adjust func(*fleetConfig)) *testFleet {
+	config := fleetConfig{
+		deployment:  "gelek",
+		routers:     4,
+		engines:     4,
+		workers:     1,
+		engineFlags: []string{"--token-interval=20ms", "--keep-alive=200ms"},
+		adjust: func(s *settings.Router) {
+			s.Timing.ProgressMS = 1000
+			s.Timing.ResumeMS = 3000
+			s.Timing.LingerMS = 300
+		},
+	}
+	if adjust != nil {
+		adjust(&config)
+	}
+	return startFleet(t, config)
+}
+
+func (f *testFleet) load(chats, tokens int, entries, others []int) *streamLoad {
+	return &streamLoad{fleet: f, chats: chats, tokens: tokens, entries: entries, others: others}
+}
+
+var allRouters = []int{1, 2, 3, 4}
+
+// busiestEngine returns the process that runs the most streams.
+func (f *testFleet) busiestEngine() string {
+	f.t.Helper()
+	best, most := 1, -1
+	for n := 1; n <= f.count(platform.RoleEngine); n++ {
+		var load endpoint.Load
+		f.get(f.engineAddress(n), "/v1/load", &load)
+		if load.Requests > most {
+			best, most = n, load.Requests
+		}
+	}
+	return fmt.Sprintf("engine-%d", best)
+}
+
+// pickHome returns the router that is the home of the most engines, and the
+// numbers of the others.
+func (f *testFleet) pickHome() (home string, others []int) {
+	f.t.Helper()
+	best, most := 0, 0
+	for n := range f.settings {
+		status, err := f.status(n + 1)
+		f.must(err)
+		if len(status.Engines) > most {
+			best, most = n+1, len(status.Engines)
+		}
+	}
+	for n := range f.settings {
+		if n+1 != best {
+			others = append(others, n+1)
+		}
+	}
+	return fmt.Sprintf("router-%d", best), others
+}
+
+// engineOf returns the process of an engine that the router is the home of.
+func (f *testFleet) engineOf(home string) string {
+	f.t.Helper()
+	var n int
+	_, err := fmt.Sscanf(home, "router-%d", &n)
+	f.must(err)
+	status, err := f.status(n)
+	f.must(err)
+	for engine := 1; engine <= f.count(platform.RoleEngine); engine++ {
+		if f.engineAddress(engine) == status.Engines[0].Engine {
+			return fmt.Sprintf("engine-%d", engine)
+		}
+	}
+	f.t.Fatalf("%s is no engine", status.Engines[0].Engine)
+	return ""
+}
+
+func TestEngineKilledInMidAnswer(t *testing.T) {
+	f := startStreamFleet(t, nil)
+	load := f.load(24, 60, allRouters, allRouters)
+	load.start()
+	f.kill(f.busiestEngine())
+	counts := load.wait()
+	load.checkWhole(counts)
+	if counts.resumed+counts.again != 0 {
+		t.Error("callers noticed the loss of an engine")
+	}
+	f.checkNoneRunning()
+}
+
+func TestEngineFrozenInMidAnswer(t *testing.T) {
+	f := startStreamFleet(t, nil)
+	load := f.load(24, 60, allRouters, allRouters)
+	load.start()
+	frozen := f.busiestEngine()
+	f.signal(frozen, syscall.SIGSTOP)
+	counts := load.wait()
+	f.signal(frozen, syscall.SIGCONT)
+	load.checkWhole(counts)
+	if counts.resumed+counts.again != 0 {
+		t.Error("callers noticed a frozen engine")
+	}
+	f.checkNoneRunning()
+}
+
+func TestConnectionsToEngineGoSilent(t *testing.T) {
+	for _, fault := range []struct {
+		name string
+		do   func(*relay)
+	}{{"silent", (*relay).mute}, {"cut", (*relay).cut}} {
+		t.Run(fault.name, func(t *testing.T) {
+			f := startStreamFleet(t, func(c *fleetConfig) { c.relayEngines = true })
+			load := f.load(24, 100, allRouters, allRouters)
+			load.start()
+			fault.do(f.relays[0])
+			load.checkWhole(load.wait())
+			f.checkNoneRunning()
+			if _, starts := f.engineLoads(); starts != load.chats {
+				t.Errorf("%d streams were started for %d requests", starts, load.chats)
+			}
+		})
+	}
+}
+
+func TestHomeKilledInMidAnswer(t *testing.T) {
+	f := startStreamFleet(t, nil)
+	home, entries := f.pickHome()
+	load := f.load(24, 100, entries, entries)
+	load.start()
+	f.kill(home)
+	counts := load.wait()
+	load.checkWhole(counts)
+	if counts.resumed+counts.again != 0 {
+		t.Error("callers noticed the loss of a home")
+	}
+	f.checkNoneRunning()
+	if _, starts := f.engineLoads(); starts != load.chats {
+		t.Errorf("%d streams were started for %d requests", starts, load.chats)
+	}
+}
+
+func TestHomeFrozenInMidAnswer(t *testing.T) {
+	f := startStreamFleet(t, nil)
+	home, entries := f.pickHome()
+	load := f.load(24, 250, entries, entries)
+	load.start()
+	f.signal(home, syscall.SIGSTOP)
+	time.Sleep(2 * time.Second)
+	f.signal(home, syscall.SIGCONT)
+	counts := load.wait()
+	load.checkWhole(counts)
+	f.checkNoneRunning()
+	if _, starts := f.engineLoads(); starts != load.chats {
+		t.Errorf("%d streams were started for %d requests", starts, load.chats)
+	}
+}
+
+func TestEntryKilledInMidAnswer(t *testing.T) {
+	f := startStreamFleet(t, nil)
+	load := f.load(24, 100, []int{1}, []int{2, 3, 4})
+	load.start()
+	f.kill("router-1")
+	counts := load.wait()
+	load.checkWhole(counts)
+	if counts.again != 0 {
+		t.Error("a stream was lost though its engine runs")
+	}
+	f.checkNoneRunning()
+	if _, starts := f.engineLoads(); starts != load.chats {
+		t.Errorf("%d streams were started for %d requests", starts, load.chats)
+	}
+}
+
+func TestHomeAndEngineKilledTogether(t *testing.T) {
+	f := startStreamFleet(t, nil)
+	home, entries := f.pickHome()
+	load := f.load(24, 60, entries, entries)
+	load.start()
+	f.kill(f.engineOf(home))
+	f.kill(home)
+	load.checkWhole(load.wait())
+	f.checkNoneRunning()
+}
+
+func TestEntryKilledAndEngineFrozen(t *testing.T) {
+	f := startStreamFleet(t, nil)
+	load := f.load(24, 60, []int{1}, []int{2, 3, 4})
+	load.start()
+	frozen := f.busiestEngine()
+	f.signal(frozen, syscall.SIGSTOP)
+	f.kill("router-1")
+	load.checkWhole(load.wait())
+	f.signal(frozen, syscall.SIGCONT)
+	f.checkNoneRunning()
+}
+
+func TestCallersLeave(t *testing.T) {
+	f := startStreamFleet(t, nil)
+	ctx, leave := context.WithCancel(context.Background())
+	streams := f.beginMany(ctx, 12, 250)
+	leave()
+	time.Sleep(time.Second)
+	if running, _ := f.engineLoads(); running != len(streams) {
+		t.Errorf("%d streams of %d run within the resume time", running, len(streams))
+	}
+	f.checkNoneRunning()
+	f.eventually("no room is held", func() bool { return f.homeLoads() == 0 })
+}
+
+func TestCallersCancel(t *testing.T) {
+	f := startStreamFleet(t, func(c *fleetConfig) {
+		short := c.adjust
+		c.adjust = func(s *settings.Router) {
+			short(s)
+			s.Timing.ResumeMS = 60000
+		}
+	})
+	for _, stream := range f.beginMany(t.Context(), 12, 250) {
+		f.must(f.client(3).Cancel(t.Context(), stream))
+	}
+	if running, _ := f.engineLoads(); running != 0 {
+		t.Errorf("%d streams are left running", running)
+	}
+	if held := f.homeLoads(); held != 0 {
+		t.Errorf("room is held for %d streams", held)
+	}
+}
+
+// beginMany begins answers at all routers and returns their stream ids.
+func (f *testFleet) beginMany(ctx context.Context, chats, tokens int) []string {
+	f.t.Helper()
+	begun := make(chan string, chats)
+	for i := range chats {
+		completion := api.Completion{
+			Workspace: "head-office",
+			Chat:      string(rune('a' + i)),
+			MaxTokens: tokens,
+			Messages:  []api.Message{{Role: "user", Content: "a roster"}},
+		}
+		answer := &caller.Answer{}
+		answer.OnToken = func() {
+			if len(answer.Tokens) == beginTokens {
+				begun <- answer.Stream
+			}
+		}
+		go f.client(i%len(f.settings)+1).GoOn(ctx, completion, answer)
+	}
+	streams := make([]string, chats)
+	for i := range streams {
+		streams[i] = <-begun
+	}
+	return streams
+}
+
+func TestHomeShutsDownInMidAnswer(t *testing.T) {
+	f := startStreamFleet(t, nil)
+	home, entries := f.pickHome()
+	load := f.load(24, 250, entries, entries)
+	load.start()
+	f.signal(home, syscall.SIGTERM)
+	counts := load.wait()
+	load.checkWhole(counts)
+	if counts.resumed+counts.again != 0 {
+		t.Error("callers noticed the shutdown of a home")
+	}
+	if exit := f.wait(home); exit != exitOK {
+		t.Errorf("the router ended with %d", exit)
+	}
+	if _, starts := f.engineLoads(); starts != load.chats {
+		t.Errorf("%d streams were started for %d requests", starts, load.chats)
+	}
+}
+
+func TestSecondSignalEndsAtOnce(t *testing.T) {
+	f := startStreamFleet(t, nil)
+	load := f.load(24, 250, []int{1}, []int{2, 3, 4})
+	load.start()
+	f.signal("router-1", syscall.SIGTERM)
+	f.eventually("the router is not ready", func() bool {
+		status, err := f.status(1)
+		return err == nil && !status.Ready
+	})
+	f.signal("router-1", syscall.SIGTERM)
+	if exit := f.wait("router-1"); exit != exitCut {
+		t.Errorf("the router ended with %d", exit)
+	}
+	load.checkWhole(load.wait())
+}
+
+func TestEngineLeavesInMidAnswer(t *testing.T) {
+	f := startStreamFleet(t, nil)
+	before := f.load(24, 100, allRouters, allRouters)
+	before.start()
+	f.must(jsonhttp.Post(t.Context(), http.DefaultClient, "http://"+f.engineAddress(1)+"/test/leave", struct{}{}, nil))
+	refused := f.load(12, 20, allRouters, allRouters)
+	refused.start()
+	refused.checkWhole(refused.wait())
+	f.listLeaving(f.engineAddress(1))
+	counts := before.wait()
+	before.checkWhole(counts)
+	if counts.resumed+counts.again != 0 {
+		t.Error("callers noticed that an engine leaves")
+	}
+	f.checkNoneRunning()
+}
+
+// listLeaving publishes that the VM with the given address is leaving.
+func (f *testFleet) listLeaving(address string) {
+	f.t.Helper()
+	f.must(f.put("/operator/v1/vms/"+address+"/"+string(platform.StateLeaving), "", nil))
+}
--- a/code/code.go
+++ b/code/code.go
@@ -34,6 +34,7 @@
 	Canceled         Code = 306
 	ClearanceMissing Code = 307
 	NotSent          Code = 308
+	StreamLost       Code = 310
 
 	PeerRejected     Code = 401
 	NotHome          Code = 402
--- a/code/table.go
+++ b/code/table.go
@@ -28,6 +28,7 @@
 	{Canceled, "canceled", 499, RunUnknown, false, "The caller gave the request up."},
 	{ClearanceMissing, "clearance_missing", http.StatusServiceUnavailable, RunUnknown, true, "Too few routers could vouch for the key; repeat with the same key after Retry-After, or use a ticket for new work."},
 	{NotSent, "not_sent", http.StatusServiceUnavailable, RunNo, true, "No byte of the work was sent; repeat after Retry-After."},
+	{StreamLost, "stream_lost", http.StatusGone, RunPartial, false, "Ask again with the whole request and, as its prefix, the tokens that came."},
 	{PeerRejected, "peer_rejected", http.StatusForbidden, RunNo, false, "The sender could not prove that it is a router of this fleet."},
 	{NotHome, "not_home", http.StatusMisdirectedRequest, RunNo, true, "This router does not manage the endpoint."},
 	{ViewStale, "view_stale", http.StatusServiceUnavailable, RunNo, true, "The router's view is too old to act on."},
--- a/endpoint/engine_client.go
+++ b/endpoint/engine_client.go
@@ -13,58 +13,61 @@
 // EngineClient is the adapter for engines that speak HTTP with JSON lines. It
 // implements Engine and is safe for concurrent use.
 type EngineClient struct {
-	http     *http.Client
-	progress time.Duration
+	lines   LineReader
+	resumed LineReader
 }
 
+// resumePart divides the silence bound for the first line of a resumed stream:
+// an engine that still runs the stream answers at once.
+const resumePart = 2
+
 // NewEngineClient returns an EngineClient. An answer that is silent for longer
-// than progress is abandoned.
-func NewEngineClient(transport http.RoundTripper, progress time.Duration) *EngineClient {
-	return &EngineClient{http: &http.Client{Transport: transport}, progress: progress}
+// than silence, or makes no token for longer than stall, is abandoned.
+func NewEngineClient(transport http.RoundTripper, silence, stall time.Duration) *EngineClient {
+	lines := LineReader{HTTP: &http.Client{Transport: transport}, Silence: silence, Stall: stall}
+	resumed := lines
+	resumed.FirstLine = silence / resumePart
+	return &EngineClient{lines: lines, resumed: resumed}
 }
 
 // Generate implements Engine.
 func (c *EngineClient) Generate(ctx context.Context, address string, work Work, sink Sink) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	request, err := jsonhttp.NewPost(ctx, "http://"+address+"/v1/generate", work)
 	if err != nil {
 		return err
 	}
 	guard := LineGuard{RequestID: work.RequestID, StreamID: work.StreamID, Next: len(work.Prefix)}
-	return ReadLines(c.http, request, cancel, c.progress, &guard, sink)
+	return c.lines.Read(request, &guard, sink)
 }
 
 // Resume implements Engine.
 func (c *EngineClient) Resume(ctx context.Context, address, requestID, streamID string, offset int, sink Sink) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	target := fmt.Sprintf("http://%s/v1/streams/%s?offset=%d", address, url.PathEscape(streamID), offset)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
 		return err
 	}
 	guard := LineGuard{RequestID: requestID, StreamID: streamID, Next: offset}
-	return ReadLines(c.http, request, cancel, c.progress, &guard, sink)
+	return c.resumed.Read(request, &guard, sink)
 }
 
 // Cancel implements Engine.
 func (c *EngineClient) Cancel(ctx context.Context, address, streamID string) error {
-	ctx, cancel := context.WithTimeout(ctx, c.progress)
+	ctx, cancel := context.WithTimeout(ctx, c.lines.Silence)
 	defer cancel()
 	target := "http://" + address + "/v1/streams/" + url.PathEscape(streamID)
 	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, target, nil)
 	if err != nil {
 		return err
 	}
-	return jsonhttp.Do(c.http, request, nil)
+	return jsonhttp.Do(c.lines.HTTP, request, nil)
 }
 
 // Load implements Engine.
 func (c *EngineClient) Load(ctx context.Context, address string) (Load, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.progress)
+	ctx, cancel := context.WithTimeout(ctx, c.lines.Silence)
 	defer cancel()
 	var load Load
-	err := jsonhttp.Get(ctx, c.http, "http://"+address+"/v1/load", &load)
+	err := jsonhttp.Get(ctx, c.lines.HTTP, "http://"+address+"/v1/load", &load)
 	return load, err
 }
--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -25,6 +25,8 @@
 	Finished *api.Finished
 	// Engines are the engines that took part, in order.
 	Engines []string
+	// OnToken is called after each token, if it is set.
+	OnToken func()
 }
 
 // Text returns the tokens as one text.
@@ -50,6 +52,9 @@
 	var current event
 	for scanner.Scan() {
 		field, value, _ := strings.Cut(scanner.Text(), ": ")
+		if field == "" && value != "" {
+			continue
+		}
 		switch field {
 		case "event":
 			current.name = value
@@ -58,6 +63,9 @@
 		case "data":
 			current.data = value
 		case "":
+			if current.data == "" {
+				continue
+			}
 			done, err := a.take(current)
 			if done || err != nil {
 				return err
@@ -113,5 +121,8 @@
 		return eris.Errorf("a token belongs to request %s", chunk.ID)
 	}
 	a.Tokens = append(a.Tokens, chunk.Choices[0].Delta.Content)
+	if a.OnToken != nil {
+		a.OnToken()
+	}
 	return nil
 }
--- a/internal/caller/client.go
+++ b/internal/caller/client.go
@@ -33,12 +33,28 @@
 // Ask sends a streaming completion and returns the whole answer. After an
 // error, the answer holds what came before it.
 func (c *Client) Ask(ctx context.Context, completion api.Completion) (*Answer, error) {
+	return c.GoOn(ctx, completion, &Answer{})
+}
+
+// GoOn sends a streaming completion that goes on after the tokens in answer and
+// adds to them.
+func (c *Client) GoOn(ctx context.Context, completion api.Completion, answer *Answer) (*Answer, error) {
 	completion.Stream = true
+	completion.Prefix = answer.Tokens
 	request, err := jsonhttp.NewPost(ctx, "http://"+c.address+"/v1/chat/completions", completion)
 	if err != nil {
-		return &Answer{}, err
+		return answer, err
+	}
+	return c.stream(request, answer)
+}
+
+// Cancel ends an answer in progress.
+func (c *Client) Cancel(ctx context.Context, stream string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+c.address+"/v1/streams/"+stream, nil)
+	if err != nil {
+		return eris.Wrap(err, "the request can't be made")
 	}
-	return c.stream(request, &Answer{})
+	return jsonhttp.Do(c.http, request, nil)
 }
 
 // Resume goes on with an answer that was cut and adds to it.
--- a/internal/standin/defaults.go
+++ b/internal/standin/defaults.go
@@ -7,5 +7,6 @@
 	DefaultTokenInterval = 2 * time.Millisecond
 	DefaultCacheTokens   = 200_000
 	DefaultKeepStreams   = 30 * time.Second
+	DefaultKeepAlive     = time.Second
 	DefaultDelay         = 5 * time.Millisecond
 )
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -20,6 +21,10 @@
 	CacheTokens int
 	// KeepStreams is how long a finished or abandoned stream can be resumed.
 	KeepStreams time.Duration
+	// KeepAlive is the time between two empty lines while no token is made.
+	KeepAlive time.Duration
+	// FirstToken is the time until the first token.
+	FirstToken time.Duration
 }
 
 // Engine stands in for a model engine. It generates at a fixed pace, keeps the
@@ -110,7 +115,7 @@
 		jsonhttp.WriteError(w, err)
 		return
 	}
-	writeStream(w, r, s, len(work.Prefix))
+	e.writeStream(w, r, s, len(work.Prefix))
 }
 
 // start begins a stream. It runs on when the connection is lost, so that the
@@ -144,6 +149,7 @@
 }
 
 func (e *Engine) generate(s *engineStream) {
+	time.Sleep(e.options.FirstToken)
 	for s.advance() {
 		time.Sleep(e.options.TokenInterval)
 	}
@@ -167,7 +173,7 @@
 		jsonhttp.WriteError(w, code.New(code.UnknownStream, "the engine has no such stream"))
 		return
 	}
-	writeStream(w, r, s, offset)
+	e.writeStream(w, r, s, offset)
 }
 
 func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
@@ -177,23 +183,32 @@
 	jsonhttp.Write(w, struct{}{})
 }
 
-// writeStream sends the tokens from offset on as JSON lines.
-func writeStream(w http.ResponseWriter, r *http.Request, s *engineStream, offset int) {
+// writeStream sends the tokens from offset on as JSON lines: an empty line at
+// once and whenever no token is made for the keep-alive time.
+func (e *Engine) writeStream(w http.ResponseWriter, r *http.Request, s *engineStream, offset int) {
 	control := http.NewResponseController(w)
 	encoder := json.NewEncoder(w)
+	alive := time.NewTicker(cmp.Or(e.options.KeepAlive, DefaultKeepAlive))
+	defer alive.Stop()
+	idle := true
 	for {
 		line, wait, done := s.line(offset)
-		if wait != nil {
-			select {
-			case <-wait:
-			case <-r.Context().Done():
+		if wait == nil || idle {
+			if encoder.Encode(line) != nil || control.Flush() != nil || done {
 				return
 			}
+		}
+		idle = false
+		if wait == nil {
+			offset++
 			continue
 		}
-		if encoder.Encode(line) != nil || control.Flush() != nil || done {
+		select {
+		case <-wait:
+		case <-alive.C:
+			idle = true
+		case <-r.Context().Done():
 			return
 		}
-		offset++
 	}
 }
--- a/internal/standin/engine_stream.go
+++ b/internal/standin/engine_stream.go
@@ -66,7 +66,7 @@
 }
 
 // line returns the line at offset and whether it is the last one. While the
-// token is not made yet, it returns a channel to wait for.
+// token is not made yet, the line is empty, and a channel to wait for is returned.
 func (s *engineStream) line(offset int) (line endpoint.Line, wait <-chan struct{}, done bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/router/cancel.go
@@ -0,0 +1,65 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+	"cardamompoint.example/cardamompoint/stream"
+)
+
+const cancelPath = "/peer/v1/cancel"
+
+// The attempts to cancel a stream at an engine that does not answer.
+const (
+	maxCancels  = 3
+	cancelPause = time.Second
+)
+
+// serveCancel answers DELETE /v1/streams/{stream}.
+func (r *Router) serveCancel(w http.ResponseWriter, request *http.Request) {
+	id, err := stream.OpenID(r.settings.Secret, request.PathValue("stream"))
+	if err != nil {
+		r.answerError(w, err)
+		return
+	}
+	if err := r.cancelEverywhere(request.Context(), id.Home, keyOf(id)); err != nil {
+		r.answerError(w, err)
+		return
+	}
+	jsonhttp.Write(w, struct{}{})
+}
+
+// cancelEverywhere lets the home cancel a stream, or cancels it at the engine
+// if the home can't be reached.
+func (r *Router) cancelEverywhere(ctx context.Context, home string, key streamKey) error {
+	if home == r.members.Self().Address || !r.reachable(home) {
+		return r.cancelAtHome(ctx, key)
+	}
+	asked, cancel := context.WithTimeout(ctx, r.progress())
+	defer cancel()
+	err := r.work.Post(asked, home, cancelPath, key, nil)
+	if err == nil {
+		return nil
+	}
+	klog.Infof("place: home %s can't cancel stream %s: %v.", home, key.StreamID, err)
+	return r.cancelAtHome(ctx, key)
+}
+
+// cancelStream ends a stream whose answer nobody waits for. A frozen engine may
+// wake up later, so an engine that does not answer is asked again.
+func (r *Router) cancelStream(key streamKey) {
+	for attempt := range maxCancels {
+		if attempt > 0 {
+			time.Sleep(cancelPause)
+		}
+		err := r.engine.Cancel(context.Background(), key.Engine, key.StreamID)
+		if err == nil {
+			return
+		}
+		klog.Infof("place: stream %s at %s can't be canceled: %v.", key.StreamID, key.Engine, err)
+	}
+}
--- a/router/completion.go
+++ b/router/completion.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -63,7 +65,7 @@
 		return nil, 0, err
 	}
 	timeout := r.timeout(body.TimeoutMS, rules.Completion.TimeoutMS)
-	return &job{router: r, view: view, work: work, candidates: ranked}, timeout, nil
+	return &job{router: r, work: work, candidates: ranked, delivered: slices.Clone(body.Prefix)}, timeout, nil
 }
 
 func newWork(requestID string, body *api.Completion, rules *template.Rules, choice template.ModelChoice) (endpoint.Work, error) {
@@ -74,6 +76,9 @@
 	if body.MaxTokens > 0 {
 		maxTokens = body.MaxTokens
 	}
+	if len(body.Prefix) > maxTokens {
+		return endpoint.Work{}, code.New(code.InvalidParameter, "%d tokens are above the bound of %d", len(body.Prefix), maxTokens).At("$.prefix")
+	}
 	priority := body.Priority
 	if priority == "" {
 		priority = rules.Completion.Priority
@@ -116,6 +121,7 @@
 
 func (r *Router) wholeCompletion(ctx context.Context, w http.ResponseWriter, j *job) {
 	receiver := &wholeReceiver{}
+	receiver.text.WriteString(strings.Join(j.delivered, ""))
 	j.receiver = receiver
 	err := j.run(ctx)
 	r.logResult(j.work.RequestID, err)
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/member"
 )
 
 // dispatch runs order through the engine's home and relays the answer to sink.
@@ -12,18 +13,34 @@
 	if home == r.members.Self().Address {
 		return r.runAtHome(ctx, order, sink)
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	request, err := r.work.NewRequest(ctx, home, workPath, order)
+	return r.askHome(ctx, home, workPath, order, order.key(), len(order.Work.Prefix), sink)
+}
+
+// dispatchResume lets the router that counts a stream relay the rest of it.
+func (r *Router) dispatchResume(ctx context.Context, order resumeOrder, sink endpoint.Sink) error {
+	home := order.Stream.Home
+	if home == r.members.Self().Address {
+		return r.resumeAtHome(ctx, order, sink)
+	}
+	return r.askHome(ctx, home, resumePath, order, keyOf(order.Stream), order.Offset, sink)
+}
+
+// askHome sends order to another router and relays the lines of its answer from
+// the token at offset on. The home sends empty lines while the engine is
+// silent, so a ConnectionError means that the home is lost.
+func (r *Router) askHome(ctx context.Context, home, path string, order any, key streamKey, offset int, sink endpoint.Sink) error {
+	request, err := r.work.NewRequest(ctx, home, path, order)
 	if err != nil {
 		return err
 	}
-	guard := endpoint.LineGuard{
-		RequestID: order.Work.RequestID,
-		StreamID:  order.Work.StreamID,
-		Next:      len(order.Work.Prefix),
-	}
-	return endpoint.ReadLines(r.work.HTTP(), request, cancel, r.progress(), &guard, sink)
+	guard := endpoint.LineGuard{RequestID: key.RequestID, StreamID: key.StreamID, Next: offset}
+	lines := endpoint.LineReader{HTTP: r.work.HTTP(), Silence: r.progress()}
+	return lines.Read(request, &guard, sink)
+}
+
+// reachable reports whether another router was heard from lately.
+func (r *Router) reachable(address string) bool {
+	return r.members.Health(address, time.Now()) != member.HealthUnreachable
 }
 
 func (r *Router) progress() time.Duration {
--- a/router/execute.go
+++ b/router/execute.go
@@ -118,6 +118,8 @@
 // leaving does not end it.
 func (r *Router) runRecord(record *once.Record, order execution) {
 	defer r.tasks.Done()
+	r.peerWork.Add(1)
+	defer r.peerWork.Add(-1)
 	ctx, cancel := context.WithTimeout(context.Background(), milliseconds(r.settings.Timing.RequestMS))
 	defer cancel()
 	record.Finish(r.runCall(ctx, order))
--- a/router/home.go
+++ b/router/home.go
@@ -2,28 +2,16 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"cardamompoint.example/cardamompoint/balance"
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/endpoint"
 )
 
-const workPath = "/peer/v1/work"
-
-// workOrder asks an engine's home to run work there.
-type workOrder struct {
-	// Engine is the engine's address.
-	Engine string `json:"engine"`
-	// Work is the work.
-	Work endpoint.Work `json:"work"`
-	// DeadlineMS is the time left, in milliseconds.
-	DeadlineMS int64 `json:"deadline_ms"`
-}
-
 // runAtHome admits work to an engine that this router manages and relays its
 // answer to sink.
 func (r *Router) runAtHome(ctx context.Context, order workOrder, sink endpoint.Sink) error {
@@ -32,53 +20,101 @@
 		klog.Infof("place: request %s is not admitted to %s: %v.", order.Work.RequestID, order.Engine, err)
 		return err
 	}
-	defer reservation.Release()
 	klog.Infof("place: request %s is admitted to %s.", order.Work.RequestID, order.Engine)
-	err = r.engine.Generate(ctx, order.Engine, order.Work, sink)
-	if err != nil {
-		r.cancelStream(order.Engine, order.Work.StreamID)
+	s := r.streams.open(order.key(), reservation)
+	return r.relay(ctx, s, len(order.Work.Prefix), sink, func(ctx context.Context, sink endpoint.Sink) error {
+		return r.engine.Generate(ctx, order.Engine, order.Work, sink)
+	})
+}
+
+// resumeAtHome relays the rest of a stream to sink. A stream that this router
+// does not count yet is counted from now on; it is not refused, since its
+// engine runs it already.
+func (r *Router) resumeAtHome(ctx context.Context, order resumeOrder, sink endpoint.Sink) error {
+	key := keyOf(order.Stream)
+	s := r.streams.find(key.StreamID)
+	if s == nil {
+		s = r.streams.open(key, r.adopt(order))
 	}
-	return err
+	klog.Infof("place: stream %s at %s is resumed at token %d.", key.StreamID, key.Engine, order.Offset)
+	return r.relay(ctx, s, order.Offset, sink, func(ctx context.Context, sink endpoint.Sink) error {
+		return r.engine.Resume(ctx, key.Engine, key.RequestID, key.StreamID, order.Offset, sink)
+	})
 }
 
-// cancelStream ends a stream whose answer nobody waits for.
-func (r *Router) cancelStream(engine, streamID string) {
-	if err := r.engine.Cancel(context.Background(), engine, streamID); err != nil {
-		klog.Infof("place: stream %s at %s can't be canceled: %v.", streamID, engine, err)
+// adopt holds room for a stream that another router admitted. It returns nil
+// if the engine has none left; the engine's own report shows the stream then.
+func (r *Router) adopt(order resumeOrder) *balance.Reservation {
+	id := order.Stream
+	reservation, err := r.ledger.Reserve(balance.Request{
+		Engine:     id.Engine,
+		Model:      id.Model,
+		Workspace:  id.Workspace,
+		Tokens:     max(0, id.MaxTokens-order.Offset),
+		MeanTokens: r.meanTokens(id.Model),
+	})
+	if err != nil {
+		klog.Infof("place: stream %s at %s goes on uncounted: %v.", id.StreamID, id.Engine, err)
+		return nil
 	}
+	return reservation
 }
 
 // serveWork answers a workOrder with JSON lines.
 func (r *Router) serveWork(w http.ResponseWriter, request *http.Request, order workOrder) {
-	ctx, cancel := context.WithTimeout(request.Context(), time.Duration(order.DeadlineMS)*time.Millisecond)
-	defer cancel()
-	control := http.NewResponseController(w)
-	encoder := json.NewEncoder(w)
-	started := false
-	err := r.runAtHome(ctx, order, func(line endpoint.Line) error {
-		started = true
-		if err := encoder.Encode(line); err != nil {
-			return err
+	r.answerLines(w, request, order.key(), order.DeadlineMS, func(ctx context.Context, sink endpoint.Sink) error {
+		if r.closing.Load() {
+			return code.New(code.Draining, "the router %s shuts down", r.settings.Name)
+		}
+		return r.runAtHome(ctx, order, sink)
+	})
+}
+
+// serveResumeOrder answers a resumeOrder with JSON lines. A router that shuts
+// down goes on with the streams that it has.
+func (r *Router) serveResumeOrder(w http.ResponseWriter, request *http.Request, order resumeOrder) {
+	key := keyOf(order.Stream)
+	r.answerLines(w, request, key, order.DeadlineMS, func(ctx context.Context, sink endpoint.Sink) error {
+		if r.closing.Load() && r.streams.find(key.StreamID) == nil {
+			return code.New(code.Draining, "the router %s shuts down", r.settings.Name)
 		}
-		return control.Flush()
+		return r.resumeAtHome(ctx, order, sink)
 	})
-	if err == nil {
-		return
+}
+
+// serveCancelOrder cancels a stream for a peer.
+func (r *Router) serveCancelOrder(ctx context.Context, key streamKey) (struct{}, error) {
+	return struct{}{}, r.cancelAtHome(ctx, key)
+}
+
+// cancelAtHome ends a stream at its engine and releases its reservation.
+func (r *Router) cancelAtHome(ctx context.Context, key streamKey) error {
+	if s := r.streams.find(key.StreamID); s != nil {
+		r.streams.end(s)
 	}
-	writeLineError(w, encoder, order.Work, started, err)
+	klog.Infof("place: stream %s at %s is canceled by its caller.", key.StreamID, key.Engine)
+	err := r.engine.Cancel(ctx, key.Engine, key.StreamID)
+	if err != nil {
+		r.tasks.Go(func() { r.cancelStream(key) })
+	}
+	return err
 }
 
-// writeLineError answers with err: as an HTTP error if no line was sent, else
-// as the closing line.
-func writeLineError(w http.ResponseWriter, encoder *json.Encoder, work endpoint.Work, started bool, err error) {
-	coded := code.Of(err)
-	if !started {
-		w.Header().Set("Content-Type", "application/json")
-		w.WriteHeader(code.Describe(coded.Code).Status)
-		encoder.Encode(struct {
-			Error *code.Error `json:"error"`
-		}{coded})
-		return
+// keepAlivePart divides the longest silence for the period of empty lines.
+const keepAlivePart = 4
+
+// answerLines answers a peer with the lines that run hands to its sink.
+func (r *Router) answerLines(w http.ResponseWriter, request *http.Request, key streamKey, deadlineMS int64, run func(context.Context, endpoint.Sink) error) {
+	ctx, cancel := context.WithTimeout(request.Context(), time.Duration(deadlineMS)*time.Millisecond)
+	defer cancel()
+	r.peerWork.Add(1)
+	defer r.peerWork.Add(-1)
+	lines := newLineWriter(w, milliseconds(r.settings.Timing.StallMS))
+	defer lines.close()
+	stop := lines.keepAlive(milliseconds(r.settings.Timing.ProgressMS) / keepAlivePart)
+	err := run(ctx, lines.line)
+	stop()
+	if err != nil {
+		lines.fail(key, err)
 	}
-	encoder.Encode(endpoint.Line{RequestID: work.RequestID, StreamID: work.StreamID, Error: coded})
 }
--- /dev/null
+++ b/router/home_stream.go
@@ -0,0 +1,34 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"cardamompoint.example/cardamompoint/balance"
+)
+
+// homeStream is a stream at an engine that this router counts. Its fields are
+// guarded by the homeStreams that holds it.
+type homeStream struct {
+	streamKey
+
+	// reservation is the room held at the engine; nil if it had none left for a
+	// stream that another router had admitted.
+	reservation *balance.Reservation
+	// reader numbers the relays, the newest one last.
+	reader int
+	// stop ends the newest relay; nil while nobody reads.
+	stop context.CancelCauseFunc
+	// hold ends the stream if nobody comes back; nil while somebody reads.
+	hold *time.Timer
+}
+
+// streamKey names a stream at an engine.
+type streamKey struct {
+	// Engine is the engine's address.
+	Engine string `json:"engine"`
+	// RequestID is the request that the stream answers.
+	RequestID string `json:"request_id"`
+	// StreamID is the engine's stream.
+	StreamID string `json:"stream_id"`
+}
--- /dev/null
+++ b/router/home_streams.go
@@ -0,0 +1,149 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"cardamompoint.example/cardamompoint/balance"
+	"cardamompoint.example/cardamompoint/code"
+)
+
+// homeStreams keeps the streams that this router counts. A stream that nobody
+// reads is held for the resume time and then canceled at its engine. The
+// memory of a stream does not depend on its length. It is safe for concurrent
+// use.
+type homeStreams struct {
+	resume time.Duration
+	cancel func(streamKey)
+
+	mu   sync.Mutex
+	byID map[string]*homeStream
+}
+
+// newHomeStreams returns an empty table. cancel ends a stream at its engine.
+func newHomeStreams(resume time.Duration, cancel func(streamKey)) *homeStreams {
+	return &homeStreams{resume: resume, cancel: cancel, byID: map[string]*homeStream{}}
+}
+
+// open adds a stream and returns it. reservation may be nil. A stream that is
+// there already is returned as it is, and the reservation is released.
+func (h *homeStreams) open(key streamKey, reservation *balance.Reservation) *homeStream {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if known, ok := h.byID[key.StreamID]; ok {
+		release(reservation)
+		return known
+	}
+	s := &homeStream{streamKey: key, reservation: reservation}
+	h.byID[key.StreamID] = s
+	return s
+}
+
+// find returns a stream, or nil.
+func (h *homeStreams) find(streamID string) *homeStream {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.byID[streamID]
+}
+
+// len returns the number of streams, held ones included.
+func (h *homeStreams) len() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.byID)
+}
+
+// held returns the streams that nobody reads.
+func (h *homeStreams) held() []*homeStream {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var streams []*homeStream
+	for _, s := range h.byID {
+		if s.hold != nil {
+			streams = append(streams, s)
+		}
+	}
+	return streams
+}
+
+// attach makes the caller the stream's reader in place of an earlier one, which
+// ends. It returns the reader's context and number.
+func (h *homeStreams) attach(ctx context.Context, s *homeStream) (context.Context, int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s.hold != nil {
+		s.hold.Stop()
+		s.hold = nil
+	}
+	if s.stop != nil {
+		s.stop(code.New(code.Canceled, "the stream is read by another connection"))
+	}
+	s.reader++
+	ctx, s.stop = context.WithCancelCause(ctx)
+	return ctx, s.reader
+}
+
+// current reports whether the stream still has this reader.
+func (h *homeStreams) current(s *homeStream, reader int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.byID[s.StreamID] == s && s.reader == reader
+}
+
+// leave ends the reader and holds the stream until another one comes, or the
+// resume time has passed.
+func (h *homeStreams) leave(s *homeStream, reader int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.byID[s.StreamID] != s || s.reader != reader {
+		return
+	}
+	s.stop(nil)
+	s.stop = nil
+	klog.Infof("place: stream %s at %s is held for %v, since its reader is lost.", s.StreamID, s.Engine, h.resume)
+	s.hold = time.AfterFunc(h.resume, func() { h.expire(s, reader) })
+}
+
+// expire cancels a held stream to which nobody came back.
+func (h *homeStreams) expire(s *homeStream, reader int) {
+	h.mu.Lock()
+	due := h.byID[s.StreamID] == s && s.reader == reader && s.hold != nil
+	if due {
+		h.remove(s)
+	}
+	h.mu.Unlock()
+	if due {
+		klog.Infof("place: stream %s at %s is canceled, since nobody came back.", s.StreamID, s.Engine)
+		h.cancel(s.streamKey)
+	}
+}
+
+// end forgets a stream and releases its reservation.
+func (h *homeStreams) end(s *homeStream) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.byID[s.StreamID] == s {
+		h.remove(s)
+	}
+}
+
+// remove needs the lock.
+func (h *homeStreams) remove(s *homeStream) {
+	delete(h.byID, s.StreamID)
+	if s.hold != nil {
+		s.hold.Stop()
+	}
+	if s.stop != nil {
+		s.stop(code.New(code.Canceled, "the stream was canceled"))
+	}
+	release(s.reservation)
+}
+
+func release(reservation *balance.Reservation) {
+	if reservation != nil {
+		reservation.Release()
+	}
+}
--- a/router/job.go
+++ b/router/job.go
@@ -9,7 +9,6 @@
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/endpoint"
-	"cardamompoint.example/cardamompoint/member"
 )
 
 // The bounds of one request's attempts.
@@ -17,30 +16,23 @@
 	maxStarts = 4
 	maxAsked  = 12
 	retryBusy = time.Second
+	movePause = 200 * time.Millisecond
 )
 
-// receiver takes an answer in progress.
-type receiver interface {
-	// started is called before the first token of each engine's part.
-	started(engine, streamID string) error
-	// token is called for each token in order.
-	token(line endpoint.Line) error
-	// finished is called after the last token.
-	finished(final endpoint.Final) error
-}
-
 // job is one model request on its way through engines.
 type job struct {
 	router     *Router
-	view       *member.View
 	work       endpoint.Work
 	candidates []candidate
 	receiver   receiver
 
 	delivered []string
 	failed    map[string]bool
+	lostHomes map[string]bool
 	starts    int
-	announced string
+	announced placement
+	// leftErr is the receiver's error, after which nobody waits for the answer.
+	leftErr error
 }
 
 // run asks the candidates in order until one has finished the answer. An
@@ -48,6 +40,7 @@
 // was delivered.
 func (j *job) run(ctx context.Context) error {
 	j.failed = map[string]bool{}
+	j.lostHomes = map[string]bool{}
 	j.router.budget.first()
 	for {
 		err := j.runOnce(ctx)
@@ -55,12 +48,34 @@
 			return nil
 		}
 		if !j.mayGoOn(ctx, err) {
+			j.abandon()
 			return j.finalError(ctx, err)
 		}
+		if notAdmitted(err) {
+			j.waitForRoom(ctx)
+			continue
+		}
 		j.router.metrics.Retry()
 	}
 }
 
+// abandon cancels the stream of an answer that nobody can come back for.
+func (j *job) abandon() {
+	last := j.announced
+	if j.receiver.resumable() || last.streamID == "" {
+		return
+	}
+	j.router.tasks.Go(func() {
+		_ = j.router.cancelEverywhere(context.Background(), last.home, last.key(j))
+	})
+}
+
+// waitForRoom waits before the engines are asked again for a begun answer.
+func (j *job) waitForRoom(ctx context.Context) {
+	sleep(ctx, movePause)
+	j.leftErr = j.receiver.alive()
+}
+
 // runOnce finds an engine that admits the work and relays its answer.
 func (j *job) runOnce(ctx context.Context) error {
 	var last error
@@ -82,47 +97,103 @@
 	return code.New(code.Overloaded, "%d engines did not admit the request, the last with: %v", asked, last).After(retryBusy)
 }
 
+// try runs the work at one engine. A lost home does not speak against the
+// engine: the same stream goes on without it.
 func (j *job) try(ctx context.Context, c candidate) error {
-	engine := c.vm.Address
-	home := j.router.homeOf(j.view, engine)
-	j.starts++
-	work := j.work
-	work.StreamID = fmt.Sprintf("%s.%d", j.work.RequestID, j.starts)
-	work.Prefix = j.delivered
-	order := workOrder{Engine: engine, Work: work, DeadlineMS: timeLeft(ctx).Milliseconds()}
-	klog.Infof("route: request %s of %s chat %s goes to engine %s by home %s, %s, attempt %d, offset %d.",
-		work.RequestID, work.Workspace, work.Chat, engine, home, c.reason, j.starts, len(j.delivered))
-	err := j.router.dispatch(ctx, home, order, func(line endpoint.Line) error {
-		return j.take(engine, work.StreamID, line)
-	})
+	at, err := j.dispatch(ctx, c)
+	if j.homeLost(ctx, at, err) {
+		at, err = j.goOnWithoutHome(ctx, c, at, err)
+	}
 	if err == nil {
 		j.router.metrics.Decision("served")
 		return nil
 	}
-	klog.Infof("route: request %s passes over engine %s: %v.", work.RequestID, engine, err)
+	klog.Infof("route: request %s passes over engine %s: %v.", j.work.RequestID, at.engine, err)
 	if notAdmitted(err) {
 		j.router.metrics.Decision("passed_over")
 		return err
 	}
 	j.router.metrics.Decision("failed")
-	j.failed[engine] = true
+	j.failed[at.engine] = true
 	return err
 }
 
-func (j *job) take(engine, streamID string, line endpoint.Line) error {
-	if j.announced != streamID {
-		j.announced = streamID
-		if err := j.receiver.started(engine, streamID); err != nil {
+// dispatch starts a stream for the rest of the answer at one engine.
+func (j *job) dispatch(ctx context.Context, c candidate) (placement, error) {
+	j.starts++
+	at := placement{
+		engine:   c.vm.Address,
+		home:     j.homeOf(c.vm.Address),
+		streamID: fmt.Sprintf("%s.%d", j.work.RequestID, j.starts),
+	}
+	work := j.work
+	work.StreamID = at.streamID
+	work.Prefix = j.delivered
+	order := workOrder{Engine: at.engine, Work: work, DeadlineMS: timeLeft(ctx).Milliseconds()}
+	klog.Infof("route: request %s of %s chat %s goes to engine %s by home %s, %s, attempt %d, offset %d.",
+		work.RequestID, work.Workspace, work.Chat, at.engine, at.home, c.reason, j.starts, len(j.delivered))
+	return at, j.router.dispatch(ctx, at.home, order, j.sink(at))
+}
+
+// homeOf returns the router that counts the engine's work, or this one if that
+// router was lost during the request.
+func (j *job) homeOf(engine string) string {
+	home := j.router.homeOf(j.router.members.View(), engine)
+	if j.lostHomes[home] {
+		return j.router.members.Self().Address
+	}
+	return home
+}
+
+// homeLost reports whether err tells that another router was lost on the way.
+func (j *job) homeLost(ctx context.Context, at placement, err error) bool {
+	if ctx.Err() != nil || at.home == j.router.members.Self().Address {
+		return false
+	}
+	return endpoint.ConnectionLost(err)
+}
+
+// goOnWithoutHome goes on with a stream whose home was lost: this router
+// counts it from now on and reads the rest from the engine. A stream that the
+// engine does not know is started again.
+func (j *job) goOnWithoutHome(ctx context.Context, c candidate, at placement, lost error) (placement, error) {
+	j.lostHomes[at.home] = true
+	klog.Infof("route: request %s goes on at engine %s without home %s: %v.", j.work.RequestID, at.engine, at.home, lost)
+	if notAdmitted(lost) {
+		return j.dispatch(ctx, c)
+	}
+	j.router.takeOver(at.home, at.key(j))
+	at.home = j.router.members.Self().Address
+	order := resumeOrder{Stream: at.id(j), Offset: len(j.delivered)}
+	err := j.router.resumeAtHome(ctx, order, j.sink(at))
+	if !code.Is(err, code.UnknownStream) || !j.mayGoOn(ctx, err) {
+		return at, err
+	}
+	return j.dispatch(ctx, c)
+}
+
+// sink returns the sink for the lines of one attempt.
+func (j *job) sink(at placement) endpoint.Sink {
+	return func(line endpoint.Line) error {
+		j.leftErr = j.take(at, line)
+		return j.leftErr
+	}
+}
+
+func (j *job) take(at placement, line endpoint.Line) error {
+	if j.announced != at {
+		j.announced = at
+		if err := j.receiver.started(at); err != nil {
 			return err
 		}
 	}
 	if line.Final != nil {
 		final := *line.Final
-		final.Engine = engine
+		final.Engine = at.engine
 		return j.receiver.finished(final)
 	}
 	if line.Text == "" {
-		return nil
+		return j.receiver.alive()
 	}
 	if err := j.receiver.token(line); err != nil {
 		return err
@@ -136,24 +207,33 @@
 	return code.Of(err).Run == code.RunNo
 }
 
+// mayGoOn reports whether the request is tried again after err. An answer that
+// has begun is finished whatever the retry budget says, since its caller was
+// accepted; the engines' caps and maxStarts bound the load.
 func (j *job) mayGoOn(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || notAdmitted(err) {
+	if ctx.Err() != nil || j.leftErr != nil || code.Is(err, code.Canceled) {
 		return false
 	}
-	if len(j.failed) >= maxStarts {
+	if len(j.failed) >= maxStarts || len(j.failed) == len(j.candidates) {
 		return false
 	}
-	return j.router.budget.take()
+	if len(j.delivered) > 0 {
+		return true
+	}
+	return !notAdmitted(err) && j.router.budget.take()
 }
 
 // finalError returns the result that the caller gets.
 func (j *job) finalError(ctx context.Context, err error) error {
-	if ctx.Err() == context.Canceled {
+	if ctx.Err() == context.Canceled || j.leftErr != nil {
 		return code.New(code.Canceled, "the caller left")
 	}
 	if ctx.Err() != nil {
 		return code.New(code.DeadlineExceeded, "the deadline has passed").After(retryBusy)
 	}
+	if code.Is(err, code.Canceled) {
+		return err
+	}
 	if notAdmitted(err) && len(j.delivered) == 0 {
 		return err
 	}
--- /dev/null
+++ b/router/line_writer.go
@@ -0,0 +1,102 @@
+package router
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+)
+
+// lineWriter sends the lines of an answer to another router and an empty line
+// while there is none, so that the reader can tell a lost router from a slow
+// engine. It is safe for concurrent use.
+type lineWriter struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	stall   time.Duration
+
+	mu    sync.Mutex
+	begun bool
+	wrote bool
+}
+
+// newLineWriter returns a lineWriter. A write that the reader holds back for
+// longer than stall fails.
+func newLineWriter(w http.ResponseWriter, stall time.Duration) *lineWriter {
+	return &lineWriter{w: w, control: http.NewResponseController(w), stall: stall}
+}
+
+// line sends one line.
+func (l *lineWriter) line(line endpoint.Line) error {
+	raw, err := json.Marshal(line)
+	if err != nil {
+		return code.Wrap(err, code.InternalFault, "the line can't be encoded")
+	}
+	return l.write(append(raw, '\n'))
+}
+
+func (l *lineWriter) write(raw []byte) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.begun, l.wrote = true, true
+	_ = l.control.SetWriteDeadline(time.Now().Add(l.stall))
+	if _, err := l.w.Write(raw); err != nil {
+		return err
+	}
+	return l.control.Flush()
+}
+
+// keepAlive sends an empty line in each period without another one. The
+// function that it returns ends this and waits for its end.
+func (l *lineWriter) keepAlive(period time.Duration) (stop func()) {
+	var writing sync.WaitGroup
+	done := make(chan struct{})
+	writing.Go(func() {
+		ticker := time.NewTicker(period)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+				l.fillSilence()
+			}
+		}
+	})
+	return func() {
+		close(done)
+		writing.Wait()
+	}
+}
+
+func (l *lineWriter) fillSilence() {
+	l.mu.Lock()
+	silent := !l.wrote
+	l.wrote = false
+	l.mu.Unlock()
+	if silent {
+		_ = l.write([]byte("\n"))
+	}
+}
+
+// fail closes the answer with err: as an HTTP error if nothing was sent, else
+// as the closing line.
+func (l *lineWriter) fail(key streamKey, err error) {
+	l.mu.Lock()
+	begun := l.begun
+	l.mu.Unlock()
+	if !begun {
+		jsonhttp.WriteError(l.w, err)
+		return
+	}
+	_ = l.line(endpoint.Line{RequestID: key.RequestID, StreamID: key.StreamID, Error: code.Of(err)})
+}
+
+// close takes the deadline from the connection, which may be used again.
+func (l *lineWriter) close() {
+	_ = l.control.SetWriteDeadline(time.Time{})
+}
--- a/router/peers.go
+++ b/router/peers.go
@@ -37,13 +37,25 @@
 	mux.Handle("POST "+heartbeatPath, peer.Handle(secret, r.serveHeartbeat))
 	mux.Handle("POST "+changesPath, peer.Handle(secret, r.serveChanges))
 	mux.Handle("POST "+workPath, peer.HandleStream(secret, r.serveWork))
-	mux.Handle("POST "+executePath, peer.Handle(secret, r.serveExecute))
+	mux.Handle("POST "+resumePath, peer.HandleStream(secret, r.serveResumeOrder))
+	mux.Handle("POST "+cancelPath, peer.Handle(secret, r.serveCancelOrder))
+	mux.Handle("POST "+takenPath, peer.Handle(secret, r.serveTaken))
+	mux.Handle("POST "+executePath, r.countPeerWork(peer.Handle(secret, r.serveExecute)))
 	mux.Handle("POST "+outcomePath, peer.Handle(secret, func(ctx context.Context, ticket once.Ticket) (once.Outcome, error) {
 		return r.outcome(ctx, ticket)
 	}))
 	return mux
 }
 
+// countPeerWork counts requests of peers that a shutdown waits for.
+func (r *Router) countPeerWork(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		r.peerWork.Add(1)
+		defer r.peerWork.Add(-1)
+		next.ServeHTTP(w, request)
+	})
+}
+
 func (r *Router) serveHeartbeat(_ context.Context, beat member.Heartbeat) (member.Heartbeat, error) {
 	r.members.Heard(beat, time.Now())
 	return r.heartbeat(), nil
--- a/router/receivers.go
+++ b/router/receivers.go
@@ -19,20 +19,27 @@
 	events *stream.Writer
 }
 
-func (s *streamReceiver) started(engine, streamID string) error {
+func (s *streamReceiver) started(at placement) error {
 	if s.events == nil {
-		s.events = stream.NewWriter(s.w)
+		s.events = stream.NewWriter(s.w, milliseconds(s.router.settings.Timing.StallMS))
 	}
-	work := s.job.work
-	id := stream.ID{RequestID: work.RequestID, StreamID: streamID, Workspace: work.Workspace, Engine: engine}
 	return s.events.Event("start", -1, api.Started{
-		ID:     work.RequestID,
-		Stream: id.Seal(s.router.settings.Secret),
-		Model:  work.Model,
-		Engine: engine,
+		ID:     s.job.work.RequestID,
+		Stream: at.id(s.job).Seal(s.router.settings.Secret),
+		Model:  s.job.work.Model,
+		Engine: at.engine,
 	})
 }
 
+func (s *streamReceiver) alive() error {
+	if s.events == nil {
+		return nil
+	}
+	return s.events.Alive()
+}
+
+func (s *streamReceiver) resumable() bool { return true }
+
 func (s *streamReceiver) token(line endpoint.Line) error {
 	return s.events.Event("", line.Offset, api.NewChunk(line.RequestID, line.Text))
 }
@@ -69,7 +76,11 @@
 	final endpoint.Final
 }
 
-func (c *wholeReceiver) started(string, string) error { return nil }
+func (c *wholeReceiver) started(placement) error { return nil }
+
+func (c *wholeReceiver) alive() error { return nil }
+
+func (c *wholeReceiver) resumable() bool { return false }
 
 func (c *wholeReceiver) token(line endpoint.Line) error {
 	c.text.WriteString(line.Text)
--- /dev/null
+++ b/router/relay.go
@@ -0,0 +1,84 @@
+package router
+
+import (
+	"context"
+
+	"k8s.io/klog/v2"
+
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/endpoint"
+)
+
+// maxReconnects bounds the new connections to an engine without a token in
+// between.
+const maxReconnects = 2
+
+// relay relays a stream from its engine to sink and settles what becomes of the
+// stream. first brings the lines from offset on; after a lost connection, the
+// engine is asked for the rest.
+func (r *Router) relay(ctx context.Context, s *homeStream, offset int, sink endpoint.Sink, first func(context.Context, endpoint.Sink) error) error {
+	reading, reader := r.streams.attach(ctx, s)
+	p := &relayProgress{next: offset, sink: sink}
+	err := first(reading, p.take)
+	for tries := 0; tries < maxReconnects && p.mayReconnect(reading, err); tries++ {
+		klog.Infof("place: stream %s at %s is asked for again from token %d: %v.", s.StreamID, s.Engine, p.next, err)
+		before := p.next
+		err = r.engine.Resume(reading, s.Engine, s.RequestID, s.StreamID, p.next, p.take)
+		if p.next > before {
+			tries = -1
+		}
+	}
+	return r.settle(ctx, s, reader, p, err)
+}
+
+// settle decides what becomes of a stream whose relay ended with err: it is
+// forgotten, held for a reader to come back, or canceled.
+func (r *Router) settle(ctx context.Context, s *homeStream, reader int, p *relayProgress, err error) error {
+	if err == nil {
+		r.streams.end(s)
+		return nil
+	}
+	if !r.streams.current(s, reader) {
+		return code.New(code.Canceled, "the stream was canceled or is read by another connection")
+	}
+	if p.sinkErr != nil || ctx.Err() == context.Canceled {
+		r.streams.leave(s, reader)
+		return err
+	}
+	r.streams.end(s)
+	if !notAdmitted(err) {
+		r.tasks.Go(func() { r.cancelStream(s.streamKey) })
+	}
+	if code.Is(err, code.Canceled) {
+		return code.New(code.EndpointFault, "the engine gave the stream up: %v", err)
+	}
+	return err
+}
+
+// relayProgress counts the tokens that a relay has handed on.
+type relayProgress struct {
+	sink    endpoint.Sink
+	next    int
+	sinkErr error
+}
+
+// take hands a line on.
+func (p *relayProgress) take(line endpoint.Line) error {
+	if err := p.sink(line); err != nil {
+		p.sinkErr = err
+		return err
+	}
+	if line.Text != "" {
+		p.next++
+	}
+	return nil
+}
+
+// mayReconnect reports whether a new connection to the engine may bring the
+// rest after err.
+func (p *relayProgress) mayReconnect(ctx context.Context, err error) bool {
+	if p.sinkErr != nil || ctx.Err() != nil {
+		return false
+	}
+	return endpoint.ConnectionLost(err) && !notAdmitted(err)
+}
--- a/router/resume.go
+++ b/router/resume.go
@@ -5,9 +5,10 @@
 	"net/http"
 	"strconv"
 
+	"k8s.io/klog/v2"
+
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/endpoint"
-	"cardamompoint.example/cardamompoint/internal/jsonhttp"
 	"cardamompoint.example/cardamompoint/stream"
 )
 
@@ -26,10 +27,8 @@
 	}
 	ctx, cancel := context.WithTimeout(request.Context(), milliseconds(r.settings.Timing.RequestMS))
 	defer cancel()
-	receiver := &streamReceiver{router: r, w: w, job: &job{work: endpoint.Work{
-		RequestID: id.RequestID,
-		Workspace: id.Workspace,
-	}}}
+	work := endpoint.Work{RequestID: id.RequestID, Workspace: id.Workspace, Model: id.Model, MaxTokens: id.MaxTokens}
+	receiver := &streamReceiver{router: r, w: w, job: &job{work: work}}
 	err = r.resume(ctx, id, offset, receiver)
 	r.logResult(id.RequestID, err)
 	if err == nil {
@@ -39,34 +38,41 @@
 	receiver.fail(withRequestID(err, id.RequestID))
 }
 
+// resume relays the rest of a stream: by the router that counts it, or else
+// counted here.
 func (r *Router) resume(ctx context.Context, id stream.ID, offset int, receiver receiver) error {
-	begun := false
-	return r.engine.Resume(ctx, id.Engine, id.RequestID, id.StreamID, offset, func(line endpoint.Line) error {
-		if !begun {
-			begun = true
-			if err := receiver.started(id.Engine, id.StreamID); err != nil {
-				return err
-			}
-		}
-		if line.Final != nil {
-			final := *line.Final
-			final.Engine = id.Engine
-			return receiver.finished(final)
-		}
-		return receiver.token(line)
-	})
+	reader := &resumedReader{id: id, next: offset, receiver: receiver}
+	err := r.resumeAnywhere(ctx, reader)
+	if err == nil {
+		return nil
+	}
+	if ctx.Err() == context.Canceled || reader.leftErr != nil {
+		return code.New(code.Canceled, "the caller left")
+	}
+	if ctx.Err() != nil {
+		return code.New(code.DeadlineExceeded, "the deadline has passed").After(retryBusy)
+	}
+	if code.Is(err, code.Canceled) {
+		return err
+	}
+	return code.New(code.StreamLost, "the engine %s does not go on with the stream: %v", id.Engine, err)
 }
 
-// serveCancel answers DELETE /v1/streams/{stream}.
-func (r *Router) serveCancel(w http.ResponseWriter, request *http.Request) {
-	id, err := stream.OpenID(r.settings.Secret, request.PathValue("stream"))
-	if err != nil {
-		r.answerError(w, err)
-		return
-	}
-	if err := r.engine.Cancel(request.Context(), id.Engine, id.StreamID); err != nil {
-		r.answerError(w, err)
-		return
+func (r *Router) resumeAnywhere(ctx context.Context, reader *resumedReader) error {
+	if r.reachable(reader.id.Home) {
+		err := r.dispatchResume(ctx, reader.order(ctx), reader.take)
+		if !r.homeGone(ctx, err) {
+			return err
+		}
+		klog.Infof("route: stream %s goes on without home %s: %v.", reader.id.StreamID, reader.id.Home, err)
 	}
-	jsonhttp.Write(w, struct{}{})
+	r.takeOver(reader.id.Home, keyOf(reader.id))
+	reader.id.Home = r.members.Self().Address
+	return r.resumeAtHome(ctx, reader.order(ctx), reader.take)
+}
+
+// homeGone reports whether err tells that the router which counts a stream was
+// lost or shuts down.
+func (r *Router) homeGone(ctx context.Context, err error) bool {
+	return ctx.Err() == nil && (endpoint.ConnectionLost(err) || code.Is(err, code.Draining))
 }
--- a/router/router.go
+++ b/router/router.go
@@ -35,6 +35,7 @@
 	budget  *retryBudget
 
 	workerCounts *workerCounts
+	streams      *homeStreams
 
 	control      *peer.Client
 	work         *peer.Client
@@ -44,6 +45,7 @@
 	draining   atomic.Bool
 	closing    atomic.Bool
 	inProgress atomic.Int64
+	peerWork   atomic.Int64
 	tasks      sync.WaitGroup
 	servers    []*http.Server
 }
@@ -77,6 +79,7 @@
 	}, milliseconds(s.Timing.SuspectMS))
 	r.control = peer.NewClient(s.Secret, peer.NewTransport(&r.controlBytes))
 	r.work = peer.NewClient(s.Secret, peer.NewTransport(nil))
+	r.streams = newHomeStreams(milliseconds(s.Timing.ResumeMS), r.cancelStream)
 	r.addAdapters()
 	return r, r.addGauges()
 }
@@ -88,7 +91,7 @@
 		r.config, r.lister = client, client
 	}
 	if r.engine == nil {
-		r.engine = endpoint.NewEngineClient(peer.NewTransport(nil), milliseconds(s.Timing.ProgressMS))
+		r.engine = endpoint.NewEngineClient(peer.NewTransport(nil), milliseconds(s.Timing.ProgressMS), milliseconds(s.Timing.StallMS))
 	}
 	if r.service == nil {
 		r.service = endpoint.NewServiceClient(peer.NewTransport(nil))
@@ -101,6 +104,8 @@
 		read       func() int64
 	}{
 		{"cardamompoint.in_progress", "Requests of callers in progress.", r.inProgress.Load},
+		{"cardamompoint.peer_work", "Requests of other routers in progress.", r.peerWork.Load},
+		{"cardamompoint.home_streams", "Streams that the router counts, held ones included.", func() int64 { return int64(r.streams.len()) }},
 		{"cardamompoint.control_bytes", "Bytes of control traffic since the start.", r.controlBytes.Total},
 		{"cardamompoint.records", "Outcomes kept for repeated keys.", func() int64 { return int64(r.records.Len()) }},
 		{"cardamompoint.config_revision", "Configuration revision in force.", func() int64 { return r.store.Snapshot().Revision }},
--- a/router/run.go
+++ b/router/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -61,7 +62,9 @@
 	return nil
 }
 
-// drain ends the router's work without cutting a request.
+// drain ends the router's work without cutting a request: it waits until the
+// requests of callers, the streams that it counts and the executions for peers
+// have ended, but not longer than the drain time.
 func (r *Router) drain(ctx context.Context) {
 	r.draining.Store(true)
 	klog.Infof("member: router %s drains.", r.settings.Name)
@@ -69,20 +72,46 @@
 	sleep(ctx, milliseconds(r.settings.Timing.LingerMS))
 	r.closing.Store(true)
 	deadline := time.Now().Add(milliseconds(r.settings.Timing.DrainMS))
-	for r.inProgress.Load() > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
+	for r.unfinished() > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
 		sleep(ctx, drainCheck)
 	}
-	klog.Infof("member: router %s has %d requests left.", r.settings.Name, r.inProgress.Load())
 }
 
+// unfinished returns the amount of work that a shutdown would cut.
+func (r *Router) unfinished() int64 {
+	return r.inProgress.Load() + r.peerWork.Load() + int64(len(r.streams.held()))
+}
+
+// close ends the servers. Work that is left is cut and reported as an error
+// with code.Draining. Streams that nobody reads are canceled.
 func (r *Router) close() error {
+	left := r.unfinished()
+	klog.Infof("member: router %s ends with %d requests left.", r.settings.Name, left)
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
+	r.cancelHeld(ctx)
 	var failures []error
 	for _, server := range r.servers {
+		if left > 0 {
+			failures = append(failures, server.Close())
+			continue
+		}
 		if err := server.Shutdown(ctx); err != nil {
 			failures = append(failures, server.Close())
 		}
 	}
+	if left > 0 {
+		failures = append(failures, code.New(code.Draining, "%d requests in progress were cut", left))
+	}
 	return errors.Join(failures...)
 }
+
+// cancelHeld cancels the streams that nobody reads.
+func (r *Router) cancelHeld(ctx context.Context) {
+	var cancels sync.WaitGroup
+	for _, s := range r.streams.held() {
+		r.streams.end(s)
+		cancels.Go(func() { _ = r.engine.Cancel(ctx, s.Engine, s.StreamID) })
+	}
+	cancels.Wait()
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -107,6 +107,8 @@
 		{"$.timing.load_report_ms", int64(timing.LoadReportMS), 20, 60000},
 		{"$.timing.request_ms", int64(timing.RequestMS), 100, hourMS},
 		{"$.timing.progress_ms", int64(timing.ProgressMS), 50, 600000},
+		{"$.timing.stall_ms", int64(timing.StallMS), 50, hourMS},
+		{"$.timing.resume_ms", int64(timing.ResumeMS), 0, hourMS},
 		{"$.timing.linger_ms", int64(timing.LingerMS), 0, 600000},
 		{"$.timing.drain_ms", int64(timing.DrainMS), 100, hourMS},
 		{"$.timing.key_window_ms", int64(timing.KeyWindowMS), 1000, 24 * hourMS},
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -20,6 +20,8 @@
 			LoadReportMS: 1000,
 			RequestMS:    120000,
 			ProgressMS:   5000,
+			StallMS:      30000,
+			ResumeMS:     10000,
 			LingerMS:     3000,
 			DrainMS:      60000,
 			KeyWindowMS:  900000,
--- a/settings/timing.go
+++ b/settings/timing.go
@@ -17,6 +17,15 @@
 	// ProgressMS is the longest silence of an answer in progress before the
 	// connection is abandoned and another one is tried.
 	ProgressMS int `json:"progress_ms"`
+	// StallMS is the longest time that an engine which still answers may take for
+	// one token, the first one included, and that a reader may take for one write.
+	// Higher values let requests queue at engines, lower ones leave an engine that
+	// hangs sooner.
+	StallMS int `json:"stall_ms"`
+	// ResumeMS is how long a stream that nobody reads goes on at its engine, so
+	// that the caller can resume it. Longer times use engines for answers that
+	// nobody may come back for.
+	ResumeMS int `json:"resume_ms"`
 	// LingerMS is how long a router that shuts down goes on accepting requests,
 	// while the balancer notices that it is not ready.
 	LingerMS int `json:"linger_ms"`
--- a/stream/id.go
+++ b/stream/id.go
@@ -17,6 +17,12 @@
 	Workspace string `json:"w"`
 	// Engine is the address of the engine that runs the stream.
 	Engine string `json:"e"`
+	// Home is the address of the router that counts the stream.
+	Home string `json:"h"`
+	// Model is the model that answers.
+	Model string `json:"m"`
+	// MaxTokens bounds the whole answer.
+	MaxTokens int `json:"n"`
 }
 
 // Seal returns the text of id for callers.
