--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -29,8 +30,18 @@
 	tokens    metric.Int64Counter
 	reused    metric.Int64Counter
 	retries   metric.Int64Counter
+
+	firstToken metric.Float64Histogram
+	tokenGap   metric.Float64Histogram
 }
 
+// The histograms' bounds, in seconds. 1 s to the first token and 30 ms between
+// tokens are bounds of their own.
+var (
+	firstTokenBounds = []float64{0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30}
+	tokenGapBounds   = []float64{0.001, 0.0025, 0.005, 0.01, 0.02, 0.03, 0.05, 0.1, 0.25, 1, 5}
+)
+
 // New returns Metrics with a registry of their own.
 func New() (*Metrics, error) {
 	registry := prometheus.NewRegistry()
@@ -43,7 +54,7 @@
 	if err := m.addCounters(); err != nil {
 		return nil, err
 	}
-	return m, nil
+	return m, m.addHistograms()
 }
 
 func (m *Metrics) addCounters() error {
@@ -67,6 +78,26 @@
 	return nil
 }
 
+func (m *Metrics) addHistograms() error {
+	histograms := []struct {
+		target     *metric.Float64Histogram
+		name, help string
+		bounds     []float64
+	}{
+		{&m.firstToken, "cardamompoint.first_token", "Time from a request to its first token.", firstTokenBounds},
+		{&m.tokenGap, "cardamompoint.token_gap", "Time between two tokens of an answer.", tokenGapBounds},
+	}
+	for _, h := range histograms {
+		made, err := m.meter.Float64Histogram(h.name, metric.WithDescription(h.help),
+			metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(h.bounds...))
+		if err != nil {
+			return eris.Wrap(err, h.name)
+		}
+		*h.target = made
+	}
+	return nil
+}
+
 // Handler serves the metrics in Prometheus' text format.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
@@ -102,3 +133,13 @@
 func (m *Metrics) Retry() {
 	m.retries.Add(context.Background(), 1)
 }
+
+// FirstToken counts the time from a request to its first token.
+func (m *Metrics) FirstToken(wait time.Duration) {
+	m.firstToken.Record(context.Background(), wait.Seconds())
+}
+
+// TokenGap counts the time between two tokens of an answer.
+func (m *Metrics) TokenGap(gap time.Duration) {
+	m.tokenGap.Record(context.Background(), gap.Seconds())
+}
--- a/router/job.go
+++ b/router/job.go
@@ -31,6 +31,10 @@
 	lostHomes map[string]bool
 	starts    int
 	announced placement
+	// lastTime is when the last token came, or when the request came.
+	lastTime time.Time
+	// begun tells that a token came.
+	begun bool
 	// leftErr is the receiver's error, after which nobody waits for the answer.
 	leftErr error
 }
@@ -41,6 +45,7 @@
 func (j *job) run(ctx context.Context) error {
 	j.failed = map[string]bool{}
 	j.lostHomes = map[string]bool{}
+	j.lastTime = time.Now()
 	j.router.budget.first()
 	for {
 		err := j.runOnce(ctx)
@@ -199,9 +204,22 @@
 		return err
 	}
 	j.delivered = append(j.delivered, line.Text)
+	j.measureToken(time.Now())
 	return nil
 }
 
+// measureToken counts the wait for the token that came at now.
+func (j *job) measureToken(now time.Time) {
+	wait := now.Sub(j.lastTime)
+	j.lastTime = now
+	if j.begun {
+		j.router.metrics.TokenGap(wait)
+		return
+	}
+	j.begun = true
+	j.router.metrics.FirstToken(wait)
+}
+
 // notAdmitted reports whether err proves that the engine did not start.
 func notAdmitted(err error) bool {
 	return code.Of(err).Run == code.RunNo
