Test held, resumed and slow streams in virtual time

Cause: the time that a stream is held, the room that it keeps meanwhile and the memory of a slow caller were shown by processes only, or not at all.

An empty line of the home no longer waits for a write that the reader holds back.

--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -45,8 +45,8 @@
 	name, id, data string
 }
 
-// read takes in events until the closing one.
-func (a *Answer) read(body io.Reader) error {
+// Read takes in events until the closing one.
+func (a *Answer) Read(body io.Reader) error {
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
 	var current event
--- a/internal/caller/client.go
+++ b/internal/caller/client.go
@@ -77,7 +77,7 @@
 		raw, _ := io.ReadAll(response.Body)
 		return answer, jsonhttp.DecodeError(response.StatusCode, raw)
 	}
-	return answer, answer.read(response.Body)
+	return answer, answer.Read(response.Body)
 }
 
 // Ticket asks for a ticket.
--- a/router/line_writer.go
+++ b/router/line_writer.go
@@ -42,6 +42,10 @@
 func (l *lineWriter) write(raw []byte) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.writeLocked(raw)
+}
+
+func (l *lineWriter) writeLocked(raw []byte) error {
 	l.begun, l.wrote = true, true
 	_ = l.control.SetWriteDeadline(time.Now().Add(l.stall))
 	if _, err := l.w.Write(raw); err != nil {
@@ -73,14 +77,17 @@
 	}
 }
 
+// fillSilence sends an empty line unless another one was sent since the last
+// call. It does not wait for a write that the reader holds back.
 func (l *lineWriter) fillSilence() {
-	l.mu.Lock()
-	silent := !l.wrote
-	l.wrote = false
-	l.mu.Unlock()
-	if silent {
-		_ = l.write([]byte("\n"))
+	if !l.mu.TryLock() {
+		return
+	}
+	defer l.mu.Unlock()
+	if !l.wrote {
+		_ = l.writeLocked([]byte("\n"))
 	}
+	l.wrote = false
 }
 
 // fail closes the answer with err: as an HTTP error if nothing was sent, else
--- /dev/null
+++ b/router/stream_pair_test.go
@@ -0,0 +1,139 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cardamompoint.example/cardamompoint/api"
+	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/internal/caller"
+	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+	"cardamompoint.example/cardamompoint/internal/standin"
+	"cardamompoint.example/cardamompoint/member"
+	"cardamompoint.example/cardamompoint/peer"
+	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/settings"
+)
+
+const (
+	pairEngine  = "10.9.1.1:7200"
+	pairCallers = "10.9.0.9:7000"
+)
+
+// streamPair is an entry router, another one that is the engine's home, and the
+// engine, on an in-memory network.
+type streamPair struct {
+	t           *testing.T
+	net         *standin.PipeNet
+	entry, home *Router
+	caller      *http.Client
+	transports  []*http.Transport
+	stops       []func()
+}
+
+// runPair runs test in virtual time.
+func runPair(t *testing.T, engine http.Handler, test func(*streamPair)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		p := &streamPair{t: t, net: standin.NewPipeNet()}
+		p.entry, p.home = p.router("10.9.0.1:7001"), p.router("10.9.0.2:7001")
+		p.learn()
+		if p.entry.homeOf(p.entry.members.View(), pairEngine) == p.entry.members.Self().Address {
+			p.entry, p.home = p.home, p.entry
+		}
+		p.stops = append(p.stops,
+			p.net.Serve(pairEngine, engine),
+			p.net.Serve(p.home.members.Self().Address, p.home.peersMux()),
+			p.net.Serve(pairCallers, p.entry.callersMux()))
+		p.caller = &http.Client{Transport: p.transport()}
+		test(p)
+		for _, transport := range p.transports {
+			transport.CloseIdleConnections()
+		}
+		for _, stop := range p.stops {
+			stop()
+		}
+		time.Sleep(time.Hour)
+	})
+}
+
+func (p *streamPair) transport() *http.Transport {
+	transport := p.net.Transport()
+	p.transports = append(p.transports, transport)
+	return transport
+}
+
+// router returns a router that does not run its periodic tasks.
+func (p *streamPair) router(address string) *Router {
+	p.t.Helper()
+	s := settings.Defaults()
+	s.Name, s.Peers, s.Secret = address, address, []byte("0123456789abcdef")
+	s.Timing.SuspectMS = 600000
+	r, err := New(Options{
+		Settings: &s,
+		Engine:   endpoint.NewEngineClient(p.transport(), milliseconds(s.Timing.ProgressMS), milliseconds(s.Timing.StallMS)),
+	})
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	r.work = peer.NewClient(s.Secret, p.transport())
+	r.learned.Store(true)
+	return r
+}
+
+// learn tells the routers of each other, the engine and one workspace.
+func (p *streamPair) learn() {
+	list := platform.VMs{Version: 1, VMs: []platform.VM{
+		{Address: p.entry.members.Self().Address, Role: platform.RoleRouter, State: platform.StateLive},
+		{Address: p.home.members.Self().Address, Role: platform.RoleRouter, State: platform.StateLive},
+		{Address: pairEngine, Role: platform.RoleEngine, Group: "g", State: platform.StateLive},
+	}}
+	values := []platform.Value{
+		{Key: "models/m", Version: 1, Data: json.RawMessage(`{"group": "g", "version": "1"}`)},
+		{Key: "workspaces/w/template", Version: 2, Data: json.RawMessage(
+			`{"completion": {"models": [{"model": "m"}], "max_tokens": 4000}}`)},
+	}
+	for _, r := range []*Router{p.entry, p.home} {
+		r.members.SetList(list, time.Now())
+		r.store.Apply(values, 2)
+	}
+	p.entry.members.Heard(member.Heartbeat{From: p.home.members.Self()}, time.Now())
+	p.home.members.Heard(member.Heartbeat{From: p.entry.members.Self()}, time.Now())
+}
+
+func pairCompletion(tokens int) api.Completion {
+	return api.Completion{
+		Workspace: "w", Chat: "c", MaxTokens: tokens, Stream: true,
+		Messages: []api.Message{{Role: "user", Content: "a dossier"}},
+	}
+}
+
+// ask sends a completion and returns the open answer.
+func (p *streamPair) ask(ctx context.Context, completion api.Completion) *http.Response {
+	p.t.Helper()
+	request, err := jsonhttp.NewPost(ctx, "http://"+pairCallers+"/v1/chat/completions", completion)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	response, err := p.caller.Do(request)
+	if err != nil || response.StatusCode != http.StatusOK {
+		p.t.Fatalf("no answer: %v %v", response, err)
+	}
+	return response
+}
+
+// read takes the rest of an answer in.
+func (p *streamPair) read(response *http.Response, answer *caller.Answer) error {
+	defer response.Body.Close()
+	return answer.Read(response.Body)
+}
+
+// atHome returns the number of requests that the home counts.
+func (p *streamPair) atHome() int {
+	requests, _ := p.home.ledger.Load(pairEngine)
+	return requests
+}
