Give engines orders for what they should have loaded

Cause: engines served whatever they had; nothing followed the published models. Ruled out: an elected placer (needs a consensus group), bin packing (one engine that leaves moves replicas of others, and each move reads the weight store).

--- a/cmd/cardamompoint/standin.go
+++ b/cmd/cardamompoint/standin.go
@@ -60,12 +60,14 @@
 			&cli.DurationFlag{Name: "token-interval", Usage: "the time between two tokens", Value: standin.DefaultTokenInterval},
 			&cli.IntFlag{Name: "cache-tokens", Usage: "the size of the prefix cache, in tokens", Value: standin.DefaultCacheTokens},
 			&cli.DurationFlag{Name: "keep-streams", Usage: "how long an ended stream can be resumed", Value: standin.DefaultKeepStreams},
+			&cli.BoolFlag{Name: "check-fence", Usage: "refuse orders with an old fencing number"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			engine := standin.NewEngine(standin.EngineOptions{
 				TokenInterval: c.Duration("token-interval"),
 				CacheTokens:   c.Int("cache-tokens"),
 				KeepStreams:   c.Duration("keep-streams"),
+				CheckFence:    c.Bool("check-fence"),
 			})
 			return serveUntilSignal(ctx, c, engine.Handler())
 		},
--- a/code/code.go
+++ b/code/code.go
@@ -46,6 +46,7 @@
 	NotReady         Code = 409
 	VersionConflict  Code = 410
 	SnapshotTooOld   Code = 411
+	ModelNotLoaded   Code = 412
 	InternalFault    Code = 499
 	InvalidTemplate  Code = 501
 	InvalidSettings  Code = 502
--- a/config/model.go
+++ b/config/model.go
@@ -19,6 +19,9 @@
 	Version string `json:"version"`
 	// Adapters are loaded beside the model.
 	Adapters []string `json:"adapters,omitempty"`
+	// Role is the role of the engines that have the model loaded; empty leaves
+	// the engines' own.
+	Role string `json:"role,omitempty"`
 	// Min is the least number of engines that have the model loaded. 0 means
 	// all engines of the group.
 	Min int `json:"min,omitempty"`
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -20,6 +20,8 @@
 	CacheTokens int
 	// KeepStreams is how long a finished or abandoned stream can be resumed.
 	KeepStreams time.Duration
+	// CheckFence lets the engine refuse orders with an old fencing number.
+	CheckFence bool
 }
 
 // Engine stands in for a model engine. It generates at a fixed pace, keeps the
@@ -27,6 +29,7 @@
 // canceled. It is safe for concurrent use.
 type Engine struct {
 	options EngineOptions
+	orders  *Orders
 
 	mu      sync.Mutex
 	streams map[string]*engineStream
@@ -40,6 +43,7 @@
 func NewEngine(options EngineOptions) *Engine {
 	return &Engine{
 		options: options,
+		orders:  NewOrders(options.CheckFence),
 		streams: map[string]*engineStream{},
 		cache:   newContextCache(options.CacheTokens),
 		runs:    map[string]int{},
@@ -49,6 +53,7 @@
 // Handler returns the engine's HTTP interface.
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
+	e.orders.Handle(mux)
 	mux.HandleFunc("POST /v1/generate", e.serveGenerate)
 	mux.HandleFunc("GET /v1/streams/{stream}", e.serveResume)
 	mux.HandleFunc("DELETE /v1/streams/{stream}", e.serveCancel)
@@ -116,6 +121,9 @@
 // start begins a stream. It runs on when the connection is lost, so that the
 // answer can be resumed.
 func (e *Engine) start(work endpoint.Work) (*engineStream, error) {
+	if !e.orders.Serves(work.Model) {
+		return nil, code.New(code.ModelNotLoaded, "the model %q is not loaded", work.Model)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.leaving {
--- /dev/null
+++ b/internal/standin/orders.go
@@ -0,0 +1,114 @@
+package standin
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+)
+
+// Orders is the part of an Engine that takes orders. It is safe for concurrent
+// use.
+type Orders struct {
+	checkFence bool
+
+	mu       sync.Mutex
+	state    endpoint.EngineState
+	ordered  bool
+	accepted int
+	rejected int
+	loads    int
+}
+
+// NewOrders returns Orders that refuse old fencing numbers if checkFence is set.
+func NewOrders(checkFence bool) *Orders {
+	return &Orders{checkFence: checkFence}
+}
+
+// OrderCounts are what Orders counted.
+type OrderCounts struct {
+	// Accepted is the number of orders that were carried out.
+	Accepted int `json:"accepted"`
+	// Rejected is the number of orders with an old fencing number.
+	Rejected int `json:"rejected"`
+	// Loads is the number of models read from the weight store.
+	Loads int `json:"loads"`
+}
+
+// Counts returns what was counted.
+func (o *Orders) Counts() OrderCounts {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return OrderCounts{Accepted: o.accepted, Rejected: o.rejected, Loads: o.loads}
+}
+
+// State returns what the engine has loaded.
+func (o *Orders) State() endpoint.EngineState {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	state := o.state
+	state.Models = slices.Clone(state.Models)
+	return state
+}
+
+// Take carries out an order.
+func (o *Orders) Take(order endpoint.Order) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.checkFence && order.Fence < o.state.Fence {
+		o.rejected++
+		return code.New(code.OrderRejected, "%d is below the fencing number %d", order.Fence, o.state.Fence)
+	}
+	o.accepted++
+	o.ordered = true
+	for _, model := range order.Models {
+		if !o.has(model.Model, model.Version) {
+			o.loads++
+		}
+	}
+	o.state.Fence = order.Fence
+	o.state.Models = slices.Clone(order.Models)
+	if order.Role != "" {
+		o.state.Role = order.Role
+	}
+	return nil
+}
+
+func (o *Orders) has(model, version string) bool {
+	return slices.ContainsFunc(o.state.Models, func(loaded endpoint.LoadedModel) bool {
+		return loaded.Model == model && (version == "" || loaded.Version == version)
+	})
+}
+
+// Serves reports whether the model is loaded. An engine that never had an
+// order serves every model.
+func (o *Orders) Serves(model string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.ordered || o.has(model, "")
+}
+
+// Handle adds the pages for orders to mux.
+func (o *Orders) Handle(mux *http.ServeMux) {
+	mux.HandleFunc("GET /v1/state", func(w http.ResponseWriter, _ *http.Request) {
+		jsonhttp.Write(w, o.State())
+	})
+	mux.HandleFunc("POST /v1/orders", func(w http.ResponseWriter, r *http.Request) {
+		var order endpoint.Order
+		err := jsonhttp.Read(w, r, maxValueBytes, &order)
+		if err == nil {
+			err = o.Take(order)
+		}
+		if err != nil {
+			jsonhttp.WriteError(w, err)
+			return
+		}
+		jsonhttp.Write(w, struct{}{})
+	})
+	mux.HandleFunc("GET /test/orders", func(w http.ResponseWriter, _ *http.Request) {
+		jsonhttp.Write(w, o.Counts())
+	})
+}
--- /dev/null
+++ b/placement/plan_test.go
@@ -0,0 +1,131 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cardamompoint.example/cardamompoint/config"
+	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/platform"
+)
+
+func engines(count int) []platform.VM {
+	vms := make([]platform.VM, count)
+	for i := range vms {
+		vms[i] = platform.VM{Address: fmt.Sprintf("127.0.1.%d:7200", i+1), Role: platform.RoleEngine, Group: "g"}
+	}
+	return vms
+}
+
+func atMin(model config.Model, _ int) int { return model.Min }
+
+// TestPlanDoesNotDependOnOrder checks that two routers with the same list in
+// another order come to the same plan.
+func TestPlanDoesNotDependOnOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		models := map[string]config.Model{}
+		for i := range rapid.IntRange(1, 5).Draw(t, "models") {
+			name := fmt.Sprintf("m%d", i)
+			models[name] = config.Model{Name: name, Group: "g", Version: "1", Min: rapid.IntRange(0, 4).Draw(t, "min")}
+		}
+		vms := engines(rapid.IntRange(1, 20).Draw(t, "engines"))
+		shuffled := rapid.Permutation(vms).Draw(t, "order")
+		one, two := Plan(models, "g", vms, atMin), Plan(models, "g", shuffled, atMin)
+		for address, desired := range one {
+			if !desired.Equal(endpoint.EngineState{Models: two[address].Models}) {
+				t.Fatalf("%s: %v and %v", address, desired, two[address])
+			}
+		}
+	})
+}
+
+func TestPlanHasTheCountOfReplicas(t *testing.T) {
+	models := map[string]config.Model{"m": {Name: "m", Group: "g", Version: "1", Min: 3, Max: 5}}
+	loaded := 0
+	for _, desired := range Plan(models, "g", engines(20), atMin) {
+		loaded += len(desired.Models)
+	}
+	if loaded != 3 {
+		t.Errorf("%d replicas in place of 3", loaded)
+	}
+}
+
+// TestLeavingEngineMovesItsOwnReplica checks that the other replicas stay.
+func TestLeavingEngineMovesItsOwnReplica(t *testing.T) {
+	models := map[string]config.Model{"m": {Name: "m", Group: "g", Version: "1", Min: 4}}
+	vms := engines(12)
+	before := Plan(models, "g", vms, atMin)
+	for gone := range vms {
+		rest := append(append([]platform.VM{}, vms[:gone]...), vms[gone+1:]...)
+		after := Plan(models, "g", rest, atMin)
+		for _, vm := range rest {
+			if len(before[vm.Address].Models) > len(after[vm.Address].Models) {
+				t.Errorf("%s lost its replica when %s left", vm.Address, vms[gone].Address)
+			}
+		}
+	}
+}
+
+func TestScalerStaysWithinBoundsAndHolds(t *testing.T) {
+	scaler := NewScaler(1000)
+	model := config.Model{Name: "m", Min: 2, Max: 6}
+	now := time.Unix(0, 0)
+	steps := []struct {
+		after  time.Duration
+		tokens int
+		want   int
+	}{
+		{0, 0, 2},
+		{time.Second, 2000, 3},
+		{time.Second, 90000, 6},
+		{time.Second, 4000, 6},
+		{time.Second, 100, 6},
+		{scaleDownHold, 100, 5},
+		{time.Second, 100, 5},
+		{scaleDownHold, 100, 4},
+		{time.Second, 1500, 4},
+		{2 * scaleDownHold, 100, 4},
+		{scaleDownHold, 100, 3},
+		{scaleDownHold, 100, 2},
+		{2 * scaleDownHold, 0, 2},
+	}
+	for i, step := range steps {
+		now = now.Add(step.after)
+		if got := scaler.Replicas(model, 20, step.tokens, now); got != step.want {
+			t.Errorf("step %d: %d replicas in place of %d", i, got, step.want)
+		}
+	}
+}
+
+func TestStepReadsOneModelAtATime(t *testing.T) {
+	desired := Desired{Models: []endpoint.LoadedModel{{Model: "a", Version: "2"}, {Model: "b", Version: "1"}, {Model: "c", Version: "1"}}}
+	state := endpoint.EngineState{Models: []endpoint.LoadedModel{{Model: "a", Version: "1"}, {Model: "c", Version: "1"}}}
+	steps := 0
+	for !desired.Equal(state) {
+		next, reads := desired.Step(state)
+		if !reads || len(next) > len(state.Models)+1 {
+			t.Fatalf("step %d goes from %v to %v", steps, state.Models, next)
+		}
+		state.Models = next
+		steps++
+	}
+	if steps != 2 {
+		t.Errorf("%d steps in place of 2", steps)
+	}
+}
+
+func TestFenceNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		revision := rapid.Int64Range(0, 1<<38).Draw(t, "revision")
+		list := rapid.Int64Range(0, 1<<listBits-2).Draw(t, "list")
+		if Fence(revision, list) >= Fence(revision, list+1) {
+			t.Error("a newer list has no higher number")
+		}
+		if Fence(revision, 1<<listBits-1) >= Fence(revision+1, 0) {
+			t.Error("a newer revision has no higher number")
+		}
+	})
+}
--- a/router/options.go
+++ b/router/options.go
@@ -17,6 +17,8 @@
 	Lister platform.Lister
 	// Engine speaks to model engines.
 	Engine endpoint.Engine
+	// Orderer gives engines orders.
+	Orderer endpoint.Orderer
 	// Service speaks to plain services.
 	Service endpoint.Service
 }
--- /dev/null
+++ b/router/place.go
@@ -0,0 +1,116 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/config"
+	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/member"
+	"cardamompoint.example/cardamompoint/placement"
+	"cardamompoint.example/cardamompoint/platform"
+)
+
+// placePeriod is the time between two looks at the engines that this router
+// manages. An engine that ignores fencing numbers and took an old order is put
+// right within this time.
+const placePeriod = 5 * time.Second
+
+// maxPlanAge is the longest time between a plan and its orders. A process that
+// slept in between drops the plan.
+const maxPlanAge = time.Second
+
+// placer gives engines their orders.
+type placer struct {
+	orders endpoint.Orderer
+	scaler *placement.Scaler
+	share  *placement.StoreShare
+}
+
+// place looks after the engines that this router manages until ctx ends.
+func (r *Router) place(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, placePeriod)
+		r.placeOnce(ctx, time.Now())
+	}
+}
+
+// placeOnce compares every engine that this router manages with its desired
+// state and orders what differs.
+func (r *Router) placeOnce(ctx context.Context, planned time.Time) {
+	snapshot, view := r.store.Snapshot(), r.members.View()
+	fence := placement.Fence(snapshot.Revision, view.List.Version)
+	var engines sync.WaitGroup
+	for group := range groupsOf(snapshot) {
+		plan := placement.Plan(snapshot.Models, group, view.Group(group), func(model config.Model, engines int) int {
+			return r.replicas(model, engines, planned)
+		})
+		for _, vm := range r.managed(view, group) {
+			engines.Go(func() { r.placeEngine(ctx, vm.Address, plan[vm.Address], fence, planned) })
+		}
+	}
+	engines.Wait()
+}
+
+func groupsOf(snapshot *config.Snapshot) map[string]bool {
+	groups := map[string]bool{}
+	for _, model := range snapshot.Models {
+		groups[model.Group] = true
+	}
+	return groups
+}
+
+// managed returns the engines of a group whose home is this router.
+func (r *Router) managed(view *member.View, group string) []platform.VM {
+	var managed []platform.VM
+	for _, vm := range view.Group(group) {
+		if r.homeOf(view, vm.Address) == r.members.Self().Address {
+			managed = append(managed, vm)
+		}
+	}
+	return managed
+}
+
+func (r *Router) replicas(model config.Model, engines int, now time.Time) int {
+	tokens := r.members.Sum(model.Name, now).Tokens + r.ledger.Sums()[model.Name].Tokens
+	return r.placer.scaler.Replicas(model, engines, tokens, now)
+}
+
+func (r *Router) placeEngine(ctx context.Context, engine string, desired placement.Desired, fence int64, planned time.Time) {
+	state, err := r.placer.orders.State(ctx, engine)
+	if err != nil {
+		klog.Infof("place: engine %s does not tell its state: %v.", engine, err)
+		return
+	}
+	if desired.Equal(state) {
+		return
+	}
+	models, reads := desired.Step(state)
+	if reads && !r.placer.share.Allow(len(r.members.View().Routers)) {
+		klog.Infof("place: engine %s waits for the weight store.", engine)
+		return
+	}
+	if elapsed(planned) > maxPlanAge {
+		klog.Infof("place: the plan for engine %s is too old.", engine)
+		return
+	}
+	order := endpoint.Order{Fence: fence, Models: models, Role: desired.Role}
+	err = r.placer.orders.Order(ctx, engine, order)
+	if code.Is(err, code.OrderRejected) {
+		klog.Infof("place: engine %s refused the order %d: a newer one was given.", engine, fence)
+		return
+	}
+	klog.Infof("place: engine %s is ordered to have %v, fencing number %d, was %v: %v.", engine, models, fence, state.Models, err)
+}
+
+// elapsed returns the time since start by the clock that has moved further:
+// the monotonic one stands still while a VM is suspended, the wall clock may
+// be set.
+func elapsed(start time.Time) time.Duration {
+	now := time.Now()
+	return max(now.Sub(start), now.Round(0).Sub(start.Round(0)))
+}
--- /dev/null
+++ b/router/place_test.go
@@ -0,0 +1,134 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/internal/standin"
+	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/settings"
+)
+
+// fakeOrders are engines in memory that take orders.
+type fakeOrders struct {
+	engines map[string]*standin.Orders
+	onState func()
+}
+
+func (f *fakeOrders) State(_ context.Context, address string) (endpoint.EngineState, error) {
+	if f.onState != nil {
+		f.onState()
+	}
+	return f.engines[address].State(), nil
+}
+
+func (f *fakeOrders) Order(_ context.Context, address string, order endpoint.Order) error {
+	return f.engines[address].Take(order)
+}
+
+const placedEngines = 4
+
+// newPlacing returns a router that is alone in its list with engines that
+// check fencing numbers or not.
+func newPlacing(t *testing.T, checkFence bool) (*Router, *fakeOrders) {
+	t.Helper()
+	orders := &fakeOrders{engines: map[string]*standin.Orders{}}
+	s := settings.Defaults()
+	s.Peers = "127.0.0.1:7001"
+	r, err := New(Options{Settings: &s, Orderer: orders})
+	if err != nil {
+		t.Fatal(err)
+	}
+	vms := []platform.VM{{Address: s.Peers, Role: platform.RoleRouter, State: platform.StateLive}}
+	for i := range placedEngines {
+		address := fmt.Sprintf("127.0.1.%d:7200", i+1)
+		orders.engines[address] = standin.NewOrders(checkFence)
+		vms = append(vms, platform.VM{Address: address, Role: platform.RoleEngine, Group: "g", State: platform.StateLive})
+	}
+	r.members.SetList(platform.VMs{Version: 1, VMs: vms}, time.Now())
+	return r, orders
+}
+
+func declare(r *Router, version int64, document string) {
+	r.store.Apply([]platform.Value{{Key: "models/m", Version: version, Data: []byte(document)}}, version)
+}
+
+// settle looks after the engines for long enough to load every model.
+func settle(r *Router) {
+	for range 60 {
+		r.placeOnce(context.Background(), time.Now())
+		time.Sleep(time.Second)
+	}
+}
+
+func loadedVersions(orders *fakeOrders) []string {
+	var versions []string
+	for _, engine := range orders.engines {
+		for _, model := range engine.State().Models {
+			versions = append(versions, model.Version)
+		}
+	}
+	slices.Sort(versions)
+	return versions
+}
+
+func TestEnginesFollowTheDeclaration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, orders := newPlacing(t, true)
+		declare(r, 1, `{"group": "g", "version": "1", "min": 2, "max": 3}`)
+		settle(r)
+		if got := loadedVersions(orders); !slices.Equal(got, []string{"1", "1"}) {
+			t.Errorf("after the first declaration: %v", got)
+		}
+		declare(r, 2, `{"group": "g", "version": "2", "min": 3, "max": 3}`)
+		settle(r)
+		if got := loadedVersions(orders); !slices.Equal(got, []string{"2", "2", "2"}) {
+			t.Errorf("after the second declaration: %v", got)
+		}
+	})
+}
+
+// TestOldOrderIsPutRight gives engines an order from an old view. Engines that
+// check fencing numbers refuse it, the others are put right.
+func TestOldOrderIsPutRight(t *testing.T) {
+	for _, checkFence := range []bool{true, false} {
+		t.Run(fmt.Sprintf("checkFence=%t", checkFence), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r, orders := newPlacing(t, checkFence)
+				declare(r, 7, `{"group": "g", "version": "2"}`)
+				settle(r)
+				old := endpoint.Order{Fence: 6 << 24, Models: []endpoint.LoadedModel{{Model: "m", Version: "1"}}}
+				for address := range orders.engines {
+					orders.Order(context.Background(), address, old)
+				}
+				settle(r)
+				if got := loadedVersions(orders); !slices.Equal(got, []string{"2", "2", "2", "2"}) {
+					t.Errorf("loaded versions: %v", got)
+				}
+			})
+		})
+	}
+}
+
+// TestSleeperDropsItsPlan lets the router sleep between reading an engine's
+// state and giving the order.
+func TestSleeperDropsItsPlan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, orders := newPlacing(t, false)
+		declare(r, 1, `{"group": "g", "version": "1"}`)
+		r.placer.share.Allow(1)
+		time.Sleep(time.Minute)
+		orders.onState = func() { time.Sleep(20 * time.Second) }
+		r.placeOnce(context.Background(), time.Now())
+		for address, engine := range orders.engines {
+			if accepted := engine.Counts().Accepted; accepted != 0 {
+				t.Errorf("%s took %d orders", address, accepted)
+			}
+		}
+	})
+}
--- a/router/router.go
+++ b/router/router.go
@@ -15,6 +15,7 @@
 	"cardamompoint.example/cardamompoint/metrics"
 	"cardamompoint.example/cardamompoint/once"
 	"cardamompoint.example/cardamompoint/peer"
+	"cardamompoint.example/cardamompoint/placement"
 	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/settings"
 )
@@ -35,6 +36,7 @@
 	budget  *retryBudget
 
 	workerCounts *workerCounts
+	placer       *placer
 
 	control      *peer.Client
 	work         *peer.Client
@@ -68,6 +70,11 @@
 		budget:   newRetryBudget(s.Limits.RetryRatio),
 
 		workerCounts: newWorkerCounts(),
+		placer: &placer{
+			orders: options.Orderer,
+			scaler: placement.NewScaler(s.Limits.EngineTokens),
+			share:  placement.NewStoreShare(s.Limits.WeightLoadsPerMinute),
+		},
 	}
 	r.members = member.NewTable(member.Self{
 		Address:       s.Peers,
@@ -90,6 +97,9 @@
 	if r.engine == nil {
 		r.engine = endpoint.NewEngineClient(peer.NewTransport(nil), milliseconds(s.Timing.ProgressMS))
 	}
+	if r.placer.orders == nil {
+		r.placer.orders = endpoint.NewOrdersClient(peer.NewTransport(&r.controlBytes), milliseconds(s.Timing.ProgressMS))
+	}
 	if r.service == nil {
 		r.service = endpoint.NewServiceClient(peer.NewTransport(nil))
 	}
--- a/settings/check.go
+++ b/settings/check.go
@@ -93,6 +93,7 @@
 		{"$.limits.engine_tokens", int64(limits.EngineTokens), 1, 1 << 30},
 		{"$.limits.service_requests", int64(limits.ServiceRequests), 1, 100000},
 		{"$.limits.body_bytes", limits.BodyBytes, 1024, 64 << 20},
+		{"$.limits.weight_loads_per_minute", int64(limits.WeightLoadsPerMinute), 1, 1000000},
 		{"$.limits.records", int64(limits.Records), 1, 10000000},
 	}
 	return checkRanges(ranges)
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -4,14 +4,15 @@
 func Defaults() Router {
 	return Router{
 		Limits: Limits{
-			LoadMultiple:      1.25,
-			EngineFloorTokens: 2048,
-			EngineRequests:    64,
-			EngineTokens:      65536,
-			ServiceRequests:   64,
-			BodyBytes:         4 << 20,
-			Records:           200000,
-			RetryRatio:        0.2,
+			LoadMultiple:         1.25,
+			EngineFloorTokens:    2048,
+			EngineRequests:       64,
+			EngineTokens:         65536,
+			ServiceRequests:      64,
+			BodyBytes:            4 << 20,
+			Records:              200000,
+			WeightLoadsPerMinute: 60,
+			RetryRatio:           0.2,
 		},
 		Timing: Timing{
 			HeartbeatMS:  1000,
--- a/settings/limits.go
+++ b/settings/limits.go
@@ -22,6 +22,9 @@
 	// Records caps the outcomes kept for repeated keys. A full table refuses
 	// new work that may not be repeated.
 	Records int `json:"records"`
+	// WeightLoadsPerMinute is the weight store's rate for the whole fleet, in
+	// models that engines read from it. Each router uses an equal share.
+	WeightLoadsPerMinute int `json:"weight_loads_per_minute"`
 	// RetryRatio is how many retries are allowed for each first attempt, as a
 	// ratio. Higher values mask more failures and multiply load in a retry storm.
 	RetryRatio float64 `json:"retry_ratio"`
