Run callers' own keys after a clearance from several routers

A caller's own key was refused (106), since nothing kept two routers from running it. Now a UUID of version 7 is accepted: the executor asks the key's group of up to 8 routers to yield the key to its process and sends the work only after a quorum did. A granter that is too young for the key, whose list differs too much or whose wall clock was set does not count.

Tickets: the expiry is read again directly before each send; DELETE on an outcome revokes work that has not begun, which proves not run. A record that was forgotten leaves the greatest forgotten expiry behind, so a clock that is set back cannot revive a ticket.

A refusal of a request with a key that is given before the executor answered said not run, although an earlier request with the key may have run; it says outcome unknown now. The executor counts its work as in progress, so that a graceful shutdown waits for work that came through another router.

Ruled out: abandoning a key for ever after one failed round (one lost message makes the first choice useless for the key; attempt numbers are as safe), and counting every process older than the key (fails when a group grows at once).

--- a/code/code.go
+++ b/code/code.go
@@ -34,6 +34,7 @@
 	Canceled         Code = 306
 	ClearanceMissing Code = 307
 	NotSent          Code = 308
+	KeyFromFuture    Code = 309
 
 	PeerRejected     Code = 401
 	NotHome          Code = 402
--- /dev/null
+++ b/endpoint/digest.go
@@ -0,0 +1,17 @@
+package endpoint
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strconv"
+)
+
+// Digest returns a digest of what the call asks for. Two calls with one key
+// and different digests are different work.
+func (c Call) Digest() string {
+	sum := sha256.New()
+	for _, part := range []string{c.Method, c.Path, c.ContentType, string(c.Body)} {
+		sum.Write([]byte(strconv.Itoa(len(part)) + ":" + part))
+	}
+	return hex.EncodeToString(sum.Sum(nil))
+}
--- /dev/null
+++ b/once/granter.go
@@ -0,0 +1,136 @@
+package once
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Granter remembers to which process this router yielded each key. It is safe
+// for concurrent use.
+type Granter struct {
+	self   string
+	window Window
+	clock  *Clock
+	views  *Views
+
+	mu     sync.Mutex
+	yields *expiring[*yield]
+}
+
+// yield is what a Granter remembers of one key.
+type yield struct {
+	holder   Holder
+	released bool
+}
+
+// NewGranter returns a Granter of at most limit keys for the router with the
+// peer address self.
+func NewGranter(self string, window Window, clock *Clock, views *Views, limit int) *Granter {
+	return &Granter{self: self, window: window, clock: clock, views: views, yields: newExpiring[*yield](limit)}
+}
+
+// Ask yields the key to the asker or tells why not. Work must be sent only by
+// a process to which a quorum of the key's group has yielded.
+func (g *Granter) Ask(request ClearanceRequest) ClearanceAnswer {
+	now, err := g.clock.Now()
+	if err != nil {
+		return refuse(err.Error())
+	}
+	if err := g.window.Check(request.Key.Issued(), now); err != nil {
+		return refuse(err.Error())
+	}
+	if holder := g.Holder(request.Key); holder != nil && !holder.sameProcess(request.Holder) {
+		return ClearanceAnswer{Holder: holder, Reason: "yielded to another process"}
+	}
+	if reason := g.unfit(request); reason != "" {
+		return refuse(reason)
+	}
+	return g.yieldTo(request, now)
+}
+
+func refuse(reason string) ClearanceAnswer {
+	return ClearanceAnswer{Reason: reason}
+}
+
+// unfit tells why this router can't vouch for the key, or nothing.
+func (g *Granter) unfit(request ClearanceRequest) string {
+	name := request.Key.Name()
+	joined, member := g.views.Joined(name, g.self)
+	if !member || !slices.Contains(request.Group, g.self) {
+		return "not in the key's group"
+	}
+	if !g.window.Vouches(request.Key.Issued(), g.clock.Started(), joined) {
+		return "too young for the key"
+	}
+	if !Overlap(request.Group, g.views.Group(name)) {
+		return "the lists differ too much"
+	}
+	return ""
+}
+
+func (g *Granter) yieldTo(request ClearanceRequest, now time.Time) ClearanceAnswer {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.yields.forget(now)
+	name := request.Key.Name()
+	known, ok := g.yields.get(name)
+	if !ok {
+		known = &yield{holder: request.Holder}
+		if err := g.yields.add(name, known, g.window.Expires(request.Key.Issued())); err != nil {
+			return refuse(err.Error())
+		}
+		return ClearanceAnswer{Granted: true}
+	}
+	return known.take(request.Holder)
+}
+
+// take yields the key to holder unless another process has it or the attempt
+// is an old one.
+func (y *yield) take(holder Holder) ClearanceAnswer {
+	if !y.holder.sameProcess(holder) {
+		if !y.released {
+			other := y.holder
+			return ClearanceAnswer{Holder: &other, Reason: "yielded to another process"}
+		}
+		y.holder, y.released = holder, false
+		return ClearanceAnswer{Granted: true}
+	}
+	if holder.Attempt < y.holder.Attempt || (holder.Attempt == y.holder.Attempt && y.released) {
+		return refuse("the attempt was given up")
+	}
+	y.holder, y.released = holder, false
+	return ClearanceAnswer{Granted: true}
+}
+
+// Release takes back what was yielded to an attempt. A later attempt of the
+// same process keeps the key.
+func (g *Granter) Release(request ReleaseRequest) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	known, ok := g.yields.get(request.Key.Name())
+	if !ok || !known.holder.sameProcess(request.Holder) || known.holder.Attempt > request.Holder.Attempt {
+		return
+	}
+	known.holder = request.Holder
+	known.released = true
+}
+
+// Holder returns the process that the key is yielded to, or nil.
+func (g *Granter) Holder(key OwnKey) *Holder {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	known, ok := g.yields.get(key.Name())
+	if !ok || known.released {
+		return nil
+	}
+	holder := known.holder
+	return &holder
+}
+
+// Len returns the number of keys that are remembered.
+func (g *Granter) Len() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.yields.entries)
+}
--- a/once/outcome.go
+++ b/once/outcome.go
@@ -11,4 +11,7 @@
 	Answer *endpoint.Answer `json:"answer,omitempty"`
 	// Error is the numbered result if there is no answer.
 	Error *code.Error `json:"error,omitempty"`
+	// Holder is the process that has the key if it is not the one that was
+	// asked.
+	Holder *Holder `json:"holder,omitempty"`
 }
--- a/once/table.go
+++ b/once/table.go
@@ -3,8 +3,6 @@
 import (
 	"sync"
 	"time"
-
-	"cardamompoint.example/cardamompoint/code"
 )
 
 // retryFullTable is when to come back to a full table.
@@ -13,59 +11,54 @@
 // Table remembers the keys that this process has begun to execute. It is safe
 // for concurrent use.
 type Table struct {
-	limit int
-
 	mu      sync.Mutex
-	records map[string]*Record
-	order   []*Record
+	records *expiring[*Record]
 }
 
 // NewTable returns a Table of at most limit records.
 func NewTable(limit int) *Table {
-	return &Table{limit: limit, records: map[string]*Record{}}
+	return &Table{records: newExpiring[*Record](limit)}
 }
 
 // Begin returns the key's record and whether the caller is the first and has
-// to execute the work. A key with another digest is a KeyReused error; a full
-// table is an Overloaded error, and the work was not run.
+// to execute the work. A full table is an Overloaded error; a key that is not
+// younger than one that was forgotten is a KeyExpired error.
 func (t *Table) Begin(key, digest string, now, expires time.Time) (*Record, bool, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.forget(now)
-	if record, ok := t.records[key]; ok {
-		if record.Digest != digest {
-			return nil, false, code.New(code.KeyReused, "the key was used with another body")
-		}
+	t.records.forget(now)
+	if record, ok := t.records.get(key); ok {
 		return record, false, nil
 	}
-	if len(t.records) >= t.limit {
-		return nil, false, code.New(code.Overloaded, "%d outcomes are kept", len(t.records)).After(retryFullTable)
+	record := &Record{
+		Key: key, Digest: digest, Expires: expires,
+		cleared: make(chan struct{}), done: make(chan struct{}),
+	}
+	if err := t.records.add(key, record, expires); err != nil {
+		return nil, false, err
 	}
-	record := &Record{Key: key, Digest: digest, Expires: expires, done: make(chan struct{})}
-	t.records[key] = record
-	t.order = append(t.order, record)
 	return record, true, nil
 }
 
+// Drop forgets a record whose work was given up before it was cleared, so that
+// the key may be begun again.
+func (t *Table) Drop(record *Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.records.drop(record.Key)
+}
+
 // Find returns the key's record, or nil.
 func (t *Table) Find(key string) *Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.records[key]
+	record, _ := t.records.get(key)
+	return record
 }
 
 // Len returns the number of records.
 func (t *Table) Len() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.records)
-}
-
-// forget drops records that have expired. Records expire about in the order
-// in which they were made.
-func (t *Table) forget(now time.Time) {
-	for len(t.order) > 0 && t.order[0].Expires.Before(now) {
-		delete(t.records, t.order[0].Key)
-		t.order = t.order[1:]
-	}
+	return len(t.records.entries)
 }
--- a/once/ticket.go
+++ b/once/ticket.go
@@ -37,6 +37,11 @@
 	}
 }
 
+// Expires returns when the ticket becomes void.
+func (t Ticket) Expires() time.Time {
+	return time.UnixMilli(t.ExpiresMS)
+}
+
 // Seal returns the text of t for callers.
 func (t Ticket) Seal(secret []byte) string {
 	return seal.Seal(secret, ticketPurpose, t)
--- a/router/callers.go
+++ b/router/callers.go
@@ -15,6 +15,7 @@
 	mux.HandleFunc("DELETE /v1/streams/{stream}", r.serveCancel)
 	mux.HandleFunc("POST /v1/tickets", r.serveTicket)
 	mux.HandleFunc("GET /v1/outcomes/{workspace}/{key}", r.serveOutcome)
+	mux.HandleFunc("DELETE /v1/outcomes/{workspace}/{key}", r.serveRevoke)
 	mux.HandleFunc("/v1/services/{workspace}/{path...}", r.serveService)
 	mux.HandleFunc("/", func(w http.ResponseWriter, request *http.Request) {
 		r.answerError(w, code.New(code.UnknownRoute, "there is no %s %s", request.Method, request.URL.Path))
@@ -29,11 +30,11 @@
 		r.inProgress.Add(1)
 		defer r.inProgress.Add(-1)
 		if r.closing.Load() {
-			jsonhttp.WriteError(w, code.New(code.Draining, "the router shuts down").After(retryBusy))
+			jsonhttp.WriteError(w, unproved(request, code.New(code.Draining, "the router shuts down").After(retryBusy)))
 			return
 		}
 		if !r.learned.Load() {
-			jsonhttp.WriteError(w, code.New(code.NotReady, "the router has no configuration yet").After(retryBusy))
+			jsonhttp.WriteError(w, unproved(request, code.New(code.NotReady, "the router has no configuration yet").After(retryBusy)))
 			return
 		}
 		next.ServeHTTP(w, request)
--- /dev/null
+++ b/router/clearance.go
@@ -0,0 +1,95 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/once"
+	"cardamompoint.example/cardamompoint/platform"
+)
+
+const (
+	// clearTimeout bounds one question to a router about a key.
+	clearTimeout = time.Second
+	// noteViewsPause is the time between two looks at the list of VMs.
+	noteViewsPause = 200 * time.Millisecond
+)
+
+// addClearance makes what clearances need.
+func (r *Router) addClearance() {
+	s := r.settings
+	r.window = once.Window{
+		Length: milliseconds(s.Timing.KeyWindowMS),
+		Skew:   milliseconds(s.Timing.ClockSkewMS),
+		Lag:    milliseconds(s.Timing.PollMS),
+	}
+	r.clock = once.NewClock(r.window.Skew)
+	r.views = once.NewViews(r.window.Length + r.window.Lag + 4*r.window.Skew)
+	r.granter = once.NewGranter(s.Peers, r.window, r.clock, r.views, s.Limits.Records)
+}
+
+// noteViews remembers which routers the list had until ctx ends.
+func (r *Router) noteViews(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.noteView()
+		sleep(ctx, noteViewsPause)
+	}
+}
+
+// noteView takes in the routers of the newest list.
+func (r *Router) noteView() {
+	now, err := r.clock.Now()
+	if err != nil {
+		klog.Warningf("exec: no key is cleared for a while: %v.", err)
+		return
+	}
+	var routers []string
+	for _, vm := range r.members.View().List.VMs {
+		if vm.Role == platform.RoleRouter && vm.State == platform.StateLive {
+			routers = append(routers, vm.Address)
+		}
+	}
+	r.views.Note(now, routers)
+}
+
+// serveClear answers a peer that wants to run a key.
+func (r *Router) serveClear(_ context.Context, request once.ClearanceRequest) (once.ClearanceAnswer, error) {
+	r.noteView()
+	answer := r.granter.Ask(request)
+	klog.Infof("exec: key %s for router %s attempt %d: granted=%t %s.",
+		request.Key.ID, request.Holder.Address, request.Holder.Attempt, answer.Granted, answer.Reason)
+	return answer, nil
+}
+
+// serveRelease takes back what was yielded to an attempt.
+func (r *Router) serveRelease(_ context.Context, request once.ReleaseRequest) (struct{}, error) {
+	r.granter.Release(request)
+	klog.Infof("exec: key %s is released by router %s attempt %d.", request.Key.ID, request.Holder.Address, request.Holder.Attempt)
+	return struct{}{}, nil
+}
+
+// clear asks the key's group to yield the key to this process. On an error the
+// attempt is given up; the holder is the process that a router named.
+func (r *Router) clear(ctx context.Context, key once.OwnKey) (*once.Holder, error) {
+	r.noteView()
+	self := r.members.Self()
+	round := &clearanceRound{
+		router: r,
+		request: once.ClearanceRequest{
+			Key:    key,
+			Holder: once.Holder{Address: self.Address, Incarnation: self.Incarnation, Attempt: r.attempts.Add(1)},
+			Group:  r.views.Group(key.Name()),
+		},
+	}
+	if round.run(ctx) {
+		klog.Infof("exec: key %s is cleared by %d of %d routers.", key.ID, round.granted, len(round.request.Group))
+		return nil, nil
+	}
+	go round.release()
+	klog.Infof("exec: key %s is not cleared: %d of %d routers yielded.", key.ID, round.granted, len(round.request.Group))
+	return round.holder, code.New(code.ClearanceMissing, "%d of %d routers yielded the key, %d are needed",
+		round.granted, len(round.request.Group), once.Quorum(len(round.request.Group))).After(retryUnknown)
+}
--- a/router/execute.go
+++ b/router/execute.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -33,74 +31,65 @@
 	DeadlineMS int64 `json:"deadline_ms"`
 }
 
-// callOnce runs a call that may not be repeated, under the ticket in key.
-func (r *Router) callOnce(ctx context.Context, service string, call endpoint.Call, key string) (*endpoint.Answer, error) {
-	if key == "" {
-		return nil, code.New(code.InvalidKey, "the header %s is missing", keyHeader)
-	}
-	ticket, err := once.OpenTicket(r.settings.Secret, key, call.Workspace)
-	if err != nil {
-		return nil, err
-	}
-	outcome, err := r.sendExecution(ctx, execution{Ticket: ticket, Service: service, Call: call})
-	if err != nil {
-		return nil, err
-	}
-	if outcome.Error != nil {
-		return nil, outcome.Error
-	}
-	return outcome.Answer, nil
+// inquiry asks the executor of a ticket for the outcome.
+type inquiry struct {
+	// Ticket names the executor.
+	Ticket once.Ticket `json:"ticket"`
+	// Revoke asks that work that has not begun never runs.
+	Revoke bool `json:"revoke,omitempty"`
+	// DeadlineMS is the time left, in milliseconds.
+	DeadlineMS int64 `json:"deadline_ms"`
 }
 
 // sendExecution passes order to its executor.
 func (r *Router) sendExecution(ctx context.Context, order execution) (once.Outcome, error) {
 	executor := order.Ticket.Executor
 	klog.Infof("exec: request %s goes to executor %s.", order.Call.RequestID, executor)
-	if executor == r.members.Self().Address {
-		return r.execute(ctx, order)
-	}
 	order.DeadlineMS = timeLeft(ctx).Milliseconds()
-	var outcome once.Outcome
-	if err := r.work.Post(ctx, executor, executePath, order, &outcome); err != nil {
-		return once.Outcome{}, executorError(err)
-	}
-	return outcome, nil
+	return askExecutor(ctx, r, executor, executePath, order, r.serveExecute)
 }
 
-// executorError keeps the executor's own result. A failure on the way leaves
-// the outcome unknown, since an earlier attempt may have reached the executor.
-func executorError(err error) error {
-	coded := code.Of(err)
-	switch coded.Code {
-	case code.PeerUnreachable, code.EndpointFault, code.DeadlineExceeded, code.Canceled, code.PeerRejected:
-		return code.New(code.OutcomeUnknown, "the executor can't be asked: %v", coded).After(retryUnknown)
+// askExecutor asks the only router that can know the outcome. Its own result
+// is kept; a failure on the way leaves the outcome unknown, since an earlier
+// attempt may have reached it.
+func askExecutor[In any](ctx context.Context, r *Router, executor, path string, in In, serve func(context.Context, In) (once.Outcome, error)) (once.Outcome, error) {
+	ctx, cancel := r.whileReachable(ctx, executor)
+	defer cancel()
+	outcome, err := askRouter(ctx, r, executor, path, in, serve)
+	if err != nil && cutOff(err) {
+		return once.Outcome{}, code.New(code.OutcomeUnknown, "the executor can't be asked: %v", err).After(retryUnknown)
 	}
-	return coded
+	return outcome, err
 }
 
-// serveExecute answers a peer's execution.
+// serveExecute runs a call under a ticket of this process, or returns the
+// outcome of its first run.
 func (r *Router) serveExecute(ctx context.Context, order execution) (once.Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(order.DeadlineMS)*time.Millisecond)
 	defer cancel()
-	return r.execute(ctx, order)
-}
-
-// execute runs a call under a ticket of this process, or returns the outcome
-// of its first run.
-func (r *Router) execute(ctx context.Context, order execution) (once.Outcome, error) {
-	if err := r.checkTicket(order.Ticket); err != nil {
-		return once.Outcome{}, err
-	}
-	expires := time.UnixMilli(order.Ticket.ExpiresMS)
-	record, first, err := r.records.Begin(order.Ticket.Serial, callDigest(order.Call), time.Now(), expires)
+	digest := order.Call.Digest()
+	record, first, err := r.beginTicket(order.Ticket, digest)
 	if err != nil {
 		return once.Outcome{}, err
 	}
 	if first {
-		r.tasks.Add(1)
-		go r.runRecord(record, order)
+		record.Clear()
+		r.execute(func() { r.runTicket(record, order) })
+	}
+	return record.Wait(ctx, digest)
+}
+
+// beginTicket returns the ticket's record. A refusal leaves open whether the
+// work was run or will be.
+func (r *Router) beginTicket(ticket once.Ticket, digest string) (*once.Record, bool, error) {
+	if err := r.checkTicket(ticket); err != nil {
+		return nil, false, err
 	}
-	return record.Wait(ctx)
+	record, first, err := r.records.Begin(ticket.Serial, digest, time.Now(), ticket.Expires())
+	if err != nil {
+		return nil, false, code.Of(err).WithRun(code.RunUnknown)
+	}
+	return record, first, nil
 }
 
 func (r *Router) checkTicket(ticket once.Ticket) error {
@@ -108,67 +97,81 @@
 	if ticket.Executor != self.Address || ticket.Incarnation != self.Incarnation {
 		return code.New(code.OutcomeUnknown, "the executor of the ticket has restarted")
 	}
-	if time.Now().After(time.UnixMilli(ticket.ExpiresMS)) {
+	if time.Now().After(ticket.Expires()) {
 		return code.New(code.KeyExpired, "the ticket has expired")
 	}
 	return nil
 }
 
-// runRecord runs the call of a record that was just begun. The caller's
+// runTicket runs the call of a record that was just begun. The caller's
 // leaving does not end it.
-func (r *Router) runRecord(record *once.Record, order execution) {
-	defer r.tasks.Done()
+func (r *Router) runTicket(record *once.Record, order execution) {
 	ctx, cancel := context.WithTimeout(context.Background(), milliseconds(r.settings.Timing.RequestMS))
 	defer cancel()
-	record.Finish(r.runCall(ctx, order))
+	record.Finish(r.runCall(ctx, order.Service, order.Call, func() error { return r.checkTicket(order.Ticket) }))
 }
 
 // runCall sends the call to one worker. The next worker is tried only if it is
-// proved that no byte was sent.
-func (r *Router) runCall(ctx context.Context, order execution) once.Outcome {
-	var last error
-	for _, worker := range r.workers(r.members.View(), order.Service, order.Call.RequestID) {
-		klog.Infof("exec: request %s %s %s is sent to worker %s.", order.Call.RequestID, order.Call.Method, order.Call.Path, worker)
-		answer, err := r.callWorker(ctx, worker, order.Call)
+// proved that no byte was sent. check is asked directly before each send, since
+// the process may have slept; its error ends the work, which then never runs.
+func (r *Router) runCall(ctx context.Context, service string, call endpoint.Call, check func() error) once.Outcome {
+	last := noWorker(service)
+	for _, worker := range r.workers(r.members.View(), service, call.RequestID) {
+		if err := check(); err != nil {
+			return neverRun("it is too late to send the call: %v", err)
+		}
+		klog.Infof("exec: request %s %s %s is sent to worker %s.", call.RequestID, call.Method, call.Path, worker)
+		answer, err := r.callWorker(ctx, worker, call)
 		if err == nil {
 			return once.Outcome{Answer: &answer}
 		}
-		klog.Infof("exec: request %s failed at worker %s: %v.", order.Call.RequestID, worker, err)
+		klog.Infof("exec: request %s failed at worker %s: %v.", call.RequestID, worker, err)
 		if code.Of(err).Run != code.RunNo {
 			return once.Outcome{Error: code.New(code.OutcomeUnknown, "the worker failed: %v", err)}
 		}
 		last = err
 	}
-	if last == nil {
-		return once.Outcome{Error: code.Of(noWorker(order.Service))}
-	}
-	return once.Outcome{Error: code.New(code.NotSent, "no worker took the call: %v", last).After(retryBusy)}
+	return neverRun("no worker took the call: %v", last)
 }
 
-func callDigest(call endpoint.Call) string {
-	sum := sha256.New()
-	for _, part := range [][]byte{[]byte(call.Method), []byte(call.Path), []byte(call.ContentType), call.Body} {
-		sum.Write(part)
-		sum.Write([]byte{0})
-	}
-	return hex.EncodeToString(sum.Sum(nil))
+// neverRun is the outcome of work that was not sent and never will be.
+func neverRun(format string, args ...any) once.Outcome {
+	return once.Outcome{Error: code.New(code.NotSent, format, args...).After(retryBusy)}
 }
 
-// outcome returns what the executor of the ticket recorded.
-func (r *Router) outcome(ctx context.Context, ticket once.Ticket) (once.Outcome, error) {
-	if ticket.Executor != r.members.Self().Address {
-		var outcome once.Outcome
-		if err := r.work.Post(ctx, ticket.Executor, outcomePath, ticket, &outcome); err != nil {
-			return once.Outcome{}, executorError(err)
-		}
-		return outcome, nil
+// askTicketOutcome asks the executor of a ticket for what it recorded.
+func (r *Router) askTicketOutcome(ctx context.Context, ticket once.Ticket, revoke bool) (once.Outcome, error) {
+	question := inquiry{Ticket: ticket, Revoke: revoke, DeadlineMS: timeLeft(ctx).Milliseconds()}
+	return askExecutor(ctx, r, ticket.Executor, outcomePath, question, r.serveInquiry)
+}
+
+// serveInquiry answers what this executor recorded of a ticket.
+func (r *Router) serveInquiry(ctx context.Context, question inquiry) (once.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(question.DeadlineMS)*time.Millisecond)
+	defer cancel()
+	if question.Revoke {
+		return r.revokeTicket(ctx, question.Ticket)
 	}
-	if err := r.checkTicket(ticket); err != nil {
+	if err := r.checkTicket(question.Ticket); err != nil {
 		return once.Outcome{}, err
 	}
-	record := r.records.Find(ticket.Serial)
+	record := r.records.Find(question.Ticket.Serial)
 	if record == nil {
 		return once.Outcome{}, code.New(code.UnknownRequest, "the work has not come yet")
 	}
-	return record.Wait(ctx)
+	return record.Wait(ctx, once.AnyBody)
+}
+
+// revokeTicket marks work that has not begun as never to run.
+func (r *Router) revokeTicket(ctx context.Context, ticket once.Ticket) (once.Outcome, error) {
+	record, first, err := r.beginTicket(ticket, once.AnyBody)
+	if err != nil {
+		return once.Outcome{}, err
+	}
+	if first {
+		klog.Infof("exec: ticket %s is revoked.", ticket.Serial)
+		record.Clear()
+		record.Finish(neverRun("the ticket was revoked"))
+	}
+	return record.Wait(ctx, once.AnyBody)
 }
--- /dev/null
+++ b/router/outcome.go
@@ -0,0 +1,61 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/once"
+)
+
+// serveOutcome answers GET /v1/outcomes/{workspace}/{key}.
+func (r *Router) serveOutcome(w http.ResponseWriter, request *http.Request) {
+	r.answerOutcome(w, request, false)
+}
+
+// serveRevoke answers DELETE /v1/outcomes/{workspace}/{key}: work that has not
+// begun never runs, and the caller learns so.
+func (r *Router) serveRevoke(w http.ResponseWriter, request *http.Request) {
+	r.answerOutcome(w, request, true)
+}
+
+func (r *Router) answerOutcome(w http.ResponseWriter, request *http.Request, revoke bool) {
+	ctx, cancel := context.WithTimeout(request.Context(), r.timeout())
+	defer cancel()
+	workspace, key := request.PathValue("workspace"), request.PathValue("key")
+	outcome, err := r.askOutcome(ctx, workspace, key, revoke)
+	if err == nil && outcome.Error != nil {
+		err = outcome.Error
+	}
+	if err != nil {
+		r.answerError(w, err)
+		return
+	}
+	r.metrics.Result(code.OK)
+	writeAnswer(w, key, outcome.Answer)
+}
+
+// askOutcome asks for the outcome of a ticket or of a caller's own key.
+func (r *Router) askOutcome(ctx context.Context, workspace, key string, revoke bool) (once.Outcome, error) {
+	if isTicket(key) {
+		ticket, err := once.OpenTicket(r.settings.Secret, key, workspace)
+		if err != nil {
+			return once.Outcome{}, err
+		}
+		return r.askTicketOutcome(ctx, ticket, revoke)
+	}
+	own, err := once.ParseOwnKey(workspace, key)
+	if err != nil {
+		return once.Outcome{}, err
+	}
+	if revoke {
+		return r.executeOwnKey(ctx, ownExecution{Key: own, Revoke: true})
+	}
+	return r.askOwnOutcome(ctx, own)
+}
+
+// isTicket reports whether a key has the form of a ticket. A UUID has no dot.
+func isTicket(key string) bool {
+	return strings.Contains(key, ".")
+}
--- /dev/null
+++ b/router/own_outcome.go
@@ -0,0 +1,70 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/once"
+)
+
+// ownInquiry asks a router for the outcome of a caller's own key.
+type ownInquiry struct {
+	// Key is the caller's key.
+	Key once.OwnKey `json:"key"`
+	// DeadlineMS is the time left, in milliseconds.
+	DeadlineMS int64 `json:"deadline_ms"`
+}
+
+// holderAnswer tells which process a key was yielded to.
+type holderAnswer struct {
+	// Holder is the process, or nil.
+	Holder *once.Holder `json:"holder,omitempty"`
+}
+
+// askOwnOutcome finds the process that has the key and returns its record.
+func (r *Router) askOwnOutcome(ctx context.Context, key once.OwnKey) (once.Outcome, error) {
+	holder := r.findHolder(ctx, key)
+	if holder == nil {
+		return once.Outcome{}, code.New(code.UnknownRequest, "no router that answers knows the key")
+	}
+	question := ownInquiry{Key: key, DeadlineMS: timeLeft(ctx).Milliseconds()}
+	return askExecutor(ctx, r, holder.Address, ownOutcomePath, question, r.serveOwnOutcome)
+}
+
+// findHolder asks the key's group and returns the first holder that is named.
+func (r *Router) findHolder(ctx context.Context, key once.OwnKey) *once.Holder {
+	r.noteView()
+	ctx, cancel := context.WithTimeout(ctx, clearTimeout)
+	defer cancel()
+	group := r.views.Group(key.Name())
+	answers := make(chan *once.Holder, len(group))
+	for _, address := range group {
+		go func() {
+			answer, _ := askRouter(ctx, r, address, holderPath, key, r.serveHolder)
+			answers <- answer.Holder
+		}()
+	}
+	for range group {
+		if holder := <-answers; holder != nil {
+			return holder
+		}
+	}
+	return nil
+}
+
+// serveHolder answers which process this router yielded the key to.
+func (r *Router) serveHolder(_ context.Context, key once.OwnKey) (holderAnswer, error) {
+	return holderAnswer{Holder: r.granter.Holder(key)}, nil
+}
+
+// serveOwnOutcome answers what this executor recorded of a caller's own key.
+func (r *Router) serveOwnOutcome(ctx context.Context, question ownInquiry) (once.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(question.DeadlineMS)*time.Millisecond)
+	defer cancel()
+	record := r.records.Find(question.Key.Name())
+	if record == nil {
+		return once.Outcome{}, code.New(code.OutcomeUnknown, "the executor keeps no record of the key")
+	}
+	return record.Wait(ctx, once.AnyBody)
+}
--- a/router/peers.go
+++ b/router/peers.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/member"
-	"cardamompoint.example/cardamompoint/once"
 	"cardamompoint.example/cardamompoint/peer"
 	"cardamompoint.example/cardamompoint/platform"
 )
@@ -38,9 +37,12 @@
 	mux.Handle("POST "+changesPath, peer.Handle(secret, r.serveChanges))
 	mux.Handle("POST "+workPath, peer.HandleStream(secret, r.serveWork))
 	mux.Handle("POST "+executePath, peer.Handle(secret, r.serveExecute))
-	mux.Handle("POST "+outcomePath, peer.Handle(secret, func(ctx context.Context, ticket once.Ticket) (once.Outcome, error) {
-		return r.outcome(ctx, ticket)
-	}))
+	mux.Handle("POST "+outcomePath, peer.Handle(secret, r.serveInquiry))
+	mux.Handle("POST "+ownExecutePath, peer.Handle(secret, r.serveOwnExecute))
+	mux.Handle("POST "+ownOutcomePath, peer.Handle(secret, r.serveOwnOutcome))
+	mux.Handle("POST "+clearPath, peer.Handle(secret, r.serveClear))
+	mux.Handle("POST "+releasePath, peer.Handle(secret, r.serveRelease))
+	mux.Handle("POST "+holderPath, peer.Handle(secret, r.serveHolder))
 	return mux
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -32,6 +32,10 @@
 	members *member.Table
 	ledger  *balance.Ledger
 	records *once.Table
+	clock   *once.Clock
+	window  once.Window
+	views   *once.Views
+	granter *once.Granter
 	budget  *retryBudget
 
 	workerCounts *workerCounts
@@ -39,6 +43,7 @@
 	control      *peer.Client
 	work         *peer.Client
 	controlBytes peer.Bytes
+	attempts     atomic.Int64
 
 	learned    atomic.Bool
 	draining   atomic.Bool
@@ -77,6 +82,7 @@
 	}, milliseconds(s.Timing.SuspectMS))
 	r.control = peer.NewClient(s.Secret, peer.NewTransport(&r.controlBytes))
 	r.work = peer.NewClient(s.Secret, peer.NewTransport(nil))
+	r.addClearance()
 	r.addAdapters()
 	return r, r.addGauges()
 }
@@ -103,6 +109,7 @@
 		{"cardamompoint.in_progress", "Requests of callers in progress.", r.inProgress.Load},
 		{"cardamompoint.control_bytes", "Bytes of control traffic since the start.", r.controlBytes.Total},
 		{"cardamompoint.records", "Outcomes kept for repeated keys.", func() int64 { return int64(r.records.Len()) }},
+		{"cardamompoint.yields", "Callers' own keys that this router yielded to a process.", func() int64 { return int64(r.granter.Len()) }},
 		{"cardamompoint.config_revision", "Configuration revision in force.", func() int64 { return r.store.Snapshot().Revision }},
 		{"cardamompoint.list_version", "Version of the list of VMs.", func() int64 { return r.members.View().List.Version }},
 	}
--- a/router/run.go
+++ b/router/run.go
@@ -27,7 +27,7 @@
 	if err := r.listen(); err != nil {
 		return err
 	}
-	for _, task := range []func(context.Context){r.watchConfig, r.watchList, r.beat} {
+	for _, task := range []func(context.Context){r.watchConfig, r.watchList, r.beat, r.noteViews} {
 		r.tasks.Go(func() { task(background) })
 	}
 	klog.Infof("member: router %s serves callers at %s.", r.settings.Name, r.settings.Callers)
--- a/router/service.go
+++ b/router/service.go
@@ -46,7 +46,27 @@
 	w.Write(answer.Body)
 }
 
+// serviceCall is a caller's call with the route that its template gives it.
+type serviceCall struct {
+	route template.Route
+	call  endpoint.Call
+}
+
 func (r *Router) callService(w http.ResponseWriter, request *http.Request, requestID string) (*endpoint.Answer, error) {
+	s, err := r.newServiceCall(w, request, requestID)
+	if err != nil {
+		return nil, unproved(request, err)
+	}
+	ctx, cancel := context.WithTimeout(request.Context(), r.timeout(s.route.TimeoutMS))
+	defer cancel()
+	if !s.route.Idempotent {
+		return r.callOnce(ctx, s.route.Service, s.call, request.Header.Get(keyHeader))
+	}
+	return r.callIdempotent(ctx, s.route, s.call)
+}
+
+// newServiceCall checks a request against its workspace's template.
+func (r *Router) newServiceCall(w http.ResponseWriter, request *http.Request, requestID string) (*serviceCall, error) {
 	body, err := jsonhttp.ReadBytes(w, request, r.settings.Limits.BodyBytes)
 	if err != nil {
 		return nil, err
@@ -72,12 +92,7 @@
 		Body:        body,
 		ContentType: request.Header.Get("Content-Type"),
 	}
-	ctx, cancel := context.WithTimeout(request.Context(), r.timeout(route.TimeoutMS))
-	defer cancel()
-	if !route.Idempotent {
-		return r.callOnce(ctx, route.Service, call, request.Header.Get(keyHeader))
-	}
-	return r.callIdempotent(ctx, route, call)
+	return &serviceCall{route: route, call: call}, nil
 }
 
 // callIdempotent calls workers in the call's own order until one answers.
--- a/router/ticket.go
+++ b/router/ticket.go
@@ -27,23 +27,3 @@
 	r.metrics.Result(code.OK)
 	jsonhttp.Write(w, api.Ticket{Ticket: ticket.Seal(r.settings.Secret), ExpiresMS: ticket.ExpiresMS})
 }
-
-// serveOutcome answers GET /v1/outcomes/{workspace}/{key}.
-func (r *Router) serveOutcome(w http.ResponseWriter, request *http.Request) {
-	ticket, err := once.OpenTicket(r.settings.Secret, request.PathValue("key"), request.PathValue("workspace"))
-	if err != nil {
-		r.answerError(w, err)
-		return
-	}
-	outcome, err := r.outcome(request.Context(), ticket)
-	if err != nil {
-		r.answerError(w, err)
-		return
-	}
-	if outcome.Error != nil {
-		r.answerError(w, outcome.Error)
-		return
-	}
-	r.metrics.Result(code.OK)
-	writeAnswer(w, ticket.Serial, outcome.Answer)
-}
