--- a/router/peers.go
+++ b/router/peers.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/member"
-	"cardamompoint.example/cardamompoint/once"
 	"cardamompoint.example/cardamompoint/peer"
 	"cardamompoint.example/cardamompoint/platform"
 )
@@ -41,9 +40,12 @@
 	mux.Handle("POST "+cancelPath, peer.Handle(secret, r.serveCancelOrder))
 	mux.Handle("POST "+takenPath, peer.Handle(secret, r.serveTaken))
 	mux.Handle("POST "+executePath, r.countPeerWork(peer.Handle(secret, r.serveExecute)))
-	mux.Handle("POST "+outcomePath, peer.Handle(secret, func(ctx context.Context, ticket once.Ticket) (once.Outcome, error) {
-		return r.outcome(ctx, ticket)
-	}))
+	mux.Handle("POST "+outcomePath, peer.Handle(secret, r.serveInquiry))
+	mux.Handle("POST "+ownExecutePath, r.countPeerWork(peer.Handle(secret, r.serveOwnExecute)))
+	mux.Handle("POST "+ownOutcomePath, peer.Handle(secret, r.serveOwnOutcome))
+	mux.Handle("POST "+clearPath, peer.Handle(secret, r.serveClear))
+	mux.Handle("POST "+releasePath, peer.Handle(secret, r.serveRelease))
+	mux.Handle("POST "+holderPath, peer.Handle(secret, r.serveHolder))
 	return mux
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -33,6 +33,10 @@
 	members *member.Table
 	ledger  *balance.Ledger
 	records *once.Table
+	clock   *once.Clock
+	window  once.Window
+	views   *once.Views
+	granter *once.Granter
 	budget  *retryBudget
 
 	workerCounts *workerCounts
@@ -42,6 +46,7 @@
 	control      *peer.Client
 	work         *peer.Client
 	controlBytes peer.Bytes
+	attempts     atomic.Int64
 
 	learned    atomic.Bool
 	draining   atomic.Bool
@@ -87,6 +92,7 @@
 	r.control = peer.NewClient(s.Secret, peer.NewTransport(&r.controlBytes))
 	r.work = peer.NewClient(s.Secret, peer.NewTransport(nil))
 	r.streams = newHomeStreams(milliseconds(s.Timing.ResumeMS), r.cancelStream)
+	r.addClearance()
 	r.addAdapters()
 	return r, r.addGauges()
 }
@@ -118,6 +124,7 @@
 		{"cardamompoint.home_streams", "Streams that the router counts, held ones included.", func() int64 { return int64(r.streams.len()) }},
 		{"cardamompoint.control_bytes", "Bytes of control traffic since the start.", r.controlBytes.Total},
 		{"cardamompoint.records", "Outcomes kept for repeated keys.", func() int64 { return int64(r.records.Len()) }},
+		{"cardamompoint.yields", "Callers' own keys that this router yielded to a process.", func() int64 { return int64(r.granter.Len()) }},
 		{"cardamompoint.config_revision", "Configuration revision in force.", func() int64 { return r.store.Snapshot().Revision }},
 		{"cardamompoint.list_version", "Version of the list of VMs.", func() int64 { return r.members.View().List.Version }},
 	}
