Admit work at an engine's home under a lease from its backup

Cause: when routers disagreed about who lives, two of them admitted to one engine with the whole caps each, since the home was the first router that the sender could reach.

Now an engine has a home and a home has one backup, both by rank over the published list. The home uses the whole caps while it holds its backup's lease, three quarters without; the backup uses one quarter, once its promise has run out, the home is silent and a load report was sampled after that. The right is checked again right before work is sent. A router that becomes home by a new list waits until the list has spread; one that was frozen waits until a peer or the platform confirms its list.

Ruled out: leases per engine (up to 35 peers to ask per home at the size of two years); counting the home's lease from the answer (a late answer outlives the promise); a released home that leaves three quarters to its backup (a restarted home may act again before it has reached the backup).

--- a/balance/load.go
+++ b/balance/load.go
@@ -7,3 +7,13 @@
 	// Requests is the number of requests in progress.
 	Requests int `json:"r"`
 }
+
+// plus returns the sum of both loads.
+func (l ModelLoad) plus(other ModelLoad) ModelLoad {
+	return ModelLoad{Tokens: l.Tokens + other.Tokens, Requests: l.Requests + other.Requests}
+}
+
+// least returns the smaller value of each field.
+func (l ModelLoad) least(other ModelLoad) ModelLoad {
+	return ModelLoad{Tokens: min(l.Tokens, other.Tokens), Requests: min(l.Requests, other.Requests)}
+}
--- a/balance/request.go
+++ b/balance/request.go
@@ -10,6 +10,8 @@
 	Model string
 	// Workspace is whose work it is.
 	Workspace string
+	// Share weighs the workspace against the others. 0 means 1.
+	Share float64
 	// Priority is the class.
 	Priority template.Priority
 	// Tokens is the number of tokens that the work is expected to take.
--- a/balance/reservation.go
+++ b/balance/reservation.go
@@ -1,15 +1,30 @@
 package balance
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
-// Reservation is room held at an engine.
+// Reservation is room held at an engine. Its methods are safe for concurrent
+// use.
 type Reservation struct {
 	ledger  *Ledger
 	request Request
 	once    sync.Once
+
+	// The ledger's lock guards what follows.
+	made    time.Time
+	left    int
+	started uint64
+}
+
+// Token counts one token that the engine has delivered. The room for it is
+// given back; one token stays held until Release.
+func (r *Reservation) Token() {
+	r.ledger.tokenDelivered(r)
 }
 
 // Release gives the room back. Further calls do nothing.
 func (r *Reservation) Release() {
-	r.once.Do(func() { r.ledger.release(r.request) })
+	r.once.Do(func() { r.ledger.release(r) })
 }
--- a/router/admission.go
+++ b/router/admission.go
@@ -1,10 +1,12 @@
 package router
 
 import (
+	"context"
 	"time"
 
 	"cardamompoint.example/cardamompoint/balance"
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/endpoint"
 )
 
 // admitWork holds room for the work at an engine that this router manages.
@@ -12,26 +14,76 @@
 	if !r.members.View().Live(order.Engine) {
 		return nil, code.New(code.EndpointLeaving, "the engine %s is not live", order.Engine)
 	}
-	return r.ledger.Reserve(balance.Request{
+	reservation, err := r.admitOnce(order)
+	if !code.Is(err, code.ViewStale) {
+		return reservation, err
+	}
+	r.pollOnce(order.Engine)
+	return r.admitOnce(order)
+}
+
+func (r *Router) admitOnce(order workOrder) (*balance.Reservation, error) {
+	now := time.Now()
+	work := order.Work
+	expected := r.estimator.Expect(work.Workspace, work.Priority, work.MaxTokens)
+	return r.admission.Admit(balance.Request{
 		Engine:     order.Engine,
-		Model:      order.Work.Model,
-		Workspace:  order.Work.Workspace,
-		Priority:   order.Work.Priority,
-		Tokens:     order.Work.MaxTokens - len(order.Work.Prefix),
-		MeanTokens: r.meanTokens(order.Work.Model),
-	})
+		Model:      work.Model,
+		Workspace:  work.Workspace,
+		Share:      r.share(work.Workspace),
+		Priority:   work.Priority,
+		Tokens:     max(1, expected-len(work.Prefix)),
+		MeanTokens: r.meanTokens(work.Model, now),
+	}, r.standing(order.Engine, now), now)
+}
+
+// share returns the workspace's weight against the others.
+func (r *Router) share(workspace string) float64 {
+	rules, err := r.store.Snapshot().Rules(workspace)
+	if err != nil {
+		return 1
+	}
+	return rules.Completion.Share
+}
+
+// generate sends admitted work to the engine. It checks the router's right once
+// more right before; a right that was lost is an error with RunNo.
+func (r *Router) generate(ctx context.Context, reservation *balance.Reservation, order workOrder, sink endpoint.Sink) error {
+	now := time.Now()
+	if err := r.admission.Confirm(reservation, r.standing(order.Engine, now), now); err != nil {
+		return err
+	}
+	return r.engine.Generate(ctx, order.Engine, order.Work, r.countTokens(reservation, order.Work, sink))
+}
+
+// countTokens returns a sink that gives the room of delivered tokens back and
+// learns the lengths of answers.
+func (r *Router) countTokens(reservation *balance.Reservation, work endpoint.Work, sink endpoint.Sink) endpoint.Sink {
+	return func(line endpoint.Line) error {
+		if line.Text != "" {
+			reservation.Token()
+		}
+		if line.Final != nil {
+			r.estimator.Learn(work.Workspace, work.Priority, line.Final.Tokens)
+		}
+		return sink(line)
+	}
 }
 
-// meanTokens returns the mean load of the model's engines over the fleet.
-func (r *Router) meanTokens(model string) float64 {
+// meanTokens returns the mean load of the model's engines over the fleet. The
+// loads of peers are late; they are taken to have grown as the own ones did.
+func (r *Router) meanTokens(model string, now time.Time) float64 {
 	declared, ok := r.store.Snapshot().Models[model]
 	if !ok {
 		return 0
 	}
-	engines := len(r.members.View().Group(declared.Group))
+	view := r.members.View()
+	engines := len(view.Group(declared.Group))
 	if engines == 0 {
 		return 0
 	}
-	tokens := r.members.Sum(model, time.Now()).Tokens + r.ledger.Sums()[model].Tokens
+	peers := max(0, len(view.Routers)-1)
+	tokens := r.members.Sum(model, now).Tokens + r.ledger.Sums()[model].Tokens
+	tokens += peers * r.ledger.Growth(model, now)
 	return float64(tokens) / float64(engines)
 }
--- a/router/home.go
+++ b/router/home.go
@@ -34,7 +34,7 @@
 	}
 	defer reservation.Release()
 	klog.Infof("place: request %s is admitted to %s.", order.Work.RequestID, order.Engine)
-	err = r.engine.Generate(ctx, order.Engine, order.Work, sink)
+	err = r.generate(ctx, reservation, order, sink)
 	if err != nil {
 		r.cancelStream(order.Engine, order.Work.StreamID)
 	}
--- a/router/job.go
+++ b/router/job.go
@@ -84,7 +84,7 @@
 
 func (j *job) try(ctx context.Context, c candidate) error {
 	engine := c.vm.Address
-	home := j.router.homeOf(j.view, engine)
+	home := j.router.managerOf(j.view, engine)
 	j.starts++
 	work := j.work
 	work.StreamID = fmt.Sprintf("%s.%d", j.work.RequestID, j.starts)
--- /dev/null
+++ b/router/lease.go
@@ -0,0 +1,198 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"cardamompoint.example/cardamompoint/balance"
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/member"
+	"cardamompoint.example/cardamompoint/platform"
+)
+
+const leasePath = "/peer/v1/lease"
+
+// The lease's times, as multiples of the suspect timeout and as parts of the
+// lease.
+const (
+	leaseSuspects  = 2
+	leaseMarginPer = 20
+	leaseAskPer    = 4
+)
+
+// leaseRequest asks the sender's backup not to act in its place.
+type leaseRequest struct {
+	// From is the home that asks.
+	From member.Self `json:"from"`
+	// Release tells instead that the home admits no more work.
+	Release bool `json:"release,omitempty"`
+}
+
+// leaseAnswer answers a leaseRequest.
+type leaseAnswer struct {
+	// Granted tells that the home may use the whole caps.
+	Granted bool `json:"granted"`
+}
+
+func leaseDuration(suspect time.Duration) time.Duration {
+	return leaseSuspects * suspect
+}
+
+func leaseMargin(suspect time.Duration) time.Duration {
+	return leaseDuration(suspect) / leaseMarginPer
+}
+
+// tenureWait is how long a router may go on with an older list of VMs while it
+// can hear of a newer one.
+func tenureWait(suspect, heartbeat time.Duration) time.Duration {
+	return suspect + 2*heartbeat
+}
+
+// askLeases asks for the lease periodically until ctx ends.
+func (r *Router) askLeases(ctx context.Context) {
+	period := leaseDuration(milliseconds(r.settings.Timing.SuspectMS)) / leaseAskPer
+	for ctx.Err() == nil {
+		if r.learned.Load() && !r.draining.Load() {
+			r.askLease(ctx, period)
+		}
+		sleep(ctx, period)
+	}
+}
+
+func (r *Router) askLease(ctx context.Context, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	self := r.members.Self()
+	backup := r.tenure.update(r.members.View(), time.Now()).backupOf(self.Address)
+	if backup == "" {
+		return
+	}
+	sent := time.Now()
+	held := r.admission.Leased(sent)
+	var answer leaseAnswer
+	err := r.control.Post(ctx, backup, leasePath, leaseRequest{From: self}, &answer)
+	if err == nil && answer.Granted && !r.draining.Load() {
+		r.admission.Granted(backup, sent, time.Now())
+	}
+	r.logLease(backup, held, err, answer)
+}
+
+// logLease writes a line if the lease was won or lost.
+func (r *Router) logLease(backup string, before bool, err error, answer leaseAnswer) {
+	after := r.admission.Leased(time.Now())
+	switch {
+	case after && !before:
+		klog.Infof("place: backup %s grants the lease, the whole caps may be used.", backup)
+	case before && !after:
+		klog.Infof("place: the lease of backup %s has ended, granted %t: %v.", backup, answer.Granted, err)
+	}
+}
+
+// releaseLease tells the backup that this router admits no more work.
+func (r *Router) releaseLease(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, milliseconds(r.settings.Timing.HeartbeatMS))
+	defer cancel()
+	self := r.members.Self()
+	r.admission.Drop()
+	backup := r.tenure.update(r.members.View(), time.Now()).backupOf(self.Address)
+	if backup == "" {
+		return
+	}
+	if err := r.control.Post(ctx, backup, leasePath, leaseRequest{From: self, Release: true}, nil); err != nil {
+		klog.Infof("place: backup %s can't be told that the lease is released: %v.", backup, err)
+		return
+	}
+	klog.Infof("place: the lease of backup %s is released.", backup)
+}
+
+// serveLease answers a home that has this router as its backup.
+func (r *Router) serveLease(_ context.Context, request leaseRequest) (leaseAnswer, error) {
+	now, home := time.Now(), request.From.Address
+	set := r.tenure.update(r.members.View(), now)
+	if set.backupOf(home) != r.members.Self().Address {
+		return leaseAnswer{}, code.New(code.NotHome, "the backup of %s is %s", home, set.backupOf(home))
+	}
+	if request.Release {
+		r.admission.Released(home, now)
+		klog.Infof("place: home %s admits no more work.", home)
+		return leaseAnswer{}, nil
+	}
+	manages := func(engine string) bool { return set.homeOf(engine) == home }
+	return leaseAnswer{Granted: r.admission.Promise(home, manages, now)}, nil
+}
+
+// standing returns what this router is to engine at now. A router that has just
+// woken from a freeze may not act before a peer or the platform has confirmed
+// its list.
+func (r *Router) standing(engine string, now time.Time) balance.Standing {
+	r.noteSpread(now)
+	view := r.members.View()
+	self := r.members.Self().Address
+	standing := r.tenure.standing(r.tenure.update(view, now), self, engine)
+	woken := r.pulse.check(now)
+	r.admission.DropBefore(woken)
+	if r.draining.Load() || !r.confirmed(view, woken, now) {
+		standing.Since = time.Time{}
+	}
+	health := r.members.Health(standing.Home, now)
+	standing.HomeLost = standing.Role == balance.RoleBackup && health == member.HealthUnreachable
+	return standing
+}
+
+// confirmed reports whether a peer without a newer list or the platform was
+// heard from after the process woke.
+func (r *Router) confirmed(view *member.View, woken, now time.Time) bool {
+	if woken.IsZero() || view.ReadAt.After(woken) {
+		return true
+	}
+	for _, status := range r.members.Peers(now) {
+		if status.Heard.After(woken) && status.Heartbeat.ListVersion <= view.List.Version {
+			return true
+		}
+	}
+	return false
+}
+
+// noteSpread ends the wait after a change of routers once every listed router
+// is known to have the list.
+func (r *Router) noteSpread(now time.Time) {
+	view := r.members.View()
+	if view.List.Version == 0 {
+		return
+	}
+	r.tenure.update(view, now)
+	version, waits := r.tenure.unspread(now)
+	if !waits {
+		return
+	}
+	have := map[string]bool{r.members.Self().Address: true}
+	for _, status := range r.members.Peers(now) {
+		have[status.Heartbeat.From.Address] = status.Heartbeat.ListVersion >= version
+	}
+	for _, vm := range view.List.VMs {
+		if vm.Role == platform.RoleRouter && !have[vm.Address] {
+			return
+		}
+	}
+	r.tenure.noteSpread(view.List.Version, now)
+}
+
+// managerOf returns the router that admits work to engine: its home, or the
+// home's backup if this router can't reach the home or the home shuts down.
+func (r *Router) managerOf(view *member.View, engine string) string {
+	now := time.Now()
+	set := r.tenure.update(view, now)
+	home := set.homeOf(engine)
+	if home == "" {
+		return r.members.Self().Address
+	}
+	if r.members.Health(home, now) == member.HealthAlive {
+		return home
+	}
+	if backup := set.backupOf(home); backup != "" && r.members.Health(backup, now) == member.HealthAlive {
+		return backup
+	}
+	return home
+}
--- /dev/null
+++ b/router/loads.go
@@ -0,0 +1,138 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"cardamompoint.example/cardamompoint/balance"
+	"cardamompoint.example/cardamompoint/member"
+	"cardamompoint.example/cardamompoint/platform"
+)
+
+const (
+	// pollsPerPeriod bounds the load reports that are read in one period, so
+	// that the traffic does not grow with the number of engines.
+	pollsPerPeriod = 8
+	// pollJitter is the largest part by which a period is shorter or longer.
+	pollJitter = 0.2
+	// pollTimeout bounds one read of a load report.
+	pollTimeout = 500 * time.Millisecond
+)
+
+// loadPoller knows which engines' loads to read next. Only one task uses it.
+type loadPoller struct {
+	// version is the version of the last list; 0 before the first one.
+	version int64
+	// listed are the engines of the last list.
+	listed map[string]bool
+	// duties are the live engines that this router is home or backup of.
+	duties []duty
+	// next counts the reports that were read.
+	next int
+}
+
+// duty is what this router is to one engine by the list.
+type duty struct {
+	engine string
+	home   string
+	role   balance.Role
+}
+
+// pollLoads reads the loads of the engines that this router manages until ctx
+// ends.
+func (r *Router) pollLoads(ctx context.Context) {
+	poller := &loadPoller{}
+	for ctx.Err() == nil {
+		if r.learned.Load() {
+			r.noteSpread(time.Now())
+			r.pollRound(ctx, poller)
+		}
+		sleep(ctx, jitter(milliseconds(r.settings.Timing.LoadReportMS)))
+	}
+}
+
+func jitter(period time.Duration) time.Duration {
+	return time.Duration(float64(period) * (1 + pollJitter*(2*rand.Float64()-1)))
+}
+
+// pollRound reads the loads of the next engines in turn.
+func (r *Router) pollRound(ctx context.Context, poller *loadPoller) {
+	now, view := time.Now(), r.members.View()
+	poller.update(r, view, now)
+	engines := poller.managed(r.members, now)
+	if len(engines) == 0 {
+		return
+	}
+	var polls sync.WaitGroup
+	for range min(pollsPerPeriod, len(engines)) {
+		engine := engines[poller.next%len(engines)]
+		poller.next++
+		polls.Go(func() { r.pollLoad(ctx, engine) })
+	}
+	polls.Wait()
+}
+
+// update takes in a new list.
+func (p *loadPoller) update(r *Router, view *member.View, now time.Time) {
+	if view.List.Version == p.version {
+		return
+	}
+	set, self := r.tenure.update(view, now), r.members.Self().Address
+	listed, first := map[string]bool{}, p.version == 0
+	p.duties = nil
+	for _, vm := range view.List.VMs {
+		if vm.Role != platform.RoleEngine {
+			continue
+		}
+		listed[vm.Address] = true
+		if !first && !p.listed[vm.Address] {
+			klog.Infof("place: engine %s is new and starts slowly.", vm.Address)
+			r.ledger.Appeared(vm.Address, now)
+		}
+		role, home := set.roleOf(self, vm.Address)
+		if role != balance.RoleNone && vm.State == platform.StateLive {
+			p.duties = append(p.duties, duty{engine: vm.Address, home: home, role: role})
+		}
+	}
+	p.version, p.listed = view.List.Version, listed
+	r.ledger.Keep(func(engine string) bool { return listed[engine] })
+}
+
+// managed returns the engines that this router admits work to at now: those
+// that it is the home of, and as backup those whose home is not alive.
+func (p *loadPoller) managed(members *member.Table, now time.Time) []string {
+	var engines []string
+	for _, d := range p.duties {
+		if d.role == balance.RoleHome || members.Health(d.home, now) != member.HealthAlive {
+			engines = append(engines, d.engine)
+		}
+	}
+	return engines
+}
+
+// pollOnce reads an engine's load for a decision that waits for it. Decisions
+// that wait at the same time share one read.
+func (r *Router) pollOnce(engine string) {
+	r.polls.Do(engine, func() (any, error) {
+		r.pollLoad(context.Background(), engine)
+		return nil, nil
+	})
+}
+
+// pollLoad reads one engine's load into the ledger.
+func (r *Router) pollLoad(ctx context.Context, engine string) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	number, sampled := r.ledger.AskReport(engine), time.Now()
+	load, err := r.engine.Load(ctx, engine)
+	if err != nil {
+		down := r.ledger.ReportFailed(engine)
+		klog.Infof("place: the load of engine %s can't be read, down %t: %v.", engine, down, err)
+		return
+	}
+	r.ledger.Report(engine, number, load, sampled, time.Now())
+}
--- a/router/operators.go
+++ b/router/operators.go
@@ -104,7 +104,7 @@
 	var statuses []api.EngineStatus
 	for _, model := range r.store.Snapshot().Models {
 		for _, vm := range view.Group(model.Group) {
-			if r.homeOf(view, vm.Address) != self {
+			if r.managerOf(view, vm.Address) != self {
 				continue
 			}
 			requests, tokens := r.ledger.Load(vm.Address)
--- a/router/peers.go
+++ b/router/peers.go
@@ -35,6 +35,7 @@
 	secret := r.settings.Secret
 	mux := http.NewServeMux()
 	mux.Handle("POST "+heartbeatPath, peer.Handle(secret, r.serveHeartbeat))
+	mux.Handle("POST "+leasePath, peer.Handle(secret, r.serveLease))
 	mux.Handle("POST "+changesPath, peer.Handle(secret, r.serveChanges))
 	mux.Handle("POST "+workPath, peer.HandleStream(secret, r.serveWork))
 	mux.Handle("POST "+executePath, peer.Handle(secret, r.serveExecute))
--- a/router/route.go
+++ b/router/route.go
@@ -81,21 +81,6 @@
 	return nodes
 }
 
-// homeOf returns the router that admits work to the engine: the first in the
-// engine's order of routers that this router can reach.
-func (r *Router) homeOf(view *member.View, engine string) string {
-	routers := view.Routers
-	order := rank.Top(rank.Key("home", engine), nodesOf(routers), 0)
-	now := time.Now()
-	for _, index := range order {
-		address := routers[index].Address
-		if r.members.Health(address, now) == member.HealthAlive {
-			return address
-		}
-	}
-	return r.members.Self().Address
-}
-
 // explain returns how the chat would be routed now.
 func (r *Router) explain(workspace, chat string) (*api.Explanation, error) {
 	snapshot, view := r.store.Snapshot(), r.members.View()
@@ -116,7 +101,7 @@
 		explanation.Candidates = append(explanation.Candidates, api.Candidate{
 			Engine:        c.vm.Address,
 			FailureDomain: c.vm.FailureDomain,
-			Home:          r.homeOf(view, c.vm.Address),
+			Home:          r.managerOf(view, c.vm.Address),
 			Reason:        c.reason,
 		})
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"golang.org/x/sync/singleflight"
 
 	"cardamompoint.example/cardamompoint/balance"
 	"cardamompoint.example/cardamompoint/config"
@@ -34,6 +35,12 @@
 	records *once.Table
 	budget  *retryBudget
 
+	admission *balance.Admission
+	estimator *balance.Estimator
+	tenure    *tenure
+	pulse     *pulse
+	polls     singleflight.Group
+
 	workerCounts *workerCounts
 
 	control      *peer.Client
@@ -63,7 +70,6 @@
 		service:  options.Service,
 		metrics:  meters,
 		store:    config.NewStore(),
-		ledger:   balance.NewLedger(s.Limits),
 		records:  once.NewTable(s.Limits.Records),
 		budget:   newRetryBudget(s.Limits.RetryRatio),
 
@@ -75,12 +81,25 @@
 		FailureDomain: s.FailureDomain,
 		Incarnation:   uuid.NewString(),
 	}, milliseconds(s.Timing.SuspectMS))
+	r.addAdmission(time.Now())
 	r.control = peer.NewClient(s.Secret, peer.NewTransport(&r.controlBytes))
 	r.work = peer.NewClient(s.Secret, peer.NewTransport(nil))
 	r.addAdapters()
 	return r, r.addGauges()
 }
 
+// addAdmission makes what admits work to engines.
+func (r *Router) addAdmission(now time.Time) {
+	timing := r.settings.Timing
+	suspect := milliseconds(timing.SuspectMS)
+	lease, margin := leaseDuration(suspect), leaseMargin(suspect)
+	r.ledger = balance.NewLedger(r.settings.Limits, lease-margin)
+	r.admission = balance.NewAdmission(r.ledger, lease, margin, now)
+	r.estimator = balance.NewEstimator()
+	r.tenure = newTenure(tenureWait(suspect, milliseconds(timing.HeartbeatMS)), lease)
+	r.pulse = newPulse(now)
+}
+
 func (r *Router) addAdapters() {
 	s := r.settings
 	if r.config == nil || r.lister == nil {
@@ -120,5 +139,10 @@
 
 // ready reports whether the balancer may send callers here.
 func (r *Router) ready() bool {
-	return r.learned.Load() && !r.draining.Load()
+	if !r.learned.Load() || r.draining.Load() {
+		return false
+	}
+	now := time.Now()
+	r.noteSpread(now)
+	return r.tenure.ready(now)
 }
--- a/router/run.go
+++ b/router/run.go
@@ -27,7 +27,7 @@
 	if err := r.listen(); err != nil {
 		return err
 	}
-	for _, task := range []func(context.Context){r.watchConfig, r.watchList, r.beat} {
+	for _, task := range []func(context.Context){r.watchConfig, r.watchList, r.beat, r.askLeases, r.pollLoads, r.pulse.run} {
 		r.tasks.Go(func() { task(background) })
 	}
 	klog.Infof("member: router %s serves callers at %s.", r.settings.Name, r.settings.Callers)
@@ -65,6 +65,7 @@
 func (r *Router) drain(ctx context.Context) {
 	r.draining.Store(true)
 	klog.Infof("member: router %s drains.", r.settings.Name)
+	r.releaseLease(ctx)
 	r.beatAll(ctx)
 	sleep(ctx, milliseconds(r.settings.Timing.LingerMS))
 	r.closing.Store(true)
