Keep caps, shares and classes at an engine's home under floods and faults

Cause: one workspace could take every engine's room, long work could hold up tags, an engine's reports were not read, and the mean was late when a fleet filled up.

Now the home reads its engines' loads, at most 8 reports in a period, and counts work that it did not admit. Above 0.6 of an engine's caps, a workspace above its weighted part is refused with workspace_share; long work is admitted to 0.75, chat replies to 0.9. Expected tokens are learned by workspace and class and given back as tokens come. An engine that came new or came back starts slowly, and one that flaps is held back for 1 s to 60 s. If no candidate has room below the load multiple, one that carries no more than the mean admits.

--- a/balance/engine_count.go
+++ b/balance/engine_count.go
@@ -59,16 +59,17 @@
 func (c *engineCount) room(right Right, maxAge time.Duration, now time.Time) (room, bool) {
 	if right.Fraction == FractionWhole {
 		foreign, ok := c.reports.leastSince(right.Since)
-		return room{right: right, foreign: foreign, now: now}, ok
+		return room{right: right, foreign: foreign}, ok
 	}
-	foreign, sampled, ok := c.reports.last()
-	if !ok || sampled.Before(right.Since) {
+	newest, ok := c.reports.newest()
+	if !ok || newest.at.Before(right.Since) {
 		return room{}, false
 	}
-	if now.Sub(sampled) <= maxAge {
-		return room{right: right, foreign: foreign, now: now}, true
+	foreign := newest.foreign
+	if now.Sub(newest.at) <= maxAge {
+		return room{right: right, foreign: foreign}, true
 	}
 	home := right.Fraction == FractionHome
 	right.Fraction = FractionBackup
-	return room{right: right, foreign: foreign, now: now, stale: true}, home
+	return room{right: right, foreign: foreign, stale: true}, home
 }
--- /dev/null
+++ b/balance/fleet_test.go
@@ -0,0 +1,305 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/rank"
+	"cardamompoint.example/cardamompoint/settings"
+	"cardamompoint.example/cardamompoint/template"
+)
+
+// The sizes of Gelek's deployment.
+const (
+	fleetHomes      = 8
+	fleetEngines    = 20
+	fleetWorkspaces = 10
+	fleetChats      = 400
+	fleetAsked      = 12
+	fleetLag        = 500 * time.Millisecond
+	fleetTick       = 20 * time.Millisecond
+	// fleetWarmUp is the time before skew is measured.
+	fleetWarmUp = 20 * time.Second
+)
+
+var fleetLimits = settings.Limits{
+	LoadMultiple: 1.25, EngineFloorTokens: 2048, EngineRequests: 32, EngineTokens: 32768,
+}
+
+// fleetLoad is a load on a fleet in requests per second and workspace.
+type fleetLoad struct {
+	rate     float64
+	flooding float64
+	duration time.Duration
+}
+
+// fleetResult is what a run has shown.
+type fleetResult struct {
+	asked, refused, attempts [fleetWorkspaces]int
+	tags, tagsRefused        int
+	maxSkew, sumSkew, mean   float64
+	samples                  int
+	peak                     int
+}
+
+// others returns the refused part and the mean attempts of all workspaces but
+// the first.
+func (r *fleetResult) others() (refused, attempts float64) {
+	asked, refusals, tries := 0, 0, 0
+	for w := 1; w < fleetWorkspaces; w++ {
+		asked += r.asked[w]
+		refusals += r.refused[w]
+		tries += r.attempts[w]
+	}
+	return float64(refusals) / float64(asked), float64(tries) / float64(asked)
+}
+
+// running is one request at an engine.
+type running struct {
+	reservation *Reservation
+	tokens      int
+	left        int
+}
+
+// testFleet is the admission of a whole fleet with late sums of peers.
+type testFleet struct {
+	random    *rand.Rand
+	ledgers   []*Ledger
+	admission []*Admission
+	estimator *Estimator
+	sums      []int
+	summed    time.Time
+	begun     time.Time
+	engines   []rank.Node
+	running   [][]*running
+	result    fleetResult
+}
+
+func newTestFleet(seed uint64) *testFleet {
+	f := &testFleet{
+		random:    rand.New(rand.NewPCG(seed, 0)),
+		estimator: NewEstimator(),
+		sums:      make([]int, fleetHomes),
+		running:   make([][]*running, fleetEngines),
+	}
+	now := time.Now()
+	f.begun = now
+	for range fleetHomes {
+		ledger := NewLedger(fleetLimits, leaseTime)
+		f.ledgers = append(f.ledgers, ledger)
+		f.admission = append(f.admission, NewAdmission(ledger, leaseTime, leaseMargin, now))
+	}
+	for e := range fleetEngines {
+		f.engines = append(f.engines, rank.NewNode(fmt.Sprint("engine-", e), 1))
+		ledger := f.ledgers[e%fleetHomes]
+		ledger.Report(f.engines[e].ID, ledger.AskReport(f.engines[e].ID), endpoint.Load{}, now, now)
+	}
+	return f
+}
+
+// mean is the mean that the home of engine knows: its own sum now and the
+// late sums of its peers.
+func (f *testFleet) mean(home int, now time.Time) float64 {
+	tokens := f.ledgers[home].Sums()["m"].Tokens
+	for h, sum := range f.sums {
+		if h != home {
+			tokens += sum
+		}
+	}
+	return float64(tokens) / fleetEngines
+}
+
+// grown is the mean with the own growth in the place of the peers'.
+func (f *testFleet) grown(home int, now time.Time) float64 {
+	return f.mean(home, now) + float64((fleetHomes-1)*f.ledgers[home].Growth("m", now))/fleetEngines
+}
+
+// work is one request of the mix: tags, chat replies and rosters.
+func (f *testFleet) work() (template.Priority, int) {
+	switch draw := f.random.Float64(); {
+	case draw < 0.3:
+		return template.PriorityTag, 4 + f.random.IntN(24)
+	case draw < 0.92:
+		return template.PriorityChat, 50 + f.random.IntN(300)
+	default:
+		return template.PriorityLong, 800 + f.random.IntN(1400)
+	}
+}
+
+func (f *testFleet) ask(workspace int) {
+	priority, tokens := f.work()
+	name := fmt.Sprint("workspace-", workspace)
+	chat := fmt.Sprint(name, "/", f.random.IntN(fleetChats))
+	f.result.asked[workspace]++
+	if priority == template.PriorityTag && workspace > 0 {
+		f.result.tags++
+	}
+	order := rank.Top(rank.Key(chat), f.engines, fleetAsked)
+	for _, last := range []bool{false, true} {
+		for _, e := range order {
+			f.result.attempts[workspace]++
+			if f.try(e, name, priority, tokens, last) {
+				return
+			}
+		}
+	}
+	f.result.refused[workspace]++
+	if priority == template.PriorityTag && workspace > 0 {
+		f.result.tagsRefused++
+	}
+}
+
+func (f *testFleet) try(engine int, workspace string, priority template.Priority, tokens int, last bool) bool {
+	now, home := time.Now(), engine%fleetHomes
+	reservation, err := f.admission[home].Admit(Request{
+		Engine:      f.engines[engine].ID,
+		Model:       "m",
+		Workspace:   workspace,
+		Priority:    priority,
+		Tokens:      f.estimator.Expect(workspace, priority, 2048),
+		MeanTokens:  f.mean(home, now),
+		GrownTokens: f.grown(home, now),
+		Last:        last,
+	}, Standing{Role: RoleHome, Since: now.Add(-time.Hour), Alone: true}, now)
+	if err != nil {
+		if code.Of(err).RetryAfterMS == 0 {
+			panic(err)
+		}
+		return false
+	}
+	f.running[engine] = append(f.running[engine], &running{reservation, tokens, tokens})
+	f.result.peak = max(f.result.peak, len(f.running[engine]))
+	return true
+}
+
+// advance delivers the tokens of one tick: two in three ticks, one every 30 ms.
+func (f *testFleet) advance(tick int) {
+	for e := range f.running {
+		kept := f.running[e][:0]
+		for _, r := range f.running[e] {
+			if tick%3 != 0 {
+				r.left--
+				r.reservation.Token()
+			}
+			if r.left > 0 {
+				kept = append(kept, r)
+				continue
+			}
+			f.finish(r)
+		}
+		f.running[e] = kept
+	}
+}
+
+func (f *testFleet) finish(r *running) {
+	r.reservation.Release()
+	request := r.reservation.request
+	f.estimator.Learn(request.Workspace, request.Priority, r.tokens)
+}
+
+// measure keeps the largest load above the floor over the mean.
+func (f *testFleet) measure() {
+	total, largest := 0, 0
+	for e, node := range f.engines {
+		_, tokens := f.ledgers[e%fleetHomes].Load(node.ID)
+		total += tokens
+		largest = max(largest, tokens)
+	}
+	if time.Since(f.begun) < fleetWarmUp {
+		return
+	}
+	mean := float64(total) / fleetEngines
+	f.result.samples++
+	f.result.mean += mean
+	skew := 1.0
+	if largest > fleetLimits.EngineFloorTokens {
+		skew = float64(largest) / mean
+	}
+	f.result.maxSkew = max(f.result.maxSkew, skew)
+	f.result.sumSkew += skew
+}
+
+func (f *testFleet) share() {
+	if time.Since(f.summed) < fleetLag {
+		return
+	}
+	f.summed = time.Now()
+	for h, ledger := range f.ledgers {
+		f.sums[h] = ledger.Sums()["m"].Tokens
+	}
+}
+
+// runFleet runs load under a seed and virtual time.
+func runFleet(t *testing.T, seed uint64, load fleetLoad) (result fleetResult) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(seed)
+		var due [fleetWorkspaces]float64
+		for tick := range int(load.duration / fleetTick) {
+			for w := range fleetWorkspaces {
+				rate := load.rate
+				if w == 0 && load.flooding > 0 {
+					rate *= load.flooding
+				}
+				for due[w] += rate * fleetTick.Seconds() * 2 * f.random.Float64(); due[w] >= 1; due[w]-- {
+					f.ask(w)
+				}
+			}
+			f.advance(tick)
+			f.share()
+			f.measure()
+			time.Sleep(fleetTick)
+		}
+		result = f.result
+	})
+	return result
+}
+
+func TestFloodLeavesOthersAlone(t *testing.T) {
+	calm := runFleet(t, 4, fleetLoad{rate: 2, duration: 2 * time.Minute})
+	flood := runFleet(t, 4, fleetLoad{rate: 2, flooding: 50, duration: 2 * time.Minute})
+	calm.log(t, "calm")
+	flood.log(t, "flood")
+	calmRefused, calmAttempts := calm.others()
+	floodRefused, floodAttempts := flood.others()
+	const most = 1.2
+	if floodRefused > most*calmRefused {
+		t.Errorf("the others' refusals rise from %.4f to %.4f", calmRefused, floodRefused)
+	}
+	if floodAttempts > most*calmAttempts {
+		t.Errorf("the others' attempts rise from %.3f to %.3f", calmAttempts, floodAttempts)
+	}
+	if flood.tagsRefused > 0 {
+		t.Errorf("%d of %d tags are refused", flood.tagsRefused, flood.tags)
+	}
+	if flood.peak > fleetLimits.EngineRequests {
+		t.Errorf("%d requests at one engine, the cap is %d", flood.peak, fleetLimits.EngineRequests)
+	}
+	if skew := flood.sumSkew / float64(flood.samples); skew > fleetLimits.LoadMultiple {
+		t.Errorf("the mean of max/mean is %.3f", skew)
+	}
+}
+
+// TestRoomIsNotRefused checks that a fleet that fills up from nothing within a
+// second refuses nothing, although the sums of peers are late.
+func TestRoomIsNotRefused(t *testing.T) {
+	surge := runFleet(t, 4, fleetLoad{rate: 20, duration: time.Second})
+	surge.log(t, "surge")
+	for w, refused := range surge.refused {
+		if refused > 0 {
+			t.Errorf("workspace %d: %d of %d are refused", w, refused, surge.asked[w])
+		}
+	}
+}
+
+func (r *fleetResult) log(t *testing.T, name string) {
+	refused, attempts := r.others()
+	samples := float64(max(1, r.samples))
+	t.Logf("%s: others refused %.4f, attempts %.3f; flooding workspace refused %d of %d; tags refused %d of %d; "+
+		"max/mean average %.3f, largest %.3f; mean %.0f tokens; most requests %d", name, refused, attempts,
+		r.refused[0], r.asked[0], r.tagsRefused, r.tags, r.sumSkew/samples, r.maxSkew, r.mean/samples, r.peak)
+}
--- a/balance/ledger.go
+++ b/balance/ledger.go
@@ -162,9 +162,12 @@
 	if tokens <= l.limits.EngineFloorTokens {
 		return nil
 	}
-	bound := l.limits.LoadMultiple * (request.MeanTokens + float64(request.Tokens))
+	bound := l.limits.LoadMultiple * request.MeanTokens
+	if request.Last {
+		bound = max(bound, request.GrownTokens+float64(request.Tokens))
+	}
 	if float64(tokens) > bound {
-		return code.New(code.EndpointFull, "%d tokens would be above %.0f", tokens, bound).After(retryFull)
+		return code.New(code.EndpointFull, "%d tokens exceed the mean bound %.0f", tokens, bound).After(retryFull)
 	}
 	return nil
 }
@@ -247,9 +250,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	count := l.engine(engine)
-	if sampled.Before(count.reports.sampled) {
-		return
-	}
 	count.reports.take(load, count.shown(number), sampled)
 	count.start.answer(now)
 }
--- /dev/null
+++ b/balance/ledger_test.go
@@ -0,0 +1,277 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/settings"
+	"cardamompoint.example/cardamompoint/template"
+)
+
+// testEngine is one engine at a home that holds its lease.
+type testEngine struct {
+	t        testing.TB
+	ledger   *Ledger
+	now      time.Time
+	fraction Fraction
+}
+
+func newTestEngine(t testing.TB, limits settings.Limits) *testEngine {
+	e := &testEngine{t: t, ledger: NewLedger(limits, leaseTime), now: time.Now(), fraction: FractionWhole}
+	e.report(endpoint.Load{})
+	return e
+}
+
+func (e *testEngine) report(load endpoint.Load) {
+	e.ledger.Report(engineName, e.ledger.AskReport(engineName), load, e.now, e.now)
+}
+
+func (e *testEngine) reportTimes(times int, load endpoint.Load) {
+	for range times {
+		e.report(load)
+	}
+}
+
+func (e *testEngine) reserve(workspace string, priority template.Priority, tokens int) (*Reservation, error) {
+	request := Request{Engine: engineName, Model: "m", Workspace: workspace, Priority: priority, Tokens: tokens}
+	return e.ledger.reserve(request, []Right{{Fraction: e.fraction}}, e.now)
+}
+
+// fill reserves until the engine refuses and returns the number of requests.
+func (e *testEngine) fill(workspace string, priority template.Priority) (int, error) {
+	for n := 0; ; n++ {
+		if _, err := e.reserve(workspace, priority, 1); err != nil {
+			return n, err
+		}
+	}
+}
+
+var hardLimits = settings.Limits{LoadMultiple: 10, EngineFloorTokens: 1 << 30, EngineRequests: 20, EngineTokens: 1 << 30}
+
+func TestReservationIsReleasedOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ledger := NewLedger(hardLimits, leaseTime)
+		now := time.Now()
+		ledger.Report(engineName, ledger.AskReport(engineName), endpoint.Load{}, now, now)
+		held := map[*Reservation]int{}
+		var all []*Reservation
+		pick := func(t *rapid.T) *Reservation { return rapid.SampledFrom(all).Draw(t, "reservation") }
+		t.Repeat(map[string]func(*rapid.T){
+			"reserve": func(t *rapid.T) {
+				tokens := rapid.IntRange(1, 5).Draw(t, "tokens")
+				request := Request{Engine: engineName, Model: "m", Workspace: "w", Priority: template.PriorityTag, Tokens: tokens}
+				reservation, err := ledger.reserve(request, []Right{{Fraction: FractionWhole}}, now)
+				if err == nil {
+					held[reservation] = tokens
+					all = append(all, reservation)
+				}
+			},
+			"token": func(t *rapid.T) {
+				if len(all) == 0 {
+					t.Skip()
+				}
+				reservation := pick(t)
+				reservation.Token()
+				if held[reservation] > 1 {
+					held[reservation]--
+				}
+			},
+			"release": func(t *rapid.T) {
+				if len(all) == 0 {
+					t.Skip()
+				}
+				reservation := pick(t)
+				reservation.Release()
+				delete(held, reservation)
+			},
+			"": func(t *rapid.T) {
+				want := ModelLoad{Requests: len(held)}
+				for _, left := range held {
+					want.Tokens += left
+				}
+				requests, tokens := ledger.Load(engineName)
+				if got := (ModelLoad{Requests: requests, Tokens: tokens}); got != want || ledger.Sums()["m"] != want {
+					t.Fatalf("the ledger has %v and %v, %v is held", got, ledger.Sums()["m"], want)
+				}
+			},
+		})
+	})
+}
+
+func TestClassesKeepTheirRoom(t *testing.T) {
+	e := newTestEngine(t, hardLimits)
+	if n, err := e.fill("w", template.PriorityLong); n != 15 || !code.Is(err, code.EndpointFull) {
+		t.Errorf("%d long requests are admitted: %v", n, err)
+	}
+	if n, _ := e.fill("w", template.PriorityChat); n != 3 {
+		t.Errorf("%d chat requests are admitted after long ones", n)
+	}
+	if n, _ := e.fill("w", template.PriorityTag); n != 2 {
+		t.Errorf("%d tags are admitted after chat requests", n)
+	}
+}
+
+func TestLentRoomComesBack(t *testing.T) {
+	e := newTestEngine(t, hardLimits)
+	lent, _ := e.fill("flooding", template.PriorityChat)
+	if lent != 18 {
+		t.Fatalf("a workspace alone gets %d of 20 requests", lent)
+	}
+	if _, err := e.reserve("other", template.PriorityChat, 1); !code.Is(err, code.EndpointFull) {
+		t.Fatalf("a full engine admits a chat request: %v", err)
+	}
+	_, err := e.reserve("flooding", template.PriorityTag, 1)
+	if !code.Is(err, code.WorkspaceShare) || code.Of(err).RetryAfterMS == 0 {
+		t.Errorf("a workspace above its part is refused with %v", err)
+	}
+	for reservation := range e.ledger.engine(engineName).reservations {
+		reservation.Release()
+		if e.ledger.engine(engineName).load.Requests == 10 {
+			break
+		}
+	}
+	if n, _ := e.fill("other", template.PriorityChat); n < 8 {
+		t.Errorf("the other workspace gets %d requests after one service time", n)
+	}
+}
+
+func TestSharesFollowWeights(t *testing.T) {
+	s := newShares()
+	now := time.Now()
+	s.saw("large", 3, now)
+	s.saw("small", 1, now)
+	if s.part("large") != 0.75 || s.part("small") != 0.25 {
+		t.Errorf("the parts are %v and %v", s.part("large"), s.part("small"))
+	}
+	s.saw("small", 1, now.Add(activeWindow+time.Second))
+	if s.part("small") != 1 {
+		t.Errorf("the part is %v after the other workspace went idle", s.part("small"))
+	}
+}
+
+func TestReports(t *testing.T) {
+	cases := []struct {
+		name     string
+		fraction Fraction
+		prepare  func(*testEngine)
+		want     int
+		code     code.Code
+	}{
+		{"leaving", FractionWhole, func(e *testEngine) { e.report(endpoint.Load{Leaving: true}) }, 0, code.EndpointLeaving},
+		{"none", FractionWhole, func(e *testEngine) { e.ledger = NewLedger(hardLimits, leaseTime) }, 0, code.ViewStale},
+		{"others' work", FractionWhole, func(e *testEngine) { e.reportTimes(keptSamples, endpoint.Load{Requests: 5}) }, 15, code.EndpointFull},
+		{"old, with lease", FractionWhole, func(e *testEngine) { e.now = e.now.Add(time.Hour) }, 20, code.EndpointFull},
+		{"fresh, without lease", FractionHome, func(*testEngine) {}, 15, code.EndpointFull},
+		{"old, without lease", FractionHome, func(e *testEngine) { e.now = e.now.Add(time.Hour) }, 5, code.EndpointFull},
+		{"fresh, backup", FractionBackup, func(*testEngine) {}, 5, code.EndpointFull},
+		{"old, backup", FractionBackup, func(e *testEngine) { e.now = e.now.Add(time.Hour) }, 0, code.ViewStale},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			e := newTestEngine(t, hardLimits)
+			e.fraction = c.fraction
+			c.prepare(e)
+			got, err := e.fill("w", template.PriorityTag)
+			if got != c.want || !code.Is(err, c.code) {
+				t.Errorf("%d requests are admitted, then %v", got, err)
+			}
+		})
+	}
+}
+
+func TestOwnWorkInReportsCountsOnce(t *testing.T) {
+	e := newTestEngine(t, hardLimits)
+	for range 10 {
+		reservation, err := e.reserve("w", template.PriorityTag, 5)
+		if err != nil {
+			t.Fatal(err)
+		}
+		reservation.Token()
+	}
+	e.report(endpoint.Load{Requests: 10, Tokens: 1000})
+	if n, _ := e.fill("w", template.PriorityTag); n != 10 {
+		t.Errorf("%d requests are admitted beside 10 own ones", n)
+	}
+}
+
+func TestFlappingEngineIsHeldBackLonger(t *testing.T) {
+	e := newTestEngine(t, hardLimits)
+	other := "engine-2"
+	e.ledger.Report(other, e.ledger.AskReport(other), endpoint.Load{}, e.now, e.now)
+	var held []time.Duration
+	for range 8 {
+		for range failuresDown {
+			e.ledger.ReportFailed(engineName)
+		}
+		e.now = e.now.Add(time.Second)
+		e.report(endpoint.Load{})
+		start := &e.ledger.engine(engineName).start
+		held = append(held, start.from.Sub(e.now))
+		if n, _ := e.fill("w", template.PriorityTag); n != 1 {
+			t.Fatalf("an engine that is held back gets %d requests, not 1", n)
+		}
+		for reservation := range e.ledger.engine(engineName).reservations {
+			reservation.Release()
+		}
+		if part := start.part(start.from.Add(rampTime / 2)); part <= rampFirst || part >= 1 {
+			t.Errorf("the part in the middle of the ramp is %v", part)
+		}
+		if part := start.part(start.from.Add(rampTime)); part != 1 {
+			t.Errorf("the part after the ramp is %v", part)
+		}
+	}
+	want := "[1s 2s 4s 8s 16s 32s 1m0s 1m0s]"
+	if got := fmt.Sprint(held); got != want {
+		t.Errorf("the engine is held back for %s, not %s", got, want)
+	}
+}
+
+func TestAllEnginesDownAreNotLimited(t *testing.T) {
+	e := newTestEngine(t, hardLimits)
+	for range failuresDown {
+		e.ledger.ReportFailed(engineName)
+	}
+	if n, _ := e.fill("w", template.PriorityTag); n != hardLimits.EngineRequests {
+		t.Errorf("%d requests are admitted although no engine answers", n)
+	}
+}
+
+func TestEstimatorLearnsByWorkspaceAndClass(t *testing.T) {
+	estimator := NewEstimator()
+	for range 50 {
+		estimator.Learn("w", template.PriorityChat, 100)
+	}
+	cases := []struct {
+		workspace string
+		priority  template.Priority
+		most      int
+		want      int
+	}{
+		{"w", template.PriorityChat, 2048, 100},
+		{"w", template.PriorityChat, 64, 64},
+		{"w", template.PriorityLong, 2048, 2048},
+		{"x", template.PriorityChat, 2048, 2048},
+	}
+	for _, c := range cases {
+		if got := estimator.Expect(c.workspace, c.priority, c.most); got != c.want {
+			t.Errorf("%s %s with at most %d: expects %d, not %d", c.workspace, c.priority, c.most, got, c.want)
+		}
+	}
+}
+
+func TestTrendGrowth(t *testing.T) {
+	var grown trend
+	now := time.Unix(1000, 0)
+	grown.add(100, now)
+	if got := grown.growth(now.Add(growthLag / 2)); got != 100 {
+		t.Errorf("the growth is %d within the lag", got)
+	}
+	if got := grown.growth(now.Add(2 * growthLag)); got != 0 {
+		t.Errorf("the growth is %d after the lag", got)
+	}
+}
--- a/balance/request.go
+++ b/balance/request.go
@@ -19,4 +19,10 @@
 	// MeanTokens is the mean load in progress of the model's engines over the
 	// whole fleet, in tokens.
 	MeanTokens float64
+	// GrownTokens is the same mean, if the loads of the other routers have grown
+	// as the own ones did since they were told.
+	GrownTokens float64
+	// Last tells that no candidate has room below the load multiple. An engine
+	// that carries no more than the mean then admits the request.
+	Last bool
 }
--- a/balance/room.go
+++ b/balance/room.go
@@ -1,7 +1,5 @@
 package balance
 
-import "time"
-
 // room is the part of an engine that one right opens.
 type room struct {
 	// right is the right, with the fraction that the newest report allows.
@@ -10,8 +8,6 @@
 	foreign ModelLoad
 	// stale tells that the newest report is too old for the right's own fraction.
 	stale bool
-	// now is the time of the decision.
-	now time.Time
 }
 
 // holds reports whether the router's own load at the engine is within the
--- a/balance/takeover_test.go
+++ b/balance/takeover_test.go
@@ -35,6 +35,7 @@
 	frozen    bool
 	heard     time.Time
 	asked     time.Time
+	report    *lateReport
 	reserved  []*Reservation
 	sent      []*Reservation
 }
@@ -46,10 +47,28 @@
 	cut    bool
 	home   *actor
 	backup *actor
+	// late is a lease exchange whose messages wait for their delivery.
+	late *lateLease
 	// orphans is the work at the engine whose router has lost its counts.
 	orphans int
 }
 
+// lateLease is a lease request on its way.
+type lateLease struct {
+	sent     time.Time
+	promised bool
+	granted  bool
+	home     *Admission
+}
+
+// lateReport is a load report on its way to a router.
+type lateReport struct {
+	ledger  *Ledger
+	number  uint64
+	sampled time.Time
+	load    endpoint.Load
+}
+
 func (w *takeover) start(name string) *actor {
 	ledger := NewLedger(takeoverLimits, leaseTime-leaseMargin)
 	return &actor{
@@ -141,12 +160,43 @@
 }
 
 func (w *takeover) report(a *actor) {
+	w.sample(a)
+	w.deliver(a)
+}
+
+// sample makes the engine's report, which a gets at deliver.
+func (w *takeover) sample(a *actor) {
 	if a.frozen {
 		return
 	}
-	number := a.ledger.AskReport(engineName)
 	load := endpoint.Load{Requests: w.atEngine(), Tokens: w.atEngine()}
-	a.ledger.Report(engineName, number, load, w.now, w.now)
+	a.report = &lateReport{ledger: a.ledger, number: a.ledger.AskReport(engineName), sampled: w.now, load: load}
+}
+
+func (w *takeover) deliver(a *actor) {
+	if a.frozen || a.report == nil {
+		return
+	}
+	a.report.ledger.Report(engineName, a.report.number, a.report.load, a.report.sampled, w.now)
+	a.report = nil
+}
+
+// moveLease takes the late lease exchange one message further.
+func (w *takeover) moveLease() {
+	switch {
+	case w.late == nil && !w.home.frozen:
+		w.late = &lateLease{sent: w.now, home: w.home.admission}
+	case w.late == nil || w.cut:
+	case !w.late.promised && !w.backup.frozen:
+		w.backup.heard = w.now
+		w.late.granted = w.backup.admission.Promise(homeName, func(string) bool { return true }, w.now)
+		w.late.promised = true
+	case w.late.promised && !w.home.frozen:
+		if w.late.granted && w.late.home == w.home.admission {
+			w.home.admission.Granted(backupName, w.late.sent, w.now)
+		}
+		w.late = nil
+	}
 }
 
 // restart replaces a router by one without counts. Its work goes on.
@@ -187,9 +237,12 @@
 					w.send(a)
 				}
 			},
-			"send":   func(*rapid.T) { w.send(w.pick()) },
-			"finish": func(*rapid.T) { w.finish(w.pick()) },
-			"report": func(*rapid.T) { w.report(w.pick()) },
+			"send":    func(*rapid.T) { w.send(w.pick()) },
+			"finish":  func(*rapid.T) { w.finish(w.pick()) },
+			"report":  func(*rapid.T) { w.report(w.pick()) },
+			"sample":  func(*rapid.T) { w.sample(w.pick()) },
+			"deliver": func(*rapid.T) { w.deliver(w.pick()) },
+			"lease":   func(*rapid.T) { w.moveLease() },
 			"": func(t *rapid.T) {
 				if w.atEngine() > takeoverLimits.EngineRequests {
 					t.Fatalf("%d requests at the engine: home %d, backup %d, orphans %d",
--- a/router/admission.go
+++ b/router/admission.go
@@ -26,14 +26,17 @@
 	now := time.Now()
 	work := order.Work
 	expected := r.estimator.Expect(work.Workspace, work.Priority, work.MaxTokens)
+	mean, grown := r.meanTokens(work.Model, now)
 	return r.admission.Admit(balance.Request{
-		Engine:     order.Engine,
-		Model:      work.Model,
-		Workspace:  work.Workspace,
-		Share:      r.share(work.Workspace),
-		Priority:   work.Priority,
-		Tokens:     max(1, expected-len(work.Prefix)),
-		MeanTokens: r.meanTokens(work.Model, now),
+		Engine:      order.Engine,
+		Model:       work.Model,
+		Workspace:   work.Workspace,
+		Share:       r.share(work.Workspace),
+		Priority:    work.Priority,
+		Tokens:      max(1, expected-len(work.Prefix)),
+		MeanTokens:  mean,
+		GrownTokens: grown,
+		Last:        order.Last,
 	}, r.standing(order.Engine, now), now)
 }
 
@@ -71,19 +74,19 @@
 }
 
 // meanTokens returns the mean load of the model's engines over the fleet. The
-// loads of peers are late; they are taken to have grown as the own ones did.
-func (r *Router) meanTokens(model string, now time.Time) float64 {
+// loads of peers are late; grown is the mean if they have grown as the own ones.
+func (r *Router) meanTokens(model string, now time.Time) (mean, grown float64) {
 	declared, ok := r.store.Snapshot().Models[model]
 	if !ok {
-		return 0
+		return 0, 0
 	}
 	view := r.members.View()
 	engines := len(view.Group(declared.Group))
 	if engines == 0 {
-		return 0
+		return 0, 0
 	}
-	peers := max(0, len(view.Routers)-1)
 	tokens := r.members.Sum(model, now).Tokens + r.ledger.Sums()[model].Tokens
-	tokens += peers * r.ledger.Growth(model, now)
-	return float64(tokens) / float64(engines)
+	growth := max(0, len(view.Routers)-1) * r.ledger.Growth(model, now)
+	mean = float64(tokens) / float64(engines)
+	return mean, mean + float64(growth)/float64(engines)
 }
--- /dev/null
+++ b/router/halves_test.go
@@ -0,0 +1,312 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cardamompoint.example/cardamompoint/api"
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/member"
+	"cardamompoint.example/cardamompoint/peer"
+	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/settings"
+)
+
+const (
+	halvesRouters = 4
+	halvesEngines = 6
+	halvesCap     = 8
+	halvesService = 3 * time.Second
+	halvesPeriod  = 150 * time.Millisecond
+)
+
+// countingEngine stands in for all engines and counts their requests.
+type countingEngine struct {
+	endpoint.Engine
+
+	fail atomic.Bool
+
+	mu     sync.Mutex
+	counts map[string]int
+	starts int
+	peak   int
+}
+
+func (e *countingEngine) add(address string, change int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.counts[address] += change
+	e.peak = max(e.peak, e.counts[address])
+	e.starts += max(0, change)
+}
+
+func (e *countingEngine) Generate(_ context.Context, address string, work endpoint.Work, sink endpoint.Sink) error {
+	e.add(address, 1)
+	defer e.add(address, -1)
+	if e.fail.Load() {
+		return code.New(code.EndpointFault, "the engine fails")
+	}
+	time.Sleep(halvesService)
+	line := endpoint.Line{RequestID: work.RequestID, StreamID: work.StreamID}
+	line.Final = &endpoint.Final{}
+	return sink(line)
+}
+
+func (e *countingEngine) Cancel(context.Context, string, string) error { return nil }
+
+func (e *countingEngine) Load(_ context.Context, address string) (endpoint.Load, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return endpoint.Load{Requests: e.counts[address], Tokens: e.counts[address]}, nil
+}
+
+// halves is a fleet of routers in one process whose links can be cut.
+type halves struct {
+	engine   *countingEngine
+	routers  []*Router
+	side     [halvesRouters]atomic.Int32
+	answered [halvesRouters]atomic.Int64
+	jobs     sync.WaitGroup
+	asked    int
+}
+
+// link carries the messages that one router sends.
+type link struct {
+	fleet *halves
+	from  int
+}
+
+func (l link) RoundTrip(request *http.Request) (*http.Response, error) {
+	for to, r := range l.fleet.routers {
+		if r.settings.Peers != request.URL.Host {
+			continue
+		}
+		if l.fleet.side[to].Load() != l.fleet.side[l.from].Load() {
+			break
+		}
+		recorder := httptest.NewRecorder()
+		r.peersMux().ServeHTTP(recorder, request)
+		return recorder.Result(), nil
+	}
+	return nil, &net.OpError{Op: "dial", Err: context.DeadlineExceeded}
+}
+
+func routerAddress(i int) string { return fmt.Sprintf("127.0.0.%d:7001", i+1) }
+
+func newHalves(t *testing.T) *halves {
+	f := &halves{engine: &countingEngine{counts: map[string]int{}}}
+	for i := range halvesRouters {
+		s := settings.Defaults()
+		s.Name, s.Peers, s.Secret = fmt.Sprint("router-", i), routerAddress(i), []byte("a secret of the fleet")
+		s.Limits.EngineRequests = halvesCap
+		s.Limits.EngineFloorTokens, s.Limits.EngineTokens = 1<<20, 1<<20
+		s.Timing.ProgressMS = 60000
+		r, err := New(Options{Settings: &s, Engine: f.engine})
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.control, r.work = peer.NewClient(s.Secret, link{f, i}), peer.NewClient(s.Secret, link{f, i})
+		r.store.Apply([]platform.Value{
+			{Key: "models/m", Version: 1, Data: []byte(`{"group": "engines", "version": "1"}`)},
+			{Key: "workspaces/w/template", Version: 2, Data: []byte(`{"completion": {"models": [{"model": "m"}], "priority": "tag"}}`)},
+		}, 2)
+		r.members.SetList(f.list(1), time.Now())
+		r.learned.Store(true)
+		f.routers = append(f.routers, r)
+	}
+	return f
+}
+
+// list returns a version of the list without the given routers.
+func (f *halves) list(version int64, without ...int) platform.VMs {
+	list := platform.VMs{Version: version}
+	for i := range halvesRouters {
+		list.VMs = append(list.VMs, platform.VM{Address: routerAddress(i), Role: platform.RoleRouter, State: platform.StateLive})
+	}
+	for _, i := range without {
+		list.VMs[i].State = platform.StateLeaving
+	}
+	for i := range halvesEngines {
+		address := fmt.Sprintf("127.0.1.%d:7200", i+1)
+		list.VMs = append(list.VMs, platform.VM{Address: address, Role: platform.RoleEngine, Group: "engines", State: platform.StateLive})
+	}
+	return list
+}
+
+// start runs the tasks of a router, but its pulse, until ctx ends.
+func (f *halves) start(ctx context.Context) {
+	for _, r := range f.routers {
+		go r.beat(ctx)
+		go r.askLeases(ctx)
+		go r.pollLoads(ctx)
+	}
+}
+
+// flood asks at each router of the given ones for d.
+func (f *halves) flood(d time.Duration, at ...int) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(halvesPeriod) {
+		for _, i := range at {
+			f.asked++
+			f.ask(i, fmt.Sprint("chat-", f.asked))
+		}
+	}
+}
+
+func (f *halves) ask(i int, chat string) {
+	r := f.routers[i]
+	f.jobs.Go(func() {
+		body := &api.Completion{Workspace: "w", Chat: chat, Messages: []api.Message{{Role: "user", Content: "?"}}}
+		j, timeout, err := r.newJob(chat, body)
+		if err != nil {
+			panic(err)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		j.receiver = &wholeReceiver{}
+		if j.run(ctx) == nil {
+			f.answered[i].Add(1)
+		}
+	})
+}
+
+// pulses keeps the pulses of the given routers until ctx ends.
+func (f *halves) pulses(ctx context.Context, of ...int) {
+	for _, i := range of {
+		go f.routers[i].pulse.run(ctx)
+	}
+}
+
+// runHalves runs play with a settled fleet under virtual time and checks the
+// engines' caps.
+func runHalves(t *testing.T, play func(ctx context.Context, f *halves)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newHalves(t)
+		f.start(ctx)
+		play(ctx, f)
+		f.jobs.Wait()
+		cancel()
+		synctest.Wait()
+		if f.engine.peak > halvesCap {
+			t.Errorf("%d requests at one engine, the cap is %d", f.engine.peak, halvesCap)
+		}
+		if f.engine.peak < halvesCap {
+			t.Errorf("at most %d requests at one engine, the flood should reach the cap %d", f.engine.peak, halvesCap)
+		}
+	})
+}
+
+var everyRouter = []int{0, 1, 2, 3}
+
+func TestTwoHalvesKeepCaps(t *testing.T) {
+	runHalves(t, func(ctx context.Context, f *halves) {
+		f.pulses(ctx, everyRouter...)
+		f.flood(15*time.Second, everyRouter...)
+		f.side[2].Store(1)
+		f.side[3].Store(1)
+		f.flood(40*time.Second, everyRouter...)
+		before := [2]int64{f.answered[0].Load(), f.answered[2].Load()}
+		f.flood(10*time.Second, everyRouter...)
+		if f.answered[0].Load() == before[0] || f.answered[2].Load() == before[1] {
+			t.Error("one half does not answer")
+		}
+		f.side[2].Store(0)
+		f.side[3].Store(0)
+		f.flood(30*time.Second, everyRouter...)
+	})
+}
+
+func TestFrozenRouterKeepsCaps(t *testing.T) {
+	runHalves(t, func(ctx context.Context, f *halves) {
+		f.pulses(ctx, 0, 1, 2)
+		awake, freeze := context.WithCancel(ctx)
+		f.pulses(awake, 3)
+		f.flood(15*time.Second, everyRouter...)
+		freeze()
+		f.side[3].Store(1)
+		f.flood(20*time.Second, 0, 1, 2)
+		f.ask(3, "chat of the woken router")
+		f.flood(time.Second, everyRouter...)
+		f.side[3].Store(0)
+		f.pulses(ctx, 3)
+		f.flood(20*time.Second, everyRouter...)
+	})
+}
+
+func TestRouterThatLeavesTheListKeepsCaps(t *testing.T) {
+	runHalves(t, func(ctx context.Context, f *halves) {
+		f.pulses(ctx, everyRouter...)
+		f.flood(15*time.Second, everyRouter...)
+		for i, r := range f.routers {
+			r.members.SetList(f.list(2, 3), time.Now())
+			f.flood(500*time.Millisecond, everyRouter...)
+			if i == 0 {
+				f.flood(time.Second, everyRouter...)
+			}
+		}
+		f.flood(20*time.Second, everyRouter...)
+	})
+}
+
+func TestFailingEnginesDoNotMultiplyLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newHalves(t)
+		f.start(ctx)
+		f.pulses(ctx, everyRouter...)
+		time.Sleep(5 * time.Second)
+		f.engine.fail.Store(true)
+		f.flood(20*time.Second, everyRouter...)
+		f.jobs.Wait()
+		bound := float64(f.asked)*(1+settings.Defaults().Limits.RetryRatio) + halvesRouters*minRetryTokens
+		if float64(f.engine.starts) > bound {
+			t.Errorf("%d starts for %d requests, the bound is %.0f", f.engine.starts, f.asked, bound)
+		}
+		if f.engine.starts < f.asked/2 {
+			t.Errorf("only %d starts for %d requests", f.engine.starts, f.asked)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestWokenRouterWaitsForConfirmation(t *testing.T) {
+	for _, freeze := range []time.Duration{2 * time.Second, 20 * time.Second} {
+		t.Run(freeze.String(), func(t *testing.T) { testWoken(t, freeze) })
+	}
+}
+
+func testWoken(t *testing.T, freeze time.Duration) {
+	f := newHalves(t)
+	r := f.routers[0]
+	now := time.Now()
+	r.tenure.update(r.members.View(), now)
+	r.tenure.noteSpread(1, now)
+	engine := engineOf(t, newRouterSet(r.members.View()), routerAddress(0))
+	r.admission.Granted(routerAddress(1), now, now)
+	if r.standing(engine, now).Since.IsZero() {
+		t.Fatal("the home may not act")
+	}
+	wake := now.Add(freeze)
+	if !r.standing(engine, wake).Since.IsZero() {
+		t.Error("a router that has just woken acts on its old list")
+	}
+	if r.admission.Leased(wake) {
+		t.Error("a router that has just woken has kept its lease")
+	}
+	beat := member.Heartbeat{From: member.Self{Address: routerAddress(1)}, ListVersion: 1}
+	r.members.Heard(beat, wake.Add(time.Millisecond))
+	if r.standing(engine, wake.Add(2*time.Millisecond)).Since.IsZero() {
+		t.Error("the home may not act although a peer has confirmed its list")
+	}
+}
--- a/router/home.go
+++ b/router/home.go
@@ -20,6 +20,8 @@
 	Engine string `json:"engine"`
 	// Work is the work.
 	Work endpoint.Work `json:"work"`
+	// Last tells that no candidate has room below the load multiple.
+	Last bool `json:"last,omitempty"`
 	// DeadlineMS is the time left, in milliseconds.
 	DeadlineMS int64 `json:"deadline_ms"`
 }
--- a/router/job.go
+++ b/router/job.go
@@ -65,31 +65,44 @@
 func (j *job) runOnce(ctx context.Context) error {
 	var last error
 	asked := 0
+	var full []candidate
 	for _, c := range j.candidates {
 		if j.failed[c.vm.Address] || asked == maxAsked {
 			continue
 		}
 		asked++
-		err := j.try(ctx, c)
+		err := j.try(ctx, c, false)
 		if err == nil || !notAdmitted(err) {
 			return err
 		}
+		if code.Is(err, code.EndpointFull) {
+			full = append(full, c)
+		}
 		last = err
 	}
+	for _, c := range full {
+		err := j.try(ctx, c, true)
+		if err == nil || !notAdmitted(err) {
+			return err
+		}
+	}
 	if last == nil {
 		return code.New(code.NoEndpoint, "all engines have failed").After(noEndpointRetry)
 	}
+	if code.Is(last, code.WorkspaceShare) {
+		return last
+	}
 	return code.New(code.Overloaded, "%d engines did not admit the request, the last with: %v", asked, last).After(retryBusy)
 }
 
-func (j *job) try(ctx context.Context, c candidate) error {
+func (j *job) try(ctx context.Context, c candidate, last bool) error {
 	engine := c.vm.Address
 	home := j.router.managerOf(j.view, engine)
 	j.starts++
 	work := j.work
 	work.StreamID = fmt.Sprintf("%s.%d", j.work.RequestID, j.starts)
 	work.Prefix = j.delivered
-	order := workOrder{Engine: engine, Work: work, DeadlineMS: timeLeft(ctx).Milliseconds()}
+	order := workOrder{Engine: engine, Work: work, Last: last, DeadlineMS: timeLeft(ctx).Milliseconds()}
 	klog.Infof("route: request %s of %s chat %s goes to engine %s by home %s, %s, attempt %d, offset %d.",
 		work.RequestID, work.Workspace, work.Chat, engine, home, c.reason, j.starts, len(j.delivered))
 	err := j.router.dispatch(ctx, home, order, func(line endpoint.Line) error {
--- /dev/null
+++ b/router/retry_budget_test.go
@@ -0,0 +1,29 @@
+package router
+
+import "testing"
+
+func TestRetryBudgetBoundsAStorm(t *testing.T) {
+	const (
+		routers = 8
+		ratio   = 0.2
+		firsts  = 5000
+	)
+	attempts := 0
+	for range routers {
+		budget := newRetryBudget(ratio)
+		for range firsts {
+			budget.first()
+			attempts++
+			for tries := 0; tries < maxStarts && budget.take(); tries++ {
+				attempts++
+			}
+		}
+	}
+	const bound = routers * (firsts*(1+ratio) + minRetryTokens)
+	if float64(attempts) > bound {
+		t.Errorf("%d attempts for %d first ones, the bound is %.0f", attempts, routers*firsts, bound)
+	}
+	if attempts < routers*firsts {
+		t.Errorf("only %d attempts", attempts)
+	}
+}
