--- a/balance/ledger.go
+++ b/balance/ledger.go
@@ -267,6 +267,13 @@
 	return count.reports.failures >= failuresDown
 }
 
+// Silent reports whether so many reports failed that the engine is down.
+func (l *Ledger) Silent(engine string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.engine(engine).reports.failures >= failuresDown
+}
+
 // Appeared starts the slow start of an engine that is new in the list of VMs.
 func (l *Ledger) Appeared(engine string, now time.Time) {
 	l.mu.Lock()
--- a/router/admission.go
+++ b/router/admission.go
@@ -15,7 +15,7 @@
 		return nil, code.New(code.EndpointLeaving, "the engine %s is not live", order.Engine)
 	}
 	reservation, err := r.admitOnce(order)
-	if !code.Is(err, code.ViewStale) {
+	if !code.Is(err, code.ViewStale) || r.ledger.Silent(order.Engine) {
 		return reservation, err
 	}
 	r.pollOnce(order.Engine)
--- a/router/job.go
+++ b/router/job.go
@@ -97,7 +97,7 @@
 
 func (j *job) try(ctx context.Context, c candidate, last bool) error {
 	engine := c.vm.Address
-	home := j.router.managerOf(j.view, engine)
+	home := j.router.homeOf(j.view, engine)
 	j.starts++
 	work := j.work
 	work.StreamID = fmt.Sprintf("%s.%d", j.work.RequestID, j.starts)
--- a/router/lease.go
+++ b/router/lease.go
@@ -179,9 +179,9 @@
 	r.tenure.noteSpread(view.List.Version, now)
 }
 
-// managerOf returns the router that admits work to engine: its home, or the
+// homeOf returns the router that admits work to engine: its home, or the
 // home's backup if this router can't reach the home or the home shuts down.
-func (r *Router) managerOf(view *member.View, engine string) string {
+func (r *Router) homeOf(view *member.View, engine string) string {
 	now := time.Now()
 	set := r.tenure.update(view, now)
 	home := set.homeOf(engine)
--- a/router/loads.go
+++ b/router/loads.go
@@ -128,7 +128,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	number, sampled := r.ledger.AskReport(engine), time.Now()
-	load, err := r.engine.Load(ctx, engine)
+	load, err := r.loads.Load(ctx, engine)
 	if err != nil {
 		down := r.ledger.ReportFailed(engine)
 		klog.Infof("place: the load of engine %s can't be read, down %t: %v.", engine, down, err)
--- a/router/route.go
+++ b/router/route.go
@@ -101,7 +101,7 @@
 		explanation.Candidates = append(explanation.Candidates, api.Candidate{
 			Engine:        c.vm.Address,
 			FailureDomain: c.vm.FailureDomain,
-			Home:          r.managerOf(view, c.vm.Address),
+			Home:          r.homeOf(view, c.vm.Address),
 			Reason:        c.reason,
 		})
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -16,6 +16,7 @@
 	"cardamompoint.example/cardamompoint/metrics"
 	"cardamompoint.example/cardamompoint/once"
 	"cardamompoint.example/cardamompoint/peer"
+	"cardamompoint.example/cardamompoint/placement"
 	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/settings"
 )
@@ -26,6 +27,7 @@
 	config   platform.Config
 	lister   platform.Lister
 	engine   endpoint.Engine
+	loads    endpoint.Engine
 	service  endpoint.Service
 	metrics  *metrics.Metrics
 
@@ -42,6 +44,7 @@
 	polls     singleflight.Group
 
 	workerCounts *workerCounts
+	placer       *placer
 
 	control      *peer.Client
 	work         *peer.Client
@@ -67,6 +70,7 @@
 		config:   options.Config,
 		lister:   options.Lister,
 		engine:   options.Engine,
+		loads:    options.Engine,
 		service:  options.Service,
 		metrics:  meters,
 		store:    config.NewStore(),
@@ -74,6 +78,11 @@
 		budget:   newRetryBudget(s.Limits.RetryRatio),
 
 		workerCounts: newWorkerCounts(),
+		placer: &placer{
+			orders: options.Orderer,
+			scaler: placement.NewScaler(s.Limits.EngineTokens),
+			share:  placement.NewStoreShare(s.Limits.WeightLoadsPerMinute),
+		},
 	}
 	r.members = member.NewTable(member.Self{
 		Address:       s.Peers,
@@ -108,6 +117,10 @@
 	}
 	if r.engine == nil {
 		r.engine = endpoint.NewEngineClient(peer.NewTransport(nil), milliseconds(s.Timing.ProgressMS))
+		r.loads = endpoint.NewEngineClient(peer.NewTransport(&r.controlBytes), pollTimeout)
+	}
+	if r.placer.orders == nil {
+		r.placer.orders = endpoint.NewOrdersClient(peer.NewTransport(&r.controlBytes), milliseconds(s.Timing.ProgressMS))
 	}
 	if r.service == nil {
 		r.service = endpoint.NewServiceClient(peer.NewTransport(nil))
--- a/router/run.go
+++ b/router/run.go
@@ -27,7 +27,7 @@
 	if err := r.listen(); err != nil {
 		return err
 	}
-	for _, task := range []func(context.Context){r.watchConfig, r.watchList, r.beat, r.askLeases, r.pollLoads, r.pulse.run} {
+	for _, task := range r.backgroundTasks() {
 		r.tasks.Go(func() { task(background) })
 	}
 	klog.Infof("member: router %s serves callers at %s.", r.settings.Name, r.settings.Callers)
@@ -40,6 +40,19 @@
 	return r.close()
 }
 
+// backgroundTasks returns the tasks that run until the router ends.
+func (r *Router) backgroundTasks() []func(context.Context) {
+	return []func(context.Context){
+		r.watchConfig,
+		r.watchList,
+		r.beat,
+		r.askLeases,
+		r.pollLoads,
+		r.pulse.run,
+		r.place,
+	}
+}
+
 func (r *Router) listen() error {
 	listens := []struct {
 		address string
