--- a/router/job.go
+++ b/router/job.go
@@ -31,6 +31,8 @@
 	lostHomes map[string]bool
 	starts    int
 	announced attempt
+	// lastPass tells that no candidate has room below the load multiple.
+	lastPass bool
 	// lastTime is when the last token came, or when the request came.
 	lastTime time.Time
 	// begun tells that a token came.
@@ -85,6 +87,8 @@
 func (j *job) runOnce(ctx context.Context) error {
 	var last error
 	asked := 0
+	var full []candidate
+	j.lastPass = false
 	for _, c := range j.candidates {
 		if j.failed[c.vm.Address] || asked == maxAsked {
 			continue
@@ -94,11 +98,24 @@
 		if err == nil || !notAdmitted(err) {
 			return err
 		}
+		if code.Is(err, code.EndpointFull) {
+			full = append(full, c)
+		}
 		last = err
 	}
+	j.lastPass = true
+	for _, c := range full {
+		err := j.try(ctx, c)
+		if err == nil || !notAdmitted(err) {
+			return err
+		}
+	}
 	if last == nil {
 		return code.New(code.NoEndpoint, "all engines have failed").After(noEndpointRetry)
 	}
+	if code.Is(last, code.WorkspaceShare) {
+		return last
+	}
 	return code.New(code.Overloaded, "%d engines did not admit the request, the last with: %v", asked, last).After(retryBusy)
 }
 
@@ -134,7 +151,7 @@
 	work := j.work
 	work.StreamID = at.streamID
 	work.Prefix = j.delivered
-	order := workOrder{Engine: at.engine, Work: work, DeadlineMS: timeLeft(ctx).Milliseconds()}
+	order := workOrder{Engine: at.engine, Work: work, Last: j.lastPass, DeadlineMS: timeLeft(ctx).Milliseconds()}
 	klog.Infof("route: request %s of %s chat %s goes to engine %s by home %s, %s, attempt %d, offset %d.",
 		work.RequestID, work.Workspace, work.Chat, at.engine, at.home, c.reason, j.starts, len(j.delivered))
 	return at, j.router.dispatch(ctx, at.home, order, j.sink(at))
