--- a/code/code.go
+++ b/code/code.go
@@ -34,6 +34,7 @@
 	Canceled         Code = 306
 	ClearanceMissing Code = 307
 	NotSent          Code = 308
+	KeyFromFuture    Code = 309
 	StreamLost       Code = 310
 
 	PeerRejected     Code = 401
@@ -47,6 +48,7 @@
 	NotReady         Code = 409
 	VersionConflict  Code = 410
 	SnapshotTooOld   Code = 411
+	ModelNotLoaded   Code = 412
 	InternalFault    Code = 499
 	InvalidTemplate  Code = 501
 	InvalidSettings  Code = 502
--- a/router/placement.go
+++ b/router/attempt.go
@@ -2,8 +2,8 @@
 
 import "cardamompoint.example/cardamompoint/stream"
 
-// placement tells where one attempt at a request runs.
-type placement struct {
+// attempt tells where one try of a request runs.
+type attempt struct {
 	// engine is the engine's address.
 	engine string
 	// home is the router that counts the stream.
@@ -13,7 +13,7 @@
 }
 
 // id returns the stream's id for the caller.
-func (p placement) id(j *job) stream.ID {
+func (p attempt) id(j *job) stream.ID {
 	return stream.ID{
 		RequestID: j.work.RequestID,
 		StreamID:  p.streamID,
@@ -26,6 +26,6 @@
 }
 
 // key names the stream.
-func (p placement) key(j *job) streamKey {
+func (p attempt) key(j *job) streamKey {
 	return streamKey{Engine: p.engine, RequestID: j.work.RequestID, StreamID: p.streamID}
 }
--- a/router/job.go
+++ b/router/job.go
@@ -30,7 +30,9 @@
 	failed    map[string]bool
 	lostHomes map[string]bool
 	starts    int
-	announced placement
+	announced attempt
+	// lastPass tells that no candidate has room below the load multiple.
+	lastPass bool
 	// lastTime is when the last token came, or when the request came.
 	lastTime time.Time
 	// begun tells that a token came.
@@ -85,6 +87,8 @@
 func (j *job) runOnce(ctx context.Context) error {
 	var last error
 	asked := 0
+	var full []candidate
+	j.lastPass = false
 	for _, c := range j.candidates {
 		if j.failed[c.vm.Address] || asked == maxAsked {
 			continue
@@ -94,11 +98,24 @@
 		if err == nil || !notAdmitted(err) {
 			return err
 		}
+		if code.Is(err, code.EndpointFull) {
+			full = append(full, c)
+		}
 		last = err
 	}
+	j.lastPass = true
+	for _, c := range full {
+		err := j.try(ctx, c)
+		if err == nil || !notAdmitted(err) {
+			return err
+		}
+	}
 	if last == nil {
 		return code.New(code.NoEndpoint, "all engines have failed").After(noEndpointRetry)
 	}
+	if code.Is(last, code.WorkspaceShare) {
+		return last
+	}
 	return code.New(code.Overloaded, "%d engines did not admit the request, the last with: %v", asked, last).After(retryBusy)
 }
 
@@ -124,9 +141,9 @@
 }
 
 // dispatch starts a stream for the rest of the answer at one engine.
-func (j *job) dispatch(ctx context.Context, c candidate) (placement, error) {
+func (j *job) dispatch(ctx context.Context, c candidate) (attempt, error) {
 	j.starts++
-	at := placement{
+	at := attempt{
 		engine:   c.vm.Address,
 		home:     j.homeOf(c.vm.Address),
 		streamID: fmt.Sprintf("%s.%d", j.work.RequestID, j.starts),
@@ -134,7 +151,7 @@
 	work := j.work
 	work.StreamID = at.streamID
 	work.Prefix = j.delivered
-	order := workOrder{Engine: at.engine, Work: work, DeadlineMS: timeLeft(ctx).Milliseconds()}
+	order := workOrder{Engine: at.engine, Work: work, Last: j.lastPass, DeadlineMS: timeLeft(ctx).Milliseconds()}
 	klog.Infof("route: request %s of %s chat %s goes to engine %s by home %s, %s, attempt %d, offset %d.",
 		work.RequestID, work.Workspace, work.Chat, at.engine, at.home, c.reason, j.starts, len(j.delivered))
 	return at, j.router.dispatch(ctx, at.home, order, j.sink(at))
@@ -151,7 +168,7 @@
 }
 
 // homeLost reports whether err tells that another router was lost on the way.
-func (j *job) homeLost(ctx context.Context, at placement, err error) bool {
+func (j *job) homeLost(ctx context.Context, at attempt, err error) bool {
 	if ctx.Err() != nil || at.home == j.router.members.Self().Address {
 		return false
 	}
@@ -161,7 +178,7 @@
 // goOnWithoutHome goes on with a stream whose home was lost: this router
 // counts it from now on and reads the rest from the engine. A stream that the
 // engine does not know is started again.
-func (j *job) goOnWithoutHome(ctx context.Context, c candidate, at placement, lost error) (placement, error) {
+func (j *job) goOnWithoutHome(ctx context.Context, c candidate, at attempt, lost error) (attempt, error) {
 	j.lostHomes[at.home] = true
 	klog.Infof("route: request %s goes on at engine %s without home %s: %v.", j.work.RequestID, at.engine, at.home, lost)
 	if notAdmitted(lost) {
@@ -178,14 +195,14 @@
 }
 
 // sink returns the sink for the lines of one attempt.
-func (j *job) sink(at placement) endpoint.Sink {
+func (j *job) sink(at attempt) endpoint.Sink {
 	return func(line endpoint.Line) error {
 		j.leftErr = j.take(at, line)
 		return j.leftErr
 	}
 }
 
-func (j *job) take(at placement, line endpoint.Line) error {
+func (j *job) take(at attempt, line endpoint.Line) error {
 	if j.announced != at {
 		j.announced = at
 		if err := j.receiver.started(at); err != nil {
--- a/router/receiver.go
+++ b/router/receiver.go
@@ -5,7 +5,7 @@
 // receiver takes an answer in progress.
 type receiver interface {
 	// started is called before the first token of each stream's part.
-	started(placement) error
+	started(attempt) error
 	// alive is called while the answer goes on without a token.
 	alive() error
 	// token is called for each token in order.
--- a/router/receivers.go
+++ b/router/receivers.go
@@ -19,7 +19,7 @@
 	events *stream.Writer
 }
 
-func (s *streamReceiver) started(at placement) error {
+func (s *streamReceiver) started(at attempt) error {
 	if s.events == nil {
 		s.events = stream.NewWriter(s.w, milliseconds(s.router.settings.Timing.StallMS))
 	}
@@ -76,7 +76,7 @@
 	final endpoint.Final
 }
 
-func (c *wholeReceiver) started(placement) error { return nil }
+func (c *wholeReceiver) started(attempt) error { return nil }
 
 func (c *wholeReceiver) alive() error { return nil }
 
--- a/router/resumed_reader.go
+++ b/router/resumed_reader.go
@@ -28,7 +28,7 @@
 func (s *resumedReader) hand(line endpoint.Line) error {
 	if !s.begun {
 		s.begun = true
-		at := placement{engine: s.id.Engine, home: s.id.Home, streamID: s.id.StreamID}
+		at := attempt{engine: s.id.Engine, home: s.id.Home, streamID: s.id.StreamID}
 		if err := s.receiver.started(at); err != nil {
 			return err
 		}
--- a/router/router.go
+++ b/router/router.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"golang.org/x/sync/singleflight"
 
 	"cardamompoint.example/cardamompoint/balance"
 	"cardamompoint.example/cardamompoint/config"
@@ -15,6 +16,7 @@
 	"cardamompoint.example/cardamompoint/metrics"
 	"cardamompoint.example/cardamompoint/once"
 	"cardamompoint.example/cardamompoint/peer"
+	"cardamompoint.example/cardamompoint/placement"
 	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/settings"
 )
@@ -25,6 +27,7 @@
 	config   platform.Config
 	lister   platform.Lister
 	engine   endpoint.Engine
+	loads    endpoint.Engine
 	service  endpoint.Service
 	metrics  *metrics.Metrics
 
@@ -32,14 +35,26 @@
 	members *member.Table
 	ledger  *balance.Ledger
 	records *once.Table
+	clock   *once.Clock
+	window  once.Window
+	views   *once.Views
+	granter *once.Granter
 	budget  *retryBudget
 
+	admission *balance.Admission
+	estimator *balance.Estimator
+	tenure    *tenure
+	pulse     *pulse
+	polls     singleflight.Group
+
 	workerCounts *workerCounts
+	placer       *placer
 	streams      *homeStreams
 
 	control      *peer.Client
 	work         *peer.Client
 	controlBytes peer.Bytes
+	attempts     atomic.Int64
 
 	learned    atomic.Bool
 	draining   atomic.Bool
@@ -62,14 +77,19 @@
 		config:   options.Config,
 		lister:   options.Lister,
 		engine:   options.Engine,
+		loads:    options.Engine,
 		service:  options.Service,
 		metrics:  meters,
 		store:    config.NewStore(),
-		ledger:   balance.NewLedger(s.Limits),
 		records:  once.NewTable(s.Limits.Records),
 		budget:   newRetryBudget(s.Limits.RetryRatio),
 
 		workerCounts: newWorkerCounts(),
+		placer: &placer{
+			orders: options.Orderer,
+			scaler: placement.NewScaler(s.Limits.EngineTokens),
+			share:  placement.NewStoreShare(s.Limits.WeightLoadsPerMinute),
+		},
 	}
 	r.members = member.NewTable(member.Self{
 		Address:       s.Peers,
@@ -77,13 +97,27 @@
 		FailureDomain: s.FailureDomain,
 		Incarnation:   uuid.NewString(),
 	}, milliseconds(s.Timing.SuspectMS))
+	r.addAdmission(time.Now())
 	r.control = peer.NewClient(s.Secret, peer.NewTransport(&r.controlBytes))
 	r.work = peer.NewClient(s.Secret, peer.NewTransport(nil))
 	r.streams = newHomeStreams(milliseconds(s.Timing.ResumeMS), r.cancelStream)
+	r.addClearance()
 	r.addAdapters()
 	return r, r.addGauges()
 }
 
+// addAdmission makes what admits work to engines.
+func (r *Router) addAdmission(now time.Time) {
+	timing := r.settings.Timing
+	suspect := milliseconds(timing.SuspectMS)
+	lease, margin := leaseDuration(suspect), leaseMargin(suspect)
+	r.ledger = balance.NewLedger(r.settings.Limits, lease-margin)
+	r.admission = balance.NewAdmission(r.ledger, lease, margin, now)
+	r.estimator = balance.NewEstimator()
+	r.tenure = newTenure(tenureWait(suspect, milliseconds(timing.HeartbeatMS)), lease)
+	r.pulse = newPulse(now)
+}
+
 func (r *Router) addAdapters() {
 	s := r.settings
 	if r.config == nil || r.lister == nil {
@@ -92,6 +126,10 @@
 	}
 	if r.engine == nil {
 		r.engine = endpoint.NewEngineClient(peer.NewTransport(nil), milliseconds(s.Timing.ProgressMS), milliseconds(s.Timing.StallMS))
+		r.loads = endpoint.NewEngineClient(peer.NewTransport(&r.controlBytes), pollTimeout, pollTimeout)
+	}
+	if r.placer.orders == nil {
+		r.placer.orders = endpoint.NewOrdersClient(peer.NewTransport(&r.controlBytes), milliseconds(s.Timing.ProgressMS))
 	}
 	if r.service == nil {
 		r.service = endpoint.NewServiceClient(peer.NewTransport(nil))
@@ -108,6 +146,7 @@
 		{"cardamompoint.home_streams", "Streams that the router counts, held ones included.", func() int64 { return int64(r.streams.len()) }},
 		{"cardamompoint.control_bytes", "Bytes of control traffic since the start.", r.controlBytes.Total},
 		{"cardamompoint.records", "Outcomes kept for repeated keys.", func() int64 { return int64(r.records.Len()) }},
+		{"cardamompoint.yields", "Callers' own keys that this router yielded to a process.", func() int64 { return int64(r.granter.Len()) }},
 		{"cardamompoint.config_revision", "Configuration revision in force.", func() int64 { return r.store.Snapshot().Revision }},
 		{"cardamompoint.list_version", "Version of the list of VMs.", func() int64 { return r.members.View().List.Version }},
 	}
@@ -125,5 +164,10 @@
 
 // ready reports whether the balancer may send callers here.
 func (r *Router) ready() bool {
-	return r.learned.Load() && !r.draining.Load()
+	if !r.learned.Load() || r.draining.Load() {
+		return false
+	}
+	now := time.Now()
+	r.noteSpread(now)
+	return r.tenure.ready(now)
 }
--- a/router/run.go
+++ b/router/run.go
@@ -28,7 +28,7 @@
 	if err := r.listen(); err != nil {
 		return err
 	}
-	for _, task := range []func(context.Context){r.watchConfig, r.watchList, r.beat} {
+	for _, task := range r.backgroundTasks() {
 		r.tasks.Go(func() { task(background) })
 	}
 	klog.Infof("member: router %s serves callers at %s.", r.settings.Name, r.settings.Callers)
@@ -41,6 +41,20 @@
 	return r.close()
 }
 
+// backgroundTasks returns the tasks that run until the router ends.
+func (r *Router) backgroundTasks() []func(context.Context) {
+	return []func(context.Context){
+		r.watchConfig,
+		r.watchList,
+		r.beat,
+		r.askLeases,
+		r.pollLoads,
+		r.pulse.run,
+		r.place,
+		r.noteViews,
+	}
+}
+
 func (r *Router) listen() error {
 	listens := []struct {
 		address string
@@ -68,6 +82,7 @@
 func (r *Router) drain(ctx context.Context) {
 	r.draining.Store(true)
 	klog.Infof("member: router %s drains.", r.settings.Name)
+	r.releaseLease(ctx)
 	r.beatAll(ctx)
 	sleep(ctx, milliseconds(r.settings.Timing.LingerMS))
 	r.closing.Store(true)
