Refuse a request with a prefix at once when no engine admits it

Cause: a request that brought its own prefix counted as an answer that had begun, so it waited for room until its deadline without a word to its caller. It now counts as begun with its first token here. The tests in virtual time let their home take its lease and read its engine's load.

Found by TestResumeOfUnknownStreamSaysHowToGoOn, whose request waited 120 s before and is answered now.

--- a/router/job.go
+++ b/router/job.go
@@ -252,7 +252,7 @@
 	if len(j.failed) >= maxStarts || len(j.failed) == len(j.candidates) {
 		return false
 	}
-	if len(j.delivered) > 0 {
+	if j.begun {
 		return true
 	}
 	return !notAdmitted(err) && j.router.budget.take()
@@ -269,10 +269,10 @@
 	if code.Is(err, code.Canceled) {
 		return err
 	}
-	if notAdmitted(err) && len(j.delivered) == 0 {
+	if notAdmitted(err) && !j.begun {
 		return err
 	}
-	if len(j.delivered) > 0 {
+	if j.begun {
 		return code.New(code.AnswerIncomplete, "%d tokens were delivered: %v", len(j.delivered), err).After(retryBusy)
 	}
 	return code.New(code.RetryBudget, "no engine finished the request: %v", err).After(retryBusy).WithRun(code.RunPartial)
--- a/router/stream_pair_test.go
+++ b/router/stream_pair_test.go
@@ -22,6 +22,8 @@
 const (
 	pairEngine  = "10.9.1.1:7200"
 	pairCallers = "10.9.0.9:7000"
+	// pairSuspectMS is longer than a test waits between two heartbeats.
+	pairSuspectMS = 15 * 60 * 1000
 )
 
 // streamPair is an entry router, another one that is the engine's home, and the
@@ -48,9 +50,13 @@
 		p.stops = append(p.stops,
 			p.net.Serve(pairEngine, engine),
 			p.net.Serve(p.home.members.Self().Address, p.home.peersMux()),
+			p.net.Serve(p.entry.members.Self().Address, p.entry.peersMux()),
 			p.net.Serve(pairCallers, p.entry.callersMux()))
 		p.caller = &http.Client{Transport: p.transport()}
+		ctx, cancel := context.WithCancel(t.Context())
+		p.takeOffice(ctx)
 		test(p)
+		cancel()
 		for _, transport := range p.transports {
 			transport.CloseIdleConnections()
 		}
@@ -72,7 +78,7 @@
 	p.t.Helper()
 	s := settings.Defaults()
 	s.Name, s.Peers, s.Secret = address, address, []byte("0123456789abcdef")
-	s.Timing.SuspectMS = 600000
+	s.Timing.SuspectMS = int(time.Hour.Milliseconds()) / 4
 	r, err := New(Options{
 		Settings: &s,
 		Engine:   endpoint.NewEngineClient(p.transport(), milliseconds(s.Timing.ProgressMS), milliseconds(s.Timing.StallMS)),
@@ -81,6 +87,8 @@
 		p.t.Fatal(err)
 	}
 	r.work = peer.NewClient(s.Secret, p.transport())
+	r.control = r.work
+	r.loads = endpoint.NewEngineClient(p.transport(), pollTimeout, pollTimeout)
 	r.learned.Store(true)
 	return r
 }
@@ -101,6 +109,22 @@
 		r.members.SetList(list, time.Now())
 		r.store.Apply(values, 2)
 	}
+	p.hear()
+}
+
+// takeOffice waits until the home may act and lets it read the engine's load
+// until ctx ends.
+func (p *streamPair) takeOffice(ctx context.Context) {
+	go p.home.pulse.run(ctx)
+	p.home.standing(pairEngine, time.Now())
+	time.Sleep(2 * milliseconds(pairSuspectMS))
+	p.hear()
+	go p.home.pollLoads(ctx)
+	go p.home.askLeases(ctx)
+	time.Sleep(time.Second)
+}
+
+func (p *streamPair) hear() {
 	p.entry.members.Heard(member.Heartbeat{From: p.home.members.Self()}, time.Now())
 	p.home.members.Heard(member.Heartbeat{From: p.entry.members.Self()}, time.Now())
 }
--- a/router/streams_test.go
+++ b/router/streams_test.go
@@ -99,6 +99,7 @@
 		if !code.Is(err, code.StreamLost) || code.Of(err).Run != code.RunPartial {
 			p.t.Error(err)
 		}
+		p.hear()
 		completion := pairCompletion(20)
 		completion.Prefix = wantTokens(20)[:3]
 		answer = &caller.Answer{Tokens: slices.Clone(completion.Prefix)}
@@ -141,6 +142,9 @@
 		}
 		encoder.Encode(endpoint.Line{RequestID: work.RequestID, StreamID: work.StreamID, Final: &endpoint.Final{Tokens: work.MaxTokens}})
 	})
+	mux.HandleFunc("GET /v1/load", func(w http.ResponseWriter, _ *http.Request) {
+		jsonhttp.Write(w, endpoint.Load{})
+	})
 	mux.HandleFunc("DELETE /v1/streams/{stream}", func(w http.ResponseWriter, _ *http.Request) {
 		jsonhttp.Write(w, struct{}{})
 	})
