Let the demo lose an engine, send own keys and count idle control traffic

Cause: the demo's figure for control traffic was dominated by the start, and it proved nothing about a lost engine or callers' own keys. Examples unpack on a reserved loopback network, so that runs do not disturb one another.

--- a/cmd/cardamompoint/fleet_test.go
+++ b/cmd/cardamompoint/fleet_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io/fs"
 	"net"
 	"net/http"
 	"os"
@@ -20,6 +19,7 @@
 	"cardamompoint.example/cardamompoint/examples"
 	"cardamompoint.example/cardamompoint/internal/caller"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+	"cardamompoint.example/cardamompoint/internal/loopback"
 	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/settings"
 )
@@ -76,40 +76,19 @@
 // test uses at the same time.
 func reserveNet(t testing.TB) string {
 	t.Helper()
-	for second := 10; second < 250; second++ {
-		prefix := fmt.Sprintf("127.%d", (second+os.Getpid())%240+10)
-		listener, err := net.Listen("tcp", prefix+".255.1:7999")
-		if err != nil {
-			continue
-		}
-		t.Cleanup(func() { listener.Close() })
-		return prefix
+	network, err := loopback.Reserve()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no loopback network is free")
-	return ""
+	t.Cleanup(func() { network.Close() })
+	return network.Prefix
 }
 
 // unpack writes the deployment's files with the test's own network numbers.
 func (f *testFleet) unpack() {
 	f.t.Helper()
-	sub, err := fs.Sub(examples.Files, f.config.deployment)
-	f.must(err)
-	old := map[string]string{"gelek": "127.1.", "urverk": "127.2."}[f.config.deployment]
 	f.must(os.MkdirAll(f.logs, 0o755))
-	f.must(fs.WalkDir(sub, ".", func(path string, entry fs.DirEntry, err error) error {
-		if err != nil || entry.IsDir() {
-			return err
-		}
-		raw, err := fs.ReadFile(sub, path)
-		if err != nil {
-			return err
-		}
-		target := filepath.Join(f.dir, path)
-		if err := os.MkdirAll(filepath.Dir(target), 0o755); err != nil {
-			return err
-		}
-		return os.WriteFile(target, []byte(strings.ReplaceAll(string(raw), `"`+old, `"`+f.net+".")), 0o644)
-	}))
+	f.must(examples.Unpack(f.dir, f.config.deployment, f.net))
 	f.limitVMs()
 	f.loadSettings()
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -32,13 +32,12 @@
 	d := &run{fleet: f, options: options, report: &report{w: w}}
 	d.report.count("%s: %d routers, %d engines, %d service workers, all in this process",
 		options.Deployment, len(f.routers), len(f.engines), len(f.services))
-	begun := time.Now()
-	for _, step := range []func(context.Context) error{d.askChats, d.sendDeposits, d.changeTemplate} {
+	steps := []func(context.Context) error{d.askChats, d.loseEngine, d.changeTemplate, d.reportControl, d.sendDeposits}
+	for _, step := range steps {
 		if err := step(ctx); err != nil {
 			return err
 		}
 	}
-	d.reportControl(time.Since(begun))
 	if d.report.failed > 0 {
 		return eris.Errorf("%d checks failed", d.report.failed)
 	}
@@ -153,61 +152,6 @@
 	d.report.count("skew: the busiest engine had %d requests, the mean is %.1f", largest, mean)
 }
 
-// sendDeposits sends each deposit twice with one ticket, at two routers at the
-// same moment.
-func (d *run) sendDeposits(ctx context.Context) error {
-	path := depositPaths[d.options.Deployment]
-	workspace := d.workspaces()[0]
-	var failed atomic.Int64
-	var group errgroup.Group
-	group.SetLimit(parallelAsks)
-	for i := range d.options.Deposits {
-		ticket, err := d.client(i).Ticket(ctx, workspace)
-		if err != nil {
-			return err
-		}
-		for attempt := 1; attempt <= 2; attempt++ {
-			group.Go(func() error {
-				client := d.client(i + attempt)
-				defer client.Close()
-				body := map[string]string{"deposit": fmt.Sprintf("deposit-%d", i)}
-				if _, err := client.Call(ctx, workspace, "POST", path, ticket, body); err != nil {
-					failed.Add(1)
-				}
-				return nil
-			})
-		}
-	}
-	group.Wait()
-	runs, doubled := d.countBodies()
-	d.report.check(runs == d.options.Deposits && doubled == 0 && failed.Load() == 0,
-		"deposits: %d sent twice each, %d run, %d run more than once, %d without an answer",
-		d.options.Deposits, runs, doubled, failed.Load())
-	return nil
-}
-
-var depositPaths = map[string]string{
-	"gelek":  "/lanes/deposits",
-	"urverk": "/repairs/orders",
-}
-
-// countBodies returns how many bodies were run, and how many more than once.
-func (d *run) countBodies() (runs, doubled int) {
-	totals := map[string]int{}
-	for _, service := range d.fleet.services {
-		for body, count := range service.Runs().Bodies {
-			totals[body] += count
-		}
-	}
-	for _, count := range totals {
-		runs++
-		if count > 1 {
-			doubled++
-		}
-	}
-	return runs, doubled
-}
-
 // changeTemplate publishes a parameter and waits until all routers use it.
 func (d *run) changeTemplate(ctx context.Context) error {
 	workspace := d.workspaces()[0]
@@ -229,11 +173,27 @@
 	return nil
 }
 
-func (d *run) reportControl(elapsed time.Duration) {
+// controlSample is the time over which control traffic is counted.
+const controlSample = 3 * time.Second
+
+// reportControl counts the control traffic of a fleet without requests.
+func (d *run) reportControl(ctx context.Context) error {
+	before := d.controlBytes()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(controlSample):
+	}
+	bytes := float64(d.controlBytes() - before)
+	perRouter := bytes / float64(len(d.fleet.routers)) / controlSample.Seconds()
+	d.report.count("control traffic: %.0f bytes per router per second, platform and engines included", perRouter)
+	return nil
+}
+
+func (d *run) controlBytes() int64 {
 	var total int64
 	for _, r := range d.fleet.routers {
 		total += r.Status().ControlBytes
 	}
-	perRouter := float64(total) / float64(len(d.fleet.routers)) / elapsed.Seconds()
-	d.report.count("control traffic: %.0f bytes per router per second on connections it opened", perRouter)
+	return total
 }
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -3,19 +3,18 @@
 import (
 	"context"
 	"encoding/json"
-	"io/fs"
+	"net"
 	"net/http"
 	"os"
 	"path"
 	"path/filepath"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"cardamompoint.example/cardamompoint/examples"
-	"cardamompoint.example/cardamompoint/internal/daemon"
+	"cardamompoint.example/cardamompoint/internal/loopback"
 	"cardamompoint.example/cardamompoint/internal/standin"
 	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/router"
@@ -25,20 +24,24 @@
 // fleet is a running deployment.
 type fleet struct {
 	dir      string
+	network  *loopback.Network
 	settings []*settings.Router
 	platform *standin.Platform
 	routers  []*router.Router
 	engines  map[string]*standin.Engine
 	services map[string]*standin.Service
 
-	stop  context.CancelFunc
-	tasks sync.WaitGroup
+	readyAt time.Time
+	servers map[string]*http.Server
+	stop    context.CancelFunc
+	tasks   sync.WaitGroup
 }
 
 // startFleet starts all processes of a deployment inside this one.
 func startFleet(ctx context.Context, deployment string) (*fleet, error) {
-	if !slices.Contains(examples.Deployments, deployment) {
-		return nil, eris.Errorf("there is no deployment %q", deployment)
+	network, err := loopback.Reserve()
+	if err != nil {
+		return nil, err
 	}
 	dir, err := os.MkdirTemp("", "cardamompoint-demo-")
 	if err != nil {
@@ -47,9 +50,11 @@
 	ctx, stop := context.WithCancel(ctx)
 	f := &fleet{
 		dir:      dir,
+		network:  network,
 		platform: standin.NewPlatform(),
 		engines:  map[string]*standin.Engine{},
 		services: map[string]*standin.Service{},
+		servers:  map[string]*http.Server{},
 		stop:     stop,
 	}
 	if err := f.start(ctx, deployment); err != nil {
@@ -60,27 +65,19 @@
 }
 
 func (f *fleet) start(ctx context.Context, deployment string) error {
-	if err := f.unpack(deployment); err != nil {
+	if err := examples.Unpack(f.dir, deployment, f.network.Prefix); err != nil {
 		return err
 	}
 	if err := f.platform.LoadPublished(filepath.Join(f.dir, "published")); err != nil {
 		return err
 	}
-	if err := f.startStandins(ctx); err != nil {
+	if err := f.startStandins(); err != nil {
 		return err
 	}
 	return f.startRouters(ctx)
 }
 
-func (f *fleet) unpack(deployment string) error {
-	sub, err := fs.Sub(examples.Files, deployment)
-	if err != nil {
-		return eris.Wrap(err, deployment)
-	}
-	return eris.Wrap(os.CopyFS(f.dir, sub), "the settings can't be unpacked")
-}
-
-func (f *fleet) startStandins(ctx context.Context) error {
+func (f *fleet) startStandins() error {
 	raw, err := os.ReadFile(filepath.Join(f.dir, "published", "vms.json"))
 	if err != nil {
 		return eris.Wrap(err, "the list of VMs can't be read")
@@ -98,18 +95,29 @@
 				KeepStreams:   standin.DefaultKeepStreams,
 			})
 			f.engines[vm.Address] = engine
-			f.serve(ctx, vm.Address, engine.Handler())
+			err = f.serve(vm.Address, engine.Handler())
 		case platform.RoleService:
 			service := standin.NewService(standin.ServiceOptions{Delay: standin.DefaultDelay})
 			f.services[vm.Address] = service
-			f.serve(ctx, vm.Address, service.Handler())
+			err = f.serve(vm.Address, service.Handler())
+		}
+		if err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
-func (f *fleet) serve(ctx context.Context, address string, handler http.Handler) {
-	f.tasks.Go(func() { daemon.Serve(ctx, address, handler) })
+// serve starts a stand-in's server.
+func (f *fleet) serve(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrap(err, "the address can't be used")
+	}
+	server := &http.Server{Handler: handler}
+	f.servers[address] = server
+	f.tasks.Go(func() { _ = server.Serve(listener) })
+	return nil
 }
 
 func (f *fleet) startRouters(ctx context.Context) error {
@@ -123,7 +131,10 @@
 			return err
 		}
 		if i == 0 {
-			f.serve(ctx, loaded.Platform, f.platform.Handler())
+			err = f.serve(loaded.Platform, f.platform.Handler())
+		}
+		if err != nil {
+			return err
 		}
 		r, err := router.New(router.Options{Settings: loaded})
 		if err != nil {
@@ -133,7 +144,9 @@
 		f.routers = append(f.routers, r)
 		f.tasks.Go(func() { r.Run(context.Background(), ctx) })
 	}
-	return f.waitReady(ctx)
+	err = f.waitReady(ctx)
+	f.readyAt = time.Now()
+	return err
 }
 
 const (
@@ -171,6 +184,10 @@
 
 func (f *fleet) close() {
 	f.stop()
+	for _, server := range f.servers {
+		server.Close()
+	}
 	f.tasks.Wait()
+	f.network.Close()
 	os.RemoveAll(f.dir)
 }
