--- a/once/granter.go
+++ b/once/granter.go
@@ -18,12 +18,6 @@
 	yields *expiring[*yield]
 }
 
-// yield is what a Granter remembers of one key.
-type yield struct {
-	holder   Holder
-	released bool
-}
-
 // NewGranter returns a Granter of at most limit keys for the router with the
 // peer address self.
 func NewGranter(self string, window Window, clock *Clock, views *Views, limit int) *Granter {
@@ -85,35 +79,14 @@
 	return known.take(request.Holder)
 }
 
-// take yields the key to holder unless another process has it or the attempt
-// is an old one.
-func (y *yield) take(holder Holder) ClearanceAnswer {
-	if !y.holder.sameProcess(holder) {
-		if !y.released {
-			other := y.holder
-			return ClearanceAnswer{Holder: &other, Reason: "yielded to another process"}
-		}
-		y.holder, y.released = holder, false
-		return ClearanceAnswer{Granted: true}
-	}
-	if holder.Attempt < y.holder.Attempt || (holder.Attempt == y.holder.Attempt && y.released) {
-		return refuse("the attempt was given up")
-	}
-	y.holder, y.released = holder, false
-	return ClearanceAnswer{Granted: true}
-}
-
 // Release takes back what was yielded to an attempt. A later attempt of the
 // same process keeps the key.
 func (g *Granter) Release(request ReleaseRequest) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	known, ok := g.yields.get(request.Key.Name())
-	if !ok || !known.holder.sameProcess(request.Holder) || known.holder.Attempt > request.Holder.Attempt {
-		return
+	if known, ok := g.yields.get(request.Key.Name()); ok {
+		known.release(request.Holder)
 	}
-	known.holder = request.Holder
-	known.released = true
 }
 
 // Holder returns the process that the key is yielded to, or nil.
