--- a/internal/seal/seal.go
+++ b/internal/seal/seal.go
@@ -26,7 +26,7 @@
 		panic(err)
 	}
 	body := base64.RawURLEncoding.EncodeToString(raw)
-	return body + "." + base64.RawURLEncoding.EncodeToString(mac(secret, purpose, body))
+	return body + "." + checksum(secret, purpose, body)
 }
 
 // Open checks text for purpose and decodes its payload into out.
@@ -38,11 +38,7 @@
 	if !found {
 		return eris.New("the text has no checksum")
 	}
-	given, err := base64.RawURLEncoding.DecodeString(sum)
-	if err != nil {
-		return eris.Wrap(err, "the checksum can't be decoded")
-	}
-	if !hmac.Equal(given, mac(secret, purpose, body)) {
+	if !hmac.Equal([]byte(sum), []byte(checksum(secret, purpose, body))) {
 		return eris.New("the checksum does not match")
 	}
 	raw, err := base64.RawURLEncoding.DecodeString(body)
@@ -52,10 +48,11 @@
 	return eris.Wrap(json.Unmarshal(raw, out), "the payload can't be decoded")
 }
 
-func mac(secret []byte, purpose, body string) []byte {
+// checksum returns the only text that Open takes as the checksum of body.
+func checksum(secret []byte, purpose, body string) string {
 	sum := hmac.New(sha256.New, secret)
 	sum.Write([]byte(purpose))
 	sum.Write([]byte{0})
 	sum.Write([]byte(body))
-	return sum.Sum(nil)[:macBytes]
+	return base64.RawURLEncoding.EncodeToString(sum.Sum(nil)[:macBytes])
 }
--- /dev/null
+++ b/stream/fuzz_test.go
@@ -0,0 +1,32 @@
+package stream
+
+import "testing"
+
+var fuzzSecret = []byte("0123456789abcdef")
+
+func FuzzID(f *testing.F) {
+	for _, seed := range []string{ID{RequestID: "r", StreamID: "s", Workspace: "w", Engine: "e"}.Seal(fuzzSecret), "", ".", "e30.e30"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		id, err := OpenID(fuzzSecret, text)
+		if err == nil && id.Seal(fuzzSecret) != text {
+			t.Errorf("%q is accepted and is not what was sealed", text)
+		}
+	})
+}
+
+func FuzzHint(f *testing.F) {
+	for _, seed := range []string{Hint{Workspace: "w", Chat: "c", Engine: "e"}.Seal(fuzzSecret), "", ".", "e30.e30"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		engine := OpenHint(fuzzSecret, text, "w", "c")
+		if engine != "" && (Hint{Workspace: "w", Chat: "c", Engine: engine}).Seal(fuzzSecret) != text {
+			t.Errorf("%q is accepted and is not what was sealed", text)
+		}
+		if OpenHint(fuzzSecret, text, "w", "other") != "" {
+			t.Errorf("%q names an engine for another chat", text)
+		}
+	})
+}
