--- a/cmd/cardamompoint/standin.go
+++ b/cmd/cardamompoint/standin.go
@@ -85,9 +85,10 @@
 		Flags: []cli.Flag{
 			listenFlag(),
 			&cli.DurationFlag{Name: "delay", Usage: "the time that a call takes", Value: standin.DefaultDelay},
+			&cli.BoolFlag{Name: "fencing", Usage: "refuse calls with an old fencing number"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			service := standin.NewService(standin.ServiceOptions{Delay: c.Duration("delay")})
+			service := standin.NewService(standin.ServiceOptions{Delay: c.Duration("delay"), Fencing: c.Bool("fencing")})
 			return serveUntilSignal(ctx, c, service.Handler())
 		},
 	}
--- a/endpoint/call.go
+++ b/endpoint/call.go
@@ -14,6 +14,9 @@
 	Body []byte `json:"body,omitempty"`
 	// ContentType is the body's type.
 	ContentType string `json:"content_type,omitempty"`
+	// Fence is the fencing number of the call's work, in milliseconds since
+	// 1970; 0 means none. Services may ignore it.
+	Fence int64 `json:"fence,omitempty"`
 }
 
 // Answer is a plain service's answer.
--- a/endpoint/service_client.go
+++ b/endpoint/service_client.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
@@ -15,6 +16,12 @@
 const (
 	RequestHeader   = "X-Request-Id"
 	WorkspaceHeader = "X-Workspace"
+	// FenceHeader carries the fencing number of work that may not be repeated.
+	// A service may refuse a number that is lower than one that it has seen for
+	// the same work.
+	FenceHeader = "X-Fencing-Number"
+	// KeyDigestHeader identifies the work that the fencing number belongs to.
+	KeyDigestHeader = "X-Work-Digest"
 )
 
 const maxAnswerBytes = 16 << 20
@@ -46,6 +53,10 @@
 	request.GetBody = nil
 	request.Header.Set(RequestHeader, call.RequestID)
 	request.Header.Set(WorkspaceHeader, call.Workspace)
+	if call.Fence > 0 {
+		request.Header.Set(FenceHeader, strconv.FormatInt(call.Fence, 10))
+		request.Header.Set(KeyDigestHeader, call.Digest())
+	}
 	if call.ContentType != "" {
 		request.Header.Set("Content-Type", call.ContentType)
 	}
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -14,6 +15,9 @@
 type ServiceOptions struct {
 	// Delay is the time that a call takes.
 	Delay time.Duration
+	// Fencing refuses calls with a lower fencing number than one seen for the
+	// same work.
+	Fencing bool
 }
 
 // Service stands in for a plain service. It counts every run and detects no
@@ -24,12 +28,13 @@
 	mu       sync.Mutex
 	runs     map[string]int
 	bodies   map[string]int
+	fences   map[string]int64
 	requests int
 }
 
 // NewService returns a Service.
 func NewService(options ServiceOptions) *Service {
-	return &Service{options: options, runs: map[string]int{}, bodies: map[string]int{}}
+	return &Service{options: options, runs: map[string]int{}, bodies: map[string]int{}, fences: map[string]int64{}}
 }
 
 // ServiceAnswer is the body of a Service's answers.
@@ -88,6 +93,11 @@
 		return
 	}
 	requestID := r.Header.Get(endpoint.RequestHeader)
+	if s.options.Fencing && !s.admitFence(r.Header) {
+		w.Header().Set(endpoint.RequestHeader, requestID)
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
 	run := s.count(r.Method, requestID, string(body))
 	time.Sleep(s.options.Delay)
 	s.mu.Lock()
@@ -102,6 +112,23 @@
 	})
 }
 
+// admitFence reports whether the call's fencing number is no lower than those
+// seen for the same work.
+func (s *Service) admitFence(header http.Header) bool {
+	fence, _ := strconv.ParseInt(header.Get(endpoint.FenceHeader), 10, 64)
+	work := header.Get(endpoint.KeyDigestHeader)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if work == "" {
+		return true
+	}
+	if fence < s.fences[work] {
+		return false
+	}
+	s.fences[work] = fence
+	return true
+}
+
 func (s *Service) count(method, requestID, body string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/router/execute.go
+++ b/router/execute.go
@@ -115,6 +115,7 @@
 // proved that no byte was sent. check is asked directly before each send, since
 // the process may have slept; its error ends the work, which then never runs.
 func (r *Router) runCall(ctx context.Context, service string, call endpoint.Call, check func() error) once.Outcome {
+	call.Fence = time.Now().UnixMilli()
 	last := noWorker(service)
 	for _, worker := range r.workers(r.members.View(), service, call.RequestID) {
 		if err := check(); err != nil {
