--- a/balance/class.go
+++ b/balance/class.go
@@ -9,6 +9,9 @@
 	longCeiling = 0.75
 	chatCeiling = 0.9
 	tagCeiling  = 1.0
+	// tagReserve is the part of the caps in which a workspace's tags have a fair
+	// part of their own, whatever else the workspace runs.
+	tagReserve = tagCeiling - chatCeiling
 )
 
 // lendingCeiling is the part of an engine's caps up to which a workspace may
--- a/balance/ledger.go
+++ b/balance/ledger.go
@@ -7,6 +7,7 @@
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/endpoint"
 	"cardamompoint.example/cardamompoint/settings"
+	"cardamompoint.example/cardamompoint/template"
 )
 
 // When a caller may come back, if an engine is full.
@@ -78,6 +79,14 @@
 	return nil, first
 }
 
+// Adopt counts work that an engine runs already, since another router admitted
+// it. It is not refused.
+func (l *Ledger) Adopt(request Request, now time.Time) *Reservation {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.hold(l.engine(request.Engine), request, now)
+}
+
 func (l *Ledger) hold(count *engineCount, request Request, now time.Time) *Reservation {
 	reservation := &Reservation{ledger: l, request: request, made: now, left: request.Tokens}
 	count.reservations[reservation] = struct{}{}
@@ -146,18 +155,38 @@
 		return code.New(code.EndpointFull, "%.2f of the engine is used, %s work is admitted to %.2f",
 			used, request.Priority, ceiling).After(l.retryAfter())
 	}
-	own, has := count.byWorkspace[request.Workspace]
-	if used <= lendingCeiling || !has {
+	if _, has := count.byWorkspace[request.Workspace]; used <= lendingCeiling || !has {
 		return nil
 	}
-	part, fair := limits.part(own.plus(added)), l.shares.part(request.Workspace)
-	if part > fair {
-		return code.New(code.WorkspaceShare, "the workspace would use %.2f of the engine, its part is %.2f",
+	after := l.workspaceLoad(request.Workspace, false).plus(added)
+	part, fair := limits.part(after)/float64(len(l.engines)), l.shares.part(request.Workspace)
+	if part > fair && !l.tagReserved(request, limits, fair) {
+		return code.New(code.WorkspaceShare, "the workspace would use %.2f of the engines, its part is %.2f",
 			part, fair).After(l.retryAfter())
 	}
 	return nil
 }
 
+// workspaceLoad returns the workspace's load at all engines here, or that of
+// its tags alone. Single engines say little, since one long request may take a
+// workspace's part there.
+func (l *Ledger) workspaceLoad(workspace string, tags bool) (sum ModelLoad) {
+	for _, count := range l.engines {
+		sum = sum.plus(count.of(workspace, tags))
+	}
+	return sum
+}
+
+// tagReserved reports whether request is a tag within the workspace's part of
+// the room for tags, which is at least one tag.
+func (l *Ledger) tagReserved(request Request, limits engineLimits, fair float64) bool {
+	if request.Priority != template.PriorityTag {
+		return false
+	}
+	tags := l.workspaceLoad(request.Workspace, true)
+	return tags.Requests == 0 || limits.part(tags)/float64(len(l.engines)) < fair*tagReserve
+}
+
 func (l *Ledger) checkMean(tokens int, request Request) error {
 	if tokens <= l.limits.EngineFloorTokens {
 		return nil
--- a/cmd/cardamompoint/standin.go
+++ b/cmd/cardamompoint/standin.go
@@ -61,6 +61,8 @@
 			&cli.IntFlag{Name: "cache-tokens", Usage: "the size of the prefix cache, in tokens", Value: standin.DefaultCacheTokens},
 			&cli.DurationFlag{Name: "keep-streams", Usage: "how long an ended stream can be resumed", Value: standin.DefaultKeepStreams},
 			&cli.BoolFlag{Name: "check-fence", Usage: "refuse orders with an old fencing number"},
+			&cli.DurationFlag{Name: "keep-alive", Usage: "the time between two empty lines while no token is made", Value: standin.DefaultKeepAlive},
+			&cli.DurationFlag{Name: "first-token", Usage: "the time until the first token"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			engine := standin.NewEngine(standin.EngineOptions{
@@ -68,6 +70,8 @@
 				CacheTokens:   c.Int("cache-tokens"),
 				KeepStreams:   c.Duration("keep-streams"),
 				CheckFence:    c.Bool("check-fence"),
+				KeepAlive:     c.Duration("keep-alive"),
+				FirstToken:    c.Duration("first-token"),
 			})
 			return serveUntilSignal(ctx, c, engine.Handler())
 		},
--- a/code/code.go
+++ b/code/code.go
@@ -34,6 +34,8 @@
 	Canceled         Code = 306
 	ClearanceMissing Code = 307
 	NotSent          Code = 308
+	KeyFromFuture    Code = 309
+	StreamLost       Code = 310
 
 	PeerRejected     Code = 401
 	NotHome          Code = 402
--- a/router/route.go
+++ b/router/route.go
@@ -25,6 +25,8 @@
 type candidate struct {
 	vm     platform.VM
 	reason string
+	// last tells that no candidate has room below the load multiple.
+	last bool
 }
 
 // chooseModel returns the model that the template gives the chat. The choice
@@ -65,10 +67,10 @@
 	for _, index := range order {
 		vm := engines[index]
 		if vm.Address == hinted {
-			ranked = append([]candidate{{vm, reasonHint}}, ranked...)
+			ranked = append([]candidate{{vm: vm, reason: reasonHint}}, ranked...)
 			continue
 		}
-		ranked = append(ranked, candidate{vm, reasonRanked})
+		ranked = append(ranked, candidate{vm: vm, reason: reasonRanked})
 	}
 	return ranked, nil
 }
--- a/router/router.go
+++ b/router/router.go
@@ -35,6 +35,10 @@
 	members *member.Table
 	ledger  *balance.Ledger
 	records *once.Table
+	clock   *once.Clock
+	window  once.Window
+	views   *once.Views
+	granter *once.Granter
 	budget  *retryBudget
 
 	admission *balance.Admission
@@ -45,15 +49,18 @@
 
 	workerCounts *workerCounts
 	placer       *placer
+	streams      *homeStreams
 
 	control      *peer.Client
 	work         *peer.Client
 	controlBytes peer.Bytes
+	attempts     atomic.Int64
 
 	learned    atomic.Bool
 	draining   atomic.Bool
 	closing    atomic.Bool
 	inProgress atomic.Int64
+	peerWork   atomic.Int64
 	tasks      sync.WaitGroup
 	servers    []*http.Server
 }
@@ -93,6 +100,8 @@
 	r.addAdmission(time.Now())
 	r.control = peer.NewClient(s.Secret, peer.NewTransport(&r.controlBytes))
 	r.work = peer.NewClient(s.Secret, peer.NewTransport(nil))
+	r.streams = newHomeStreams(milliseconds(s.Timing.ResumeMS), r.cancelStream)
+	r.addClearance()
 	r.addAdapters()
 	return r, r.addGauges()
 }
@@ -116,8 +125,8 @@
 		r.config, r.lister = client, client
 	}
 	if r.engine == nil {
-		r.engine = endpoint.NewEngineClient(peer.NewTransport(nil), milliseconds(s.Timing.ProgressMS))
-		r.loads = endpoint.NewEngineClient(peer.NewTransport(&r.controlBytes), pollTimeout)
+		r.engine = endpoint.NewEngineClient(peer.NewTransport(nil), milliseconds(s.Timing.ProgressMS), milliseconds(s.Timing.StallMS))
+		r.loads = endpoint.NewEngineClient(peer.NewTransport(&r.controlBytes), pollTimeout, pollTimeout)
 	}
 	if r.placer.orders == nil {
 		r.placer.orders = endpoint.NewOrdersClient(peer.NewTransport(&r.controlBytes), milliseconds(s.Timing.ProgressMS))
@@ -133,8 +142,11 @@
 		read       func() int64
 	}{
 		{"cardamompoint.in_progress", "Requests of callers in progress.", r.inProgress.Load},
+		{"cardamompoint.peer_work", "Requests of other routers in progress.", r.peerWork.Load},
+		{"cardamompoint.home_streams", "Streams that the router counts, held ones included.", func() int64 { return int64(r.streams.len()) }},
 		{"cardamompoint.control_bytes", "Bytes of control traffic since the start.", r.controlBytes.Total},
 		{"cardamompoint.records", "Outcomes kept for repeated keys.", func() int64 { return int64(r.records.Len()) }},
+		{"cardamompoint.yields", "Callers' own keys that this router yielded to a process.", func() int64 { return int64(r.granter.Len()) }},
 		{"cardamompoint.config_revision", "Configuration revision in force.", func() int64 { return r.store.Snapshot().Revision }},
 		{"cardamompoint.list_version", "Version of the list of VMs.", func() int64 { return r.members.View().List.Version }},
 	}
