--- a/balance/engine_count.go
+++ b/balance/engine_count.go
@@ -36,6 +36,11 @@
 	return c.byWorkspace[workspace]
 }
 
+// reported reports whether a load report of the engine is known.
+func (c *engineCount) reported() bool {
+	return len(c.reports.samples) > 0
+}
+
 // add changes the counts of one request's model and workspace. Entries that
 // fall to no request are dropped.
 func (c *engineCount) add(request Request, change ModelLoad) {
--- a/balance/ledger.go
+++ b/balance/ledger.go
@@ -139,13 +139,24 @@
 		return count.start.part(now)
 	}
 	for _, other := range l.engines {
-		if !other.start.down {
+		if other.reported() && !other.start.down {
 			return count.start.part(now)
 		}
 	}
 	return 1
 }
 
+// reporting returns the number of engines whose load reports are read.
+func (l *Ledger) reporting() int {
+	number := 0
+	for _, count := range l.engines {
+		if count.reported() {
+			number++
+		}
+	}
+	return max(1, number)
+}
+
 // checkShare keeps room for more urgent classes and for workspaces that use
 // less than their fair part.
 func (l *Ledger) checkShare(count *engineCount, request Request, limits engineLimits, open room) error {
@@ -159,7 +170,7 @@
 		return nil
 	}
 	after := l.workspaceLoad(request.Workspace, false).plus(added)
-	part, fair := limits.part(after)/float64(len(l.engines)), l.shares.part(request.Workspace)
+	part, fair := limits.part(after)/float64(l.reporting()), l.shares.part(request.Workspace)
 	if part > fair && !l.tagReserved(request, limits, fair) {
 		return code.New(code.WorkspaceShare, "the workspace would use %.2f of the engines, its part is %.2f",
 			part, fair).After(l.retryAfter())
@@ -184,7 +195,7 @@
 		return false
 	}
 	tags := l.workspaceLoad(request.Workspace, true)
-	return tags.Requests == 0 || limits.part(tags)/float64(len(l.engines)) < fair*tagReserve
+	return tags.Requests == 0 || limits.part(tags)/float64(l.reporting()) < fair*tagReserve
 }
 
 func (l *Ledger) checkMean(tokens int, request Request) error {
--- a/router/route.go
+++ b/router/route.go
@@ -25,8 +25,6 @@
 type candidate struct {
 	vm     platform.VM
 	reason string
-	// last tells that no candidate has room below the load multiple.
-	last bool
 }
 
 // chooseModel returns the model that the template gives the chat. The choice
