--- a/balance/engine_count.go
+++ b/balance/engine_count.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"cardamompoint.example/cardamompoint/template"
+)
 
 // engineCount is what a router counts of one engine. The ledger's lock guards
 // it.
@@ -8,6 +12,7 @@
 	load         ModelLoad
 	byModel      map[string]ModelLoad
 	byWorkspace  map[string]ModelLoad
+	tags         map[string]ModelLoad
 	reservations map[*Reservation]struct{}
 
 	reports reports
@@ -18,16 +23,33 @@
 	return &engineCount{
 		byModel:      map[string]ModelLoad{},
 		byWorkspace:  map[string]ModelLoad{},
+		tags:         map[string]ModelLoad{},
 		reservations: map[*Reservation]struct{}{},
 	}
 }
 
+// of returns the workspace's load, or that of its tags alone.
+func (c *engineCount) of(workspace string, tags bool) ModelLoad {
+	if tags {
+		return c.tags[workspace]
+	}
+	return c.byWorkspace[workspace]
+}
+
+// reported reports whether a load report of the engine is known.
+func (c *engineCount) reported() bool {
+	return len(c.reports.samples) > 0
+}
+
 // add changes the counts of one request's model and workspace. Entries that
 // fall to no request are dropped.
 func (c *engineCount) add(request Request, change ModelLoad) {
 	c.load = c.load.plus(change)
 	addTo(c.byModel, request.Model, change)
 	addTo(c.byWorkspace, request.Workspace, change)
+	if request.Priority == template.PriorityTag {
+		addTo(c.tags, request.Workspace, change)
+	}
 }
 
 func addTo(loads map[string]ModelLoad, key string, change ModelLoad) {
--- a/router/home_stream.go
+++ b/router/home_stream.go
@@ -12,8 +12,7 @@
 type homeStream struct {
 	streamKey
 
-	// reservation is the room held at the engine; nil if it had none left for a
-	// stream that another router had admitted.
+	// reservation is the room held at the engine.
 	reservation *balance.Reservation
 	// reader numbers the relays, the newest one last.
 	reader int
--- a/router/loads.go
+++ b/router/loads.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -64,6 +65,7 @@
 	now, view := time.Now(), r.members.View()
 	poller.update(r, view, now)
 	engines := poller.managed(r.members, now)
+	r.ledger.Keep(func(engine string) bool { return slices.Contains(engines, engine) })
 	if len(engines) == 0 {
 		return
 	}
@@ -89,17 +91,16 @@
 			continue
 		}
 		listed[vm.Address] = true
-		if !first && !p.listed[vm.Address] {
+		role, home := set.roleOf(self, vm.Address)
+		if !first && !p.listed[vm.Address] && role != balance.RoleNone {
 			klog.Infof("place: engine %s is new and starts slowly.", vm.Address)
 			r.ledger.Appeared(vm.Address, now)
 		}
-		role, home := set.roleOf(self, vm.Address)
 		if role != balance.RoleNone && vm.State == platform.StateLive {
 			p.duties = append(p.duties, duty{engine: vm.Address, home: home, role: role})
 		}
 	}
 	p.version, p.listed = view.List.Version, listed
-	r.ledger.Keep(func(engine string) bool { return listed[engine] })
 }
 
 // managed returns the engines that this router admits work to at now: those
