--- a/router/route.go
+++ b/router/route.go
@@ -65,10 +65,10 @@
 	for _, index := range order {
 		vm := engines[index]
 		if vm.Address == hinted {
-			ranked = append([]candidate{{vm, reasonHint}}, ranked...)
+			ranked = append([]candidate{{vm: vm, reason: reasonHint}}, ranked...)
 			continue
 		}
-		ranked = append(ranked, candidate{vm, reasonRanked})
+		ranked = append(ranked, candidate{vm: vm, reason: reasonRanked})
 	}
 	return ranked, nil
 }
