--- a/cmd/cardamompoint/once_test.go
+++ b/cmd/cardamompoint/once_test.go
@@ -12,7 +12,7 @@
 )
 
 // startOnceFleet starts eight routers with short timeouts and three workers.
-func startOnceFleet(t *testing.T, workerFlags ...string) *testFleet {
+func startOnceFleet(t testing.TB, workerFlags ...string) *testFleet {
 	f := startFleet(t, fleetConfig{
 		deployment:  "gelek",
 		engines:     1,
--- a/router/ask_router.go
+++ b/router/ask_router.go
@@ -45,6 +45,17 @@
 	}
 }
 
+// answerShare is the part of the time left, one in so many, that a router keeps
+// for itself when it asks another, so that it hears why there is no answer yet.
+const answerShare = 10
+
+// answerWithinMS returns how long a router that is asked may take, in
+// milliseconds.
+func answerWithinMS(ctx context.Context) int64 {
+	left := timeLeft(ctx)
+	return (left - left/answerShare).Milliseconds()
+}
+
 // cutOff reports whether a router failed on the way rather than answered, so
 // that it may or may not have got the message.
 func cutOff(err error) bool {
--- a/router/execute.go
+++ b/router/execute.go
@@ -45,7 +45,7 @@
 func (r *Router) sendExecution(ctx context.Context, order execution) (once.Outcome, error) {
 	executor := order.Ticket.Executor
 	klog.Infof("exec: request %s goes to executor %s.", order.Call.RequestID, executor)
-	order.DeadlineMS = timeLeft(ctx).Milliseconds()
+	order.DeadlineMS = answerWithinMS(ctx)
 	return askExecutor(ctx, r, executor, executePath, order, r.serveExecute)
 }
 
@@ -142,7 +142,7 @@
 
 // askTicketOutcome asks the executor of a ticket for what it recorded.
 func (r *Router) askTicketOutcome(ctx context.Context, ticket once.Ticket, revoke bool) (once.Outcome, error) {
-	question := inquiry{Ticket: ticket, Revoke: revoke, DeadlineMS: timeLeft(ctx).Milliseconds()}
+	question := inquiry{Ticket: ticket, Revoke: revoke, DeadlineMS: answerWithinMS(ctx)}
 	return askExecutor(ctx, r, ticket.Executor, outcomePath, question, r.serveInquiry)
 }
 
--- a/router/own_key.go
+++ b/router/own_key.go
@@ -107,7 +107,7 @@
 func (r *Router) sendOwnExecution(ctx context.Context, executor string, order ownExecution) (once.Outcome, error) {
 	ctx, cancel := r.whileReachable(ctx, executor)
 	defer cancel()
-	order.DeadlineMS = timeLeft(ctx).Milliseconds()
+	order.DeadlineMS = answerWithinMS(ctx)
 	return askRouter(ctx, r, executor, ownExecutePath, order, r.serveOwnExecute)
 }
 
--- a/router/own_outcome.go
+++ b/router/own_outcome.go
@@ -28,7 +28,7 @@
 	if holder == nil {
 		return once.Outcome{}, code.New(code.UnknownRequest, "no router that answers knows the key")
 	}
-	question := ownInquiry{Key: key, DeadlineMS: timeLeft(ctx).Milliseconds()}
+	question := ownInquiry{Key: key, DeadlineMS: answerWithinMS(ctx)}
 	return askExecutor(ctx, r, holder.Address, ownOutcomePath, question, r.serveOwnOutcome)
 }
 
