--- /dev/null
+++ b/once/cost_test.go
@@ -0,0 +1,69 @@
+package once
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// The stated sizes that the costs are worked out for.
+const (
+	fleetRouters     = 340
+	fleetRequests    = 13_000
+	onceShare        = 0.05
+	controlMemory    = 64 << 20
+	controlBandwidth = 13 << 10
+)
+
+// keysPerRouter is the rate of work that may not be repeated at one router, a
+// second.
+const keysPerRouter = fleetRequests * onceShare / fleetRouters
+
+func TestMemoryOfYieldsAtTheTargetSize(t *testing.T) {
+	yields := int(keysPerRouter * GroupSize * testLength.Seconds())
+	g := newTestGranter(yields)
+	g.pass(wellBefore)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for i := range yields {
+		key := g.key(0)
+		key.ID = fmt.Sprintf("0198a2f0-7c00-7000-8000-%012d", i)
+		if answer := g.Ask(clearanceFor(key, "10.0.0.2:7001", 1, eight)); !answer.Granted {
+			t.Fatal(answer.Reason)
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	used := after.HeapAlloc - before.HeapAlloc
+	t.Logf("%d yields take %d bytes, %d each", yields, used, used/uint64(yields))
+	if used > controlMemory {
+		t.Errorf("%d bytes are more than the %d that control may use", used, controlMemory)
+	}
+	runtime.KeepAlive(g)
+}
+
+func TestBytesOfAClearance(t *testing.T) {
+	key := OwnKey{Workspace: "outlet-klang", ID: "0198a2f0-7c00-7000-8000-000000000001", IssuedMS: time.Now().UnixMilli()}
+	var group []string
+	for i := range GroupSize {
+		group = append(group, fmt.Sprintf("10.20.%d.%d:7001", 100+i, 200+i))
+	}
+	request, err := json.Marshal(ClearanceRequest{Key: key, Holder: Holder{Address: group[0], Incarnation: key.ID, Attempt: 12345}, Group: group})
+	if err != nil {
+		t.Fatal(err)
+	}
+	answer, err := json.Marshal(ClearanceAnswer{Granted: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	bodies := (len(request) + len(answer)) * (GroupSize - 1)
+	t.Logf("request %d bytes, answer %d bytes; bodies of one round %d bytes, sent and received", len(request), len(answer), bodies)
+	rate := 2 * float64(bodies) * keysPerRouter
+	t.Logf("%.0f bytes/s of bodies at one router when all such work uses own keys", rate)
+	if rate > controlBandwidth {
+		t.Errorf("%.0f bytes/s are more than the %d that control may use", rate, controlBandwidth)
+	}
+}
