--- a/balance/ledger_test.go
+++ b/balance/ledger_test.go
@@ -125,6 +125,9 @@
 	if _, err := e.reserve("other", template.PriorityChat, 1); !code.Is(err, code.EndpointFull) {
 		t.Fatalf("a full engine admits a chat request: %v", err)
 	}
+	if _, err := e.reserve("flooding", template.PriorityTag, 1); err != nil {
+		t.Errorf("the first tag of a workspace above its part is refused with %v", err)
+	}
 	_, err := e.reserve("flooding", template.PriorityTag, 1)
 	if !code.Is(err, code.WorkspaceShare) || code.Of(err).RetryAfterMS == 0 {
 		t.Errorf("a workspace above its part is refused with %v", err)
--- a/router/admission.go
+++ b/router/admission.go
@@ -59,13 +59,19 @@
 	return r.engine.Generate(ctx, order.Engine, order.Work, sink)
 }
 
-// countTokens returns a sink that gives the room of delivered tokens back and
-// learns the lengths of answers.
-func (r *Router) countTokens(reservation *balance.Reservation, work endpoint.Work, sink endpoint.Sink) endpoint.Sink {
+// countTokens returns a sink that gives the room of delivered tokens back.
+func countTokens(reservation *balance.Reservation, sink endpoint.Sink) endpoint.Sink {
 	return func(line endpoint.Line) error {
 		if line.Text != "" {
 			reservation.Token()
 		}
+		return sink(line)
+	}
+}
+
+// learnLength returns a sink that learns how long the answer to work is.
+func (r *Router) learnLength(work endpoint.Work, sink endpoint.Sink) endpoint.Sink {
+	return func(line endpoint.Line) error {
 		if line.Final != nil {
 			r.estimator.Learn(work.Workspace, work.Priority, line.Final.Tokens)
 		}
