--- a/balance/ledger_test.go
+++ b/balance/ledger_test.go
@@ -244,6 +244,19 @@
 	}
 }
 
+func TestAdoptedWorkIsCounted(t *testing.T) {
+	e := newTestEngine(t, hardLimits)
+	e.fill("w", template.PriorityTag)
+	adopted := e.ledger.Adopt(Request{Engine: engineName, Model: "m", Workspace: "w", Tokens: 3}, e.now)
+	if requests, _ := e.ledger.Load(engineName); requests != hardLimits.EngineRequests+1 {
+		t.Errorf("%d requests are counted", requests)
+	}
+	adopted.Release()
+	if requests, _ := e.ledger.Load(engineName); requests != hardLimits.EngineRequests {
+		t.Errorf("%d requests are counted after the release", requests)
+	}
+}
+
 func TestEstimatorLearnsByWorkspaceAndClass(t *testing.T) {
 	estimator := NewEstimator()
 	for range 50 {
--- a/router/halves_test.go
+++ b/router/halves_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +13,8 @@
 	"testing/synctest"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"cardamompoint.example/cardamompoint/api"
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/endpoint"
@@ -102,7 +105,15 @@
 
 func routerAddress(i int) string { return fmt.Sprintf("127.0.0.%d:7001", i+1) }
 
+// quiet keeps the lines of a flood out of the test's output.
+func quiet(t *testing.T) {
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard)
+	t.Cleanup(func() { klog.LogToStderr(true) })
+}
+
 func newHalves(t *testing.T) *halves {
+	quiet(t)
 	f := &halves{engine: &countingEngine{counts: map[string]int{}}}
 	for i := range halvesRouters {
 		s := settings.Defaults()
--- /dev/null
+++ b/router/loads_test.go
@@ -0,0 +1,98 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/platform"
+)
+
+// askedEngine counts the load reports that are asked of each engine.
+type askedEngine struct {
+	endpoint.Engine
+
+	mu    sync.Mutex
+	asked map[string]int
+	load  endpoint.Load
+	err   error
+}
+
+func (e *askedEngine) Load(_ context.Context, address string) (endpoint.Load, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.asked[address]++
+	return e.load, e.err
+}
+
+// aloneWith returns a router that is the home of all engines.
+func aloneWith(t *testing.T, engines int) (*Router, *askedEngine) {
+	r, engine := newHalves(t).routers[0], &askedEngine{asked: map[string]int{}}
+	r.loads = engine
+	list := platform.VMs{Version: 2}
+	list.VMs = append(list.VMs, platform.VM{Address: routerAddress(0), Role: platform.RoleRouter, State: platform.StateLive})
+	for i := range engines {
+		address := fmt.Sprint("engine-", i)
+		list.VMs = append(list.VMs, platform.VM{Address: address, Role: platform.RoleEngine, Group: "engines", State: platform.StateLive})
+	}
+	r.members.SetList(list, time.Now())
+	r.noteSpread(time.Now())
+	return r, engine
+}
+
+func TestReportsAreReadInTurn(t *testing.T) {
+	const engines, rounds = 35, 35
+	r, engine := aloneWith(t, engines)
+	poller := &loadPoller{}
+	for round := 1; round <= rounds; round++ {
+		r.pollRound(t.Context(), poller)
+		sum := 0
+		for _, asked := range engine.asked {
+			sum += asked
+		}
+		if sum > round*pollsPerPeriod {
+			t.Fatalf("%d reports are read in %d rounds", sum, round)
+		}
+	}
+	for address, asked := range engine.asked {
+		if asked != rounds*pollsPerPeriod/engines {
+			t.Errorf("the report of %s is read %d times", address, asked)
+		}
+	}
+	if len(engine.asked) != engines {
+		t.Errorf("the reports of %d engines are read", len(engine.asked))
+	}
+}
+
+func TestLeavingEngineGetsNoNewWork(t *testing.T) {
+	r, engine := aloneWith(t, 1)
+	order := workOrder{Engine: "engine-0", Work: endpoint.Work{Model: "m", Workspace: "w", MaxTokens: 1}}
+	if _, err := r.admitWork(order); err != nil {
+		t.Fatal(err)
+	}
+	engine.load = endpoint.Load{Leaving: true}
+	r.pollRound(t.Context(), &loadPoller{})
+	if _, err := r.admitWork(order); !code.Is(err, code.EndpointLeaving) {
+		t.Errorf("an engine that reports that it leaves is given work: %v", err)
+	}
+}
+
+func TestSilentEngineIsNotWaitedFor(t *testing.T) {
+	r, engine := aloneWith(t, 1)
+	order := workOrder{Engine: "engine-0", Work: endpoint.Work{Model: "m", Workspace: "w", MaxTokens: 1}}
+	engine.err = code.New(code.EndpointFault, "no report")
+	for range 10 {
+		if _, err := r.admitWork(order); !code.Is(err, code.ViewStale) {
+			t.Fatalf("an engine without a report is given work: %v", err)
+		}
+	}
+	if asked := slices.Collect(maps.Values(engine.asked)); len(asked) != 1 || asked[0] > 3 {
+		t.Errorf("an engine that does not answer is asked %v times", asked)
+	}
+}
