Decide on prepared rankings kept with the view of the fleet

Cause: each request built and hashed a node for each engine of the group, and for each router when it looked for an engine's home.

The view now prepares its groups and routers once for each list. A request takes its first 16 engines, as many as it may ask or lose in mid-answer; the home is looked for among the first four routers before the whole order is made. Ruled out: a cache in the router keyed by the view, which would have to be dropped by hand with each new list.

Tests: replaced routers move no chat; a hint that is stale or names another group or a router is ignored.

--- a/member/view.go
+++ b/member/view.go
@@ -17,6 +17,7 @@
 
 	groups map[string][]platform.VM
 	byAddr map[string]platform.VM
+	ranked rankings
 }
 
 func newView(list platform.VMs, readAt time.Time, self Self) *View {
@@ -45,6 +46,7 @@
 			State:         platform.StateLive,
 		})
 	}
+	view.ranked = newRankings(view.groups, view.Routers)
 	return view
 }
 
--- a/router/route.go
+++ b/router/route.go
@@ -45,52 +45,67 @@
 	if len(choices) == 0 {
 		return template.ModelChoice{}, code.New(code.InvalidParameter, "the template has no such model").At("$.model")
 	}
+	if len(choices) == 1 {
+		return choices[0], nil
+	}
 	best := rank.Top(rank.Key(rules.Workspace, chat), nodes, 1)
 	return choices[best[0]], nil
 }
 
-// candidates returns the engines that may serve the chat, best first. hinted
-// is the engine that holds the chat's context, if the caller knows it.
+// maxCandidates bounds the engines that one request may ask, the ones that
+// fail in mid-answer included.
+const maxCandidates = maxStarts + maxAsked
+
+// candidates returns the engines that may serve the chat, best first, at most
+// maxCandidates. hinted is the engine that holds the chat's context, if the
+// caller knows it.
 func candidates(snapshot *config.Snapshot, view *member.View, workspace, chat, model, hinted string) ([]candidate, error) {
 	declared, ok := snapshot.Models[model]
 	if !ok {
 		return nil, code.New(code.NoEndpoint, "the model %q is not declared", model).After(noEndpointRetry)
 	}
-	engines := view.Group(declared.Group)
-	if len(engines) == 0 {
+	if len(view.Group(declared.Group)) == 0 {
 		return nil, code.New(code.NoEndpoint, "the group %q has no live engine", declared.Group).After(noEndpointRetry)
 	}
-	order := rank.Top(rank.Key(workspace, chat), nodesOf(engines), 0)
+	var buffer [maxCandidates]platform.VM
+	order := view.AppendRanked(buffer[:0], declared.Group, rank.Key(workspace, chat), maxCandidates)
 	ranked := make([]candidate, 0, len(order)+1)
-	for _, index := range order {
-		vm := engines[index]
-		if vm.Address == hinted {
-			ranked = append([]candidate{{vm, reasonHint}}, ranked...)
-			continue
+	if vm, ok := hintedEngine(view, declared.Group, hinted); ok {
+		ranked = append(ranked, candidate{vm, reasonHint})
+	}
+	for _, vm := range order {
+		if len(ranked) == 0 || vm.Address != ranked[0].vm.Address {
+			ranked = append(ranked, candidate{vm, reasonRanked})
 		}
-		ranked = append(ranked, candidate{vm, reasonRanked})
 	}
 	return ranked, nil
 }
 
-func nodesOf(vms []platform.VM) []rank.Node {
-	nodes := make([]rank.Node, len(vms))
-	for i, vm := range vms {
-		nodes[i] = rank.NewNode(vm.Address, vm.Capacity)
-	}
-	return nodes
+// hintedEngine returns the engine that a hint names, if it is live and of the
+// group.
+func hintedEngine(view *member.View, group, address string) (platform.VM, bool) {
+	vm, ok := view.Find(address)
+	live := ok && vm.State != platform.StateLeaving
+	return vm, live && vm.Role == platform.RoleEngine && vm.Group == group
 }
 
+// nearHomes is the number of routers that are looked at before the whole order
+// of an engine's routers is made.
+const nearHomes = 4
+
 // homeOf returns the router that admits work to the engine: the first in the
 // engine's order of routers that this router can reach.
 func (r *Router) homeOf(view *member.View, engine string) string {
-	routers := view.Routers
-	order := rank.Top(rank.Key("home", engine), nodesOf(routers), 0)
-	now := time.Now()
-	for _, index := range order {
-		address := routers[index].Address
-		if r.members.Health(address, now) == member.HealthAlive {
-			return address
+	key, now := rank.Key("home", engine), time.Now()
+	var buffer [nearHomes]platform.VM
+	for _, vm := range view.AppendRankedRouters(buffer[:0], key, nearHomes) {
+		if r.members.Health(vm.Address, now) == member.HealthAlive {
+			return vm.Address
+		}
+	}
+	for _, vm := range view.AppendRankedRouters(nil, key, 0) {
+		if r.members.Health(vm.Address, now) == member.HealthAlive {
+			return vm.Address
 		}
 	}
 	return r.members.Self().Address
--- /dev/null
+++ b/router/route_test.go
@@ -0,0 +1,162 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cardamompoint.example/cardamompoint/config"
+	"cardamompoint.example/cardamompoint/member"
+	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/settings"
+	"cardamompoint.example/cardamompoint/template"
+)
+
+const testGroup = "pool"
+
+// testVMs returns routers and engines; the engines' numbers start at first.
+func testVMs(routers, first, engines int) []platform.VM {
+	var vms []platform.VM
+	for i := range routers {
+		vms = append(vms, platform.VM{
+			Address: fmt.Sprintf("10.1.%d.%d:7001", i/250, i%250),
+			Role:    platform.RoleRouter,
+			State:   platform.StateLive,
+		})
+	}
+	for i := first; i < first+engines; i++ {
+		vms = append(vms, platform.VM{
+			Address: fmt.Sprintf("10.2.%d.%d:8000", i/250, i%250),
+			Role:    platform.RoleEngine,
+			Group:   testGroup,
+			State:   platform.StateLive,
+		})
+	}
+	return vms
+}
+
+// testTable returns a table with the list in force and all its routers alive.
+func testTable(vms []platform.VM) *member.Table {
+	self := member.Self{Address: vms[0].Address}
+	table := member.NewTable(self, time.Hour)
+	table.SetList(platform.VMs{Version: 1, VMs: vms}, time.Now())
+	for _, vm := range table.View().Routers {
+		table.Heard(member.Heartbeat{From: member.Self{Address: vm.Address}}, time.Now())
+	}
+	return table
+}
+
+func testSnapshot() *config.Snapshot {
+	return &config.Snapshot{Models: map[string]config.Model{"model": {Group: testGroup}}}
+}
+
+func mustCandidates(t testing.TB, view *member.View, chat, hinted string) []candidate {
+	t.Helper()
+	ranked, err := candidates(testSnapshot(), view, "workspace", chat, "model", hinted)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ranked
+}
+
+func TestReplacedRoutersMoveNoChat(t *testing.T) {
+	before := testTable(testVMs(8, 0, 20)).View()
+	replaced := append(testVMs(30, 0, 0)[10:], testVMs(0, 0, 20)...)
+	after := testTable(replaced).View()
+	for i := range 2000 {
+		chat := fmt.Sprint("chat-", i)
+		old, now := mustCandidates(t, before, chat, ""), mustCandidates(t, after, chat, "")
+		for at := range old {
+			if old[at] != now[at] {
+				t.Fatalf("%s: choice %d moved from %s to %s", chat, at, old[at].vm.Address, now[at].vm.Address)
+			}
+		}
+	}
+}
+
+func TestHintedEngineIsAskedFirst(t *testing.T) {
+	vms := testVMs(2, 0, 40)
+	vms[10].State = platform.StateLeaving
+	vms[11].Group = "other"
+	view := testTable(vms).View()
+	plain := mustCandidates(t, view, "chat", "")
+	last := plain[len(plain)-1].vm.Address
+	cases := []struct {
+		name, hinted, first string
+		reason              string
+	}{
+		{"live", last, last, reasonHint},
+		{"leaving", vms[10].Address, plain[0].vm.Address, reasonRanked},
+		{"of another group", vms[11].Address, plain[0].vm.Address, reasonRanked},
+		{"a router", vms[0].Address, plain[0].vm.Address, reasonRanked},
+		{"unknown", "10.9.9.9:8000", plain[0].vm.Address, reasonRanked},
+	}
+	for _, c := range cases {
+		ranked := mustCandidates(t, view, "chat", c.hinted)
+		if ranked[0].vm.Address != c.first || ranked[0].reason != c.reason {
+			t.Errorf("%s: first is %s, %s", c.name, ranked[0].vm.Address, ranked[0].reason)
+		}
+		seen := map[string]bool{}
+		for _, candidate := range ranked {
+			if seen[candidate.vm.Address] {
+				t.Errorf("%s: %s comes twice", c.name, candidate.vm.Address)
+			}
+			seen[candidate.vm.Address] = true
+		}
+	}
+}
+
+func TestTemplatePinsAndWeighsModels(t *testing.T) {
+	rules := &template.Rules{Workspace: "workspace", Completion: template.Completion{Models: []template.ModelChoice{
+		{Model: "large", Weight: 1}, {Model: "small", Weight: 3}, {Model: "pinned", Weight: 0},
+	}}}
+	counts := map[string]int{}
+	for i := range 4000 {
+		choice, err := chooseModel(rules, fmt.Sprint("chat-", i), "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		counts[choice.Model]++
+	}
+	// Six standard deviations of 3000 are 164.
+	if counts["pinned"] != 0 || counts["small"] < 2836 || counts["small"] > 3164 {
+		t.Errorf("the models got %v", counts)
+	}
+	if choice, err := chooseModel(rules, "chat", "pinned"); err != nil || choice.Model != "pinned" {
+		t.Errorf("asked for by name: %v, %v", choice, err)
+	}
+}
+
+// decisionRouter returns a router of the fleet's two-year size.
+func decisionRouter(engines int) *Router {
+	r := &Router{settings: &settings.Router{}}
+	r.members = testTable(testVMs(340, 0, engines))
+	return r
+}
+
+func (r *Router) decide(t testing.TB, chat string) {
+	view := r.members.View()
+	ranked := mustCandidates(t, view, chat, "")
+	r.homeOf(view, ranked[0].vm.Address)
+}
+
+func TestDecisionAllocations(t *testing.T) {
+	r := decisionRouter(12000)
+	// The list of candidates.
+	const bound = 1
+	if allocations := testing.AllocsPerRun(20, func() { r.decide(t, "chat") }); allocations > bound {
+		t.Errorf("%v allocations, the bound is %d", allocations, bound)
+	}
+}
+
+func BenchmarkDecision(b *testing.B) {
+	for _, engines := range []int{20, 1000, 12000} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			r := decisionRouter(engines)
+			b.ReportAllocs()
+			for b.Loop() {
+				r.decide(b, "chat")
+			}
+		})
+	}
+}
--- a/router/service.go
+++ b/router/service.go
@@ -112,11 +112,10 @@
 // workers returns the addresses of a service's live workers in the order for
 // the request.
 func (r *Router) workers(view *member.View, service, requestID string) []string {
-	vms := view.Group(service)
-	order := rank.Top(rank.Key(requestID), nodesOf(vms), 0)
+	order := view.AppendRanked(nil, service, rank.Key(requestID), 0)
 	addresses := make([]string, len(order))
-	for i, index := range order {
-		addresses[i] = vms[index].Address
+	for i, vm := range order {
+		addresses[i] = vm.Address
 	}
 	return addresses
 }
