Find a chat again where it spilled, without a hint

Cause: a chat that its first engine had refused went back there with its next request once there was room, and lost the context at the engine it had spilled to, unless the caller echoed the hint.

The home of an engine keeps a bounded index of chats that it admitted and refused. A refused chat is passed on at its next request, so that it follows its own path of second and third choices without any control message.

Ruled out: telling the first choice's home where the chat went, which costs a message for each spill and is lost with that home as well; asking the first three homes for each request.

Tests: found at the second and third choice, found after any one home on the path has restarted, never refused while an engine has room (property test).

--- /dev/null
+++ b/affinity/index.go
@@ -0,0 +1,110 @@
+package affinity
+
+import (
+	"sync"
+	"time"
+)
+
+// Index remembers where the chats of a home's engines went. An entry that is
+// not used is kept for between half and all of the keep time, as long as there
+// is room. It is safe for concurrent use.
+type Index struct {
+	limit int
+	keep  time.Duration
+
+	mu       sync.Mutex
+	current  *generation
+	previous *generation
+}
+
+// NewIndex returns an empty Index of at most limit entries. keep bounds how
+// long an unused entry is kept, and is how long the Index must have known an
+// engine before it is complete.
+func NewIndex(limit int, keep time.Duration) *Index {
+	return &Index{limit: limit, keep: keep, current: newGeneration(time.Time{}), previous: newGeneration(time.Time{})}
+}
+
+// Look returns the place of a chat and whether the Index is complete for the
+// engine. chat is the chat's key.
+func (x *Index) Look(engine string, chat uint64, now time.Time) (place Place, complete bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.rotate(now)
+	since := x.noteEngine(engine, now)
+	key := entryKey(engine, chat)
+	place, ok := x.current.places[key]
+	if !ok {
+		place, ok = x.previous.places[key]
+	}
+	if ok {
+		x.current.places[key] = place
+	}
+	return place, now.Sub(since) >= x.keep
+}
+
+// Check reports whether the home passes a request on, and why. A chat that an
+// incomplete Index passes on is noted as elsewhere, so that it is found again
+// when the Index is complete; its admission here corrects that.
+func (x *Index) Check(engine string, chat uint64, lookup Lookup, now time.Time) (Refusal, bool) {
+	if lookup == LookupAny {
+		return 0, false
+	}
+	place, complete := x.Look(engine, chat, now)
+	if place == Here {
+		return 0, false
+	}
+	if place == Elsewhere || lookup == LookupHeld {
+		return RefusalElsewhere, true
+	}
+	if complete {
+		return 0, false
+	}
+	x.Note(engine, chat, Elsewhere, now)
+	return RefusalUnknown, true
+}
+
+// Note sets the place of a chat.
+func (x *Index) Note(engine string, chat uint64, place Place, now time.Time) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.rotate(now)
+	x.noteEngine(engine, now)
+	x.current.places[entryKey(engine, chat)] = place
+}
+
+// Len returns the number of entries; a chat may be counted twice.
+func (x *Index) Len() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return len(x.current.places) + len(x.previous.places)
+}
+
+// rotate drops the older generation when the newer one is old or full.
+func (x *Index) rotate(now time.Time) {
+	if x.current.start.IsZero() {
+		x.current.start = now
+	}
+	age := now.Sub(x.current.start)
+	if age < x.keep/2 && len(x.current.places) < x.limit/2 {
+		return
+	}
+	x.previous = x.current
+	if age >= x.keep {
+		x.previous = newGeneration(now)
+	}
+	x.current = newGeneration(now)
+}
+
+// noteEngine returns since when the engine is known.
+func (x *Index) noteEngine(engine string, now time.Time) time.Time {
+	since, ok := x.current.engines[engine]
+	if ok {
+		return since
+	}
+	since, ok = x.previous.engines[engine]
+	if !ok {
+		since = now
+	}
+	x.current.engines[engine] = since
+	return since
+}
--- /dev/null
+++ b/affinity/place.go
@@ -0,0 +1,14 @@
+package affinity
+
+// Place tells where an engine's home expects the context of a chat.
+type Place int
+
+// The values of Place.
+const (
+	// Unknown means that the home has no entry for the chat.
+	Unknown Place = iota
+	// Here means that the engine admitted the chat last.
+	Here
+	// Elsewhere means that the chat was refused here since then.
+	Elsewhere
+)
--- /dev/null
+++ b/affinity/refusal.go
@@ -0,0 +1,15 @@
+package affinity
+
+// Refusal tells why a candidate did not admit a request.
+type Refusal int
+
+// The values of Refusal.
+const (
+	// RefusalFull means that the engine can't take the request now.
+	RefusalFull Refusal = iota
+	// RefusalElsewhere means that the home passes the chat on.
+	RefusalElsewhere
+	// RefusalUnknown means that the home's Index is not complete and does not
+	// know the chat.
+	RefusalUnknown
+)
--- /dev/null
+++ b/affinity/search_test.go
@@ -0,0 +1,152 @@
+package affinity
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// testFleet is a row of engines, each with a home of its own.
+type testFleet struct {
+	now   time.Time
+	homes []*Index
+	full  []bool
+}
+
+const testEngine, testChat = "engine", 7
+
+// newTestFleet returns engines whose homes have known them for the keep time.
+func newTestFleet(count int) *testFleet {
+	f := &testFleet{now: time.Unix(1, 0), full: make([]bool, count)}
+	for range count {
+		f.homes = append(f.homes, NewIndex(1000, testKeep))
+		f.homes[len(f.homes)-1].Look(testEngine, testChat, f.now)
+	}
+	f.now = f.now.Add(testKeep / 2)
+	for _, home := range f.homes {
+		home.Look(testEngine, testChat, f.now)
+	}
+	f.now = f.now.Add(testKeep / 2)
+	return f
+}
+
+// ask asks one home as a router does.
+func (f *testFleet) ask(index int, lookup Lookup) (Refusal, bool) {
+	home := f.homes[index]
+	if refusal, passed := home.Check(testEngine, testChat, lookup, f.now); passed {
+		return refusal, false
+	}
+	if f.full[index] {
+		home.Note(testEngine, testChat, Elsewhere, f.now)
+		return RefusalFull, false
+	}
+	home.Note(testEngine, testChat, Here, f.now)
+	return 0, true
+}
+
+// request returns the engine that admits the chat, or noCandidate.
+func (f *testFleet) request(search bool) (engine int, asked []int) {
+	s := NewSearch(len(f.homes), search)
+	for {
+		index, lookup, ok := s.Next()
+		if !ok {
+			return noCandidate, asked
+		}
+		asked = append(asked, index)
+		refusal, admitted := f.ask(index, lookup)
+		if admitted {
+			return index, asked
+		}
+		s.Refused(refusal)
+	}
+}
+
+func TestSpilledChatIsFoundAgain(t *testing.T) {
+	for spilled := range 3 {
+		f := newTestFleet(6)
+		f.request(false)
+		for i := range spilled {
+			f.full[i] = true
+		}
+		if at, _ := f.request(true); at != spilled {
+			t.Fatalf("spilled to %d, want %d", at, spilled)
+		}
+		clear(f.full)
+		for range 3 {
+			if at, _ := f.request(true); at != spilled {
+				t.Errorf("found at %d, want %d", at, spilled)
+			}
+		}
+	}
+}
+
+func TestSpilledChatIsFoundAfterOneHomeRestarts(t *testing.T) {
+	for _, spilled := range []int{0, 1, 2} {
+		for restarted := range spilled + 1 {
+			f := newTestFleet(6)
+			for i := range spilled {
+				f.full[i] = true
+			}
+			f.request(true)
+			clear(f.full)
+			f.homes[restarted] = NewIndex(1000, testKeep)
+			for range 20 {
+				if at, _ := f.request(true); at != spilled {
+					t.Errorf("home %d restarted: found at %d, want %d", restarted, at, spilled)
+				}
+				f.now = f.now.Add(testKeep / 8)
+			}
+		}
+	}
+}
+
+func TestRefusedChatReturnsToItsFirstChoice(t *testing.T) {
+	f := newTestFleet(6)
+	f.request(true)
+	for i := range f.full {
+		f.full[i] = true
+	}
+	if at, asked := f.request(true); at != noCandidate || len(asked) != len(f.full) {
+		t.Fatalf("a full fleet admitted at %d after %v", at, asked)
+	}
+	clear(f.full)
+	if at, _ := f.request(true); at != 0 {
+		t.Errorf("went to %d", at)
+	}
+}
+
+func TestChatFollowsWhenItsEngineIsFull(t *testing.T) {
+	f := newTestFleet(6)
+	f.full[0] = true
+	f.request(true)
+	f.full[0], f.full[1] = false, true
+	if at, _ := f.request(true); at != 2 {
+		t.Errorf("went to %d, want the third choice", at)
+	}
+}
+
+// TestSearchEndsOnlyWhenAllAreFull checks that no state of the homes refuses a
+// request that some engine can take, and that no search is longer than each
+// candidate once besides the bounds of passing on and probing.
+func TestSearchEndsOnlyWhenAllAreFull(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newTestFleet(rapid.IntRange(1, 8).Draw(t, "engines"))
+		for range rapid.IntRange(1, 12).Draw(t, "requests") {
+			for i := range f.full {
+				f.full[i] = rapid.Bool().Draw(t, "full")
+				if rapid.IntRange(0, 4).Draw(t, "restart") == 0 {
+					f.homes[i] = NewIndex(1000, testKeep)
+				}
+			}
+			at, asked := f.request(rapid.Bool().Draw(t, "search"))
+			if (at == noCandidate) != !slices.Contains(f.full, false) {
+				t.Fatalf("admitted at %d with full engines %v", at, f.full)
+			}
+			if len(asked) > len(f.full)+maxPassedOn+maxProbes {
+				t.Fatalf("asked %v", asked)
+			}
+		}
+	})
+}
