Ask the homes of a chat's choices in the order of its context

Cause: the index of chats was not yet used by routers.

A home checks its index before it admits work, and notes what it admits and refuses. Two results between routers are new: 420 context_elsewhere and 421 context_unknown; both prove that the work was not run. Only chats that were answered before and bring no valid hint are looked for, so that first requests cost no further hop.

--- a/api/completion.go
+++ b/api/completion.go
@@ -1,12 +1,16 @@
 package api
 
 import (
+	"slices"
 	"strings"
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/template"
 )
 
+// RoleAssistant is the role of messages that a model wrote.
+const RoleAssistant = "assistant"
+
 // Message is one message of a chat.
 type Message struct {
 	// Role is system, user or assistant.
@@ -74,6 +78,11 @@
 	return nil
 }
 
+// Returning reports whether the chat was answered before.
+func (c *Completion) Returning() bool {
+	return slices.ContainsFunc(c.Messages, func(m Message) bool { return m.Role == RoleAssistant })
+}
+
 // Prompt returns the messages as one text.
 func (c *Completion) Prompt() string {
 	var prompt strings.Builder
--- a/code/code.go
+++ b/code/code.go
@@ -46,6 +46,8 @@
 	NotReady         Code = 409
 	VersionConflict  Code = 410
 	SnapshotTooOld   Code = 411
+	ContextElsewhere Code = 420
+	ContextUnknown   Code = 421
 	InternalFault    Code = 499
 	InvalidTemplate  Code = 501
 	InvalidSettings  Code = 502
--- a/code/table.go
+++ b/code/table.go
@@ -39,6 +39,8 @@
 	{NotReady, "not_ready", http.StatusServiceUnavailable, RunNo, true, "The router has not learned its configuration yet."},
 	{VersionConflict, "version_conflict", http.StatusConflict, RunNo, true, "The version is older than the one in force."},
 	{SnapshotTooOld, "snapshot_too_old", http.StatusConflict, RunNo, true, "Ask for a whole snapshot."},
+	{ContextElsewhere, "context_elsewhere", http.StatusMisdirectedRequest, RunNo, true, "The engine's home passes the chat on to its next choice."},
+	{ContextUnknown, "context_unknown", http.StatusMisdirectedRequest, RunNo, true, "The engine's home does not know yet where the chat's context is; its next choices are asked first."},
 	{InternalFault, "internal_fault", http.StatusInternalServerError, RunUnknown, false, "Report the log line."},
 	{InvalidTemplate, "invalid_template", http.StatusUnprocessableEntity, RunNo, false, "Mend the template at the named path; the last accepted one stays in force."},
 	{InvalidSettings, "invalid_settings", http.StatusUnprocessableEntity, RunNo, false, "Mend the settings at the named path."},
--- a/router/completion.go
+++ b/router/completion.go
@@ -63,7 +63,8 @@
 		return nil, 0, err
 	}
 	timeout := r.timeout(body.TimeoutMS, rules.Completion.TimeoutMS)
-	return &job{router: r, view: view, work: work, candidates: ranked}, timeout, nil
+	search := body.Returning() && ranked[0].reason != reasonHint
+	return &job{router: r, view: view, work: work, candidates: ranked, search: search}, timeout, nil
 }
 
 func newWork(requestID string, body *api.Completion, rules *template.Rules, choice template.ModelChoice) (endpoint.Work, error) {
--- a/router/home.go
+++ b/router/home.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"cardamompoint.example/cardamompoint/affinity"
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/endpoint"
 )
@@ -20,6 +21,8 @@
 	Engine string `json:"engine"`
 	// Work is the work.
 	Work endpoint.Work `json:"work"`
+	// Lookup tells how the home uses what it knows of the chat.
+	Lookup affinity.Lookup `json:"lookup,omitempty"`
 	// DeadlineMS is the time left, in milliseconds.
 	DeadlineMS int64 `json:"deadline_ms"`
 }
@@ -27,7 +30,7 @@
 // runAtHome admits work to an engine that this router manages and relays its
 // answer to sink.
 func (r *Router) runAtHome(ctx context.Context, order workOrder, sink endpoint.Sink) error {
-	reservation, err := r.admitWork(order)
+	reservation, err := r.placeWork(order)
 	if err != nil {
 		klog.Infof("place: request %s is not admitted to %s: %v.", order.Work.RequestID, order.Engine, err)
 		return err
--- a/router/job.go
+++ b/router/job.go
@@ -35,6 +35,7 @@
 	view       *member.View
 	work       endpoint.Work
 	candidates []candidate
+	search     bool
 	receiver   receiver
 
 	delivered []string
@@ -65,15 +66,14 @@
 func (j *job) runOnce(ctx context.Context) error {
 	var last error
 	asked := 0
-	for _, c := range j.candidates {
-		if j.failed[c.vm.Address] || asked == maxAsked {
-			continue
-		}
+	order := newCandidateOrder(j)
+	for c, ok := order.next(); ok && asked < maxAsked; c, ok = order.next() {
 		asked++
 		err := j.try(ctx, c)
 		if err == nil || !notAdmitted(err) {
 			return err
 		}
+		order.refused(err)
 		last = err
 	}
 	if last == nil {
@@ -89,7 +89,7 @@
 	work := j.work
 	work.StreamID = fmt.Sprintf("%s.%d", j.work.RequestID, j.starts)
 	work.Prefix = j.delivered
-	order := workOrder{Engine: engine, Work: work, DeadlineMS: timeLeft(ctx).Milliseconds()}
+	order := workOrder{Engine: engine, Work: work, Lookup: c.lookup, DeadlineMS: timeLeft(ctx).Milliseconds()}
 	klog.Infof("route: request %s of %s chat %s goes to engine %s by home %s, %s, attempt %d, offset %d.",
 		work.RequestID, work.Workspace, work.Chat, engine, home, c.reason, j.starts, len(j.delivered))
 	err := j.router.dispatch(ctx, home, order, func(line endpoint.Line) error {
--- /dev/null
+++ b/router/place.go
@@ -0,0 +1,58 @@
+package router
+
+import (
+	"time"
+
+	"cardamompoint.example/cardamompoint/affinity"
+	"cardamompoint.example/cardamompoint/balance"
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/rank"
+)
+
+// The bounds of what a router remembers of chats at the engines that it manages.
+const (
+	contextEntries = 1 << 17
+	contextKeep    = 30 * time.Minute
+)
+
+// placeWork holds room for the work at an engine that this router manages, and
+// notes where the chat's context will be. A chat whose context is expected at
+// another engine is passed on; the errors carry code.ContextElsewhere and
+// code.ContextUnknown.
+func (r *Router) placeWork(order workOrder) (*balance.Reservation, error) {
+	chat := chatKey(order.Work.Workspace, order.Work.Chat)
+	now := time.Now()
+	if refusal, passed := r.context.Check(order.Engine, chat, order.Lookup, now); passed {
+		return nil, contextError(refusal)
+	}
+	reservation, err := r.admitWork(order)
+	if err == nil {
+		r.context.Note(order.Engine, chat, affinity.Here, now)
+		return reservation, nil
+	}
+	r.context.Note(order.Engine, chat, affinity.Elsewhere, now)
+	return nil, err
+}
+
+// chatKey is the key of a chat in rankings and indexes.
+func chatKey(workspace, chat string) uint64 {
+	return rank.Key(workspace, chat)
+}
+
+func contextError(refusal affinity.Refusal) *code.Error {
+	if refusal == affinity.RefusalUnknown {
+		return code.New(code.ContextUnknown, "the home does not know the chat yet")
+	}
+	return code.New(code.ContextElsewhere, "the chat is expected at its next choice")
+}
+
+// refusalOf returns why a home did not admit a request.
+func refusalOf(err error) affinity.Refusal {
+	switch code.Of(err).Code {
+	case code.ContextElsewhere:
+		return affinity.RefusalElsewhere
+	case code.ContextUnknown:
+		return affinity.RefusalUnknown
+	}
+	return affinity.RefusalFull
+}
--- a/router/receivers.go
+++ b/router/receivers.go
@@ -87,7 +87,7 @@
 		Object: api.ObjectCompletion,
 		Model:  j.work.Model,
 		Choices: []api.AnswerChoice{{
-			Message:      api.Message{Role: "assistant", Content: c.text.String()},
+			Message:      api.Message{Role: api.RoleAssistant, Content: c.text.String()},
 			FinishReason: "stop",
 		}},
 		Usage:  usage(c.final),
--- a/router/route.go
+++ b/router/route.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cardamompoint.example/cardamompoint/affinity"
 	"cardamompoint.example/cardamompoint/api"
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/config"
@@ -16,6 +17,8 @@
 const (
 	reasonHint   = "hint"
 	reasonRanked = "ranked"
+	reasonProbed = "probed"
+	reasonSpill  = "spill"
 )
 
 // noEndpointRetry is when to come back if a model has no engine.
@@ -25,6 +28,7 @@
 type candidate struct {
 	vm     platform.VM
 	reason string
+	lookup affinity.Lookup
 }
 
 // chooseModel returns the model that the template gives the chat. The choice
@@ -48,7 +52,7 @@
 	if len(choices) == 1 {
 		return choices[0], nil
 	}
-	best := rank.Top(rank.Key(rules.Workspace, chat), nodes, 1)
+	best := rank.Top(chatKey(rules.Workspace, chat), nodes, 1)
 	return choices[best[0]], nil
 }
 
@@ -68,14 +72,14 @@
 		return nil, code.New(code.NoEndpoint, "the group %q has no live engine", declared.Group).After(noEndpointRetry)
 	}
 	var buffer [maxCandidates]platform.VM
-	order := view.AppendRanked(buffer[:0], declared.Group, rank.Key(workspace, chat), maxCandidates)
+	order := view.AppendRanked(buffer[:0], declared.Group, chatKey(workspace, chat), maxCandidates)
 	ranked := make([]candidate, 0, len(order)+1)
 	if vm, ok := hintedEngine(view, declared.Group, hinted); ok {
-		ranked = append(ranked, candidate{vm, reasonHint})
+		ranked = append(ranked, candidate{vm: vm, reason: reasonHint})
 	}
 	for _, vm := range order {
 		if len(ranked) == 0 || vm.Address != ranked[0].vm.Address {
-			ranked = append(ranked, candidate{vm, reasonRanked})
+			ranked = append(ranked, candidate{vm: vm, reason: reasonRanked})
 		}
 	}
 	return ranked, nil
--- a/router/router.go
+++ b/router/router.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/uuid"
 
+	"cardamompoint.example/cardamompoint/affinity"
 	"cardamompoint.example/cardamompoint/balance"
 	"cardamompoint.example/cardamompoint/config"
 	"cardamompoint.example/cardamompoint/endpoint"
@@ -31,6 +32,7 @@
 	store   *config.Store
 	members *member.Table
 	ledger  *balance.Ledger
+	context *affinity.Index
 	records *once.Table
 	budget  *retryBudget
 
@@ -64,6 +66,7 @@
 		metrics:  meters,
 		store:    config.NewStore(),
 		ledger:   balance.NewLedger(s.Limits),
+		context:  affinity.NewIndex(contextEntries, contextKeep),
 		records:  once.NewTable(s.Limits.Records),
 		budget:   newRetryBudget(s.Limits.RetryRatio),
 
