Compare ways to choose an engine on the same work

Cause: no figure showed which way to choose an engine keeps more context, load even and control traffic small.

internal/routebench replays one fixed sequence of requests in virtual time and lets each way place it: homes with exact counts (balance.Ledger, affinity.Search), entries with lagged loads, subsets, and the baselines random of two, plain rendezvous and perfect knowledge.

Passing on no longer counts against the engines that one request may ask.

--- a/affinity/search.go
+++ b/affinity/search.go
@@ -3,14 +3,19 @@
 // The bounds of a search for the context of a chat.
 const (
 	// maxPassedOn is how often a chat is passed on before it is settled.
-	maxPassedOn = 3
+	maxPassedOn = 8
 	// maxProbes is how many further candidates are asked when a home does not
 	// know the chat.
 	maxProbes = 2
 )
 
 // Search yields the candidates of one request in the order in which their homes
-// are asked. It is not safe for concurrent use.
+// are asked.
+//
+// A chat is passed on until a home admits it or its engine is full. From then on
+// the candidates are asked in their order, whatever their homes remember. So
+// all candidates before the one that admitted a chat have refused it, and the
+// next search follows them. It is not safe for concurrent use.
 type Search struct {
 	refused  []bool
 	next     int
@@ -86,6 +91,8 @@
 
 func (s *Search) walk(refusal Refusal) {
 	switch refusal {
+	case RefusalFull:
+		s.settle()
 	case RefusalUnknown:
 		s.unknown = s.asked
 		s.phase = phaseProbe
--- /dev/null
+++ b/internal/routebench/fleet.go
@@ -0,0 +1,133 @@
+package routebench
+
+import (
+	"fmt"
+	"time"
+
+	"cardamompoint.example/cardamompoint/member"
+	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/settings"
+)
+
+const group = "pool"
+
+// Fleet is the fleet as it is.
+type Fleet struct {
+	// Now is the virtual time.
+	Now time.Duration
+
+	deployment Deployment
+	limits     settings.Limits
+	engines    []*engine
+	byAddress  map[string]int
+	routers    []string
+	version    int64
+	view       *member.View
+	tokens     int
+	live       int
+}
+
+// NewFleet returns a fleet without load.
+func NewFleet(d Deployment) *Fleet {
+	f := &Fleet{deployment: d, limits: settings.Defaults().Limits, byAddress: map[string]int{}}
+	f.limits.LoadMultiple = d.Multiple
+	for range d.Engines {
+		f.addEngine()
+	}
+	for i := range d.Routers {
+		f.routers = append(f.routers, routerAddress(i))
+	}
+	f.publish()
+	return f
+}
+
+func routerAddress(number int) string {
+	return fmt.Sprintf("10.1.%d.%d:7001", number/250, number%250+1)
+}
+
+func (f *Fleet) addEngine() {
+	number := len(f.engines)
+	address := fmt.Sprintf("10.2.%d.%d:8000", number/250, number%250+1)
+	f.engines = append(f.engines, &engine{address: address, live: true, cache: newCache(cacheTokens)})
+	f.byAddress[address] = number
+	f.live++
+}
+
+// publish makes a new view.
+func (f *Fleet) publish() {
+	f.version++
+	list := platform.VMs{Version: f.version}
+	for _, address := range f.routers {
+		list.VMs = append(list.VMs, platform.VM{Address: address, Role: platform.RoleRouter, State: platform.StateLive})
+	}
+	for _, e := range f.engines {
+		if e.live {
+			list.VMs = append(list.VMs, platform.VM{Address: e.address, Role: platform.RoleEngine, Group: group, State: platform.StateLive})
+		}
+	}
+	table := member.NewTable(member.Self{Address: f.routers[0]}, time.Hour)
+	table.SetList(list, time.Time{}.Add(f.Now))
+	f.view = table.View()
+}
+
+// replaceEngine puts an empty engine with a new address in the place of one.
+func (f *Fleet) replaceEngine(number int) {
+	f.engines[number].live = false
+	f.live--
+	f.addEngine()
+	f.publish()
+}
+
+// replaceRouter puts a router with a new address in the place of one.
+func (f *Fleet) replaceRouter(number int) {
+	f.routers[number] = routerAddress(f.deployment.Routers + number)
+	f.publish()
+}
+
+// add counts a request in progress, or its end with a sign of -1.
+func (f *Fleet) add(number int, r *Request, sign int) {
+	e := f.engines[number]
+	e.requests += sign
+	e.tokens += sign * r.Bound
+	f.tokens += sign * r.Bound
+}
+
+// mean returns the mean load in progress, in tokens.
+func (f *Fleet) mean() float64 {
+	return float64(f.tokens) / float64(f.live)
+}
+
+// maxAsked bounds the engines that one request may ask.
+const maxAsked = 12
+
+// ranked appends the numbers of the chat's first engines to dst.
+func (f *Fleet) ranked(dst []int, r *Request, limit int) []int {
+	var buffer [maxAsked]platform.VM
+	for _, vm := range f.view.AppendRanked(buffer[:0], group, r.Key, limit) {
+		dst = append(dst, f.byAddress[vm.Address])
+	}
+	return dst
+}
+
+// choices appends the chat's first engines to dst, the hinted one first.
+func (f *Fleet) choices(dst []int, r *Request, hint int) []int {
+	if hint == none || !f.engines[hint].live {
+		return f.ranked(dst, r, maxAsked)
+	}
+	dst = append(dst, hint)
+	for _, number := range f.ranked(nil, r, maxAsked) {
+		if number != hint {
+			dst = append(dst, number)
+		}
+	}
+	return dst
+}
+
+// underCap is the rule of balance.Ledger for ways that don't use one.
+func (f *Fleet) underCap(load int, mean float64, r *Request) bool {
+	after := load + r.Bound
+	if load == 0 || after <= f.limits.EngineFloorTokens {
+		return true
+	}
+	return float64(after) <= f.limits.LoadMultiple*(mean+float64(r.Bound))
+}
--- /dev/null
+++ b/internal/routebench/table.go
@@ -0,0 +1,27 @@
+package routebench
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Table renders the results of one deployment. The reuse is also given as a
+// part of the one with perfect knowledge in the same scenario.
+func Table(d Deployment, results []*Result) string {
+	perfect := map[string]float64{}
+	for _, r := range results {
+		if r.Way == (&PerfectWay{}).Name() {
+			perfect[r.Scenario] = r.Reuse()
+		}
+	}
+	var table strings.Builder
+	fmt.Fprintf(&table, "%s: %d routers, %d engines, multiple %.2f\n", d.Name, d.Routers, d.Engines, d.Multiple)
+	fmt.Fprintf(&table, "%-9s %-24s %8s %8s %8s %8s %8s %8s %7s %7s %8s %8s\n", "scenario", "way",
+		"requests", "refused", "reuse", "of limit", "found", "moved", "max/adm", "max/lag", "asked", "bytes/s")
+	for _, r := range results {
+		fmt.Fprintf(&table, "%-9s %-24s %8d %8d %8.4f %8.4f %8.4f %8d %7.3f %7.3f %8.3f %8.0f\n", r.Scenario, r.Way,
+			r.Requests, r.Refused, r.Reuse(), r.Reuse()/perfect[r.Scenario], part(r.Found, r.Spilled), r.Moved,
+			r.MaxAdmitted(), r.MaxLagged(), part(r.Asked, r.Requests), part(r.Bytes, r.Seconds))
+	}
+	return table.String()
+}
--- a/router/candidate_order.go
+++ b/router/candidate_order.go
@@ -7,7 +7,7 @@
 type candidateOrder struct {
 	left   []candidate
 	search *affinity.Search
-	full   bool
+	full   int
 }
 
 // newCandidateOrder leaves out the candidates of j that have failed.
@@ -22,8 +22,12 @@
 	return order
 }
 
-// next returns the candidate to ask next, with the reason for the log.
+// next returns the candidate to ask next, with the reason for the log, until
+// maxAsked of them have refused the work for other reasons than its context.
 func (o *candidateOrder) next() (candidate, bool) {
+	if o.full == maxAsked {
+		return candidate{}, false
+	}
 	index, lookup, ok := o.search.Next()
 	if !ok {
 		return candidate{}, false
@@ -34,7 +38,7 @@
 		c.reason = reasonProbed
 		return c, true
 	}
-	if o.full {
+	if o.full > 0 {
 		c.reason = reasonSpill
 	}
 	return c, true
@@ -43,6 +47,8 @@
 // refused tells why the candidate of the last next did not admit the work.
 func (o *candidateOrder) refused(err error) {
 	refusal := refusalOf(err)
-	o.full = o.full || refusal == affinity.RefusalFull
+	if refusal == affinity.RefusalFull {
+		o.full++
+	}
 	o.search.Refused(refusal)
 }
--- a/router/job.go
+++ b/router/job.go
@@ -65,10 +65,8 @@
 // runOnce finds an engine that admits the work and relays its answer.
 func (j *job) runOnce(ctx context.Context) error {
 	var last error
-	asked := 0
 	order := newCandidateOrder(j)
-	for c, ok := order.next(); ok && asked < maxAsked; c, ok = order.next() {
-		asked++
+	for c, ok := order.next(); ok; c, ok = order.next() {
 		err := j.try(ctx, c)
 		if err == nil || !notAdmitted(err) {
 			return err
@@ -79,7 +77,7 @@
 	if last == nil {
 		return code.New(code.NoEndpoint, "all engines have failed").After(noEndpointRetry)
 	}
-	return code.New(code.Overloaded, "%d engines did not admit the request, the last with: %v", asked, last).After(retryBusy)
+	return code.New(code.Overloaded, "%d engines did not admit the request, the last with: %v", order.full, last).After(retryBusy)
 }
 
 func (j *job) try(ctx context.Context, c candidate) error {
