--- a/internal/routebench/table.go
+++ b/internal/routebench/table.go
@@ -8,12 +8,7 @@
 // Table renders the results of one deployment. The reuse is also given as a
 // part of the one with perfect knowledge in the same scenario.
 func Table(d Deployment, results []*Result) string {
-	perfect := map[string]float64{}
-	for _, r := range results {
-		if r.Way == (&PerfectWay{}).Name() {
-			perfect[r.Scenario] = r.Reuse()
-		}
-	}
+	perfect := limits(results)
 	var table strings.Builder
 	fmt.Fprintf(&table, "%s: %d routers, %d engines, multiple %.2f\n", d.Name, d.Routers, d.Engines, d.Multiple)
 	fmt.Fprintf(&table, "%-9s %-24s %8s %8s %8s %8s %8s %8s %7s %7s %8s %8s\n", "scenario", "way",
@@ -25,3 +20,16 @@
 	}
 	return table.String()
 }
+
+// limits returns the reuse with perfect knowledge by scenario. Replaced routers
+// make no difference to it.
+func limits(results []*Result) map[string]float64 {
+	perfect := map[string]float64{}
+	for _, r := range results {
+		if r.Way == (&PerfectWay{}).Name() {
+			perfect[r.Scenario] = r.Reuse()
+		}
+	}
+	perfect[Routers.Name] = perfect[Steady.Name]
+	return perfect
+}
--- a/member/rankings.go
+++ b/member/rankings.go
@@ -44,7 +44,7 @@
 }
 
 // indexBuffer is the number of indexes that are kept on the stack.
-const indexBuffer = 16
+const indexBuffer = 32
 
 func appendTop(dst, vms []platform.VM, set *rank.Set, key uint64, limit int) []platform.VM {
 	var buffer [indexBuffer]int
--- a/rank/set.go
+++ b/rank/set.go
@@ -8,7 +8,7 @@
 
 // stackLimit is the number of ranked nodes up to which AppendTop needs no
 // memory of its own.
-const stackLimit = 16
+const stackLimit = 32
 
 // Set is a prepared set of nodes. Nodes of equal weight are kept together, so
 // that they are compared by their draws and need no logarithm. A Set is
@@ -40,7 +40,7 @@
 }
 
 // AppendTop appends the indexes of the first limit nodes for key to dst, best
-// first, and returns it. A limit of 0 or less means all. Up to a limit of 16 it
+// first, and returns it. A limit of 0 or less means all. Up to a limit of 32 it
 // allocates only what dst lacks.
 func (s *Set) AppendTop(dst []int, key uint64, limit int) []int {
 	if limit <= 0 || limit > s.size {
--- a/router/job.go
+++ b/router/job.go
@@ -15,7 +15,7 @@
 // The bounds of one request's attempts.
 const (
 	maxStarts = 4
-	maxAsked  = 12
+	maxAsked  = 20
 	retryBusy = time.Second
 )
 
