--- a/code/code.go
+++ b/code/code.go
@@ -46,6 +46,7 @@
 	NotReady         Code = 409
 	VersionConflict  Code = 410
 	SnapshotTooOld   Code = 411
+	ModelNotLoaded   Code = 412
 	ContextElsewhere Code = 420
 	ContextUnknown   Code = 421
 	InternalFault    Code = 499
