--- a/internal/routebench/entry_way.go
+++ b/internal/routebench/entry_way.go
@@ -13,6 +13,10 @@
 	own   [][]int
 	told  [][]int
 	total []int
+	// ownSums, toldSums and totalSum are the sums over all engines.
+	ownSums  []int
+	toldSums []int
+	totalSum int
 }
 
 // Name returns the way's name in tables.
@@ -23,6 +27,8 @@
 	w.fleet = f
 	w.own = make([][]int, f.deployment.Routers)
 	w.told = make([][]int, f.deployment.Routers)
+	w.ownSums = make([]int, f.deployment.Routers)
+	w.toldSums = make([]int, f.deployment.Routers)
 	w.EnginesChanged()
 }
 
@@ -48,7 +54,7 @@
 	for _, number := range w.fleet.choices(buffer[:0], r, hint) {
 		placement.Asked = 1
 		if w.fleet.underCap(w.load(r.Entry, number), mean, r) {
-			w.own[r.Entry][number] += r.Bound
+			w.add(r.Entry, number, r.Bound)
 			placement.Engine = number
 			break
 		}
@@ -62,26 +68,29 @@
 }
 
 func (w *EntryWay) mean(entry int) float64 {
-	sum := 0
-	for number, e := range w.fleet.engines {
-		if e.live {
-			sum += w.load(entry, number)
-		}
-	}
+	sum := w.totalSum - w.toldSums[entry] + w.ownSums[entry]
 	return float64(sum) / float64(w.fleet.live)
 }
 
+func (w *EntryWay) add(entry, number, tokens int) {
+	w.own[entry][number] += tokens
+	w.ownSums[entry] += tokens
+}
+
 // Release gives back a request's room.
 func (w *EntryWay) Release(r *Request, p Placement) {
-	w.own[p.home][p.Engine] -= r.Bound
+	w.add(p.home, p.Engine, -r.Bound)
 }
 
 // Exchange sends each router's loads by engine to all others.
 func (w *EntryWay) Exchange() int {
 	clear(w.total)
+	w.totalSum = 0
 	bytes := 0
 	for i, counts := range w.own {
 		copy(w.told[i], counts)
+		w.toldSums[i] = w.ownSums[i]
+		w.totalSum += w.ownSums[i]
 		message := map[string]balance.ModelLoad{}
 		for number, tokens := range counts {
 			w.total[number] += tokens
--- a/internal/routebench/fleet.go
+++ b/internal/routebench/fleet.go
@@ -103,12 +103,19 @@
 // maxAsked bounds the engines that one request may ask.
 const maxAsked = 20
 
+// rememberedEngines is the number of engines up to which the chats' orders are
+// remembered, so that long runs are short.
+const rememberedEngines = 100
+
 // ranked returns the numbers of the first engines of the chat's order. A limit
 // of 0 means all.
 func (f *Fleet) ranked(r *Request, limit int) []int {
+	if f.live > rememberedEngines {
+		return f.rank(r.Key, limit)
+	}
 	order, ok := f.orders[r.Key]
 	if !ok {
-		order = f.rank(r.Key)
+		order = f.rank(r.Key, 0)
 		f.orders[r.Key] = order
 	}
 	if limit == 0 {
@@ -117,10 +124,12 @@
 	return order[:min(limit, len(order))]
 }
 
-func (f *Fleet) rank(key uint64) []int {
-	var order []int
-	for _, vm := range f.view.AppendRanked(nil, group, key, 0) {
-		order = append(order, f.byAddress[vm.Address])
+func (f *Fleet) rank(key uint64, limit int) []int {
+	var buffer [maxAsked]platform.VM
+	vms := f.view.AppendRanked(buffer[:0], group, key, limit)
+	order := make([]int, len(vms))
+	for i, vm := range vms {
+		order[i] = f.byAddress[vm.Address]
 	}
 	return order
 }
--- a/internal/routebench/home_way.go
+++ b/internal/routebench/home_way.go
@@ -31,9 +31,10 @@
 	fleet   *Fleet
 	ledgers []*balance.Ledger
 	indexes []*affinity.Index
-	sums    []balance.ModelLoad
-	homes   []int
-	work    map[*Request]*held
+	// tokens is the sum of the loads as of the last exchange.
+	tokens int
+	homes  []int
+	work   map[*Request]*held
 }
 
 // held is the room of one request in progress.
@@ -64,7 +65,6 @@
 func (w *HomeWay) Start(f *Fleet) {
 	w.fleet = f
 	w.work = map[*Request]*held{}
-	w.sums = make([]balance.ModelLoad, f.deployment.Routers)
 	for range f.deployment.Routers {
 		w.ledgers = append(w.ledgers, balance.NewLedger(f.limits))
 		w.indexes = append(w.indexes, affinity.NewIndex(indexEntries, indexKeep))
@@ -142,11 +142,7 @@
 // moment; a home that adds its own newest part counts work twice that went from
 // another home's engines to its own.
 func (w *HomeWay) mean() float64 {
-	tokens := 0
-	for _, sum := range w.sums {
-		tokens += sum.Tokens
-	}
-	return float64(tokens) / float64(w.fleet.live)
+	return float64(w.tokens) / float64(w.fleet.live)
 }
 
 // Release gives back a request's room.
@@ -158,9 +154,10 @@
 // Exchange sends each home's sums to all others.
 func (w *HomeWay) Exchange() int {
 	bytes := 0
-	for i, ledger := range w.ledgers {
+	w.tokens = 0
+	for _, ledger := range w.ledgers {
 		sums := ledger.Sums()
-		w.sums[i] = sums[model]
+		w.tokens += sums[model].Tokens
 		encoded, _ := json.Marshal(sums)
 		bytes += len(encoded)
 	}
--- a/internal/routebench/reports.go
+++ b/internal/routebench/reports.go
@@ -9,6 +9,7 @@
 // reports is what ways share that read the loads that engines report.
 type reports struct {
 	fleet *Fleet
+	sum   int
 }
 
 // Start prepares the way for a fleet.
@@ -26,11 +27,13 @@
 // Exchange reads the reports of all engines.
 func (w *reports) Exchange() int {
 	bytes := 0
+	w.sum = 0
 	for _, e := range w.fleet.engines {
 		if !e.live {
 			continue
 		}
 		e.reported = e.tokens
+		w.sum += e.tokens
 		encoded, _ := json.Marshal(endpoint.Load{Requests: e.requests, Tokens: e.tokens, Models: []string{model}})
 		bytes += len(encoded)
 	}
@@ -39,11 +42,5 @@
 
 // mean returns the mean of the reported loads.
 func (w *reports) mean() float64 {
-	sum := 0
-	for _, e := range w.fleet.engines {
-		if e.live {
-			sum += e.reported
-		}
-	}
-	return float64(sum) / float64(w.fleet.live)
+	return float64(w.sum) / float64(w.fleet.live)
 }
