--- a/router/chat_context_test.go
+++ b/router/chat_context_test.go
@@ -39,7 +39,6 @@
 	taker := &wholeReceiver{}
 	j := &job{
 		router:     r,
-		view:       view,
 		work:       endpoint.Work{RequestID: "request", Workspace: "workspace", Chat: "chat", Model: "model", MaxTokens: 100},
 		candidates: mustCandidates(t, view, "chat", ""),
 		search:     true,
