--- a/router/job.go
+++ b/router/job.go
@@ -14,7 +14,7 @@
 // The bounds of one request's attempts.
 const (
 	maxStarts = 4
-	maxAsked  = 12
+	maxAsked  = 20
 	retryBusy = time.Second
 	movePause = 200 * time.Millisecond
 )
@@ -24,7 +24,9 @@
 	router     *Router
 	work       endpoint.Work
 	candidates []candidate
-	receiver   receiver
+	// search tells whether the chat's context is looked for.
+	search   bool
+	receiver receiver
 
 	delivered []string
 	failed    map[string]bool
@@ -84,22 +86,19 @@
 // runOnce finds an engine that admits the work and relays its answer.
 func (j *job) runOnce(ctx context.Context) error {
 	var last error
-	asked := 0
-	for _, c := range j.candidates {
-		if j.failed[c.vm.Address] || asked == maxAsked {
-			continue
-		}
-		asked++
+	order := newCandidateOrder(j)
+	for c, ok := order.next(); ok; c, ok = order.next() {
 		err := j.try(ctx, c)
 		if err == nil || !notAdmitted(err) {
 			return err
 		}
+		order.refused(err)
 		last = err
 	}
 	if last == nil {
 		return code.New(code.NoEndpoint, "all engines have failed").After(noEndpointRetry)
 	}
-	return code.New(code.Overloaded, "%d engines did not admit the request, the last with: %v", asked, last).After(retryBusy)
+	return code.New(code.Overloaded, "%d engines did not admit the request, the last with: %v", order.full, last).After(retryBusy)
 }
 
 // try runs the work at one engine. A lost home does not speak against the
@@ -134,7 +133,7 @@
 	work := j.work
 	work.StreamID = at.streamID
 	work.Prefix = j.delivered
-	order := workOrder{Engine: at.engine, Work: work, DeadlineMS: timeLeft(ctx).Milliseconds()}
+	order := workOrder{Engine: at.engine, Work: work, Lookup: c.lookup, DeadlineMS: timeLeft(ctx).Milliseconds()}
 	klog.Infof("route: request %s of %s chat %s goes to engine %s by home %s, %s, attempt %d, offset %d.",
 		work.RequestID, work.Workspace, work.Chat, at.engine, at.home, c.reason, j.starts, len(j.delivered))
 	return at, j.router.dispatch(ctx, at.home, order, j.sink(at))
--- a/router/work_order.go
+++ b/router/work_order.go
@@ -1,6 +1,9 @@
 package router
 
-import "cardamompoint.example/cardamompoint/endpoint"
+import (
+	"cardamompoint.example/cardamompoint/affinity"
+	"cardamompoint.example/cardamompoint/endpoint"
+)
 
 const workPath = "/peer/v1/work"
 
@@ -10,6 +13,8 @@
 	Engine string `json:"engine"`
 	// Work is the work.
 	Work endpoint.Work `json:"work"`
+	// Lookup tells how the home uses what it knows of the chat.
+	Lookup affinity.Lookup `json:"lookup,omitempty"`
 	// DeadlineMS is the time left, in milliseconds.
 	DeadlineMS int64 `json:"deadline_ms"`
 }
