Rank only the engines that should have the model loaded

Cause: a request asks at most 20 engines. In a group whose models are each loaded on a part of the engines, the first 20 of the chat's order may all lack the model: with 12 models on a twelfth each this holds for 17 in 100 chats (11/12 to the 20th), which were refused though engines had room.

The candidates now come from the first engines of the model's order of placement, as many as the router's scaler has replicas, kept prepared for each list of VMs. Engines that have not loaded the model yet refuse with 412, which leaves the order of the others as it is.

Test: seen failing with all engines of the group as candidates.

--- a/internal/routebench/fleet.go
+++ b/internal/routebench/fleet.go
@@ -126,7 +126,7 @@
 
 func (f *Fleet) rank(key uint64, limit int) []int {
 	var buffer [maxAsked]platform.VM
-	vms := f.view.AppendRanked(buffer[:0], group, key, limit)
+	vms := f.view.Pool(group).AppendRanked(buffer[:0], key, limit)
 	order := make([]int, len(vms))
 	for i, vm := range vms {
 		order[i] = f.byAddress[vm.Address]
--- a/internal/routebench/home_way.go
+++ b/internal/routebench/home_way.go
@@ -81,7 +81,7 @@
 	w.homes = w.homes[:0]
 	for _, e := range w.fleet.engines {
 		var buffer [1]platform.VM
-		home := w.fleet.view.AppendRankedRouters(buffer[:0], rank.Key("home", e.address), 1)[0]
+		home := w.fleet.view.RouterPool().AppendRanked(buffer[:0], rank.Key("home", e.address), 1)[0]
 		w.homes = append(w.homes, numbers[home.Address])
 	}
 }
--- a/internal/routebench/subset_way.go
+++ b/internal/routebench/subset_way.go
@@ -36,7 +36,7 @@
 	for _, router := range w.fleet.routers {
 		subset := map[int]bool{}
 		var buffer []platform.VM
-		for _, vm := range w.fleet.view.AppendRanked(buffer, group, rank.Key("subset", router), size) {
+		for _, vm := range w.fleet.view.Pool(group).AppendRanked(buffer, rank.Key("subset", router), size) {
 			subset[w.fleet.byAddress[vm.Address]] = true
 		}
 		w.subsets = append(w.subsets, subset)
--- a/placement/scaler.go
+++ b/placement/scaler.go
@@ -57,6 +57,15 @@
 	return state.replicas
 }
 
+// Count returns the result of the model's last call of Replicas, and whether
+// there was one.
+func (s *Scaler) Count(model string) (replicas int, known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state, known := s.states[model]
+	return state.replicas, known
+}
+
 func bounds(model config.Model, engines int) (low, high int) {
 	high = engines
 	if model.Max > 0 {
--- a/router/completion.go
+++ b/router/completion.go
@@ -60,7 +60,7 @@
 		return nil, 0, err
 	}
 	hinted := stream.OpenHint(r.settings.Secret, body.Hint, body.Workspace, body.Chat)
-	ranked, err := candidates(snapshot, view, body.Workspace, body.Chat, choice.Model, hinted)
+	ranked, err := r.candidatesOf(snapshot, view, chatKey(body.Workspace, body.Chat), choice.Model, hinted)
 	if err != nil {
 		return nil, 0, err
 	}
--- /dev/null
+++ b/router/pools.go
@@ -0,0 +1,66 @@
+package router
+
+import (
+	"sync"
+
+	"cardamompoint.example/cardamompoint/config"
+	"cardamompoint.example/cardamompoint/member"
+	"cardamompoint.example/cardamompoint/placement"
+	"cardamompoint.example/cardamompoint/platform"
+)
+
+// pools keeps the engines that should have each model loaded, prepared for
+// ranking. It is safe for concurrent use.
+type pools struct {
+	mu      sync.Mutex
+	byModel map[string]modelPool
+}
+
+// modelPool is the pool of a model for one list of VMs and count of replicas.
+type modelPool struct {
+	version  int64
+	group    string
+	replicas int
+	pool     *member.Pool
+}
+
+func newPools() *pools {
+	return &pools{byModel: map[string]modelPool{}}
+}
+
+// find returns the first replicas engines of the model's order of placement. A
+// count of 0 means all engines of the group.
+func (p *pools) find(view *member.View, model config.Model, replicas int) *member.Pool {
+	engines := view.Group(model.Group)
+	if replicas == 0 || replicas >= len(engines) {
+		return view.Pool(model.Group)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.byModel[model.Name]
+	if known.version == view.List.Version && known.group == model.Group && known.replicas == replicas {
+		return known.pool
+	}
+	pool := member.NewPool(chooseReplicas(model, engines, replicas))
+	p.byModel[model.Name] = modelPool{view.List.Version, model.Group, replicas, pool}
+	return pool
+}
+
+func chooseReplicas(model config.Model, engines []platform.VM, replicas int) []platform.VM {
+	order := placement.Eligible(model, engines)
+	chosen := make([]platform.VM, 0, replicas)
+	for _, index := range order[:min(replicas, len(order))] {
+		chosen = append(chosen, engines[index])
+	}
+	return chosen
+}
+
+// poolOf returns the engines that should have the model loaded by what this
+// router knows of its load. Before the first plan, these are all that may.
+func (r *Router) poolOf(view *member.View, model config.Model) *member.Pool {
+	replicas, known := r.placer.scaler.Count(model.Name)
+	if !known {
+		replicas = model.Max
+	}
+	return r.pools.find(view, model, replicas)
+}
--- a/router/route.go
+++ b/router/route.go
@@ -60,29 +60,40 @@
 // fail in mid-answer included.
 const maxCandidates = maxStarts + maxAsked
 
-// candidates returns the engines that may serve the chat, best first, at most
-// maxCandidates. hinted is the engine that holds the chat's context, if the
-// caller knows it.
-func candidates(snapshot *config.Snapshot, view *member.View, workspace, chat, model, hinted string) ([]candidate, error) {
+// candidatesOf returns the engines that may serve the chat with a model, best
+// first. Errors carry code.NoEndpoint.
+func (r *Router) candidatesOf(snapshot *config.Snapshot, view *member.View, chat uint64, model, hinted string) ([]candidate, error) {
 	declared, ok := snapshot.Models[model]
 	if !ok {
 		return nil, code.New(code.NoEndpoint, "the model %q is not declared", model).After(noEndpointRetry)
 	}
-	if len(view.Group(declared.Group)) == 0 {
+	pool := r.poolOf(view, declared)
+	if pool.Len() == 0 {
 		return nil, code.New(code.NoEndpoint, "the group %q has no live engine", declared.Group).After(noEndpointRetry)
 	}
+	hint, ok := hintedEngine(view, declared.Group, hinted)
+	if !ok {
+		return candidates(pool, chat, nil), nil
+	}
+	return candidates(pool, chat, &hint), nil
+}
+
+// candidates returns the pool's engines for the chat, best first, at most
+// maxCandidates. hint is the engine that holds the chat's context, if the caller
+// knows it; it is the first.
+func candidates(pool *member.Pool, chat uint64, hint *platform.VM) []candidate {
 	var buffer [maxCandidates]platform.VM
-	order := view.AppendRanked(buffer[:0], declared.Group, chatKey(workspace, chat), maxCandidates)
+	order := pool.AppendRanked(buffer[:0], chat, maxCandidates)
 	ranked := make([]candidate, 0, len(order)+1)
-	if vm, ok := hintedEngine(view, declared.Group, hinted); ok {
-		ranked = append(ranked, candidate{vm: vm, reason: reasonHint})
+	if hint != nil {
+		ranked = append(ranked, candidate{vm: *hint, reason: reasonHint})
 	}
 	for _, vm := range order {
-		if len(ranked) == 0 || vm.Address != ranked[0].vm.Address {
+		if hint == nil || vm.Address != hint.Address {
 			ranked = append(ranked, candidate{vm: vm, reason: reasonRanked})
 		}
 	}
-	return ranked, nil
+	return ranked
 }
 
 // hintedEngine returns the engine that a hint names, if it is live and of the
@@ -102,12 +113,12 @@
 func (r *Router) homeOf(view *member.View, engine string) string {
 	key, now := rank.Key("home", engine), time.Now()
 	var buffer [nearHomes]platform.VM
-	for _, vm := range view.AppendRankedRouters(buffer[:0], key, nearHomes) {
+	for _, vm := range view.RouterPool().AppendRanked(buffer[:0], key, nearHomes) {
 		if r.members.Health(vm.Address, now) == member.HealthAlive {
 			return vm.Address
 		}
 	}
-	for _, vm := range view.AppendRankedRouters(nil, key, 0) {
+	for _, vm := range view.RouterPool().AppendRanked(nil, key, 0) {
 		if r.members.Health(vm.Address, now) == member.HealthAlive {
 			return vm.Address
 		}
@@ -126,7 +137,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ranked, err := candidates(snapshot, view, workspace, chat, choice.Model, "")
+	ranked, err := r.candidatesOf(snapshot, view, chatKey(workspace, chat), choice.Model, "")
 	if err != nil {
 		return nil, err
 	}
--- a/router/route_test.go
+++ b/router/route_test.go
@@ -7,6 +7,7 @@
 
 	"cardamompoint.example/cardamompoint/config"
 	"cardamompoint.example/cardamompoint/member"
+	"cardamompoint.example/cardamompoint/placement"
 	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/settings"
 	"cardamompoint.example/cardamompoint/template"
@@ -46,13 +47,28 @@
 	return table
 }
 
-func testSnapshot() *config.Snapshot {
-	return &config.Snapshot{Models: map[string]config.Model{"model": {Group: testGroup}}}
+// testSnapshot declares a model that at most most engines have loaded.
+func testSnapshot(most int) *config.Snapshot {
+	return &config.Snapshot{Models: map[string]config.Model{"model": {Name: "model", Group: testGroup, Max: most}}}
+}
+
+func testRouter(members *member.Table) *Router {
+	return &Router{
+		settings: &settings.Router{},
+		members:  members,
+		pools:    newPools(),
+		placer:   &placer{scaler: placement.NewScaler(1000)},
+	}
 }
 
 func mustCandidates(t testing.TB, view *member.View, chat, hinted string) []candidate {
 	t.Helper()
-	ranked, err := candidates(testSnapshot(), view, "workspace", chat, "model", hinted)
+	return testRouter(nil).mustCandidates(t, testSnapshot(0), view, chat, hinted)
+}
+
+func (r *Router) mustCandidates(t testing.TB, snapshot *config.Snapshot, view *member.View, chat, hinted string) []candidate {
+	t.Helper()
+	ranked, err := r.candidatesOf(snapshot, view, chatKey("workspace", chat), "model", hinted)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -106,6 +122,36 @@
 	}
 }
 
+func TestCandidatesShouldHaveTheModelLoaded(t *testing.T) {
+	const engines, most, least = 300, 30, 5
+	r := testRouter(testTable(testVMs(2, 0, engines)))
+	view, snapshot := r.members.View(), testSnapshot(most)
+	check := func(replicas int) {
+		t.Helper()
+		loaded := map[string]bool{}
+		for _, index := range placement.Eligible(snapshot.Models["model"], view.Group(testGroup))[:replicas] {
+			loaded[view.Group(testGroup)[index].Address] = true
+		}
+		for i := range 100 {
+			ranked := r.mustCandidates(t, snapshot, view, fmt.Sprint("chat-", i), "")
+			if len(ranked) != min(replicas, maxCandidates) {
+				t.Fatalf("%d candidates for %d replicas", len(ranked), replicas)
+			}
+			for _, c := range ranked {
+				if !loaded[c.vm.Address] {
+					t.Fatalf("%s is a candidate and should not have the model", c.vm.Address)
+				}
+			}
+		}
+	}
+	check(most)
+	declared := snapshot.Models["model"]
+	declared.Min = least
+	snapshot.Models["model"] = declared
+	r.placer.scaler.Replicas(declared, engines, 0, time.Now())
+	check(least)
+}
+
 func TestTemplatePinsAndWeighsModels(t *testing.T) {
 	rules := &template.Rules{Workspace: "workspace", Completion: template.Completion{Models: []template.ModelChoice{
 		{Model: "large", Weight: 1}, {Model: "small", Weight: 3}, {Model: "pinned", Weight: 0},
@@ -129,14 +175,14 @@
 
 // decisionRouter returns a router of the fleet's two-year size.
 func decisionRouter(engines int) *Router {
-	r := &Router{settings: &settings.Router{}}
-	r.members = testTable(testVMs(340, 0, engines))
-	return r
+	return testRouter(testTable(testVMs(340, 0, engines)))
 }
 
+var decisionSnapshot = testSnapshot(0)
+
 func (r *Router) decide(t testing.TB, chat string) {
 	view := r.members.View()
-	ranked := mustCandidates(t, view, chat, "")
+	ranked := r.mustCandidates(t, decisionSnapshot, view, chat, "")
 	r.homeOf(view, ranked[0].vm.Address)
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -34,6 +34,7 @@
 	members *member.Table
 	ledger  *balance.Ledger
 	context *affinity.Index
+	pools   *pools
 	records *once.Table
 	clock   *once.Clock
 	window  once.Window
@@ -76,6 +77,7 @@
 		store:    config.NewStore(),
 		ledger:   balance.NewLedger(s.Limits),
 		context:  affinity.NewIndex(contextEntries, contextKeep),
+		pools:    newPools(),
 		records:  once.NewTable(s.Limits.Records),
 		budget:   newRetryBudget(s.Limits.RetryRatio),
 
--- a/router/service.go
+++ b/router/service.go
@@ -127,7 +127,7 @@
 // workers returns the addresses of a service's live workers in the order for
 // the request.
 func (r *Router) workers(view *member.View, service, requestID string) []string {
-	order := view.AppendRanked(nil, service, rank.Key(requestID), 0)
+	order := view.Pool(service).AppendRanked(nil, rank.Key(requestID), 0)
 	addresses := make([]string, len(order))
 	for i, vm := range order {
 		addresses[i] = vm.Address
