Allocate the rest of a search at once

Cause: the list of remaining candidates grew step by step, 5 allocations of the 15 for one placement.

--- a/affinity/search.go
+++ b/affinity/search.go
@@ -108,6 +108,7 @@
 // whose home did not know the chat.
 func (s *Search) settle() {
 	s.phase = phaseSettle
+	s.settled = make([]int, 0, len(s.refused))
 	if s.unknown != noCandidate {
 		s.settled = append(s.settled, s.unknown)
 	}
