--- a/internal/routebench/fleet.go
+++ b/internal/routebench/fleet.go
@@ -43,6 +43,11 @@
 	return f
 }
 
+// clock returns the virtual time as the decision functions take it.
+func (f *Fleet) clock() time.Time {
+	return time.Unix(0, 0).Add(f.Now)
+}
+
 func routerAddress(number int) string {
 	return fmt.Sprintf("10.1.%d.%d:7001", number/250, number%250+1)
 }
@@ -68,7 +73,7 @@
 		}
 	}
 	table := member.NewTable(member.Self{Address: f.routers[0]}, time.Hour)
-	table.SetList(list, time.Time{}.Add(f.Now))
+	table.SetList(list, f.clock())
 	f.view = table.View()
 	f.orders = map[uint64][]int{}
 }
--- a/internal/routebench/request.go
+++ b/internal/routebench/request.go
@@ -1,6 +1,10 @@
 package routebench
 
-import "time"
+import (
+	"time"
+
+	"cardamompoint.example/cardamompoint/template"
+)
 
 // Request is one request of a chat.
 type Request struct {
@@ -11,6 +15,10 @@
 	// Chat is the chat's number; Key is its key in rankings.
 	Chat int
 	Key  uint64
+	// Workspace is whose chat it is.
+	Workspace string
+	// Priority is the class.
+	Priority template.Priority
 	// Turn counts the chat's requests from 0.
 	Turn int
 	// Prompt is the length of the prompt, in tokens.
--- a/internal/routebench/result.go
+++ b/internal/routebench/result.go
@@ -17,6 +17,9 @@
 	// Moved counts requests of chats that left a live engine that held their
 	// context and was not full.
 	Moved int
+	// Last counts requests that were admitted above the multiple, because no
+	// engine had room below it.
+	Last int
 	// Asked counts the engines that were asked.
 	Asked int
 	// Bytes and Seconds give the control traffic of one router.
--- a/internal/routebench/run.go
+++ b/internal/routebench/run.go
@@ -162,6 +162,8 @@
 	result.Asked += p.Asked
 	if p.Engine == none {
 		result.Refused++
+	} else if p.Last {
+		result.Last++
 	}
 	if hint == none {
 		return
--- a/internal/routebench/way.go
+++ b/internal/routebench/way.go
@@ -31,6 +31,8 @@
 	Asked int
 	// HintFull tells that the engine that served the chat last was full.
 	HintFull bool
+	// Last tells that no engine had room below the multiple.
+	Last bool
 
 	home int
 }
--- a/router/chat_context_test.go
+++ b/router/chat_context_test.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"cardamompoint.example/cardamompoint/balance"
 	"cardamompoint.example/cardamompoint/endpoint"
-	"cardamompoint.example/cardamompoint/member"
 	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/settings"
 )
@@ -19,6 +19,8 @@
 	return sink(endpoint.Line{RequestID: work.RequestID, StreamID: work.StreamID, Final: &endpoint.Final{}})
 }
 
+func (quickEngine) Load(context.Context, string) (endpoint.Load, error) { return endpoint.Load{}, nil }
+
 // newPlaceRouter returns the only router of a list with engines.
 func newPlaceRouter(t *testing.T, engines int) *Router {
 	t.Helper()
@@ -30,18 +32,22 @@
 		t.Fatal(err)
 	}
 	r.members.SetList(platform.VMs{Version: 1, VMs: vms}, time.Now())
+	for range 100 {
+		r.standing(vms[1].Address, time.Now())
+		time.Sleep(100 * time.Millisecond)
+	}
 	return r
 }
 
-// ask runs one request of a returning chat and returns the engine that served it.
-func (r *Router) ask(t *testing.T, view *member.View) string {
+// ask runs one request of a chat and returns the engine that served it.
+func (r *Router) ask(t *testing.T, choices []candidate, search bool) string {
 	t.Helper()
 	taker := &wholeReceiver{}
 	j := &job{
 		router:     r,
 		work:       endpoint.Work{RequestID: "request", Workspace: "workspace", Chat: "chat", Model: "model", MaxTokens: 100},
-		candidates: mustCandidates(t, view, "chat", ""),
-		search:     true,
+		candidates: choices,
+		search:     search,
 		receiver:   taker,
 	}
 	if err := j.run(t.Context()); err != nil {
@@ -50,26 +56,51 @@
 	return taker.final.Engine
 }
 
-func TestSpilledChatReturnsToItsEngineWithoutHint(t *testing.T) {
-	r := newPlaceRouter(t, 5)
-	view := r.members.View()
-	choices := mustCandidates(t, view, "chat", "")
-	first, second := choices[0].vm.Address, choices[1].vm.Address
-	if engine := r.ask(t, view); engine != first {
-		t.Fatalf("served by %s, the first choice is %s", engine, first)
-	}
-	other := balance.Request{Engine: first, Model: "model", Tokens: r.settings.Limits.EngineTokens}
-	reservation, err := r.ledger.Reserve(other)
+// fill takes all room of an engine.
+func (r *Router) fill(t *testing.T, engine string) *balance.Reservation {
+	t.Helper()
+	work := endpoint.Work{Workspace: "other", Model: "model", MaxTokens: r.settings.Limits.EngineTokens}
+	reservation, err := r.admitWork(workOrder{Engine: engine, Work: work})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if engine := r.ask(t, view); engine != second {
-		t.Fatalf("spilled to %s, the second choice is %s", engine, second)
-	}
-	reservation.Release()
-	for range 3 {
-		if engine := r.ask(t, view); engine != second {
-			t.Errorf("served by %s, the context is at %s", engine, second)
+	return reservation
+}
+
+func TestSpilledChatReturnsToItsEngineWithoutHint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newPlaceRouter(t, 5)
+		view := r.members.View()
+		choices := mustCandidates(t, view, "chat", "")
+		first, second := choices[0].vm.Address, choices[1].vm.Address
+		if engine := r.ask(t, choices, true); engine != first {
+			t.Fatalf("served by %s, the first choice is %s", engine, first)
 		}
-	}
+		reservation := r.fill(t, first)
+		if engine := r.ask(t, choices, true); engine != second {
+			t.Fatalf("spilled to %s, the second choice is %s", engine, second)
+		}
+		reservation.Release()
+		for range 3 {
+			if engine := r.ask(t, choices, true); engine != second {
+				t.Errorf("served by %s, the context is at %s", engine, second)
+			}
+		}
+	})
+}
+
+func TestHintDoesNotOverrideTheCap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newPlaceRouter(t, 5)
+		view := r.members.View()
+		hinted := mustCandidates(t, view, "chat", "")[3].vm.Address
+		choices := mustCandidates(t, view, "chat", hinted)
+		if engine := r.ask(t, choices, false); engine != hinted {
+			t.Fatalf("served by %s, the hint names %s", engine, hinted)
+		}
+		r.fill(t, hinted)
+		if engine := r.ask(t, choices, false); engine != choices[1].vm.Address {
+			t.Errorf("served by %s, the first choice besides the full one is %s", engine, choices[1].vm.Address)
+		}
+	})
 }
--- a/router/home.go
+++ b/router/home.go
@@ -22,8 +22,9 @@
 	}
 	klog.Infof("place: request %s is admitted to %s.", order.Work.RequestID, order.Engine)
 	s := r.streams.open(order.key(), reservation)
+	sink = r.countTokens(reservation, order.Work, sink)
 	return r.relay(ctx, s, len(order.Work.Prefix), sink, func(ctx context.Context, sink endpoint.Sink) error {
-		return r.engine.Generate(ctx, order.Engine, order.Work, sink)
+		return r.generate(ctx, reservation, order, sink)
 	})
 }
 
@@ -46,13 +47,18 @@
 // if the engine has none left; the engine's own report shows the stream then.
 func (r *Router) adopt(order resumeOrder) *balance.Reservation {
 	id := order.Stream
-	reservation, err := r.ledger.Reserve(balance.Request{
-		Engine:     id.Engine,
-		Model:      id.Model,
-		Workspace:  id.Workspace,
-		Tokens:     max(0, id.MaxTokens-order.Offset),
-		MeanTokens: r.meanTokens(id.Model),
-	})
+	now := time.Now()
+	mean, grown := r.meanTokens(id.Model, now)
+	reservation, err := r.admission.Admit(balance.Request{
+		Engine:      id.Engine,
+		Model:       id.Model,
+		Workspace:   id.Workspace,
+		Share:       r.share(id.Workspace),
+		Tokens:      max(1, id.MaxTokens-order.Offset),
+		MeanTokens:  mean,
+		GrownTokens: grown,
+		Last:        true,
+	}, r.standing(id.Engine, now), now)
 	if err != nil {
 		klog.Infof("place: stream %s at %s goes on uncounted: %v.", id.StreamID, id.Engine, err)
 		return nil
--- a/router/route.go
+++ b/router/route.go
@@ -19,6 +19,7 @@
 	reasonRanked = "ranked"
 	reasonProbed = "probed"
 	reasonSpill  = "spill"
+	reasonLast   = "last"
 )
 
 // noEndpointRetry is when to come back if a model has no engine.
@@ -29,6 +30,8 @@
 	vm     platform.VM
 	reason string
 	lookup affinity.Lookup
+	// last tells that no candidate has room below the load multiple.
+	last bool
 }
 
 // chooseModel returns the model that the template gives the chat. The choice
@@ -104,28 +107,6 @@
 	return vm, live && vm.Role == platform.RoleEngine && vm.Group == group
 }
 
-// nearHomes is the number of routers that are looked at before the whole order
-// of an engine's routers is made.
-const nearHomes = 4
-
-// homeOf returns the router that admits work to the engine: the first in the
-// engine's order of routers that this router can reach.
-func (r *Router) homeOf(view *member.View, engine string) string {
-	key, now := rank.Key("home", engine), time.Now()
-	var buffer [nearHomes]platform.VM
-	for _, vm := range view.RouterPool().AppendRanked(buffer[:0], key, nearHomes) {
-		if r.members.Health(vm.Address, now) == member.HealthAlive {
-			return vm.Address
-		}
-	}
-	for _, vm := range view.RouterPool().AppendRanked(nil, key, 0) {
-		if r.members.Health(vm.Address, now) == member.HealthAlive {
-			return vm.Address
-		}
-	}
-	return r.members.Self().Address
-}
-
 // explain returns how the chat would be routed now.
 func (r *Router) explain(workspace, chat string) (*api.Explanation, error) {
 	snapshot, view := r.store.Snapshot(), r.members.View()
--- a/router/router.go
+++ b/router/router.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"golang.org/x/sync/singleflight"
 
 	"cardamompoint.example/cardamompoint/affinity"
 	"cardamompoint.example/cardamompoint/balance"
@@ -27,6 +28,7 @@
 	config   platform.Config
 	lister   platform.Lister
 	engine   endpoint.Engine
+	loads    endpoint.Engine
 	service  endpoint.Service
 	metrics  *metrics.Metrics
 
@@ -42,6 +44,12 @@
 	granter *once.Granter
 	budget  *retryBudget
 
+	admission *balance.Admission
+	estimator *balance.Estimator
+	tenure    *tenure
+	pulse     *pulse
+	polls     singleflight.Group
+
 	workerCounts *workerCounts
 	placer       *placer
 	streams      *homeStreams
@@ -72,10 +80,10 @@
 		config:   options.Config,
 		lister:   options.Lister,
 		engine:   options.Engine,
+		loads:    options.Engine,
 		service:  options.Service,
 		metrics:  meters,
 		store:    config.NewStore(),
-		ledger:   balance.NewLedger(s.Limits),
 		context:  affinity.NewIndex(contextEntries, contextKeep),
 		pools:    newPools(),
 		records:  once.NewTable(s.Limits.Records),
@@ -94,6 +102,7 @@
 		FailureDomain: s.FailureDomain,
 		Incarnation:   uuid.NewString(),
 	}, milliseconds(s.Timing.SuspectMS))
+	r.addAdmission(time.Now())
 	r.control = peer.NewClient(s.Secret, peer.NewTransport(&r.controlBytes))
 	r.work = peer.NewClient(s.Secret, peer.NewTransport(nil))
 	r.streams = newHomeStreams(milliseconds(s.Timing.ResumeMS), r.cancelStream)
@@ -102,6 +111,18 @@
 	return r, r.addGauges()
 }
 
+// addAdmission makes what admits work to engines.
+func (r *Router) addAdmission(now time.Time) {
+	timing := r.settings.Timing
+	suspect := milliseconds(timing.SuspectMS)
+	lease, margin := leaseDuration(suspect), leaseMargin(suspect)
+	r.ledger = balance.NewLedger(r.settings.Limits, lease-margin)
+	r.admission = balance.NewAdmission(r.ledger, lease, margin, now)
+	r.estimator = balance.NewEstimator()
+	r.tenure = newTenure(tenureWait(suspect, milliseconds(timing.HeartbeatMS)), lease)
+	r.pulse = newPulse(now)
+}
+
 func (r *Router) addAdapters() {
 	s := r.settings
 	if r.config == nil || r.lister == nil {
@@ -110,6 +131,7 @@
 	}
 	if r.engine == nil {
 		r.engine = endpoint.NewEngineClient(peer.NewTransport(nil), milliseconds(s.Timing.ProgressMS), milliseconds(s.Timing.StallMS))
+		r.loads = endpoint.NewEngineClient(peer.NewTransport(&r.controlBytes), pollTimeout, pollTimeout)
 	}
 	if r.placer.orders == nil {
 		r.placer.orders = endpoint.NewOrdersClient(peer.NewTransport(&r.controlBytes), milliseconds(s.Timing.ProgressMS))
@@ -147,5 +169,10 @@
 
 // ready reports whether the balancer may send callers here.
 func (r *Router) ready() bool {
-	return r.learned.Load() && !r.draining.Load()
+	if !r.learned.Load() || r.draining.Load() {
+		return false
+	}
+	now := time.Now()
+	r.noteSpread(now)
+	return r.tenure.ready(now)
 }
--- a/router/work_order.go
+++ b/router/work_order.go
@@ -15,6 +15,8 @@
 	Work endpoint.Work `json:"work"`
 	// Lookup tells how the home uses what it knows of the chat.
 	Lookup affinity.Lookup `json:"lookup,omitempty"`
+	// Last tells that no candidate has room below the load multiple.
+	Last bool `json:"last,omitempty"`
 	// DeadlineMS is the time left, in milliseconds.
 	DeadlineMS int64 `json:"deadline_ms"`
 }
