--- a/router/home.go
+++ b/router/home.go
@@ -22,7 +22,7 @@
 	}
 	klog.Infof("place: request %s is admitted to %s.", order.Work.RequestID, order.Engine)
 	s := r.streams.open(order.key(), reservation)
-	sink = r.countTokens(reservation, order.Work, sink)
+	sink = r.learnLength(order.Work, countTokens(reservation, sink))
 	return r.relay(ctx, s, len(order.Work.Prefix), sink, func(ctx context.Context, sink endpoint.Sink) error {
 		return r.generate(ctx, reservation, order, sink)
 	})
@@ -38,32 +38,21 @@
 		s = r.streams.open(key, r.adopt(order))
 	}
 	klog.Infof("place: stream %s at %s is resumed at token %d.", key.StreamID, key.Engine, order.Offset)
+	sink = countTokens(s.reservation, sink)
 	return r.relay(ctx, s, order.Offset, sink, func(ctx context.Context, sink endpoint.Sink) error {
 		return r.engine.Resume(ctx, key.Engine, key.RequestID, key.StreamID, order.Offset, sink)
 	})
 }
 
-// adopt holds room for a stream that another router admitted. It returns nil
-// if the engine has none left; the engine's own report shows the stream then.
+// adopt counts a stream that another router admitted.
 func (r *Router) adopt(order resumeOrder) *balance.Reservation {
 	id := order.Stream
-	now := time.Now()
-	mean, grown := r.meanTokens(id.Model, now)
-	reservation, err := r.admission.Admit(balance.Request{
-		Engine:      id.Engine,
-		Model:       id.Model,
-		Workspace:   id.Workspace,
-		Share:       r.share(id.Workspace),
-		Tokens:      max(1, id.MaxTokens-order.Offset),
-		MeanTokens:  mean,
-		GrownTokens: grown,
-		Last:        true,
-	}, r.standing(id.Engine, now), now)
-	if err != nil {
-		klog.Infof("place: stream %s at %s goes on uncounted: %v.", id.StreamID, id.Engine, err)
-		return nil
-	}
-	return reservation
+	return r.ledger.Adopt(balance.Request{
+		Engine:    id.Engine,
+		Model:     id.Model,
+		Workspace: id.Workspace,
+		Tokens:    max(1, id.MaxTokens-order.Offset),
+	}, time.Now())
 }
 
 // serveWork answers a workOrder with JSON lines.
--- /dev/null
+++ b/router/lease_bytes_test.go
@@ -0,0 +1,63 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+	"cardamompoint.example/cardamompoint/peer"
+	"cardamompoint.example/cardamompoint/settings"
+)
+
+// bytesOf returns the bytes of one exchange on an open connection, averaged
+// over several.
+func bytesOf(t *testing.T, handler http.Handler, exchange func(transport *http.Transport, address string) error) int64 {
+	t.Helper()
+	const exchanges = 20
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	var bytes peer.Bytes
+	transport := peer.NewTransport(&bytes)
+	defer transport.CloseIdleConnections()
+	for range exchanges {
+		if err := exchange(transport, strings.TrimPrefix(server.URL, "http://")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return bytes.Total() / exchanges
+}
+
+// TestAdmissionControlBytes bounds what leases and load reports cost: half of
+// the 13 KB/s that a node may spend on control.
+func TestAdmissionControlBytes(t *testing.T) {
+	const mostPerSecond = 13000 / 2
+	f := newHalves(t)
+	self := f.routers[0].members.Self()
+	secret := f.routers[0].settings.Secret
+	leases := peer.Handle(secret, func(context.Context, leaseRequest) (leaseAnswer, error) {
+		return leaseAnswer{Granted: true}, nil
+	})
+	lease := bytesOf(t, leases, func(transport *http.Transport, address string) error {
+		client := peer.NewClient(secret, transport)
+		return client.Post(t.Context(), address, leasePath, leaseRequest{From: self}, nil)
+	})
+	loads := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		jsonhttp.Write(w, endpoint.Load{Requests: 32, Tokens: 32768, Models: []string{"dossier-writer"}})
+	})
+	load := bytesOf(t, loads, func(transport *http.Transport, address string) error {
+		_, err := endpoint.NewEngineClient(transport, pollTimeout, pollTimeout).Load(t.Context(), address)
+		return err
+	})
+	timing := settings.Defaults().Timing
+	period := leaseDuration(milliseconds(timing.SuspectMS)) / leaseAskPer
+	// A node asks for its own lease and answers for another node's.
+	perSecond := 2*float64(lease)/period.Seconds() + float64(pollsPerPeriod*load)*1000/float64(timing.LoadReportMS)
+	t.Logf("a lease takes %d bytes, a load report %d, together %.0f bytes a second", lease, load, perSecond)
+	if perSecond > mostPerSecond {
+		t.Errorf("leases and load reports take %.0f bytes a second, %d are allowed", perSecond, mostPerSecond)
+	}
+}
