--- a/router/completion.go
+++ b/router/completion.go
@@ -60,12 +60,13 @@
 		return nil, 0, err
 	}
 	hinted := stream.OpenHint(r.settings.Secret, body.Hint, body.Workspace, body.Chat)
-	ranked, err := candidates(snapshot, view, body.Workspace, body.Chat, choice.Model, hinted)
+	ranked, err := r.candidatesOf(snapshot, view, chatKey(body.Workspace, body.Chat), choice.Model, hinted)
 	if err != nil {
 		return nil, 0, err
 	}
 	timeout := r.timeout(body.TimeoutMS, rules.Completion.TimeoutMS)
-	return &job{router: r, work: work, candidates: ranked, delivered: slices.Clone(body.Prefix)}, timeout, nil
+	search := body.Returning() && ranked[0].reason != reasonHint
+	return &job{router: r, work: work, candidates: ranked, search: search, delivered: slices.Clone(body.Prefix)}, timeout, nil
 }
 
 func newWork(requestID string, body *api.Completion, rules *template.Rules, choice template.ModelChoice) (endpoint.Work, error) {
--- a/router/route.go
+++ b/router/route.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cardamompoint.example/cardamompoint/affinity"
 	"cardamompoint.example/cardamompoint/api"
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/config"
@@ -16,6 +17,9 @@
 const (
 	reasonHint   = "hint"
 	reasonRanked = "ranked"
+	reasonProbed = "probed"
+	reasonSpill  = "spill"
+	reasonLast   = "last"
 )
 
 // noEndpointRetry is when to come back if a model has no engine.
@@ -25,6 +29,9 @@
 type candidate struct {
 	vm     platform.VM
 	reason string
+	lookup affinity.Lookup
+	// last tells that no candidate has room below the load multiple.
+	last bool
 }
 
 // chooseModel returns the model that the template gives the chat. The choice
@@ -45,40 +52,59 @@
 	if len(choices) == 0 {
 		return template.ModelChoice{}, code.New(code.InvalidParameter, "the template has no such model").At("$.model")
 	}
-	best := rank.Top(rank.Key(rules.Workspace, chat), nodes, 1)
+	if len(choices) == 1 {
+		return choices[0], nil
+	}
+	best := rank.Top(chatKey(rules.Workspace, chat), nodes, 1)
 	return choices[best[0]], nil
 }
 
-// candidates returns the engines that may serve the chat, best first. hinted
-// is the engine that holds the chat's context, if the caller knows it.
-func candidates(snapshot *config.Snapshot, view *member.View, workspace, chat, model, hinted string) ([]candidate, error) {
+// maxCandidates bounds the engines that one request may ask, the ones that
+// fail in mid-answer included.
+const maxCandidates = maxStarts + maxAsked
+
+// candidatesOf returns the engines that may serve the chat with a model, best
+// first. Errors carry code.NoEndpoint.
+func (r *Router) candidatesOf(snapshot *config.Snapshot, view *member.View, chat uint64, model, hinted string) ([]candidate, error) {
 	declared, ok := snapshot.Models[model]
 	if !ok {
 		return nil, code.New(code.NoEndpoint, "the model %q is not declared", model).After(noEndpointRetry)
 	}
-	engines := view.Group(declared.Group)
-	if len(engines) == 0 {
+	pool := r.poolOf(view, declared)
+	if pool.Len() == 0 {
 		return nil, code.New(code.NoEndpoint, "the group %q has no live engine", declared.Group).After(noEndpointRetry)
 	}
-	order := rank.Top(rank.Key(workspace, chat), nodesOf(engines), 0)
+	hint, ok := hintedEngine(view, declared.Group, hinted)
+	if !ok {
+		return candidates(pool, chat, nil), nil
+	}
+	return candidates(pool, chat, &hint), nil
+}
+
+// candidates returns the pool's engines for the chat, best first, at most
+// maxCandidates. hint is the engine that holds the chat's context, if the caller
+// knows it; it is the first.
+func candidates(pool *member.Pool, chat uint64, hint *platform.VM) []candidate {
+	var buffer [maxCandidates]platform.VM
+	order := pool.AppendRanked(buffer[:0], chat, maxCandidates)
 	ranked := make([]candidate, 0, len(order)+1)
-	for _, index := range order {
-		vm := engines[index]
-		if vm.Address == hinted {
-			ranked = append([]candidate{{vm: vm, reason: reasonHint}}, ranked...)
-			continue
+	if hint != nil {
+		ranked = append(ranked, candidate{vm: *hint, reason: reasonHint})
+	}
+	for _, vm := range order {
+		if hint == nil || vm.Address != hint.Address {
+			ranked = append(ranked, candidate{vm: vm, reason: reasonRanked})
 		}
-		ranked = append(ranked, candidate{vm: vm, reason: reasonRanked})
 	}
-	return ranked, nil
+	return ranked
 }
 
-func nodesOf(vms []platform.VM) []rank.Node {
-	nodes := make([]rank.Node, len(vms))
-	for i, vm := range vms {
-		nodes[i] = rank.NewNode(vm.Address, vm.Capacity)
-	}
-	return nodes
+// hintedEngine returns the engine that a hint names, if it is live and of the
+// group.
+func hintedEngine(view *member.View, group, address string) (platform.VM, bool) {
+	vm, ok := view.Find(address)
+	live := ok && vm.State != platform.StateLeaving
+	return vm, live && vm.Role == platform.RoleEngine && vm.Group == group
 }
 
 // explain returns how the chat would be routed now.
@@ -92,7 +118,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ranked, err := candidates(snapshot, view, workspace, chat, choice.Model, "")
+	ranked, err := r.candidatesOf(snapshot, view, chatKey(workspace, chat), choice.Model, "")
 	if err != nil {
 		return nil, err
 	}
--- a/router/router_set.go
+++ b/router/router_set.go
@@ -12,19 +12,21 @@
 // routerSet is the live routers of one published list. It is immutable.
 type routerSet struct {
 	addresses []string
-	nodes     []rank.Node
+	ranked    *rank.Set
 }
 
 // newRouterSet returns the live routers of view's list. A router that the list
 // does not name is not part of it, this router included.
 func newRouterSet(view *member.View) *routerSet {
 	set := &routerSet{}
+	var nodes []rank.Node
 	for _, vm := range view.List.VMs {
 		if vm.Role == platform.RoleRouter && vm.State == platform.StateLive {
 			set.addresses = append(set.addresses, vm.Address)
-			set.nodes = append(set.nodes, rank.NewNode(vm.Address, 1))
+			nodes = append(nodes, rank.NewNode(vm.Address, 1))
 		}
 	}
+	set.ranked = rank.NewSet(nodes)
 	return set
 }
 
@@ -35,7 +37,8 @@
 // homeOf returns the home of engine: the first router of its order. It is empty
 // if there is no router.
 func (s *routerSet) homeOf(engine string) string {
-	order := rank.Top(rank.Key("home", engine), s.nodes, 1)
+	var buffer [1]int
+	order := s.ranked.AppendTop(buffer[:0], rank.Key("home", engine), 1)
 	if len(order) == 0 {
 		return ""
 	}
@@ -45,7 +48,8 @@
 // backupOf returns the backup of a home: the first other router of the home's
 // order. It is empty if there is none.
 func (s *routerSet) backupOf(home string) string {
-	for _, index := range rank.Top(rank.Key("backup", home), s.nodes, 2) {
+	var buffer [2]int
+	for _, index := range s.ranked.AppendTop(buffer[:0], rank.Key("backup", home), 2) {
 		if s.addresses[index] != home {
 			return s.addresses[index]
 		}
