Run the ways of the routing benchmark side by side

Cause: the tables took 190 s with the race detector in a run of all checks on a shared machine. The runs are independent; side by side they took 34 s. The tables are the same.

--- a/internal/routebench/table_test.go
+++ b/internal/routebench/table_test.go
@@ -24,23 +24,41 @@
 
 var benches = []*bench{newBench(Gelek), newBench(Urverk)}
 
-func runAll(d Deployment) []*Result {
-	work := Work(d, workSeed)
-	ways := map[Scenario][]Way{
-		Steady: {
-			&PerfectWay{}, &HomeWay{Hints: true}, &HomeWay{Index: true}, &HomeWay{},
-			&EntryWay{}, &SubsetWay{}, &TwoWay{}, &PlainWay{},
-		},
-		Engines: {&PerfectWay{}, &HomeWay{Hints: true}, &HomeWay{Index: true}},
-		Routers: {&HomeWay{Hints: true}, &HomeWay{Index: true}},
+// plannedRun is one line of a table.
+type plannedRun struct {
+	scenario Scenario
+	way      Way
+}
+
+// plannedRuns returns the runs of a table, each with a way of its own.
+func plannedRuns() []plannedRun {
+	return []plannedRun{
+		{Steady, &PerfectWay{}},
+		{Steady, &HomeWay{Hints: true}},
+		{Steady, &HomeWay{Index: true}},
+		{Steady, &HomeWay{}},
+		{Steady, &EntryWay{}},
+		{Steady, &SubsetWay{}},
+		{Steady, &TwoWay{}},
+		{Steady, &PlainWay{}},
+		{Engines, &PerfectWay{}},
+		{Engines, &HomeWay{Hints: true}},
+		{Engines, &HomeWay{Index: true}},
+		{Routers, &HomeWay{Hints: true}},
+		{Routers, &HomeWay{Index: true}},
 	}
-	var all []*Result
-	for _, s := range []Scenario{Steady, Engines, Routers} {
-		for _, way := range ways[s] {
-			all = append(all, Run(d, s, way, work))
-		}
+}
+
+// runAll runs all ways on the same work, side by side.
+func runAll(d Deployment) []*Result {
+	work, planned := Work(d, workSeed), plannedRuns()
+	results := make([]*Result, len(planned))
+	var runs sync.WaitGroup
+	for i, p := range planned {
+		runs.Go(func() { results[i] = Run(d, p.scenario, p.way, work) })
 	}
-	return all
+	runs.Wait()
+	return results
 }
 
 // find returns the result of one run.
