--- a/cmd/cardamompoint/stream_load_test.go
+++ b/cmd/cardamompoint/stream_load_test.go
@@ -32,6 +32,7 @@
 	mu      sync.Mutex
 	counts  streamCounts
 	faults  []string
+	longest time.Duration
 }
 
 // streamCounts tell how the answers of a streamLoad ended.
@@ -66,7 +67,7 @@
 // wait waits for all answers and returns how they ended.
 func (l *streamLoad) wait() streamCounts {
 	l.running.Wait()
-	l.fleet.t.Log(l.counts)
+	l.fleet.t.Logf("%v, longest time between two tokens %d ms", l.counts, l.longest.Milliseconds())
 	for _, fault := range l.faults {
 		l.fleet.t.Log(fault)
 	}
@@ -84,7 +85,10 @@
 		Messages:  []api.Message{{Role: "user", Content: "a roster"}},
 	}
 	answer := &caller.Answer{}
+	last := time.Now()
 	answer.OnToken = func() {
+		l.noteGap(len(answer.Tokens), time.Since(last))
+		last = time.Now()
 		if len(answer.Tokens) == beginTokens {
 			l.begun.Add(1)
 		}
@@ -110,6 +114,15 @@
 	l.count(counts, completion, answer, err)
 }
 
+// noteGap keeps the longest time between two tokens, for the log only.
+func (l *streamLoad) noteGap(tokens int, gap time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if tokens > 1 {
+		l.longest = max(l.longest, gap)
+	}
+}
+
 func (l *streamLoad) client(routers []int, i int) *caller.Client {
 	return l.fleet.client(routers[i%len(routers)])
 }
--- a/router/home.go
+++ b/router/home.go
@@ -38,6 +38,9 @@
 		s = r.streams.open(key, r.adopt(order))
 	}
 	klog.Infof("place: stream %s at %s is resumed at token %d.", key.StreamID, key.Engine, order.Offset)
+	if s.reservation != nil {
+		sink = countTokens(s.reservation, sink)
+	}
 	sink = countTokens(s.reservation, sink)
 	return r.relay(ctx, s, order.Offset, sink, func(ctx context.Context, sink endpoint.Sink) error {
 		return r.engine.Resume(ctx, key.Engine, key.RequestID, key.StreamID, order.Offset, sink)
--- a/router/home_streams.go
+++ b/router/home_streams.go
@@ -98,7 +98,7 @@
 func (h *homeStreams) leave(s *homeStream, reader int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.byID[s.StreamID] != s || s.reader != reader {
+	if h.byID[s.StreamID] != s || s.reader != reader || s.stop == nil {
 		return
 	}
 	s.stop(nil)
--- a/router/job.go
+++ b/router/job.go
@@ -157,14 +157,18 @@
 	return at, j.router.dispatch(ctx, at.home, order, j.sink(at))
 }
 
-// homeOf returns the router that counts the engine's work, or this one if that
-// router was lost during the request.
+// homeOf returns the router that counts the engine's work, or its backup if
+// that router was lost during the request or is this one and shuts down.
 func (j *job) homeOf(engine string) string {
-	home := j.router.homeOf(j.router.members.View(), engine)
-	if j.lostHomes[home] {
-		return j.router.members.Self().Address
+	r, view := j.router, j.router.members.View()
+	home, self := r.homeOf(view, engine), r.members.Self().Address
+	if !j.lostHomes[home] && (home != self || !r.draining.Load()) {
+		return home
 	}
-	return home
+	if backup := r.tenure.update(view, time.Now()).backupOf(home); backup != "" {
+		return backup
+	}
+	return self
 }
 
 // homeLost reports whether err tells that another router was lost on the way.
