--- a/code/code.go
+++ b/code/code.go
@@ -49,6 +49,8 @@
 	VersionConflict  Code = 410
 	SnapshotTooOld   Code = 411
 	ModelNotLoaded   Code = 412
+	ContextElsewhere Code = 420
+	ContextUnknown   Code = 421
 	InternalFault    Code = 499
 	InvalidTemplate  Code = 501
 	InvalidSettings  Code = 502
--- a/router/job.go
+++ b/router/job.go
@@ -14,7 +14,7 @@
 // The bounds of one request's attempts.
 const (
 	maxStarts = 4
-	maxAsked  = 12
+	maxAsked  = 20
 	retryBusy = time.Second
 	movePause = 200 * time.Millisecond
 )
@@ -24,15 +24,15 @@
 	router     *Router
 	work       endpoint.Work
 	candidates []candidate
-	receiver   receiver
+	// search tells whether the chat's context is looked for.
+	search   bool
+	receiver receiver
 
 	delivered []string
 	failed    map[string]bool
 	lostHomes map[string]bool
 	starts    int
 	announced attempt
-	// lastPass tells that no candidate has room below the load multiple.
-	lastPass bool
 	// lastTime is when the last token came, or when the request came.
 	lastTime time.Time
 	// begun tells that a token came.
@@ -86,37 +86,22 @@
 // runOnce finds an engine that admits the work and relays its answer.
 func (j *job) runOnce(ctx context.Context) error {
 	var last error
-	asked := 0
-	var full []candidate
-	j.lastPass = false
-	for _, c := range j.candidates {
-		if j.failed[c.vm.Address] || asked == maxAsked {
-			continue
-		}
-		asked++
+	order := newCandidateOrder(j)
+	for c, ok := order.next(); ok; c, ok = order.next() {
 		err := j.try(ctx, c)
 		if err == nil || !notAdmitted(err) {
 			return err
 		}
-		if code.Is(err, code.EndpointFull) {
-			full = append(full, c)
-		}
+		order.refused(err)
 		last = err
 	}
-	j.lastPass = true
-	for _, c := range full {
-		err := j.try(ctx, c)
-		if err == nil || !notAdmitted(err) {
-			return err
-		}
-	}
 	if last == nil {
 		return code.New(code.NoEndpoint, "all engines have failed").After(noEndpointRetry)
 	}
 	if code.Is(last, code.WorkspaceShare) {
 		return last
 	}
-	return code.New(code.Overloaded, "%d engines did not admit the request, the last with: %v", asked, last).After(retryBusy)
+	return code.New(code.Overloaded, "%d engines did not admit the request, the last with: %v", order.asked, last).After(retryBusy)
 }
 
 // try runs the work at one engine. A lost home does not speak against the
@@ -151,7 +136,7 @@
 	work := j.work
 	work.StreamID = at.streamID
 	work.Prefix = j.delivered
-	order := workOrder{Engine: at.engine, Work: work, Last: j.lastPass, DeadlineMS: timeLeft(ctx).Milliseconds()}
+	order := workOrder{Engine: at.engine, Work: work, Lookup: c.lookup, Last: c.last, DeadlineMS: timeLeft(ctx).Milliseconds()}
 	klog.Infof("route: request %s of %s chat %s goes to engine %s by home %s, %s, attempt %d, offset %d.",
 		work.RequestID, work.Workspace, work.Chat, at.engine, at.home, c.reason, j.starts, len(j.delivered))
 	return at, j.router.dispatch(ctx, at.home, order, j.sink(at))
