Give the stream tests' routers a pulse and their engine a load report

The tests were written before a home admitted only with a load report, with its list known to all listed routers, and while it knows that it was not frozen. Their heartbeats now carry the list's version, the routers run their pulse, and the paced engine answers /v1/load. What the tests check is unchanged.

--- a/router/stream_pair_test.go
+++ b/router/stream_pair_test.go
@@ -67,7 +67,7 @@
 	return transport
 }
 
-// router returns a router that does not run its periodic tasks.
+// router returns a router that runs no periodic task but its pulse.
 func (p *streamPair) router(address string) *Router {
 	p.t.Helper()
 	s := settings.Defaults()
@@ -82,6 +82,9 @@
 	}
 	r.work = peer.NewClient(s.Secret, p.transport())
 	r.learned.Store(true)
+	running, stop := context.WithCancel(context.Background())
+	p.stops = append(p.stops, stop)
+	go r.pulse.run(running)
 	return r
 }
 
@@ -101,8 +104,8 @@
 		r.members.SetList(list, time.Now())
 		r.store.Apply(values, 2)
 	}
-	p.entry.members.Heard(member.Heartbeat{From: p.home.members.Self()}, time.Now())
-	p.home.members.Heard(member.Heartbeat{From: p.entry.members.Self()}, time.Now())
+	p.entry.members.Heard(member.Heartbeat{From: p.home.members.Self(), ListVersion: 1}, time.Now())
+	p.home.members.Heard(member.Heartbeat{From: p.entry.members.Self(), ListVersion: 1}, time.Now())
 }
 
 func pairCompletion(tokens int) api.Completion {
--- a/router/streams_test.go
+++ b/router/streams_test.go
@@ -144,6 +144,9 @@
 	mux.HandleFunc("DELETE /v1/streams/{stream}", func(w http.ResponseWriter, _ *http.Request) {
 		jsonhttp.Write(w, struct{}{})
 	})
+	mux.HandleFunc("GET /v1/load", func(w http.ResponseWriter, _ *http.Request) {
+		jsonhttp.Write(w, endpoint.Load{})
+	})
 	return mux
 }
 
