--- a/router/home.go
+++ b/router/home.go
@@ -15,7 +15,7 @@
 // runAtHome admits work to an engine that this router manages and relays its
 // answer to sink.
 func (r *Router) runAtHome(ctx context.Context, order workOrder, sink endpoint.Sink) error {
-	reservation, err := r.admitWork(order)
+	reservation, err := r.placeWork(order)
 	if err != nil {
 		klog.Infof("place: request %s is not admitted to %s: %v.", order.Work.RequestID, order.Engine, err)
 		return err
--- a/router/router.go
+++ b/router/router.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 	"golang.org/x/sync/singleflight"
 
+	"cardamompoint.example/cardamompoint/affinity"
 	"cardamompoint.example/cardamompoint/balance"
 	"cardamompoint.example/cardamompoint/config"
 	"cardamompoint.example/cardamompoint/endpoint"
@@ -34,6 +35,8 @@
 	store   *config.Store
 	members *member.Table
 	ledger  *balance.Ledger
+	context *affinity.Index
+	pools   *pools
 	records *once.Table
 	clock   *once.Clock
 	window  once.Window
@@ -81,6 +84,8 @@
 		service:  options.Service,
 		metrics:  meters,
 		store:    config.NewStore(),
+		context:  affinity.NewIndex(contextEntries, contextKeep),
+		pools:    newPools(),
 		records:  once.NewTable(s.Limits.Records),
 		budget:   newRetryBudget(s.Limits.RetryRatio),
 
