--- a/affinity/index.go
+++ b/affinity/index.go
@@ -53,6 +53,9 @@
 	if place == Here {
 		return 0, false
 	}
+	if place == Left {
+		return RefusalLeft, true
+	}
 	if place == Elsewhere || lookup == LookupHeld {
 		return RefusalElsewhere, true
 	}
@@ -63,6 +66,16 @@
 	return RefusalUnknown, true
 }
 
+// Refused notes that the engine refused a chat.
+func (x *Index) Refused(engine string, chat uint64, now time.Time) {
+	place, _ := x.Look(engine, chat, now)
+	if place == Here || place == Left {
+		x.Note(engine, chat, Left, now)
+		return
+	}
+	x.Note(engine, chat, Elsewhere, now)
+}
+
 // Note sets the place of a chat.
 func (x *Index) Note(engine string, chat uint64, place Place, now time.Time) {
 	x.mu.Lock()
--- a/affinity/place.go
+++ b/affinity/place.go
@@ -11,4 +11,7 @@
 	Here
 	// Elsewhere means that the chat was refused here since then.
 	Elsewhere
+	// Left means the same, and that the engine had admitted the chat last before
+	// the refusal. If no other engine has admitted it since, its context is here.
+	Left
 )
--- a/affinity/refusal.go
+++ b/affinity/refusal.go
@@ -12,4 +12,7 @@
 	// RefusalUnknown means that the home's Index is not complete and does not
 	// know the chat.
 	RefusalUnknown
+	// RefusalLeft means that the home passes the chat on, whose context was at
+	// the engine before.
+	RefusalLeft
 )
--- a/affinity/search.go
+++ b/affinity/search.go
@@ -23,6 +23,7 @@
 	passedOn int
 	probes   int
 	unknown  int
+	left     int
 	settled  []int
 	phase    phase
 }
@@ -42,7 +43,7 @@
 // whether the chat's context is looked for; otherwise the candidates are asked
 // in their order.
 func NewSearch(count int, search bool) *Search {
-	s := &Search{refused: make([]bool, count), asked: noCandidate, unknown: noCandidate}
+	s := &Search{refused: make([]bool, count), asked: noCandidate, unknown: noCandidate, left: noCandidate}
 	if !search {
 		s.settle()
 	}
@@ -96,7 +97,10 @@
 	case RefusalUnknown:
 		s.unknown = s.asked
 		s.phase = phaseProbe
-	case RefusalElsewhere:
+	case RefusalElsewhere, RefusalLeft:
+		if refusal == RefusalLeft {
+			s.left = s.asked
+		}
 		s.passedOn++
 		if s.passedOn == maxPassedOn {
 			s.settle()
@@ -105,15 +109,19 @@
 }
 
 // settle lets the remaining candidates be asked in their order, after the one
-// whose home did not know the chat.
+// whose home did not know the chat and the one that had the context last. So a
+// chat that all candidates refused goes back to its context.
 func (s *Search) settle() {
 	s.phase = phaseSettle
 	s.settled = make([]int, 0, len(s.refused))
 	if s.unknown != noCandidate {
 		s.settled = append(s.settled, s.unknown)
 	}
+	if s.left != noCandidate && s.left != s.unknown {
+		s.settled = append(s.settled, s.left)
+	}
 	for index, refused := range s.refused {
-		if !refused && index != s.unknown {
+		if !refused && index != s.unknown && index != s.left {
 			s.settled = append(s.settled, index)
 		}
 	}
--- a/balance/ledger.go
+++ b/balance/ledger.go
@@ -203,7 +203,7 @@
 		return nil
 	}
 	bound := l.limits.LoadMultiple * request.MeanTokens
-	if request.Last {
+	if request.Last && growing(request, l.limits.LoadMultiple) {
 		bound = max(bound, request.GrownTokens+float64(request.Tokens))
 	}
 	if float64(tokens) > bound {
@@ -212,6 +212,12 @@
 	return nil
 }
 
+// growing reports whether the mean is late behind a load that grows. The last
+// candidates may then carry what the grown mean allows.
+func growing(request Request, multiple float64) bool {
+	return request.GrownTokens > multiple*request.MeanTokens
+}
+
 // retryAfter returns when room is likely: after one mean service time.
 func (l *Ledger) retryAfter() time.Duration {
 	return min(max(l.service, retryLeast), retryMost)
--- a/balance/request.go
+++ b/balance/request.go
@@ -22,7 +22,8 @@
 	// GrownTokens is the same mean, if the loads of the other routers have grown
 	// as the own ones did since they were told.
 	GrownTokens float64
-	// Last tells that no candidate has room below the load multiple. An engine
-	// that carries no more than the mean then admits the request.
+	// Last tells that no candidate has room below the load multiple. While the
+	// mean is late behind a load that grows, an engine that carries no more than
+	// the grown mean then admits the request.
 	Last bool
 }
--- a/code/code.go
+++ b/code/code.go
@@ -51,6 +51,7 @@
 	ModelNotLoaded   Code = 412
 	ContextElsewhere Code = 420
 	ContextUnknown   Code = 421
+	ContextLeft      Code = 422
 	InternalFault    Code = 499
 	InvalidTemplate  Code = 501
 	InvalidSettings  Code = 502
--- a/code/table.go
+++ b/code/table.go
@@ -44,6 +44,7 @@
 	{ModelNotLoaded, "model_not_loaded", http.StatusServiceUnavailable, RunNo, true, "The engine has not loaded the model; use another one."},
 	{ContextElsewhere, "context_elsewhere", http.StatusMisdirectedRequest, RunNo, true, "The engine's home passes the chat on to its next choice."},
 	{ContextUnknown, "context_unknown", http.StatusMisdirectedRequest, RunNo, true, "The engine's home does not know yet where the chat's context is; its next choices are asked first."},
+	{ContextLeft, "context_left", http.StatusMisdirectedRequest, RunNo, true, "The engine's home passes the chat on, whose context was at the engine before."},
 	{InternalFault, "internal_fault", http.StatusInternalServerError, RunUnknown, false, "Report the log line."},
 	{InvalidTemplate, "invalid_template", http.StatusUnprocessableEntity, RunNo, false, "Mend the template at the named path; the last accepted one stays in force."},
 	{InvalidSettings, "invalid_settings", http.StatusUnprocessableEntity, RunNo, false, "Mend the settings at the named path."},
--- a/internal/routebench/home_way.go
+++ b/internal/routebench/home_way.go
@@ -134,7 +134,7 @@
 	}
 	reservation, err := router.admit(address, r, w.mean(), last, now)
 	if err != nil {
-		router.index.Note(address, r.Key, affinity.Elsewhere, now)
+		router.index.Refused(address, r.Key, now)
 		return affinity.RefusalFull, false
 	}
 	router.index.Note(address, r.Key, affinity.Here, now)
--- a/router/chat_context.go
+++ b/router/chat_context.go
@@ -30,7 +30,7 @@
 		r.context.Note(order.Engine, chat, affinity.Here, now)
 		return reservation, nil
 	}
-	r.context.Note(order.Engine, chat, affinity.Elsewhere, now)
+	r.context.Refused(order.Engine, chat, now)
 	return nil, err
 }
 
@@ -40,8 +40,11 @@
 }
 
 func contextError(refusal affinity.Refusal) *code.Error {
-	if refusal == affinity.RefusalUnknown {
+	switch refusal {
+	case affinity.RefusalUnknown:
 		return code.New(code.ContextUnknown, "the home does not know the chat yet")
+	case affinity.RefusalLeft:
+		return code.New(code.ContextLeft, "the chat was refused here and is expected at another engine")
 	}
 	return code.New(code.ContextElsewhere, "the chat is expected at its next choice")
 }
@@ -53,6 +56,8 @@
 		return affinity.RefusalElsewhere
 	case code.ContextUnknown:
 		return affinity.RefusalUnknown
+	case code.ContextLeft:
+		return affinity.RefusalLeft
 	}
 	return affinity.RefusalFull
 }
