--- a/api/status.go
+++ b/api/status.go
@@ -21,6 +21,17 @@
 	// ListAgeMS is the time since the platform last confirmed the list, in
 	// milliseconds; -1 if it never did.
 	ListAgeMS int64 `json:"list_age_ms"`
+	// ConfigAgeMS is the time since the platform last confirmed the
+	// configuration, to this router or to one that told it, in milliseconds; -1
+	// if it never did.
+	ConfigAgeMS int64 `json:"config_age_ms"`
+	// Digest is a short hash of all documents that the router knows. Routers
+	// with the same digest have the same configuration in force.
+	Digest string `json:"digest"`
+	// Reader tells whether the router is chosen to read the platform.
+	Reader bool `json:"reader"`
+	// Stale tells that the router has slept and refreshes its view.
+	Stale bool `json:"stale"`
 	// Peers are the other routers.
 	Peers []PeerStatus `json:"peers"`
 	// InProgress is the number of callers' requests in progress.
@@ -43,10 +54,15 @@
 
 // PeerStatus is what a router thinks of another one.
 type PeerStatus struct {
-	Address  string `json:"address"`
-	Name     string `json:"name"`
-	Health   string `json:"health"`
-	Revision int64  `json:"revision"`
+	Address string `json:"address"`
+	Name    string `json:"name"`
+	Health  string `json:"health"`
+	// Suspected tells that the peer did not answer lately.
+	Suspected bool  `json:"suspected,omitempty"`
+	Revision  int64 `json:"revision"`
+	// HeardMS is the time since the peer was last heard from, in milliseconds;
+	// -1 if it never was.
+	HeardMS int64 `json:"heard_ms"`
 }
 
 // EngineStatus is the load that a router counts at an engine.
--- a/cmd/cardamompoint/fleet_test.go
+++ b/cmd/cardamompoint/fleet_test.go
@@ -339,7 +339,7 @@
 	}
 	alive := 0
 	for _, peer := range status.Peers {
-		if peer.Health == "alive" {
+		if peer.Health == "alive" && peer.HeardMS >= 0 {
 			alive++
 		}
 	}
--- a/cmd/cardamompoint/status.go
+++ b/cmd/cardamompoint/status.go
@@ -48,11 +48,13 @@
 }
 
 func printStatus(w io.Writer, status *api.Status, workspaces bool) {
-	fmt.Fprintf(w, "%s %s ready=%t revision=%d list=%d list_age_ms=%d in_progress=%d records=%d engines=%d control_bytes=%d\n",
-		status.Name, status.Address, status.Ready, status.Revision, status.ListVersion, status.ListAgeMS,
+	fmt.Fprintf(w, "%s %s ready=%t revision=%d digest=%s config_age_ms=%d list=%d list_age_ms=%d reader=%t stale=%t in_progress=%d records=%d engines=%d control_bytes=%d\n",
+		status.Name, status.Address, status.Ready, status.Revision, status.Digest, status.ConfigAgeMS,
+		status.ListVersion, status.ListAgeMS, status.Reader, status.Stale,
 		status.InProgress, status.Records, len(status.Engines), status.ControlBytes)
 	for _, peer := range status.Peers {
-		fmt.Fprintf(w, "  peer %s %s %s revision=%d\n", peer.Name, peer.Address, peer.Health, peer.Revision)
+		fmt.Fprintf(w, "  peer %s %s %s suspected=%t heard_ms=%d revision=%d\n",
+			peer.Name, peer.Address, peer.Health, peer.Suspected, peer.HeardMS, peer.Revision)
 	}
 	for key, fault := range status.Refused {
 		fmt.Fprintf(w, "  refused %s: %s\n", key, fault)
--- /dev/null
+++ b/config/install.go
@@ -0,0 +1,51 @@
+package config
+
+import (
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/template"
+)
+
+// install puts a unit's documents in force, or returns why they can't be.
+func install(next *Snapshot, unit string, documents []platform.Value) error {
+	if workspace, ok := workspaceOf(unit); ok {
+		return installRules(next, workspace, documents)
+	}
+	if kind, name := SplitKey(unit); kind == KindModel {
+		return installModel(next, name, documents[0])
+	}
+	if documents[0].Deleted {
+		return nil
+	}
+	return code.New(code.InvalidDocument, "the key is not known").At(unit)
+}
+
+func installRules(next *Snapshot, workspace string, documents []platform.Value) error {
+	published := find(documents, TemplateKey(workspace))
+	if published.Version == 0 || published.Deleted {
+		delete(next.Workspaces, workspace)
+		return nil
+	}
+	parameters := find(documents, ParametersKey(workspace))
+	rules, err := template.Compile(workspace, published.Data, parameters.Data)
+	if err != nil {
+		return err
+	}
+	rules.TemplateVersion = published.Version
+	rules.ParameterVersion = parameters.Version
+	next.Workspaces[workspace] = rules
+	return nil
+}
+
+func installModel(next *Snapshot, name string, document platform.Value) error {
+	if document.Deleted {
+		delete(next.Models, name)
+		return nil
+	}
+	model, err := ParseModel(name, document.Version, document.Data)
+	if err != nil {
+		return err
+	}
+	next.Models[name] = model
+	return nil
+}
--- a/config/store.go
+++ b/config/store.go
@@ -1,7 +1,8 @@
 package config
 
 import (
-	"sort"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -9,21 +10,22 @@
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/platform"
-	"cardamompoint.example/cardamompoint/template"
 )
 
-// Store keeps the newest version of each document and the snapshot in force.
-// It is safe for concurrent use; reading the snapshot takes no lock.
+// Store keeps the newest documents of each unit, the last accepted ones, and
+// the snapshot in force. It is safe for concurrent use; reading the snapshot
+// takes no lock.
 type Store struct {
 	snapshot atomic.Pointer[Snapshot]
 
-	mu     sync.Mutex
-	values map[string]platform.Value
+	mu      sync.Mutex
+	entries map[string]*entry
+	digest  Digest
 }
 
 // NewStore returns an empty Store.
 func NewStore() *Store {
-	store := &Store{values: map[string]platform.Value{}}
+	store := &Store{entries: map[string]*entry{}}
 	store.snapshot.Store(newSnapshot())
 	return store
 }
@@ -33,96 +35,210 @@
 	return s.snapshot.Load()
 }
 
-// Apply takes in values up to revision and returns those that were newer than
-// what the store had. Older versions are ignored.
-func (s *Store) Apply(values []platform.Value, revision int64) []platform.Value {
+// Apply takes in all changes up to revision, as the platform gave them, and
+// returns the units that changed by them. Older versions are ignored.
+func (s *Store) Apply(values []platform.Value, revision int64) []Unit {
+	names := []string{}
+	byName := map[string]Unit{}
+	for _, value := range values {
+		name := UnitName(value.Key)
+		unit, ok := byName[name]
+		if !ok {
+			names = append(names, name)
+		}
+		unit.Name = name
+		unit.Newest = append(unit.Newest, value)
+		byName[name] = unit
+	}
+	units := make([]Unit, len(names))
+	for i, name := range names {
+		units[i] = byName[name]
+	}
+	return s.take(units, revision)
+}
+
+// Merge takes in units as a peer has them and returns those that changed by
+// them, as this store has them now. Older versions are ignored.
+func (s *Store) Merge(units []Unit) []Unit {
+	return s.take(units, 0)
+}
+
+// Advance records that the store holds everything up to revision, provided
+// that it holds everything up to after.
+func (s *Store) Advance(after, revision int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	next := s.Snapshot().clone()
-	var fresh []platform.Value
-	for _, value := range values {
-		if s.accept(next, value) {
-			fresh = append(fresh, value)
+	current := s.Snapshot()
+	if current.Revision < after || current.Revision >= revision {
+		return
+	}
+	next := *current
+	next.Revision = revision
+	s.snapshot.Store(&next)
+}
+
+func (s *Store) take(units []Unit, revision int64) []Unit {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current := s.Snapshot()
+	next := current
+	var fresh []Unit
+	for _, unit := range units {
+		if !s.brings(unit) {
+			continue
+		}
+		if next == current {
+			next = current.clone()
 		}
+		if s.accept(next, unit) {
+			fresh = append(fresh, s.entries[unit.Name].unit(unit.Name))
+		}
+	}
+	if revision > next.Revision {
+		copied := *next
+		copied.Revision = revision
+		next = &copied
 	}
-	next.Revision = max(next.Revision, revision)
 	s.snapshot.Store(next)
 	return fresh
 }
 
-func (s *Store) accept(next *Snapshot, value platform.Value) bool {
-	known, ok := s.values[value.Key]
-	if ok && known.Version >= value.Version {
+// brings reports whether the unit may hold something new.
+func (s *Store) brings(unit Unit) bool {
+	known, ok := s.entries[unit.Name]
+	if !ok {
+		return len(unit.Newest) > 0
+	}
+	if version(unit.Accepted) > version(known.accepted) {
+		return true
+	}
+	_, fresh := merge(known.newest, unit.Newest)
+	return fresh
+}
+
+// accept takes in a unit and reports whether it changed anything.
+func (s *Store) accept(next *Snapshot, unit Unit) bool {
+	known, ok := s.entries[unit.Name]
+	if !ok {
+		known = &entry{}
+	}
+	changed := *known
+	var fresh bool
+	changed.newest, fresh = merge(known.newest, unit.Newest)
+	if fresh {
+		changed.refused = nil
+		if err := install(next, unit.Name, changed.newest); err != nil {
+			changed.refused = code.Of(err)
+		} else {
+			changed.accepted = changed.newest
+		}
+		logVerdict(unit.Name, &changed)
+	}
+	restored := changed.refused != nil && restore(next, &changed, unit)
+	if !fresh && !restored {
 		return false
 	}
-	s.values[value.Key] = value
-	s.install(next, value)
+	s.replace(next, unit.Name, known, &changed, ok)
 	return true
 }
 
-func (s *Store) install(next *Snapshot, value platform.Value) {
-	kind, name := SplitKey(value.Key)
-	var err error
-	switch kind {
-	case KindTemplate, KindParameters:
-		err = s.installRules(next, name)
-	case KindModel:
-		err = installModel(next, name, value)
-	default:
-		err = code.New(code.InvalidDocument, "the key is not known").At(value.Key)
-	}
-	if err != nil {
-		next.Refused[value.Key] = code.Of(err)
-		klog.Warningf("config: %s version %d is refused: %v.", value.Key, value.Version, err)
-		return
+// restore puts a peer's last accepted documents in force if they are newer
+// than the own ones.
+func restore(next *Snapshot, known *entry, unit Unit) bool {
+	if version(unit.Accepted) <= version(known.accepted) || version(unit.Accepted) >= version(known.newest) {
+		return false
 	}
-	delete(next.Refused, value.Key)
-	klog.Infof("config: %s version %d is in force.", value.Key, value.Version)
+	if install(next, unit.Name, unit.Accepted) != nil {
+		return false
+	}
+	known.accepted = unit.Accepted
+	klog.Infof("config: %s version %d is in force, the last accepted one.", unit.Name, version(unit.Accepted))
+	return true
 }
 
-func (s *Store) installRules(next *Snapshot, workspace string) error {
-	published, ok := s.values[TemplateKey(workspace)]
-	if !ok || published.Deleted {
-		delete(next.Workspaces, workspace)
-		return nil
+func (s *Store) replace(next *Snapshot, name string, old, changed *entry, known bool) {
+	if known {
+		s.digest.toggle(old.stamp(name))
+	}
+	s.digest.toggle(changed.stamp(name))
+	for _, document := range changed.newest {
+		delete(next.Refused, document.Key)
 	}
-	parameters := s.values[ParametersKey(workspace)]
-	rules, err := template.Compile(workspace, published.Data, parameters.Data)
-	if err != nil {
-		return err
+	if changed.refused != nil {
+		next.Refused[changed.refusedKey()] = changed.refused
 	}
-	rules.TemplateVersion = published.Version
-	rules.ParameterVersion = parameters.Version
-	next.Workspaces[workspace] = rules
-	return nil
+	s.entries[name] = changed
 }
 
-func installModel(next *Snapshot, name string, value platform.Value) error {
-	if value.Deleted {
-		delete(next.Models, name)
-		return nil
+func logVerdict(name string, changed *entry) {
+	if changed.refused != nil {
+		klog.Warningf("config: %s version %d is refused, version %d stays in force: %v.",
+			name, version(changed.newest), version(changed.accepted), changed.refused)
+		return
 	}
-	model, err := ParseModel(name, value.Version, value.Data)
-	if err != nil {
-		return err
+	klog.Infof("config: %s version %d is in force.", name, version(changed.newest))
+}
+
+// Digest returns the summary of all units.
+func (s *Store) Digest() Digest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.digest
+}
+
+// Stamps returns the stamps of the units in the buckets in which other
+// differs, in the order of their names.
+func (s *Store) Stamps(other Digest) []Stamp {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var stamps []Stamp
+	for name, known := range s.entries {
+		bucket := bucketOf(name)
+		if s.digest[bucket] != other[bucket] {
+			stamps = append(stamps, known.stamp(name))
+		}
+	}
+	slices.SortFunc(stamps, func(a, b Stamp) int { return strings.Compare(a.Name, b.Name) })
+	return stamps
+}
+
+// Missing returns the names of those units whose stamp at a peer holds
+// something newer than this store.
+func (s *Store) Missing(stamps []Stamp) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for _, stamp := range stamps {
+		known, ok := s.entries[stamp.Name]
+		if !ok || stamp.Version > version(known.newest) {
+			names = append(names, stamp.Name)
+			continue
+		}
+		if stamp.Refused && known.refused != nil && stamp.Accepted > version(known.accepted) {
+			names = append(names, stamp.Name)
+		}
 	}
-	next.Models[name] = model
-	return nil
+	return names
 }
 
-// Since returns the documents with versions above revision, in the order of
-// their versions, and the revision that they reach.
-func (s *Store) Since(revision int64) platform.Changes {
+// Units returns the units with the given names, as many as have documents of
+// limit bytes together, and at least one. The caller asks again for the rest.
+func (s *Store) Units(names []string, limit int) []Unit {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changes := platform.Changes{Revision: s.Snapshot().Revision}
-	for _, value := range s.values {
-		if value.Version > revision {
-			changes.Values = append(changes.Values, value)
+	var units []Unit
+	total := 0
+	for _, name := range names {
+		known, ok := s.entries[name]
+		if !ok {
+			continue
+		}
+		unit := known.unit(name)
+		total += unit.Bytes()
+		if total > limit && len(units) > 0 {
+			return units
 		}
+		units = append(units, unit)
 	}
-	sort.Slice(changes.Values, func(i, j int) bool {
-		return changes.Values[i].Version < changes.Values[j].Version
-	})
-	return changes
+	return units
 }
--- /dev/null
+++ b/config/store_test.go
@@ -0,0 +1,169 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+
+	"cardamompoint.example/cardamompoint/platform"
+)
+
+const (
+	goodTemplate = `{"parameters": {"n": {"type": "integer", "default": 1, "minimum": 1}},
+		"completion": {"models": [{"model": "m"}], "max_tokens": {"parameter": "n"}}}`
+	plainTemplate = `{"completion": {"models": [{"model": "m"}]}}`
+	badTemplate   = `{"completion": {"models": []}}`
+)
+
+func value(version int64, key, data string) platform.Value {
+	return platform.Value{Key: key, Version: version, Data: json.RawMessage(data), Deleted: data == ""}
+}
+
+// exchange lets a store learn from another one as routers do.
+func exchange(to, from *Store) int {
+	names := to.Missing(from.Stamps(to.Digest()))
+	return len(to.Merge(from.Units(names, 1<<30)))
+}
+
+func equal(t *testing.T, a, b *Store) {
+	t.Helper()
+	left, right := a.Digest(), b.Digest()
+	if left.Root() != right.Root() {
+		t.Fatalf("the digests differ")
+	}
+	if !reflect.DeepEqual(a.Snapshot().Workspaces, b.Snapshot().Workspaces) {
+		t.Fatalf("in force are %v and %v", a.Snapshot().Workspaces, b.Snapshot().Workspaces)
+	}
+}
+
+// TestGapIsFound pushes version 3 to a store that lacks version 2.
+func TestGapIsFound(t *testing.T) {
+	from, to := NewStore(), NewStore()
+	from.Apply([]platform.Value{value(1, TemplateKey("a"), plainTemplate)}, 1)
+	exchange(to, from)
+	to.Advance(0, 1)
+	from.Apply([]platform.Value{value(2, TemplateKey("b"), plainTemplate)}, 2)
+	pushed := from.Apply([]platform.Value{value(3, TemplateKey("c"), plainTemplate)}, 3)
+	to.Merge(pushed)
+	to.Advance(2, 3)
+	if got := to.Snapshot().Revision; got != 1 {
+		t.Fatalf("the revision is %d with a gap, want 1", got)
+	}
+	if fresh := exchange(to, from); fresh != 1 {
+		t.Fatalf("%d units came, want the missing one", fresh)
+	}
+	equal(t, from, to)
+}
+
+// TestLastAcceptedIsHandedOver lets a store learn a unit whose newest template
+// is refused.
+func TestLastAcceptedIsHandedOver(t *testing.T) {
+	from, to := NewStore(), NewStore()
+	from.Apply([]platform.Value{value(1, TemplateKey("a"), goodTemplate), value(2, ParametersKey("a"), `{"n": 7}`)}, 2)
+	from.Apply([]platform.Value{value(3, TemplateKey("a"), badTemplate)}, 3)
+	// The platform shows the newest documents alone.
+	to.Apply([]platform.Value{value(2, ParametersKey("a"), `{"n": 7}`), value(3, TemplateKey("a"), badTemplate)}, 3)
+	if fresh := exchange(to, from); fresh != 1 {
+		t.Fatalf("%d units came, want 1", fresh)
+	}
+	equal(t, from, to)
+	rules, err := to.Snapshot().Rules("a")
+	if err != nil || rules.TemplateVersion != 1 || rules.Completion.MaxTokens != 7 {
+		t.Fatalf("in force is %+v, %v", rules, err)
+	}
+}
+
+// TestPairIsAcceptedAsAWhole publishes a template that no longer declares a
+// published parameter: the old pair stays in force until both fit again.
+func TestPairIsAcceptedAsAWhole(t *testing.T) {
+	store := NewStore()
+	store.Apply([]platform.Value{value(1, TemplateKey("a"), goodTemplate), value(2, ParametersKey("a"), `{"n": 7}`)}, 2)
+	store.Apply([]platform.Value{value(3, TemplateKey("a"), plainTemplate)}, 3)
+	rules, _ := store.Snapshot().Rules("a")
+	if rules.TemplateVersion != 1 || len(store.Snapshot().Refused) != 1 {
+		t.Fatalf("in force is %+v, refused %v", rules, store.Snapshot().Refused)
+	}
+	store.Apply([]platform.Value{value(4, ParametersKey("a"), `{}`)}, 4)
+	rules, _ = store.Snapshot().Rules("a")
+	if rules.TemplateVersion != 3 || rules.ParameterVersion != 4 || len(store.Snapshot().Refused) != 0 {
+		t.Fatalf("in force is %+v, refused %v", rules, store.Snapshot().Refused)
+	}
+}
+
+// TestNeverReverts delivers a random history in random order, with stale
+// replicas and peers, and checks that versions in force only rise and that all
+// stores end with what the platform's order gives.
+func TestNeverReverts(t *testing.T) {
+	documents := []string{goodTemplate, plainTemplate, badTemplate, ""}
+	values := []string{`{}`, `{"n": 5}`, `{"n": 0}`, ""}
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		reference := NewStore()
+		stores := []*Store{NewStore(), NewStore(), NewStore(), NewStore()}
+		inForce := make([]map[string][2]int64, len(stores))
+		var history []platform.Value
+		for version := int64(1); version <= 60; version++ {
+			workspace := fmt.Sprint(random.IntN(4))
+			next := value(version, TemplateKey(workspace), documents[random.IntN(len(documents))])
+			if random.IntN(2) == 0 {
+				next = value(version, ParametersKey(workspace), values[random.IntN(len(values))])
+			}
+			history = append(history, next)
+			reference.Apply([]platform.Value{next}, version)
+			reader := stores[random.IntN(len(stores))]
+			after := reader.Snapshot().Revision
+			if shown := int64(random.IntN(len(history) + 1)); shown >= after {
+				reader.Apply(history[after:shown], shown)
+			}
+			to, from := random.IntN(len(stores)), random.IntN(len(stores))
+			exchange(stores[to], stores[from])
+			for i, store := range stores {
+				inForce[i] = checkRising(t, seed, inForce[i], store)
+			}
+		}
+		for _, store := range stores {
+			exchange(store, reference)
+			equal(t, store, reference)
+		}
+	}
+}
+
+// checkRising fails if a pair in force is older than before. A deleted
+// template takes the workspace out of force, which is no older pair.
+func checkRising(t *testing.T, seed uint64, before map[string][2]int64, store *Store) map[string][2]int64 {
+	t.Helper()
+	after := map[string][2]int64{}
+	for name, pair := range before {
+		after[name] = pair
+	}
+	for name, rules := range store.Snapshot().Workspaces {
+		pair := [2]int64{rules.TemplateVersion, rules.ParameterVersion}
+		if pair[0] < before[name][0] || pair[1] < before[name][1] {
+			t.Fatalf("seed %d: workspace %s went from %v to %v", seed, name, before[name], pair)
+		}
+		after[name] = pair
+	}
+	return after
+}
+
+// BenchmarkChange applies one change to a store with many workspaces.
+func BenchmarkChange(b *testing.B) {
+	for _, count := range []int{1000, 4000, 7900} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			store := NewStore()
+			var all []platform.Value
+			for i := range count {
+				all = append(all, value(int64(i+1), TemplateKey(fmt.Sprint("workspace-", i)), goodTemplate))
+			}
+			store.Apply(all, int64(count))
+			version := int64(count)
+			b.ReportAllocs()
+			for b.Loop() {
+				version++
+				store.Apply([]platform.Value{value(version, TemplateKey("workspace-7"), goodTemplate)}, version)
+			}
+		})
+	}
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -33,7 +33,7 @@
 	revision int64
 	history  []platform.Value
 	newest   map[string]platform.Value
-	list     platform.VMs
+	list     *platform.List
 	fault    Fault
 	changed  chan struct{}
 	calls    int64
@@ -41,7 +41,7 @@
 
 // NewPlatform returns a Platform without documents.
 func NewPlatform() *Platform {
-	return &Platform{newest: map[string]platform.Value{}, changed: make(chan struct{})}
+	return &Platform{newest: map[string]platform.Value{}, list: platform.NewList(), changed: make(chan struct{})}
 }
 
 // Publish writes a document and returns its version. If ifVersion is not
@@ -82,24 +82,25 @@
 func (p *Platform) SetVMs(vms []platform.VM) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.list = platform.VMs{Version: p.list.Version + 1, VMs: slices.Clone(vms)}
+	p.list.Apply(platform.VMs{Version: p.list.Version() + 1, VMs: vms})
 }
 
 // SetState changes the state of one VM in the list. An empty state drops it.
 func (p *Platform) SetState(address string, state platform.State) {
 	p.mu.Lock()
-	vms := slices.Clone(p.list.VMs)
-	p.mu.Unlock()
-	kept := vms[:0]
-	for _, vm := range vms {
-		if vm.Address == address {
+	defer p.mu.Unlock()
+	version := p.list.Version()
+	change := platform.VMs{Version: version + 1, After: version}
+	for _, vm := range p.list.Whole().VMs {
+		if vm.Address == address && state != "" {
 			vm.State = state
-		}
-		if vm.State != "" {
-			kept = append(kept, vm)
+			change.VMs = append(change.VMs, vm)
 		}
 	}
-	p.SetVMs(kept)
+	if state == "" {
+		change.Gone = append(change.Gone, address)
+	}
+	p.list.Apply(change)
 }
 
 // SetFault lets the platform fail from now on.
@@ -229,8 +230,9 @@
 	if p.failed(w, r) {
 		return
 	}
+	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
 	p.mu.Lock()
-	list := p.list
+	list := p.list.Since(after)
 	p.mu.Unlock()
 	jsonhttp.Write(w, list)
 }
--- a/member/self.go
+++ b/member/self.go
@@ -3,11 +3,11 @@
 // Self identifies one router process.
 type Self struct {
 	// Address is the peer address; it identifies the VM.
-	Address string `json:"address"`
+	Address string `json:"a"`
 	// Name is the VM's name in logs.
-	Name string `json:"name"`
+	Name string `json:"n"`
 	// FailureDomain is the VM's failure domain.
-	FailureDomain string `json:"failure_domain"`
+	FailureDomain string `json:"d"`
 	// Incarnation is new with each start of the process.
-	Incarnation string `json:"incarnation"`
+	Incarnation string `json:"i"`
 }
--- a/member/status.go
+++ b/member/status.go
@@ -7,10 +7,12 @@
 
 // The values of Health.
 const (
-	// HealthAlive means that the peer was heard from within the suspect timeout.
+	// HealthAlive means that nobody has found the peer silent for longer than
+	// the suspect timeout.
 	HealthAlive Health = "alive"
-	// HealthUnreachable means that the peer has been silent for longer. It is
-	// not treated as gone before the published list drops it.
+	// HealthUnreachable means that the peer has been silent for longer, or
+	// that it was so often that it is held back. It is not treated as gone
+	// before the published list drops it.
 	HealthUnreachable Health = "unreachable"
 	// HealthLeaving means that the peer said that it shuts down.
 	HealthLeaving Health = "leaving"
@@ -18,10 +20,19 @@
 
 // Status is what this router knows of a peer.
 type Status struct {
-	// Heartbeat is the newest one.
+	// Heartbeat is the newest one that came from the peer itself. Of a peer
+	// that was never heard it holds the address alone.
 	Heartbeat Heartbeat `json:"heartbeat"`
-	// Heard is when it came.
+	// Heard is when it came; zero if never.
 	Heard time.Time `json:"heard"`
 	// Health is the peer's health.
 	Health Health `json:"health"`
+	// Suspected tells that the peer did not answer lately.
+	Suspected bool `json:"suspected"`
+
+	counter   int64
+	leaving   bool
+	suspected time.Time
+	owed      bool
+	damping   damping
 }
--- a/peer/client.go
+++ b/peer/client.go
@@ -3,8 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"crypto/hmac"
 	"encoding/json"
+	"io"
 	"net/http"
+	"time"
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
@@ -27,17 +30,52 @@
 }
 
 // Post sends in to path at the router with the given address and decodes the
-// answer into out, which may be nil.
+// answer into out, which may be nil. An answer that is not signed with the
+// secret for just this request is an EndpointFault: what became of the request
+// is then not known.
 func (c *Client) Post(ctx context.Context, address, path string, in, out any) error {
 	request, err := c.NewRequest(ctx, address, path, in)
 	if err != nil {
 		return err
 	}
-	return jsonhttp.Do(c.http, request, out)
+	response, err := c.http.Do(request)
+	if err != nil {
+		return jsonhttp.SendError(err)
+	}
+	defer response.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxMessageBytes))
+	if err != nil {
+		return code.Wrap(err, code.EndpointFault, "the answer was cut")
+	}
+	if err := c.checkAnswer(request, response, raw); err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return jsonhttp.DecodeError(response.StatusCode, raw)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(raw, out); err != nil {
+		return code.Wrap(err, code.EndpointFault, "the answer can't be decoded")
+	}
+	return nil
+}
+
+func (c *Client) checkAnswer(request *http.Request, response *http.Response, body []byte) error {
+	sent, err := parseSignature(request.Header.Get(signatureHeader))
+	if err != nil {
+		return err
+	}
+	want := answerDigest(c.secret, sent.nonce, response.StatusCode, body)
+	if !hmac.Equal([]byte(want), []byte(response.Header.Get(signatureHeader))) {
+		return code.New(code.EndpointFault, "the answer with status %d is not from a router of this fleet", response.StatusCode)
+	}
+	return nil
 }
 
 // NewRequest returns a signed POST request. A transport never repeats it by
-// itself.
+// itself. Headers that routers don't read are left out.
 func (c *Client) NewRequest(ctx context.Context, address, path string, in any) (*http.Request, error) {
 	raw, err := json.Marshal(in)
 	if err != nil {
@@ -48,7 +86,7 @@
 		return nil, code.Wrap(err, code.InternalFault, "the message can't be sent")
 	}
 	request.GetBody = nil
-	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set(signatureHeader, signature(c.secret, http.MethodPost, path, raw))
+	request.Header["User-Agent"] = []string{""}
+	request.Header.Set(signatureHeader, signRequest(c.secret, address, path, raw, time.Now()).String())
 	return request, nil
 }
--- a/peer/counted_conn.go
+++ b/peer/counted_conn.go
@@ -1,11 +1,8 @@
 package peer
 
 import (
-	"context"
 	"net"
-	"net/http"
 	"sync/atomic"
-	"time"
 )
 
 // Bytes counts the bytes of connections, headers included.
@@ -38,27 +35,3 @@
 	c.bytes.Sent.Add(int64(n))
 	return n, err
 }
-
-const (
-	dialTimeout     = 2 * time.Second
-	idleTimeout     = 30 * time.Second
-	idleConnections = 4
-)
-
-// NewTransport returns a transport that counts its bytes in bytes, which may
-// be nil.
-func NewTransport(bytes *Bytes) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
-			if err != nil || bytes == nil {
-				return conn, err
-			}
-			return &countedConn{Conn: conn, bytes: bytes}, nil
-		},
-		MaxIdleConnsPerHost: idleConnections,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-	}
-}
--- a/peer/handler.go
+++ b/peer/handler.go
@@ -12,20 +12,23 @@
 const maxMessageBytes = 64 << 20
 
 // Handle returns a handler that checks the signature, decodes the message and
-// answers with what serve returns.
+// answers with what serve returns. The answer is signed.
 func Handle[In, Out any](secret []byte, serve func(context.Context, In) (Out, error)) http.Handler {
 	return HandleStream(secret, func(w http.ResponseWriter, r *http.Request, in In) {
+		answer := newAnswerWriter()
 		out, err := serve(r.Context(), in)
 		if err != nil {
-			jsonhttp.WriteError(w, err)
-			return
+			jsonhttp.WriteError(answer, err)
+		} else {
+			jsonhttp.Write(answer, out)
 		}
-		jsonhttp.Write(w, out)
+		signed, _ := parseSignature(r.Header.Get(signatureHeader))
+		answer.send(w, secret, signed.nonce)
 	})
 }
 
 // HandleStream returns a handler that checks the signature, decodes the
-// message and leaves the answer to serve.
+// message and leaves the answer, which is not signed, to serve.
 func HandleStream[In any](secret []byte, serve func(http.ResponseWriter, *http.Request, In)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		raw, err := jsonhttp.ReadBytes(w, r, maxMessageBytes)
@@ -33,8 +36,10 @@
 			jsonhttp.WriteError(w, err)
 			return
 		}
-		if err := verify(secret, r, raw); err != nil {
-			jsonhttp.WriteError(w, err)
+		if signed, err := verify(secret, r, raw); err != nil {
+			answer := newAnswerWriter()
+			jsonhttp.WriteError(answer, err)
+			answer.send(w, secret, signed.nonce)
 			return
 		}
 		var in In
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,132 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"cardamompoint.example/cardamompoint/code"
+)
+
+const testWindow = 5 * time.Second
+
+type testMessage struct {
+	Text string `json:"text"`
+}
+
+// guarded starts a receiver that counts accepted messages.
+func guarded(t *testing.T, secret string) (*httptest.Server, *int) {
+	t.Helper()
+	accepted := 0
+	echo := func(_ context.Context, in testMessage) (testMessage, error) {
+		accepted++
+		return in, nil
+	}
+	mux := http.NewServeMux()
+	mux.Handle("POST /echo", Handle([]byte(secret), echo))
+	server := httptest.NewUnstartedServer(nil)
+	server.Config.Handler = NewGuard(server.Listener.Addr().String(), testWindow).Protect(mux)
+	server.Start()
+	t.Cleanup(server.Close)
+	return server, &accepted
+}
+
+func address(server *httptest.Server) string { return strings.TrimPrefix(server.URL, "http://") }
+
+func testClient(secret string) *Client { return NewClient([]byte(secret), &http.Transport{}) }
+
+func TestSecretIsNeeded(t *testing.T) {
+	server, accepted := guarded(t, "the fleet's secret")
+	var answer testMessage
+	err := testClient("the fleet's secret").Post(t.Context(), address(server), "/echo", testMessage{"a"}, &answer)
+	if err != nil || answer.Text != "a" {
+		t.Fatalf("the answer is %+v, %v", answer, err)
+	}
+	if err := testClient("another secret").Post(t.Context(), address(server), "/echo", testMessage{"b"}, nil); err == nil {
+		t.Fatal("a message with another secret was answered")
+	}
+	if *accepted != 1 {
+		t.Fatalf("%d messages were accepted, want 1", *accepted)
+	}
+}
+
+// TestAnswerNeedsSecret lets a process without the secret answer.
+func TestAnswerNeedsSecret(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		io.WriteString(w, `{"text": "injected"}`)
+	}))
+	defer server.Close()
+	var answer testMessage
+	err := testClient("secret").Post(t.Context(), address(server), "/echo", testMessage{"a"}, &answer)
+	if !code.Is(err, code.EndpointFault) || answer.Text != "" {
+		t.Fatalf("the answer is %+v, %v", answer, err)
+	}
+}
+
+// TestReplays sends messages again: at once, at another receiver, and changed.
+func TestReplays(t *testing.T) {
+	first, firstAccepted := guarded(t, "secret")
+	second, secondAccepted := guarded(t, "secret")
+	request, err := testClient("secret").NewRequest(t.Context(), address(first), "/echo", testMessage{"a"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	send := func(server *httptest.Server, host, body string) int {
+		again := request.Clone(t.Context())
+		again.URL.Host, again.Host = address(server), host
+		again.Body = io.NopCloser(bytes.NewReader([]byte(body)))
+		again.ContentLength = int64(len(body))
+		response, err := http.DefaultClient.Do(again)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Body.Close()
+		return response.StatusCode
+	}
+	sends := []struct {
+		server     *httptest.Server
+		host, body string
+		want       int
+	}{
+		{first, address(first), `{"text":"b"}`, http.StatusForbidden},
+		{second, address(first), `{"text":"a"}`, http.StatusForbidden},
+		{second, address(second), `{"text":"a"}`, http.StatusForbidden},
+		{first, address(first), `{"text":"a"}`, http.StatusOK},
+		{first, address(first), `{"text":"a"}`, http.StatusForbidden},
+	}
+	for i, s := range sends {
+		if got := send(s.server, s.host, s.body); got != s.want {
+			t.Errorf("send %d has status %d, want %d", i, got, s.want)
+		}
+	}
+	if *firstAccepted != 1 || *secondAccepted != 0 {
+		t.Fatalf("accepted are %d and %d, want 1 and 0", *firstAccepted, *secondAccepted)
+	}
+}
+
+// TestGuardWindow checks that a digest is remembered as long as its time is
+// within the window, and no longer than needed.
+func TestGuardWindow(t *testing.T) {
+	guard := NewGuard("a", testWindow)
+	start := time.Unix(1000, 0)
+	s := signature{millis: start.Add(testWindow).UnixMilli(), digest: "d"}
+	if err := guard.check("a", s, start); err != nil {
+		t.Fatal(err)
+	}
+	for step := time.Duration(0); step <= 4*testWindow; step += 500 * time.Millisecond {
+		if guard.check("a", s, start.Add(step)) == nil {
+			t.Fatalf("the message was accepted again after %v", step)
+		}
+	}
+	for i := range 100000 {
+		guard.remember(string(rune(i)), start.Add(time.Duration(i)*time.Millisecond))
+	}
+	if kept := len(guard.current) + len(guard.older); kept > 40002 {
+		t.Fatalf("%d digests are kept", kept)
+	}
+}
--- a/router/heartbeats.go
+++ b/router/heartbeats.go
@@ -10,12 +10,27 @@
 	"cardamompoint.example/cardamompoint/member"
 )
 
-// beat sends heartbeats until ctx ends.
+const (
+	// helpers is the number of peers that probe a silent one as well.
+	helpers = 2
+	// sleepTick is the period of the ticks that notice a sleep.
+	sleepTick = 250 * time.Millisecond
+	// sleepBound is the gap between ticks that means a sleep.
+	sleepBound = 2 * time.Second
+	// sleepLimit is how long a router that has slept waits for a fresh view.
+	sleepLimit = 2 * time.Second
+)
+
+// beat exchanges heartbeats until ctx ends.
 func (r *Router) beat(ctx context.Context) {
-	ticker := time.NewTicker(milliseconds(r.settings.Timing.HeartbeatMS))
+	period := milliseconds(r.settings.Timing.HeartbeatMS)
+	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for {
-		r.beatAll(ctx)
+		r.members.BeginPeriod(r.ledger.Sums())
+		for _, address := range r.members.Probes(time.Now(), period) {
+			r.startProbe(ctx, address, period)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -24,62 +39,101 @@
 	}
 }
 
-// beatAll sends one heartbeat to each peer and waits for the answers.
-func (r *Router) beatAll(ctx context.Context) {
-	var beats sync.WaitGroup
-	for _, address := range r.peerAddresses() {
-		beats.Go(func() { r.beatPeer(ctx, address) })
+// startProbe probes a peer unless an earlier probe still waits.
+func (r *Router) startProbe(ctx context.Context, address string, period time.Duration) {
+	if _, busy := r.probing.LoadOrStore(address, true); busy {
+		return
 	}
-	beats.Wait()
+	r.tasks.Go(func() {
+		defer r.probing.Delete(address)
+		r.probe(ctx, address, period)
+	})
 }
 
-// peerAddresses returns the other routers of the list, or the seeds while
-// there is no list.
-func (r *Router) peerAddresses() []string {
-	view, self := r.members.View(), r.members.Self().Address
-	var addresses []string
-	for _, vm := range view.Routers {
-		if vm.Address != self {
-			addresses = append(addresses, vm.Address)
-		}
+// probe exchanges heartbeats with a peer. If it does not answer, others try;
+// if none gets an answer, the peer is suspected.
+func (r *Router) probe(ctx context.Context, address string, period time.Duration) {
+	began := time.Now()
+	direct, cancel := context.WithTimeout(ctx, period)
+	err := r.exchange(direct, address)
+	cancel()
+	if err == nil || ctx.Err() != nil {
+		return
 	}
-	if len(addresses) > 0 {
-		return addresses
+	if r.probeIndirectly(ctx, address, period) || ctx.Err() != nil {
+		return
 	}
-	for _, seed := range r.settings.Seeds {
-		if seed != self {
-			addresses = append(addresses, seed)
-		}
+	if time.Since(began) > sleepBound+2*period {
+		return // This router slept in between.
 	}
-	return addresses
+	klog.Infof("member: router %s does not answer: %v.", address, err)
+	r.members.Unanswered(address, time.Now())
 }
 
-func (r *Router) beatPeer(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, milliseconds(r.settings.Timing.HeartbeatMS))
+// probeIndirectly lets other peers probe and reports whether one of them got
+// an answer.
+func (r *Router) probeIndirectly(ctx context.Context, address string, period time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, period)
 	defer cancel()
+	answered := make(chan bool, helpers)
+	var asks sync.WaitGroup
+	for _, helper := range r.pushTargets(address, helpers) {
+		asks.Go(func() {
+			if r.control.Post(ctx, helper, indirectPath, indirectRequest{Address: address}, nil) == nil {
+				answered <- true
+			}
+		})
+	}
+	asks.Wait()
+	return len(answered) > 0
+}
+
+// exchange sends a heartbeat to a peer and takes in its answer.
+func (r *Router) exchange(ctx context.Context, address string) error {
+	began := time.Now()
+	own := r.heartbeat(address)
 	var answer member.Heartbeat
-	if err := r.control.Post(ctx, address, heartbeatPath, r.heartbeat(), &answer); err != nil {
-		return
+	if err := r.control.Post(ctx, address, heartbeatPath, own, &answer); err != nil {
+		return err
 	}
 	r.members.Heard(answer, time.Now())
-	own := r.heartbeat()
-	if answer.Revision > own.Revision || answer.ListVersion > own.ListVersion {
-		r.learnFrom(ctx, address)
+	r.members.Average(own.Means, answer.Means)
+	r.compare(ctx, answer, began)
+	return nil
+}
+
+// watchSleep notices when this process did not run, and refreshes the view.
+func (r *Router) watchSleep(ctx context.Context) {
+	ticker := time.NewTicker(sleepTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		r.sleeper.Tick(time.Now())
+		if r.sleeper.Check(time.Now()) != nil {
+			r.refresh(ctx)
+		}
 	}
 }
 
-// learnFrom asks a peer for what it knows of the published documents.
-func (r *Router) learnFrom(ctx context.Context, address string) {
-	request := changesRequest{After: r.store.Snapshot().Revision}
-	var known knownState
-	if err := r.control.Post(ctx, address, changesPath, request, &known); err != nil {
-		klog.Warningf("config: router %s can't be asked: %v.", address, err)
-		return
+// refresh asks a few peers for what changed during a sleep. The platform is
+// asked by readers, and by all routers of a small fleet: a large fleet may have
+// slept as a whole.
+func (r *Router) refresh(ctx context.Context) {
+	klog.Infof("member: the router has slept and refreshes its view.")
+	r.members.Slept(time.Now())
+	ctx, cancel := context.WithTimeout(ctx, sleepLimit/2)
+	defer cancel()
+	var asks sync.WaitGroup
+	view := r.members.View()
+	if len(view.Routers) <= spareReads || isReader(view, r.members.Self()) {
+		asks.Go(func() { r.readList(ctx, 0) })
 	}
-	fresh := r.store.Apply(known.Changes.Values, known.Changes.Revision)
-	if known.List.Version > 0 {
-		r.members.SetList(known.List, r.members.View().ReadAt)
+	for _, address := range r.pushTargets("", fanout) {
+		asks.Go(func() { r.exchange(ctx, address) })
 	}
-	r.noteLearned()
-	klog.Infof("config: %d documents came from router %s, revision %d.", len(fresh), address, known.Changes.Revision)
+	asks.Wait()
 }
--- a/router/home.go
+++ b/router/home.go
@@ -27,6 +27,9 @@
 // runAtHome admits work to an engine that this router manages and relays its
 // answer to sink.
 func (r *Router) runAtHome(ctx context.Context, order workOrder, sink endpoint.Sink) error {
+	if err := r.sleeper.Await(ctx.Done()); err != nil {
+		return err
+	}
 	reservation, err := r.admitWork(order)
 	if err != nil {
 		klog.Infof("place: request %s is not admitted to %s: %v.", order.Work.RequestID, order.Engine, err)
--- a/router/operators.go
+++ b/router/operators.go
@@ -59,15 +59,17 @@
 		Ready:        r.ready(),
 		Revision:     snapshot.Revision,
 		ListVersion:  view.List.Version,
-		ListAgeMS:    -1,
 		InProgress:   r.inProgress.Load(),
 		Records:      r.records.Len(),
 		ControlBytes: r.controlBytes.Total(),
 		Refused:      map[string]string{},
 	}
-	if !view.ReadAt.IsZero() {
-		status.ListAgeMS = now.Sub(view.ReadAt).Milliseconds()
-	}
+	digest := r.store.Digest()
+	status.Digest = digest.Root()
+	status.Reader = isReader(view, self)
+	status.Stale = r.sleeper.Check(now) != nil
+	status.ListAgeMS = ageMS(view.ReadAt, now)
+	status.ConfigAgeMS = r.configNews.ageMS(now)
 	for key, fault := range snapshot.Refused {
 		status.Refused[key] = fault.Error()
 	}
@@ -79,6 +81,9 @@
 			Name:     p.Heartbeat.From.Name,
 			Health:   string(p.Health),
 			Revision: p.Heartbeat.Revision,
+
+			Suspected: p.Suspected,
+			HeardMS:   ageMS(p.Heard, now),
 		})
 	}
 	return status
--- a/router/options.go
+++ b/router/options.go
@@ -19,4 +19,6 @@
 	Engine endpoint.Engine
 	// Service speaks to plain services.
 	Service endpoint.Service
+	// Network connects routers and callers; nil means TCP.
+	Network Network
 }
--- a/router/peers.go
+++ b/router/peers.go
@@ -8,58 +8,92 @@
 	"cardamompoint.example/cardamompoint/member"
 	"cardamompoint.example/cardamompoint/once"
 	"cardamompoint.example/cardamompoint/peer"
-	"cardamompoint.example/cardamompoint/platform"
 )
 
-const (
-	heartbeatPath = "/peer/v1/heartbeat"
-	changesPath   = "/peer/v1/changes"
-)
-
-// knownState is what a router tells a peer that asks what is published.
-type knownState struct {
-	// Changes are the documents that the asker has not got.
-	Changes platform.Changes `json:"changes"`
-	// List is the newest list of VMs.
-	List platform.VMs `json:"list"`
-}
-
-// changesRequest asks a peer for what is published.
-type changesRequest struct {
-	// After is the asker's revision.
-	After int64 `json:"after"`
-}
-
 // peersMux returns the handler for the other routers.
 func (r *Router) peersMux() http.Handler {
 	secret := r.settings.Secret
 	mux := http.NewServeMux()
-	mux.Handle("POST "+heartbeatPath, peer.Handle(secret, r.serveHeartbeat))
-	mux.Handle("POST "+changesPath, peer.Handle(secret, r.serveChanges))
+	control := func(path string, handler http.Handler) {
+		mux.Handle("POST "+path, peer.Count(&r.controlBytes, handler))
+	}
+	control(heartbeatPath, peer.Handle(secret, r.serveHeartbeat))
+	control(indirectPath, peer.Handle(secret, r.serveIndirect))
+	control(pushPath, peer.Handle(secret, r.servePush))
+	control(listPath, peer.Handle(secret, r.serveList))
+	control(stampsPath, peer.Handle(secret, r.serveStamps))
+	control(unitsPath, peer.Handle(secret, r.serveUnits))
 	mux.Handle("POST "+workPath, peer.HandleStream(secret, r.serveWork))
 	mux.Handle("POST "+executePath, peer.Handle(secret, r.serveExecute))
 	mux.Handle("POST "+outcomePath, peer.Handle(secret, func(ctx context.Context, ticket once.Ticket) (once.Outcome, error) {
 		return r.outcome(ctx, ticket)
 	}))
-	return mux
+	guard := peer.NewGuard(r.settings.Peers, milliseconds(r.settings.Timing.ClockSkewMS)+messageTime)
+	return guard.Protect(mux)
 }
 
+// messageTime is the longest way of a message between routers.
+const messageTime = 5 * time.Second
+
 func (r *Router) serveHeartbeat(_ context.Context, beat member.Heartbeat) (member.Heartbeat, error) {
 	r.members.Heard(beat, time.Now())
-	return r.heartbeat(), nil
+	answer := r.heartbeat(beat.From.Address)
+	r.members.Average(answer.Means, beat.Means)
+	if r.behind(beat) {
+		r.tasks.Go(func() { r.catchUp(beat) })
+	}
+	return answer, nil
+}
+
+// behind reports whether a peer that sent a heartbeat knows more.
+func (r *Router) behind(beat member.Heartbeat) bool {
+	digest := r.store.Digest()
+	return beat.ListVersion > r.members.View().List.Version || beat.Root != digest.Root()
+}
+
+// catchUp takes over what the sender of a heartbeat knows. What it says of the
+// platform is not used: the message may have waited.
+func (r *Router) catchUp(beat member.Heartbeat) {
+	ctx, cancel := context.WithTimeout(context.Background(), pushTimeout)
+	defer cancel()
+	if beat.ListVersion > r.members.View().List.Version {
+		r.learnList(ctx, beat.From.Address)
+	}
+	beat.ConfigAgeMS = -1
+	r.compareConfig(ctx, beat, time.Now())
+}
+
+// serveIndirect probes a peer for another router.
+func (r *Router) serveIndirect(ctx context.Context, request indirectRequest) (empty, error) {
+	return empty{}, r.exchange(ctx, request.Address)
+}
+
+func (r *Router) serveList(_ context.Context, request listRequest) (listAnswer, error) {
+	view := r.members.View()
+	return listAnswer{List: r.members.ListSince(request.After), AgeMS: ageMS(view.ReadAt, time.Now())}, nil
+}
+
+func (r *Router) serveStamps(_ context.Context, request stampsRequest) (stampsAnswer, error) {
+	answer := stampsAnswer{Revision: r.store.Snapshot().Revision, AgeMS: r.configNews.ageMS(time.Now())}
+	answer.Stamps = r.store.Stamps(request.Digest)
+	return answer, nil
 }
 
-func (r *Router) serveChanges(_ context.Context, request changesRequest) (knownState, error) {
-	return knownState{Changes: r.store.Since(request.After), List: r.members.View().List}, nil
+func (r *Router) serveUnits(_ context.Context, request unitsRequest) (unitsMessage, error) {
+	return unitsMessage{Units: r.store.Units(request.Names, maxUnitsBytes)}, nil
 }
 
-// heartbeat returns what this router tells of itself.
-func (r *Router) heartbeat() member.Heartbeat {
-	return member.Heartbeat{
-		From:        r.members.Self(),
-		Leaving:     r.draining.Load(),
-		ListVersion: r.members.View().List.Version,
+// heartbeat returns what this router tells a peer of itself.
+func (r *Router) heartbeat(to string) member.Heartbeat {
+	now := time.Now()
+	digest := r.store.Digest()
+	beat := member.Heartbeat{
+		Stale:       r.sleeper.Check(now) != nil,
+		ListAgeMS:   ageMS(r.members.View().ReadAt, now),
 		Revision:    r.store.Snapshot().Revision,
-		Loads:       r.ledger.Sums(),
+		ConfigAgeMS: r.configNews.ageMS(now),
+		Root:        digest.Root(),
 	}
+	r.members.Fill(&beat, to)
+	return beat
 }
--- /dev/null
+++ b/router/push.go
@@ -0,0 +1,152 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"cardamompoint.example/cardamompoint/config"
+	"cardamompoint.example/cardamompoint/member"
+	"cardamompoint.example/cardamompoint/platform"
+)
+
+const (
+	// fanout is the number of peers that each router passes news on to. What
+	// some routers miss by chance comes with the next exchange.
+	fanout = 3
+	// maxPushBytes bounds the documents of a push. Peers fetch what is larger.
+	maxPushBytes = 32 << 10
+	// maxPushVMs bounds the VMs of a push.
+	maxPushVMs  = 200
+	pushTimeout = 2 * time.Second
+)
+
+// found is what was new to this router.
+type found struct {
+	units           []config.Unit
+	after, revision int64
+	list            bool
+	listAfter       int64
+	updates         []member.Update
+	// origin is the peer that it came from, if any.
+	origin string
+}
+
+func (f found) empty() bool {
+	return len(f.units) == 0 && !f.list && len(f.updates) == 0
+}
+
+// spreadNews passes what was new to this router on to a few peers.
+func (r *Router) spreadNews(ctx context.Context, f found) {
+	if f.empty() {
+		return
+	}
+	message := r.newPush(f)
+	for _, address := range r.pushTargets(f.origin, fanout) {
+		r.tasks.Go(func() { r.push(ctx, address, message) })
+	}
+}
+
+func (r *Router) push(ctx context.Context, address string, message pushMessage) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), pushTimeout)
+	defer cancel()
+	r.control.Post(ctx, address, pushPath, message, nil)
+}
+
+// newPush returns the message that tells of f.
+func (r *Router) newPush(f found) pushMessage {
+	message := pushMessage{
+		From:        r.members.Self().Address,
+		After:       f.after,
+		Revision:    f.revision,
+		Updates:     f.updates,
+		ListVersion: r.members.View().List.Version,
+	}
+	total := 0
+	for _, unit := range f.units {
+		total += unit.Bytes()
+	}
+	if total <= maxPushBytes {
+		message.Units = f.units
+	} else {
+		message.Fetch = true
+	}
+	if !f.list {
+		return message
+	}
+	list := r.members.ListSince(f.listAfter)
+	if list.After > 0 && len(list.VMs)+len(list.Gone) <= maxPushVMs {
+		message.List = &list
+	}
+	return message
+}
+
+// servePush takes in a push and passes on what was new.
+func (r *Router) servePush(_ context.Context, message pushMessage) (empty, error) {
+	f := found{after: message.After, revision: message.Revision, origin: message.From}
+	f.units = r.store.Merge(message.Units)
+	if !message.Fetch {
+		r.store.Advance(message.After, message.Revision)
+	}
+	f.listAfter = r.members.View().List.Version
+	if message.List != nil {
+		f.list = r.members.SetList(*message.List, time.Time{})
+	}
+	if r.members.Learn(message.Updates, time.Now()) {
+		f.updates = message.Updates
+	}
+	r.spreadNews(context.Background(), f)
+	if message.Fetch || message.ListVersion > r.members.View().List.Version {
+		r.tasks.Go(func() { r.fetch(message) })
+	}
+	return empty{}, nil
+}
+
+// fetch takes over what a push announced but did not hold.
+func (r *Router) fetch(message pushMessage) {
+	ctx, cancel := context.WithTimeout(context.Background(), pushTimeout)
+	defer cancel()
+	if message.ListVersion > r.members.View().List.Version {
+		r.learnList(ctx, message.From)
+	}
+	if !message.Fetch || !r.learning.CompareAndSwap(false, true) {
+		return
+	}
+	defer r.learning.Store(false)
+	r.learnConfig(ctx, message.From)
+}
+
+// pushTargets returns up to count random peers but origin. The first is of
+// another failure domain, if there is one.
+func (r *Router) pushTargets(origin string, count int) []string {
+	view, self, now := r.members.View(), r.members.Self(), time.Now()
+	var peers []platform.VM
+	for _, vm := range view.Routers {
+		if vm.Address != self.Address && vm.Address != origin && r.members.Health(vm.Address, now) == member.HealthAlive {
+			peers = append(peers, vm)
+		}
+	}
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for i, vm := range peers {
+		if vm.FailureDomain != self.FailureDomain {
+			peers[0], peers[i] = peers[i], peers[0]
+			break
+		}
+	}
+	var addresses []string
+	for _, vm := range peers[:min(count, len(peers))] {
+		addresses = append(addresses, vm.Address)
+	}
+	return addresses
+}
+
+// spreadLeaving tells peers that this router shuts down and waits for them.
+func (r *Router) spreadLeaving(ctx context.Context) {
+	message := r.newPush(found{updates: []member.Update{r.members.Leave()}})
+	var pushes sync.WaitGroup
+	for _, address := range r.pushTargets("", member.ProbeAll) {
+		pushes.Go(func() { r.push(ctx, address, message) })
+	}
+	pushes.Wait()
+}
--- /dev/null
+++ b/router/readers.go
@@ -0,0 +1,63 @@
+package router
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"cardamompoint.example/cardamompoint/member"
+	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/rank"
+)
+
+const (
+	// readersPerDomain is the number of routers of each failure domain that
+	// read the platform all the time.
+	readersPerDomain = 2
+	// newsLimit is how old the news of the platform may get before a router
+	// reads it by itself.
+	newsLimit = 4 * time.Second
+	// spareReads bounds the reads a second of all routers together that have
+	// no news, for the configuration and for the list each.
+	spareReads = 50
+	// minSparePause bounds the reads of one router without news.
+	minSparePause = time.Second
+	// maxBackoff multiplies the pause of a router whose reads fail.
+	maxBackoff = 4
+)
+
+// isReader reports whether self is among the readers of its failure domain.
+// The choice depends on the list alone: with no router heard, the readers of
+// the whole fleet are still few.
+func isReader(view *member.View, self member.Self) bool {
+	if view.List.Version == 0 {
+		return false
+	}
+	var domain []platform.VM
+	for _, vm := range view.Routers {
+		if vm.FailureDomain == self.FailureDomain {
+			domain = append(domain, vm)
+		}
+	}
+	for _, index := range rank.Top(rank.Key("reader", self.FailureDomain), nodesOf(domain), readersPerDomain) {
+		if domain[index].Address == self.Address {
+			return true
+		}
+	}
+	return false
+}
+
+// sparePause is the mean pause between the reads of one router without news,
+// in a fleet with the given number of routers.
+func sparePause(routers int) time.Duration {
+	return max(minSparePause, time.Duration(routers)*time.Second/spareReads)
+}
+
+// spread returns a random time up to twice the mean.
+func spread(mean time.Duration) time.Duration {
+	return rand.N(2 * mean)
+}
+
+// around returns a random time between half and one and a half of the mean.
+func around(mean time.Duration) time.Duration {
+	return mean/2 + rand.N(mean)
+}
--- a/router/router.go
+++ b/router/router.go
@@ -39,6 +39,14 @@
 	control      *peer.Client
 	work         *peer.Client
 	controlBytes peer.Bytes
+	network      Network
+
+	configNews news
+	listNews   news
+	sleeper    *member.SleepGuard
+	probing    sync.Map
+	learning   atomic.Bool
+	fruitless  atomic.Value
 
 	learned    atomic.Bool
 	draining   atomic.Bool
@@ -75,12 +83,22 @@
 		FailureDomain: s.FailureDomain,
 		Incarnation:   uuid.NewString(),
 	}, milliseconds(s.Timing.SuspectMS))
-	r.control = peer.NewClient(s.Secret, peer.NewTransport(&r.controlBytes))
-	r.work = peer.NewClient(s.Secret, peer.NewTransport(nil))
+	r.sleeper = member.NewSleepGuard(sleepBound, sleepLimit, time.Now())
+	r.network = options.Network
+	r.control = peer.NewClient(s.Secret, peer.NewTransportWith(&r.controlBytes, r.dial()))
+	r.work = peer.NewClient(s.Secret, peer.NewTransportWith(nil, r.dial()))
 	r.addAdapters()
 	return r, r.addGauges()
 }
 
+// dial returns how connections to routers are opened; nil means TCP.
+func (r *Router) dial() peer.Dial {
+	if r.network == nil {
+		return nil
+	}
+	return r.network.Dial
+}
+
 func (r *Router) addAdapters() {
 	s := r.settings
 	if r.config == nil || r.lister == nil {
--- a/router/run.go
+++ b/router/run.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/peer"
 )
 
 const (
@@ -27,7 +28,7 @@
 	if err := r.listen(); err != nil {
 		return err
 	}
-	for _, task := range []func(context.Context){r.watchConfig, r.watchList, r.beat} {
+	for _, task := range []func(context.Context){r.learn, r.watchConfig, r.watchList, r.beat, r.watchSleep} {
 		r.tasks.Go(func() { task(background) })
 	}
 	klog.Infof("member: router %s serves callers at %s.", r.settings.Name, r.settings.Callers)
@@ -50,22 +51,29 @@
 		{r.settings.Callers, r.callersMux()},
 	}
 	for _, l := range listens {
-		listener, err := net.Listen("tcp", l.address)
+		listener, err := r.listenAt(l.address)
 		if err != nil {
 			return errors.Join(code.Wrap(err, code.InvalidSettings, "the address can't be used"), r.close())
 		}
-		server := &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout}
+		server := &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, ConnContext: peer.ConnContext}
 		r.servers = append(r.servers, server)
-		go server.Serve(listener)
+		go server.Serve(peer.CountedListener(listener))
 	}
 	return nil
 }
 
+func (r *Router) listenAt(address string) (net.Listener, error) {
+	if r.network == nil {
+		return net.Listen("tcp", address)
+	}
+	return r.network.Listen(address)
+}
+
 // drain ends the router's work without cutting a request.
 func (r *Router) drain(ctx context.Context) {
 	r.draining.Store(true)
 	klog.Infof("member: router %s drains.", r.settings.Name)
-	r.beatAll(ctx)
+	r.spreadLeaving(ctx)
 	sleep(ctx, milliseconds(r.settings.Timing.LingerMS))
 	r.closing.Store(true)
 	deadline := time.Now().Add(milliseconds(r.settings.Timing.DrainMS))
--- a/router/service.go
+++ b/router/service.go
@@ -127,6 +127,9 @@
 		return endpoint.Answer{}, code.New(code.EndpointFull, "the worker %s is at its cap", worker).After(retryBusy)
 	}
 	defer r.workerCounts.release(worker)
+	if err := r.sleeper.Await(ctx.Done()); err != nil {
+		return endpoint.Answer{}, err
+	}
 	if !r.members.View().Live(worker) {
 		return endpoint.Answer{}, code.New(code.EndpointLeaving, "the worker %s is not live", worker)
 	}
--- /dev/null
+++ b/router/start.go
@@ -0,0 +1,93 @@
+package router
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+const (
+	// startPeers is the number of peers that a starting router asks at once.
+	startPeers = 3
+	// startRounds is how often it asks others if none of them answers.
+	startRounds = 3
+	// startCheck is the pause between two rounds.
+	startCheck = 200 * time.Millisecond
+	askTimeout = time.Second
+)
+
+// learn asks peers for all that is published, and the platform if no peer
+// knows anything, until the router is ready. What the platform shows alone may
+// be older than what the peers have in force: the router is not ready before
+// peers were asked after that.
+func (r *Router) learn(ctx context.Context) {
+	platformAt := time.Now().Add(spread(startPause))
+	silentRounds := 0
+	for ctx.Err() == nil {
+		known := r.knowsAll()
+		answered := r.askPeers(ctx)
+		if !answered {
+			silentRounds++
+		}
+		if known && (answered || silentRounds >= startRounds) {
+			r.learned.Store(true)
+			klog.Infof("config: the router is ready with revision %d, list version %d, peers answered %t.",
+				r.store.Snapshot().Revision, r.members.View().List.Version, answered)
+			return
+		}
+		if !r.knowsAll() && time.Now().After(platformAt) {
+			r.readFirst(ctx)
+			platformAt = time.Now().Add(spread(startPause))
+		}
+		if !known && r.knowsAll() {
+			continue
+		}
+		sleep(ctx, around(startCheck))
+	}
+}
+
+func (r *Router) knowsAll() bool {
+	return r.members.View().List.Version > 0 && r.store.Snapshot().Revision > 0
+}
+
+// readFirst reads the platform at a start without peers that know anything.
+func (r *Router) readFirst(ctx context.Context) {
+	if err := r.readList(ctx, 0); err != nil {
+		return
+	}
+	if r.store.Snapshot().Revision == 0 {
+		r.readConfig(ctx, 0)
+	}
+}
+
+// askPeers asks a few peers for all that they know and reports whether one
+// answered.
+func (r *Router) askPeers(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var answered atomic.Bool
+	var asks sync.WaitGroup
+	for _, address := range r.startTargets() {
+		asks.Go(func() {
+			if r.learnFrom(ctx, address) == nil {
+				answered.Store(true)
+			}
+		})
+	}
+	asks.Wait()
+	return answered.Load()
+}
+
+// startTargets returns random routers of the list, or the seeds while there is
+// no list.
+func (r *Router) startTargets() []string {
+	if targets := r.pushTargets("", startPeers); len(targets) > 0 {
+		return targets
+	}
+	self := r.members.Self().Address
+	return slices.DeleteFunc(slices.Clone(r.settings.Seeds), func(seed string) bool { return seed == self })
+}
