Prove knowledge under faults in virtual time and count control bytes

Fleets in memory under virtual time show: two operators at once, an hour without the platform, a silent platform, halves parted for an hour, deletion and publishing again with a stale replica, all readers killed, a cut-off router, and the platform calls of 340 routers in each second.

Mended on the way: a suspicion with a counter lower than the router's own was not refuted, and a refutation heard from the router itself was not passed on (TestSuspicionIsRefuted failed on both).

--- a/member/exchange.go
+++ b/member/exchange.go
@@ -19,7 +19,7 @@
 func (t *Table) Fill(beat *Heartbeat, to string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	beat.From, beat.Counter, beat.Leaving = t.self, t.counter, t.leaving
+	beat.From, beat.Counter, beat.Leaving = t.selfFor(to), t.counter, t.leaving
 	beat.ListVersion = t.list.Version()
 	beat.Loads = t.means.own
 	if len(t.peers) > ProbeAll {
@@ -32,6 +32,24 @@
 	}
 }
 
+// selfFor returns the address alone if the peer knows the rest.
+func (t *Table) selfFor(to string) Self {
+	status, ok := t.peers[to]
+	if ok && status.introduced != "" && status.introduced == status.Heartbeat.From.Incarnation {
+		return Self{Address: t.self.Address}
+	}
+	return t.self
+}
+
+// Introduced records that the peer answered a heartbeat that held all of Self.
+func (t *Table) Introduced(sent Heartbeat, to string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if status, ok := t.peers[to]; ok && sent.From.Incarnation != "" {
+		status.introduced = status.Heartbeat.From.Incarnation
+	}
+}
+
 // Heard takes in a heartbeat that came at now from the peer itself.
 func (t *Table) Heard(beat Heartbeat, now time.Time) {
 	t.mu.Lock()
@@ -40,6 +58,9 @@
 		return
 	}
 	status := t.status(beat.From.Address)
+	if beat.From.Incarnation == "" {
+		beat.From = status.Heartbeat.From
+	}
 	if status.Heartbeat.From.Incarnation != beat.From.Incarnation {
 		klog.Infof("member: router %s is alive with incarnation %s.", beat.From.Address, beat.From.Incarnation)
 	}
@@ -50,6 +71,10 @@
 	status.leaving = beat.Leaving
 	status.Heartbeat, status.Heard = beat, now
 	for _, update := range beat.Updates {
+		if update.Address == beat.From.Address {
+			t.updates.add(update) // The heartbeat itself told the rest.
+			continue
+		}
 		t.learn(update, now)
 	}
 }
@@ -115,12 +140,13 @@
 	return true
 }
 
-// refute answers a claim about this router with a higher counter.
+// refute answers a suspicion of this router with a higher counter. One with a
+// lower counter comes from a router that has not heard of this process.
 func (t *Table) refute(update Update) bool {
-	if update.Counter < t.counter || update.Claim != ClaimSuspect {
+	if update.Claim != ClaimSuspect {
 		return false
 	}
-	t.counter = update.Counter + 1
+	t.counter = max(t.counter, update.Counter+1)
 	claim := ClaimAlive
 	if t.leaving {
 		claim = ClaimLeaving
@@ -149,6 +175,14 @@
 	klog.Infof("member: router %s is suspected.", status.Heartbeat.From.Address)
 }
 
+// Suspected reports whether the peer is suspected already.
+func (t *Table) Suspected(address string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	status, ok := t.peers[address]
+	return ok && !status.suspected.IsZero()
+}
+
 // Unanswered records that neither this router nor its helpers got an answer
 // from the peer.
 func (t *Table) Unanswered(address string, now time.Time) {
--- a/member/probe_order.go
+++ b/member/probe_order.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"cardamompoint.example/cardamompoint/rank"
 )
 
 // probeOrder goes through all peers in shuffled order, so that each is probed
@@ -22,8 +24,8 @@
 const probesPerPeriod = 1
 
 // Probes returns the peers to probe in the period that begins at now: in small
-// fleets all that were not heard from since the last one, in larger ones the
-// next of a shuffled order.
+// fleets one side of each pair probes the other, in larger ones the next of a
+// shuffled order is probed.
 func (t *Table) Probes(now time.Time, period time.Duration) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -44,15 +46,25 @@
 	return probes
 }
 
-// notHeard returns the peers whose last exchange would be older than a period
-// before the next one.
+// notHeard returns the peers with which this router begins the exchange of a
+// period, those that should have begun one and did not, and those that do not
+// know this router's incarnation.
 func (t *Table) notHeard(now time.Time, period time.Duration) []string {
 	var addresses []string
 	for address, status := range t.peers {
-		if now.Sub(status.Heard) >= period/2 {
+		late := now.Sub(status.Heard) > 3*period/2
+		known := status.introduced == status.Heartbeat.From.Incarnation && status.introduced != ""
+		if late || !known || begins(t.self.Address, address) {
 			addresses = append(addresses, address)
 		}
 	}
 	slices.Sort(addresses)
 	return addresses
 }
+
+// begins reports whether self begins the exchanges with the peer. Just one of
+// the two does.
+func begins(self, address string) bool {
+	first := rank.Key(min(self, address), max(self, address))%2 == 0
+	return first == (self < address)
+}
--- a/member/self.go
+++ b/member/self.go
@@ -1,13 +1,14 @@
 package member
 
-// Self identifies one router process.
+// Self identifies one router process. Between routers that know each other's
+// incarnation the address alone is sent.
 type Self struct {
 	// Address is the peer address; it identifies the VM.
 	Address string `json:"a"`
 	// Name is the VM's name in logs.
-	Name string `json:"n"`
+	Name string `json:"n,omitempty"`
 	// FailureDomain is the VM's failure domain.
-	FailureDomain string `json:"d"`
+	FailureDomain string `json:"d,omitempty"`
 	// Incarnation is new with each start of the process.
-	Incarnation string `json:"i"`
+	Incarnation string `json:"i,omitempty"`
 }
--- a/member/status.go
+++ b/member/status.go
@@ -34,5 +34,7 @@
 	leaving   bool
 	suspected time.Time
 	owed      bool
-	damping   damping
+	// introduced is the peer's incarnation that has been told all of Self.
+	introduced string
+	damping    damping
 }
--- /dev/null
+++ b/member/table_test.go
@@ -0,0 +1,265 @@
+package member
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"cardamompoint.example/cardamompoint/balance"
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/platform"
+)
+
+const testSuspect = 3 * time.Second
+
+func routerList(version int64, count int) platform.VMs {
+	list := platform.VMs{Version: version}
+	for i := range count {
+		list.VMs = append(list.VMs, platform.VM{Address: fmt.Sprint("r", i), Role: platform.RoleRouter, State: platform.StateLive})
+	}
+	return list
+}
+
+// tables returns the tables of a fleet that knows its list.
+func tables(count int, now time.Time) []*Table {
+	fleet := make([]*Table, count)
+	for i := range fleet {
+		fleet[i] = NewTable(Self{Address: fmt.Sprint("r", i), Incarnation: fmt.Sprint("i", i)}, testSuspect)
+		fleet[i].SetList(routerList(1, count), now)
+	}
+	return fleet
+}
+
+// exchange lets two tables exchange heartbeats as routers do. A lost answer
+// reaches only one side.
+func exchange(a, b *Table, now time.Time, lost bool) {
+	var request, answer Heartbeat
+	a.Fill(&request, b.self.Address)
+	b.Heard(request, now)
+	b.Fill(&answer, a.self.Address)
+	b.Average(answer.Means, request.Means)
+	if lost {
+		return
+	}
+	a.Heard(answer, now)
+	a.Introduced(request, b.self.Address)
+	a.Average(request.Means, answer.Means)
+}
+
+// TestSuspicionIsRefuted suspects a router that lives: it learns of it at its
+// next exchange, and its higher counter ends the suspicion at a third router.
+func TestSuspicionIsRefuted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	fleet := tables(20, now)
+	fleet[0].Unanswered("r1", now)
+	exchange(fleet[0], fleet[2], now, false)
+	later := now.Add(testSuspect + time.Second)
+	for _, i := range []int{0, 2} {
+		if got := fleet[i].Health("r1", now); got != HealthAlive {
+			t.Fatalf("a suspected router is %s at r%d", got, i)
+		}
+		if got := fleet[i].Health("r1", later); got != HealthUnreachable {
+			t.Fatalf("the router is %s at r%d after the timeout", got, i)
+		}
+	}
+	exchange(fleet[0], fleet[1], later, false)
+	exchange(fleet[1], fleet[3], later, false)
+	exchange(fleet[3], fleet[2], later, false)
+	for _, i := range []int{0, 2} {
+		if got := fleet[i].Health("r1", later); got != HealthAlive {
+			t.Fatalf("the router is %s at r%d after it refuted", got, i)
+		}
+	}
+	if fleet[2].Learn([]Update{{Address: "r1", Counter: 1, Claim: ClaimSuspect}}, later) {
+		t.Fatal("an old suspicion was taken in")
+	}
+}
+
+// TestUnreachableStaysMember keeps a silent router until the list drops it.
+func TestUnreachableStaysMember(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := tables(3, now)[0]
+	table.Unanswered("r1", now)
+	hour := now.Add(time.Hour)
+	if table.Health("r1", hour) != HealthUnreachable || len(table.View().Routers) != 3 {
+		t.Fatalf("the router is %s among %d", table.Health("r1", hour), len(table.View().Routers))
+	}
+	table.SetList(platform.VMs{Version: 2, After: 1, Gone: []string{"r1"}}, hour)
+	if len(table.Peers(hour)) != 1 || len(table.View().Routers) != 2 {
+		t.Fatalf("there are still %d peers", len(table.Peers(hour)))
+	}
+}
+
+// TestFlappingIsHeldBack returns a router again and again: from the second
+// return on it is held back, for twice as long each time, up to the bound.
+func TestFlappingIsHeldBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	fleet := tables(3, now)
+	want := []time.Duration{0, 2 * time.Second, 4 * time.Second, 8 * time.Second, 16 * time.Second, 32 * time.Second, time.Minute, time.Minute}
+	for i, hold := range want {
+		fleet[0].Unanswered("r1", now)
+		now = now.Add(testSuspect + time.Second)
+		exchange(fleet[0], fleet[1], now, false)
+		if hold > 0 && fleet[0].Health("r1", now.Add(hold-time.Millisecond)) != HealthUnreachable {
+			t.Fatalf("return %d is held back for less than %v", i+1, hold)
+		}
+		if fleet[0].Health("r1", now.Add(hold)) != HealthAlive {
+			t.Fatalf("return %d is held back for more than %v", i+1, hold)
+		}
+	}
+}
+
+// TestSumIsExactInSmallFleets exchanges each pair once.
+func TestSumIsExactInSmallFleets(t *testing.T) {
+	now := time.Unix(1000, 0)
+	fleet := tables(8, now)
+	for i, table := range fleet {
+		table.BeginPeriod(map[string]balance.ModelLoad{"m": {Tokens: 10 << i, Requests: i}})
+	}
+	for i, table := range fleet {
+		for _, peer := range fleet[i+1:] {
+			exchange(table, peer, now, false)
+		}
+	}
+	for i, table := range fleet {
+		sum := table.Sum("m", now)
+		if sum.Tokens != 10*255-10<<i || sum.Requests != 28-i {
+			t.Fatalf("the sum at r%d is %+v", i, sum)
+		}
+	}
+}
+
+// TestMeanFollowsLoad estimates the sum of 340 routers whose loads differ by
+// their whole size and change, while one answer in a hundred is lost.
+func TestMeanFollowsLoad(t *testing.T) {
+	const (
+		routers = 340
+		rounds  = 60
+		settled = 20
+		bound   = 0.15 // of the sum, root of the mean square over the routers
+	)
+	now := time.Unix(1000, 0)
+	worst := 0.0
+	for seed := range uint64(3) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		fleet := tables(routers, now)
+		loads := make([]int, routers)
+		for i := range loads {
+			loads[i] = random.IntN(2000)
+		}
+		for round := range rounds {
+			total := 0
+			for i, table := range fleet {
+				loads[i] = max(0, loads[i]+random.IntN(201)-100)
+				total += loads[i]
+				table.BeginPeriod(map[string]balance.ModelLoad{"m": {Tokens: loads[i]}})
+			}
+			for i, table := range fleet {
+				peer := fleet[(i+1+random.IntN(routers-1))%routers]
+				exchange(table, peer, now, random.IntN(100) == 0)
+			}
+			if round < settled {
+				continue
+			}
+			square := 0.0
+			for i, table := range fleet {
+				off := float64(table.Sum("m", now).Tokens+loads[i]-total) / float64(total)
+				square += off * off
+			}
+			worst = max(worst, math.Sqrt(square/routers))
+		}
+	}
+	t.Logf("the sum is off by %.1f%% at the worst round", 100*worst)
+	if worst > bound {
+		t.Errorf("the sum is off by %.1f%%, want %.1f%% at the most", 100*worst, 100*bound)
+	}
+}
+
+// TestUpdatesAreBounded tells of all routers at once.
+func TestUpdatesAreBounded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	fleet := tables(340, now)
+	for i := 1; i < len(fleet); i++ {
+		fleet[0].Unanswered(fmt.Sprint("r", i), now)
+	}
+	var beat Heartbeat
+	fleet[0].Fill(&beat, "r9")
+	if len(beat.Updates) > maxUpdates+1 {
+		t.Fatalf("a heartbeat has %d updates", len(beat.Updates))
+	}
+}
+
+// TestSleepMakesViewStale moves the clocks apart as a freeze and a suspended
+// VM do.
+func TestSleepMakesViewStale(t *testing.T) {
+	start := time.Now()
+	guard := NewSleepGuard(2*time.Second, 2*time.Second, start)
+	awake := start.Add(time.Second)
+	guard.Tick(awake)
+	if err := guard.Check(awake.Add(time.Second)); err != nil {
+		t.Fatalf("the view is stale without a sleep: %v", err)
+	}
+	woken := awake.Add(time.Hour)
+	if err := guard.Check(woken); !code.Is(err, code.ViewStale) {
+		t.Fatalf("the view is fresh after a sleep: %v", err)
+	}
+	guard.Refreshed(awake)
+	if guard.Check(woken) == nil {
+		t.Fatal("an exchange from before the sleep refreshed the view")
+	}
+	guard.Refreshed(woken.Add(time.Millisecond))
+	if err := guard.Check(woken.Add(time.Second)); err != nil {
+		t.Fatalf("the view is stale after the refresh: %v", err)
+	}
+	// The monotonic clock stood still: only the wall clock has moved.
+	suspended := NewSleepGuard(2*time.Second, 2*time.Second, start.Round(0))
+	if suspended.Check(start.Round(0).Add(time.Hour)) == nil {
+		t.Fatal("a suspended VM's view is fresh")
+	}
+	suspended.Tick(start.Round(0).Add(time.Hour + time.Second))
+	if err := suspended.Check(start.Round(0).Add(time.Hour + 2100*time.Millisecond)); err != nil {
+		t.Fatalf("a router that nobody answers does not go on: %v", err)
+	}
+}
+
+// BenchmarkPeriod makes one exchange and reads the health of a peer.
+func BenchmarkPeriod(b *testing.B) {
+	for _, count := range []int{8, 80, 340} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			fleet := tables(count, now)
+			loads := map[string]balance.ModelLoad{}
+			for n := range 12 {
+				loads[fmt.Sprint("model-", n)] = balance.ModelLoad{Tokens: 1000, Requests: 3}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				fleet[0].BeginPeriod(loads)
+				fleet[0].Probes(now, time.Second)
+				exchange(fleet[0], fleet[1], now, false)
+			}
+		})
+	}
+}
+
+// BenchmarkList takes in one change of the list of VMs.
+func BenchmarkList(b *testing.B) {
+	for _, count := range []int{1000, 4000, 12340} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			table := NewTable(Self{Address: "r0"}, testSuspect)
+			list := routerList(1, 340)
+			for i := range count - 340 {
+				list.VMs = append(list.VMs, platform.VM{Address: fmt.Sprint("e", i), Role: platform.RoleEngine, Group: "g", State: platform.StateLive})
+			}
+			table.SetList(list, time.Now())
+			version := int64(1)
+			b.ReportAllocs()
+			for b.Loop() {
+				version++
+				table.SetList(platform.VMs{Version: version, After: version - 1, VMs: list.VMs[count-1:]}, time.Now())
+			}
+		})
+	}
+}
--- a/router/heartbeats.go
+++ b/router/heartbeats.go
@@ -50,14 +50,14 @@
 	})
 }
 
-// probe exchanges heartbeats with a peer. If it does not answer, others try;
-// if none gets an answer, the peer is suspected.
+// probe exchanges heartbeats with a peer. If it does not answer, others try
+// once; if none gets an answer, the peer is suspected.
 func (r *Router) probe(ctx context.Context, address string, period time.Duration) {
 	began := time.Now()
 	direct, cancel := context.WithTimeout(ctx, period)
 	err := r.exchange(direct, address)
 	cancel()
-	if err == nil || ctx.Err() != nil {
+	if err == nil || ctx.Err() != nil || r.members.Suspected(address) {
 		return
 	}
 	if r.probeIndirectly(ctx, address, period) || ctx.Err() != nil {
@@ -97,6 +97,7 @@
 		return err
 	}
 	r.members.Heard(answer, time.Now())
+	r.members.Introduced(own, address)
 	r.members.Average(own.Means, answer.Means)
 	r.compare(ctx, answer, began)
 	return nil
--- /dev/null
+++ b/router/knowledge_test.go
@@ -0,0 +1,207 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cardamompoint.example/cardamompoint/internal/standin"
+	"cardamompoint.example/cardamompoint/member"
+	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/settings"
+)
+
+const (
+	// inForceLimit is how soon a configuration is in force everywhere.
+	inForceLimit = 7 * time.Second
+	// departureLimit is how soon a known departure is known everywhere.
+	departureLimit = 3 * time.Second
+)
+
+// inForce waits until version is in force on all routers and checks that no
+// router has been at a higher one, which would mean a way back.
+func (f *memoryFleet) inForce(version int64) {
+	f.t.Helper()
+	took := f.within(inForceLimit, fmt.Sprintf("parameters version %d", version), func(r *memoryRouter) bool {
+		return r.parameters() >= version
+	})
+	f.t.Logf("version %d in force on %d routers after %v", version, len(f.routers), took)
+}
+
+// slowBeats keeps the tests of long faults and large fleets short: beats are
+// five seconds apart, so that news also come later than usual.
+func slowBeats(s *settings.Router) {
+	s.Timing.HeartbeatMS = 5000
+	s.Timing.SuspectMS = 15000
+}
+
+func TestTwoOperatorsPublishAtOnce(t *testing.T) {
+	inBubble(t, 16, func(f *memoryFleet) {
+		versions := make(chan int64, 2)
+		for n := range 2 {
+			go func() { versions <- f.publish("workspaces/a/parameters", fmt.Sprintf(`{"n": %d}`, n+1)) }()
+		}
+		f.inForce(max(<-versions, <-versions))
+	})
+}
+
+// TestPlatformDownForAnHour publishes when the platform is back.
+func TestPlatformDownForAnHour(t *testing.T) {
+	inBubbleWith(t, 5, slowBeats, func(f *memoryFleet) {
+		version := f.publish("workspaces/a/parameters", `{"n": 2}`)
+		f.inForce(version)
+		f.platform.SetFault(standin.Fault{Down: true})
+		time.Sleep(30 * time.Minute)
+		f.kill(4)
+		f.start(4)
+		f.within(10*time.Second, "the router starts from its peers", func(r *memoryRouter) bool { return r.ready() })
+		f.inForce(version)
+		time.Sleep(30 * time.Minute)
+		f.platform.SetFault(standin.Fault{})
+		f.inForce(f.publish("workspaces/a/parameters", `{"n": 3}`))
+	})
+}
+
+// TestSilentPlatform lets all reads wait without an answer, also those in
+// progress, and then go on.
+func TestSilentPlatform(t *testing.T) {
+	inBubble(t, 9, func(f *memoryFleet) {
+		f.platform.SetFault(standin.Fault{Silent: true})
+		time.Sleep(time.Minute)
+		f.platform.SetFault(standin.Fault{})
+		f.inForce(f.publish("workspaces/a/parameters", `{"n": 3}`))
+	})
+}
+
+// TestHalvesPartAndJoin lets only one half read the platform for an hour.
+func TestHalvesPartAndJoin(t *testing.T) {
+	inBubbleWith(t, 9, slowBeats, func(f *memoryFleet) {
+		left := map[string]bool{testPlatform: true}
+		for i := range 4 {
+			left[peerAddress(i)] = true
+		}
+		f.network.setCut(func(from, to string) bool { return left[from] != left[to] })
+		time.Sleep(time.Minute)
+		var version int64
+		for n := range 40 {
+			version = f.publish("workspaces/a/parameters", fmt.Sprintf(`{"n": %d}`, n+1))
+			f.publish(fmt.Sprintf("workspaces/b%d/template", n), testTemplate)
+		}
+		time.Sleep(time.Hour)
+		f.network.setCut(nil)
+		f.inForce(version)
+		f.within(inForceLimit, "all workspaces", func(r *memoryRouter) bool { return len(r.store.Snapshot().Workspaces) == 41 })
+	})
+}
+
+// TestDeletionAndPublishingAgain deletes a template, publishes it again, and
+// then shows an older state of the platform to a router that starts.
+func TestDeletionAndPublishingAgain(t *testing.T) {
+	inBubble(t, 9, func(f *memoryFleet) {
+		version, _ := f.platform.Delete("workspaces/a/template", -1)
+		f.within(inForceLimit, "the workspace is gone", func(r *memoryRouter) bool { return len(r.WorkspaceNames()) == 0 })
+		f.platform.SetFault(standin.Fault{StaleRevision: version - 1})
+		f.kill(3)
+		f.start(3)
+		f.within(10*time.Second, "the router is ready", func(r *memoryRouter) bool { return r.ready() })
+		f.within(0, "the deleted workspace stays away", func(r *memoryRouter) bool { return len(r.WorkspaceNames()) == 0 })
+		f.platform.SetFault(standin.Fault{})
+		version = f.publish("workspaces/a/template", testTemplate)
+		f.within(inForceLimit, "the workspace is back", func(r *memoryRouter) bool { return r.WorkspaceNames()["a"] == version })
+	})
+}
+
+// TestReadersDie ends all readers of the platform at once.
+func TestReadersDie(t *testing.T) {
+	inBubble(t, 16, func(f *memoryFleet) {
+		for i, r := range f.routers {
+			if isReader(r.members.View(), r.members.Self()) {
+				f.kill(i)
+			}
+		}
+		f.inForce(f.publish("workspaces/a/parameters", `{"n": 3}`))
+	})
+}
+
+// TestDepartureIsKnownEverywhere lets an engine leave.
+func TestDepartureIsKnownEverywhere(t *testing.T) {
+	inBubble(t, 16, func(f *memoryFleet) {
+		f.platform.SetState(engineAddress(0), platform.StateLeaving)
+		left := func(r *memoryRouter) bool { return !r.members.View().Live(engineAddress(0)) }
+		for known := false; !known; time.Sleep(time.Millisecond) {
+			for _, r := range f.routers {
+				known = known || left(r)
+			}
+		}
+		t.Logf("known everywhere after %v", f.within(departureLimit, "the engine has left", left))
+	})
+}
+
+// TestCutOffRouterIsNotDeparted cuts one router off, joins it again, and then
+// drops it from the list.
+func TestCutOffRouterIsNotDeparted(t *testing.T) {
+	inBubble(t, 12, func(f *memoryFleet) {
+		alone := peerAddress(7)
+		f.network.setCut(func(from, to string) bool { return (from == alone) != (to == alone) && from != testPlatform })
+		health := func(want member.Health) func(*memoryRouter) bool {
+			return func(r *memoryRouter) bool {
+				return r.settings.Peers == alone || r.members.Health(alone, time.Now()) == want
+			}
+		}
+		f.within(15*time.Second, "the router is unreachable", health(member.HealthUnreachable))
+		time.Sleep(10 * time.Minute)
+		f.within(0, "the router is still a member", func(r *memoryRouter) bool { return len(r.members.View().Routers) == 12 })
+		f.network.setCut(nil)
+		f.within(30*time.Second, "the router is alive", health(member.HealthAlive))
+		f.platform.SetState(alone, "")
+		f.within(departureLimit+listPause, "the router is gone", func(r *memoryRouter) bool {
+			_, listed := r.members.View().Find(alone)
+			return !listed
+		})
+	})
+}
+
+// TestLeavingSpreadsAtOnce lets a router shut down: the others know before a
+// period has passed.
+func TestLeavingSpreadsAtOnce(t *testing.T) {
+	inBubble(t, 9, func(f *memoryFleet) {
+		leaver := f.routers[4]
+		leaver.spreadLeaving(t.Context())
+		f.within(milliseconds(leaver.settings.Timing.HeartbeatMS)/2, "the router leaves", func(r *memoryRouter) bool {
+			return r == leaver || r.members.Health(leaver.settings.Peers, time.Now()) == member.HealthLeaving
+		})
+	})
+}
+
+// TestPlatformCalls counts the calls of a fleet of 340 routers in each second:
+// when all start at once, in quiet, while the platform is down or silent, and
+// in the first 10 s after that.
+func TestPlatformCalls(t *testing.T) {
+	const (
+		routers = 340
+		limit   = 200
+	)
+	inBubbleWith(t, routers, slowBeats, func(f *memoryFleet) {
+		phases := []struct {
+			name  string
+			fault standin.Fault
+			time  time.Duration
+		}{
+			{"start", standin.Fault{}, 2 * time.Second},
+			{"quiet", standin.Fault{}, 5 * time.Second},
+			{"down", standin.Fault{Down: true}, 20 * time.Second},
+			{"back", standin.Fault{}, 10 * time.Second},
+			{"silent", standin.Fault{Silent: true}, 20 * time.Second},
+			{"speaks again", standin.Fault{}, 10 * time.Second},
+		}
+		for _, phase := range phases {
+			f.platform.SetFault(phase.fault)
+			time.Sleep(phase.time)
+			most := f.calls.take()
+			t.Logf("%s: %d calls a second at the most", phase.name, most)
+			if most > limit {
+				t.Errorf("%s: %d calls a second, want %d at the most", phase.name, most, limit)
+			}
+		}
+	})
+}
--- a/router/router.go
+++ b/router/router.go
@@ -102,7 +102,7 @@
 func (r *Router) addAdapters() {
 	s := r.settings
 	if r.config == nil || r.lister == nil {
-		client := platform.NewClient(s.Platform, peer.NewTransport(&r.controlBytes))
+		client := platform.NewClient(s.Platform, peer.NewTransportWith(&r.controlBytes, r.dial()))
 		r.config, r.lister = client, client
 	}
 	if r.engine == nil {
--- a/router/start.go
+++ b/router/start.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -17,7 +16,8 @@
 	startRounds = 3
 	// startCheck is the pause between two rounds.
 	startCheck = 200 * time.Millisecond
-	askTimeout = time.Second
+	// askTimeout bounds one ask; what came before it ended is kept.
+	askTimeout = 2 * time.Second
 )
 
 // learn asks peers for all that is published, and the platform if no peer
@@ -65,21 +65,27 @@
 }
 
 // askPeers asks a few peers for all that they know and reports whether one
-// answered.
+// answered. The first that answers sends the bulk; only then are the others
+// asked for what it has not got.
 func (r *Router) askPeers(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	var answered atomic.Bool
+	targets := r.startTargets()
+	answered := false
+	for len(targets) > 0 && !answered {
+		answered = r.askPeer(ctx, targets[0])
+		targets = targets[1:]
+	}
 	var asks sync.WaitGroup
-	for _, address := range r.startTargets() {
-		asks.Go(func() {
-			if r.learnFrom(ctx, address) == nil {
-				answered.Store(true)
-			}
-		})
+	for _, address := range targets {
+		asks.Go(func() { r.askPeer(ctx, address) })
 	}
 	asks.Wait()
-	return answered.Load()
+	return answered
+}
+
+func (r *Router) askPeer(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return r.learnFrom(ctx, address) == nil
 }
 
 // startTargets returns random routers of the list, or the seeds while there is
