--- a/api/completion.go
+++ b/api/completion.go
@@ -1,12 +1,16 @@
 package api
 
 import (
+	"slices"
 	"strings"
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/template"
 )
 
+// RoleAssistant is the role of messages that a model wrote.
+const RoleAssistant = "assistant"
+
 // Message is one message of a chat.
 type Message struct {
 	// Role is system, user or assistant.
@@ -29,6 +33,9 @@
 	Model string `json:"model,omitempty"`
 	// Priority is tag, chat or long. Empty means the template's.
 	Priority template.Priority `json:"priority,omitempty"`
+	// Prefix are the tokens of the answer that the caller has already, in order.
+	// The answer goes on after them.
+	Prefix []string `json:"prefix,omitempty"`
 	// MaxTokens bounds the answer. 0 means the template's bound.
 	MaxTokens int `json:"max_tokens,omitempty"`
 	// Stream asks for server-sent events.
@@ -55,6 +62,9 @@
 	if c.Priority != "" && !c.Priority.Valid() {
 		return code.New(code.BadRequest, "%q is not a priority", c.Priority).At("$.priority")
 	}
+	if slices.Contains(c.Prefix, "") {
+		return code.New(code.BadRequest, "a token is empty").At("$.prefix")
+	}
 	if c.MaxTokens < 0 {
 		return code.New(code.BadRequest, "%d is negative", c.MaxTokens).At("$.max_tokens")
 	}
@@ -74,6 +84,11 @@
 	return nil
 }
 
+// Returning reports whether the chat was answered before.
+func (c *Completion) Returning() bool {
+	return slices.ContainsFunc(c.Messages, func(m Message) bool { return m.Role == RoleAssistant })
+}
+
 // Prompt returns the messages as one text.
 func (c *Completion) Prompt() string {
 	var prompt strings.Builder
--- a/code/code.go
+++ b/code/code.go
@@ -34,6 +34,8 @@
 	Canceled         Code = 306
 	ClearanceMissing Code = 307
 	NotSent          Code = 308
+	KeyFromFuture    Code = 309
+	StreamLost       Code = 310
 
 	PeerRejected     Code = 401
 	NotHome          Code = 402
@@ -46,6 +48,9 @@
 	NotReady         Code = 409
 	VersionConflict  Code = 410
 	SnapshotTooOld   Code = 411
+	ModelNotLoaded   Code = 412
+	ContextElsewhere Code = 420
+	ContextUnknown   Code = 421
 	InternalFault    Code = 499
 	InvalidTemplate  Code = 501
 	InvalidSettings  Code = 502
--- a/config/store_test.go
+++ b/config/store_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"reflect"
+	"runtime"
+	"strings"
 	"testing"
 
 	"cardamompoint.example/cardamompoint/platform"
@@ -167,3 +169,31 @@
 		})
 	}
 }
+
+// BenchmarkMemory reports the heap of a store with many workspaces whose
+// templates have about 1 KB.
+func BenchmarkMemory(b *testing.B) {
+	document := strings.Replace(goodTemplate, "{", `{"description": "`+strings.Repeat(" lane", 160)+`",`, 1)
+	for _, count := range []int{1000, 4000, 7900} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			for b.Loop() {
+				before := heap()
+				store := NewStore()
+				var all []platform.Value
+				for i := range count {
+					all = append(all, value(int64(i+1), TemplateKey(fmt.Sprint("workspace-", i)), strings.Clone(document)))
+				}
+				store.Apply(all, int64(count))
+				b.ReportMetric(float64(heap()-before)/float64(count), "heap-B/workspace")
+				runtime.KeepAlive(store)
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/router/peers.go
+++ b/router/peers.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/member"
-	"cardamompoint.example/cardamompoint/once"
 	"cardamompoint.example/cardamompoint/peer"
 )
 
@@ -24,14 +23,29 @@
 	control(stampsPath, peer.Handle(secret, r.serveStamps))
 	control(unitsPath, peer.Handle(secret, r.serveUnits))
 	mux.Handle("POST "+workPath, peer.HandleStream(secret, r.serveWork))
-	mux.Handle("POST "+executePath, peer.Handle(secret, r.serveExecute))
-	mux.Handle("POST "+outcomePath, peer.Handle(secret, func(ctx context.Context, ticket once.Ticket) (once.Outcome, error) {
-		return r.outcome(ctx, ticket)
-	}))
+	mux.Handle("POST "+resumePath, peer.HandleStream(secret, r.serveResumeOrder))
+	mux.Handle("POST "+cancelPath, peer.Handle(secret, r.serveCancelOrder))
+	mux.Handle("POST "+takenPath, peer.Handle(secret, r.serveTaken))
+	mux.Handle("POST "+executePath, r.countPeerWork(peer.Handle(secret, r.serveExecute)))
+	mux.Handle("POST "+outcomePath, peer.Handle(secret, r.serveInquiry))
+	mux.Handle("POST "+ownExecutePath, r.countPeerWork(peer.Handle(secret, r.serveOwnExecute)))
+	mux.Handle("POST "+ownOutcomePath, peer.Handle(secret, r.serveOwnOutcome))
+	mux.Handle("POST "+clearPath, peer.Handle(secret, r.serveClear))
+	mux.Handle("POST "+releasePath, peer.Handle(secret, r.serveRelease))
+	mux.Handle("POST "+holderPath, peer.Handle(secret, r.serveHolder))
 	guard := peer.NewGuard(r.settings.Peers, milliseconds(r.settings.Timing.ClockSkewMS)+messageTime)
 	return guard.Protect(mux)
 }
 
+// countPeerWork counts requests of peers that a shutdown waits for.
+func (r *Router) countPeerWork(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		r.peerWork.Add(1)
+		defer r.peerWork.Add(-1)
+		next.ServeHTTP(w, request)
+	})
+}
+
 // messageTime is the longest way of a message between routers.
 const messageTime = 5 * time.Second
 
--- a/router/readers.go
+++ b/router/readers.go
@@ -2,10 +2,10 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"cardamompoint.example/cardamompoint/member"
-	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/rank"
 )
 
@@ -32,18 +32,14 @@
 	if view.List.Version == 0 {
 		return false
 	}
-	var domain []platform.VM
+	var domain []rank.Node
 	for _, vm := range view.Routers {
 		if vm.FailureDomain == self.FailureDomain {
-			domain = append(domain, vm)
+			domain = append(domain, rank.NewNode(vm.Address, 1))
 		}
 	}
-	for _, index := range rank.Top(rank.Key("reader", self.FailureDomain), nodesOf(domain), readersPerDomain) {
-		if domain[index].Address == self.Address {
-			return true
-		}
-	}
-	return false
+	best := rank.Top(rank.Key("reader", self.FailureDomain), domain, readersPerDomain)
+	return slices.ContainsFunc(best, func(index int) bool { return domain[index].ID == self.Address })
 }
 
 // sparePause is the mean pause between the reads of one router without news,
--- a/router/router.go
+++ b/router/router.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/uuid"
 
+	"cardamompoint.example/cardamompoint/affinity"
 	"cardamompoint.example/cardamompoint/balance"
 	"cardamompoint.example/cardamompoint/config"
 	"cardamompoint.example/cardamompoint/endpoint"
@@ -15,6 +16,7 @@
 	"cardamompoint.example/cardamompoint/metrics"
 	"cardamompoint.example/cardamompoint/once"
 	"cardamompoint.example/cardamompoint/peer"
+	"cardamompoint.example/cardamompoint/placement"
 	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/settings"
 )
@@ -31,14 +33,22 @@
 	store   *config.Store
 	members *member.Table
 	ledger  *balance.Ledger
+	context *affinity.Index
 	records *once.Table
+	clock   *once.Clock
+	window  once.Window
+	views   *once.Views
+	granter *once.Granter
 	budget  *retryBudget
 
 	workerCounts *workerCounts
+	placer       *placer
+	streams      *homeStreams
 
 	control      *peer.Client
 	work         *peer.Client
 	controlBytes peer.Bytes
+	attempts     atomic.Int64
 	network      Network
 
 	configNews news
@@ -52,6 +62,7 @@
 	draining   atomic.Bool
 	closing    atomic.Bool
 	inProgress atomic.Int64
+	peerWork   atomic.Int64
 	tasks      sync.WaitGroup
 	servers    []*http.Server
 }
@@ -72,10 +83,16 @@
 		metrics:  meters,
 		store:    config.NewStore(),
 		ledger:   balance.NewLedger(s.Limits),
+		context:  affinity.NewIndex(contextEntries, contextKeep),
 		records:  once.NewTable(s.Limits.Records),
 		budget:   newRetryBudget(s.Limits.RetryRatio),
 
 		workerCounts: newWorkerCounts(),
+		placer: &placer{
+			orders: options.Orderer,
+			scaler: placement.NewScaler(s.Limits.EngineTokens),
+			share:  placement.NewStoreShare(s.Limits.WeightLoadsPerMinute),
+		},
 	}
 	r.members = member.NewTable(member.Self{
 		Address:       s.Peers,
@@ -87,6 +104,8 @@
 	r.network = options.Network
 	r.control = peer.NewClient(s.Secret, peer.NewTransportWith(&r.controlBytes, r.dial()))
 	r.work = peer.NewClient(s.Secret, peer.NewTransportWith(nil, r.dial()))
+	r.streams = newHomeStreams(milliseconds(s.Timing.ResumeMS), r.cancelStream)
+	r.addClearance()
 	r.addAdapters()
 	return r, r.addGauges()
 }
@@ -106,10 +125,13 @@
 		r.config, r.lister = client, client
 	}
 	if r.engine == nil {
-		r.engine = endpoint.NewEngineClient(peer.NewTransport(nil), milliseconds(s.Timing.ProgressMS))
+		r.engine = endpoint.NewEngineClient(peer.NewTransportWith(nil, r.dial()), milliseconds(s.Timing.ProgressMS), milliseconds(s.Timing.StallMS))
+	}
+	if r.placer.orders == nil {
+		r.placer.orders = endpoint.NewOrdersClient(peer.NewTransportWith(&r.controlBytes, r.dial()), milliseconds(s.Timing.ProgressMS))
 	}
 	if r.service == nil {
-		r.service = endpoint.NewServiceClient(peer.NewTransport(nil))
+		r.service = endpoint.NewServiceClient(peer.NewTransportWith(nil, r.dial()))
 	}
 }
 
@@ -119,8 +141,11 @@
 		read       func() int64
 	}{
 		{"cardamompoint.in_progress", "Requests of callers in progress.", r.inProgress.Load},
+		{"cardamompoint.peer_work", "Requests of other routers in progress.", r.peerWork.Load},
+		{"cardamompoint.home_streams", "Streams that the router counts, held ones included.", func() int64 { return int64(r.streams.len()) }},
 		{"cardamompoint.control_bytes", "Bytes of control traffic since the start.", r.controlBytes.Total},
 		{"cardamompoint.records", "Outcomes kept for repeated keys.", func() int64 { return int64(r.records.Len()) }},
+		{"cardamompoint.yields", "Callers' own keys that this router yielded to a process.", func() int64 { return int64(r.granter.Len()) }},
 		{"cardamompoint.config_revision", "Configuration revision in force.", func() int64 { return r.store.Snapshot().Revision }},
 		{"cardamompoint.list_version", "Version of the list of VMs.", func() int64 { return r.members.View().List.Version }},
 	}
--- a/settings/check.go
+++ b/settings/check.go
@@ -93,6 +93,7 @@
 		{"$.limits.engine_tokens", int64(limits.EngineTokens), 1, 1 << 30},
 		{"$.limits.service_requests", int64(limits.ServiceRequests), 1, 100000},
 		{"$.limits.body_bytes", limits.BodyBytes, 1024, 64 << 20},
+		{"$.limits.weight_loads_per_minute", int64(limits.WeightLoadsPerMinute), 1, 1000000},
 		{"$.limits.records", int64(limits.Records), 1, 10000000},
 	}
 	return checkRanges(ranges)
@@ -107,6 +108,8 @@
 		{"$.timing.load_report_ms", int64(timing.LoadReportMS), 20, 60000},
 		{"$.timing.request_ms", int64(timing.RequestMS), 100, hourMS},
 		{"$.timing.progress_ms", int64(timing.ProgressMS), 50, 600000},
+		{"$.timing.stall_ms", int64(timing.StallMS), 50, hourMS},
+		{"$.timing.resume_ms", int64(timing.ResumeMS), 0, hourMS},
 		{"$.timing.linger_ms", int64(timing.LingerMS), 0, 600000},
 		{"$.timing.drain_ms", int64(timing.DrainMS), 100, hourMS},
 		{"$.timing.key_window_ms", int64(timing.KeyWindowMS), 1000, 24 * hourMS},
