--- a/affinity/search.go
+++ b/affinity/search.go
@@ -3,7 +3,7 @@
 // The bounds of a search for the context of a chat.
 const (
 	// maxPassedOn is how often a chat is passed on before it is settled.
-	maxPassedOn = 8
+	maxPassedOn = 20
 	// maxProbes is how many further candidates are asked when a home does not
 	// know the chat.
 	maxProbes = 2
@@ -108,6 +108,7 @@
 // whose home did not know the chat.
 func (s *Search) settle() {
 	s.phase = phaseSettle
+	s.settled = make([]int, 0, len(s.refused))
 	if s.unknown != noCandidate {
 		s.settled = append(s.settled, s.unknown)
 	}
--- a/config/digest.go
+++ b/config/digest.go
@@ -29,9 +29,13 @@
 	d[bucketOf(stamp.Name)] ^= stamp.hash()
 }
 
+// rootBits is the length of a root. Two that differ are the same by chance once
+// in a trillion.
+const rootBits = 40
+
 // Root returns one short hash of the whole digest.
 func (d *Digest) Root() string {
-	return strconv.FormatUint(xxhash.Sum64(d.bytes()), 36)
+	return strconv.FormatUint(xxhash.Sum64(d.bytes())>>(64-rootBits), 36)
 }
 
 func (d *Digest) bytes() []byte {
--- a/member/exchange.go
+++ b/member/exchange.go
@@ -19,7 +19,13 @@
 func (t *Table) Fill(beat *Heartbeat, to string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	beat.From, beat.Counter, beat.Leaving = t.selfFor(to), t.counter, t.leaving
+	beat.From, beat.Counter, beat.Leaving = t.self, t.counter, t.leaving
+	if status, ok := t.peers[to]; ok && status.knowsUs() {
+		beat.From = Self{Address: t.self.Address}
+		if status.told == t.counter {
+			beat.Counter = 0
+		}
+	}
 	beat.ListVersion = t.list.Version()
 	beat.Loads = t.means.own
 	if len(t.peers) > ProbeAll {
@@ -32,22 +38,19 @@
 	}
 }
 
-// selfFor returns the address alone if the peer knows the rest.
-func (t *Table) selfFor(to string) Self {
-	status, ok := t.peers[to]
-	if ok && status.introduced != "" && status.introduced == status.Heartbeat.From.Incarnation {
-		return Self{Address: t.self.Address}
-	}
-	return t.self
-}
-
-// Introduced records that the peer answered a heartbeat that held all of Self.
+// Introduced records that the peer answered a heartbeat, so that it knows what
+// that held of this router.
 func (t *Table) Introduced(sent Heartbeat, to string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if status, ok := t.peers[to]; ok && sent.From.Incarnation != "" {
+	status, ok := t.peers[to]
+	if !ok {
+		return
+	}
+	if sent.From.Incarnation != "" {
 		status.introduced = status.Heartbeat.From.Incarnation
 	}
+	status.told = max(status.told, sent.Counter)
 }
 
 // Heard takes in a heartbeat that came at now from the peer itself.
--- a/member/heartbeat.go
+++ b/member/heartbeat.go
@@ -8,8 +8,8 @@
 	// From is the sender.
 	From Self `json:"f"`
 	// Counter orders what is told of the sender: a suspicion holds only while
-	// it carries the highest counter known.
-	Counter int64 `json:"c"`
+	// it carries the highest counter known. 0 means as told before.
+	Counter int64 `json:"c,omitempty"`
 	// Leaving tells that the sender shuts down.
 	Leaving bool `json:"l,omitempty"`
 	// Stale tells that the sender has slept and not yet refreshed its view.
--- a/member/probe_order.go
+++ b/member/probe_order.go
@@ -53,8 +53,7 @@
 	var addresses []string
 	for address, status := range t.peers {
 		late := now.Sub(status.Heard) > 3*period/2
-		known := status.introduced == status.Heartbeat.From.Incarnation && status.introduced != ""
-		if late || !known || begins(t.self.Address, address) {
+		if late || !status.knowsUs() || begins(t.self.Address, address) {
 			addresses = append(addresses, address)
 		}
 	}
--- a/member/sleep_guard.go
+++ b/member/sleep_guard.go
@@ -21,11 +21,11 @@
 	since time.Time
 }
 
-// NewSleepGuard returns a SleepGuard that ticks from now on. Ticks further
-// apart than bound mean a sleep. The view counts as fresh again after limit
+// NewSleepGuard returns a SleepGuard that begins with its first tick. Ticks
+// further apart than bound mean a sleep. The view counts as fresh again after limit
 // even if nobody answers, so that a router that is cut off goes on serving.
-func NewSleepGuard(bound, limit time.Duration, now time.Time) *SleepGuard {
-	return &SleepGuard{bound: bound, limit: limit, last: now}
+func NewSleepGuard(bound, limit time.Duration) *SleepGuard {
+	return &SleepGuard{bound: bound, limit: limit}
 }
 
 // Tick records that the process runs and reports whether it has slept.
@@ -49,6 +49,9 @@
 }
 
 func (g *SleepGuard) gap(now time.Time) time.Duration {
+	if g.last.IsZero() {
+		return 0
+	}
 	return max(now.Sub(g.last), now.Round(0).Sub(g.last.Round(0)))
 }
 
--- a/member/status.go
+++ b/member/status.go
@@ -36,5 +36,12 @@
 	owed      bool
 	// introduced is the peer's incarnation that has been told all of Self.
 	introduced string
-	damping    damping
+	// told is the own counter that the peer knows.
+	told    int64
+	damping damping
+}
+
+// knowsUs reports whether the peer's process was told all of Self.
+func (s *Status) knowsUs() bool {
+	return s.introduced != "" && s.introduced == s.Heartbeat.From.Incarnation
 }
--- a/router/candidate_order.go
+++ b/router/candidate_order.go
@@ -1,13 +1,24 @@
 package router
 
-import "cardamompoint.example/cardamompoint/affinity"
+import (
+	"cardamompoint.example/cardamompoint/affinity"
+	"cardamompoint.example/cardamompoint/code"
+)
 
 // candidateOrder yields the candidates of one attempt in the order in which
 // their homes are asked. It is not safe for concurrent use.
 type candidateOrder struct {
 	left   []candidate
 	search *affinity.Search
-	full   int
+	// current is the candidate that next returned last.
+	current candidate
+	// full are the candidates whose engines were at the load multiple.
+	full []candidate
+	// asked counts the candidates that refused for other reasons than the chat's
+	// context.
+	asked int
+	// searched tells that the search has ended.
+	searched bool
 }
 
 // newCandidateOrder leaves out the candidates of j that have failed.
@@ -22,33 +33,49 @@
 	return order
 }
 
-// next returns the candidate to ask next, with the reason for the log, until
-// maxAsked of them have refused the work for other reasons than its context.
+// next returns the candidate to ask next, with the reason for the log. When no
+// candidate is left or maxAsked have refused, the ones that were full are asked
+// once more, as the last ones.
 func (o *candidateOrder) next() (candidate, bool) {
-	if o.full == maxAsked {
-		return candidate{}, false
+	if !o.searched && o.asked < maxAsked {
+		if index, lookup, ok := o.search.Next(); ok {
+			o.current = o.withLookup(o.left[index], lookup)
+			return o.current, true
+		}
 	}
-	index, lookup, ok := o.search.Next()
-	if !ok {
+	o.searched = true
+	if len(o.full) == 0 {
 		return candidate{}, false
 	}
-	c := o.left[index]
+	o.current, o.full = o.full[0], o.full[1:]
+	o.current.last = true
+	o.current.lookup = affinity.LookupAny
+	o.current.reason = reasonLast
+	return o.current, true
+}
+
+func (o *candidateOrder) withLookup(c candidate, lookup affinity.Lookup) candidate {
 	c.lookup = lookup
 	if lookup == affinity.LookupHeld {
 		c.reason = reasonProbed
-		return c, true
-	}
-	if o.full > 0 {
+	} else if len(o.full) > 0 {
 		c.reason = reasonSpill
 	}
-	return c, true
+	return c
 }
 
 // refused tells why the candidate of the last next did not admit the work.
 func (o *candidateOrder) refused(err error) {
-	refusal := refusalOf(err)
-	if refusal == affinity.RefusalFull {
-		o.full++
+	if o.current.last {
+		return
 	}
+	refusal := refusalOf(err)
 	o.search.Refused(refusal)
+	if refusal != affinity.RefusalFull {
+		return
+	}
+	o.asked++
+	if code.Is(err, code.EndpointFull) {
+		o.full = append(o.full, o.current)
+	}
 }
--- a/router/heartbeats.go
+++ b/router/heartbeats.go
@@ -107,6 +107,7 @@
 func (r *Router) watchSleep(ctx context.Context) {
 	ticker := time.NewTicker(sleepTick)
 	defer ticker.Stop()
+	r.sleeper.Tick(time.Now())
 	for {
 		select {
 		case <-ctx.Done():
--- a/router/job.go
+++ b/router/job.go
@@ -98,7 +98,10 @@
 	if last == nil {
 		return code.New(code.NoEndpoint, "all engines have failed").After(noEndpointRetry)
 	}
-	return code.New(code.Overloaded, "%d engines did not admit the request, the last with: %v", order.full, last).After(retryBusy)
+	if code.Is(last, code.WorkspaceShare) {
+		return last
+	}
+	return code.New(code.Overloaded, "%d engines did not admit the request, the last with: %v", order.asked, last).After(retryBusy)
 }
 
 // try runs the work at one engine. A lost home does not speak against the
@@ -133,7 +136,7 @@
 	work := j.work
 	work.StreamID = at.streamID
 	work.Prefix = j.delivered
-	order := workOrder{Engine: at.engine, Work: work, Lookup: c.lookup, DeadlineMS: timeLeft(ctx).Milliseconds()}
+	order := workOrder{Engine: at.engine, Work: work, Lookup: c.lookup, Last: c.last, DeadlineMS: timeLeft(ctx).Milliseconds()}
 	klog.Infof("route: request %s of %s chat %s goes to engine %s by home %s, %s, attempt %d, offset %d.",
 		work.RequestID, work.Workspace, work.Chat, at.engine, at.home, c.reason, j.starts, len(j.delivered))
 	return at, j.router.dispatch(ctx, at.home, order, j.sink(at))
@@ -234,7 +237,7 @@
 	if len(j.failed) >= maxStarts || len(j.failed) == len(j.candidates) {
 		return false
 	}
-	if len(j.delivered) > 0 {
+	if j.begun {
 		return true
 	}
 	return !notAdmitted(err) && j.router.budget.take()
@@ -251,10 +254,10 @@
 	if code.Is(err, code.Canceled) {
 		return err
 	}
-	if notAdmitted(err) && len(j.delivered) == 0 {
+	if notAdmitted(err) && !j.begun {
 		return err
 	}
-	if len(j.delivered) > 0 {
+	if j.begun {
 		return code.New(code.AnswerIncomplete, "%d tokens were delivered: %v", len(j.delivered), err).After(retryBusy)
 	}
 	return code.New(code.RetryBudget, "no engine finished the request: %v", err).After(retryBusy).WithRun(code.RunPartial)
--- a/router/peers.go
+++ b/router/peers.go
@@ -22,6 +22,7 @@
 	control(listPath, peer.Handle(secret, r.serveList))
 	control(stampsPath, peer.Handle(secret, r.serveStamps))
 	control(unitsPath, peer.Handle(secret, r.serveUnits))
+	control(leasePath, peer.Handle(secret, r.serveLease))
 	mux.Handle("POST "+workPath, peer.HandleStream(secret, r.serveWork))
 	mux.Handle("POST "+resumePath, peer.HandleStream(secret, r.serveResumeOrder))
 	mux.Handle("POST "+cancelPath, peer.Handle(secret, r.serveCancelOrder))
--- a/router/router.go
+++ b/router/router.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"golang.org/x/sync/singleflight"
 
 	"cardamompoint.example/cardamompoint/affinity"
 	"cardamompoint.example/cardamompoint/balance"
@@ -27,6 +28,7 @@
 	config   platform.Config
 	lister   platform.Lister
 	engine   endpoint.Engine
+	loads    endpoint.Engine
 	service  endpoint.Service
 	metrics  *metrics.Metrics
 
@@ -34,6 +36,7 @@
 	members *member.Table
 	ledger  *balance.Ledger
 	context *affinity.Index
+	pools   *pools
 	records *once.Table
 	clock   *once.Clock
 	window  once.Window
@@ -41,6 +44,12 @@
 	granter *once.Granter
 	budget  *retryBudget
 
+	admission *balance.Admission
+	estimator *balance.Estimator
+	tenure    *tenure
+	pulse     *pulse
+	polls     singleflight.Group
+
 	workerCounts *workerCounts
 	placer       *placer
 	streams      *homeStreams
@@ -79,11 +88,12 @@
 		config:   options.Config,
 		lister:   options.Lister,
 		engine:   options.Engine,
+		loads:    options.Engine,
 		service:  options.Service,
 		metrics:  meters,
 		store:    config.NewStore(),
-		ledger:   balance.NewLedger(s.Limits),
 		context:  affinity.NewIndex(contextEntries, contextKeep),
+		pools:    newPools(),
 		records:  once.NewTable(s.Limits.Records),
 		budget:   newRetryBudget(s.Limits.RetryRatio),
 
@@ -100,7 +110,8 @@
 		FailureDomain: s.FailureDomain,
 		Incarnation:   uuid.NewString(),
 	}, milliseconds(s.Timing.SuspectMS))
-	r.sleeper = member.NewSleepGuard(sleepBound, sleepLimit, time.Now())
+	r.addAdmission(time.Now())
+	r.sleeper = member.NewSleepGuard(sleepBound, sleepLimit)
 	r.network = options.Network
 	r.control = peer.NewClient(s.Secret, peer.NewTransportWith(&r.controlBytes, r.dial()))
 	r.work = peer.NewClient(s.Secret, peer.NewTransportWith(nil, r.dial()))
@@ -118,6 +129,18 @@
 	return r.network.Dial
 }
 
+// addAdmission makes what admits work to engines.
+func (r *Router) addAdmission(now time.Time) {
+	timing := r.settings.Timing
+	suspect := milliseconds(timing.SuspectMS)
+	lease, margin := leaseDuration(suspect), leaseMargin(suspect)
+	r.ledger = balance.NewLedger(r.settings.Limits, lease-margin)
+	r.admission = balance.NewAdmission(r.ledger, lease, margin, now)
+	r.estimator = balance.NewEstimator()
+	r.tenure = newTenure(tenureWait(suspect, milliseconds(timing.HeartbeatMS)), lease)
+	r.pulse = newPulse(now)
+}
+
 func (r *Router) addAdapters() {
 	s := r.settings
 	if r.config == nil || r.lister == nil {
@@ -126,6 +149,7 @@
 	}
 	if r.engine == nil {
 		r.engine = endpoint.NewEngineClient(peer.NewTransportWith(nil, r.dial()), milliseconds(s.Timing.ProgressMS), milliseconds(s.Timing.StallMS))
+		r.loads = endpoint.NewEngineClient(peer.NewTransportWith(&r.controlBytes, r.dial()), pollTimeout, pollTimeout)
 	}
 	if r.placer.orders == nil {
 		r.placer.orders = endpoint.NewOrdersClient(peer.NewTransportWith(&r.controlBytes, r.dial()), milliseconds(s.Timing.ProgressMS))
@@ -163,5 +187,10 @@
 
 // ready reports whether the balancer may send callers here.
 func (r *Router) ready() bool {
-	return r.learned.Load() && !r.draining.Load()
+	if !r.learned.Load() || r.draining.Load() {
+		return false
+	}
+	now := time.Now()
+	r.noteSpread(now)
+	return r.tenure.ready(now)
 }
--- /dev/null
+++ b/router/router_set.go
@@ -0,0 +1,71 @@
+package router
+
+import (
+	"slices"
+
+	"cardamompoint.example/cardamompoint/balance"
+	"cardamompoint.example/cardamompoint/member"
+	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/rank"
+)
+
+// routerSet is the live routers of one published list. It is immutable.
+type routerSet struct {
+	addresses []string
+	ranked    *rank.Set
+}
+
+// newRouterSet returns the live routers of view's list. A router that the list
+// does not name is not part of it, this router included.
+func newRouterSet(view *member.View) *routerSet {
+	set := &routerSet{}
+	var nodes []rank.Node
+	for _, vm := range view.List.VMs {
+		if vm.Role == platform.RoleRouter && vm.State == platform.StateLive {
+			set.addresses = append(set.addresses, vm.Address)
+			nodes = append(nodes, rank.NewNode(vm.Address, 1))
+		}
+	}
+	set.ranked = rank.NewSet(nodes)
+	return set
+}
+
+func (s *routerSet) equal(other *routerSet) bool {
+	return slices.Equal(s.addresses, other.addresses)
+}
+
+// homeOf returns the home of engine: the first router of its order. It is empty
+// if there is no router.
+func (s *routerSet) homeOf(engine string) string {
+	var buffer [1]int
+	order := s.ranked.AppendTop(buffer[:0], rank.Key("home", engine), 1)
+	if len(order) == 0 {
+		return ""
+	}
+	return s.addresses[order[0]]
+}
+
+// backupOf returns the backup of a home: the first other router of the home's
+// order. It is empty if there is none.
+func (s *routerSet) backupOf(home string) string {
+	var buffer [2]int
+	for _, index := range s.ranked.AppendTop(buffer[:0], rank.Key("backup", home), 2) {
+		if s.addresses[index] != home {
+			return s.addresses[index]
+		}
+	}
+	return ""
+}
+
+// roleOf returns what the router at address is to engine by this list, and the
+// engine's home.
+func (s *routerSet) roleOf(address, engine string) (role balance.Role, home string) {
+	home = s.homeOf(engine)
+	if home == address {
+		return balance.RoleHome, home
+	}
+	if home != "" && s.backupOf(home) == address {
+		return balance.RoleBackup, home
+	}
+	return balance.RoleNone, home
+}
--- a/router/run.go
+++ b/router/run.go
@@ -29,7 +29,7 @@
 	if err := r.listen(); err != nil {
 		return err
 	}
-	for _, task := range []func(context.Context){r.learn, r.watchConfig, r.watchList, r.beat, r.watchSleep, r.place, r.noteViews} {
+	for _, task := range r.backgroundTasks() {
 		r.tasks.Go(func() { task(background) })
 	}
 	klog.Infof("member: router %s serves callers at %s.", r.settings.Name, r.settings.Callers)
@@ -42,6 +42,22 @@
 	return r.close()
 }
 
+// backgroundTasks returns the tasks that run until the router ends.
+func (r *Router) backgroundTasks() []func(context.Context) {
+	return []func(context.Context){
+		r.learn,
+		r.watchConfig,
+		r.watchList,
+		r.beat,
+		r.watchSleep,
+		r.askLeases,
+		r.pollLoads,
+		r.pulse.run,
+		r.place,
+		r.noteViews,
+	}
+}
+
 func (r *Router) listen() error {
 	listens := []struct {
 		address string
@@ -76,6 +92,7 @@
 func (r *Router) drain(ctx context.Context) {
 	r.draining.Store(true)
 	klog.Infof("member: router %s drains.", r.settings.Name)
+	r.releaseLease(ctx)
 	r.spreadLeaving(ctx)
 	sleep(ctx, milliseconds(r.settings.Timing.LingerMS))
 	r.closing.Store(true)
