--- a/router/options.go
+++ b/router/options.go
@@ -21,4 +21,6 @@
 	Orderer endpoint.Orderer
 	// Service speaks to plain services.
 	Service endpoint.Service
+	// Network connects routers and callers; nil means TCP.
+	Network Network
 }
--- a/router/router.go
+++ b/router/router.go
@@ -58,6 +58,14 @@
 	work         *peer.Client
 	controlBytes peer.Bytes
 	attempts     atomic.Int64
+	network      Network
+
+	configNews news
+	listNews   news
+	sleeper    *member.SleepGuard
+	probing    sync.Map
+	learning   atomic.Bool
+	fruitless  atomic.Value
 
 	learned    atomic.Bool
 	draining   atomic.Bool
@@ -103,14 +111,24 @@
 		Incarnation:   uuid.NewString(),
 	}, milliseconds(s.Timing.SuspectMS))
 	r.addAdmission(time.Now())
-	r.control = peer.NewClient(s.Secret, peer.NewTransport(&r.controlBytes))
-	r.work = peer.NewClient(s.Secret, peer.NewTransport(nil))
+	r.sleeper = member.NewSleepGuard(sleepBound, sleepLimit)
+	r.network = options.Network
+	r.control = peer.NewClient(s.Secret, peer.NewTransportWith(&r.controlBytes, r.dial()))
+	r.work = peer.NewClient(s.Secret, peer.NewTransportWith(nil, r.dial()))
 	r.streams = newHomeStreams(milliseconds(s.Timing.ResumeMS), r.cancelStream)
 	r.addClearance()
 	r.addAdapters()
 	return r, r.addGauges()
 }
 
+// dial returns how connections to routers are opened; nil means TCP.
+func (r *Router) dial() peer.Dial {
+	if r.network == nil {
+		return nil
+	}
+	return r.network.Dial
+}
+
 // addAdmission makes what admits work to engines.
 func (r *Router) addAdmission(now time.Time) {
 	timing := r.settings.Timing
@@ -126,18 +144,18 @@
 func (r *Router) addAdapters() {
 	s := r.settings
 	if r.config == nil || r.lister == nil {
-		client := platform.NewClient(s.Platform, peer.NewTransport(&r.controlBytes))
+		client := platform.NewClient(s.Platform, peer.NewTransportWith(&r.controlBytes, r.dial()))
 		r.config, r.lister = client, client
 	}
 	if r.engine == nil {
-		r.engine = endpoint.NewEngineClient(peer.NewTransport(nil), milliseconds(s.Timing.ProgressMS), milliseconds(s.Timing.StallMS))
-		r.loads = endpoint.NewEngineClient(peer.NewTransport(&r.controlBytes), pollTimeout, pollTimeout)
+		r.engine = endpoint.NewEngineClient(peer.NewTransportWith(nil, r.dial()), milliseconds(s.Timing.ProgressMS), milliseconds(s.Timing.StallMS))
+		r.loads = endpoint.NewEngineClient(peer.NewTransportWith(&r.controlBytes, r.dial()), pollTimeout, pollTimeout)
 	}
 	if r.placer.orders == nil {
-		r.placer.orders = endpoint.NewOrdersClient(peer.NewTransport(&r.controlBytes), milliseconds(s.Timing.ProgressMS))
+		r.placer.orders = endpoint.NewOrdersClient(peer.NewTransportWith(&r.controlBytes, r.dial()), milliseconds(s.Timing.ProgressMS))
 	}
 	if r.service == nil {
-		r.service = endpoint.NewServiceClient(peer.NewTransport(nil))
+		r.service = endpoint.NewServiceClient(peer.NewTransportWith(nil, r.dial()))
 	}
 }
 
--- a/router/run.go
+++ b/router/run.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/peer"
 )
 
 const (
@@ -44,9 +45,11 @@
 // backgroundTasks returns the tasks that run until the router ends.
 func (r *Router) backgroundTasks() []func(context.Context) {
 	return []func(context.Context){
+		r.learn,
 		r.watchConfig,
 		r.watchList,
 		r.beat,
+		r.watchSleep,
 		r.askLeases,
 		r.pollLoads,
 		r.pulse.run,
@@ -65,17 +68,24 @@
 		{r.settings.Callers, r.callersMux()},
 	}
 	for _, l := range listens {
-		listener, err := net.Listen("tcp", l.address)
+		listener, err := r.listenAt(l.address)
 		if err != nil {
 			return errors.Join(code.Wrap(err, code.InvalidSettings, "the address can't be used"), r.close())
 		}
-		server := &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout}
+		server := &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, ConnContext: peer.ConnContext}
 		r.servers = append(r.servers, server)
-		go server.Serve(listener)
+		go server.Serve(peer.CountedListener(listener))
 	}
 	return nil
 }
 
+func (r *Router) listenAt(address string) (net.Listener, error) {
+	if r.network == nil {
+		return net.Listen("tcp", address)
+	}
+	return r.network.Listen(address)
+}
+
 // drain ends the router's work without cutting a request: it waits until the
 // requests of callers, the streams that it counts and the executions for peers
 // have ended, but not longer than the drain time.
@@ -83,7 +93,7 @@
 	r.draining.Store(true)
 	klog.Infof("member: router %s drains.", r.settings.Name)
 	r.releaseLease(ctx)
-	r.beatAll(ctx)
+	r.spreadLeaving(ctx)
 	sleep(ctx, milliseconds(r.settings.Timing.LingerMS))
 	r.closing.Store(true)
 	deadline := time.Now().Add(milliseconds(r.settings.Timing.DrainMS))
