Do not bound a single engine by its own mean

Cause: with the strict multiple, a group of one engine refused a second long answer, since 7,998 tokens are more than 1.25 times a mean of 3,998 that is the engine's own load. TestSlowCallerHoldsBackItsOwnStreamOnly showed it.

--- a/balance/ledger.go
+++ b/balance/ledger.go
@@ -199,7 +199,7 @@
 }
 
 func (l *Ledger) checkMean(tokens int, request Request) error {
-	if tokens <= l.limits.EngineFloorTokens {
+	if tokens <= l.limits.EngineFloorTokens || request.Engines == 1 {
 		return nil
 	}
 	bound := l.limits.LoadMultiple * request.MeanTokens
--- a/balance/request.go
+++ b/balance/request.go
@@ -19,6 +19,9 @@
 	// MeanTokens is the mean load in progress of the model's engines over the
 	// whole fleet, in tokens.
 	MeanTokens float64
+	// Engines is the number of engines that the mean is over. A single engine is
+	// not bounded by the mean, which is its own load.
+	Engines int
 	// GrownTokens is the same mean, if the loads of the other routers have grown
 	// as the own ones did since they were told.
 	GrownTokens float64
--- a/internal/routebench/home.go
+++ b/internal/routebench/home.go
@@ -39,7 +39,7 @@
 
 // admit holds room for a request at an engine. last tells that no engine has
 // room below the multiple.
-func (h *home) admit(address string, r *Request, mean float64, last bool, now time.Time) (*balance.Reservation, error) {
+func (h *home) admit(address string, r *Request, mean float64, engines int, last bool, now time.Time) (*balance.Reservation, error) {
 	if !h.reported[address] {
 		h.reported[address] = true
 		h.ledger.Report(address, h.ledger.AskReport(address), endpoint.Load{}, now, now)
@@ -51,6 +51,7 @@
 		Priority:    r.Priority,
 		Tokens:      r.Bound,
 		MeanTokens:  mean,
+		Engines:     engines,
 		GrownTokens: mean,
 		Last:        last,
 	}, h.standing, now)
--- a/internal/routebench/home_way.go
+++ b/internal/routebench/home_way.go
@@ -132,7 +132,7 @@
 	if refusal, passed := router.index.Check(address, r.Key, lookup, now); passed {
 		return refusal, false
 	}
-	reservation, err := router.admit(address, r, w.mean(), last, now)
+	reservation, err := router.admit(address, r, w.mean(), w.fleet.live, last, now)
 	if err != nil {
 		router.index.Refused(address, r.Key, now)
 		return affinity.RefusalFull, false
@@ -192,7 +192,7 @@
 
 func (w *HomeWay) resume(h *held, r *Request) {
 	router, address := w.routers[w.homes[h.engine]], w.fleet.engines[h.engine].address
-	reservation, err := router.admit(address, r, unbounded, false, w.fleet.clock())
+	reservation, err := router.admit(address, r, unbounded, w.fleet.live, false, w.fleet.clock())
 	if err == nil {
 		h.reservation = reservation
 	}
--- a/router/admission.go
+++ b/router/admission.go
@@ -26,7 +26,7 @@
 	now := time.Now()
 	work := order.Work
 	expected := r.estimator.Expect(work.Workspace, work.Priority, work.MaxTokens)
-	mean, grown := r.meanTokens(work.Model, now)
+	mean, grown, engines := r.meanTokens(work.Model, now)
 	return r.admission.Admit(balance.Request{
 		Engine:      order.Engine,
 		Model:       work.Model,
@@ -35,6 +35,7 @@
 		Priority:    work.Priority,
 		Tokens:      max(1, expected-len(work.Prefix)),
 		MeanTokens:  mean,
+		Engines:     engines,
 		GrownTokens: grown,
 		Last:        order.Last,
 	}, r.standing(order.Engine, now), now)
@@ -79,20 +80,21 @@
 	}
 }
 
-// meanTokens returns the mean load of the model's engines over the fleet. The
-// loads of peers are late; grown is the mean if they have grown as the own ones.
-func (r *Router) meanTokens(model string, now time.Time) (mean, grown float64) {
+// meanTokens returns the mean load of the model's engines over the fleet and
+// their number. The loads of peers are late; grown is the mean if they have grown
+// as the own ones.
+func (r *Router) meanTokens(model string, now time.Time) (mean, grown float64, engines int) {
 	declared, ok := r.store.Snapshot().Models[model]
 	if !ok {
-		return 0, 0
+		return 0, 0, 0
 	}
 	view := r.members.View()
-	engines := len(view.Group(declared.Group))
+	engines = len(view.Group(declared.Group))
 	if engines == 0 {
-		return 0, 0
+		return 0, 0, 0
 	}
 	tokens := r.members.Sum(model, now).Tokens + r.ledger.Sums()[model].Tokens
 	growth := max(0, len(view.Routers)-1) * r.ledger.Growth(model, now)
 	mean = float64(tokens) / float64(engines)
-	return mean, mean + float64(growth)/float64(engines)
+	return mean, mean + float64(growth)/float64(engines), engines
 }
