--- a/balance/ledger.go
+++ b/balance/ledger.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/endpoint"
 	"cardamompoint.example/cardamompoint/settings"
 	"cardamompoint.example/cardamompoint/template"
 )
@@ -105,79 +104,6 @@
 	modelTrend.add(change.Tokens, now)
 }
 
-// check returns why request is not admitted under right, or nil.
-func (l *Ledger) check(count *engineCount, request Request, right Right, now time.Time) error {
-	if count.reports.leaving {
-		return code.New(code.EndpointLeaving, "the engine reports that it is leaving")
-	}
-	open, ok := count.room(right, l.maxAge, now)
-	if !ok {
-		return code.New(code.ViewStale, "no load report since the right began").After(retryRight)
-	}
-	whole := wholeLimits(l.limits, l.startPart(count, now))
-	added := ModelLoad{Requests: 1, Tokens: request.Tokens}
-	after := count.load.plus(added)
-	idle := after.plus(open.foreign).Requests == 1
-	if idle && right.Fraction == FractionWhole {
-		return nil
-	}
-	if !open.holds(after, whole) {
-		return code.New(code.EndpointFull, "the engine has %d requests with %d tokens here and %d elsewhere",
-			count.load.Requests, count.load.Tokens, open.foreign.Requests).After(l.retryAfter())
-	}
-	limits := whole.of(open.right.Fraction)
-	if err := l.checkShare(count, request, limits, open); err != nil {
-		return err
-	}
-	return l.checkMean(after.plus(open.foreign).Tokens, request)
-}
-
-// startPart returns the part of its caps that the engine may carry. If no
-// engine answers, the fault is probably this router's own, and none is limited.
-func (l *Ledger) startPart(count *engineCount, now time.Time) float64 {
-	if !count.start.down {
-		return count.start.part(now)
-	}
-	for _, other := range l.engines {
-		if other.reported() && !other.start.down {
-			return count.start.part(now)
-		}
-	}
-	return 1
-}
-
-// reporting returns the number of engines whose load reports are read.
-func (l *Ledger) reporting() int {
-	number := 0
-	for _, count := range l.engines {
-		if count.reported() {
-			number++
-		}
-	}
-	return max(1, number)
-}
-
-// checkShare keeps room for more urgent classes and for workspaces that use
-// less than their fair part.
-func (l *Ledger) checkShare(count *engineCount, request Request, limits engineLimits, open room) error {
-	added := ModelLoad{Requests: 1, Tokens: request.Tokens}
-	used := limits.part(count.load.plus(open.foreign).plus(added))
-	if ceiling := classCeiling(request.Priority); used > ceiling && count.load.Requests > 0 {
-		return code.New(code.EndpointFull, "%.2f of the engine is used, %s work is admitted to %.2f",
-			used, request.Priority, ceiling).After(l.retryAfter())
-	}
-	if _, has := count.byWorkspace[request.Workspace]; used <= lendingCeiling || !has {
-		return nil
-	}
-	after := l.workspaceLoad(request.Workspace, false).plus(added)
-	part, fair := limits.part(after)/float64(l.reporting()), l.shares.part(request.Workspace)
-	if part > fair && !l.tagReserved(request, limits, fair) {
-		return code.New(code.WorkspaceShare, "the workspace would use %.2f of the engines, its part is %.2f",
-			part, fair).After(l.retryAfter())
-	}
-	return nil
-}
-
 // workspaceLoad returns the workspace's load at all engines here, or that of
 // its tags alone. Single engines say little, since one long request may take a
 // workspace's part there.
@@ -198,50 +124,11 @@
 	return tags.Requests == 0 || limits.part(tags)/float64(l.reporting()) < fair*tagReserve
 }
 
-func (l *Ledger) checkMean(tokens int, request Request) error {
-	if tokens <= l.limits.EngineFloorTokens || request.Engines == 1 {
-		return nil
-	}
-	bound := l.limits.LoadMultiple * request.MeanTokens
-	if request.Last && growing(request, l.limits.LoadMultiple) {
-		bound = max(bound, request.GrownTokens+float64(request.Tokens))
-	}
-	if float64(tokens) > bound {
-		return code.New(code.EndpointFull, "%d tokens exceed the mean bound %.0f", tokens, bound).After(retryFull)
-	}
-	return nil
-}
-
-// growing reports whether the mean is late behind a load that grows. The last
-// candidates may then carry what the grown mean allows.
-func growing(request Request, multiple float64) bool {
-	return request.GrownTokens > multiple*request.MeanTokens
-}
-
 // retryAfter returns when room is likely: after one mean service time.
 func (l *Ledger) retryAfter() time.Duration {
 	return min(max(l.service, retryLeast), retryMost)
 }
 
-// covered reports whether one of rights still covers what is reserved.
-func (l *Ledger) covered(engine string, rights []Right, now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	count := l.engine(engine)
-	whole := wholeLimits(l.limits, 1)
-	for _, right := range rights {
-		open, ok := count.room(right, l.maxAge, now)
-		if !ok {
-			continue
-		}
-		idle := count.load.plus(open.foreign).Requests <= 1
-		if open.holds(count.load, whole) || (idle && right.Fraction == FractionWhole) {
-			return true
-		}
-	}
-	return false
-}
-
 func (l *Ledger) tokenDelivered(r *Reservation) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -280,53 +167,6 @@
 	return false
 }
 
-// AskReport notes that a load report of the engine is asked for. Its number
-// goes to Report.
-func (l *Ledger) AskReport(engine string) uint64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	count := l.engine(engine)
-	count.reports.asked++
-	return count.reports.asked
-}
-
-// Report takes in the engine's report with the given number, which was asked
-// for at sampled and came at now.
-func (l *Ledger) Report(engine string, number uint64, load endpoint.Load, sampled, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	count := l.engine(engine)
-	count.reports.take(load, count.shown(number), sampled)
-	count.start.answer(now)
-}
-
-// ReportFailed counts a report that did not come. It reports whether the engine
-// is down by that.
-func (l *Ledger) ReportFailed(engine string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	count := l.engine(engine)
-	count.reports.failures++
-	if count.reports.failures == failuresDown {
-		count.start.fail()
-	}
-	return count.reports.failures >= failuresDown
-}
-
-// Silent reports whether so many reports failed that the engine is down.
-func (l *Ledger) Silent(engine string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.engine(engine).reports.failures >= failuresDown
-}
-
-// Appeared starts the slow start of an engine that is new in the list of VMs.
-func (l *Ledger) Appeared(engine string, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.engine(engine).start.appeared(now)
-}
-
 // Keep forgets idle engines for which keep reports false.
 func (l *Ledger) Keep(keep func(engine string) bool) {
 	l.mu.Lock()
--- a/member/sleep_guard.go
+++ b/member/sleep_guard.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/internal/clock"
 )
 
 // SleepGuard notices that the process did not run for a while: its own ticks
@@ -52,7 +53,7 @@
 	if g.last.IsZero() {
 		return 0
 	}
-	return max(now.Sub(g.last), now.Round(0).Sub(g.last.Round(0)))
+	return clock.Gap(g.last, now)
 }
 
 // Refreshed records that the view was refreshed by an exchange that began at
--- a/router/place.go
+++ b/router/place.go
@@ -10,6 +10,7 @@
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/config"
 	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/member"
 	"cardamompoint.example/cardamompoint/placement"
 	"cardamompoint.example/cardamompoint/platform"
@@ -43,7 +44,7 @@
 // state and orders what differs.
 func (r *Router) placeOnce(ctx context.Context, planned time.Time) {
 	snapshot, view := r.store.Snapshot(), r.members.View()
-	fence := placement.Fence(snapshot.Revision, view.List.Version)
+	fence := placement.Fence(newestRevision(snapshot), view.List.Version)
 	var engines sync.WaitGroup
 	for group := range groupsOf(snapshot) {
 		plan := placement.Plan(snapshot.Models, group, view.Group(group), func(model config.Model, engines int) int {
@@ -56,6 +57,16 @@
 	engines.Wait()
 }
 
+// newestRevision returns the newest revision that the snapshot shows. Documents
+// that peers push may be ahead of the snapshot's own revision.
+func newestRevision(snapshot *config.Snapshot) int64 {
+	newest := snapshot.Revision
+	for _, model := range snapshot.Models {
+		newest = max(newest, model.Revision)
+	}
+	return newest
+}
+
 func groupsOf(snapshot *config.Snapshot) map[string]bool {
 	groups := map[string]bool{}
 	for _, model := range snapshot.Models {
@@ -94,7 +105,7 @@
 		klog.Infof("place: engine %s waits for the weight store.", engine)
 		return
 	}
-	if elapsed(planned) > maxPlanAge {
+	if clock.Gap(planned, time.Now()) > maxPlanAge {
 		klog.Infof("place: the plan for engine %s is too old.", engine)
 		return
 	}
@@ -106,11 +117,3 @@
 	}
 	klog.Infof("place: engine %s is ordered to have %v, fencing number %d, was %v: %v.", engine, models, fence, state.Models, err)
 }
-
-// elapsed returns the time since start by the clock that has moved further:
-// the monotonic one stands still while a VM is suspended, the wall clock may
-// be set.
-func elapsed(start time.Time) time.Duration {
-	now := time.Now()
-	return max(now.Sub(start), now.Round(0).Sub(start.Round(0)))
-}
--- a/router/place_test.go
+++ b/router/place_test.go
@@ -10,6 +10,7 @@
 
 	"cardamompoint.example/cardamompoint/endpoint"
 	"cardamompoint.example/cardamompoint/internal/standin"
+	"cardamompoint.example/cardamompoint/placement"
 	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/settings"
 )
@@ -132,3 +133,22 @@
 		}
 	})
 }
+
+// TestPushedDeclarationRaisesTheFence checks that an order for a declaration
+// that a peer pushed ahead of the own revision has a newer fencing number than
+// those of the declaration before.
+func TestPushedDeclarationRaisesTheFence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, orders := newPlacing(t, true)
+		declare(r, 3, `{"group": "g", "version": "1"}`)
+		settle(r)
+		pushed := platform.Value{Key: "models/m", Version: 9, Data: []byte(`{"group": "g", "version": "2"}`)}
+		r.store.Apply([]platform.Value{pushed}, 3)
+		settle(r)
+		for address, engine := range orders.engines {
+			if fence := engine.State().Fence; fence < placement.Fence(9, 0) {
+				t.Errorf("%s has the fencing number %d", address, fence)
+			}
+		}
+	})
+}
--- a/router/pulse.go
+++ b/router/pulse.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"cardamompoint.example/cardamompoint/internal/clock"
 )
 
 const (
@@ -38,11 +40,10 @@
 }
 
 // check marks now and returns when the process last woke from a freeze; zero
-// means never. A gap of either the monotonic or the wall clock
-// counts, since the monotonic one stands still while a VM is suspended.
+// means never.
 func (p *pulse) check(now time.Time) time.Time {
 	last := p.marked.Swap(&now)
-	gap := max(now.Sub(*last), now.Round(0).Sub(last.Round(0)))
+	gap := clock.Gap(*last, now)
 	if gap <= freezeGap {
 		return *p.woken.Load()
 	}
