--- a/cmd/cardamompoint/script_test.go
+++ b/cmd/cardamompoint/script_test.go
@@ -37,6 +37,7 @@
 			"signal":     scriptSignal,
 			"exited":     scriptExited,
 			"run-count":  scriptRunCount,
+			"request":    scriptRequest,
 			"fleet-once": scriptFleetOnce,
 			"own-key":    scriptOwnKey,
 			"outcome":    scriptOutcome,
@@ -165,13 +166,13 @@
 }
 
 // scriptInForce waits until all routers have the parameters that were just
-// published: in-force WORKSPACE.
+// published and all documents before them: in-force WORKSPACE.
 func scriptInForce(ts *testscript.TestScript, _ bool, args []string) {
 	s := sessionOf(ts)
 	s.fleet.eventually("the parameters are in force", func() bool {
 		for n := range s.fleet.settings {
 			status, err := s.fleet.status(n + 1)
-			if err != nil || !hasParameters(status, args[0], s.version) {
+			if err != nil || status.Revision < s.version || !hasParameters(status, args[0], s.version) {
 				return false
 			}
 		}
