Run tests with many processes after the others, and shorten long functions

Cause: TestDepositsAfterTheLossOfARouter took busy routers for lost ones when the long tests of other packages ran beside it (loads of 50 to 119).

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"io"
 	"slices"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -78,45 +76,33 @@
 	for i := range chats {
 		chats[i] = &chat{workspace: workspaces[i%len(workspaces)], name: fmt.Sprintf("chat-%d", i)}
 	}
-	var asked, whole, returned, found atomic.Int64
-	var mu sync.Mutex
-	var firstError error
+	counts := &answerCounts{}
 	for round := range d.options.Rounds {
-		var group errgroup.Group
-		group.SetLimit(parallelAsks)
-		for i, c := range chats {
-			group.Go(func() error {
-				asked.Add(1)
-				answer, err := d.ask(ctx, c, i+round, round)
-				if err != nil {
-					mu.Lock()
-					defer mu.Unlock()
-					if firstError == nil {
-						firstError = err
-					}
-					return nil
-				}
-				whole.Add(1)
-				if round > 0 {
-					returned.Add(1)
-				}
-				if round > 0 && answer.Finished.Usage.ReusedTokens > 0 {
-					found.Add(1)
-				}
-				return nil
-			})
-		}
-		group.Wait()
+		d.askRound(ctx, chats, round, counts)
 	}
-	d.report.check(asked.Load() == whole.Load(), "chats: %d answers asked, %d whole and each its own", asked.Load(), whole.Load())
-	if firstError != nil {
-		d.report.count("the first failure: %v", firstError)
+	d.report.check(counts.asked == counts.whole, "chats: %d answers asked, %d whole and each its own", counts.asked, counts.whole)
+	if counts.failure != nil {
+		d.report.count("the first failure: %v", counts.failure)
 	}
-	d.report.count("cache reuse: %d of %d returning requests found their context", found.Load(), returned.Load())
+	d.report.count("cache reuse: %d of %d returning requests found their context", counts.found, counts.returned)
 	d.reportSkew()
 	return nil
 }
 
+// askRound asks every chat once.
+func (d *run) askRound(ctx context.Context, chats []*chat, round int, counts *answerCounts) {
+	var group errgroup.Group
+	group.SetLimit(parallelAsks)
+	for i, c := range chats {
+		group.Go(func() error {
+			answer, err := d.ask(ctx, c, i+round, round)
+			counts.add(answer, err, round > 0)
+			return nil
+		})
+	}
+	group.Wait()
+}
+
 const demoAnswerTokens = 24
 
 // ask sends the chat's next message and checks the answer token by token.
--- a/internal/tools/knownred/main.go
+++ b/internal/tools/knownred/main.go
@@ -70,32 +70,40 @@
 	output          map[string]*strings.Builder
 }
 
-// withoutRace are the packages of long computations in one goroutine, in which
-// the race detector has nothing to find.
-var withoutRace = []string{"internal/routebench"}
+var (
+	// withoutRace are the packages of long computations in one goroutine, in
+	// which the race detector has nothing to find.
+	withoutRace = []string{"./internal/routebench"}
+	// alone are the packages that start many processes. They run after the
+	// others, so that a busy machine does not look like a lost router.
+	alone = []string{"./cmd/cardamompoint"}
+)
 
 func runTests() (*results, error) {
 	collected := &results{output: map[string]*strings.Builder{}}
-	packages, err := raceTested()
+	others, err := otherPackages()
 	if err != nil {
 		return collected, err
 	}
-	plain := make([]string, len(withoutRace))
-	for i, name := range withoutRace {
-		plain[i] = "./" + name
-	}
-	raced := collected.run(append([]string{"-race"}, packages...))
-	return collected, errors.Join(raced, collected.run(plain))
+	return collected, errors.Join(
+		collected.run(withoutRace),
+		collected.run(append([]string{"-race"}, others...)),
+		collected.run(append([]string{"-race"}, alone...)),
+	)
 }
 
-// raceTested returns the packages that run with the race detector.
-func raceTested() ([]string, error) {
+// otherPackages returns the packages that are neither in withoutRace nor in
+// alone.
+func otherPackages() ([]string, error) {
 	listed, err := exec.Command("go", "list", "./...").Output()
 	if err != nil {
 		return nil, fmt.Errorf("go list: %w", err)
 	}
+	named := slices.Concat(withoutRace, alone)
 	return slices.DeleteFunc(strings.Fields(string(listed)), func(name string) bool {
-		return slices.ContainsFunc(withoutRace, func(plain string) bool { return strings.HasSuffix(name, plain) })
+		return slices.ContainsFunc(named, func(path string) bool {
+			return strings.HasSuffix(name, strings.TrimPrefix(path, "."))
+		})
 	}), nil
 }
 
--- a/router/place.go
+++ b/router/place.go
@@ -14,6 +14,7 @@
 	"cardamompoint.example/cardamompoint/member"
 	"cardamompoint.example/cardamompoint/placement"
 	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/settings"
 )
 
 // placePeriod is the time between two looks at the engines that this router
@@ -32,6 +33,14 @@
 	share  *placement.StoreShare
 }
 
+func newPlacer(orders endpoint.Orderer, limits settings.Limits) *placer {
+	return &placer{
+		orders: orders,
+		scaler: placement.NewScaler(limits.EngineTokens),
+		share:  placement.NewStoreShare(limits.WeightLoadsPerMinute),
+	}
+}
+
 // place looks after the engines that this router manages until ctx ends.
 func (r *Router) place(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/router/router.go
+++ b/router/router.go
@@ -17,7 +17,6 @@
 	"cardamompoint.example/cardamompoint/metrics"
 	"cardamompoint.example/cardamompoint/once"
 	"cardamompoint.example/cardamompoint/peer"
-	"cardamompoint.example/cardamompoint/placement"
 	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/settings"
 )
@@ -98,11 +97,7 @@
 		budget:   newRetryBudget(s.Limits.RetryRatio),
 
 		workerCounts: newWorkerCounts(),
-		placer: &placer{
-			orders: options.Orderer,
-			scaler: placement.NewScaler(s.Limits.EngineTokens),
-			share:  placement.NewStoreShare(s.Limits.WeightLoadsPerMinute),
-		},
+		placer:       newPlacer(options.Orderer, s.Limits),
 	}
 	r.members = member.NewTable(member.Self{
 		Address:       s.Peers,
--- a/template/priority.go
+++ b/template/priority.go
@@ -9,7 +9,7 @@
 	PriorityTag Priority = "tag"
 	// PriorityChat is for replies in a chat.
 	PriorityChat Priority = "chat"
-	// PriorityLong is for rosters and dossiers.
+	// PriorityLong is for long answers, such as rosters and dossiers.
 	PriorityLong Priority = "long"
 )
 
