--- a/internal/tools/knownred/main.go
+++ b/internal/tools/knownred/main.go
@@ -109,7 +109,7 @@
 
 // run runs go test with args and takes in its results.
 func (r *results) run(args []string) error {
-	command := exec.Command("go", append([]string{"test", "-json", "-timeout=20m"}, args...)...)
+	command := exec.Command("go", append([]string{"test", "-json", "-count=1", "-timeout=20m"}, args...)...)
 	command.Stderr = os.Stderr
 	pipe, err := command.StdoutPipe()
 	if err != nil {
--- a/router/pulse.go
+++ b/router/freeze_detector.go
@@ -11,43 +11,43 @@
 )
 
 const (
-	// pulsePeriod is how often a running process marks that it runs.
-	pulsePeriod = 100 * time.Millisecond
+	// freezeCheckPeriod is how often a running process marks that it runs.
+	freezeCheckPeriod = 100 * time.Millisecond
 	// freezeGap is the gap between marks that counts as a freeze.
 	freezeGap = time.Second
 )
 
-// pulse notices that the process was frozen or its VM suspended. It is safe for
+// freezeDetector notices that the process was frozen or its VM suspended. It is safe for
 // concurrent use.
-type pulse struct {
+type freezeDetector struct {
 	marked atomic.Pointer[time.Time]
 	woken  atomic.Pointer[time.Time]
 }
 
-func newPulse(now time.Time) *pulse {
-	p := &pulse{}
-	p.marked.Store(&now)
-	p.woken.Store(&time.Time{})
-	return p
+func newFreezeDetector(now time.Time) *freezeDetector {
+	d := &freezeDetector{}
+	d.marked.Store(&now)
+	d.woken.Store(&time.Time{})
+	return d
 }
 
 // run marks until ctx ends.
-func (p *pulse) run(ctx context.Context) {
+func (d *freezeDetector) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		p.check(time.Now())
-		sleep(ctx, pulsePeriod)
+		d.check(time.Now())
+		sleep(ctx, freezeCheckPeriod)
 	}
 }
 
 // check marks now and returns when the process last woke from a freeze; zero
 // means never.
-func (p *pulse) check(now time.Time) time.Time {
-	last := p.marked.Swap(&now)
+func (d *freezeDetector) check(now time.Time) time.Time {
+	last := d.marked.Swap(&now)
 	gap := clock.Gap(*last, now)
 	if gap <= freezeGap {
-		return *p.woken.Load()
+		return *d.woken.Load()
 	}
-	p.woken.Store(&now)
+	d.woken.Store(&now)
 	klog.Warningf("place: the process was frozen for %v; it acts again once its list is confirmed.", gap)
 	return now
 }
--- a/router/halves_test.go
+++ b/router/halves_test.go
@@ -153,7 +153,7 @@
 	return list
 }
 
-// start runs the tasks of a router, but its pulse, until ctx ends.
+// start runs the tasks of a router, but its freeze detector, until ctx ends.
 func (f *halves) start(ctx context.Context) {
 	for _, r := range f.routers {
 		go r.beat(ctx)
@@ -189,10 +189,10 @@
 	})
 }
 
-// pulses keeps the pulses of the given routers until ctx ends.
-func (f *halves) pulses(ctx context.Context, of ...int) {
+// detectors keeps the detectors of the given routers until ctx ends.
+func (f *halves) detectors(ctx context.Context, of ...int) {
 	for _, i := range of {
-		go f.routers[i].pulse.run(ctx)
+		go f.routers[i].freezes.run(ctx)
 	}
 }
 
@@ -220,7 +220,7 @@
 
 func TestTwoHalvesKeepCaps(t *testing.T) {
 	runHalves(t, func(ctx context.Context, f *halves) {
-		f.pulses(ctx, everyRouter...)
+		f.detectors(ctx, everyRouter...)
 		f.flood(15*time.Second, everyRouter...)
 		f.side[2].Store(1)
 		f.side[3].Store(1)
@@ -238,9 +238,9 @@
 
 func TestFrozenRouterKeepsCaps(t *testing.T) {
 	runHalves(t, func(ctx context.Context, f *halves) {
-		f.pulses(ctx, 0, 1, 2)
+		f.detectors(ctx, 0, 1, 2)
 		awake, freeze := context.WithCancel(ctx)
-		f.pulses(awake, 3)
+		f.detectors(awake, 3)
 		f.flood(15*time.Second, everyRouter...)
 		freeze()
 		f.side[3].Store(1)
@@ -248,14 +248,14 @@
 		f.ask(3, "chat of the woken router")
 		f.flood(time.Second, everyRouter...)
 		f.side[3].Store(0)
-		f.pulses(ctx, 3)
+		f.detectors(ctx, 3)
 		f.flood(20*time.Second, everyRouter...)
 	})
 }
 
 func TestRouterThatLeavesTheListKeepsCaps(t *testing.T) {
 	runHalves(t, func(ctx context.Context, f *halves) {
-		f.pulses(ctx, everyRouter...)
+		f.detectors(ctx, everyRouter...)
 		f.flood(15*time.Second, everyRouter...)
 		for i, r := range f.routers {
 			r.members.SetList(f.list(2, 3), time.Now())
@@ -274,7 +274,7 @@
 		defer cancel()
 		f := newHalves(t)
 		f.start(ctx)
-		f.pulses(ctx, everyRouter...)
+		f.detectors(ctx, everyRouter...)
 		time.Sleep(5 * time.Second)
 		f.engine.fail.Store(true)
 		f.flood(20*time.Second, everyRouter...)
@@ -301,8 +301,8 @@
 	f := newHalves(t)
 	r := f.routers[0]
 	now := time.Now()
-	r.tenure.update(r.members.View(), now)
-	r.tenure.noteSpread(1, now)
+	r.sets.update(r.members.View(), now)
+	r.sets.noteSpread(1, now)
 	engine := engineOf(t, newRouterSet(r.members.View()), routerAddress(0))
 	r.admission.Granted(routerAddress(1), now, now)
 	if r.standing(engine, now).Since.IsZero() {
--- a/router/job.go
+++ b/router/job.go
@@ -150,7 +150,7 @@
 	if !j.lostHomes[home] && (home != self || !r.draining.Load()) {
 		return home
 	}
-	if backup := r.tenure.update(view, time.Now()).backupOf(home); backup != "" {
+	if backup := r.sets.update(view, time.Now()).backupOf(home); backup != "" {
 		return backup
 	}
 	return self
--- a/router/lease.go
+++ b/router/lease.go
@@ -44,9 +44,9 @@
 	return leaseDuration(suspect) / leaseMarginPer
 }
 
-// tenureWait is how long a router may go on with an older list of VMs while it
+// setHistoryWait is how long a router may go on with an older list of VMs while it
 // can hear of a newer one.
-func tenureWait(suspect, heartbeat time.Duration) time.Duration {
+func setHistoryWait(suspect, heartbeat time.Duration) time.Duration {
 	return suspect + 2*heartbeat
 }
 
@@ -65,7 +65,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	self := r.members.Self()
-	backup := r.tenure.update(r.members.View(), time.Now()).backupOf(self.Address)
+	backup := r.sets.update(r.members.View(), time.Now()).backupOf(self.Address)
 	if backup == "" {
 		return
 	}
@@ -96,7 +96,7 @@
 	defer cancel()
 	self := r.members.Self()
 	r.admission.Drop()
-	backup := r.tenure.update(r.members.View(), time.Now()).backupOf(self.Address)
+	backup := r.sets.update(r.members.View(), time.Now()).backupOf(self.Address)
 	if backup == "" {
 		return
 	}
@@ -110,7 +110,7 @@
 // serveLease answers a home that has this router as its backup.
 func (r *Router) serveLease(_ context.Context, request leaseRequest) (leaseAnswer, error) {
 	now, home := time.Now(), request.From.Address
-	set := r.tenure.update(r.members.View(), now)
+	set := r.sets.update(r.members.View(), now)
 	if set.backupOf(home) != r.members.Self().Address {
 		return leaseAnswer{}, code.New(code.NotHome, "the backup of %s is %s", home, set.backupOf(home))
 	}
@@ -130,8 +130,8 @@
 	r.noteSpread(now)
 	view := r.members.View()
 	self := r.members.Self().Address
-	standing := r.tenure.standing(r.tenure.update(view, now), self, engine)
-	woken := r.pulse.check(now)
+	standing := r.sets.standing(r.sets.update(view, now), self, engine)
+	woken := r.freezes.check(now)
 	r.admission.DropBefore(woken)
 	if r.draining.Load() || !r.confirmed(view, woken, now) {
 		standing.Since = time.Time{}
@@ -162,8 +162,8 @@
 	if view.List.Version == 0 {
 		return
 	}
-	r.tenure.update(view, now)
-	version, waits := r.tenure.unspread(now)
+	r.sets.update(view, now)
+	version, waits := r.sets.unspread(now)
 	if !waits {
 		return
 	}
@@ -176,14 +176,14 @@
 			return
 		}
 	}
-	r.tenure.noteSpread(view.List.Version, now)
+	r.sets.noteSpread(view.List.Version, now)
 }
 
 // homeOf returns the router that admits work to engine: its home, or the
 // home's backup if this router can't reach the home or the home shuts down.
 func (r *Router) homeOf(view *member.View, engine string) string {
 	now := time.Now()
-	set := r.tenure.update(view, now)
+	set := r.sets.update(view, now)
 	home := set.homeOf(engine)
 	if home == "" {
 		return r.members.Self().Address
--- a/router/loads.go
+++ b/router/loads.go
@@ -83,7 +83,7 @@
 	if view.List.Version == p.version {
 		return
 	}
-	set, self := r.tenure.update(view, now), r.members.Self().Address
+	set, self := r.sets.update(view, now), r.members.Self().Address
 	listed, first := map[string]bool{}, p.version == 0
 	p.duties = nil
 	for _, vm := range view.List.VMs {
--- a/router/route_test.go
+++ b/router/route_test.go
@@ -58,7 +58,7 @@
 		members:  members,
 		pools:    newPools(),
 		placer:   &placer{scaler: placement.NewScaler(1000)},
-		tenure:   newTenure(time.Second, time.Second),
+		sets:     newSetHistory(time.Second, time.Second),
 	}
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -45,8 +45,8 @@
 
 	admission *balance.Admission
 	estimator *balance.Estimator
-	tenure    *tenure
-	pulse     *pulse
+	sets      *setHistory
+	freezes   *freezeDetector
 	polls     singleflight.Group
 
 	workerCounts *workerCounts
@@ -132,8 +132,8 @@
 	r.ledger = balance.NewLedger(r.settings.Limits, lease-margin)
 	r.admission = balance.NewAdmission(r.ledger, lease, margin, now)
 	r.estimator = balance.NewEstimator()
-	r.tenure = newTenure(tenureWait(suspect, milliseconds(timing.HeartbeatMS)), lease)
-	r.pulse = newPulse(now)
+	r.sets = newSetHistory(setHistoryWait(suspect, milliseconds(timing.HeartbeatMS)), lease)
+	r.freezes = newFreezeDetector(now)
 }
 
 func (r *Router) addAdapters() {
@@ -187,5 +187,5 @@
 	}
 	now := time.Now()
 	r.noteSpread(now)
-	return r.tenure.ready(now)
+	return r.sets.ready(now)
 }
--- a/router/run.go
+++ b/router/run.go
@@ -52,7 +52,7 @@
 		r.watchSleep,
 		r.askLeases,
 		r.pollLoads,
-		r.pulse.run,
+		r.freezes.run,
 		r.place,
 		r.noteViews,
 	}
--- a/router/tenure_test.go
+++ b/router/set_history_test.go
@@ -41,68 +41,68 @@
 
 func TestNewHomeWaitsForTheOldOne(t *testing.T) {
 	now := time.Unix(1000, 0)
-	tenures := map[string]*tenure{"a": newTenure(testWait, testLease), "c": newTenure(testWait, testLease)}
+	histories := map[string]*setHistory{"a": newSetHistory(testWait, testLease), "c": newSetHistory(testWait, testLease)}
 	old, fresh := viewOf(5, "a", "b"), viewOf(6, "a", "b", "c")
-	for _, tenure := range tenures {
-		tenure.update(old, now)
-		tenure.noteSpread(5, now)
+	for _, history := range histories {
+		history.update(old, now)
+		history.noteSpread(5, now)
 	}
 	changed := now.Add(time.Hour)
-	set := tenures["c"].update(fresh, changed)
+	set := histories["c"].update(fresh, changed)
 	engine := engineOf(t, set, "c")
-	if home := tenures["a"].update(old, changed).homeOf(engine); home == "a" {
-		if since := tenures["a"].homeSince("a", engine); since.After(changed) {
+	if home := histories["a"].update(old, changed).homeOf(engine); home == "a" {
+		if since := histories["a"].homeSince("a", engine); since.After(changed) {
 			t.Errorf("the old home with the old list may not act before %v", since)
 		}
 	}
-	if since := tenures["c"].homeSince("c", engine); since != changed.Add(testWait) {
+	if since := histories["c"].homeSince("c", engine); since != changed.Add(testWait) {
 		t.Errorf("the new home may act %v after the change, not after the wait", since.Sub(changed))
 	}
-	tenures["c"].noteSpread(6, changed.Add(time.Second))
-	if since := tenures["c"].homeSince("c", engine); since != changed.Add(time.Second) {
+	histories["c"].noteSpread(6, changed.Add(time.Second))
+	if since := histories["c"].homeSince("c", engine); since != changed.Add(time.Second) {
 		t.Errorf("the new home may act %v after the change, not once the list has spread", since.Sub(changed))
 	}
-	if standing := tenures["c"].standing(set, "a", engine); standing.Role == balance.RoleHome {
+	if standing := histories["c"].standing(set, "a", engine); standing.Role == balance.RoleHome {
 		t.Error("the old home is home by the new list")
 	}
 }
 
 func TestHomeThatStaysDoesNotWaitAgain(t *testing.T) {
 	now := time.Unix(1000, 0)
-	tenure := newTenure(testWait, testLease)
-	set := tenure.update(viewOf(5, "a", "b"), now)
+	history := newSetHistory(testWait, testLease)
+	set := history.update(viewOf(5, "a", "b"), now)
 	engine := engineOf(t, set, "a")
 	for version := int64(6); version < 6+2*maxTerms; version++ {
 		now = now.Add(time.Minute)
 		stays := set.homeOf(engine) == "a"
-		set = tenure.update(viewOf(version, "a", "b", fmt.Sprint("c", version)), now)
+		set = history.update(viewOf(version, "a", "b", fmt.Sprint("c", version)), now)
 		stays = stays && set.homeOf(engine) == "a"
-		if stays && tenure.homeSince("a", engine).After(now) {
+		if stays && history.homeSince("a", engine).After(now) {
 			t.Fatalf("version %d makes a home that stays wait", version)
 		}
 	}
-	if len(tenure.terms) > maxTerms {
-		t.Errorf("%d terms are remembered", len(tenure.terms))
+	if len(history.terms) > maxTerms {
+		t.Errorf("%d terms are remembered", len(history.terms))
 	}
 }
 
 func TestNewBackupWaitsForOlderPromises(t *testing.T) {
 	now := time.Unix(1000, 0)
-	tenure := newTenure(testWait, testLease)
-	set := tenure.update(viewOf(5, "a", "b"), now)
+	history := newSetHistory(testWait, testLease)
+	set := history.update(viewOf(5, "a", "b"), now)
 	if backup := set.backupOf("a"); backup != "b" {
 		t.Fatalf("the backup of a is %q", backup)
 	}
-	if since := tenure.backupSince("b", "a"); since != now.Add(testWait+testLease) {
+	if since := history.backupSince("b", "a"); since != now.Add(testWait+testLease) {
 		t.Errorf("the backup may act %v after the change", since.Sub(now))
 	}
 }
 
 func TestOlderListIsIgnored(t *testing.T) {
 	now := time.Unix(1000, 0)
-	tenure := newTenure(testWait, testLease)
-	tenure.update(viewOf(6, "a", "b", "c"), now)
-	if set := tenure.update(viewOf(5, "a", "b"), now); len(set.addresses) != 3 {
+	history := newSetHistory(testWait, testLease)
+	history.update(viewOf(6, "a", "b", "c"), now)
+	if set := history.update(viewOf(5, "a", "b"), now); len(set.addresses) != 3 {
 		t.Error("an older list brings an older set of routers back")
 	}
 }
--- a/router/stream_pair_test.go
+++ b/router/stream_pair_test.go
@@ -54,7 +54,7 @@
 			p.net.Serve(pairCallers, p.entry.callersMux()))
 		p.caller = &http.Client{Transport: p.transport()}
 		ctx, cancel := context.WithCancel(t.Context())
-		p.takeOffice(ctx)
+		p.waitForHome(ctx)
 		test(p)
 		cancel()
 		for _, transport := range p.transports {
@@ -112,10 +112,10 @@
 	p.hear()
 }
 
-// takeOffice waits until the home may act and lets it read the engine's load
+// waitForHome waits until the home may act and lets it read the engine's load
 // until ctx ends.
-func (p *streamPair) takeOffice(ctx context.Context) {
-	go p.home.pulse.run(ctx)
+func (p *streamPair) waitForHome(ctx context.Context) {
+	go p.home.freezes.run(ctx)
 	p.home.standing(pairEngine, time.Now())
 	time.Sleep(2 * milliseconds(pairSuspectMS))
 	p.hear()
