--- a/cmd/cardamompoint/fleet_test.go
+++ b/cmd/cardamompoint/fleet_test.go
@@ -20,8 +20,8 @@
 	"cardamompoint.example/cardamompoint/internal/caller"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
 	"cardamompoint.example/cardamompoint/internal/loopback"
-	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/settings"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 // fleetConfig says which processes of an example deployment run.
@@ -50,7 +50,7 @@
 
 	processes map[string]*exec.Cmd
 	settings  []*settings.Router
-	vms       []platform.VM
+	vms       []source.VM
 	relays    []*relay
 }
 
@@ -98,14 +98,14 @@
 	path := filepath.Join(f.dir, "published", "vms.json")
 	raw, err := os.ReadFile(path)
 	f.must(err)
-	var all []platform.VM
+	var all []source.VM
 	f.must(json.Unmarshal(raw, &all))
-	limits := map[platform.Role]int{
-		platform.RoleRouter:  f.config.routers,
-		platform.RoleEngine:  f.config.engines,
-		platform.RoleService: f.config.workers,
+	limits := map[source.Role]int{
+		source.RoleRouter:  f.config.routers,
+		source.RoleEngine:  f.config.engines,
+		source.RoleService: f.config.workers,
 	}
-	counts := map[platform.Role]int{}
+	counts := map[source.Role]int{}
 	for _, vm := range all {
 		counts[vm.Role]++
 		if limits[vm.Role] == 0 || counts[vm.Role] <= limits[vm.Role] {
@@ -119,7 +119,7 @@
 
 func (f *testFleet) loadSettings() {
 	for i, vm := range f.vms {
-		if vm.Role != platform.RoleRouter {
+		if vm.Role != source.RoleRouter {
 			continue
 		}
 		loaded, err := settings.Load(f.settingsPath(i + 1))
@@ -142,7 +142,7 @@
 }
 
 func (f *testFleet) listed(address string) bool {
-	return slices.ContainsFunc(f.vms, func(vm platform.VM) bool { return vm.Address == address })
+	return slices.ContainsFunc(f.vms, func(vm source.VM) bool { return vm.Address == address })
 }
 
 func (f *testFleet) settingsPath(router int) string {
@@ -168,10 +168,10 @@
 	engines, workers := 0, 0
 	for _, vm := range f.vms {
 		switch vm.Role {
-		case platform.RoleEngine:
+		case source.RoleEngine:
 			engines++
 			f.startEngine(engines)
-		case platform.RoleService:
+		case source.RoleService:
 			workers++
 			f.startWorker(workers)
 		}
@@ -296,15 +296,15 @@
 		}
 		return true
 	})
-	for n := 1; n <= f.count(platform.RoleEngine); n++ {
+	for n := 1; n <= f.count(source.RoleEngine); n++ {
 		f.waitListening(f.engineAddress(n))
 	}
-	for n := 1; n <= f.count(platform.RoleService); n++ {
+	for n := 1; n <= f.count(source.RoleService); n++ {
 		f.waitListening(f.workerAddress(n))
 	}
 }
 
-func (f *testFleet) count(role platform.Role) int {
+func (f *testFleet) count(role source.Role) int {
 	count := 0
 	for _, vm := range f.vms {
 		if vm.Role == role {
--- a/cmd/cardamompoint/once_load_test.go
+++ b/cmd/cardamompoint/once_load_test.go
@@ -12,7 +12,7 @@
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/standin"
-	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 const (
@@ -102,7 +102,7 @@
 // runsByBody adds up the runs at all workers.
 func (f *testFleet) runsByBody() map[string]int {
 	total := map[string]int{}
-	for n := 1; n <= f.count(platform.RoleService); n++ {
+	for n := 1; n <= f.count(source.RoleService); n++ {
 		var runs standin.ServiceRuns
 		f.get(f.workerAddress(n), "/test/runs", &runs)
 		for body, count := range runs.Bodies {
--- a/cmd/cardamompoint/stream_load_test.go
+++ b/cmd/cardamompoint/stream_load_test.go
@@ -14,7 +14,7 @@
 	"cardamompoint.example/cardamompoint/endpoint"
 	"cardamompoint.example/cardamompoint/internal/caller"
 	"cardamompoint.example/cardamompoint/internal/standin"
-	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 // streamLoad is a number of chats that are answered at the same time.
@@ -166,7 +166,7 @@
 // engineLoads returns the streams that run at the engines and how often one
 // was started there. Engines that do not answer are passed over.
 func (f *testFleet) engineLoads() (running, starts int) {
-	for n := 1; n <= f.count(platform.RoleEngine); n++ {
+	for n := 1; n <= f.count(source.RoleEngine); n++ {
 		if f.processes[fmt.Sprintf("engine-%d", n)] == nil {
 			continue
 		}
--- a/cmd/cardamompoint/streams_test.go
+++ b/cmd/cardamompoint/streams_test.go
@@ -12,8 +12,8 @@
 	"cardamompoint.example/cardamompoint/endpoint"
 	"cardamompoint.example/cardamompoint/internal/caller"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
-	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/settings"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 // startStreamFleet starts a small fleet with short timeouts.
@@ -46,7 +46,7 @@
 func (f *testFleet) busiestEngine() string {
 	f.t.Helper()
 	best, most := 1, -1
-	for n := 1; n <= f.count(platform.RoleEngine); n++ {
+	for n := 1; n <= f.count(source.RoleEngine); n++ {
 		var load endpoint.Load
 		f.get(f.engineAddress(n), "/v1/load", &load)
 		if load.Requests > most {
@@ -84,7 +84,7 @@
 	f.must(err)
 	status, err := f.status(n)
 	f.must(err)
-	for engine := 1; engine <= f.count(platform.RoleEngine); engine++ {
+	for engine := 1; engine <= f.count(source.RoleEngine); engine++ {
 		if f.engineAddress(engine) == status.Engines[0].Engine {
 			return fmt.Sprintf("engine-%d", engine)
 		}
@@ -325,5 +325,5 @@
 // listLeaving publishes that the VM with the given address is leaving.
 func (f *testFleet) listLeaving(address string) {
 	f.t.Helper()
-	f.must(f.put("/operator/v1/vms/"+address+"/"+string(platform.StateLeaving), "", nil))
+	f.must(f.put("/operator/v1/vms/"+address+"/"+string(source.StateLeaving), "", nil))
 }
--- a/config/entry.go
+++ b/config/entry.go
@@ -2,14 +2,14 @@
 
 import (
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 // entry is what the store keeps of one unit.
 type entry struct {
-	newest []platform.Value
+	newest []source.Value
 	// accepted are the documents in force; nil if none are.
-	accepted []platform.Value
+	accepted []source.Value
 	// refused is the fault of the newest documents, or nil.
 	refused *code.Error
 }
--- a/config/install.go
+++ b/config/install.go
@@ -2,12 +2,12 @@
 
 import (
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/source"
 	"cardamompoint.example/cardamompoint/template"
 )
 
 // install puts a unit's documents in force, or returns why they can't be.
-func install(next *Snapshot, unit string, documents []platform.Value) error {
+func install(next *Snapshot, unit string, documents []source.Value) error {
 	if workspace, ok := workspaceOf(unit); ok {
 		return installRules(next, workspace, documents)
 	}
@@ -20,7 +20,7 @@
 	return code.New(code.InvalidDocument, "the key is not known").At(unit)
 }
 
-func installRules(next *Snapshot, workspace string, documents []platform.Value) error {
+func installRules(next *Snapshot, workspace string, documents []source.Value) error {
 	published := find(documents, TemplateKey(workspace))
 	if published.Version == 0 || published.Deleted {
 		delete(next.Workspaces, workspace)
@@ -37,7 +37,7 @@
 	return nil
 }
 
-func installModel(next *Snapshot, name string, document platform.Value) error {
+func installModel(next *Snapshot, name string, document source.Value) error {
 	if document.Deleted {
 		delete(next.Models, name)
 		return nil
--- a/config/store.go
+++ b/config/store.go
@@ -9,7 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 // Store keeps the newest documents of each unit, the last accepted ones, and
@@ -37,7 +37,7 @@
 
 // Apply takes in all changes up to revision, as the platform gave them, and
 // returns the units that changed by them. Older versions are ignored.
-func (s *Store) Apply(values []platform.Value, revision int64) []Unit {
+func (s *Store) Apply(values []source.Value, revision int64) []Unit {
 	names := []string{}
 	byName := map[string]Unit{}
 	for _, value := range values {
--- a/config/store_test.go
+++ b/config/store_test.go
@@ -9,7 +9,7 @@
 	"strings"
 	"testing"
 
-	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 const (
@@ -19,8 +19,8 @@
 	badTemplate   = `{"completion": {"models": []}}`
 )
 
-func value(version int64, key, data string) platform.Value {
-	return platform.Value{Key: key, Version: version, Data: json.RawMessage(data), Deleted: data == ""}
+func value(version int64, key, data string) source.Value {
+	return source.Value{Key: key, Version: version, Data: json.RawMessage(data), Deleted: data == ""}
 }
 
 // exchange lets a store learn from another one as routers do.
@@ -43,11 +43,11 @@
 // TestGapIsFound pushes version 3 to a store that lacks version 2.
 func TestGapIsFound(t *testing.T) {
 	from, to := NewStore(), NewStore()
-	from.Apply([]platform.Value{value(1, TemplateKey("a"), plainTemplate)}, 1)
+	from.Apply([]source.Value{value(1, TemplateKey("a"), plainTemplate)}, 1)
 	exchange(to, from)
 	to.Advance(0, 1)
-	from.Apply([]platform.Value{value(2, TemplateKey("b"), plainTemplate)}, 2)
-	pushed := from.Apply([]platform.Value{value(3, TemplateKey("c"), plainTemplate)}, 3)
+	from.Apply([]source.Value{value(2, TemplateKey("b"), plainTemplate)}, 2)
+	pushed := from.Apply([]source.Value{value(3, TemplateKey("c"), plainTemplate)}, 3)
 	to.Merge(pushed)
 	to.Advance(2, 3)
 	if got := to.Snapshot().Revision; got != 1 {
@@ -63,10 +63,10 @@
 // is refused.
 func TestLastAcceptedIsHandedOver(t *testing.T) {
 	from, to := NewStore(), NewStore()
-	from.Apply([]platform.Value{value(1, TemplateKey("a"), goodTemplate), value(2, ParametersKey("a"), `{"n": 7}`)}, 2)
-	from.Apply([]platform.Value{value(3, TemplateKey("a"), badTemplate)}, 3)
+	from.Apply([]source.Value{value(1, TemplateKey("a"), goodTemplate), value(2, ParametersKey("a"), `{"n": 7}`)}, 2)
+	from.Apply([]source.Value{value(3, TemplateKey("a"), badTemplate)}, 3)
 	// The platform shows the newest documents alone.
-	to.Apply([]platform.Value{value(2, ParametersKey("a"), `{"n": 7}`), value(3, TemplateKey("a"), badTemplate)}, 3)
+	to.Apply([]source.Value{value(2, ParametersKey("a"), `{"n": 7}`), value(3, TemplateKey("a"), badTemplate)}, 3)
 	if fresh := exchange(to, from); fresh != 1 {
 		t.Fatalf("%d units came, want 1", fresh)
 	}
@@ -81,13 +81,13 @@
 // published parameter: the old pair stays in force until both fit again.
 func TestPairIsAcceptedAsAWhole(t *testing.T) {
 	store := NewStore()
-	store.Apply([]platform.Value{value(1, TemplateKey("a"), goodTemplate), value(2, ParametersKey("a"), `{"n": 7}`)}, 2)
-	store.Apply([]platform.Value{value(3, TemplateKey("a"), plainTemplate)}, 3)
+	store.Apply([]source.Value{value(1, TemplateKey("a"), goodTemplate), value(2, ParametersKey("a"), `{"n": 7}`)}, 2)
+	store.Apply([]source.Value{value(3, TemplateKey("a"), plainTemplate)}, 3)
 	rules, _ := store.Snapshot().Rules("a")
 	if rules.TemplateVersion != 1 || len(store.Snapshot().Refused) != 1 {
 		t.Fatalf("in force is %+v, refused %v", rules, store.Snapshot().Refused)
 	}
-	store.Apply([]platform.Value{value(4, ParametersKey("a"), `{}`)}, 4)
+	store.Apply([]source.Value{value(4, ParametersKey("a"), `{}`)}, 4)
 	rules, _ = store.Snapshot().Rules("a")
 	if rules.TemplateVersion != 3 || rules.ParameterVersion != 4 || len(store.Snapshot().Refused) != 0 {
 		t.Fatalf("in force is %+v, refused %v", rules, store.Snapshot().Refused)
@@ -105,7 +105,7 @@
 		reference := NewStore()
 		stores := []*Store{NewStore(), NewStore(), NewStore(), NewStore()}
 		inForce := make([]map[string][2]int64, len(stores))
-		var history []platform.Value
+		var history []source.Value
 		for version := int64(1); version <= 60; version++ {
 			workspace := fmt.Sprint(random.IntN(4))
 			next := value(version, TemplateKey(workspace), documents[random.IntN(len(documents))])
@@ -113,7 +113,7 @@
 				next = value(version, ParametersKey(workspace), values[random.IntN(len(values))])
 			}
 			history = append(history, next)
-			reference.Apply([]platform.Value{next}, version)
+			reference.Apply([]source.Value{next}, version)
 			reader := stores[random.IntN(len(stores))]
 			after := reader.Snapshot().Revision
 			if shown := int64(random.IntN(len(history) + 1)); shown >= after {
@@ -155,7 +155,7 @@
 	for _, count := range []int{1000, 4000, 7900} {
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
 			store := NewStore()
-			var all []platform.Value
+			var all []source.Value
 			for i := range count {
 				all = append(all, value(int64(i+1), TemplateKey(fmt.Sprint("workspace-", i)), goodTemplate))
 			}
@@ -164,7 +164,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				version++
-				store.Apply([]platform.Value{value(version, TemplateKey("workspace-7"), goodTemplate)}, version)
+				store.Apply([]source.Value{value(version, TemplateKey("workspace-7"), goodTemplate)}, version)
 			}
 		})
 	}
@@ -179,7 +179,7 @@
 			for b.Loop() {
 				before := heap()
 				store := NewStore()
-				var all []platform.Value
+				var all []source.Value
 				for i := range count {
 					all = append(all, value(int64(i+1), TemplateKey(fmt.Sprint("workspace-", i)), strings.Clone(document)))
 				}
--- a/config/unit.go
+++ b/config/unit.go
@@ -3,7 +3,7 @@
 import (
 	"strings"
 
-	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 // Unit is a group of documents that is accepted or refused as a whole: a
@@ -14,9 +14,9 @@
 	// Name names the unit.
 	Name string `json:"n"`
 	// Newest are the newest documents.
-	Newest []platform.Value `json:"d"`
+	Newest []source.Value `json:"d"`
 	// Accepted are the documents in force if the newest were refused.
-	Accepted []platform.Value `json:"a,omitempty"`
+	Accepted []source.Value `json:"a,omitempty"`
 }
 
 // Version is the version of the newest documents.
@@ -44,7 +44,7 @@
 }
 
 // version returns the highest version of documents.
-func version(documents []platform.Value) int64 {
+func version(documents []source.Value) int64 {
 	var highest int64
 	for _, document := range documents {
 		highest = max(highest, document.Version)
@@ -52,19 +52,19 @@
 	return highest
 }
 
-func find(documents []platform.Value, key string) platform.Value {
+func find(documents []source.Value, key string) source.Value {
 	for _, document := range documents {
 		if document.Key == key {
 			return document
 		}
 	}
-	return platform.Value{}
+	return source.Value{}
 }
 
 // merge returns documents with the newer ones of others, and whether there
 // were any. It changes neither slice.
-func merge(documents, others []platform.Value) ([]platform.Value, bool) {
-	merged := append([]platform.Value(nil), documents...)
+func merge(documents, others []source.Value) ([]source.Value, bool) {
+	merged := append([]source.Value(nil), documents...)
 	fresh := false
 	for _, other := range others {
 		at := indexOf(merged, other.Key)
@@ -81,7 +81,7 @@
 	return merged, fresh
 }
 
-func indexOf(documents []platform.Value, key string) int {
+func indexOf(documents []source.Value, key string) int {
 	for i, document := range documents {
 		if document.Key == key {
 			return i
@@ -93,7 +93,7 @@
 // Bytes is the size of the unit's documents, in bytes.
 func (u Unit) Bytes() int {
 	total := 0
-	for _, documents := range [][]platform.Value{u.Newest, u.Accepted} {
+	for _, documents := range [][]source.Value{u.Newest, u.Accepted} {
 		for _, document := range documents {
 			total += len(document.Key) + len(document.Data)
 		}
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -16,9 +16,9 @@
 	"cardamompoint.example/cardamompoint/examples"
 	"cardamompoint.example/cardamompoint/internal/loopback"
 	"cardamompoint.example/cardamompoint/internal/standin"
-	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/router"
 	"cardamompoint.example/cardamompoint/settings"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 // fleet is a running deployment.
@@ -68,7 +68,7 @@
 	if err := examples.Unpack(f.dir, deployment, f.network.Prefix); err != nil {
 		return err
 	}
-	if err := f.platform.LoadPublished(filepath.Join(f.dir, "published")); err != nil {
+	if err := f.source.LoadPublished(filepath.Join(f.dir, "published")); err != nil {
 		return err
 	}
 	if err := f.startStandins(); err != nil {
@@ -82,13 +82,13 @@
 	if err != nil {
 		return eris.Wrap(err, "the list of VMs can't be read")
 	}
-	var vms []platform.VM
+	var vms []source.VM
 	if err := json.Unmarshal(raw, &vms); err != nil {
 		return eris.Wrap(err, "the list of VMs can't be decoded")
 	}
 	for _, vm := range vms {
 		switch vm.Role {
-		case platform.RoleEngine:
+		case source.RoleEngine:
 			engine := standin.NewEngine(standin.EngineOptions{
 				TokenInterval: standin.DefaultTokenInterval,
 				CacheTokens:   standin.DefaultCacheTokens,
@@ -96,7 +96,7 @@
 			})
 			f.engines[vm.Address] = engine
 			err = f.serve(vm.Address, engine.Handler())
-		case platform.RoleService:
+		case source.RoleService:
 			service := standin.NewService(standin.ServiceOptions{Delay: standin.DefaultDelay})
 			f.services[vm.Address] = service
 			err = f.serve(vm.Address, service.Handler())
@@ -131,7 +131,7 @@
 			return err
 		}
 		if i == 0 {
-			err = f.serve(loaded.Platform, f.platform.Handler())
+			err = f.serve(loaded.Platform, f.source.Handler())
 		}
 		if err != nil {
 			return err
--- a/internal/published/check.go
+++ b/internal/published/check.go
@@ -13,7 +13,7 @@
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/config"
-	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/source"
 	"cardamompoint.example/cardamompoint/template"
 )
 
@@ -74,7 +74,7 @@
 }
 
 func checkVMs(raw []byte) error {
-	var vms []platform.VM
+	var vms []source.VM
 	if err := json.Unmarshal(raw, &vms); err != nil {
 		return code.Wrap(err, code.InvalidDocument, "the list can't be decoded").At("$")
 	}
--- a/internal/routebench/fleet.go
+++ b/internal/routebench/fleet.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/member"
-	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/settings"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 const group = "pool"
@@ -63,13 +63,13 @@
 // publish makes a new view.
 func (f *Fleet) publish() {
 	f.version++
-	list := platform.VMs{Version: f.version}
+	list := source.VMs{Version: f.version}
 	for _, address := range f.routers {
-		list.VMs = append(list.VMs, platform.VM{Address: address, Role: platform.RoleRouter, State: platform.StateLive})
+		list.VMs = append(list.VMs, source.VM{Address: address, Role: source.RoleRouter, State: source.StateLive})
 	}
 	for _, e := range f.engines {
 		if e.live {
-			list.VMs = append(list.VMs, platform.VM{Address: e.address, Role: platform.RoleEngine, Group: group, State: platform.StateLive})
+			list.VMs = append(list.VMs, source.VM{Address: e.address, Role: source.RoleEngine, Group: group, State: source.StateLive})
 		}
 	}
 	table := member.NewTable(member.Self{Address: f.routers[0]}, time.Hour)
@@ -130,7 +130,7 @@
 }
 
 func (f *Fleet) rank(key uint64, limit int) []int {
-	var buffer [maxAsked]platform.VM
+	var buffer [maxAsked]source.VM
 	vms := f.view.Pool(group).AppendRanked(buffer[:0], key, limit)
 	order := make([]int, len(vms))
 	for i, vm := range vms {
--- a/internal/routebench/home_way.go
+++ b/internal/routebench/home_way.go
@@ -7,8 +7,8 @@
 
 	"cardamompoint.example/cardamompoint/affinity"
 	"cardamompoint.example/cardamompoint/balance"
-	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/rank"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 // HomeWay lets one router, the home of an engine, count the engine's load
@@ -69,7 +69,7 @@
 	}
 	w.homes = w.homes[:0]
 	for _, e := range w.fleet.engines {
-		var buffer [1]platform.VM
+		var buffer [1]source.VM
 		home := w.fleet.view.RouterPool().AppendRanked(buffer[:0], rank.Key("home", e.address), 1)[0]
 		w.homes = append(w.homes, numbers[home.Address])
 	}
--- a/internal/routebench/subset_way.go
+++ b/internal/routebench/subset_way.go
@@ -1,8 +1,8 @@
 package routebench
 
 import (
-	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/rank"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 // subsetPart is the part of the engines that one router uses.
@@ -35,7 +35,7 @@
 	w.subsets = nil
 	for _, router := range w.fleet.routers {
 		subset := map[int]bool{}
-		var buffer []platform.VM
+		var buffer []source.VM
 		for _, vm := range w.fleet.view.Pool(group).AppendRanked(buffer, rank.Key("subset", router), size) {
 			subset[w.fleet.byAddress[vm.Address]] = true
 		}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -11,7 +11,7 @@
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
-	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 const maxValueBytes = 1 << 20
@@ -31,9 +31,9 @@
 type Platform struct {
 	mu       sync.Mutex
 	revision int64
-	history  []platform.Value
-	newest   map[string]platform.Value
-	list     *platform.List
+	history  []source.Value
+	newest   map[string]source.Value
+	list     *source.List
 	fault    Fault
 	changed  chan struct{}
 	calls    int64
@@ -41,7 +41,7 @@
 
 // NewPlatform returns a Platform without documents.
 func NewPlatform() *Platform {
-	return &Platform{newest: map[string]platform.Value{}, list: platform.NewList(), changed: make(chan struct{})}
+	return &Platform{newest: map[string]source.Value{}, list: source.NewList(), changed: make(chan struct{})}
 }
 
 // Publish writes a document and returns its version. If ifVersion is not
@@ -50,15 +50,15 @@
 	if len(data) > maxValueBytes {
 		return 0, code.New(code.BodyTooLarge, "the document has more than %d bytes", maxValueBytes)
 	}
-	return p.write(platform.Value{Key: key, Data: data}, ifVersion)
+	return p.write(source.Value{Key: key, Data: data}, ifVersion)
 }
 
 // Delete deletes a document and returns the version of the deletion.
 func (p *Platform) Delete(key string, ifVersion int64) (int64, error) {
-	return p.write(platform.Value{Key: key, Deleted: true}, ifVersion)
+	return p.write(source.Value{Key: key, Deleted: true}, ifVersion)
 }
 
-func (p *Platform) write(value platform.Value, ifVersion int64) (int64, error) {
+func (p *Platform) write(value source.Value, ifVersion int64) (int64, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.newest[value.Key].Version
@@ -79,18 +79,18 @@
 }
 
 // SetVMs publishes the list of VMs with the next version.
-func (p *Platform) SetVMs(vms []platform.VM) {
+func (p *Platform) SetVMs(vms []source.VM) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.list.Apply(platform.VMs{Version: p.list.Version() + 1, VMs: vms})
+	p.list.Apply(source.VMs{Version: p.list.Version() + 1, VMs: vms})
 }
 
 // SetState changes the state of one VM in the list. An empty state drops it.
-func (p *Platform) SetState(address string, state platform.State) {
+func (p *Platform) SetState(address string, state source.State) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	version := p.list.Version()
-	change := platform.VMs{Version: version + 1, After: version}
+	change := source.VMs{Version: version + 1, After: version}
 	for _, vm := range p.list.Whole().VMs {
 		if vm.Address == address && state != "" {
 			vm.State = state
@@ -126,7 +126,7 @@
 	mux.HandleFunc("PUT /operator/v1/values/{key...}", p.servePublish)
 	mux.HandleFunc("DELETE /operator/v1/values/{key...}", p.serveDelete)
 	mux.HandleFunc("PUT /operator/v1/vms/{address}/{state}", func(w http.ResponseWriter, r *http.Request) {
-		state := platform.State(r.PathValue("state"))
+		state := source.State(r.PathValue("state"))
 		if state == "gone" {
 			state = ""
 		}
@@ -205,24 +205,24 @@
 
 // changesAfter returns each document that changed after a revision in its
 // newest version, and a channel that is closed at the next change.
-func (p *Platform) changesAfter(after int64) (platform.Changes, <-chan struct{}) {
+func (p *Platform) changesAfter(after int64) (source.Changes, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	limit := p.revision
 	if p.fault.StaleRevision > 0 {
 		limit = min(limit, p.fault.StaleRevision)
 	}
-	newest := map[string]platform.Value{}
+	newest := map[string]source.Value{}
 	for _, value := range p.history {
 		if value.Version > after && value.Version <= limit {
 			newest[value.Key] = value
 		}
 	}
-	changes := platform.Changes{Revision: limit}
+	changes := source.Changes{Revision: limit}
 	for _, value := range newest {
 		changes.Values = append(changes.Values, value)
 	}
-	slices.SortFunc(changes.Values, func(a, b platform.Value) int { return int(a.Version - b.Version) })
+	slices.SortFunc(changes.Values, func(a, b source.Value) int { return int(a.Version - b.Version) })
 	return changes, p.changed
 }
 
--- a/internal/standin/published.go
+++ b/internal/standin/published.go
@@ -9,7 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 // LoadPublished publishes every JSON file below dir under its path without the
@@ -32,7 +32,7 @@
 			_, err := p.Publish(key, raw, -1)
 			return err
 		}
-		var vms []platform.VM
+		var vms []source.VM
 		if err := json.Unmarshal(raw, &vms); err != nil {
 			return eris.Wrap(err, path)
 		}
--- a/member/rankings.go
+++ b/member/rankings.go
@@ -1,6 +1,6 @@
 package member
 
-import "cardamompoint.example/cardamompoint/platform"
+import "cardamompoint.example/cardamompoint/source"
 
 // rankings are the prepared pools of a View.
 type rankings struct {
@@ -8,7 +8,7 @@
 	routers *Pool
 }
 
-func newRankings(groups map[string][]platform.VM, routers []platform.VM) rankings {
+func newRankings(groups map[string][]source.VM, routers []source.VM) rankings {
 	ranked := rankings{groups: make(map[string]*Pool, len(groups)), routers: NewPool(routers)}
 	for name, vms := range groups {
 		ranked.groups[name] = NewPool(vms)
--- a/member/table.go
+++ b/member/table.go
@@ -10,7 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"cardamompoint.example/cardamompoint/balance"
-	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 // ProbeAll is the largest number of peers that are all probed in each period.
@@ -25,7 +25,7 @@
 	view    atomic.Pointer[View]
 
 	mu      sync.Mutex
-	list    *platform.List
+	list    *source.List
 	peers   map[string]*Status
 	counter int64
 	leaving bool
@@ -40,13 +40,13 @@
 	table := &Table{
 		self:    self,
 		suspect: suspect,
-		list:    platform.NewList(),
+		list:    source.NewList(),
 		peers:   map[string]*Status{},
 		counter: time.Now().UnixMilli(),
 		means:   newMeans(),
 		updates: newUpdateQueue(),
 	}
-	table.view.Store(newView(platform.VMs{}, time.Time{}, self))
+	table.view.Store(newView(source.VMs{}, time.Time{}, self))
 	return table
 }
 
@@ -63,7 +63,7 @@
 // SetList takes in a list, whole or as changes, that the platform confirmed at
 // the given time. An older version, and changes that build on a version not
 // known, are ignored. It reports whether the list is newer than the one before.
-func (t *Table) SetList(list platform.VMs, confirmed time.Time) bool {
+func (t *Table) SetList(list source.VMs, confirmed time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if list.Version < t.list.Version() {
@@ -105,7 +105,7 @@
 }
 
 // ListSince returns what changed in the list of VMs after a version.
-func (t *Table) ListSince(after int64) platform.VMs {
+func (t *Table) ListSince(after int64) source.VMs {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.list.Since(after)
@@ -122,7 +122,7 @@
 		}
 	}
 	for _, vm := range view.List.VMs {
-		if vm.Role == platform.RoleRouter && vm.Address != t.self.Address {
+		if vm.Role == source.RoleRouter && vm.Address != t.self.Address {
 			t.status(vm.Address)
 		}
 	}
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -9,15 +9,15 @@
 
 	"cardamompoint.example/cardamompoint/balance"
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 const testSuspect = 3 * time.Second
 
-func routerList(version int64, count int) platform.VMs {
-	list := platform.VMs{Version: version}
+func routerList(version int64, count int) source.VMs {
+	list := source.VMs{Version: version}
 	for i := range count {
-		list.VMs = append(list.VMs, platform.VM{Address: fmt.Sprint("r", i), Role: platform.RoleRouter, State: platform.StateLive})
+		list.VMs = append(list.VMs, source.VM{Address: fmt.Sprint("r", i), Role: source.RoleRouter, State: source.StateLive})
 	}
 	return list
 }
@@ -86,7 +86,7 @@
 	if table.Health("r1", hour) != HealthUnreachable || len(table.View().Routers) != 3 {
 		t.Fatalf("the router is %s among %d", table.Health("r1", hour), len(table.View().Routers))
 	}
-	table.SetList(platform.VMs{Version: 2, After: 1, Gone: []string{"r1"}}, hour)
+	table.SetList(source.VMs{Version: 2, After: 1, Gone: []string{"r1"}}, hour)
 	if len(table.Peers(hour)) != 1 || len(table.View().Routers) != 2 {
 		t.Fatalf("there are still %d peers", len(table.Peers(hour)))
 	}
@@ -253,14 +253,14 @@
 			table := NewTable(Self{Address: "r0"}, testSuspect)
 			list := routerList(1, 340)
 			for i := range count - 340 {
-				list.VMs = append(list.VMs, platform.VM{Address: fmt.Sprint("e", i), Role: platform.RoleEngine, Group: "g", State: platform.StateLive})
+				list.VMs = append(list.VMs, source.VM{Address: fmt.Sprint("e", i), Role: source.RoleEngine, Group: "g", State: source.StateLive})
 			}
 			table.SetList(list, time.Now())
 			version := int64(1)
 			b.ReportAllocs()
 			for b.Loop() {
 				version++
-				table.SetList(platform.VMs{Version: version, After: version - 1, VMs: list.VMs[count-1:]}, time.Now())
+				table.SetList(source.VMs{Version: version, After: version - 1, VMs: list.VMs[count-1:]}, time.Now())
 			}
 		})
 	}
--- a/member/view.go
+++ b/member/view.go
@@ -3,47 +3,47 @@
 import (
 	"time"
 
-	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 // View is an immutable view of the fleet.
 type View struct {
 	// List is the published list.
-	List platform.VMs
+	List source.VMs
 	// ReadAt is when the platform last confirmed the list.
 	ReadAt time.Time
 	// Routers are the live routers of the list and this router.
-	Routers []platform.VM
+	Routers []source.VM
 
-	groups map[string][]platform.VM
-	byAddr map[string]platform.VM
+	groups map[string][]source.VM
+	byAddr map[string]source.VM
 	ranked rankings
 }
 
-func newView(list platform.VMs, readAt time.Time, self Self) *View {
+func newView(list source.VMs, readAt time.Time, self Self) *View {
 	view := &View{
 		List:   list,
 		ReadAt: readAt,
-		groups: map[string][]platform.VM{},
-		byAddr: map[string]platform.VM{},
+		groups: map[string][]source.VM{},
+		byAddr: map[string]source.VM{},
 	}
 	for _, vm := range list.VMs {
 		view.byAddr[vm.Address] = vm
-		if vm.State == platform.StateLeaving {
+		if vm.State == source.StateLeaving {
 			continue
 		}
-		if vm.Role == platform.RoleRouter {
+		if vm.Role == source.RoleRouter {
 			view.Routers = append(view.Routers, vm)
 			continue
 		}
 		view.groups[vm.Group] = append(view.groups[vm.Group], vm)
 	}
 	if _, listed := view.byAddr[self.Address]; !listed {
-		view.Routers = append(view.Routers, platform.VM{
+		view.Routers = append(view.Routers, source.VM{
 			Address:       self.Address,
-			Role:          platform.RoleRouter,
+			Role:          source.RoleRouter,
 			FailureDomain: self.FailureDomain,
-			State:         platform.StateLive,
+			State:         source.StateLive,
 		})
 	}
 	view.ranked = newRankings(view.groups, view.Routers)
@@ -51,12 +51,12 @@
 }
 
 // Group returns the live VMs of a group. The slice must not be changed.
-func (v *View) Group(name string) []platform.VM {
+func (v *View) Group(name string) []source.VM {
 	return v.groups[name]
 }
 
 // Find returns the VM with the given address.
-func (v *View) Find(address string) (platform.VM, bool) {
+func (v *View) Find(address string) (source.VM, bool) {
 	vm, ok := v.byAddr[address]
 	return vm, ok
 }
@@ -64,5 +64,5 @@
 // Live reports whether the VM is in the list and not leaving.
 func (v *View) Live(address string) bool {
 	vm, ok := v.byAddr[address]
-	return ok && vm.State == platform.StateLive
+	return ok && vm.State == source.StateLive
 }
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -5,14 +5,14 @@
 
 	"cardamompoint.example/cardamompoint/config"
 	"cardamompoint.example/cardamompoint/endpoint"
-	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/rank"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 // Eligible returns the indexes of the engines that may have the model loaded,
 // in the order in which replicas are added: at most Max, or all if Max is 0.
 // An engine that leaves moves only its own replica.
-func Eligible(model config.Model, engines []platform.VM) []int {
+func Eligible(model config.Model, engines []source.VM) []int {
 	nodes := make([]rank.Node, len(engines))
 	for i, vm := range engines {
 		nodes[i] = rank.NewNode(vm.Address, vm.Capacity)
@@ -24,7 +24,7 @@
 type Replicas func(model config.Model, engines int) int
 
 // Plan returns what each engine of a group should have loaded, by address.
-func Plan(models map[string]config.Model, group string, engines []platform.VM, replicas Replicas) map[string]Desired {
+func Plan(models map[string]config.Model, group string, engines []source.VM, replicas Replicas) map[string]Desired {
 	plan := make(map[string]Desired, len(engines))
 	for _, vm := range engines {
 		plan[vm.Address] = Desired{}
--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -9,13 +9,13 @@
 
 	"cardamompoint.example/cardamompoint/config"
 	"cardamompoint.example/cardamompoint/endpoint"
-	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/source"
 )
 
-func engines(count int) []platform.VM {
-	vms := make([]platform.VM, count)
+func engines(count int) []source.VM {
+	vms := make([]source.VM, count)
 	for i := range vms {
-		vms[i] = platform.VM{Address: fmt.Sprintf("127.0.1.%d:7200", i+1), Role: platform.RoleEngine, Group: "g"}
+		vms[i] = source.VM{Address: fmt.Sprintf("127.0.1.%d:7200", i+1), Role: source.RoleEngine, Group: "g"}
 	}
 	return vms
 }
@@ -59,7 +59,7 @@
 	vms := engines(12)
 	before := Plan(models, "g", vms, atMin)
 	for gone := range vms {
-		rest := append(append([]platform.VM{}, vms[:gone]...), vms[gone+1:]...)
+		rest := append(append([]source.VM{}, vms[:gone]...), vms[gone+1:]...)
 		after := Plan(models, "g", rest, atMin)
 		for _, vm := range rest {
 			if len(before[vm.Address].Models) > len(after[vm.Address].Models) {
--- a/router/chat_context_test.go
+++ b/router/chat_context_test.go
@@ -8,8 +8,8 @@
 
 	"cardamompoint.example/cardamompoint/balance"
 	"cardamompoint.example/cardamompoint/endpoint"
-	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/settings"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 // quickEngine answers each work at once.
@@ -31,7 +31,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.members.SetList(platform.VMs{Version: 1, VMs: vms}, time.Now())
+	r.members.SetList(source.VMs{Version: 1, VMs: vms}, time.Now())
 	for range 100 {
 		r.standing(vms[1].Address, time.Now())
 		time.Sleep(100 * time.Millisecond)
--- a/router/clearance.go
+++ b/router/clearance.go
@@ -8,7 +8,7 @@
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/once"
-	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 // noteViewsPause is the time between two looks at the list of VMs.
@@ -49,7 +49,7 @@
 	}
 	var routers []string
 	for _, vm := range r.members.View().List.VMs {
-		if vm.Role == platform.RoleRouter && vm.State == platform.StateLive {
+		if vm.Role == source.RoleRouter && vm.State == source.StateLive {
 			routers = append(routers, vm.Address)
 		}
 	}
--- a/router/control_traffic_test.go
+++ b/router/control_traffic_test.go
@@ -8,7 +8,7 @@
 
 	"cardamompoint.example/cardamompoint/balance"
 	"cardamompoint.example/cardamompoint/member"
-	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 const (
@@ -73,14 +73,14 @@
 // changeFor changes the configuration with the given pause, and the list as
 // often as 340 routers see it. Documents have about 1 KB.
 func (f *memoryFleet) changeFor(d, pause time.Duration) {
-	states := []platform.State{platform.StateLeaving, platform.StateLive}
+	states := []source.State{source.StateLeaving, source.StateLive}
 	began, listChanges := time.Now(), 0
 	for n := 0; time.Since(began) < d; n++ {
 		f.publish(fmt.Sprintf("workspaces/w%d/template", n%20), fmt.Sprintf(
 			`{"description": %q, "completion": {"models": [{"model": "m"}]}}`, fmt.Sprint(n, strings.Repeat(" lane", 200))))
 		time.Sleep(pause)
 		if time.Since(began)/listPauseTest > time.Duration(listChanges) {
-			f.platform.SetState(engineAddress(0), states[listChanges%2])
+			f.source.SetState(engineAddress(0), states[listChanges%2])
 			listChanges++
 		}
 	}
--- a/router/execute_test.go
+++ b/router/execute_test.go
@@ -12,8 +12,8 @@
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/endpoint"
 	"cardamompoint.example/cardamompoint/once"
-	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/settings"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 // sleepyService refuses the first connection after a long sleep and counts
@@ -50,10 +50,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.members.SetList(platform.VMs{Version: 1, VMs: []platform.VM{
-		{Address: s.Peers, Role: platform.RoleRouter, State: platform.StateLive},
-		{Address: "127.0.0.2:1", Role: platform.RoleService, Group: "booking", State: platform.StateLive},
-		{Address: "127.0.0.3:1", Role: platform.RoleService, Group: "booking", State: platform.StateLive},
+	r.members.SetList(source.VMs{Version: 1, VMs: []source.VM{
+		{Address: s.Peers, Role: source.RoleRouter, State: source.StateLive},
+		{Address: "127.0.0.2:1", Role: source.RoleService, Group: "booking", State: source.StateLive},
+		{Address: "127.0.0.3:1", Role: source.RoleService, Group: "booking", State: source.StateLive},
 	}}, time.Now())
 	return r
 }
--- a/router/halves_test.go
+++ b/router/halves_test.go
@@ -20,8 +20,8 @@
 	"cardamompoint.example/cardamompoint/endpoint"
 	"cardamompoint.example/cardamompoint/member"
 	"cardamompoint.example/cardamompoint/peer"
-	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/settings"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 const (
@@ -126,7 +126,7 @@
 			t.Fatal(err)
 		}
 		r.control, r.work = peer.NewClient(s.Secret, link{f, i}), peer.NewClient(s.Secret, link{f, i})
-		r.store.Apply([]platform.Value{
+		r.store.Apply([]source.Value{
 			{Key: "models/m", Version: 1, Data: []byte(`{"group": "engines", "version": "1"}`)},
 			{Key: "workspaces/w/template", Version: 2, Data: []byte(`{"completion": {"models": [{"model": "m"}], "priority": "tag"}}`)},
 		}, 2)
@@ -138,17 +138,17 @@
 }
 
 // list returns a version of the list without the given routers.
-func (f *halves) list(version int64, without ...int) platform.VMs {
-	list := platform.VMs{Version: version}
+func (f *halves) list(version int64, without ...int) source.VMs {
+	list := source.VMs{Version: version}
 	for i := range halvesRouters {
-		list.VMs = append(list.VMs, platform.VM{Address: routerAddress(i), Role: platform.RoleRouter, State: platform.StateLive})
+		list.VMs = append(list.VMs, source.VM{Address: routerAddress(i), Role: source.RoleRouter, State: source.StateLive})
 	}
 	for _, i := range without {
-		list.VMs[i].State = platform.StateLeaving
+		list.VMs[i].State = source.StateLeaving
 	}
 	for i := range halvesEngines {
 		address := fmt.Sprintf("127.0.1.%d:7200", i+1)
-		list.VMs = append(list.VMs, platform.VM{Address: address, Role: platform.RoleEngine, Group: "engines", State: platform.StateLive})
+		list.VMs = append(list.VMs, source.VM{Address: address, Role: source.RoleEngine, Group: "engines", State: source.StateLive})
 	}
 	return list
 }
--- a/router/lease.go
+++ b/router/lease.go
@@ -9,7 +9,7 @@
 	"cardamompoint.example/cardamompoint/balance"
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/member"
-	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 const leasePath = "/peer/v1/lease"
@@ -172,7 +172,7 @@
 		have[status.Heartbeat.From.Address] = status.Heartbeat.ListVersion >= version
 	}
 	for _, vm := range view.List.VMs {
-		if vm.Role == platform.RoleRouter && !have[vm.Address] {
+		if vm.Role == source.RoleRouter && !have[vm.Address] {
 			return
 		}
 	}
--- a/router/loads.go
+++ b/router/loads.go
@@ -11,7 +11,7 @@
 
 	"cardamompoint.example/cardamompoint/balance"
 	"cardamompoint.example/cardamompoint/member"
-	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 const (
@@ -87,7 +87,7 @@
 	listed, first := map[string]bool{}, p.version == 0
 	p.duties = nil
 	for _, vm := range view.List.VMs {
-		if vm.Role != platform.RoleEngine {
+		if vm.Role != source.RoleEngine {
 			continue
 		}
 		listed[vm.Address] = true
@@ -96,7 +96,7 @@
 			klog.Infof("place: engine %s is new and starts slowly.", vm.Address)
 			r.ledger.Appeared(vm.Address, now)
 		}
-		if role != balance.RoleNone && vm.State == platform.StateLive {
+		if role != balance.RoleNone && vm.State == source.StateLive {
 			p.duties = append(p.duties, duty{engine: vm.Address, home: home, role: role})
 		}
 	}
--- a/router/loads_test.go
+++ b/router/loads_test.go
@@ -11,7 +11,7 @@
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/endpoint"
-	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 // askedEngine counts the load reports that are asked of each engine.
@@ -35,11 +35,11 @@
 func aloneWith(t *testing.T, engines int) (*Router, *askedEngine) {
 	r, engine := newHalves(t).routers[0], &askedEngine{asked: map[string]int{}}
 	r.loads = engine
-	list := platform.VMs{Version: 2}
-	list.VMs = append(list.VMs, platform.VM{Address: routerAddress(0), Role: platform.RoleRouter, State: platform.StateLive})
+	list := source.VMs{Version: 2}
+	list.VMs = append(list.VMs, source.VM{Address: routerAddress(0), Role: source.RoleRouter, State: source.StateLive})
 	for i := range engines {
 		address := fmt.Sprint("engine-", i)
-		list.VMs = append(list.VMs, platform.VM{Address: address, Role: platform.RoleEngine, Group: "engines", State: platform.StateLive})
+		list.VMs = append(list.VMs, source.VM{Address: address, Role: source.RoleEngine, Group: "engines", State: source.StateLive})
 	}
 	r.members.SetList(list, time.Now())
 	r.noteSpread(time.Now())
--- a/router/memory_fleet_test.go
+++ b/router/memory_fleet_test.go
@@ -13,8 +13,8 @@
 	"k8s.io/klog/v2"
 
 	"cardamompoint.example/cardamompoint/internal/standin"
-	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/settings"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 const (
@@ -93,18 +93,18 @@
 
 func newMemoryFleet(t *testing.T, count int) *memoryFleet {
 	f := &memoryFleet{t: t, network: newMemoryNetwork(testDelay), platform: standin.NewPlatform(), routers: make([]*memoryRouter, count)}
-	var vms []platform.VM
+	var vms []source.VM
 	for i := range count {
-		vms = append(vms, platform.VM{Address: peerAddress(i), Role: platform.RoleRouter, FailureDomain: domain(i), State: platform.StateLive})
+		vms = append(vms, source.VM{Address: peerAddress(i), Role: source.RoleRouter, FailureDomain: domain(i), State: source.StateLive})
 	}
 	for i := range 3 {
-		vms = append(vms, platform.VM{Address: engineAddress(i), Role: platform.RoleEngine, Group: "g", FailureDomain: domain(i), State: platform.StateLive})
+		vms = append(vms, source.VM{Address: engineAddress(i), Role: source.RoleEngine, Group: "g", FailureDomain: domain(i), State: source.StateLive})
 	}
-	f.platform.SetVMs(vms)
+	f.source.SetVMs(vms)
 	f.publish("models/m", `{"group": "g", "version": "1"}`)
 	f.publish("workspaces/a/template", testTemplate)
 	listener, _ := f.network.at(testPlatform).Listen(testPlatform)
-	server := &http.Server{Handler: f.platform.Handler()}
+	server := &http.Server{Handler: f.source.Handler()}
 	go server.Serve(listener)
 	done := make(chan struct{})
 	f.stop = func() {
@@ -119,14 +119,14 @@
 func (f *memoryFleet) countCalls(done <-chan struct{}) {
 	ticker := time.NewTicker(time.Second)
 	defer ticker.Stop()
-	before := f.platform.Calls()
+	before := f.source.Calls()
 	for {
 		select {
 		case <-done:
 			return
 		case <-ticker.C:
 		}
-		now := f.platform.Calls()
+		now := f.source.Calls()
 		f.calls.add(now - before)
 		before = now
 	}
@@ -183,7 +183,7 @@
 
 // publish writes a document and returns its version.
 func (f *memoryFleet) publish(key, document string) int64 {
-	version, err := f.platform.Publish(key, json.RawMessage(document), -1)
+	version, err := f.source.Publish(key, json.RawMessage(document), -1)
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/router/messages.go
+++ b/router/messages.go
@@ -3,7 +3,7 @@
 import (
 	"cardamompoint.example/cardamompoint/config"
 	"cardamompoint.example/cardamompoint/member"
-	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 // The paths of control messages are short: each message carries one.
@@ -33,7 +33,7 @@
 	// ListVersion is the version of the sender's list of VMs.
 	ListVersion int64 `json:"v"`
 	// List are changes of the list, unless there are too many.
-	List *platform.VMs `json:"l,omitempty"`
+	List *source.VMs `json:"l,omitempty"`
 	// Updates are news of routers.
 	Updates []member.Update `json:"m,omitempty"`
 }
@@ -45,7 +45,7 @@
 
 // listAnswer holds the changes.
 type listAnswer struct {
-	List platform.VMs `json:"l"`
+	List source.VMs `json:"l"`
 	// AgeMS is the time since the platform confirmed the version, in
 	// milliseconds; -1 if it is not known.
 	AgeMS int64 `json:"a"`
--- a/router/options.go
+++ b/router/options.go
@@ -2,8 +2,8 @@
 
 import (
 	"cardamompoint.example/cardamompoint/endpoint"
-	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/settings"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 // Options are what a Router is made of. Nil adapters are made from the
@@ -12,9 +12,9 @@
 	// Settings are the checked settings.
 	Settings *settings.Router
 	// Config reads published configuration.
-	Config platform.Config
+	Config source.Config
 	// Lister reads the list of VMs.
-	Lister platform.Lister
+	Lister source.Lister
 	// Engine speaks to model engines.
 	Engine endpoint.Engine
 	// Orderer gives engines orders.
--- a/router/place.go
+++ b/router/place.go
@@ -13,8 +13,8 @@
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/member"
 	"cardamompoint.example/cardamompoint/placement"
-	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/settings"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 // placePeriod is the time between two looks at the engines that this router
@@ -85,8 +85,8 @@
 }
 
 // managed returns the engines of a group whose home is this router.
-func (r *Router) managed(view *member.View, group string) []platform.VM {
-	var managed []platform.VM
+func (r *Router) managed(view *member.View, group string) []source.VM {
+	var managed []source.VM
 	for _, vm := range view.Group(group) {
 		if r.homeOf(view, vm.Address) == r.members.Self().Address {
 			managed = append(managed, vm)
--- a/router/place_test.go
+++ b/router/place_test.go
@@ -11,8 +11,8 @@
 	"cardamompoint.example/cardamompoint/endpoint"
 	"cardamompoint.example/cardamompoint/internal/standin"
 	"cardamompoint.example/cardamompoint/placement"
-	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/settings"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 // fakeOrders are engines in memory that take orders.
@@ -45,18 +45,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	vms := []platform.VM{{Address: s.Peers, Role: platform.RoleRouter, State: platform.StateLive}}
+	vms := []source.VM{{Address: s.Peers, Role: source.RoleRouter, State: source.StateLive}}
 	for i := range placedEngines {
 		address := fmt.Sprintf("127.0.1.%d:7200", i+1)
 		orders.engines[address] = standin.NewOrders(checkFence)
-		vms = append(vms, platform.VM{Address: address, Role: platform.RoleEngine, Group: "g", State: platform.StateLive})
+		vms = append(vms, source.VM{Address: address, Role: source.RoleEngine, Group: "g", State: source.StateLive})
 	}
-	r.members.SetList(platform.VMs{Version: 1, VMs: vms}, time.Now())
+	r.members.SetList(source.VMs{Version: 1, VMs: vms}, time.Now())
 	return r, orders
 }
 
 func declare(r *Router, version int64, document string) {
-	r.store.Apply([]platform.Value{{Key: "models/m", Version: version, Data: []byte(document)}}, version)
+	r.store.Apply([]source.Value{{Key: "models/m", Version: version, Data: []byte(document)}}, version)
 }
 
 // settle looks after the engines for long enough to load every model.
@@ -142,8 +142,8 @@
 		r, orders := newPlacing(t, true)
 		declare(r, 3, `{"group": "g", "version": "1"}`)
 		settle(r)
-		pushed := platform.Value{Key: "models/m", Version: 9, Data: []byte(`{"group": "g", "version": "2"}`)}
-		r.store.Apply([]platform.Value{pushed}, 3)
+		pushed := source.Value{Key: "models/m", Version: 9, Data: []byte(`{"group": "g", "version": "2"}`)}
+		r.store.Apply([]source.Value{pushed}, 3)
 		settle(r)
 		for address, engine := range orders.engines {
 			if fence := engine.State().Fence; fence < placement.Fence(9, 0) {
--- a/router/pools.go
+++ b/router/pools.go
@@ -6,7 +6,7 @@
 	"cardamompoint.example/cardamompoint/config"
 	"cardamompoint.example/cardamompoint/member"
 	"cardamompoint.example/cardamompoint/placement"
-	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 // pools keeps the engines that should have each model loaded, prepared for
@@ -46,9 +46,9 @@
 	return pool
 }
 
-func chooseReplicas(model config.Model, engines []platform.VM, replicas int) []platform.VM {
+func chooseReplicas(model config.Model, engines []source.VM, replicas int) []source.VM {
 	order := placement.Eligible(model, engines)
-	chosen := make([]platform.VM, 0, replicas)
+	chosen := make([]source.VM, 0, replicas)
 	for _, index := range order[:min(replicas, len(order))] {
 		chosen = append(chosen, engines[index])
 	}
--- a/router/push.go
+++ b/router/push.go
@@ -8,7 +8,7 @@
 
 	"cardamompoint.example/cardamompoint/config"
 	"cardamompoint.example/cardamompoint/member"
-	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 const (
@@ -121,7 +121,7 @@
 // another failure domain, if there is one.
 func (r *Router) pushTargets(origin string, count int) []string {
 	view, self, now := r.members.View(), r.members.Self(), time.Now()
-	var peers []platform.VM
+	var peers []source.VM
 	for _, vm := range view.Routers {
 		if vm.Address != self.Address && vm.Address != origin && r.members.Health(vm.Address, now) == member.HealthAlive {
 			peers = append(peers, vm)
--- a/router/route.go
+++ b/router/route.go
@@ -8,8 +8,8 @@
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/config"
 	"cardamompoint.example/cardamompoint/member"
-	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/rank"
+	"cardamompoint.example/cardamompoint/source"
 	"cardamompoint.example/cardamompoint/template"
 )
 
@@ -27,7 +27,7 @@
 
 // candidate is one engine that may serve a chat.
 type candidate struct {
-	vm     platform.VM
+	vm     source.VM
 	reason string
 	lookup affinity.Lookup
 	// last tells that no candidate has room below the load multiple.
@@ -84,8 +84,8 @@
 // candidates returns the pool's engines for the chat, best first, at most
 // maxCandidates. hint is the engine that holds the chat's context, if the caller
 // knows it; it is the first.
-func candidates(pool *member.Pool, chat uint64, hint *platform.VM) []candidate {
-	var buffer [maxCandidates]platform.VM
+func candidates(pool *member.Pool, chat uint64, hint *source.VM) []candidate {
+	var buffer [maxCandidates]source.VM
 	order := pool.AppendRanked(buffer[:0], chat, maxCandidates)
 	ranked := make([]candidate, 0, len(order)+1)
 	if hint != nil {
@@ -101,10 +101,10 @@
 
 // hintedEngine returns the engine that a hint names, if it is live and of the
 // group.
-func hintedEngine(view *member.View, group, address string) (platform.VM, bool) {
+func hintedEngine(view *member.View, group, address string) (source.VM, bool) {
 	vm, ok := view.Find(address)
-	live := ok && vm.State != platform.StateLeaving
-	return vm, live && vm.Role == platform.RoleEngine && vm.Group == group
+	live := ok && vm.State != source.StateLeaving
+	return vm, live && vm.Role == source.RoleEngine && vm.Group == group
 }
 
 // explain returns how the chat would be routed now.
@@ -138,7 +138,7 @@
 func passedOver(view *member.View, group string) []api.Candidate {
 	var passed []api.Candidate
 	for _, vm := range view.List.VMs {
-		if vm.Group == group && vm.State == platform.StateLeaving {
+		if vm.Group == group && vm.State == source.StateLeaving {
 			passed = append(passed, api.Candidate{Engine: vm.Address, FailureDomain: vm.FailureDomain, Reason: "leaving"})
 		}
 	}
--- a/router/route_test.go
+++ b/router/route_test.go
@@ -8,39 +8,39 @@
 	"cardamompoint.example/cardamompoint/config"
 	"cardamompoint.example/cardamompoint/member"
 	"cardamompoint.example/cardamompoint/placement"
-	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/settings"
+	"cardamompoint.example/cardamompoint/source"
 	"cardamompoint.example/cardamompoint/template"
 )
 
 const testGroup = "pool"
 
 // testVMs returns routers and engines; the engines' numbers start at first.
-func testVMs(routers, first, engines int) []platform.VM {
-	var vms []platform.VM
+func testVMs(routers, first, engines int) []source.VM {
+	var vms []source.VM
 	for i := range routers {
-		vms = append(vms, platform.VM{
+		vms = append(vms, source.VM{
 			Address: fmt.Sprintf("10.1.%d.%d:7001", i/250, i%250),
-			Role:    platform.RoleRouter,
-			State:   platform.StateLive,
+			Role:    source.RoleRouter,
+			State:   source.StateLive,
 		})
 	}
 	for i := first; i < first+engines; i++ {
-		vms = append(vms, platform.VM{
+		vms = append(vms, source.VM{
 			Address: fmt.Sprintf("10.2.%d.%d:8000", i/250, i%250),
-			Role:    platform.RoleEngine,
+			Role:    source.RoleEngine,
 			Group:   testGroup,
-			State:   platform.StateLive,
+			State:   source.StateLive,
 		})
 	}
 	return vms
 }
 
 // testTable returns a table with the list in force and all its routers alive.
-func testTable(vms []platform.VM) *member.Table {
+func testTable(vms []source.VM) *member.Table {
 	self := member.Self{Address: vms[0].Address}
 	table := member.NewTable(self, time.Hour)
-	table.SetList(platform.VMs{Version: 1, VMs: vms}, time.Now())
+	table.SetList(source.VMs{Version: 1, VMs: vms}, time.Now())
 	for _, vm := range table.View().Routers {
 		table.Heard(member.Heartbeat{From: member.Self{Address: vm.Address}}, time.Now())
 	}
@@ -93,7 +93,7 @@
 
 func TestHintedEngineIsAskedFirst(t *testing.T) {
 	vms := testVMs(2, 0, 40)
-	vms[10].State = platform.StateLeaving
+	vms[10].State = source.StateLeaving
 	vms[11].Group = "other"
 	view := testTable(vms).View()
 	plain := mustCandidates(t, view, "chat", "")
--- a/router/router.go
+++ b/router/router.go
@@ -17,15 +17,15 @@
 	"cardamompoint.example/cardamompoint/metrics"
 	"cardamompoint.example/cardamompoint/once"
 	"cardamompoint.example/cardamompoint/peer"
-	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/settings"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 // Router is one router process. It is safe for concurrent use.
 type Router struct {
 	settings *settings.Router
-	config   platform.Config
-	lister   platform.Lister
+	config   source.Config
+	lister   source.Lister
 	engine   endpoint.Engine
 	loads    endpoint.Engine
 	service  endpoint.Service
@@ -139,7 +139,7 @@
 func (r *Router) addAdapters() {
 	s := r.settings
 	if r.config == nil || r.lister == nil {
-		client := platform.NewClient(s.Platform, peer.NewTransportWith(&r.controlBytes, r.dial()))
+		client := source.NewClient(s.Platform, peer.NewTransportWith(&r.controlBytes, r.dial()))
 		r.config, r.lister = client, client
 	}
 	if r.engine == nil {
--- a/router/router_set.go
+++ b/router/router_set.go
@@ -5,8 +5,8 @@
 
 	"cardamompoint.example/cardamompoint/balance"
 	"cardamompoint.example/cardamompoint/member"
-	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/rank"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 // routerSet is the live routers of one published list. It is immutable.
@@ -21,7 +21,7 @@
 	set := &routerSet{}
 	var nodes []rank.Node
 	for _, vm := range view.List.VMs {
-		if vm.Role == platform.RoleRouter && vm.State == platform.StateLive {
+		if vm.Role == source.RoleRouter && vm.State == source.StateLive {
 			set.addresses = append(set.addresses, vm.Address)
 			nodes = append(nodes, rank.NewNode(vm.Address, 1))
 		}
--- a/router/set_history_test.go
+++ b/router/set_history_test.go
@@ -7,7 +7,7 @@
 
 	"cardamompoint.example/cardamompoint/balance"
 	"cardamompoint.example/cardamompoint/member"
-	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 const (
@@ -18,9 +18,9 @@
 
 // viewOf returns a view of the list with the given routers.
 func viewOf(version int64, routers ...string) *member.View {
-	list := platform.VMs{Version: version}
+	list := source.VMs{Version: version}
 	for _, address := range routers {
-		list.VMs = append(list.VMs, platform.VM{Address: address, Role: platform.RoleRouter, State: platform.StateLive})
+		list.VMs = append(list.VMs, source.VM{Address: address, Role: source.RoleRouter, State: source.StateLive})
 	}
 	table := member.NewTable(member.Self{Address: "self"}, time.Second)
 	table.SetList(list, time.Now())
--- a/router/stream_pair_test.go
+++ b/router/stream_pair_test.go
@@ -15,8 +15,8 @@
 	"cardamompoint.example/cardamompoint/internal/standin"
 	"cardamompoint.example/cardamompoint/member"
 	"cardamompoint.example/cardamompoint/peer"
-	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/settings"
+	"cardamompoint.example/cardamompoint/source"
 )
 
 const (
@@ -95,12 +95,12 @@
 
 // learn tells the routers of each other, the engine and one workspace.
 func (p *streamPair) learn() {
-	list := platform.VMs{Version: 1, VMs: []platform.VM{
-		{Address: p.entry.members.Self().Address, Role: platform.RoleRouter, State: platform.StateLive},
-		{Address: p.home.members.Self().Address, Role: platform.RoleRouter, State: platform.StateLive},
-		{Address: pairEngine, Role: platform.RoleEngine, Group: "g", State: platform.StateLive},
+	list := source.VMs{Version: 1, VMs: []source.VM{
+		{Address: p.entry.members.Self().Address, Role: source.RoleRouter, State: source.StateLive},
+		{Address: p.home.members.Self().Address, Role: source.RoleRouter, State: source.StateLive},
+		{Address: pairEngine, Role: source.RoleEngine, Group: "g", State: source.StateLive},
 	}}
-	values := []platform.Value{
+	values := []source.Value{
 		{Key: "models/m", Version: 1, Data: json.RawMessage(`{"group": "g", "version": "1"}`)},
 		{Key: "workspaces/w/template", Version: 2, Data: json.RawMessage(
 			`{"completion": {"models": [{"model": "m"}], "max_tokens": 4000}}`)},
--- a/platform/changes.go
+++ b/source/changes.go
@@ -1,4 +1,4 @@
-package platform
+package source
 
 // Changes is the answer of a watch or a whole read.
 type Changes struct {
--- a/platform/doc.go
+++ b/source/doc.go
@@ -1,5 +1,5 @@
-// Package platform reads what the platform publishes: configuration, the list
+// Package source reads what the platform publishes: configuration, the list
 // of VMs and the weight store's limits.
 //
 // Each service is a small interface with one adapter. Nothing here writes.
-package platform
+package source
--- a/platform/value.go
+++ b/source/value.go
@@ -1,4 +1,4 @@
-package platform
+package source
 
 import "encoding/json"
 
--- a/platform/vm.go
+++ b/source/vm.go
@@ -1,4 +1,4 @@
-package platform
+package source
 
 // Role is what a VM does.
 type Role string
