--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -68,7 +68,7 @@
 	if err := examples.Unpack(f.dir, deployment, f.network.Prefix); err != nil {
 		return err
 	}
-	if err := f.source.LoadPublished(filepath.Join(f.dir, "published")); err != nil {
+	if err := f.platform.LoadPublished(filepath.Join(f.dir, "published")); err != nil {
 		return err
 	}
 	if err := f.startStandins(); err != nil {
@@ -131,7 +131,7 @@
 			return err
 		}
 		if i == 0 {
-			err = f.serve(loaded.Platform, f.source.Handler())
+			err = f.serve(loaded.Platform, f.platform.Handler())
 		}
 		if err != nil {
 			return err
--- a/router/knowledge_test.go
+++ b/router/knowledge_test.go
@@ -50,14 +50,14 @@
 	inBubbleWith(t, 3, slowBeats, func(f *memoryFleet) {
 		version := f.publish("workspaces/a/parameters", `{"n": 2}`)
 		f.inForce(version)
-		f.source.SetFault(standin.Fault{Down: true})
+		f.platform.SetFault(standin.Fault{Down: true})
 		time.Sleep(30 * time.Minute)
 		f.kill(2)
 		f.start(2)
 		f.within(10*time.Second, "the router starts from its peers", func(r *memoryRouter) bool { return r.ready() })
 		f.inForce(version)
 		time.Sleep(30 * time.Minute)
-		f.source.SetFault(standin.Fault{})
+		f.platform.SetFault(standin.Fault{})
 		f.inForce(f.publish("workspaces/a/parameters", `{"n": 3}`))
 	})
 }
@@ -66,9 +66,9 @@
 // progress, and then go on.
 func TestSilentPlatform(t *testing.T) {
 	inBubble(t, 9, func(f *memoryFleet) {
-		f.source.SetFault(standin.Fault{Silent: true})
+		f.platform.SetFault(standin.Fault{Silent: true})
 		time.Sleep(time.Minute)
-		f.source.SetFault(standin.Fault{})
+		f.platform.SetFault(standin.Fault{})
 		f.inForce(f.publish("workspaces/a/parameters", `{"n": 3}`))
 	})
 }
@@ -98,14 +98,14 @@
 // then shows an older state of the platform to a router that starts.
 func TestDeletionAndPublishingAgain(t *testing.T) {
 	inBubble(t, 9, func(f *memoryFleet) {
-		version, _ := f.source.Delete("workspaces/a/template", -1)
+		version, _ := f.platform.Delete("workspaces/a/template", -1)
 		f.within(inForceLimit, "the workspace is gone", func(r *memoryRouter) bool { return len(r.WorkspaceNames()) == 0 })
-		f.source.SetFault(standin.Fault{StaleRevision: version - 1})
+		f.platform.SetFault(standin.Fault{StaleRevision: version - 1})
 		f.kill(3)
 		f.start(3)
 		f.within(10*time.Second, "the router is ready", func(r *memoryRouter) bool { return r.ready() })
 		f.within(0, "the deleted workspace stays away", func(r *memoryRouter) bool { return len(r.WorkspaceNames()) == 0 })
-		f.source.SetFault(standin.Fault{})
+		f.platform.SetFault(standin.Fault{})
 		version = f.publish("workspaces/a/template", testTemplate)
 		f.within(inForceLimit, "the workspace is back", func(r *memoryRouter) bool { return r.WorkspaceNames()["a"] == version })
 	})
@@ -126,7 +126,7 @@
 // TestDepartureIsKnownEverywhere lets an engine leave.
 func TestDepartureIsKnownEverywhere(t *testing.T) {
 	inBubble(t, 16, func(f *memoryFleet) {
-		f.source.SetState(engineAddress(0), source.StateLeaving)
+		f.platform.SetState(engineAddress(0), source.StateLeaving)
 		left := func(r *memoryRouter) bool { return !r.members.View().Live(engineAddress(0)) }
 		for known := false; !known; time.Sleep(time.Millisecond) {
 			for _, r := range f.routers {
@@ -153,7 +153,7 @@
 		f.within(0, "the router is still a member", func(r *memoryRouter) bool { return len(r.members.View().Routers) == 12 })
 		f.network.setCut(nil)
 		f.within(30*time.Second, "the router is alive", health(member.HealthAlive))
-		f.source.SetState(alone, "")
+		f.platform.SetState(alone, "")
 		f.within(departureLimit+listPause, "the router is gone", func(r *memoryRouter) bool {
 			_, listed := r.members.View().Find(alone)
 			return !listed
@@ -195,7 +195,7 @@
 			{"speaks again", standin.Fault{}, 10 * time.Second},
 		}
 		for _, phase := range phases {
-			f.source.SetFault(phase.fault)
+			f.platform.SetFault(phase.fault)
 			time.Sleep(phase.time)
 			most := f.calls.take()
 			t.Logf("%s: %d calls a second at the most", phase.name, most)
--- a/router/memory_fleet_test.go
+++ b/router/memory_fleet_test.go
@@ -100,11 +100,11 @@
 	for i := range 3 {
 		vms = append(vms, source.VM{Address: engineAddress(i), Role: source.RoleEngine, Group: "g", FailureDomain: domain(i), State: source.StateLive})
 	}
-	f.source.SetVMs(vms)
+	f.platform.SetVMs(vms)
 	f.publish("models/m", `{"group": "g", "version": "1"}`)
 	f.publish("workspaces/a/template", testTemplate)
 	listener, _ := f.network.at(testPlatform).Listen(testPlatform)
-	server := &http.Server{Handler: f.source.Handler()}
+	server := &http.Server{Handler: f.platform.Handler()}
 	go server.Serve(listener)
 	done := make(chan struct{})
 	f.stop = func() {
@@ -119,14 +119,14 @@
 func (f *memoryFleet) countCalls(done <-chan struct{}) {
 	ticker := time.NewTicker(time.Second)
 	defer ticker.Stop()
-	before := f.source.Calls()
+	before := f.platform.Calls()
 	for {
 		select {
 		case <-done:
 			return
 		case <-ticker.C:
 		}
-		now := f.source.Calls()
+		now := f.platform.Calls()
 		f.calls.add(now - before)
 		before = now
 	}
@@ -183,7 +183,7 @@
 
 // publish writes a document and returns its version.
 func (f *memoryFleet) publish(key, document string) int64 {
-	version, err := f.source.Publish(key, json.RawMessage(document), -1)
+	version, err := f.platform.Publish(key, json.RawMessage(document), -1)
 	if err != nil {
 		f.t.Fatal(err)
 	}
