--- /dev/null
+++ b/budget/budget.go
@@ -0,0 +1,89 @@
+package budget
+
+import (
+	"sync"
+	"time"
+
+	"cardamompoint.example/cardamompoint/internal/clock"
+)
+
+const (
+	// caution is the used part of the allowance. The rest covers requests that
+	// are counted at the edge of a window.
+	caution = 0.8
+	// unknownFleet is the assumed number of VMs while no other one was heard.
+	unknownFleet = 16
+)
+
+// Budget is this VM's part of the allowance. It is safe for concurrent use.
+type Budget struct {
+	ratio  float64
+	slack  float64
+	length time.Duration
+	// members returns the number of VMs that share the allowance and whether
+	// the number is known.
+	members func() (count int, known bool)
+
+	mu       sync.Mutex
+	services map[string]*account
+}
+
+// account counts the sends of one service.
+type account struct {
+	first *window
+	again *window
+}
+
+// New returns a Budget: in each window of the given length, ratio times the
+// requests and a part of slack may be sent again.
+func New(ratio, slack float64, length time.Duration, members func() (int, bool)) *Budget {
+	return &Budget{ratio: ratio, slack: slack, length: length, members: members, services: map[string]*account{}}
+}
+
+// First counts a request for a service.
+func (b *Budget) First(service string, now clock.Boot) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.account(service).first.add(now, 1)
+}
+
+// Take reports whether a request may be sent once more, and counts it.
+func (b *Budget) Take(service string, now clock.Boot) bool {
+	allowed := b.allowance()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	account := b.account(service)
+	earned := b.ratio * account.first.sum(now)
+	if account.again.sum(now)+1 > caution*(earned+allowed) {
+		return false
+	}
+	account.again.add(now, 1)
+	return true
+}
+
+// Left returns how many further sends are allowed now.
+func (b *Budget) Left(service string, now clock.Boot) float64 {
+	allowed := b.allowance()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	account := b.account(service)
+	return caution*(b.ratio*account.first.sum(now)+allowed) - account.again.sum(now)
+}
+
+// allowance returns this VM's part of the fixed allowance.
+func (b *Budget) allowance() float64 {
+	count, known := b.members()
+	if !known {
+		count = max(count, unknownFleet)
+	}
+	return b.slack / float64(max(1, count))
+}
+
+func (b *Budget) account(service string) *account {
+	found, ok := b.services[service]
+	if !ok {
+		found = &account{first: newWindow(b.length), again: newWindow(b.length)}
+		b.services[service] = found
+	}
+	return found
+}
--- /dev/null
+++ b/choice/pick.go
@@ -0,0 +1,267 @@
+package choice
+
+import (
+	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/rank"
+	"cardamompoint.example/cardamompoint/traffic"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// defaultMultiple stands for a multiple that is not told.
+	defaultMultiple = 2.0
+	// caution is the part of the allowed excess over the mean that is used; the
+	// rest is for work that other VMs have not told of yet.
+	caution = 0.5
+	// spareRequests is added to the bound, so that a nearly idle fleet can place.
+	spareRequests = 1
+	// prefillTokensPerMS is the assumed speed at which engines read prompts.
+	prefillTokensPerMS = 50.0
+	// engineRequestMS is what one request in progress costs the next one.
+	engineRequestMS = 6.0
+	// plainRequestMS is the same at a plain service, per slot.
+	plainRequestMS = 30.0
+	// otherDomainMS is the cost of another failure domain.
+	otherDomainMS = 3.0
+	// faultMS is the cost of an endpoint that fails all requests.
+	faultMS = 2000.0
+	// faultFloor is the part of failed requests that is normal.
+	faultFloor = 0.25
+)
+
+// Reason tells why an endpoint was picked.
+type Reason string
+
+// The reasons.
+const (
+	ReasonHeld  Reason = "held"
+	ReasonRank  Reason = "rank"
+	ReasonSpill Reason = "spill"
+	ReasonLoad  Reason = "load"
+	ReasonLast  Reason = "last"
+)
+
+// Pick is a chosen endpoint with what decided.
+type Pick struct {
+	Endpoint *traffic.Endpoint
+	Reason   Reason
+	// Load is the estimated work in progress there, Mean that of the service.
+	Load int
+	Mean float64
+	// Missing is the number of shared prompt tokens not known to be there.
+	Missing int
+}
+
+// Pick chooses one of the candidates for a request; excluded ones are left out.
+// ok is false if none is left.
+func (t *Table) Pick(candidates []*traffic.Endpoint, prompt *traffic.Prompt, excluded func(id string) bool, now clock.Boot) (Pick, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := chooser{table: t, prompt: prompt, now: now}
+	c.survey(candidates, excluded)
+	if c.usable == 0 {
+		return Pick{}, false
+	}
+	return c.best(), true
+}
+
+// chooser compares the candidates of one request.
+type chooser struct {
+	table  *Table
+	prompt *traffic.Prompt
+	now    clock.Boot
+
+	options []option
+	usable  int
+	total   int
+	// known tells that some candidate holds the last shared part.
+	known bool
+	// home is the candidate that gets parts which no one holds.
+	home string
+	// floor is the least part of failed requests among the candidates.
+	floor float64
+}
+
+// option is one candidate.
+type option struct {
+	endpoint *traffic.Endpoint
+	state    *state
+	load     int
+	missing  int
+	draw     uint64
+	avoided  bool
+	excluded bool
+	faults   float64
+}
+
+func (c *chooser) survey(candidates []*traffic.Endpoint, excluded func(string) bool) {
+	c.options = make([]option, 0, len(candidates))
+	key, shared := c.sharedKey()
+	least := uint64(0)
+	c.floor = 1
+	for _, endpoint := range candidates {
+		known := c.table.state(endpoint.ID)
+		o := option{
+			endpoint: endpoint,
+			state:    known,
+			load:     known.load(c.now),
+			avoided:  c.now < known.avoidUntil,
+			excluded: excluded(endpoint.ID),
+			faults:   known.faultShare(c.now),
+		}
+		c.total += o.load
+		if shared {
+			o.draw = rank.Key(key, endpoint.ID)
+			if !o.excluded && !o.avoided && o.draw > least {
+				least, c.home = o.draw, endpoint.ID
+			}
+			o.missing = c.missing(endpoint.ID)
+			c.known = c.known || c.holdsLast(endpoint.ID)
+		}
+		if !o.excluded {
+			c.usable++
+			c.floor = min(c.floor, o.faults)
+		}
+		c.options = append(c.options, o)
+	}
+}
+
+// sharedParts are the parts before the request's own one.
+func (c *chooser) sharedParts() []traffic.Part {
+	parts := c.prompt.Parts
+	if len(parts) < 2 {
+		return parts
+	}
+	return parts[:len(parts)-1]
+}
+
+// sharedKey identifies the last shared part.
+func (c *chooser) sharedKey() (string, bool) {
+	parts := c.sharedParts()
+	if len(parts) == 0 {
+		return "", false
+	}
+	var digest [8]byte
+	last := parts[len(parts)-1].ID
+	for i := range digest {
+		digest[i] = byte(last >> (8 * i))
+	}
+	return string(digest[:]), true
+}
+
+// missing returns the shared tokens behind the first part that the endpoint is
+// not known to hold.
+func (c *chooser) missing(id string) int {
+	lacking := 0
+	for _, part := range c.sharedParts() {
+		if lacking > 0 || !c.holds(part.ID, id) {
+			lacking += part.Tokens
+		}
+	}
+	return lacking
+}
+
+func (c *chooser) holds(part uint64, id string) bool {
+	for _, at := range c.table.parts.of(part) {
+		if at.endpoint == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *chooser) holdsLast(id string) bool {
+	parts := c.sharedParts()
+	return c.holds(parts[len(parts)-1].ID, id)
+}
+
+// bound is the largest load at which an endpoint still takes a request.
+func (c *chooser) bound() float64 {
+	mean := c.mean()
+	return mean + caution*(c.table.multiple-1)*mean + spareRequests
+}
+
+func (c *chooser) mean() float64 {
+	return float64(c.total) / float64(len(c.options))
+}
+
+// best returns the cheapest candidate.
+func (c *chooser) best() Pick {
+	bound := c.bound()
+	chosen, least := -1, 0.0
+	for i := range c.options {
+		o := &c.options[i]
+		if o.excluded {
+			continue
+		}
+		cost := c.cost(o, bound)
+		if chosen < 0 || cost < least {
+			chosen, least = i, cost
+		}
+	}
+	o := &c.options[chosen]
+	return Pick{Endpoint: o.endpoint, Reason: c.reason(o, bound), Load: o.load, Mean: c.mean(), Missing: o.missing}
+}
+
+const (
+	// overBoundMS and avoidedMS put a candidate behind all others.
+	overBoundMS = 1e6
+	avoidedMS   = 1e8
+)
+
+// cost estimates the delay, in milliseconds, that a candidate causes.
+func (c *chooser) cost(o *option, bound float64) float64 {
+	cost := 0.0
+	if o.avoided {
+		cost += avoidedMS
+	}
+	if float64(o.load) > bound {
+		cost += overBoundMS + float64(o.load)*engineRequestMS
+	}
+	if excess := o.faults - c.floor; excess > faultFloor {
+		cost += excess * faultMS
+	}
+	if o.endpoint.FailureDomain != c.table.domain {
+		cost += otherDomainMS
+	}
+	if len(c.prompt.Parts) > 0 {
+		cost += float64(o.load) * engineRequestMS
+		return cost + c.readCost(o)
+	}
+	return cost + float64(o.load)*plainRequestMS/float64(max(1, o.endpoint.Slots)) + jitter(o)
+}
+
+// readCost is the time to read the shared parts that are not held. The home of
+// parts that nobody holds counts as a holder, so that all VMs agree on it.
+func (c *chooser) readCost(o *option) float64 {
+	if !c.known && o.endpoint.ID == c.home {
+		return 0
+	}
+	return float64(o.missing) / prefillTokensPerMS * readWeight
+}
+
+// readWeight makes reading again dearer than its own delay, as it also delays
+// all other requests of the engine.
+const readWeight = 4.0
+
+// jitter breaks ties between endpoints without a prompt by the number of
+// requests sent there.
+func jitter(o *option) float64 {
+	return float64(xxhash.Sum64String(o.endpoint.ID)%7)/100 + float64(o.state.sent%16)/10
+}
+
+func (c *chooser) reason(o *option, bound float64) Reason {
+	switch {
+	case o.avoided || float64(o.load) > bound:
+		return ReasonLast
+	case len(c.prompt.Parts) == 0:
+		return ReasonLoad
+	case c.known && c.holdsLast(o.endpoint.ID):
+		return ReasonHeld
+	case o.endpoint.ID == c.home:
+		return ReasonRank
+	default:
+		return ReasonSpill
+	}
+}
--- /dev/null
+++ b/choice/table.go
@@ -0,0 +1,192 @@
+package choice
+
+import (
+	"sync"
+
+	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/knowledge"
+	"cardamompoint.example/cardamompoint/news"
+	"cardamompoint.example/cardamompoint/traffic"
+)
+
+// Table keeps load, health and prompt places of all endpoints. It is safe for
+// concurrent use.
+type Table struct {
+	domain   string
+	multiple float64
+
+	mu      sync.Mutex
+	states  map[string]*state
+	parts   *holders
+	reports map[string]map[string]int
+	fresh   []news.PartPlace
+}
+
+// freshLimit bounds the part places that wait to be told to other VMs.
+const freshLimit = 64
+
+// NewTable returns a Table of a VM in the given failure domain. multiple bounds
+// the requests at one endpoint as a multiple of the mean.
+func NewTable(domain string, multiple float64) *Table {
+	if multiple <= 1 {
+		multiple = defaultMultiple
+	}
+	return &Table{
+		domain:   domain,
+		multiple: multiple,
+		states:   map[string]*state{},
+		parts:    newHolders(),
+		reports:  map[string]map[string]int{},
+	}
+}
+
+// Update takes in a new snapshot: states of endpoints that are gone and have no
+// work in progress are dropped.
+func (t *Table) Update(snapshot *knowledge.Snapshot) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, endpoint := range snapshot.Endpoints {
+		known, ok := t.states[id]
+		if ok && known.endpoint != nil && known.endpoint.Same(endpoint) {
+			known.endpoint = endpoint
+			continue
+		}
+		next := &state{endpoint: endpoint}
+		if ok {
+			next.own, next.peers = known.own, known.peers
+		}
+		t.states[id] = next
+	}
+	for id, known := range t.states {
+		if _, listed := snapshot.Endpoints[id]; !listed && known.own == 0 {
+			delete(t.states, id)
+		}
+	}
+}
+
+// state returns the state of an endpoint, which it adds if need be.
+func (t *Table) state(id string) *state {
+	known, ok := t.states[id]
+	if !ok {
+		known = &state{}
+		t.states[id] = known
+	}
+	return known
+}
+
+// Begin counts a request that is sent to the endpoint, and notes where its
+// prompt parts go. The caller must call End once.
+func (t *Table) Begin(id string, prompt *traffic.Prompt, now clock.Boot) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.state(id)
+	known.own++
+	known.sent++
+	for _, part := range prompt.Parts {
+		if t.parts.note(part.ID, id, now) && len(t.fresh) < freshLimit {
+			t.fresh = append(t.fresh, news.PartPlace{Part: part.ID, Endpoint: id})
+		}
+	}
+}
+
+// End counts a request off.
+func (t *Table) End(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if known, ok := t.states[id]; ok && known.own > 0 {
+		known.own--
+	}
+}
+
+// Told takes in what an endpoint said of its load.
+func (t *Table) Told(id string, load traffic.Load, now clock.Boot) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.state(id)
+	known.told, known.toldAt, known.sent = load, now, 0
+}
+
+// Answered notes an answer, and whether it was a failure.
+func (t *Table) Answered(id string, failed bool, now clock.Boot) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.state(id)
+	known.silent = 0
+	known.avoidUntil = 0
+	known.outcome(failed, now)
+}
+
+// Silent notes that an endpoint could not be reached or did not answer.
+func (t *Table) Silent(id string, now clock.Boot) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.state(id)
+	known.silence(now)
+	known.outcome(true, now)
+}
+
+// Avoid keeps new requests from an endpoint until the given time.
+func (t *Table) Avoid(id string, until clock.Boot) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.state(id)
+	known.avoidUntil = max(known.avoidUntil, until)
+}
+
+// Fill adds this VM's work, new part places and faults to a report.
+func (t *Table) Fill(report *news.Report, now clock.Boot) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, known := range t.states {
+		if known.own > 0 {
+			report.Work = append(report.Work, news.Work{Endpoint: id, Requests: known.own})
+		}
+		if share := decay(known.faults, now.Sub(known.faultAt)); share >= tellFaults {
+			report.Faults = append(report.Faults, news.Fault{Endpoint: id, Percent: int(share * 100)})
+		}
+	}
+	report.Parts = t.fresh
+	t.fresh = nil
+}
+
+// tellFaults is the part of failed requests from which other VMs are told.
+const tellFaults = 0.15
+
+// Receive takes in another VM's report.
+func (t *Table) Receive(report news.Report, now clock.Boot) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forget(report.Address)
+	work := make(map[string]int, len(report.Work))
+	for _, entry := range report.Work {
+		work[entry.Endpoint] = entry.Requests
+		t.state(entry.Endpoint).peers += entry.Requests
+	}
+	t.reports[report.Address] = work
+	for _, at := range report.Parts {
+		t.parts.note(at.Part, at.Endpoint, now)
+	}
+	for _, fault := range report.Faults {
+		known := t.state(fault.Endpoint)
+		share := float64(fault.Percent) / 100
+		if share >= decay(known.peerFaults, now.Sub(known.peerFaultsAt)) {
+			known.peerFaults, known.peerFaultsAt = share, now
+		}
+	}
+}
+
+// Lost forgets the work of a VM that fell silent.
+func (t *Table) Lost(address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forget(address)
+}
+
+func (t *Table) forget(address string) {
+	for id, requests := range t.reports[address] {
+		if known, ok := t.states[id]; ok {
+			known.peers = max(0, known.peers-requests)
+		}
+	}
+	delete(t.reports, address)
+}
--- /dev/null
+++ b/cmd/cardamompoint/gateway.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"io"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"k8s.io/klog/v2"
+
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/gateway"
+	"cardamompoint.example/cardamompoint/internal/daemon"
+	"cardamompoint.example/cardamompoint/internal/logsink"
+	"cardamompoint.example/cardamompoint/platform"
+)
+
+// logCloseTimeout bounds the wait for the last log lines.
+const logCloseTimeout = 300 * time.Millisecond
+
+func gatewayCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "gateway",
+		Usage: "run a gateway on a platform with a store",
+		Description: "Reads the settings file that " + platform.SettingsVariable + " names. Serves until SIGTERM:\n" +
+			"it becomes unready, takes callers for a while longer and lets requests in progress end.\n" +
+			"Structured log lines go to standard output.",
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Args().Present() {
+				return code.New(code.InvalidSettings, "gateway takes no arguments")
+			}
+			return runGateway(ctx)
+		},
+	}
+}
+
+func runGateway(ctx context.Context) error {
+	sink := logsink.New(os.Stdout)
+	if err := logTo(sink); err != nil {
+		return err
+	}
+	defer sink.Close(logCloseTimeout)
+	defer klog.Flush()
+	settings, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		return err
+	}
+	boundMemory(settings.MemoryBytes)
+	first, second, stop := daemon.Signals(ctx)
+	defer stop()
+	g, err := gateway.New(settings)
+	if err != nil {
+		return err
+	}
+	klog.InfoS("gateway: started", "node", settings.Node, "settings", settings.Checksum, "front", settings.FrontAddress, "domain", settings.FailureDomain, "seeds", settings.Seeds)
+	return g.Run(first, second)
+}
+
+// logTo sends each log line to sink, once.
+func logTo(sink io.Writer) error {
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	values := map[string]string{"logtostderr": "false", "alsologtostderr": "false", "stderrthreshold": "FATAL", "one_output": "true"}
+	for name, value := range values {
+		if err := flags.Set(name, value); err != nil {
+			return err
+		}
+	}
+	klog.SetOutput(sink)
+	return nil
+}
+
+// collectPercent is the growth of the heap at which garbage is collected.
+const collectPercent = 60
+
+// boundMemory keeps the process well below the limit of the VM.
+func boundMemory(limit int64) {
+	debug.SetGCPercent(collectPercent)
+	if limit > 0 {
+		debug.SetMemoryLimit(limit / 2)
+	}
+}
--- a/code/code.go
+++ b/code/code.go
@@ -19,6 +19,8 @@
 	InvalidTicket    Code = 108
 	UnknownStream    Code = 109
 	UnknownRequest   Code = 110
+	UnknownKey       Code = 111
+	HeaderTooLarge   Code = 112
 
 	Overloaded     Code = 201
 	WorkspaceShare Code = 202
--- a/code/table.go
+++ b/code/table.go
@@ -15,6 +15,8 @@
 	{InvalidTicket, "invalid_ticket", http.StatusBadRequest, RunNo, false, "Ask for a new ticket."},
 	{UnknownStream, "unknown_stream", http.StatusNotFound, RunUnknown, false, "Ask again with the whole request."},
 	{UnknownRequest, "unknown_request", http.StatusNotFound, RunUnknown, false, "The executor keeps no record of this request."},
+	{UnknownKey, "unknown_key", http.StatusUnauthorized, RunNo, false, "Send a key of the deployment as Authorization: Bearer KEY."},
+	{HeaderTooLarge, "header_too_large", http.StatusRequestHeaderFieldsTooLarge, RunNo, false, "Send a smaller header."},
 	{Overloaded, "overloaded", http.StatusServiceUnavailable, RunNo, true, "Come back after Retry-After."},
 	{WorkspaceShare, "workspace_share", http.StatusTooManyRequests, RunNo, true, "The workspace uses its share; come back after Retry-After."},
 	{NoEndpoint, "no_endpoint", http.StatusServiceUnavailable, RunNo, true, "No endpoint can take the work now; come back after Retry-After."},
--- /dev/null
+++ b/gateway/attempt.go
@@ -0,0 +1,227 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"cardamompoint.example/cardamompoint/choice"
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/upstream"
+)
+
+// outcome is what came of one attempt.
+type outcome struct {
+	fate fate
+	// untouched tells that no byte reached the endpoint.
+	untouched bool
+	// status is the endpoint's, 0 if it did not answer.
+	status int
+	err    error
+}
+
+// wholeAnswer is an endpoint's answer that is kept until it is decided whether
+// the caller gets it.
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// asyncBody is the size from which a request is written beside the reading of
+// the answer: an endpoint may answer before it has read a long body.
+const asyncBody = 16 << 10
+
+// exchange is one attempt at one endpoint.
+type exchange struct {
+	*call
+	pick     choice.Pick
+	conn     *upstream.Conn
+	response *http.Response
+	answer   platform.Answer
+	sending  chan error
+}
+
+// attempt sends the request to one endpoint and passes the answer on.
+func (c *call) attempt(pick choice.Pick) outcome {
+	id := pick.Endpoint.ID
+	table := c.gateway.table
+	table.Begin(id, &c.request.Prompt, clock.Now())
+	defer table.End(id)
+	x := &exchange{call: c, pick: pick}
+	conn, err := c.gateway.pool.Get(c.r.Context(), id, pick.Endpoint.Address)
+	if err != nil {
+		if c.r.Context().Err() == nil {
+			table.Silent(id, clock.Now())
+		}
+		return x.failed(outcome{fate: fateNotRun, untouched: true, err: err})
+	}
+	x.conn = conn
+	abandon := context.AfterFunc(c.r.Context(), conn.Close)
+	came := x.exchange()
+	whole := came.fate == fateDone || came.fate == fateNotRun || c.held != nil && came.fate == fateFailed && came.status != 0
+	if abandon() && whole && x.sent() && conn.Finish(x.response, x.answer) {
+		c.gateway.pool.Put(conn)
+		return came
+	}
+	conn.Close()
+	return came
+}
+
+// exchange sends the request and handles the answer.
+func (x *exchange) exchange() outcome {
+	if err := x.checkLease(); err != nil {
+		return outcome{fate: fateNotRun, untouched: true, err: err}
+	}
+	if came, ok := x.send(); !ok {
+		return came
+	}
+	x.expire(x.patience())
+	response, answer, err := x.conn.ReadAnswer(x.r.Method, x.request.ID)
+	if err != nil {
+		return x.broken(err)
+	}
+	x.response, x.answer = response, answer
+	if answer.HasLoad {
+		x.gateway.table.Told(x.pick.Endpoint.ID, answer.Load, clock.Now())
+	}
+	return x.handle()
+}
+
+// send writes the request. ok is false if that failed.
+func (x *exchange) send() (came outcome, ok bool) {
+	left, bounded := x.left()
+	if bounded && left <= 0 {
+		return outcome{fate: fateLate}, false
+	}
+	message := platform.Send{
+		Method:    x.r.Method,
+		Target:    x.r.RequestURI,
+		Host:      x.r.Host,
+		Header:    x.r.Header,
+		BodyBytes: len(x.body),
+		HasBody:   x.body != nil || x.r.ContentLength == 0 && x.r.Method != http.MethodGet,
+		Instance:  x.pick.Endpoint.ID,
+		Left:      left,
+		Priority:  x.priority(),
+		LastEvent: x.lastEvent,
+	}
+	if x.grant.workspace != nil {
+		message.Workspace = x.grant.workspace.Name
+	}
+	raw := append(message.AppendHead(make([]byte, 0, 1024+len(x.body))), x.body...)
+	x.expire(0)
+	if len(raw) > asyncBody {
+		x.sending = make(chan error, 1)
+		go func(conn *upstream.Conn) {
+			_, err := conn.Send(raw)
+			x.sending <- err
+		}(x.conn)
+		return outcome{}, true
+	}
+	sent, err := x.conn.Send(raw)
+	if err == nil {
+		return outcome{}, true
+	}
+	if !sent {
+		return x.failed(outcome{fate: fateNotRun, untouched: true, err: err}), false
+	}
+	return x.broken(err), false
+}
+
+// sent reports whether the whole request was written.
+func (x *exchange) sent() bool {
+	if x.sending == nil {
+		return true
+	}
+	select {
+	case err := <-x.sending:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// expire bounds the wait for the next piece by patience and by the caller's time.
+func (x *exchange) expire(patience time.Duration) {
+	left, bounded := x.left()
+	wait := patience
+	if bounded && (wait <= 0 || left < wait) {
+		wait = max(left, time.Millisecond)
+	}
+	deadline := time.Time{}
+	if wait > 0 {
+		deadline = time.Now().Add(wait)
+	}
+	if err := x.conn.Expire(deadline); err != nil {
+		x.detail = "the connection was closed meanwhile"
+	}
+}
+
+// broken tells what a failed exchange means: the request may have run.
+func (x *exchange) broken(err error) outcome {
+	if x.r.Context().Err() != nil {
+		return outcome{fate: fateGone, err: err}
+	}
+	if left, bounded := x.left(); bounded && left <= 0 {
+		x.gateway.table.Answered(x.pick.Endpoint.ID, true, clock.Now())
+		return outcome{fate: fateLate, err: err}
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		x.gateway.table.Silent(x.pick.Endpoint.ID, clock.Now())
+	} else {
+		x.gateway.table.Answered(x.pick.Endpoint.ID, true, clock.Now())
+	}
+	return outcome{fate: fateFailed, err: err}
+}
+
+func (x *exchange) failed(came outcome) outcome {
+	if x.r.Context().Err() != nil {
+		came.fate = fateGone
+	}
+	return came
+}
+
+// handle passes the answer on, or keeps it if another endpoint may do better.
+func (x *exchange) handle() outcome {
+	now := clock.Now()
+	id := x.pick.Endpoint.ID
+	switch {
+	case x.answer.NotRun:
+		if x.answer.WrongInstance {
+			x.gateway.table.Avoid(id, now.Add(longAvoid))
+		}
+		err := x.dropBody()
+		x.gateway.table.Answered(id, true, now)
+		return outcome{fate: fateNotRun, status: x.answer.Status, err: statusError(x.answer.Status, err)}
+	case x.answer.Status < http.StatusMultipleChoices && (!x.answer.Sealed || x.answer.Encoded):
+		return x.broken(code.New(code.EndpointFault, "the answer is not sealed"))
+	case x.answer.Status < http.StatusMultipleChoices && x.grant.route.Stream:
+		return x.passStream()
+	default:
+		return x.passWhole()
+	}
+}
+
+// longAvoid is how long an address that another endpoint has is left alone.
+const longAvoid = 5 * time.Second
+
+func statusError(status int, err error) error {
+	if err != nil {
+		return err
+	}
+	return code.New(code.EndpointFault, "the endpoint answered with status %d", status)
+}
+
+// dropLimit bounds the body of a refusal that is read to keep the connection.
+const dropLimit = 16 << 10
+
+func (x *exchange) dropBody() error {
+	_, err := io.Copy(io.Discard, io.LimitReader(x.response.Body, dropLimit))
+	return err
+}
--- /dev/null
+++ b/gateway/caller.go
@@ -0,0 +1,196 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/knowledge"
+	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/traffic"
+)
+
+const (
+	// leaseMargin is kept to the end of the key lease.
+	leaseMargin = 150 * time.Millisecond
+	// comeBackSoon, comeBackStale and comeBackLoad are when a refused caller
+	// should ask again: at another VM, or when there may be room.
+	comeBackSoon  = 100 * time.Millisecond
+	comeBackStale = 500 * time.Millisecond
+	// defaultBodyLimit bounds a body while the configuration tells no limit.
+	defaultBodyLimit = 4 << 20
+)
+
+// serveCaller serves one request of a caller.
+func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	c := &call{gateway: g, w: w, r: r, arrived: clock.Now()}
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	defer c.log()
+	if err := c.prepare(); err != nil {
+		c.refuse(err)
+		return
+	}
+	c.run()
+}
+
+// call is one request of a caller.
+type call struct {
+	gateway *Gateway
+	w       http.ResponseWriter
+	r       *http.Request
+	arrived clock.Boot
+
+	request traffic.Request
+	body    []byte
+	grant   grant
+
+	// total is how long the caller is kept waiting at most; 0 means no bound.
+	total time.Duration
+	tried []string
+	// sends counts the endpoints that were sent the request, runs those that may
+	// have run it.
+	sends int
+	runs  int
+	// held is the last failure that an endpoint answered.
+	held *wholeAnswer
+	// streaming tells that the answer's header is out, lastEvent the last event.
+	streaming bool
+	lastEvent string
+
+	result code.Code
+	status int
+	notes  []attemptNote
+	detail string
+}
+
+// grant is what a configuration allows a request.
+type grant struct {
+	version   int64
+	route     *traffic.Route
+	workspace *traffic.Workspace
+	service   string
+}
+
+// prepare reads the request and finds what the configuration allows.
+func (c *call) prepare() error {
+	request, err := platform.DecodeRequest(c.r.Header)
+	c.request = request
+	if err != nil {
+		return err
+	}
+	c.lastEvent = request.LastEvent
+	snapshot := c.gateway.tracker.Snapshot()
+	if err := c.authorize(snapshot); err != nil {
+		return err
+	}
+	if err := c.readBody(snapshot.Configuration.Limits.BodyBytes); err != nil {
+		return err
+	}
+	c.total = c.grant.route.Timeout
+	if budget := request.Budget; budget > 0 && (c.total <= 0 || budget < c.total) {
+		c.total = budget
+	}
+	return nil
+}
+
+// authorize finds the route and the workspace in a snapshot. A refusal that
+// newer knowledge could turn over is only made on fresh knowledge.
+func (c *call) authorize(snapshot *knowledge.Snapshot) error {
+	configuration := snapshot.Configuration
+	if configuration == nil {
+		return code.New(code.NotReady, "no configuration is known yet").After(comeBackStale)
+	}
+	if c.grant.version == configuration.Version {
+		return c.checkLease()
+	}
+	route := configuration.Match(c.r.Host, c.r.URL.EscapedPath())
+	if route == nil {
+		return c.definite(code.New(code.UnknownRoute, "no route has this host and path"))
+	}
+	next := grant{version: configuration.Version, route: route}
+	if configuration.HasWorkspaces && !route.Public {
+		next.workspace = configuration.Workspaces[c.request.Key]
+		if next.workspace == nil {
+			return c.definite(code.New(code.UnknownKey, "the key is not known"))
+		}
+	}
+	next.service = route.Pick(c.hash())
+	if c.grant.service != "" && route.Allows(c.grant.service) {
+		next.service = c.grant.service
+	}
+	c.grant = next
+	return c.checkLease()
+}
+
+// definite returns err if the knowledge is fresh, and otherwise a refusal that
+// lets the caller come back.
+func (c *call) definite(err *code.Error) error {
+	within := c.gateway.settings.Bounds.ConfigWithin
+	if age := c.gateway.tracker.Age(clock.Now()); within > 0 && age > within+within/2 {
+		return code.New(code.ViewStale, "the configuration was confirmed %v ago", age.Round(time.Millisecond)).After(comeBackStale)
+	}
+	return err
+}
+
+// checkLease refuses requests with a key when a newer configuration could have
+// revoked it.
+func (c *call) checkLease() error {
+	bounds := &c.gateway.settings.Bounds
+	if c.grant.workspace == nil || !bounds.StrictRevoke || bounds.KeyLease <= 0 {
+		return nil
+	}
+	age := c.gateway.tracker.Age(clock.Now())
+	if age < bounds.KeyLease-leaseMargin {
+		return nil
+	}
+	return code.New(code.ViewStale, "keys can't be checked, the configuration was confirmed %v ago", age.Round(time.Millisecond)).After(comeBackStale)
+}
+
+// readBody reads the whole body, so that it can be sent more than once.
+func (c *call) readBody(limit int64) error {
+	if limit <= 0 {
+		limit = defaultBodyLimit
+	}
+	if c.r.ContentLength > limit {
+		return code.New(code.BodyTooLarge, "the body is longer than %d bytes", limit)
+	}
+	if c.r.ContentLength == 0 || c.r.Body == nil || c.r.Body == http.NoBody {
+		return nil
+	}
+	body, err := readAll(http.MaxBytesReader(c.w, c.r.Body, limit), c.r.ContentLength)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return code.New(code.BodyTooLarge, "the body is longer than %d bytes", limit)
+	}
+	if err != nil {
+		return code.Wrap(err, code.Canceled, "the body broke off")
+	}
+	c.body = body
+	return nil
+}
+
+// readAll reads source to its end; size is its expected size, or negative.
+func readAll(source io.Reader, size int64) ([]byte, error) {
+	if size < 0 {
+		return io.ReadAll(source)
+	}
+	body := make([]byte, size)
+	_, err := io.ReadFull(source, body)
+	return body, err
+}
+
+// left returns how much of the caller's time is left; bounded is false if there
+// is no limit.
+func (c *call) left() (left time.Duration, bounded bool) {
+	if c.total <= 0 {
+		return 0, false
+	}
+	return c.total - clock.Now().Sub(c.arrived), true
+}
--- /dev/null
+++ b/gateway/control.go
@@ -0,0 +1,40 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+)
+
+// knowledgePath is where a VM tells others what it knows.
+const knowledgePath = "/v1/knowledge"
+
+func (g *Gateway) controlMux() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+knowledgePath, g.serveKnowledge)
+	return mux
+}
+
+// peerAddress is where other VMs reach this one. The port is the same on all.
+func (g *Gateway) peerAddress() string {
+	return net.JoinHostPort(g.settings.IP, strconv.Itoa(g.settings.FirstPeerPort))
+}
+
+func (g *Gateway) serveKnowledge(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	incarnation, err := strconv.ParseInt(query.Get("incarnation"), 10, 64)
+	if err != nil {
+		jsonhttp.WriteError(w, code.New(code.InvalidParameter, "incarnation is not a number"))
+		return
+	}
+	from, err := strconv.ParseInt(query.Get("from"), 10, 64)
+	if err != nil {
+		jsonhttp.WriteError(w, code.New(code.InvalidParameter, "from is not a number"))
+		return
+	}
+	jsonhttp.Write(w, g.tracker.Share(g.incarnation, incarnation, from, clock.Now()))
+}
--- /dev/null
+++ b/gateway/finish.go
@@ -0,0 +1,127 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"cardamompoint.example/cardamompoint/choice"
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+	"cardamompoint.example/cardamompoint/platform"
+)
+
+// finish ends a call that has no success: with the failure that an endpoint
+// answered, with an own refusal, or by breaking the answer off.
+func (c *call) finish(err error) {
+	coded := code.Of(err)
+	c.result = coded.Code
+	c.detail = coded.Message
+	if coded.Code == code.Canceled {
+		return
+	}
+	if c.streaming {
+		// The caller must see that the answer is not whole.
+		panic(http.ErrAbortHandler)
+	}
+	if c.held != nil {
+		c.deliver(c.held)
+		return
+	}
+	c.refuse(c.final(coded))
+}
+
+// final turns the reason that ended a call into what the caller is told: not run
+// only if no endpoint may have run the request.
+func (c *call) final(coded *code.Error) *code.Error {
+	info := code.Describe(coded.Code)
+	if c.runs > 0 && info.Run == code.RunNo {
+		return code.New(code.OutcomeUnknown, "%s", coded.Message)
+	}
+	if c.runs == 0 && coded.Code == code.EndpointFault {
+		return code.New(code.NoEndpoint, "%s", coded.Message).After(comeBackSoon)
+	}
+	if c.runs == 0 && coded.Code == code.RetryBudget {
+		return coded.After(comeBackSoon)
+	}
+	return coded
+}
+
+// refuse answers with a numbered error.
+func (c *call) refuse(err error) {
+	coded := code.Of(err)
+	c.result, c.detail = coded.Code, coded.Message
+	if coded.Code == code.Canceled {
+		panic(http.ErrAbortHandler)
+	}
+	coded.RequestID = c.request.ID
+	raw, failed := json.Marshal(jsonhttp.ErrorBody{Error: coded})
+	if failed != nil {
+		klog.ErrorS(failed, "route: an error can't be encoded")
+	}
+	c.status = code.Describe(coded.Code).Status
+	platform.SetOwnAnswer(c.w.Header(), c.request.ID, time.Duration(coded.RetryAfterMS)*time.Millisecond)
+	c.w.Header().Set("Content-Type", "application/json")
+	c.setLength(len(raw))
+	c.w.WriteHeader(c.status)
+	if _, err := c.w.Write(raw); err != nil {
+		c.detail = "the caller did not take the answer"
+	}
+}
+
+func (c *call) setLength(size int) {
+	c.w.Header().Set("Content-Length", strconv.Itoa(size))
+}
+
+// attemptNote is what a log line tells of one attempt.
+type attemptNote struct {
+	Endpoint string        `json:"endpoint"`
+	Reason   choice.Reason `json:"reason"`
+	Load     int           `json:"load"`
+	Mean     float64       `json:"mean"`
+	Missing  int           `json:"missing,omitempty"`
+	Status   int           `json:"status,omitempty"`
+	TookMS   int64         `json:"took_ms"`
+	Fault    string        `json:"fault,omitempty"`
+}
+
+func (c *call) note(pick choice.Pick, came outcome, took time.Duration) {
+	note := attemptNote{
+		Endpoint: pick.Endpoint.ID,
+		Reason:   pick.Reason,
+		Load:     pick.Load,
+		Mean:     pick.Mean,
+		Missing:  pick.Missing,
+		Status:   came.status,
+		TookMS:   took.Milliseconds(),
+	}
+	if came.err != nil {
+		note.Fault = came.err.Error()
+	}
+	c.notes = append(c.notes, note)
+}
+
+// log writes one line for the call.
+func (c *call) log() {
+	took := clock.Now().Sub(c.arrived).Milliseconds()
+	route, workspace := "", ""
+	if c.grant.route != nil {
+		route = c.grant.route.Name
+	}
+	if c.grant.workspace != nil {
+		workspace = c.grant.workspace.Name
+	}
+	age := c.gateway.tracker.Age(clock.Now()).Milliseconds()
+	fields := []any{"request", c.request.ID, "code", int(c.result), "status", c.status, "took_ms", took,
+		"route", route, "workspace", workspace, "service", c.grant.service, "version", c.grant.version, "age_ms", age,
+		"attempts", c.notes}
+	if c.result == code.OK {
+		klog.InfoS("route: served", fields...)
+		return
+	}
+	klog.ErrorS(nil, "route: not served", append(fields, "detail", c.detail)...)
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,134 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"cardamompoint.example/cardamompoint/budget"
+	"cardamompoint.example/cardamompoint/choice"
+	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/knowledge"
+	"cardamompoint.example/cardamompoint/news"
+	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/traffic"
+	"cardamompoint.example/cardamompoint/upstream"
+)
+
+// Gateway serves callers on one VM.
+type Gateway struct {
+	settings *traffic.Settings
+	tracker  *knowledge.Tracker
+	table    *choice.Table
+	members  *news.Table
+	budget   *budget.Budget
+	pool     *upstream.Pool
+	peers    *peerClient
+	exchange *news.Exchange
+
+	incarnation int64
+	stopping    atomic.Bool
+	active      atomic.Int64
+}
+
+// New returns a Gateway that does not run yet.
+func New(settings *traffic.Settings) (*Gateway, error) {
+	g := &Gateway{
+		settings:    settings,
+		incarnation: time.Now().UnixNano(),
+		pool:        upstream.NewPool(),
+		table:       choice.NewTable(settings.FailureDomain, settings.Bounds.LoadMultiple),
+	}
+	g.tracker = knowledge.NewTracker(g.table.Update)
+	g.members = news.NewTable(settings.IP, seedIPs(settings.Seeds))
+	g.budget = budget.New(settings.Bounds.RetryRatio, settings.Bounds.RetrySlack, settings.Bounds.RetryWindow, g.countMembers)
+	g.peers = newPeerClient(g.members, settings.FirstPeerPort)
+	return g, g.openExchange()
+}
+
+// seedIPs returns the IP numbers of control addresses.
+func seedIPs(seeds []string) []string {
+	var ips []string
+	for _, seed := range seeds {
+		at, err := netip.ParseAddrPort(seed)
+		if err != nil {
+			klog.ErrorS(err, "member: a seed is not an address", "seed", seed)
+			continue
+		}
+		ips = append(ips, at.Addr().String())
+	}
+	return ips
+}
+
+func (g *Gateway) openExchange() error {
+	address := &net.UDPAddr{IP: net.ParseIP(g.settings.IP), Port: g.settings.FirstPeerPort}
+	conn, err := net.ListenUDP("udp4", address)
+	if err != nil {
+		return eris.Wrap(err, "the port for reports can't be used")
+	}
+	g.exchange = news.NewExchange(news.ExchangeOptions{
+		Table:    g.members,
+		Conn:     conn,
+		Identity: news.Report{Address: g.settings.IP, Incarnation: g.incarnation, FailureDomain: g.settings.FailureDomain},
+		Fill:     g.fillReport,
+		Received: g.table.Receive,
+		Lost:     g.table.Lost,
+	})
+	return nil
+}
+
+func (g *Gateway) countMembers() (int, bool) {
+	return g.members.Count(clock.Now())
+}
+
+func (g *Gateway) fillReport(report *news.Report) {
+	now := clock.Now()
+	report.Leaving = g.stopping.Load()
+	report.AgeMS = -1
+	if at, ok := g.tracker.Confirmed(); ok {
+		report.AgeMS = now.Sub(at).Milliseconds()
+	}
+	if configuration := g.tracker.Snapshot().Configuration; configuration != nil {
+		report.Version = configuration.Version
+	}
+	g.table.Fill(report, now)
+}
+
+// Run serves until stop ends and the requests in progress have ended, or until
+// kill ends.
+func (g *Gateway) Run(stop, kill context.Context) error {
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go knowledge.NewReader(platform.NewStore(g.settings.StoreAddress), g.tracker).Run(background)
+	go knowledge.NewPeerReader(g.peers, g.tracker).Run(background)
+	go g.exchange.Send(background)
+	go g.exchange.Receive(background)
+	go g.keepConnections(background)
+	return g.serve(stop, kill)
+}
+
+// poolCheckPeriod is how often idle connections are looked through.
+const poolCheckPeriod = 500 * time.Millisecond
+
+// keepConnections closes idle connections to endpoints that are gone.
+func (g *Gateway) keepConnections(ctx context.Context) {
+	ticker := time.NewTicker(poolCheckPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		snapshot := g.tracker.Snapshot()
+		g.pool.Keep(func(key string) bool {
+			_, listed := snapshot.Endpoints[key]
+			return listed
+		})
+	}
+}
--- /dev/null
+++ b/gateway/readiness.go
@@ -0,0 +1,38 @@
+package gateway
+
+import (
+	"net/http"
+
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/platform"
+)
+
+const readinessPattern = "GET " + platform.ReadinessPath
+
+// errCut tells that a shutdown cut requests in progress.
+var errCut = code.New(code.Draining, "requests in progress were cut")
+
+// readyPart is the part of the key lease up to which a VM counts as ready.
+const readyPart = 0.6
+
+func (g *Gateway) serveReadiness(w http.ResponseWriter, _ *http.Request) {
+	if !g.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// ready reports whether the balancer should send callers here.
+func (g *Gateway) ready() bool {
+	if g.stopping.Load() || g.tracker.Snapshot().Configuration == nil {
+		return false
+	}
+	lease := g.settings.Bounds.KeyLease
+	if !g.settings.Bounds.StrictRevoke || lease <= 0 {
+		return true
+	}
+	age := g.tracker.Age(clock.Now())
+	return float64(age) < readyPart*float64(lease)
+}
--- /dev/null
+++ b/gateway/serve.go
@@ -0,0 +1,135 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+)
+
+const (
+	// lingerTime is how long new callers are still taken after SIGTERM: the
+	// balancer notices after its second question without a 200.
+	lingerTime = 2600 * time.Millisecond
+	// graceMargin is kept to the time at which the process is killed.
+	graceMargin = 500 * time.Millisecond
+	// defaultGrace stands for a grace time that is not told.
+	defaultGrace = 8 * time.Second
+	// headerTimeout bounds the time that a caller takes to send a header.
+	headerTimeout = 5 * time.Second
+	// idleTimeout bounds the time between two requests of a caller.
+	idleTimeout = 60 * time.Second
+	// headerLimit bounds a caller's header, in bytes.
+	headerLimit = 16 << 10
+)
+
+// listener is one address with its server.
+type listener struct {
+	name   string
+	net    net.Listener
+	server *http.Server
+}
+
+// serve opens the addresses and serves them until the process is to end.
+func (g *Gateway) serve(stop, kill context.Context) error {
+	listeners, err := g.listen()
+	if err != nil {
+		return err
+	}
+	failed := make(chan error, len(listeners))
+	for _, l := range listeners {
+		go func() { failed <- l.server.Serve(l.net) }()
+	}
+	select {
+	case err := <-failed:
+		return eris.Wrap(err, "a server failed")
+	case <-stop.Done():
+	}
+	return g.shutDown(listeners, kill)
+}
+
+func (g *Gateway) listen() ([]listener, error) {
+	ready := http.NewServeMux()
+	ready.HandleFunc(readinessPattern, g.serveReadiness)
+	control := g.controlMux()
+	addresses := []struct {
+		name    string
+		address string
+		handler http.Handler
+	}{
+		{"front", g.settings.FrontAddress, http.HandlerFunc(g.serveCaller)},
+		{"ready", g.settings.ReadyAddress, ready},
+		{"control", g.settings.ControlAddress, control},
+		{"peer", g.peerAddress(), control},
+	}
+	var listeners []listener
+	for _, at := range addresses {
+		if at.address == "" {
+			continue
+		}
+		l, err := net.Listen("tcp", at.address)
+		if err != nil {
+			return nil, eris.Wrapf(err, "the %s address can't be used", at.name)
+		}
+		listeners = append(listeners, listener{at.name, l, newServer(at.handler)})
+	}
+	return listeners, nil
+}
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    headerLimit,
+		ErrorLog:          log.New(io.Discard, "", 0),
+	}
+}
+
+// shutDown lets the requests in progress end.
+func (g *Gateway) shutDown(listeners []listener, kill context.Context) error {
+	g.stopping.Store(true)
+	began := time.Now()
+	klog.InfoS("gateway: stopping", "active", g.active.Load())
+	grace := g.settings.Bounds.Grace
+	if grace <= 0 {
+		grace = defaultGrace
+	}
+	wait(kill, lingerTime)
+	ctx, cancel := context.WithTimeout(kill, grace-graceMargin-time.Since(began))
+	defer cancel()
+	cut := false
+	for _, l := range listeners {
+		if l.name != "front" {
+			continue
+		}
+		if err := l.server.Shutdown(ctx); errors.Is(err, context.DeadlineExceeded) {
+			cut = true
+		}
+	}
+	klog.InfoS("gateway: stopped", "took_ms", time.Since(began).Milliseconds(), "cut", g.active.Load())
+	for _, l := range listeners {
+		if err := l.server.Close(); err != nil {
+			klog.V(1).InfoS("gateway: a server was not closed", "server", l.name, "reason", err.Error())
+		}
+	}
+	if cut {
+		return errCut
+	}
+	return nil
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/knowledge/reader.go
@@ -0,0 +1,168 @@
+package knowledge
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/platform"
+)
+
+// Store reads the published items. Errors are as those of platform.Store.
+type Store interface {
+	Range(ctx context.Context, prefix, after string) (platform.Page, error)
+	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (platform.Changes, error)
+	Reset()
+}
+
+const (
+	// watchWait is how long a watch waits. A waiting watch confirms nothing, so
+	// it bounds the age of the knowledge.
+	watchWait = 1200 * time.Millisecond
+	// callTimeout bounds a call beyond its wait.
+	callTimeout = 700 * time.Millisecond
+	// readTimeout bounds a call of a whole read.
+	readTimeout = 2 * time.Second
+	// retryPause and longestRetryPause bound the pause between failed calls.
+	retryPause        = 150 * time.Millisecond
+	longestRetryPause = 800 * time.Millisecond
+)
+
+// Reader feeds a Tracker from the store.
+type Reader struct {
+	store   Store
+	tracker *Tracker
+	// revision is where the next watch begins; 0 asks for a whole read.
+	revision int64
+	lostAt   clock.Boot
+	pause    time.Duration
+}
+
+// NewReader returns a Reader for the tracker.
+func NewReader(store Store, tracker *Tracker) *Reader {
+	return &Reader{store: store, tracker: tracker}
+}
+
+// Run reads until ctx ends.
+func (r *Reader) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := r.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			r.regained()
+			continue
+		}
+		r.failed(err)
+		sleep(ctx, r.pause)
+	}
+}
+
+// step makes one whole read or one watch.
+func (r *Reader) step(ctx context.Context) error {
+	if r.revision == 0 {
+		return r.readAll(ctx)
+	}
+	return r.watch(ctx)
+}
+
+func (r *Reader) regained() {
+	r.pause = 0
+	if r.lostAt == 0 {
+		return
+	}
+	now := clock.Now()
+	klog.InfoS("config: the store serves again", "lost_ms", now.Sub(r.lostAt).Milliseconds())
+	r.lostAt = 0
+	r.tracker.StoreBack(now)
+}
+
+func (r *Reader) failed(err error) {
+	r.pause = min(max(retryPause, 2*r.pause), longestRetryPause)
+	if code.Is(err, code.SnapshotTooOld) {
+		klog.InfoS("config: the store dropped its history, everything is read anew", "revision", r.revision)
+		r.revision = 0
+		r.pause = time.Millisecond
+		return
+	}
+	r.store.Reset()
+	if r.lostAt != 0 {
+		return
+	}
+	r.lostAt = clock.Now()
+	r.tracker.StoreAway()
+	klog.InfoS("config: the store is lost", "reason", err.Error(), "age_ms", r.tracker.Age(r.lostAt).Milliseconds())
+}
+
+// readAll reads all items. The pages are not a snapshot, so the next watch
+// begins at the first page's revision.
+func (r *Reader) readAll(ctx context.Context) error {
+	asked := clock.Now()
+	items, first, err := r.readPrefix(ctx, platform.ConfigurationKey)
+	if err != nil {
+		return err
+	}
+	endpoints, _, err := r.readPrefix(ctx, platform.EndpointPrefix)
+	if err != nil {
+		return err
+	}
+	r.regained()
+	r.tracker.Apply(Update{Items: append(items, endpoints...), Whole: true, Revision: first, Confirmed: asked}, clock.Now())
+	r.revision = first
+	klog.InfoS("config: everything was read", "revision", first, "items", len(items)+len(endpoints))
+	return nil
+}
+
+// readPrefix returns all items under prefix and the revision of the first page.
+func (r *Reader) readPrefix(ctx context.Context, prefix string) ([]platform.Item, int64, error) {
+	var items []platform.Item
+	first, after := int64(0), ""
+	for {
+		page, err := r.readPage(ctx, prefix, after)
+		if err != nil {
+			return nil, 0, err
+		}
+		if first == 0 {
+			first = page.Revision
+		}
+		items = append(items, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			return items, first, nil
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+}
+
+func (r *Reader) readPage(ctx context.Context, prefix, after string) (platform.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return r.store.Range(ctx, prefix, after)
+}
+
+func (r *Reader) watch(ctx context.Context) error {
+	call, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+	defer cancel()
+	asked := clock.Now()
+	changes, err := r.store.Watch(call, "", r.revision, watchWait)
+	if err != nil {
+		return err
+	}
+	r.regained()
+	r.tracker.Apply(Update{Items: changes.Items, Revision: changes.Revision, Confirmed: asked}, clock.Now())
+	r.revision = max(r.revision, changes.Revision)
+	return nil
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/knowledge/tracker.go
@@ -0,0 +1,281 @@
+package knowledge
+
+import (
+	"sort"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/traffic"
+)
+
+const (
+	// HoldAfterReturn is how long endpoints whose entries lapsed while the store
+	// was away are kept after its return.
+	HoldAfterReturn = 1900 * time.Millisecond
+	// tombstoneLimit bounds the remembered revisions of deleted entries.
+	tombstoneLimit = 4096
+)
+
+// Tracker holds the newest knowledge. It is safe for concurrent use; reading a
+// snapshot takes no lock.
+type Tracker struct {
+	snapshot  atomic.Pointer[Snapshot]
+	confirmed atomic.Int64
+
+	mu            sync.Mutex
+	configuration *traffic.Configuration
+	raw           platform.Item
+	endpoints     map[string]*traffic.Endpoint
+	entries       map[string]platform.Item
+	tombstones    map[string]int64
+	revision      int64
+	held          map[string]int64
+	away          bool
+	holdUntil     clock.Boot
+	feed          *feed
+	changed       func(*Snapshot)
+}
+
+// NewTracker returns a Tracker that knows nothing. changed, which may be nil, is
+// called with each new snapshot, one call at a time; it must not block.
+func NewTracker(changed func(*Snapshot)) *Tracker {
+	if changed == nil {
+		changed = func(*Snapshot) {}
+	}
+	t := &Tracker{
+		endpoints:  map[string]*traffic.Endpoint{},
+		entries:    map[string]platform.Item{},
+		tombstones: map[string]int64{},
+		held:       map[string]int64{},
+		feed:       newFeed(),
+		changed:    changed,
+	}
+	t.snapshot.Store(&Snapshot{})
+	return t
+}
+
+// Snapshot returns the newest snapshot.
+func (t *Tracker) Snapshot() *Snapshot {
+	return t.snapshot.Load()
+}
+
+// Confirmed returns when the knowledge was last known to be current; ok is
+// false if it never was.
+func (t *Tracker) Confirmed() (at clock.Boot, ok bool) {
+	at = clock.Boot(t.confirmed.Load())
+	return at, at != 0
+}
+
+// Age returns how old the knowledge may be at now. Without any it is the
+// longest time.
+func (t *Tracker) Age(now clock.Boot) time.Duration {
+	at, ok := t.Confirmed()
+	if !ok {
+		return time.Duration(1<<63 - 1)
+	}
+	return now.Sub(at)
+}
+
+// Update is a set of items that brings the knowledge up to a revision.
+type Update struct {
+	Items []platform.Item
+	// Whole tells that Items are all that exists, not just changes.
+	Whole bool
+	// Revision is the store's revision that the items reach.
+	Revision int64
+	// Confirmed is a time at which everything up to then is in the items.
+	Confirmed clock.Boot
+	// Decided tells that another VM has already decided about lapsed entries.
+	Decided bool
+}
+
+// Apply takes in an update. Items that are older than what is known are left out.
+func (t *Tracker) Apply(update Update, now clock.Boot) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before := t.revision
+	changed := t.applyItems(update, now)
+	if update.Whole {
+		changed = t.dropUnlisted(update, now) || changed
+	}
+	t.revision = max(t.revision, update.Revision)
+	if update.Revision >= before && int64(update.Confirmed) > t.confirmed.Load() {
+		t.confirmed.Store(int64(update.Confirmed))
+	}
+	if changed || t.snapshot.Load().Revision == 0 {
+		t.publish()
+	}
+}
+
+func (t *Tracker) applyItems(update Update, now clock.Boot) bool {
+	changed := false
+	for _, item := range update.Items {
+		switch {
+		case item.Key == platform.ConfigurationKey:
+			changed = t.applyConfiguration(item) || changed
+		case strings.HasPrefix(item.Key, platform.EndpointPrefix):
+			changed = t.applyEndpoint(item, update.Decided, now) || changed
+		}
+	}
+	return changed
+}
+
+func (t *Tracker) applyConfiguration(item platform.Item) bool {
+	if item.Deleted || item.Revision <= t.raw.Revision {
+		return false
+	}
+	configuration, err := platform.DecodeConfiguration(item.Value)
+	if err != nil {
+		klog.ErrorS(err, "config: an item can't be used", "revision", item.Revision)
+		return false
+	}
+	if t.configuration != nil && configuration.Version <= t.configuration.Version {
+		return false
+	}
+	t.configuration = configuration
+	t.raw = item
+	t.feed.add(item)
+	klog.InfoS("config: a version is in force", "version", configuration.Version, "revision", item.Revision, "routes", len(configuration.Routes))
+	return true
+}
+
+// known returns the newest revision that was seen of a key.
+func (t *Tracker) known(key string) int64 {
+	return max(t.entries[key].Revision, t.tombstones[key])
+}
+
+func (t *Tracker) applyEndpoint(item platform.Item, decided bool, now clock.Boot) bool {
+	if item.Revision <= t.known(item.Key) {
+		return false
+	}
+	if item.Deleted {
+		return t.applyDeletion(item, decided, now)
+	}
+	delete(t.held, item.Key)
+	delete(t.tombstones, item.Key)
+	t.entries[item.Key] = item
+	t.feed.add(item)
+	endpoint, err := platform.DecodeEndpoint(item)
+	if err != nil {
+		klog.ErrorS(err, "config: an entry names no endpoint", "key", item.Key, "revision", item.Revision)
+		_, had := t.endpoints[item.Key]
+		delete(t.endpoints, item.Key)
+		return had
+	}
+	t.noteEndpoint(t.endpoints[item.Key], endpoint)
+	t.endpoints[item.Key] = endpoint
+	return true
+}
+
+func (t *Tracker) noteEndpoint(before, after *traffic.Endpoint) {
+	if before == nil || !before.Same(after) || before.Draining != after.Draining {
+		klog.InfoS("config: endpoint", "endpoint", after.ID, "address", after.Address, "service", after.Service,
+			"draining", after.Draining, "revision", after.Revision)
+	}
+}
+
+// applyDeletion drops an endpoint, or holds it if the store was away.
+func (t *Tracker) applyDeletion(item platform.Item, decided bool, now clock.Boot) bool {
+	if _, ok := t.entries[item.Key]; !ok {
+		t.bury(item.Key, item.Revision)
+		return false
+	}
+	if !decided && (t.away || now < t.holdUntil) {
+		t.held[item.Key] = item.Revision
+		klog.InfoS("config: a lapsed endpoint is held", "key", item.Key, "revision", item.Revision)
+		return false
+	}
+	t.drop(item)
+	return true
+}
+
+func (t *Tracker) drop(item platform.Item) {
+	delete(t.held, item.Key)
+	delete(t.entries, item.Key)
+	delete(t.endpoints, item.Key)
+	t.bury(item.Key, item.Revision)
+	t.feed.add(platform.Item{Key: item.Key, Revision: item.Revision, Deleted: true})
+	klog.InfoS("config: an endpoint is gone", "key", item.Key, "revision", item.Revision)
+}
+
+func (t *Tracker) bury(key string, revision int64) {
+	if len(t.tombstones) >= tombstoneLimit {
+		clear(t.tombstones)
+	}
+	t.tombstones[key] = revision
+}
+
+// dropUnlisted drops the endpoints that a whole read does not list.
+func (t *Tracker) dropUnlisted(update Update, now clock.Boot) bool {
+	listed := make(map[string]bool, len(update.Items))
+	for _, item := range update.Items {
+		listed[item.Key] = true
+	}
+	changed := false
+	for key, entry := range t.entries {
+		if listed[key] || entry.Revision > update.Revision {
+			continue
+		}
+		gone := platform.Item{Key: key, Revision: update.Revision, Deleted: true}
+		changed = t.applyDeletion(gone, update.Decided, now) || changed
+	}
+	return changed
+}
+
+// StoreAway notes that the store stopped serving.
+func (t *Tracker) StoreAway() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.away = true
+}
+
+// StoreBack notes that the store serves again.
+func (t *Tracker) StoreBack(now clock.Boot) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.away {
+		t.away = false
+		t.holdUntil = now.Add(HoldAfterReturn)
+	}
+}
+
+// Decide drops the held endpoints that did not come back in time. It must be
+// called every few hundred milliseconds.
+func (t *Tracker) Decide(now clock.Boot) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.away || now < t.holdUntil || len(t.held) == 0 {
+		return
+	}
+	for key, revision := range t.held {
+		t.drop(platform.Item{Key: key, Revision: revision, Deleted: true})
+	}
+	t.publish()
+}
+
+// publish stores and announces a new snapshot.
+func (t *Tracker) publish() {
+	next := &Snapshot{
+		Configuration: t.configuration,
+		Endpoints:     make(map[string]*traffic.Endpoint, len(t.endpoints)),
+		Ready:         map[string][]*traffic.Endpoint{},
+		Revision:      t.revision,
+	}
+	for _, endpoint := range t.endpoints {
+		next.Endpoints[endpoint.ID] = endpoint
+		if !endpoint.Draining {
+			next.Ready[endpoint.Service] = append(next.Ready[endpoint.Service], endpoint)
+		}
+	}
+	for _, ready := range next.Ready {
+		sort.Slice(ready, func(i, j int) bool { return ready[i].ID < ready[j].ID })
+	}
+	t.snapshot.Store(next)
+	t.changed(next)
+}
--- /dev/null
+++ b/news/exchange.go
@@ -0,0 +1,142 @@
+package news
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"cardamompoint.example/cardamompoint/internal/clock"
+)
+
+const (
+	// period is the time between two reports.
+	period = 200 * time.Millisecond
+	// sendAll is the number of VMs up to which each one gets every report.
+	sendAll = 12
+	// namedMembers is how many members one report names.
+	namedMembers = 4
+	// maxDatagram bounds a report.
+	maxDatagram = 8192
+)
+
+// Exchange sends this VM's reports and receives those of others.
+type Exchange struct {
+	table *Table
+	port  uint16
+	conn  *net.UDPConn
+	// fill adds what is to be told to a report.
+	fill func(*Report)
+	// received is called with each newer report.
+	received func(Report, clock.Boot)
+	// lost is called with the address of each VM that fell silent.
+	lost func(string)
+
+	identity Report
+	number   int64
+	random   *rand.Rand
+}
+
+// ExchangeOptions are the parts that an Exchange connects.
+type ExchangeOptions struct {
+	Table *Table
+	// Conn receives and sends the datagrams; all VMs use its port.
+	Conn *net.UDPConn
+	// Identity has the address, the failure domain and the incarnation.
+	Identity Report
+	Fill     func(*Report)
+	Received func(Report, clock.Boot)
+	Lost     func(string)
+}
+
+// NewExchange returns an Exchange that does not run yet.
+func NewExchange(options ExchangeOptions) *Exchange {
+	seed := uint64(options.Identity.Incarnation)
+	return &Exchange{
+		table:    options.Table,
+		port:     options.Conn.LocalAddr().(*net.UDPAddr).AddrPort().Port(),
+		conn:     options.Conn,
+		fill:     options.Fill,
+		received: options.Received,
+		lost:     options.Lost,
+		identity: options.Identity,
+		random:   rand.New(rand.NewPCG(seed, uint64(len(options.Identity.Address)))),
+	}
+}
+
+// Send sends reports until ctx ends.
+func (e *Exchange) Send(ctx context.Context) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		now := clock.Now()
+		for _, address := range e.table.Changes(now) {
+			e.lost(address)
+		}
+		e.report(now)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			e.report(clock.Now())
+			return
+		}
+	}
+}
+
+func (e *Exchange) report(now clock.Boot) {
+	targets := e.table.Targets(now)
+	e.random.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	report := e.identity
+	e.number++
+	report.Number = e.number
+	report.Members = targets[:min(namedMembers, len(targets))]
+	e.fill(&report)
+	raw, err := json.Marshal(report)
+	if err != nil {
+		klog.ErrorS(err, "member: a report can't be encoded")
+		return
+	}
+	for _, address := range targets[:min(sendAll, len(targets))] {
+		e.sendTo(address, raw)
+	}
+}
+
+// sendTo sends one datagram. A loss is as good as an error: the next report
+// comes soon.
+func (e *Exchange) sendTo(address string, raw []byte) {
+	ip, err := netip.ParseAddr(address)
+	if err != nil {
+		klog.V(1).InfoS("member: an address is not valid", "peer", address)
+		return
+	}
+	if _, err := e.conn.WriteToUDPAddrPort(raw, netip.AddrPortFrom(ip, e.port)); err != nil {
+		klog.V(1).InfoS("member: a report was not sent", "peer", address, "reason", err.Error())
+	}
+}
+
+// Receive takes in reports until the connection is closed.
+func (e *Exchange) Receive(ctx context.Context) {
+	buffer := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		size, _, err := e.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			if ctx.Err() == nil {
+				klog.V(1).InfoS("member: a report was not received", "reason", err.Error())
+			}
+			continue
+		}
+		var report Report
+		if err := json.Unmarshal(buffer[:size], &report); err != nil {
+			klog.V(1).InfoS("member: a report can't be read", "reason", err.Error())
+			continue
+		}
+		now := clock.Now()
+		if e.table.Receive(report, now) {
+			e.received(report, now)
+		}
+	}
+}
--- /dev/null
+++ b/news/table.go
@@ -0,0 +1,150 @@
+package news
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"cardamompoint.example/cardamompoint/internal/clock"
+)
+
+const (
+	// aliveFor is how long a VM counts as alive after its last report.
+	aliveFor = 1500 * time.Millisecond
+	// rememberFor is how long a silent VM is still sent reports.
+	rememberFor = 60 * time.Second
+	// memberLimit bounds the known VMs.
+	memberLimit = 4096
+)
+
+// Table keeps the other VMs. It is safe for concurrent use.
+type Table struct {
+	self  string
+	seeds []string
+
+	mu      sync.Mutex
+	members map[string]*Member
+	// told are addresses that others named and that have not reported yet.
+	told map[string]clock.Boot
+	// alive are the addresses that counted as alive at the last check.
+	alive map[string]bool
+}
+
+// NewTable returns a Table of a VM. seeds are the IP numbers of VMs to ask first.
+func NewTable(self string, seeds []string) *Table {
+	return &Table{self: self, seeds: seeds, members: map[string]*Member{}, told: map[string]clock.Boot{}, alive: map[string]bool{}}
+}
+
+// Receive takes in a report. It reports whether it is newer than what was known.
+func (t *Table) Receive(report Report, now clock.Boot) bool {
+	if report.Address == t.self || report.Address == "" {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	member, ok := t.members[report.Address]
+	if !ok {
+		if len(t.members) >= memberLimit {
+			return false
+		}
+		member = &Member{}
+		t.members[report.Address] = member
+	}
+	if report.Incarnation < member.Report.Incarnation ||
+		(report.Incarnation == member.Report.Incarnation && report.Number <= member.Report.Number) {
+		return false
+	}
+	member.Report, member.Heard = report, now
+	delete(t.told, report.Address)
+	for _, address := range report.Members {
+		if _, known := t.members[address]; !known && address != t.self && len(t.told) < memberLimit {
+			t.told[address] = now
+		}
+	}
+	return true
+}
+
+// Alive returns the members that reported lately and don't leave, in the order
+// of their addresses.
+func (t *Table) Alive(now clock.Boot) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	alive := make([]Member, 0, len(t.members))
+	for _, member := range t.members {
+		if now.Sub(member.Heard) <= aliveFor && !member.Report.Leaving {
+			alive = append(alive, *member)
+		}
+	}
+	sort.Slice(alive, func(i, j int) bool { return alive[i].Report.Address < alive[j].Report.Address })
+	return alive
+}
+
+// Count returns the number of VMs that count as alive, with this one. settled is
+// false while nobody else was ever heard.
+func (t *Table) Count(now clock.Boot) (count int, settled bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	count = 1
+	for _, member := range t.members {
+		if now.Sub(member.Heard) <= aliveFor {
+			count++
+		}
+	}
+	return count, len(t.members) > 0
+}
+
+// Targets returns the addresses to send reports to.
+func (t *Table) Targets(now clock.Boot) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	targets := make(map[string]bool, len(t.members)+len(t.seeds))
+	for address, member := range t.members {
+		if now.Sub(member.Heard) > rememberFor {
+			delete(t.members, address)
+			continue
+		}
+		targets[address] = true
+	}
+	for address, since := range t.told {
+		if now.Sub(since) > rememberFor {
+			delete(t.told, address)
+			continue
+		}
+		targets[address] = true
+	}
+	for _, seed := range t.seeds {
+		targets[seed] = true
+	}
+	delete(targets, t.self)
+	sorted := make([]string, 0, len(targets))
+	for address := range targets {
+		sorted = append(sorted, address)
+	}
+	sort.Strings(sorted)
+	return sorted
+}
+
+// Changes logs which VMs were lost or regained since the last call and returns
+// those that were lost.
+func (t *Table) Changes(now clock.Boot) (lost []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for address, member := range t.members {
+		silent := now.Sub(member.Heard)
+		isAlive := silent <= aliveFor
+		if isAlive == t.alive[address] {
+			continue
+		}
+		if isAlive {
+			t.alive[address] = true
+			klog.InfoS("member: a peer is heard", "peer", address, "domain", member.Report.FailureDomain, "incarnation", member.Report.Incarnation)
+			continue
+		}
+		delete(t.alive, address)
+		lost = append(lost, address)
+		klog.InfoS("member: a peer is lost", "peer", address, "silent_ms", silent.Milliseconds(), "leaving", member.Report.Leaving)
+	}
+	return lost
+}
--- /dev/null
+++ b/upstream/conn.go
@@ -0,0 +1,121 @@
+package upstream
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/platform"
+)
+
+type rawConn = syscall.RawConn
+
+// readBuffer is the size of a connection's read buffer.
+const readBuffer = 4096
+
+// strayAnswers is how many answers to earlier requests are skipped.
+const strayAnswers = 2
+
+// Conn is a connection to an endpoint. It is not safe for concurrent use, but
+// for Close and Expire.
+type Conn struct {
+	key    string
+	raw    net.Conn
+	reader *bufio.Reader
+	// reused tells that the connection has served a request before.
+	reused    bool
+	keepUntil clock.Boot
+}
+
+func newConn(key string, raw net.Conn) *Conn {
+	return &Conn{key: key, raw: raw, reader: bufio.NewReaderSize(raw, readBuffer)}
+}
+
+// Reused reports whether the connection has served a request before.
+func (c *Conn) Reused() bool {
+	return c.reused
+}
+
+// Close closes the connection. A request in progress there is given up.
+func (c *Conn) Close() {
+	if err := c.raw.Close(); err != nil {
+		return // It was closed before, by the end of the request's context.
+	}
+}
+
+// Expire makes reads and writes fail from the given time on.
+func (c *Conn) Expire(at time.Time) error {
+	return c.raw.SetDeadline(at)
+}
+
+// Send writes a request. sent tells whether any byte may have left.
+func (c *Conn) Send(request []byte) (sent bool, err error) {
+	written, err := c.raw.Write(request)
+	return written > 0, err
+}
+
+// ReadAnswer reads the header of the answer to the request with the given id.
+// Answers to earlier requests are skipped.
+func (c *Conn) ReadAnswer(method, id string) (*http.Response, platform.Answer, error) {
+	for range strayAnswers + 1 {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, platform.Answer{}, code.Wrap(err, code.EndpointFault, "no answer can be read")
+		}
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		answer := platform.DecodeAnswer(response)
+		if answer.ID == id {
+			return response, answer, nil
+		}
+		if err := discard(response); err != nil {
+			return nil, platform.Answer{}, code.Wrap(err, code.EndpointFault, "an answer to another request broke off")
+		}
+	}
+	return nil, platform.Answer{}, code.New(code.EndpointFault, "the answers belong to other requests")
+}
+
+// Finish tells whether the connection may be used again after a whole answer
+// was read, and prepares it.
+func (c *Conn) Finish(response *http.Response, answer platform.Answer) bool {
+	if response.Close || c.reader.Buffered() > 0 || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		return false
+	}
+	if err := c.raw.SetDeadline(time.Time{}); err != nil {
+		return false
+	}
+	keep := defaultKeep
+	if answer.KeepFor > 0 {
+		keep = answer.KeepFor - keepMargin
+	}
+	c.reused = true
+	c.keepUntil = clock.Now().Add(keep)
+	return keep > 0
+}
+
+// quiet reports whether an idle connection is open and has nothing to read.
+func (c *Conn) quiet() bool {
+	system, ok := c.raw.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := system.SyscallConn()
+	if err != nil {
+		return false
+	}
+	silent := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, failed := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		silent = failed == unix.EAGAIN
+		return true
+	})
+	return err == nil && silent
+}
--- /dev/null
+++ b/upstream/pool.go
@@ -0,0 +1,156 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"cardamompoint.example/cardamompoint/internal/clock"
+)
+
+const (
+	// dialTimeout bounds the set-up of a connection.
+	dialTimeout = 400 * time.Millisecond
+	// unackedTimeout ends connections whose sent bytes are not acknowledged.
+	unackedTimeout = 1500 * time.Millisecond
+	// keepAliveIdle and keepAliveInterval find connections that went silent.
+	keepAliveIdle     = time.Second
+	keepAliveInterval = 500 * time.Millisecond
+	keepAliveCount    = 3
+	// defaultKeep is how long an idle connection is kept if the endpoint does not
+	// tell its own timeout.
+	defaultKeep = 3 * time.Second
+	// keepMargin is kept to an endpoint's idle timeout.
+	keepMargin = 400 * time.Millisecond
+	// idlePerEndpoint bounds the idle connections to one endpoint.
+	idlePerEndpoint = 16
+)
+
+// Pool keeps idle connections to endpoints. It is safe for concurrent use.
+type Pool struct {
+	dialer net.Dialer
+
+	mu   sync.Mutex
+	idle map[string][]*Conn
+}
+
+// NewPool returns an empty Pool.
+func NewPool() *Pool {
+	return &Pool{
+		dialer: net.Dialer{
+			Timeout: dialTimeout,
+			KeepAliveConfig: net.KeepAliveConfig{
+				Enable:   true,
+				Idle:     keepAliveIdle,
+				Interval: keepAliveInterval,
+				Count:    keepAliveCount,
+			},
+			ControlContext: setUnackedTimeout,
+		},
+		idle: map[string][]*Conn{},
+	}
+}
+
+// Get returns an idle connection to the endpoint, or a new one. An error means
+// that no byte was sent.
+func (p *Pool) Get(ctx context.Context, key, address string) (*Conn, error) {
+	now := clock.Now()
+	for {
+		conn := p.takeIdle(key)
+		if conn == nil {
+			return p.dial(ctx, key, address)
+		}
+		if now < conn.keepUntil && conn.quiet() {
+			return conn, nil
+		}
+		conn.Close()
+	}
+}
+
+func (p *Pool) dial(ctx context.Context, key, address string) (*Conn, error) {
+	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(key, raw), nil
+}
+
+func (p *Pool) takeIdle(key string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := p.idle[key]
+	if len(idle) == 0 {
+		return nil
+	}
+	last := len(idle) - 1
+	conn := idle[last]
+	idle[last] = nil
+	p.idle[key] = idle[:last]
+	return conn
+}
+
+// Put returns a connection for further use; it must be Reusable.
+func (p *Pool) Put(conn *Conn) {
+	p.mu.Lock()
+	full := len(p.idle[conn.key]) >= idlePerEndpoint
+	if !full {
+		p.idle[conn.key] = append(p.idle[conn.key], conn)
+	}
+	p.mu.Unlock()
+	if full {
+		conn.Close()
+	}
+}
+
+// Keep closes the idle connections to endpoints that keep does not accept, and
+// those whose time is over.
+func (p *Pool) Keep(keep func(key string) bool) {
+	now := clock.Now()
+	var closing []*Conn
+	p.mu.Lock()
+	for key, idle := range p.idle {
+		wanted := keep(key)
+		kept := idle[:0]
+		for _, conn := range idle {
+			if wanted && now < conn.keepUntil {
+				kept = append(kept, conn)
+				continue
+			}
+			closing = append(closing, conn)
+		}
+		p.idle[key] = kept
+		if len(kept) == 0 {
+			delete(p.idle, key)
+		}
+	}
+	p.mu.Unlock()
+	for _, conn := range closing {
+		conn.Close()
+	}
+}
+
+// Idle returns the number of idle connections.
+func (p *Pool) Idle() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	count := 0
+	for _, idle := range p.idle {
+		count += len(idle)
+	}
+	return count
+}
+
+// setUnackedTimeout bounds the time that sent bytes wait for an acknowledgement.
+func setUnackedTimeout(_ context.Context, _, _ string, raw rawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
