Hold prompt parts where they are and fetch copies

Cause: a spill went to the endpoint with the least work, and six copies of a part were made where one is enough; each copy read the shared parts again. Change: the bound uses three quarters of the allowed excess, parts that nobody holds go to one of three by rank, and a request that leaves its holders names one of them to copy from.

--- a/choice/holders.go
+++ b/choice/holders.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"slices"
 	"time"
 
 	"cardamompoint.example/cardamompoint/internal/clock"
@@ -8,7 +9,7 @@
 
 const (
 	// holdersPerPart bounds the endpoints that are remembered for one part.
-	holdersPerPart = 4
+	holdersPerPart = 6
 	// partLimit bounds the remembered parts.
 	partLimit = 200_000
 	// partKeep is how long an unused place is remembered.
@@ -65,3 +66,12 @@
 	}
 	h.previous, h.current, h.started = h.current, map[uint64][]place{}, now
 }
+
+// forget drops all places at an endpoint that started anew.
+func (h *holders) forget(endpoint string) {
+	for _, generation := range []map[uint64][]place{h.current, h.previous} {
+		for part, places := range generation {
+			generation[part] = slices.DeleteFunc(slices.Clone(places), func(at place) bool { return at.endpoint == endpoint })
+		}
+	}
+}
--- a/choice/pick.go
+++ b/choice/pick.go
@@ -13,9 +13,12 @@
 	defaultMultiple = 2.0
 	// caution is the part of the allowed excess over the mean that is used; the
 	// rest is for work that other VMs have not told of yet.
-	caution = 0.5
+	caution = 0.75
 	// spareRequests is added to the bound, so that a nearly idle fleet can place.
-	spareRequests = 1
+	spareRequests = 2
+	// homeChoices is the number of best-ranked candidates among which parts that
+	// nobody holds go to the one with the least work.
+	homeChoices = 3
 	// prefillTokensPerMS is the assumed speed at which engines read prompts.
 	prefillTokensPerMS = 50.0
 	// engineRequestMS is what one request in progress costs the next one.
@@ -51,6 +54,8 @@
 	Mean float64
 	// Missing is the number of shared prompt tokens not known to be there.
 	Missing int
+	// FetchFrom holds more of the shared parts than Endpoint, nil if none does.
+	FetchFrom *traffic.Endpoint
 }
 
 // Pick chooses one of the candidates for a request; excluded ones are left out.
@@ -98,7 +103,6 @@
 func (c *chooser) survey(candidates []*traffic.Endpoint, excluded func(string) bool) {
 	c.options = make([]option, 0, len(candidates))
 	key, shared := c.sharedKey()
-	least := uint64(0)
 	c.floor = 1
 	for _, endpoint := range candidates {
 		known := c.table.state(endpoint.ID)
@@ -113,9 +117,6 @@
 		c.total += o.load
 		if shared {
 			o.draw = rank.Key(key, endpoint.ID)
-			if !o.excluded && !o.avoided && o.draw > least {
-				least, c.home = o.draw, endpoint.ID
-			}
 			o.missing = c.missing(endpoint.ID)
 			c.known = c.known || c.holdsLast(endpoint.ID)
 		}
@@ -125,6 +126,38 @@
 		}
 		c.options = append(c.options, o)
 	}
+	if shared {
+		c.findHome()
+	}
+}
+
+// findHome sets the home: of the candidates that rank best for the shared
+// parts, the one with the least work.
+func (c *chooser) findHome() {
+	var best [homeChoices]*option
+	for i := range c.options {
+		o := &c.options[i]
+		if o.excluded || o.avoided {
+			continue
+		}
+		for at := range best {
+			if best[at] == nil || o.draw > best[at].draw {
+				best[at], o = o, best[at]
+			}
+			if o == nil {
+				break
+			}
+		}
+	}
+	var home *option
+	for _, o := range best {
+		if o != nil && (home == nil || o.load < home.load) {
+			home = o
+		}
+	}
+	if home != nil {
+		c.home = home.endpoint.ID
+	}
 }
 
 // sharedParts are the parts before the request's own one.
@@ -201,7 +234,40 @@
 		}
 	}
 	o := &c.options[chosen]
-	return Pick{Endpoint: o.endpoint, Reason: c.reason(o, bound), Load: o.load, Mean: c.mean(), Missing: o.missing}
+	return Pick{
+		Endpoint:  o.endpoint,
+		Reason:    c.reason(o, bound),
+		Load:      o.load,
+		Mean:      c.mean(),
+		Missing:   o.missing,
+		FetchFrom: c.fetchFrom(o),
+	}
+}
+
+// leastFetch is the number of missing tokens from which a copy is fetched.
+const leastFetch = 128
+
+// fetchFrom returns the reachable endpoint that holds the most of the shared
+// parts, if that is more than the chosen one holds.
+func (c *chooser) fetchFrom(chosen *option) *traffic.Endpoint {
+	if chosen.missing < leastFetch {
+		return nil
+	}
+	parts := c.sharedParts()
+	var best *traffic.Endpoint
+	least := chosen.missing - leastFetch
+	for _, part := range parts {
+		for _, at := range c.table.parts.of(part.ID) {
+			known, ok := c.table.states[at.endpoint]
+			if !ok || known.endpoint == nil || c.now < known.avoidUntil || at.endpoint == chosen.endpoint.ID {
+				continue
+			}
+			if missing := c.missing(at.endpoint); missing <= least {
+				least, best = missing-1, known.endpoint
+			}
+		}
+	}
+	return best
 }
 
 const (
@@ -235,7 +301,7 @@
 // readCost is the time to read the shared parts that are not held. The home of
 // parts that nobody holds counts as a holder, so that all VMs agree on it.
 func (c *chooser) readCost(o *option) float64 {
-	if !c.known && o.endpoint.ID == c.home {
+	if o.endpoint.ID == c.home && !c.known {
 		return 0
 	}
 	return float64(o.missing) / prefillTokensPerMS * readWeight
--- a/choice/table.go
+++ b/choice/table.go
@@ -55,6 +55,9 @@
 		if ok {
 			next.own, next.peers = known.own, known.peers
 		}
+		if ok && known.endpoint != nil {
+			t.parts.forget(id)
+		}
 		t.states[id] = next
 	}
 	for id, known := range t.states {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -111,6 +111,9 @@
 		Priority:  x.priority(),
 		LastEvent: x.lastEvent,
 	}
+	if x.pick.FetchFrom != nil {
+		message.FetchFrom = x.pick.FetchFrom.Address
+	}
 	if x.grant.workspace != nil {
 		message.Workspace = x.grant.workspace.Name
 	}
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -84,6 +84,7 @@
 	Load     int           `json:"load"`
 	Mean     float64       `json:"mean"`
 	Missing  int           `json:"missing,omitempty"`
+	Fetch    string        `json:"fetch,omitempty"`
 	Status   int           `json:"status,omitempty"`
 	TookMS   int64         `json:"took_ms"`
 	Fault    string        `json:"fault,omitempty"`
@@ -99,6 +100,9 @@
 		Status:   came.status,
 		TookMS:   took.Milliseconds(),
 	}
+	if pick.FetchFrom != nil {
+		note.Fetch = pick.FetchFrom.ID
+	}
 	if came.err != nil {
 		note.Fault = came.err.Error()
 	}
