Count a prompt's held parts from its last one

Cause: the root that all prompts share is held everywhere, but only six places are remembered of each part, so chats whose engine was not among the six seemed to be held nowhere and were read again at another engine. Change: an endpoint that holds a part holds all parts before it.

--- a/choice/pick.go
+++ b/choice/pick.go
@@ -183,14 +183,16 @@
 	return string(digest[:]), true
 }
 
-// missing returns the shared tokens behind the first part that the endpoint is
-// not known to hold.
+// missing returns the shared tokens behind the last part that the endpoint is
+// known to hold. Whoever holds a part has read all parts before it.
 func (c *chooser) missing(id string) int {
+	parts := c.sharedParts()
 	lacking := 0
-	for _, part := range c.sharedParts() {
-		if lacking > 0 || !c.holds(part.ID, id) {
-			lacking += part.Tokens
+	for i := len(parts) - 1; i >= 0; i-- {
+		if c.holds(parts[i].ID, id) {
+			return lacking
 		}
+		lacking += parts[i].Tokens
 	}
 	return lacking
 }
