Reload settings at SIGHUP instead of ending

Change: the file is read anew at SIGHUP and every 3 s; bounds are replaced, a file that is not valid leaves them as they are.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -17,9 +17,8 @@
 
 // Budget is this VM's part of the allowance. It is safe for concurrent use.
 type Budget struct {
-	ratio  float64
-	slack  float64
-	length time.Duration
+	// limits returns the limits in force.
+	limits func() Limits
 	// members returns the number of VMs that share the allowance and whether
 	// the number is known.
 	members func() (count int, known bool)
@@ -34,10 +33,20 @@
 	again *window
 }
 
-// New returns a Budget: in each window of the given length, ratio times the
-// requests and a part of slack may be sent again.
-func New(ratio, slack float64, length time.Duration, members func() (int, bool)) *Budget {
-	return &Budget{ratio: ratio, slack: slack, length: length, members: members, services: map[string]*account{}}
+// Limits bound the sends beyond the first one of each request to one service.
+type Limits struct {
+	// Ratio is the part of the requests that may be sent again.
+	Ratio float64
+	// Slack is the number of sends allowed besides, over all VMs.
+	Slack float64
+	// Window is the time in which sends are counted.
+	Window time.Duration
+}
+
+// New returns a Budget. limits and members are called with each decision; a
+// changed Window holds for services that were not used before.
+func New(limits func() Limits, members func() (int, bool)) *Budget {
+	return &Budget{limits: limits, members: members, services: map[string]*account{}}
 }
 
 // First counts a request for a service.
@@ -53,7 +62,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	account := b.account(service)
-	earned := b.ratio * account.first.sum(now)
+	earned := b.limits().Ratio * account.first.sum(now)
 	if account.again.sum(now)+1 > caution*(earned+allowed) {
 		return false
 	}
@@ -67,7 +76,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	account := b.account(service)
-	return caution*(b.ratio*account.first.sum(now)+allowed) - account.again.sum(now)
+	return caution*(b.limits().Ratio*account.first.sum(now)+allowed) - account.again.sum(now)
 }
 
 // allowance returns this VM's part of the fixed allowance.
@@ -76,13 +85,13 @@
 	if !known {
 		count = max(count, unknownFleet)
 	}
-	return b.slack / float64(max(1, count))
+	return b.limits().Slack / float64(max(1, count))
 }
 
 func (b *Budget) account(service string) *account {
 	found, ok := b.services[service]
 	if !ok {
-		found = &account{first: newWindow(b.length), again: newWindow(b.length)}
+		found = &account{first: newWindow(b.limits().Window), again: newWindow(b.limits().Window)}
 		b.services[service] = found
 	}
 	return found
--- a/cmd/cardamompoint/gateway.go
+++ b/cmd/cardamompoint/gateway.go
@@ -5,7 +5,9 @@
 	"flag"
 	"io"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -56,9 +58,40 @@
 		return err
 	}
 	klog.InfoS("gateway: started", "node", settings.Node, "settings", settings.Checksum, "front", settings.FrontAddress, "domain", settings.FailureDomain, "seeds", settings.Seeds)
+	go followSettings(first, g, settings.Checksum)
 	return g.Run(first, second)
 }
 
+// settingsPeriod is how often the settings file is looked at without a signal.
+const settingsPeriod = 3 * time.Second
+
+// followSettings reloads the settings file when it has changed, at SIGHUP and
+// every few seconds, until ctx ends.
+func followSettings(ctx context.Context, g *gateway.Gateway, checksum string) {
+	hangUp := make(chan os.Signal, 1)
+	signal.Notify(hangUp, syscall.SIGHUP)
+	defer signal.Stop(hangUp)
+	ticker := time.NewTicker(settingsPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-hangUp:
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		next, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+		if err != nil {
+			klog.ErrorS(err, "gateway: the settings stay as they are")
+			continue
+		}
+		if next.Checksum != checksum {
+			checksum = next.Checksum
+			g.Reload(next)
+		}
+	}
+}
+
 // logTo sends each log line to sink, once.
 func logTo(sink io.Writer) error {
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -132,7 +132,7 @@
 // definite returns err if the knowledge is fresh, and otherwise a refusal that
 // lets the caller come back.
 func (c *call) definite(err *code.Error) error {
-	within := c.gateway.settings.Bounds.ConfigWithin
+	within := c.gateway.bounds.Load().ConfigWithin
 	if age := c.gateway.tracker.Age(clock.Now()); within > 0 && age > within+within/2 {
 		return code.New(code.ViewStale, "the configuration was confirmed %v ago", age.Round(time.Millisecond)).After(comeBackStale)
 	}
@@ -142,7 +142,7 @@
 // checkLease refuses requests with a key when a newer configuration could have
 // revoked it.
 func (c *call) checkLease() error {
-	bounds := &c.gateway.settings.Bounds
+	bounds := c.gateway.bounds.Load()
 	if c.grant.workspace == nil || !bounds.StrictRevoke || bounds.KeyLease <= 0 {
 		return nil
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,7 +22,9 @@
 
 // Gateway serves callers on one VM.
 type Gateway struct {
+	// settings are those that the process started with; bounds may be replaced.
 	settings *traffic.Settings
+	bounds   atomic.Pointer[traffic.Bounds]
 	tracker  *knowledge.Tracker
 	table    *choice.Table
 	members  *news.Table
@@ -44,9 +46,10 @@
 		pool:        upstream.NewPool(),
 		table:       choice.NewTable(settings.FailureDomain, settings.Bounds.LoadMultiple),
 	}
+	g.bounds.Store(&settings.Bounds)
 	g.tracker = knowledge.NewTracker(g.table.Update)
 	g.members = news.NewTable(settings.IP, seedIPs(settings.Seeds))
-	g.budget = budget.New(settings.Bounds.RetryRatio, settings.Bounds.RetrySlack, settings.Bounds.RetryWindow, g.countMembers)
+	g.budget = budget.New(g.retryLimits, g.countMembers)
 	g.peers = newPeerClient(g.members, settings.FirstPeerPort)
 	return g, g.openExchange()
 }
@@ -82,6 +85,19 @@
 	return nil
 }
 
+// Reload takes in changed settings. Addresses stay as they are until the
+// process starts anew.
+func (g *Gateway) Reload(next *traffic.Settings) {
+	bounds := next.Bounds
+	g.bounds.Store(&bounds)
+	klog.InfoS("gateway: settings were reloaded", "settings", next.Checksum, "started_with", g.settings.Checksum)
+}
+
+func (g *Gateway) retryLimits() budget.Limits {
+	bounds := g.bounds.Load()
+	return budget.Limits{Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow}
+}
+
 func (g *Gateway) countMembers() (int, bool) {
 	return g.members.Count(clock.Now())
 }
--- a/gateway/readiness.go
+++ b/gateway/readiness.go
@@ -29,8 +29,8 @@
 	if g.stopping.Load() || g.tracker.Snapshot().Configuration == nil {
 		return false
 	}
-	lease := g.settings.Bounds.KeyLease
-	if !g.settings.Bounds.StrictRevoke || lease <= 0 {
+	lease := g.bounds.Load().KeyLease
+	if !g.bounds.Load().StrictRevoke || lease <= 0 {
 		return true
 	}
 	age := g.tracker.Age(clock.Now())
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -97,7 +97,7 @@
 	g.stopping.Store(true)
 	began := time.Now()
 	klog.InfoS("gateway: stopping", "active", g.active.Load())
-	grace := g.settings.Bounds.Grace
+	grace := g.bounds.Load().Grace
 	if grace <= 0 {
 		grace = defaultGrace
 	}
