Learn after a start where prompt parts are

Cause: after all VMs were killed at once, each chat went to its rank's home, though engines had changed since and held it elsewhere. Change: a VM that starts asks VMs that know; if none does, the VMs divide the engines by rank and each engine is asked once what it holds.

--- /dev/null
+++ b/choice/places.go
@@ -0,0 +1,35 @@
+package choice
+
+import (
+	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/news"
+)
+
+// placesLimit bounds the places that are told at once.
+const placesLimit = 10_000
+
+// Places returns where prompt parts are known to be, for a VM that has just
+// started.
+func (t *Table) Places() []news.PartPlace {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var places []news.PartPlace
+	for part, at := range t.parts.current {
+		for i := range at {
+			if len(places) == placesLimit {
+				return places
+			}
+			places = append(places, news.PartPlace{Part: part, Endpoint: at[i].endpoint})
+		}
+	}
+	return places
+}
+
+// Learn takes in places that another VM or an endpoint told.
+func (t *Table) Learn(places []news.PartPlace, now clock.Boot) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, at := range places {
+		t.parts.note(at.Part, at.Endpoint, now)
+	}
+}
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -13,9 +13,15 @@
 // knowledgePath is where a VM tells others what it knows.
 const knowledgePath = "/v1/knowledge"
 
+// placesPath is where a VM tells others where prompt parts are.
+const placesPath = "/v1/places"
+
 func (g *Gateway) controlMux() *http.ServeMux {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+knowledgePath, g.serveKnowledge)
+	mux.HandleFunc("GET "+placesPath, func(w http.ResponseWriter, _ *http.Request) {
+		jsonhttp.Write(w, g.table.Places())
+	})
 	return mux
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,6 +35,7 @@
 
 	incarnation int64
 	stopping    atomic.Bool
+	learned     atomic.Bool
 	active      atomic.Int64
 }
 
@@ -105,6 +106,7 @@
 func (g *Gateway) fillReport(report *news.Report) {
 	now := clock.Now()
 	report.Leaving = g.stopping.Load()
+	report.Learned = g.learned.Load()
 	report.AgeMS = -1
 	if at, ok := g.tracker.Confirmed(); ok {
 		report.AgeMS = now.Sub(at).Milliseconds()
@@ -125,6 +127,7 @@
 	go g.exchange.Send(background)
 	go g.exchange.Receive(background)
 	go g.keepConnections(background)
+	go newLearner(g).run(background)
 	return g.serve(stop, kill)
 }
 
--- /dev/null
+++ b/gateway/learner.go
@@ -0,0 +1,138 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/knowledge"
+	"cardamompoint.example/cardamompoint/news"
+	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/rank"
+	"cardamompoint.example/cardamompoint/traffic"
+)
+
+const (
+	// learnAfter is when a started VM begins to ask: it has heard the others by
+	// then.
+	learnAfter = 450 * time.Millisecond
+	// learnFor is how long it asks others that start at the same time.
+	learnFor = 4 * time.Second
+	// learnPeriod is the time between two rounds.
+	learnPeriod = 200 * time.Millisecond
+	// learnTimeout bounds one question.
+	learnTimeout = 700 * time.Millisecond
+	// leastTokens is the size of the smallest part worth being told.
+	leastTokens = 100
+)
+
+// learner finds out where prompt parts are when a VM starts: from VMs that know
+// it, or from the engines. Each engine is asked by one VM only, since the
+// question delays its work.
+type learner struct {
+	gateway *Gateway
+	client  *http.Client
+	asked   map[string]bool
+}
+
+func newLearner(g *Gateway) *learner {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: learnTimeout}
+	return &learner{gateway: g, client: client, asked: map[string]bool{}}
+}
+
+// run asks until everybody who knows was asked, or learnFor is over. On the
+// first start of the whole fleet there is nothing to learn.
+func (l *learner) run(ctx context.Context) {
+	if l.gateway.settings.FirstStart {
+		l.gateway.learned.Store(true)
+		return
+	}
+	wait(ctx, learnAfter)
+	began := clock.Now()
+	for ctx.Err() == nil && clock.Now().Sub(began) < learnFor {
+		if l.round(ctx) {
+			l.gateway.learned.Store(true)
+		}
+		wait(ctx, learnPeriod)
+	}
+	l.gateway.learned.Store(true)
+}
+
+// round asks the peers that know and were not asked yet. If there are none at
+// all, it asks this VM's part of the engines. It reports whether this VM knows.
+func (l *learner) round(ctx context.Context) bool {
+	alive := l.gateway.members.Alive(clock.Now())
+	someKnow := false
+	for _, member := range alive {
+		if !member.Report.Learned {
+			continue
+		}
+		someKnow = true
+		l.askPeer(ctx, member.Report.Address)
+	}
+	if someKnow || l.gateway.learned.Load() {
+		return true
+	}
+	snapshot := l.gateway.tracker.Snapshot()
+	if snapshot.Configuration == nil || len(snapshot.Endpoints) == 0 {
+		return false
+	}
+	l.askEngines(ctx, snapshot, alive)
+	return true
+}
+
+func (l *learner) askPeer(ctx context.Context, address string) {
+	if l.asked[address] {
+		return
+	}
+	l.asked[address] = true
+	ctx, cancel := context.WithTimeout(ctx, learnTimeout)
+	defer cancel()
+	places, err := l.gateway.peers.Places(ctx, address)
+	if err != nil {
+		klog.InfoS("place: a peer does not tell where parts are", "peer", address, "reason", err.Error())
+		return
+	}
+	l.gateway.table.Learn(places, clock.Now())
+	klog.InfoS("place: learned where parts are", "peer", address, "places", len(places))
+}
+
+// askEngines asks the engines for which this VM ranks first among those alive.
+func (l *learner) askEngines(ctx context.Context, snapshot *knowledge.Snapshot, alive []news.Member) {
+	for _, endpoint := range snapshot.Endpoints {
+		service := snapshot.Configuration.Services[endpoint.Service]
+		if service == nil || service.Engine == nil || !l.ranksFirst(endpoint, alive) {
+			continue
+		}
+		l.askEngine(ctx, endpoint)
+	}
+}
+
+func (l *learner) ranksFirst(endpoint *traffic.Endpoint, alive []news.Member) bool {
+	own := rank.Key(endpoint.ID, l.gateway.settings.IP)
+	for _, member := range alive {
+		if rank.Key(endpoint.ID, member.Report.Address) > own {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *learner) askEngine(ctx context.Context, endpoint *traffic.Endpoint) {
+	parts, err := platform.ListMemory(ctx, l.client, endpoint.Address)
+	if err != nil {
+		klog.InfoS("place: an engine does not tell what it holds", "endpoint", endpoint.ID, "reason", err.Error())
+		return
+	}
+	var places []news.PartPlace
+	for _, part := range parts {
+		if part.Tokens >= leastTokens {
+			places = append(places, news.PartPlace{Part: part.ID, Endpoint: endpoint.ID})
+		}
+	}
+	l.gateway.table.Learn(places, clock.Now())
+	klog.InfoS("place: learned what an engine holds", "endpoint", endpoint.ID, "parts", len(parts))
+}
--- a/gateway/peer_client.go
+++ b/gateway/peer_client.go
@@ -53,3 +53,10 @@
 	err := jsonhttp.Get(ctx, p.client, url, &share)
 	return share, err
 }
+
+// Places asks a peer where prompt parts are.
+func (p *peerClient) Places(ctx context.Context, address string) ([]news.PartPlace, error) {
+	var places []news.PartPlace
+	err := jsonhttp.Get(ctx, p.client, "http://"+net.JoinHostPort(address, p.port)+placesPath, &places)
+	return places, err
+}
--- a/news/report.go
+++ b/news/report.go
@@ -12,6 +12,8 @@
 	FailureDomain string `json:"d"`
 	// Leaving tells that the sender shuts down.
 	Leaving bool `json:"l,omitempty"`
+	// Learned tells that the sender knows where prompt parts are.
+	Learned bool `json:"k,omitempty"`
 	// Version is the configuration in force at the sender.
 	Version int64 `json:"v"`
 	// AgeMS is how old the sender's knowledge may be, in milliseconds; -1 if it
--- a/traffic/settings.go
+++ b/traffic/settings.go
@@ -29,6 +29,8 @@
 	StoreAddress string
 	// MemoryBytes is the memory limit of the process, 0 if there is none.
 	MemoryBytes int64
+	// FirstStart tells that the whole fleet starts for the first time.
+	FirstStart bool
 	// Bounds are the agreed limits.
 	Bounds Bounds
 	// Checksum identifies the file that was read.
