--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -64,6 +64,11 @@
 	streaming bool
 	lastEvent string
 
+	// began is when the last attempt began, firstAt when the first event of a
+	// stream went out.
+	began   clock.Boot
+	firstAt clock.Boot
+
 	result code.Code
 	status int
 	notes  []attemptNote
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -86,8 +86,12 @@
 	Missing  int           `json:"missing,omitempty"`
 	Fetch    string        `json:"fetch,omitempty"`
 	Status   int           `json:"status,omitempty"`
-	TookMS   int64         `json:"took_ms"`
-	Fault    string        `json:"fault,omitempty"`
+	// BeganMS is when the attempt began, and FirstMS when the first event of a
+	// stream went out, since the request came.
+	BeganMS int64  `json:"began_ms"`
+	FirstMS int64  `json:"first_ms,omitempty"`
+	TookMS  int64  `json:"took_ms"`
+	Fault   string `json:"fault,omitempty"`
 }
 
 func (c *call) note(pick choice.Pick, came outcome, took time.Duration) {
@@ -98,8 +102,12 @@
 		Mean:     pick.Mean,
 		Missing:  pick.Missing,
 		Status:   came.status,
+		BeganMS:  c.began.Sub(c.arrived).Milliseconds(),
 		TookMS:   took.Milliseconds(),
 	}
+	if c.firstAt >= c.began {
+		note.FirstMS = c.firstAt.Sub(c.arrived).Milliseconds()
+	}
 	if pick.FetchFrom != nil {
 		note.Fetch = pick.FetchFrom.ID
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -36,6 +37,10 @@
 	incarnation int64
 	stopping    atomic.Bool
 	learned     atomic.Bool
+	// places is closed when no request has to wait for what is learned at the
+	// start.
+	places      chan struct{}
+	placesKnown func()
 	active      atomic.Int64
 }
 
@@ -45,9 +50,11 @@
 		settings:    settings,
 		incarnation: time.Now().UnixNano(),
 		pool:        upstream.NewPool(),
+		places:      make(chan struct{}),
 		table:       choice.NewTable(settings.FailureDomain, settings.Bounds.LoadMultiple),
 	}
 	g.bounds.Store(&settings.Bounds)
+	g.placesKnown = sync.OnceFunc(func() { close(g.places) })
 	g.tracker = knowledge.NewTracker(g.table.Update)
 	g.members = news.NewTable(settings.IP, seedIPs(settings.Seeds))
 	g.budget = budget.New(g.retryLimits, g.countMembers)
--- a/gateway/learner.go
+++ b/gateway/learner.go
@@ -18,11 +18,16 @@
 const (
 	// learnAfter is when a started VM begins to ask: it has heard the others by
 	// then.
-	learnAfter = 450 * time.Millisecond
+	learnAfter = 120 * time.Millisecond
 	// learnFor is how long it asks others that start at the same time.
 	learnFor = 4 * time.Second
 	// learnPeriod is the time between two rounds.
-	learnPeriod = 200 * time.Millisecond
+	learnPeriod = 60 * time.Millisecond
+	// learnWait is how long requests with long shared prompts wait at most, after
+	// the start, for what the VM learns: reading them anew takes as long.
+	learnWait = 450 * time.Millisecond
+	// longPrompt is the number of shared tokens from which a request waits.
+	longPrompt = 1000
 	// learnTimeout bounds one question.
 	learnTimeout = 700 * time.Millisecond
 	// leastTokens is the size of the smallest part worth being told.
@@ -46,10 +51,13 @@
 // run asks until everybody who knows was asked, or learnFor is over. On the
 // first start of the whole fleet there is nothing to learn.
 func (l *learner) run(ctx context.Context) {
+	defer l.gateway.placesKnown()
 	if l.gateway.settings.FirstStart {
 		l.gateway.learned.Store(true)
 		return
 	}
+	limit := time.AfterFunc(learnWait, l.gateway.placesKnown)
+	defer limit.Stop()
 	wait(ctx, learnAfter)
 	began := clock.Now()
 	for ctx.Err() == nil && clock.Now().Sub(began) < learnFor {
@@ -65,15 +73,19 @@
 // all, it asks this VM's part of the engines. It reports whether this VM knows.
 func (l *learner) round(ctx context.Context) bool {
 	alive := l.gateway.members.Alive(clock.Now())
-	someKnow := false
+	someKnow, allKnow := false, true
 	for _, member := range alive {
 		if !member.Report.Learned {
+			allKnow = false
 			continue
 		}
 		someKnow = true
 		l.askPeer(ctx, member.Report.Address)
 	}
 	if someKnow || l.gateway.learned.Load() {
+		if allKnow {
+			l.gateway.placesKnown()
+		}
 		return true
 	}
 	snapshot := l.gateway.tracker.Snapshot()
@@ -136,3 +148,19 @@
 	l.gateway.table.Learn(places, clock.Now())
 	klog.InfoS("place: learned what an engine holds", "endpoint", endpoint.ID, "parts", len(parts))
 }
+
+// awaitPlaces holds a request with a long shared prompt until the VM has learned
+// where its parts are, or for a short time after the start.
+func (c *call) awaitPlaces() {
+	shared := 0
+	for _, part := range c.request.Prompt.Parts {
+		shared += part.Tokens
+	}
+	if shared < longPrompt {
+		return
+	}
+	select {
+	case <-c.gateway.places:
+	case <-c.r.Context().Done():
+	}
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -36,6 +36,7 @@
 // run tries endpoints until the caller has an answer.
 func (c *call) run() {
 	c.gateway.budget.First(c.grant.service, c.arrived)
+	c.awaitPlaces()
 	for {
 		pick, err := c.next()
 		if err != nil {
@@ -43,9 +44,9 @@
 			return
 		}
 		c.sends++
-		began := clock.Now()
+		c.began = clock.Now()
 		came := c.attempt(pick)
-		c.note(pick, came, clock.Now().Sub(began))
+		c.note(pick, came, clock.Now().Sub(c.began))
 		if came.fate == fateFailed || came.fate == fateBroken {
 			c.runs++
 		}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -44,6 +44,7 @@
 		return
 	}
 	x.streaming = true
+	x.firstAt = clock.Now()
 	x.status = x.answer.Status
 	platform.CopyAnswerHeader(x.w.Header(), x.response.Header)
 	x.w.WriteHeader(x.answer.Status)
--- a/news/exchange.go
+++ b/news/exchange.go
@@ -16,6 +16,10 @@
 const (
 	// period is the time between two reports.
 	period = 200 * time.Millisecond
+	// startPeriod is the same for the first startReports of a process, so that
+	// VMs that start together find each other soon.
+	startPeriod  = 40 * time.Millisecond
+	startReports = 12
 	// sendAll is the number of VMs up to which each one gets every report.
 	sendAll = 12
 	// namedMembers is how many members one report names.
@@ -70,16 +74,17 @@
 
 // Send sends reports until ctx ends.
 func (e *Exchange) Send(ctx context.Context) {
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
+	timer := time.NewTimer(startPeriod)
+	defer timer.Stop()
 	for {
 		now := clock.Now()
 		for _, address := range e.table.Changes(now) {
 			e.lost(address)
 		}
 		e.report(now)
+		timer.Reset(e.pause())
 		select {
-		case <-ticker.C:
+		case <-timer.C:
 		case <-ctx.Done():
 			e.report(clock.Now())
 			return
@@ -87,6 +92,14 @@
 	}
 }
 
+// pause is the time to the next report.
+func (e *Exchange) pause() time.Duration {
+	if e.number < startReports {
+		return startPeriod
+	}
+	return period
+}
+
 func (e *Exchange) report(now clock.Boot) {
 	targets := e.table.Targets(now)
 	e.random.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
