Weigh the prompts that an engine has still to read

Change: VMs count and exchange the tokens that each engine has still to read; the choice weighs that delay against reading again and copying. Copies are also taken from engines that leave. Tests: TestLongReadsAreSpread, TestChatIsCopiedFromALeavingEngine.

--- a/choice/holders.go
+++ b/choice/holders.go
@@ -19,7 +19,9 @@
 // place is an endpoint that holds a part, with its last known use.
 type place struct {
 	endpoint string
-	used     clock.Boot
+	// since is when the part was first sent there.
+	since clock.Boot
+	used  clock.Boot
 }
 
 // holders remembers where prompt parts are. It is not safe for concurrent use.
@@ -55,7 +57,7 @@
 		}
 	}
 	kept := places[:min(len(places), holdersPerPart-1)]
-	h.current[part] = append([]place{{endpoint, now}}, kept...)
+	h.current[part] = append([]place{{endpoint, now, now}}, kept...)
 	return true
 }
 
--- a/choice/pick.go
+++ b/choice/pick.go
@@ -1,6 +1,10 @@
 package choice
 
 import (
+	"cmp"
+	"slices"
+	"time"
+
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/rank"
 	"cardamompoint.example/cardamompoint/traffic"
@@ -16,10 +20,13 @@
 	caution = 0.6
 	// spareRequests is added to the bound, so that a nearly idle fleet can place.
 	spareRequests = 2
-	// prefillTokensPerMS is the assumed speed at which engines read prompts.
-	prefillTokensPerMS = 50.0
-	// engineRequestMS is what one request in progress costs the next one.
-	engineRequestMS = 6.0
+	// readTokensPerMS is the assumed speed at which engines read prompts.
+	readTokensPerMS = 50.0
+	// copyTokensPerMS and copySetUpMS are the same for copies from another engine.
+	copyTokensPerMS = 1000.0
+	copySetUpMS     = 10.0
+	// runningMS is what one request in progress at an engine costs the next one.
+	runningMS = 2.0
 	// plainRequestMS is the same at a plain service, per slot.
 	plainRequestMS = 30.0
 	// otherDomainMS is the cost of another failure domain.
@@ -51,16 +58,23 @@
 	Mean float64
 	// Missing is the number of shared prompt tokens not known to be there.
 	Missing int
+	// Reading is the number of prompt tokens that the endpoint has to read.
+	Reading int
+	// DelayMS is the estimated time until the endpoint has read the prompt.
+	DelayMS float64
 	// FetchFrom holds more of the shared parts than Endpoint, nil if none does.
 	FetchFrom *traffic.Endpoint
 }
 
 // Pick chooses one of the candidates for a request; excluded ones are left out.
 // ok is false if none is left.
-func (t *Table) Pick(candidates []*traffic.Endpoint, prompt *traffic.Prompt, excluded func(id string) bool, now clock.Boot) (Pick, bool) {
+//
+// objective is the time in which the first piece of the answer is wanted; 0
+// means that it does not matter.
+func (t *Table) Pick(candidates []*traffic.Endpoint, prompt *traffic.Prompt, objective time.Duration, excluded func(id string) bool, now clock.Boot) (Pick, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := chooser{table: t, prompt: prompt, now: now}
+	c := chooser{table: t, prompt: prompt, objectiveMS: float64(objective) / float64(time.Millisecond), now: now}
 	c.survey(candidates, excluded)
 	if c.usable == 0 {
 		return Pick{}, false
@@ -72,15 +86,15 @@
 type chooser struct {
 	table  *Table
 	prompt *traffic.Prompt
-	now    clock.Boot
+	// objectiveMS is when the first piece of the answer is wanted, in ms.
+	objectiveMS float64
+	now         clock.Boot
 
 	options []option
 	usable  int
 	total   int
 	// known tells that some candidate holds the last shared part.
 	known bool
-	// home is the candidate that gets parts which no one holds.
-	home string
 	// floor is the least part of failed requests among the candidates.
 	floor float64
 }
@@ -91,6 +105,12 @@
 	state    *state
 	load     int
 	missing  int
+	// position is the candidate's place by rank for the shared parts, from 0.
+	position int
+	// source holds more of the shared parts, nil if there is none.
+	source   *traffic.Endpoint
+	reading  int
+	delayMS  float64
 	draw     uint64
 	avoided  bool
 	excluded bool
@@ -124,28 +144,54 @@
 		c.options = append(c.options, o)
 	}
 	if shared {
-		c.findHome()
+		c.setPositions()
+	}
+	for i := range c.options {
+		c.estimate(&c.options[i])
 	}
 }
 
-// findHome sets the home: the candidate that ranks best for the shared parts.
-// Load does not move it, so that VMs that know nothing yet find it again.
-func (c *chooser) findHome() {
-	var home *option
+// setPositions ranks the candidates for the shared parts. Load does not change
+// the order, so that VMs that know nothing yet agree on it.
+func (c *chooser) setPositions() {
+	order := make([]*option, 0, len(c.options))
 	for i := range c.options {
-		o := &c.options[i]
-		if o.excluded || o.avoided {
-			continue
-		}
-		if home == nil || o.draw > home.draw {
-			home = o
+		if o := &c.options[i]; !o.excluded && !o.avoided {
+			order = append(order, o)
 		}
 	}
-	if home != nil {
-		c.home = home.endpoint.ID
+	slices.SortFunc(order, func(a, b *option) int { return cmp.Compare(b.draw, a.draw) })
+	for position, o := range order {
+		o.position = position
 	}
 }
 
+// estimate sets what the endpoint would have to read and how long that takes.
+func (c *chooser) estimate(o *option) {
+	if len(c.prompt.Parts) == 0 {
+		return
+	}
+	o.reading = o.missing + c.ownTokens()
+	copyMS := 0.0
+	o.source = c.fetchFrom(o)
+	if o.source != nil {
+		left := c.missing(o.source.ID)
+		copyMS = copySetUpMS + float64(o.missing-left)/copyTokensPerMS
+		o.reading = left + c.ownTokens()
+	}
+	backlog := o.state.reading + o.state.peersReading + o.reading
+	o.delayMS = copyMS + float64(backlog)/readTokensPerMS
+}
+
+// ownTokens is the size of the request's own part.
+func (c *chooser) ownTokens() int {
+	parts := c.prompt.Parts
+	if len(parts) < 2 {
+		return 0
+	}
+	return parts[len(parts)-1].Tokens
+}
+
 // sharedParts are the parts before the request's own one.
 func (c *chooser) sharedParts() []traffic.Part {
 	parts := c.prompt.Parts
@@ -228,13 +274,18 @@
 		Load:      o.load,
 		Mean:      c.mean(),
 		Missing:   o.missing,
-		FetchFrom: c.fetchFrom(o),
+		Reading:   o.reading,
+		DelayMS:   o.delayMS,
+		FetchFrom: o.source,
 	}
 }
 
 // leastFetch is the number of missing tokens from which a copy is fetched.
 const leastFetch = 128
 
+// readSoon is the time after which a part has been read for sure.
+const readSoon = 700 * time.Millisecond
+
 // fetchFrom returns the reachable endpoint that holds the most of the shared
 // parts, if that is more than the chosen one holds.
 func (c *chooser) fetchFrom(chosen *option) *traffic.Endpoint {
@@ -250,6 +301,9 @@
 			if !ok || known.endpoint == nil || c.now < known.avoidUntil || at.endpoint == chosen.endpoint.ID {
 				continue
 			}
+			if known.reading+known.peersReading > 0 && c.now.Sub(at.since) < readSoon {
+				continue // It has probably not read the part yet.
+			}
 			if missing := c.missing(at.endpoint); missing <= least {
 				least, best = missing-1, known.endpoint
 			}
@@ -264,14 +318,29 @@
 	avoidedMS   = 1e8
 )
 
-// cost estimates the delay, in milliseconds, that a candidate causes.
+// The costs, in milliseconds.
+const (
+	// lateWeight multiplies a delay beyond latePart of the objective.
+	lateWeight = 4.0
+	latePart   = 0.45
+	// readTokenMS is the cost of each token that is read again though another
+	// engine holds it, and copyTokenMS of each one that is copied.
+	readTokenMS = 0.19
+	copyTokenMS = 0.03
+	// positionMS is the cost of each place behind the best-ranked engine for
+	// parts that nobody holds, up to lastPosition.
+	positionMS   = 120.0
+	lastPosition = 4
+)
+
+// cost estimates what a candidate costs, in milliseconds of delay.
 func (c *chooser) cost(o *option, bound float64) float64 {
 	cost := 0.0
 	if o.avoided {
 		cost += avoidedMS
 	}
 	if float64(o.load) > bound {
-		cost += overBoundMS + float64(o.load)*engineRequestMS
+		cost += overBoundMS + float64(o.load)*plainRequestMS
 	}
 	if excess := o.faults - c.floor; excess > faultFloor {
 		cost += excess * faultMS
@@ -279,26 +348,28 @@
 	if o.endpoint.FailureDomain != c.table.domain {
 		cost += otherDomainMS
 	}
-	if len(c.prompt.Parts) > 0 {
-		cost += float64(o.load) * engineRequestMS
-		return cost + c.readCost(o)
+	if len(c.prompt.Parts) == 0 {
+		return cost + float64(o.load)*plainRequestMS/float64(max(1, o.endpoint.Slots)) + jitter(o)
 	}
-	return cost + float64(o.load)*plainRequestMS/float64(max(1, o.endpoint.Slots)) + jitter(o)
+	return cost + float64(o.load)*runningMS + c.promptCost(o)
 }
 
-// readCost is the time to read the shared parts that are not held. The home of
-// parts that nobody holds counts as a holder, so that all VMs agree on it.
-func (c *chooser) readCost(o *option) float64 {
-	if o.endpoint.ID == c.home && !c.known {
-		return 0
+// promptCost is the cost of reading the prompt at a candidate.
+func (c *chooser) promptCost(o *option) float64 {
+	cost := o.delayMS
+	if c.objectiveMS > 0 {
+		cost += lateWeight * max(0, o.delayMS-latePart*c.objectiveMS)
 	}
-	return float64(o.missing) / prefillTokensPerMS * readWeight
+	if !c.known {
+		return cost + positionMS*float64(min(o.position, lastPosition))
+	}
+	if o.source == nil {
+		return cost + readTokenMS*float64(o.missing)
+	}
+	left := c.missing(o.source.ID)
+	return cost + readTokenMS*float64(left) + copyTokenMS*float64(o.missing-left)
 }
 
-// readWeight makes reading again dearer than its own delay, as it also delays
-// all other requests of the engine.
-const readWeight = 4.0
-
 // jitter breaks ties between endpoints without a prompt by the number of
 // requests sent there.
 func jitter(o *option) float64 {
@@ -313,7 +384,7 @@
 		return ReasonLoad
 	case c.known && c.holdsLast(o.endpoint.ID):
 		return ReasonHeld
-	case o.endpoint.ID == c.home:
+	case !c.known && o.position == 0:
 		return ReasonRank
 	default:
 		return ReasonSpill
--- a/choice/pick_test.go
+++ b/choice/pick_test.go
@@ -11,7 +11,10 @@
 	"cardamompoint.example/cardamompoint/traffic"
 )
 
-const testService = "engines"
+const (
+	testService   = "engines"
+	testObjective = 800 * time.Millisecond
+)
 
 var none = func(string) bool { return false }
 
@@ -64,13 +67,12 @@
 			request++
 			now = now.Add(20 * time.Millisecond)
 			prompt := chat(number, request)
-			pick, _ := table.Pick(endpoints, prompt, none, now)
+			pick, _ := table.Pick(endpoints, prompt, testObjective, none, now)
 			if before, ok := at[number]; ok && before != pick.Endpoint.ID {
 				t.Fatalf("round %d: chat %d moved from %s to %s, reason %s, missing %d", round, number, before, pick.Endpoint.ID, pick.Reason, pick.Missing)
 			}
 			at[number] = pick.Endpoint.ID
-			table.Begin(pick.Endpoint.ID, prompt, now)
-			table.End(pick.Endpoint.ID)
+			table.Begin(pick, prompt, now).End()
 		}
 	}
 }
@@ -81,11 +83,11 @@
 	endpoints := testEndpoints(6)
 	table := newTestTable(endpoints)
 	now := clock.Boot(time.Hour)
-	first, _ := table.Pick(endpoints, chat(1, 1), none, now)
+	first, _ := table.Pick(endpoints, chat(1, 1), testObjective, none, now)
 	for request := range uint64(40) {
-		table.Begin(first.Endpoint.ID, chat(1, request), now)
+		table.Begin(Pick{Endpoint: first.Endpoint}, chat(1, request), now)
 	}
-	pick, _ := table.Pick(endpoints, chat(1, 99), none, now)
+	pick, _ := table.Pick(endpoints, chat(1, 99), testObjective, none, now)
 	if pick.Endpoint.ID == first.Endpoint.ID {
 		t.Fatal("the full holder was picked")
 	}
@@ -112,14 +114,14 @@
 		}
 		table := tables[request%8]
 		prompt := chat(number, request)
-		pick, _ := table.Pick(endpoints, prompt, none, now)
+		pick, _ := table.Pick(endpoints, prompt, testObjective, none, now)
 		mean := float64(request) / float64(len(endpoints))
 		if float64(load[pick.Endpoint.ID]) > 2*mean+3 {
 			over++
 		}
 		sends++
 		load[pick.Endpoint.ID]++
-		table.Begin(pick.Endpoint.ID, prompt, now)
+		table.Begin(pick, prompt, now)
 		now = now.Add(10 * time.Millisecond)
 		if request%8 == 7 {
 			exchange(tables, now)
@@ -152,13 +154,12 @@
 	picked := 0
 	for request := range 200 {
 		now = now.Add(20 * time.Millisecond)
-		pick, _ := table.Pick(endpoints, &traffic.Prompt{}, none, now)
+		pick, _ := table.Pick(endpoints, &traffic.Prompt{}, testObjective, none, now)
 		bad := pick.Endpoint.ID == "e01"
 		if bad {
 			picked++
 		}
-		table.Begin(pick.Endpoint.ID, &traffic.Prompt{}, now)
-		table.End(pick.Endpoint.ID)
+		table.Begin(pick, &traffic.Prompt{}, now).End()
 		table.Answered(pick.Endpoint.ID, bad && request%2 == 0, now)
 	}
 	if picked > 40 {
@@ -176,10 +177,9 @@
 	picked := map[string]int{}
 	for request := range 300 {
 		now = now.Add(20 * time.Millisecond)
-		pick, _ := table.Pick(endpoints, &traffic.Prompt{}, none, now)
+		pick, _ := table.Pick(endpoints, &traffic.Prompt{}, testObjective, none, now)
 		picked[pick.Endpoint.ID]++
-		table.Begin(pick.Endpoint.ID, &traffic.Prompt{}, now)
-		table.End(pick.Endpoint.ID)
+		table.Begin(pick, &traffic.Prompt{}, now).End()
 		table.Answered(pick.Endpoint.ID, request%2 == 0, now)
 	}
 	for _, endpoint := range endpoints {
@@ -188,3 +188,47 @@
 		}
 	}
 }
+
+// TestLongReadsAreSpread starts forty chats with long prompts within half a
+// second; no engine may be given much more to read than it can within the
+// objective.
+func TestLongReadsAreSpread(t *testing.T) {
+	endpoints := testEndpoints(12)
+	table := newTestTable(endpoints)
+	now := clock.Boot(time.Hour)
+	reading := map[string]int{}
+	for number := range uint64(40) {
+		now = now.Add(12 * time.Millisecond)
+		prompt := chat(number, number)
+		pick, _ := table.Pick(endpoints, prompt, testObjective, none, now)
+		table.Begin(pick, prompt, now)
+		reading[pick.Endpoint.ID] += pick.Reading
+	}
+	for id, tokens := range reading {
+		if limit := int(testObjective.Milliseconds() * readTokensPerMS * 5 / 4); tokens > limit {
+			t.Errorf("%s was given %d tokens to read, more than %d", id, tokens, limit)
+		}
+	}
+}
+
+// TestChatIsCopiedFromALeavingEngine lets the holder of a chat leave: it takes no
+// new work, but its memory can still be copied.
+func TestChatIsCopiedFromALeavingEngine(t *testing.T) {
+	endpoints := testEndpoints(6)
+	table := newTestTable(endpoints)
+	now := clock.Boot(time.Hour)
+	first, _ := table.Pick(endpoints, chat(1, 1), testObjective, none, now)
+	work := table.Begin(first, chat(1, 1), now)
+	work.Read()
+	work.End()
+	var others []*traffic.Endpoint
+	for _, endpoint := range endpoints {
+		if endpoint.ID != first.Endpoint.ID {
+			others = append(others, endpoint)
+		}
+	}
+	pick, _ := table.Pick(others, chat(1, 2), testObjective, none, now.Add(time.Second))
+	if pick.FetchFrom == nil || pick.FetchFrom.ID != first.Endpoint.ID {
+		t.Errorf("the copy comes from %v, want %s", pick.FetchFrom, first.Endpoint.ID)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -13,6 +13,10 @@
 	// own is this VM's work in progress there, peers is that of the others.
 	own   int
 	peers int
+	// reading and peersReading are the prompt tokens that the endpoint has still
+	// to read for this VM and for the others.
+	reading      int
+	peersReading int
 	// told is what the endpoint said last, and sent how much this VM has sent
 	// there since.
 	told   traffic.Load
--- a/choice/table.go
+++ b/choice/table.go
@@ -18,7 +18,7 @@
 	mu      sync.Mutex
 	states  map[string]*state
 	parts   *holders
-	reports map[string]map[string]int
+	reports map[string][]news.Work
 	fresh   []news.PartPlace
 }
 
@@ -36,7 +36,7 @@
 		multiple: multiple,
 		states:   map[string]*state{},
 		parts:    newHolders(),
-		reports:  map[string]map[string]int{},
+		reports:  map[string][]news.Work{},
 	}
 }
 
@@ -54,6 +54,7 @@
 		next := &state{endpoint: endpoint}
 		if ok {
 			next.own, next.peers = known.own, known.peers
+			next.reading, next.peersReading = known.reading, known.peersReading
 		}
 		if ok && known.endpoint != nil {
 			t.parts.forget(id)
@@ -77,30 +78,6 @@
 	return known
 }
 
-// Begin counts a request that is sent to the endpoint, and notes where its
-// prompt parts go. The caller must call End once.
-func (t *Table) Begin(id string, prompt *traffic.Prompt, now clock.Boot) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	known := t.state(id)
-	known.own++
-	known.sent++
-	for _, part := range prompt.Parts {
-		if t.parts.note(part.ID, id, now) && len(t.fresh) < freshLimit {
-			t.fresh = append(t.fresh, news.PartPlace{Part: part.ID, Endpoint: id})
-		}
-	}
-}
-
-// End counts a request off.
-func (t *Table) End(id string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if known, ok := t.states[id]; ok && known.own > 0 {
-		known.own--
-	}
-}
-
 // Told takes in what an endpoint said of its load.
 func (t *Table) Told(id string, load traffic.Load, now clock.Boot) {
 	t.mu.Lock()
@@ -142,7 +119,7 @@
 	defer t.mu.Unlock()
 	for id, known := range t.states {
 		if known.own > 0 {
-			report.Work = append(report.Work, news.Work{Endpoint: id, Requests: known.own})
+			report.Work = append(report.Work, news.Work{Endpoint: id, Requests: known.own, Reading: known.reading})
 		}
 		if share := decay(known.faults, now.Sub(known.faultAt)); share >= tellFaults {
 			report.Faults = append(report.Faults, news.Fault{Endpoint: id, Percent: int(share * 100)})
@@ -160,12 +137,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.forget(report.Address)
-	work := make(map[string]int, len(report.Work))
-	for _, entry := range report.Work {
-		work[entry.Endpoint] = entry.Requests
-		t.state(entry.Endpoint).peers += entry.Requests
+	for _, work := range report.Work {
+		known := t.state(work.Endpoint)
+		known.peers += work.Requests
+		known.peersReading += work.Reading
 	}
-	t.reports[report.Address] = work
+	t.reports[report.Address] = report.Work
 	for _, at := range report.Parts {
 		t.parts.note(at.Part, at.Endpoint, now)
 	}
@@ -186,9 +163,10 @@
 }
 
 func (t *Table) forget(address string) {
-	for id, requests := range t.reports[address] {
-		if known, ok := t.states[id]; ok {
-			known.peers = max(0, known.peers-requests)
+	for _, work := range t.reports[address] {
+		if known, ok := t.states[work.Endpoint]; ok {
+			known.peers = max(0, known.peers-work.Requests)
+			known.peersReading = max(0, known.peersReading-work.Reading)
 		}
 	}
 	delete(t.reports, address)
--- /dev/null
+++ b/choice/work.go
@@ -0,0 +1,65 @@
+package choice
+
+import (
+	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/news"
+	"cardamompoint.example/cardamompoint/traffic"
+)
+
+// Work is one request in progress at an endpoint. It is not safe for concurrent
+// use.
+type Work struct {
+	table   *Table
+	id      string
+	reading int
+	ended   bool
+}
+
+// Begin counts a request that is sent to the picked endpoint, and notes where
+// its prompt parts go. The caller must call End.
+func (t *Table) Begin(pick Pick, prompt *traffic.Prompt, now clock.Boot) *Work {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	id := pick.Endpoint.ID
+	known := t.state(id)
+	known.own++
+	known.sent++
+	known.reading += pick.Reading
+	for _, part := range prompt.Parts {
+		if t.parts.note(part.ID, id, now) && len(t.fresh) < freshLimit {
+			t.fresh = append(t.fresh, news.PartPlace{Part: part.ID, Endpoint: id})
+		}
+	}
+	return &Work{table: t, id: id, reading: pick.Reading}
+}
+
+// Read notes that the endpoint has read the prompt.
+func (w *Work) Read() {
+	if w.reading == 0 {
+		return
+	}
+	w.table.mu.Lock()
+	defer w.table.mu.Unlock()
+	w.read()
+}
+
+func (w *Work) read() {
+	if known, ok := w.table.states[w.id]; ok {
+		known.reading = max(0, known.reading-w.reading)
+	}
+	w.reading = 0
+}
+
+// End counts the request off. Further calls do nothing.
+func (w *Work) End() {
+	if w.ended {
+		return
+	}
+	w.ended = true
+	w.table.mu.Lock()
+	defer w.table.mu.Unlock()
+	w.read()
+	if known, ok := w.table.states[w.id]; ok {
+		known.own = max(0, known.own-1)
+	}
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -41,6 +41,7 @@
 type exchange struct {
 	*call
 	pick     choice.Pick
+	work     *choice.Work
 	conn     *upstream.Conn
 	response *http.Response
 	answer   platform.Answer
@@ -51,9 +52,9 @@
 func (c *call) attempt(pick choice.Pick) outcome {
 	id := pick.Endpoint.ID
 	table := c.gateway.table
-	table.Begin(id, &c.request.Prompt, clock.Now())
-	defer table.End(id)
-	x := &exchange{call: c, pick: pick}
+	work := table.Begin(pick, &c.request.Prompt, clock.Now())
+	defer work.End()
+	x := &exchange{call: c, pick: pick, work: work}
 	conn, err := c.gateway.pool.Get(c.r.Context(), id, pick.Endpoint.Address)
 	if err != nil {
 		if c.r.Context().Err() == nil {
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -84,6 +84,8 @@
 	Load     int           `json:"load"`
 	Mean     float64       `json:"mean"`
 	Missing  int           `json:"missing,omitempty"`
+	Reading  int           `json:"reading,omitempty"`
+	DelayMS  int           `json:"delay_ms,omitempty"`
 	Fetch    string        `json:"fetch,omitempty"`
 	Status   int           `json:"status,omitempty"`
 	// BeganMS is when the attempt began, and FirstMS when the first event of a
@@ -101,6 +103,8 @@
 		Load:     pick.Load,
 		Mean:     pick.Mean,
 		Missing:  pick.Missing,
+		Reading:  pick.Reading,
+		DelayMS:  int(pick.DelayMS),
 		Status:   came.status,
 		BeganMS:  c.began.Sub(c.arrived).Milliseconds(),
 		TookMS:   took.Milliseconds(),
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -106,7 +106,7 @@
 	}
 	now := clock.Now()
 	tried := func(id string) bool { return slices.Contains(c.tried, id) }
-	pick, ok := c.gateway.table.Pick(snapshot.Ready[c.grant.service], &c.request.Prompt, tried, now)
+	pick, ok := c.gateway.table.Pick(snapshot.Ready[c.grant.service], &c.request.Prompt, c.grant.route.Objective, tried, now)
 	if !ok {
 		return pick, code.New(code.NoEndpoint, "no endpoint of the service is left").After(comeBackStale)
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -25,6 +25,7 @@
 		if err != nil {
 			return x.breakStream(err)
 		}
+		x.work.Read()
 		x.startStream()
 		if _, err := x.w.Write(piece); err != nil {
 			return outcome{fate: fateGone, status: x.answer.Status, err: err}
--- a/news/report.go
+++ b/news/report.go
@@ -33,6 +33,8 @@
 type Work struct {
 	Endpoint string `json:"e"`
 	Requests int    `json:"r"`
+	// Reading is the number of prompt tokens that the endpoint has still to read.
+	Reading int `json:"t,omitempty"`
 }
 
 // PartPlace tells that an endpoint holds a prompt part.
