Begin to learn prompt places when endpoints are known

Cause: after a restart with the store down, VMs learned nothing, since no endpoint was known within their learning time; when the store returned, chats were read again at the first engines that were back. Change: learning begins with the first endpoint, and engines that are published later are asked too.

--- a/choice/places.go
+++ b/choice/places.go
@@ -33,3 +33,10 @@
 		t.parts.note(at.Part, at.Endpoint, now)
 	}
 }
+
+// Tell lets the next reports tell other VMs of places, as far as there is room.
+func (t *Table) Tell(places []news.PartPlace) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.fresh = append(t.fresh, places[:min(len(places), freshLimit-min(freshLimit, len(t.fresh)))]...)
+}
--- a/choice/table.go
+++ b/choice/table.go
@@ -23,7 +23,7 @@
 }
 
 // freshLimit bounds the part places that wait to be told to other VMs.
-const freshLimit = 64
+const freshLimit = 128
 
 // NewTable returns a Table of a VM in the given failure domain. multiple bounds
 // the requests at one endpoint as a multiple of the mean.
--- a/gateway/learner.go
+++ b/gateway/learner.go
@@ -23,8 +23,8 @@
 	learnFor = 4 * time.Second
 	// learnPeriod is the time between two rounds.
 	learnPeriod = 60 * time.Millisecond
-	// learnWait is how long requests with long shared prompts wait at most, after
-	// the start, for what the VM learns: reading them anew takes as long.
+	// learnWait is how long requests with long shared prompts wait at most, once
+	// endpoints are known, for what the VM learns: reading them takes as long.
 	learnWait = 450 * time.Millisecond
 	// longPrompt is the number of shared tokens from which a request waits.
 	longPrompt = 1000
@@ -40,7 +40,11 @@
 type learner struct {
 	gateway *Gateway
 	client  *http.Client
-	asked   map[string]bool
+	// asked are the peers and the engines that were asked.
+	asked map[string]bool
+	// listing tells that nobody knew and the engines are asked, also those that
+	// are published later.
+	listing bool
 }
 
 func newLearner(g *Gateway) *learner {
@@ -56,6 +60,7 @@
 		l.gateway.learned.Store(true)
 		return
 	}
+	l.awaitEndpoints(ctx)
 	limit := time.AfterFunc(learnWait, l.gateway.placesKnown)
 	defer limit.Stop()
 	wait(ctx, learnAfter)
@@ -69,6 +74,18 @@
 	l.gateway.learned.Store(true)
 }
 
+// awaitEndpoints waits until endpoints are known: the store may be away for long
+// after a start.
+func (l *learner) awaitEndpoints(ctx context.Context) {
+	for ctx.Err() == nil {
+		snapshot := l.gateway.tracker.Snapshot()
+		if snapshot.Configuration != nil && len(snapshot.Endpoints) > 0 {
+			return
+		}
+		wait(ctx, learnPeriod/4)
+	}
+}
+
 // round asks the peers that know and were not asked yet. If there are none at
 // all, it asks this VM's part of the engines. It reports whether this VM knows.
 func (l *learner) round(ctx context.Context) bool {
@@ -82,17 +99,14 @@
 		someKnow = true
 		l.askPeer(ctx, member.Report.Address)
 	}
-	if someKnow || l.gateway.learned.Load() {
-		if allKnow {
-			l.gateway.placesKnown()
-		}
-		return true
+	if allKnow && l.gateway.learned.Load() {
+		l.gateway.placesKnown()
 	}
-	snapshot := l.gateway.tracker.Snapshot()
-	if snapshot.Configuration == nil || len(snapshot.Endpoints) == 0 {
-		return false
+	if someKnow && !l.listing {
+		return true
 	}
-	l.askEngines(ctx, snapshot, alive)
+	l.listing = true
+	l.askEngines(ctx, l.gateway.tracker.Snapshot(), alive)
 	return true
 }
 
@@ -116,7 +130,11 @@
 func (l *learner) askEngines(ctx context.Context, snapshot *knowledge.Snapshot, alive []news.Member) {
 	for _, endpoint := range snapshot.Endpoints {
 		service := snapshot.Configuration.Services[endpoint.Service]
-		if service == nil || service.Engine == nil || !l.ranksFirst(endpoint, alive) {
+		if service == nil || service.Engine == nil || l.asked[endpoint.ID] {
+			continue
+		}
+		l.asked[endpoint.ID] = true
+		if !l.ranksFirst(endpoint, alive) {
 			continue
 		}
 		l.askEngine(ctx, endpoint)
@@ -146,6 +164,9 @@
 		}
 	}
 	l.gateway.table.Learn(places, clock.Now())
+	if l.gateway.learned.Load() {
+		l.gateway.table.Tell(places)
+	}
 	klog.InfoS("place: learned what an engine holds", "endpoint", endpoint.ID, "parts", len(parts))
 }
 
