Keep SIGHUP handled after SIGTERM

A second SIGTERM would have ended it too. Change: SIGHUP stays handled to the end; further SIGTERMs change nothing, the platform ends the process after its grace time.

--- a/cmd/cardamompoint/gateway.go
+++ b/cmd/cardamompoint/gateway.go
@@ -15,7 +15,6 @@
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/gateway"
-	"cardamompoint.example/cardamompoint/internal/daemon"
 	"cardamompoint.example/cardamompoint/internal/logsink"
 	"cardamompoint.example/cardamompoint/platform"
 )
@@ -51,34 +50,32 @@
 		return err
 	}
 	boundMemory(settings.MemoryBytes)
-	first, second, stop := daemon.Signals(ctx)
+	stopping, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	hangUp := make(chan os.Signal, 1)
+	signal.Notify(hangUp, syscall.SIGHUP)
 	g, err := gateway.New(settings)
 	if err != nil {
 		return err
 	}
 	klog.InfoS("gateway: started", "node", settings.Node, "settings", settings.Checksum, "front", settings.FrontAddress, "domain", settings.FailureDomain, "seeds", settings.Seeds)
-	go followSettings(first, g, settings.Checksum)
-	return g.Run(first, second)
+	go followSettings(hangUp, g, settings.Checksum)
+	return g.Run(stopping)
 }
 
 // settingsPeriod is how often the settings file is looked at without a signal.
 const settingsPeriod = 3 * time.Second
 
 // followSettings reloads the settings file when it has changed, at SIGHUP and
-// every few seconds, until ctx ends.
-func followSettings(ctx context.Context, g *gateway.Gateway, checksum string) {
-	hangUp := make(chan os.Signal, 1)
-	signal.Notify(hangUp, syscall.SIGHUP)
-	defer signal.Stop(hangUp)
+// every few seconds. It never ends: SIGHUP must stay handled to the end of the
+// process, also after SIGTERM.
+func followSettings(hangUp <-chan os.Signal, g *gateway.Gateway, checksum string) {
 	ticker := time.NewTicker(settingsPeriod)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-hangUp:
 		case <-ticker.C:
-		case <-ctx.Done():
-			return
 		}
 		next, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
 		if err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -124,9 +124,9 @@
 	g.table.Fill(report, now)
 }
 
-// Run serves until stop ends and the requests in progress have ended, or until
-// kill ends.
-func (g *Gateway) Run(stop, kill context.Context) error {
+// Run serves until stop ends and the requests in progress have ended, or the
+// grace time is over.
+func (g *Gateway) Run(stop context.Context) error {
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go knowledge.NewReader(platform.NewStore(g.settings.StoreAddress), g.tracker).Run(background)
@@ -135,7 +135,7 @@
 	go g.exchange.Receive(background)
 	go g.keepConnections(background)
 	go newLearner(g).run(background)
-	return g.serve(stop, kill)
+	return g.serve(stop)
 }
 
 // poolCheckPeriod is how often idle connections are looked through.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -37,7 +37,7 @@
 }
 
 // serve opens the addresses and serves them until the process is to end.
-func (g *Gateway) serve(stop, kill context.Context) error {
+func (g *Gateway) serve(stop context.Context) error {
 	listeners, err := g.listen()
 	if err != nil {
 		return err
@@ -51,7 +51,7 @@
 		return eris.Wrap(err, "a server failed")
 	case <-stop.Done():
 	}
-	return g.shutDown(listeners, kill)
+	return g.shutDown(listeners)
 }
 
 func (g *Gateway) listen() ([]listener, error) {
@@ -93,7 +93,7 @@
 }
 
 // shutDown lets the requests in progress end.
-func (g *Gateway) shutDown(listeners []listener, kill context.Context) error {
+func (g *Gateway) shutDown(listeners []listener) error {
 	g.stopping.Store(true)
 	began := time.Now()
 	klog.InfoS("gateway: stopping", "active", g.active.Load())
@@ -101,8 +101,8 @@
 	if grace <= 0 {
 		grace = defaultGrace
 	}
-	wait(kill, lingerTime)
-	ctx, cancel := context.WithTimeout(kill, grace-graceMargin-time.Since(began))
+	time.Sleep(lingerTime)
+	ctx, cancel := context.WithTimeout(context.Background(), grace-graceMargin-time.Since(began))
 	defer cancel()
 	cut := false
 	for _, l := range listeners {
