Test the gateway against a stand-in of the platform

Change: internal/standin/hosted has the platform's store and workers with the faults of its protocol; the tests bring each fault about for each kind of request: at most once, true promises, answers of others, streams resumed, callers gone, addresses used again. The reports' socket is closed when the gateway ends.

--- /dev/null
+++ b/gateway/call_test.go
@@ -0,0 +1,215 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"cardamompoint.example/cardamompoint/internal/standin/hosted"
+)
+
+const (
+	chatParts  = "a1:100,b2:400,c3:50"
+	wholeChat  = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\nid: 5\ndata: piece 5\n\n"
+	shortLimit = "1200"
+)
+
+// promises are the statuses that tell a caller that its request never runs.
+var promises = map[int]bool{
+	http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true,
+	http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true,
+}
+
+func TestEachKindIsServed(t *testing.T) {
+	f := newTestFleet(t, 1)
+	for _, path := range []string{"/deposit/1", "/lookup/1?x=%2f", "/open/1"} {
+		got := f.ask(context.Background(), 1, query{path: path, body: "work"})
+		if got.status != http.StatusOK || got.body != "answer to "+got.id {
+			t.Errorf("%s: %+v", path, got)
+		}
+	}
+	for _, path := range []string{"/chat/1", "/roster/1"} {
+		got := f.ask(context.Background(), 1, query{path: path, parts: chatParts})
+		if got.status != http.StatusOK || got.body != wholeChat || !got.whole {
+			t.Errorf("%s: %+v", path, got)
+		}
+	}
+}
+
+// TestWorkerSeesWhatTheCallerSent checks what is passed on and what is not.
+func TestWorkerSeesWhatTheCallerSent(t *testing.T) {
+	f := newTestFleet(t, 1)
+	got := f.ask(context.Background(), 1, query{path: "/deposit/a%2Fb?q=1&q=2", body: "work", deadline: "1000", extra: map[string]string{
+		"X-Other": "kept", "Connection": "x-hop", "X-Hop": "dropped",
+		"Cardamompoint-Tenant": "forged", "Cardamompoint-Hold": "forged", "Kv-From": "forged", "Cardamompoint-Kv-Backup": "forged",
+		"Cardamompoint-Pin-Ms": "9",
+	}})
+	if got.status != http.StatusOK {
+		t.Fatalf("%+v", got)
+	}
+	var seen hosted.Seen
+	for _, worker := range f.workers {
+		for _, one := range worker.Seen() {
+			seen = one
+		}
+	}
+	if seen.Target != "/deposit/a%2Fb?q=1&q=2" || seen.Body != "work" || seen.Workspace != hosted.Workspace || seen.ID != got.id {
+		t.Errorf("the worker saw %+v", seen)
+	}
+	if seen.Header.Get("X-Other") != "kept" {
+		t.Error("a header was not passed on")
+	}
+	for _, name := range []string{"Authorization", "X-Hop", "Cardamompoint-Hold", "Kv-From", "Cardamompoint-Kv-Backup", "Cardamompoint-Pin-Ms"} {
+		if value := seen.Header.Get(name); value != "" {
+			t.Errorf("%s was passed on as %q", name, value)
+		}
+	}
+}
+
+// TestAtMostOnce brings each fault about for a request that must not be
+// repeated: it runs once at most, and a promise that it did not run is true.
+func TestAtMostOnce(t *testing.T) {
+	f := newTestFleet(t, 1)
+	faults := []hosted.Behaviour{hosted.Refuse, hosted.Fail, hosted.Lose, hosted.Hang, hosted.Unsealed, hosted.Foreign, hosted.Cut, hosted.Twice}
+	for _, fault := range faults {
+		for round := range 3 {
+			for _, id := range []string{"plain-1", "plain-2"} {
+				f.workers[id].Plan(fault)
+			}
+			got := f.ask(context.Background(), 1, query{path: "/deposit/1", body: "work", deadline: shortLimit})
+			name := fmt.Sprintf("fault %d, round %d", fault, round)
+			if runs := f.runs(got.id); runs > 1 {
+				t.Errorf("%s: it ran %d times", name, runs)
+			} else if runs > 0 && promises[got.status] {
+				t.Errorf("%s: it ran and the caller got status %d", name, got.status)
+			}
+			if got.status == http.StatusOK && got.body != "answer to "+got.id {
+				t.Errorf("%s: %+v", name, got)
+			}
+			for _, id := range []string{"plain-1", "plain-2"} {
+				f.workers[id].Plan()
+			}
+		}
+	}
+}
+
+// TestIdempotentRequestIsTriedElsewhere lets one of two workers fail in each way.
+func TestIdempotentRequestIsTriedElsewhere(t *testing.T) {
+	f := newTestFleet(t, 1)
+	faults := []hosted.Behaviour{hosted.Refuse, hosted.Fail, hosted.Lose, hosted.Hang, hosted.Unsealed, hosted.Foreign, hosted.Cut}
+	for _, fault := range faults {
+		f.workers["plain-1"].Always(fault)
+		for range 4 {
+			got := f.ask(context.Background(), 1, query{path: "/lookup/1", body: "work", deadline: "5000"})
+			if got.status != http.StatusOK || got.body != "answer to "+got.id {
+				t.Errorf("fault %d: %+v", fault, got)
+			}
+		}
+		f.workers["plain-1"].Always(hosted.Serve)
+	}
+}
+
+// TestStrayAnswerIsNotPassedOn sends a second answer behind a right one; the next
+// request on that connection must get its own.
+func TestStrayAnswerIsNotPassedOn(t *testing.T) {
+	f := newTestFleet(t, 1)
+	for _, id := range []string{"plain-1", "plain-2"} {
+		f.workers[id].Always(hosted.Twice)
+	}
+	for range 20 {
+		got := f.ask(context.Background(), 1, query{path: "/deposit/1", body: "work"})
+		if got.status != http.StatusOK || got.body != "answer to "+got.id {
+			t.Fatalf("%+v", got)
+		}
+	}
+}
+
+// TestBrokenStreamGoesOnElsewhere cuts streams in the middle of an event: one
+// that may be resumed is whole and has each event once, another one must not
+// look complete.
+func TestBrokenStreamGoesOnElsewhere(t *testing.T) {
+	f := newTestFleet(t, 1)
+	for range 6 {
+		f.workers["engine-1"].Plan(hosted.Cut)
+		f.workers["engine-2"].Plan()
+		got := f.ask(context.Background(), 1, query{path: "/roster/1", parts: chatParts})
+		if got.body != wholeChat || !got.whole {
+			t.Errorf("a stream that may be resumed: %+v", got)
+		}
+	}
+	for _, id := range []string{"engine-1", "engine-2"} {
+		f.workers[id].Always(hosted.Cut)
+	}
+	got := f.ask(context.Background(), 1, query{path: "/chat/1", parts: chatParts})
+	if got.whole {
+		t.Errorf("a broken stream looks complete: %+v", got)
+	}
+	if !strings.HasPrefix(wholeChat, got.body) {
+		t.Errorf("the stream is %q", got.body)
+	}
+	if runs := f.runs(got.id); runs != 1 {
+		t.Errorf("a stream that may not be resumed ran %d times", runs)
+	}
+}
+
+// TestCallerGoneStopsTheWork closes the caller's connection in the middle of a
+// stream.
+func TestCallerGoneStopsTheWork(t *testing.T) {
+	f := newTestFleet(t, 1)
+	for _, id := range []string{"engine-1", "engine-2"} {
+		f.workers[id].Events = 100_000
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	request := f.newRequest(ctx, 1, "00000000000000aa", query{path: "/chat/1", parts: chatParts})
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	cancel()
+	f.eventually("the worker's connection is closed", func() bool {
+		return f.workers["engine-1"].Abandoned("00000000000000aa") || f.workers["engine-2"].Abandoned("00000000000000aa")
+	})
+}
+
+// TestAnotherInstanceAtTheAddress publishes a wrong instance for an address.
+func TestAnotherInstanceAtTheAddress(t *testing.T) {
+	f := newTestFleet(t, 1)
+	f.store.Leave("plain-1")
+	f.store.Leave("plain-2")
+	f.store.Enter("plain-9", "plain", f.address(100, workerPort), "ready")
+	f.eventually("the change is known", func() bool {
+		ready := f.gateways[0].tracker.Snapshot().Ready["plain"]
+		return len(ready) == 1 && ready[0].ID == "plain-9"
+	})
+	got := f.ask(context.Background(), 1, query{path: "/deposit/1", body: "work"})
+	if !promises[got.status] || f.runs(got.id) != 0 {
+		t.Errorf("status %d after %d runs", got.status, f.runs(got.id))
+	}
+	if got.header.Get("Retry-After") == "" {
+		t.Error("the caller is not told when to come back")
+	}
+}
+
+// TestWhatIsRefused checks the statuses of requests that never reach a worker.
+func TestWhatIsRefused(t *testing.T) {
+	f := newTestFleet(t, 1)
+	long := strings.Repeat("x", 70_000)
+	for _, test := range []struct {
+		name   string
+		query  query
+		status int
+	}{
+		{"unknown key", query{path: "/deposit/1", key: "other"}, http.StatusUnauthorized},
+		{"unknown path", query{path: "/nothing/1"}, http.StatusNotFound},
+		{"long body", query{path: "/deposit/1", body: long}, http.StatusRequestEntityTooLarge},
+		{"bad deadline", query{path: "/deposit/1", deadline: "soon"}, http.StatusBadRequest},
+	} {
+		got := f.ask(context.Background(), 1, test.query)
+		if got.status != test.status || f.runs(got.id) != 0 {
+			t.Errorf("%s: status %d after %d runs", test.name, got.status, f.runs(got.id))
+		}
+	}
+}
--- /dev/null
+++ b/gateway/fleet_test.go
@@ -0,0 +1,247 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cardamompoint.example/cardamompoint/internal/loopback"
+	"cardamompoint.example/cardamompoint/internal/standin/hosted"
+	"cardamompoint.example/cardamompoint/platform"
+)
+
+// The ports of every VM of a test fleet.
+const (
+	frontPort   = 7001
+	readyPort   = 7002
+	controlPort = 7003
+	peerPort    = 7010
+	storePort   = 7100
+	workerPort  = 7200
+)
+
+// testFleet is a store, workers and gateways on one loopback network.
+type testFleet struct {
+	t        *testing.T
+	network  *loopback.Network
+	store    *hosted.Store
+	gateways []*Gateway
+	stops    []context.CancelFunc
+	done     []chan error
+	workers  map[string]*hosted.Worker
+	requests atomic.Int64
+}
+
+// newTestFleet starts a store with the default configuration, two engines, two
+// plain workers and count gateways, and waits until all are ready.
+func newTestFleet(t *testing.T, count int) *testFleet {
+	t.Helper()
+	network, err := loopback.Reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := network.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	f := &testFleet{t: t, network: network, store: hosted.NewStore(), workers: map[string]*hosted.Worker{}}
+	f.listen(f.address(200, storePort), f.store)
+	f.store.Publish(hosted.DefaultConfiguration())
+	for i, id := range []string{"engine-1", "engine-2"} {
+		f.addWorker(id, "engines", 100+i)
+	}
+	for i, id := range []string{"plain-1", "plain-2"} {
+		f.addWorker(id, "plain", 110+i)
+	}
+	for i := range count {
+		f.start(i + 1)
+	}
+	f.eventually("all gateways are ready", func() bool {
+		for i := range f.gateways {
+			if f.ready(i+1) != http.StatusOK || len(f.gateways[i].tracker.Snapshot().Endpoints) < len(f.workers) {
+				return false
+			}
+		}
+		return true
+	})
+	return f
+}
+
+func (f *testFleet) address(host, port int) string {
+	return fmt.Sprintf("%s.0.%d:%d", f.network.Prefix, host, port)
+}
+
+// listen serves a handler until the test ends.
+func (f *testFleet) listen(address string, handler http.Handler) {
+	f.t.Helper()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	server := newServer(handler)
+	go func() { _ = server.Serve(listener) }()
+	f.t.Cleanup(func() {
+		_ = server.Close()
+		_ = listener.Close()
+	})
+}
+
+func (f *testFleet) addWorker(id, service string, host int) *hosted.Worker {
+	worker := hosted.NewWorker(id)
+	f.workers[id] = worker
+	f.listen(f.address(host, workerPort), worker)
+	f.store.Enter(id, service, f.address(host, workerPort), "ready")
+	return worker
+}
+
+// start runs a gateway on the VM of the given number.
+func (f *testFleet) start(number int) {
+	f.t.Helper()
+	ip := fmt.Sprintf("%s.0.%d", f.network.Prefix, number)
+	seeds := []string{f.address(1, controlPort), f.address(2, controlPort)}
+	text := hosted.Settings(ip, [4]int{frontPort, readyPort, controlPort, peerPort}, f.address(200, storePort), seeds)
+	settings, err := platform.ParseSettings([]byte(text))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	g, err := New(settings)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- g.Run(ctx) }()
+	f.gateways = append(f.gateways, g)
+	f.stops = append(f.stops, stop)
+	f.done = append(f.done, done)
+	f.t.Cleanup(func() {
+		stop()
+		<-done
+	})
+}
+
+func (f *testFleet) ready(number int) int {
+	response, err := http.Get("http://" + f.address(number, readyPort) + platform.ReadinessPath)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	return response.StatusCode
+}
+
+// eventually waits for a condition; it fails the test only after a time that no
+// healthy run comes near.
+func (f *testFleet) eventually(what string, condition func() bool) {
+	f.t.Helper()
+	for range 2000 {
+		if condition() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.t.Fatalf("it did not happen that %s", what)
+}
+
+// query is a caller's request.
+type query struct {
+	method   string
+	path     string
+	key      string
+	body     string
+	deadline string
+	parts    string
+	extra    map[string]string
+}
+
+// result is a caller's view of an answer.
+type result struct {
+	id     string
+	status int
+	body   string
+	header http.Header
+	// whole tells that the answer ended as complete.
+	whole bool
+	err   error
+}
+
+// ask sends a request to the VM of the given number.
+func (f *testFleet) ask(ctx context.Context, number int, q query) result {
+	id := fmt.Sprintf("%016x", f.requests.Add(1))
+	request := f.newRequest(ctx, number, id, q)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return result{id: id, err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return result{id: id, status: response.StatusCode, body: string(body), header: response.Header, whole: err == nil, err: err}
+}
+
+func (f *testFleet) newRequest(ctx context.Context, number int, id string, q query) *http.Request {
+	method := q.method
+	if method == "" {
+		method = http.MethodPost
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+f.address(number, frontPort)+q.path, strings.NewReader(q.body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	request.Host = hosted.Host
+	request.Header.Set("Cardamompoint-Attempt-Id", id)
+	if q.key == "" {
+		q.key = hosted.Key
+	}
+	request.Header.Set("Authorization", "Bearer "+q.key)
+	if q.deadline != "" {
+		request.Header.Set("Cardamompoint-Request-Deadline", q.deadline)
+	}
+	if q.parts != "" {
+		request.Header.Set("Cardamompoint-Model", "m")
+		request.Header.Set("Cardamompoint-Token-Counts", "100,50")
+		request.Header.Set("Cardamompoint-Prompt-Prefix", q.parts)
+	}
+	for name, value := range q.extra {
+		request.Header.Set(name, value)
+	}
+	return request
+}
+
+// raw sends bytes to the VM of the given number and returns the status line of
+// the first answer, "" if there is none.
+func (f *testFleet) raw(number int, text string) string {
+	f.t.Helper()
+	conn, err := net.Dial("tcp", f.address(number, frontPort))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
+		f.t.Fatal(err)
+	}
+	if _, err := io.WriteString(conn, text); err != nil {
+		return ""
+	}
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	if err != nil {
+		return ""
+	}
+	return strings.TrimSpace(line)
+}
+
+// runs returns how often all workers together ran a request.
+func (f *testFleet) runs(id string) int {
+	total := 0
+	for _, worker := range f.workers {
+		total += worker.Runs(id)
+	}
+	return total
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -133,6 +133,7 @@
 	go knowledge.NewPeerReader(g.peers, g.tracker).Run(background)
 	go g.exchange.Send(background)
 	go g.exchange.Receive(background)
+	defer g.exchange.Close()
 	go g.keepConnections(background)
 	go newLearner(g).run(background)
 	return g.serve(stop)
--- /dev/null
+++ b/internal/standin/hosted/document.go
@@ -0,0 +1,142 @@
+package hosted
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+)
+
+// Route is a route of a Configuration.
+type Route struct {
+	Name     string  `json:"name"`
+	Hostname string  `json:"hostname"`
+	Prefix   string  `json:"prefix"`
+	Kind     string  `json:"kind"`
+	Timeout  float64 `json:"timeoutMs"`
+	Goal     float64 `json:"latencyGoalMs"`
+	Gap      float64 `json:"gapTargetMs,omitempty"`
+	Service  string  `json:"service"`
+	Attempts int     `json:"maxAttempts"`
+	Public   bool    `json:"public"`
+	Sticky   bool    `json:"sticky"`
+	Resume   bool    `json:"resumeStreams"`
+}
+
+// Service is a service of a Configuration.
+type Service struct {
+	Name   string         `json:"name"`
+	Engine map[string]any `json:"engine,omitempty"`
+}
+
+// Tenant is a holder of keys.
+type Tenant struct {
+	Name string   `json:"name"`
+	Keys []string `json:"keys"`
+}
+
+// Configuration is what the operator publishes.
+type Configuration struct {
+	Version  int64          `json:"version"`
+	Routes   []Route        `json:"routes"`
+	Services []Service      `json:"services"`
+	Limits   map[string]any `json:"limits"`
+	Tenants  []Tenant       `json:"tenants"`
+}
+
+// The names of the default configuration.
+const (
+	Host      = "desk.example"
+	Key       = "key-1"
+	Workspace = "outlet-1"
+)
+
+// DefaultConfiguration has one route of each kind, an engine service "engines"
+// and a plain service "plain".
+func DefaultConfiguration() Configuration {
+	stream := Route{Hostname: Host, Kind: "streaming", Timeout: 8000, Goal: 800, Gap: 400, Service: "engines", Attempts: 2, Sticky: true}
+	chat, roster := stream, stream
+	chat.Name, chat.Prefix = "chat", "/chat/"
+	roster.Name, roster.Prefix, roster.Resume = "roster", "/roster/", true
+	plain := Route{Hostname: Host, Timeout: 1500, Goal: 150, Service: "plain"}
+	deposit, lookup := plain, plain
+	deposit.Name, deposit.Prefix, deposit.Kind, deposit.Attempts = "deposit", "/deposit/", "non_idempotent", 1
+	lookup.Name, lookup.Prefix, lookup.Kind, lookup.Attempts = "lookup", "/lookup/", "idempotent", 2
+	open := lookup
+	open.Name, open.Prefix, open.Public = "open", "/open/", true
+	return Configuration{
+		Version: 1,
+		Routes:  []Route{chat, roster, deposit, lookup, open},
+		Services: []Service{
+			{Name: "engines", Engine: map[string]any{"slots": 64, "kvCapacity": 500000}},
+			{Name: "plain"},
+		},
+		Limits:  map[string]any{"headerBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		Tenants: []Tenant{{Name: Workspace, Keys: []string{Key}}},
+	}
+}
+
+// Publish writes the configuration.
+func (s *Store) Publish(configuration Configuration) int64 {
+	raw, err := json.Marshal(configuration)
+	if err != nil {
+		panic(err) // The type has nothing that can't be encoded.
+	}
+	return s.Put("op/config", raw)
+}
+
+// Enter writes a worker's entry.
+func (s *Store) Enter(id, service, address, state string) int64 {
+	entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"domain-a","version":"v1","slots":8,"state":%q,"coldLeftMs":0,"sequence":1}`, service, address, state)
+	return s.Put("servers/"+id, []byte(entry))
+}
+
+// Leave removes a worker's entry.
+func (s *Store) Leave(id string) {
+	s.Delete("servers/" + id)
+}
+
+// Settings returns a settings file of a process whose addresses are at an IP
+// number. ports are the front, readiness and control port and the first of the
+// ports between VMs.
+func Settings(ip string, ports [4]int, store string, seeds []string) string {
+	return fmt.Sprintf(`nodeName = "front-%[1]s"
+ip = %[1]q
+zone = "domain-a"
+region = "region-a"
+internalPorts = [%[5]d, %[6]d]
+seeds = [%[8]s]
+bootstrap = true
+heartbeatMs = 1200
+[zones]
+domain-a = "region-a"
+[listen]
+front = "%[1]s:%[2]d"
+ready = "%[1]s:%[3]d"
+control = "%[1]s:%[4]d"
+[limits]
+memoryMb = 284
+[bounds]
+stableMs = 3000
+drainMs = 2000
+graceS = 8
+configMs = 2000
+strictRevoke = true
+revokeMs = 5000
+retryRatio = 0.2
+budgetWindowS = 10
+retrySlack = 54
+reuseWindowS = 10
+capFactor = 2
+[platform]
+address = %[7]q
+form = "read"
+`, ip, ports[0], ports[1], ports[2], ports[3], ports[3]+15, store, quoteAll(seeds))
+}
+
+func quoteAll(texts []string) string {
+	quoted := make([]string, len(texts))
+	for i, text := range texts {
+		quoted[i] = fmt.Sprintf("%q", text)
+	}
+	return strings.Join(quoted, ", ")
+}
--- /dev/null
+++ b/internal/standin/hosted/store.go
@@ -0,0 +1,213 @@
+package hosted
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Fault is what the Store does with calls.
+type Fault int
+
+// The faults of a Store.
+const (
+	// FaultNone serves all calls.
+	FaultNone Fault = iota
+	// FaultBusy answers with status 503.
+	FaultBusy
+	// FaultReset closes the connection without an answer.
+	FaultReset
+	// FaultSilent does not answer.
+	FaultSilent
+)
+
+// Store stands in for the platform's store. It is safe for concurrent use.
+type Store struct {
+	mu       sync.Mutex
+	changed  chan struct{}
+	items    map[string]item
+	history  []item
+	oldest   int64
+	revision int64
+	fault    Fault
+	pageSize int
+	calls    int
+}
+
+// item is one stored item or the deletion of one.
+type item struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision int64  `json:"revision"`
+	Created  int64  `json:"created,omitempty"`
+	Lease    int64  `json:"lease,omitempty"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+// pageSize is the number of items in one page of a range.
+const pageSize = 20
+
+// NewStore returns an empty Store.
+func NewStore() *Store {
+	return &Store{changed: make(chan struct{}), items: map[string]item{}, revision: 1, pageSize: pageSize}
+}
+
+// Put writes an item and returns its revision.
+func (s *Store) Put(key string, value []byte) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	created := s.revision
+	if before, ok := s.items[key]; ok {
+		created = before.Created
+	}
+	written := item{Key: key, Value: value, Revision: s.revision, Created: created}
+	s.items[key] = written
+	s.append(written)
+	return s.revision
+}
+
+// Delete removes an item.
+func (s *Store) Delete(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	s.revision++
+	delete(s.items, key)
+	s.append(item{Key: key, Revision: s.revision, Deleted: true})
+}
+
+func (s *Store) append(change item) {
+	s.history = append(s.history, change)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Compact forgets the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = nil
+	s.oldest = s.revision
+}
+
+// SetFault sets what is done with calls from now on; waiting watches end.
+func (s *Store) SetFault(fault Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = fault
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// ServeHTTP serves the store's reading calls.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	fault := s.fault
+	s.mu.Unlock()
+	if !passes(fault, w, r) {
+		return
+	}
+	switch r.URL.Path {
+	case "/-/kv-range":
+		s.serveRange(w, r)
+	case "/-/kv-watch":
+		s.serveWatch(w, r)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+// passes carries a fault out; it reports whether the call is served.
+func passes(fault Fault, w http.ResponseWriter, r *http.Request) bool {
+	switch fault {
+	case FaultBusy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case FaultReset:
+		panic(http.ErrAbortHandler)
+	case FaultSilent:
+		<-r.Context().Done()
+	default:
+		return true
+	}
+	return false
+}
+
+func (s *Store) serveRange(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
+	var found []item
+	for key, one := range s.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			found = append(found, one)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
+	more := len(found) > s.pageSize
+	reply(w, map[string]any{"items": found[:min(len(found), s.pageSize)], "morePages": more, "asOf": s.revision})
+}
+
+func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
+	wait, _ := strconv.ParseInt(query.Get("waitMs"), 10, 64)
+	limit := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer limit.Stop()
+	for {
+		s.mu.Lock()
+		events, known, revision, changed, fault := s.since(query.Get("prefix"), after), after >= s.oldest, s.revision, s.changed, s.fault
+		s.mu.Unlock()
+		if !passes(fault, w, r) {
+			return
+		}
+		if !known {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(events) > 0 {
+			reply(w, map[string]any{"events": events, "asOf": revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			reply(w, map[string]any{"events": []item{}, "asOf": revision})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// since returns the changes after a revision.
+func (s *Store) since(prefix string, after int64) []item {
+	var events []item
+	for _, change := range s.history {
+		if change.Revision > after && strings.HasPrefix(change.Key, prefix) {
+			events = append(events, change)
+		}
+	}
+	return events
+}
+
+func reply(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/internal/standin/hosted/worker.go
@@ -0,0 +1,246 @@
+package hosted
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Behaviour is what a Worker does with one request.
+type Behaviour int
+
+// The behaviours of a Worker.
+const (
+	// Serve answers as the protocol tells.
+	Serve Behaviour = iota
+	// Refuse answers that the request was not run.
+	Refuse
+	// Fail runs the request and answers with status 500.
+	Fail
+	// Lose runs the request and closes the connection without an answer.
+	Lose
+	// Hang runs the request and does not answer.
+	Hang
+	// Unsealed answers a success that is not sealed.
+	Unsealed
+	// Foreign answers with the id of another request.
+	Foreign
+	// Cut breaks the answer off in its middle.
+	Cut
+	// Twice sends a further answer behind the right one.
+	Twice
+)
+
+// Worker stands in for a worker of the platform, an engine or a plain service.
+// It is safe for concurrent use.
+type Worker struct {
+	// ID is the instance.
+	ID string
+	// Events is the number of events of a stream, Pause the time between them.
+	Events int
+	Pause  time.Duration
+
+	mu     sync.Mutex
+	plan   []Behaviour
+	always Behaviour
+	runs   map[string]int
+	seen   []Seen
+	ended  map[string]bool
+}
+
+// Seen is a request as it reached the worker.
+type Seen struct {
+	ID        string
+	Method    string
+	Target    string
+	Workspace string
+	Body      string
+	LastEvent string
+	Header    http.Header
+	Run       bool
+}
+
+// NewWorker returns a Worker that serves.
+func NewWorker(id string) *Worker {
+	return &Worker{ID: id, Events: 5, Pause: 5 * time.Millisecond, runs: map[string]int{}, ended: map[string]bool{}}
+}
+
+// Plan sets what is done with the next requests, in order.
+func (w *Worker) Plan(behaviours ...Behaviour) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.plan = behaviours
+}
+
+// Always sets what is done with requests that no plan covers.
+func (w *Worker) Always(behaviour Behaviour) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.always = behaviour
+}
+
+// Runs returns how often a request was run.
+func (w *Worker) Runs(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runs[id]
+}
+
+// Seen returns the requests so far.
+func (w *Worker) Seen() []Seen {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]Seen(nil), w.seen...)
+}
+
+// Abandoned reports whether the caller closed the connection of a run.
+func (w *Worker) Abandoned(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.ended[id]
+}
+
+// ServeHTTP answers one request.
+func (w *Worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	id := r.Header.Get("Cardamompoint-Attempt-Id")
+	behaviour := w.note(id, r, string(body))
+	out.Header().Set("Cardamompoint-Attempt-Id", id)
+	out.Header().Set("Cardamompoint-Server-Load", "1,0,8")
+	if expected := r.Header.Get("Cardamompoint-Expect-Instance"); expected != "" && expected != w.ID {
+		out.Header().Set("Cardamompoint-Instance-Id", w.ID)
+		out.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	w.answer(out, r, id, behaviour)
+}
+
+// note records a request and returns what to do with it.
+func (w *Worker) note(id string, r *http.Request, body string) Behaviour {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	behaviour := w.always
+	if len(w.plan) > 0 {
+		behaviour, w.plan = w.plan[0], w.plan[1:]
+	}
+	expected := r.Header.Get("Cardamompoint-Expect-Instance")
+	run := behaviour != Refuse && (expected == "" || expected == w.ID)
+	if run {
+		w.runs[id]++
+	}
+	w.seen = append(w.seen, Seen{
+		ID: id, Method: r.Method, Target: r.RequestURI, Workspace: r.Header.Get("Cardamompoint-Tenant"),
+		Body: body, LastEvent: r.Header.Get("Last-Event-Id"), Header: r.Header.Clone(), Run: run,
+	})
+	return behaviour
+}
+
+func (w *Worker) answer(out http.ResponseWriter, r *http.Request, id string, behaviour Behaviour) {
+	switch behaviour {
+	case Refuse:
+		out.Header().Set("Cardamompoint-Not-Executed", "1")
+		out.WriteHeader(http.StatusServiceUnavailable)
+	case Fail:
+		w.seal(out)
+		out.WriteHeader(http.StatusInternalServerError)
+	case Lose:
+		panic(http.ErrAbortHandler)
+	case Hang:
+		<-r.Context().Done()
+		w.abandon(id)
+	case Unsealed:
+		fmt.Fprint(out, "not the worker's")
+	case Foreign:
+		out.Header().Set("Cardamompoint-Attempt-Id", "0000000000000000")
+		w.seal(out)
+		fmt.Fprint(out, "another request's")
+	default:
+		w.serve(out, r, id, behaviour)
+	}
+}
+
+func (w *Worker) seal(out http.ResponseWriter) {
+	out.Header().Set("Cardamompoint-Response-Seal", w.ID+".seal")
+}
+
+// serve answers a success, whole or cut.
+func (w *Worker) serve(out http.ResponseWriter, r *http.Request, id string, behaviour Behaviour) {
+	w.seal(out)
+	if r.Header.Get("Cardamompoint-Model") != "" {
+		w.stream(out, r, id, behaviour)
+		return
+	}
+	body := "answer to " + id
+	out.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if behaviour == Cut {
+		fmt.Fprint(out, body[:len(body)/2])
+		panic(http.ErrAbortHandler)
+	}
+	fmt.Fprint(out, body)
+	if behaviour == Twice {
+		w.sendStray(out)
+	}
+}
+
+// sendStray sends an answer that belongs to no request of the connection.
+func (w *Worker) sendStray(out http.ResponseWriter) {
+	control := http.NewResponseController(out)
+	if control.Flush() != nil {
+		return
+	}
+	raw, buffer, err := control.Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer raw.Close()
+	stray := "HTTP/1.1 200 OK\r\nCardamompoint-Attempt-Id: ffff\r\nCardamompoint-Response-Seal: x\r\nContent-Length: 5\r\n\r\nstray"
+	if _, err := buffer.WriteString(stray); err != nil {
+		return
+	}
+	if err := buffer.Flush(); err != nil {
+		return
+	}
+	time.Sleep(50 * time.Millisecond)
+}
+
+// stream sends the events behind the last one that the caller has.
+func (w *Worker) stream(out http.ResponseWriter, r *http.Request, id string, behaviour Behaviour) {
+	out.Header().Set("Content-Type", "text/event-stream")
+	out.WriteHeader(http.StatusOK)
+	control := http.NewResponseController(out)
+	first := 1
+	if last, err := strconv.Atoi(strings.TrimSpace(r.Header.Get("Last-Event-Id"))); err == nil {
+		first = last + 1
+	}
+	for event := first; event <= w.Events; event++ {
+		if behaviour == Cut && event > first+w.Events/2 {
+			fmt.Fprintf(out, "id: %d\ndata: half", event)
+			_ = control.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprintf(out, "id: %d\ndata: piece %d\n\n", event, event)
+		if control.Flush() != nil {
+			w.abandon(id)
+			return
+		}
+		select {
+		case <-time.After(w.Pause):
+		case <-r.Context().Done():
+			w.abandon(id)
+			return
+		}
+	}
+}
+
+func (w *Worker) abandon(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended[id] = true
+}
--- a/news/exchange.go
+++ b/news/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -131,15 +132,23 @@
 	}
 }
 
+// Close closes the connection.
+func (e *Exchange) Close() {
+	if err := e.conn.Close(); err != nil {
+		klog.V(1).InfoS("member: the connection was not closed", "reason", err.Error())
+	}
+}
+
 // Receive takes in reports until the connection is closed.
 func (e *Exchange) Receive(ctx context.Context) {
 	buffer := make([]byte, maxDatagram)
 	for ctx.Err() == nil {
 		size, _, err := e.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
 		if err != nil {
-			if ctx.Err() == nil {
-				klog.V(1).InfoS("member: a report was not received", "reason", err.Error())
-			}
+			klog.V(1).InfoS("member: a report was not received", "reason", err.Error())
 			continue
 		}
 		var report Report
