Return a chat that spilled twice to the newer of its engines

Cause: two engines that a chat had left both told so, and the one that ranks later was taken for the newer one. Change: a home tells with its refusal how long ago its engine admitted the chat.

--- a/affinity/index.go
+++ b/affinity/index.go
@@ -31,15 +31,28 @@
 	defer x.mu.Unlock()
 	x.rotate(now)
 	since := x.noteEngine(engine, now)
+	return x.find(engine, chat).place, now.Sub(since) >= x.keep
+}
+
+// find returns the entry of a chat and keeps it.
+func (x *Index) find(engine string, chat uint64) entry {
 	key := entryKey(engine, chat)
-	place, ok := x.current.places[key]
+	found, ok := x.current.places[key]
 	if !ok {
-		place, ok = x.previous.places[key]
+		found, ok = x.previous.places[key]
 	}
 	if ok {
-		x.current.places[key] = place
+		x.current.places[key] = found
 	}
-	return place, now.Sub(since) >= x.keep
+	return found
+}
+
+// AdmittedAgo returns how long ago the engine admitted a chat that it has
+// refused since. It orders engines that all had the chat's context.
+func (x *Index) AdmittedAgo(engine string, chat uint64, now time.Time) time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return now.Sub(x.find(engine, chat).admitted)
 }
 
 // Check reports whether the home passes a request on, and why. A chat that an
@@ -82,7 +95,11 @@
 	defer x.mu.Unlock()
 	x.rotate(now)
 	x.noteEngine(engine, now)
-	x.current.places[entryKey(engine, chat)] = place
+	next := entry{place: place, admitted: now}
+	if place == Left {
+		next.admitted = x.find(engine, chat).admitted
+	}
+	x.current.places[entryKey(engine, chat)] = next
 }
 
 // Len returns the number of entries; a chat may be counted twice.
--- a/affinity/search.go
+++ b/affinity/search.go
@@ -1,5 +1,7 @@
 package affinity
 
+import "time"
+
 // The bounds of a search for the context of a chat.
 const (
 	// maxPassedOn is how often a chat is passed on before it is settled.
@@ -23,9 +25,12 @@
 	passedOn int
 	probes   int
 	unknown  int
-	left     int
-	settled  []int
-	phase    phase
+	// left is the candidate that had the chat's context last, leftAge how long
+	// ago it admitted the chat.
+	left    int
+	leftAge time.Duration
+	settled []int
+	phase   phase
 }
 
 type phase int
@@ -90,6 +95,15 @@
 	}
 }
 
+// RefusedLeft is Refused with RefusalLeft; age is how long ago the candidate
+// admitted the chat.
+func (s *Search) RefusedLeft(age time.Duration) {
+	if s.left == noCandidate || age < s.leftAge {
+		s.left, s.leftAge = s.asked, age
+	}
+	s.Refused(RefusalLeft)
+}
+
 func (s *Search) walk(refusal Refusal) {
 	switch refusal {
 	case RefusalFull:
@@ -98,9 +112,6 @@
 		s.unknown = s.asked
 		s.phase = phaseProbe
 	case RefusalElsewhere, RefusalLeft:
-		if refusal == RefusalLeft {
-			s.left = s.asked
-		}
 		s.passedOn++
 		if s.passedOn == maxPassedOn {
 			s.settle()
--- a/affinity/search_test.go
+++ b/affinity/search_test.go
@@ -39,7 +39,7 @@
 		return refusal, false
 	}
 	if f.full[index] {
-		home.Note(testEngine, testChat, Elsewhere, f.now)
+		home.Refused(testEngine, testChat, f.now)
 		return RefusalFull, false
 	}
 	home.Note(testEngine, testChat, Here, f.now)
@@ -59,6 +59,10 @@
 		if admitted {
 			return index, asked
 		}
+		if refusal == RefusalLeft {
+			s.RefusedLeft(f.homes[index].AdmittedAgo(testEngine, testChat, f.now))
+			continue
+		}
 		s.Refused(refusal)
 	}
 }
@@ -158,3 +162,28 @@
 		}
 	})
 }
+
+// TestChatThatSpilledTwiceReturnsToTheNewerEngine lets a chat spill to its second
+// choice, then to its first one, and then lets all refuse it.
+func TestChatThatSpilledTwiceReturnsToTheNewerEngine(t *testing.T) {
+	f := newTestFleet(4)
+	f.full[0] = true
+	if at, _ := f.request(true); at != 1 {
+		t.Fatalf("spilled to %d, want 1", at)
+	}
+	f.now = f.now.Add(time.Second)
+	f.full[0], f.full[1] = false, true
+	if at, _ := f.request(true); at != 0 {
+		t.Fatalf("spilled to %d, want 0", at)
+	}
+	f.now = f.now.Add(time.Second)
+	for i := range f.full {
+		f.full[i] = true
+	}
+	f.request(true)
+	f.now = f.now.Add(time.Second)
+	clear(f.full)
+	if at, _ := f.request(true); at != 0 {
+		t.Errorf("went to %d, want 0, which had the chat last", at)
+	}
+}
--- a/code/error.go
+++ b/code/error.go
@@ -23,6 +23,9 @@
 	Path string `json:"path,omitempty"`
 	// RetryAfterMS is when to come back, in milliseconds; 0 means not to.
 	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
+	// ContextAgeMS is how long ago the engine of a ContextLeft refusal admitted
+	// the chat, in milliseconds.
+	ContextAgeMS int64 `json:"context_age_ms,omitempty"`
 	// RequestID identifies the request.
 	RequestID string `json:"request_id,omitempty"`
 
--- a/internal/routebench/home_way.go
+++ b/internal/routebench/home_way.go
@@ -1,6 +1,8 @@
 package routebench
 
 import (
+	"time"
+
 	"cmp"
 	"encoding/json"
 	"slices"
@@ -120,6 +122,10 @@
 			full = append(full, number)
 			placement.HintFull = placement.HintFull || number == hint
 		}
+		if refusal == affinity.RefusalLeft {
+			order.RefusedLeft(w.admittedAgo(number, r))
+			continue
+		}
 		order.Refused(refusal)
 	}
 	return placement, full
@@ -142,6 +148,13 @@
 	return 0, true
 }
 
+// admittedAgo returns how long ago an engine admitted the chat, as its home
+// tells with the refusal.
+func (w *HomeWay) admittedAgo(number int, r *Request) time.Duration {
+	router, address := w.routers[w.homes[number]], w.fleet.engines[number].address
+	return router.index.AdmittedAgo(address, r.Key, w.fleet.clock())
+}
+
 // mean returns the mean load as of the last exchange. All parts are of one
 // moment; a home that adds its own newest part counts work twice that went from
 // another home's engines to its own.
--- a/router/candidate_order.go
+++ b/router/candidate_order.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"time"
+
 	"cardamompoint.example/cardamompoint/affinity"
 	"cardamompoint.example/cardamompoint/code"
 )
@@ -70,6 +72,10 @@
 		return
 	}
 	refusal := refusalOf(err)
+	if refusal == affinity.RefusalLeft {
+		o.search.RefusedLeft(time.Duration(code.Of(err).ContextAgeMS) * time.Millisecond)
+		return
+	}
 	o.search.Refused(refusal)
 	if refusal != affinity.RefusalFull {
 		return
--- a/router/chat_context.go
+++ b/router/chat_context.go
@@ -23,7 +23,11 @@
 	chat := chatKey(order.Work.Workspace, order.Work.Chat)
 	now := time.Now()
 	if refusal, passed := r.context.Check(order.Engine, chat, order.Lookup, now); passed {
-		return nil, contextError(refusal)
+		failure := contextError(refusal)
+		if refusal == affinity.RefusalLeft {
+			failure.ContextAgeMS = r.context.AdmittedAgo(order.Engine, chat, now).Milliseconds()
+		}
+		return nil, failure
 	}
 	reservation, err := r.admitWork(order)
 	if err == nil {
