Refuse requests whose end readers could see at different places

Cause: net/http accepts bare LF, folded lines and a length beside chunks, and a worker may see their end elsewhere. Change: internal/httpguard passes only whole sound heads and bodies on; net/http answers the others with 400 or 431. Tests: shapes at the guard and at a gateway; FuzzGuard compares the framing with net/http. It found chunks in HTTP/1.0, which are now refused.

--- a/choice/pick.go
+++ b/choice/pick.go
@@ -5,11 +5,11 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/rank"
 	"cardamompoint.example/cardamompoint/traffic"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -8,6 +8,7 @@
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/internal/httpguard"
 	"cardamompoint.example/cardamompoint/knowledge"
 	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/traffic"
@@ -174,6 +175,9 @@
 	if errors.As(err, &tooLarge) {
 		return code.New(code.BodyTooLarge, "the body is longer than %d bytes", limit)
 	}
+	if errors.Is(err, httpguard.ErrMalformedBody) {
+		return code.Wrap(err, code.BadRequest, "the body can't be read")
+	}
 	if err != nil {
 		return code.Wrap(err, code.Canceled, "the body broke off")
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -11,6 +11,8 @@
 
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
+
+	"cardamompoint.example/cardamompoint/internal/httpguard"
 )
 
 const (
@@ -25,10 +27,13 @@
 	headerTimeout = 5 * time.Second
 	// idleTimeout bounds the time between two requests of a caller.
 	idleTimeout = 60 * time.Second
-	// headerLimit bounds a caller's header, in bytes.
-	headerLimit = 16 << 10
+	// headLimit bounds a caller's header, in bytes.
+	headLimit = 16 << 10
 )
 
+// frontName names the address for callers.
+const frontName = "front"
+
 // listener is one address with its server.
 type listener struct {
 	name   string
@@ -63,7 +68,7 @@
 		address string
 		handler http.Handler
 	}{
-		{"front", g.settings.FrontAddress, http.HandlerFunc(g.serveCaller)},
+		{frontName, g.settings.FrontAddress, http.HandlerFunc(g.serveCaller)},
 		{"ready", g.settings.ReadyAddress, ready},
 		{"control", g.settings.ControlAddress, control},
 		{"peer", g.peerAddress(), control},
@@ -77,6 +82,9 @@
 		if err != nil {
 			return nil, eris.Wrapf(err, "the %s address can't be used", at.name)
 		}
+		if at.name == frontName {
+			l = &httpguard.Listener{Listener: l, HeadLimit: headLimit}
+		}
 		listeners = append(listeners, listener{at.name, l, newServer(at.handler)})
 	}
 	return listeners, nil
@@ -87,7 +95,7 @@
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    headerLimit,
+		MaxHeaderBytes:    headLimit,
 		ErrorLog:          log.New(io.Discard, "", 0),
 	}
 }
@@ -106,7 +114,7 @@
 	defer cancel()
 	cut := false
 	for _, l := range listeners {
-		if l.name != "front" {
+		if l.name != frontName {
 			continue
 		}
 		if err := l.server.Shutdown(ctx); errors.Is(err, context.DeadlineExceeded) {
--- /dev/null
+++ b/internal/httpguard/conn.go
@@ -0,0 +1,143 @@
+package httpguard
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+)
+
+// ErrMalformedBody tells that a body in chunks is not well formed.
+var ErrMalformedBody = errors.New("the chunks of the body are not well formed")
+
+// refusedHead is what net/http reads in place of an unsound head; it answers
+// with status 400 and closes the connection.
+const refusedHead = "\x00\r\n\r\n"
+
+// readSize is the size of one read from the connection.
+const readSize = 4096
+
+// Conn checks the requests that are read from a connection. Like any net.Conn
+// it may be read by one goroutine at a time.
+type Conn struct {
+	net.Conn
+	headLimit int
+
+	// pending are bytes that were read and not checked yet, ready those that may
+	// be passed on.
+	pending []byte
+	ready   []byte
+	body    body
+	// ended tells that nothing more is passed on.
+	ended error
+}
+
+// NewConn returns a guarded connection.
+func NewConn(conn net.Conn, headLimit int) *Conn {
+	return &Conn{Conn: conn, headLimit: headLimit}
+}
+
+// Read returns checked bytes only.
+func (c *Conn) Read(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	for len(c.ready) == 0 {
+		if c.ended != nil {
+			return 0, c.ended
+		}
+		c.check()
+		if len(c.ready) > 0 || c.ended != nil {
+			continue
+		}
+		if err := c.fill(); err != nil {
+			return 0, err
+		}
+	}
+	count := copy(p, c.ready)
+	c.ready = c.ready[count:]
+	return count, nil
+}
+
+// fill reads once from the connection. What was read before an error is kept,
+// so that a read may be repeated after a timeout.
+func (c *Conn) fill() error {
+	var buffer [readSize]byte
+	count, err := c.Conn.Read(buffer[:])
+	c.pending = append(c.pending, buffer[:count]...)
+	if count > 0 {
+		return nil
+	}
+	return err
+}
+
+// check moves what may be passed on from pending to ready.
+func (c *Conn) check() {
+	if len(c.pending) == 0 {
+		return
+	}
+	if !c.body.done() {
+		c.checkBody()
+		return
+	}
+	c.checkHead()
+}
+
+func (c *Conn) checkBody() {
+	count, err := c.body.take(c.pending)
+	c.pass(count)
+	if err != nil {
+		c.ended = err
+	}
+}
+
+func (c *Conn) checkHead() {
+	end := headEnd(c.pending)
+	if end < 0 {
+		c.checkLength()
+		return
+	}
+	next, err := parseHead(c.pending[:end])
+	if err != nil {
+		c.refuse()
+		return
+	}
+	c.pass(end)
+	c.body = next
+}
+
+// checkLength passes a head that is too long on for net/http to refuse.
+func (c *Conn) checkLength() {
+	if len(c.pending) <= c.headLimit {
+		return
+	}
+	c.pass(len(c.pending))
+	c.ended = io.EOF
+}
+
+func (c *Conn) refuse() {
+	c.pending = nil
+	c.ready = []byte(refusedHead)
+	c.ended = io.EOF
+}
+
+func (c *Conn) pass(count int) {
+	c.ready = append(c.ready[:0:0], c.pending[:count]...)
+	c.pending = append(c.pending[:0], c.pending[count:]...)
+}
+
+// headEnd returns the length of the head at the start of data, -1 if it is not
+// whole. An empty line of any form ends it.
+func headEnd(data []byte) int {
+	for at := 0; ; {
+		next := bytes.IndexByte(data[at:], '\n')
+		if next < 0 {
+			return -1
+		}
+		line := data[at : at+next]
+		at += next + 1
+		if len(line) == 0 || (len(line) == 1 && line[0] == '\r') {
+			return at
+		}
+	}
+}
--- /dev/null
+++ b/internal/httpguard/guard_test.go
@@ -0,0 +1,193 @@
+package httpguard
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+const testLimit = 16 << 10
+
+// bytesConn is a connection that reads from a buffer.
+type bytesConn struct {
+	net.Conn
+	reader io.Reader
+}
+
+func (c *bytesConn) Read(p []byte) (int, error) {
+	return c.reader.Read(p)
+}
+
+// oneByte reads a byte at a time.
+type oneByte struct {
+	reader io.Reader
+}
+
+func (o *oneByte) Read(p []byte) (int, error) {
+	return o.reader.Read(p[:min(1, len(p))])
+}
+
+func guardText(text string) string {
+	raw, _ := io.ReadAll(NewConn(&bytesConn{reader: strings.NewReader(text)}, testLimit))
+	return string(raw)
+}
+
+func TestSoundRequestsPass(t *testing.T) {
+	for _, text := range []string{
+		"GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+		"POST /a?b=c HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhelloGET / HTTP/1.1\r\nHost: a\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nA\r\n0123456789\r\n0\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: y\r\n\r\n",
+	} {
+		if got := guardText(text); got != text {
+			t.Errorf("%q became %q", text, got)
+		}
+	}
+}
+
+func TestUnsoundRequestsAreRefused(t *testing.T) {
+	for _, lines := range []string{
+		"Content-Length: 5\r\nContent-Length: 5\r\n",
+		"Content-Length: 5\r\nContent-Length: 6\r\n",
+		"Content-Length: 5, 5\r\n",
+		"Content-Length: +5\r\n",
+		"Content-Length: 0x5\r\n",
+		"Content-Length: \r\n",
+		"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+		"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+		"Transfer-Encoding: gzip, chunked\r\n",
+		"Transfer-Encoding: identity\r\n",
+		"Transfer-Encoding : chunked\r\n",
+		"Content-Length : 5\r\n",
+		"A: b\n",
+		"A: b\rC: d\r\n",
+		"A: b\r\n folded\r\n",
+		"A: b\r\n\tfolded\r\n",
+		" A: b\r\n",
+		"A\r\n",
+		": b\r\n",
+		"A: b\x00c\r\n",
+	} {
+		text := "POST / HTTP/1.1\r\nHost: a\r\n" + lines + "\r\nhello"
+		if got := guardText(text); got != refusedHead {
+			t.Errorf("%q became %q", text, got)
+		}
+	}
+	old := "POST / HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+	if got := guardText(old); got != refusedHead {
+		t.Errorf("%q became %q", old, got)
+	}
+	for _, line := range []string{"GET  / HTTP/1.1", "GET / HTTP/1.1 ", "GET /", "GET / HTTP/2.0", "", "G\tET / HTTP/1.1"} {
+		if got := guardText(line + "\r\nHost: a\r\n\r\n"); got != refusedHead {
+			t.Errorf("%q became %q", line, got)
+		}
+	}
+}
+
+func TestMalformedChunksEndTheBody(t *testing.T) {
+	head := "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, chunks := range []string{"3\nabc\r\n0\r\n\r\n", "3\r\nabcd\r\n0\r\n\r\n", "3;x=y\r\nabc\r\n0\r\n\r\n", "-1\r\n", "g\r\n", strings.Repeat("1", 2000)} {
+		raw, err := io.ReadAll(NewConn(&bytesConn{reader: strings.NewReader(head + chunks)}, testLimit))
+		if err != ErrMalformedBody {
+			t.Errorf("%q passed as %q with error %v", chunks, raw, err)
+		}
+	}
+}
+
+func TestLongHeadIsPassedOnAndEnds(t *testing.T) {
+	text := "GET / HTTP/1.1\r\nX: " + strings.Repeat("y", 2*testLimit)
+	got := guardText(text)
+	if len(got) <= testLimit || !strings.HasPrefix(text, got) {
+		t.Errorf("%d bytes were passed on", len(got))
+	}
+}
+
+// TestServerRefusesUnsoundHead checks the status that a caller gets.
+func TestServerRefusesUnsoundHead(t *testing.T) {
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.NotFoundHandler()}
+	go func() { _ = server.Serve(&Listener{Listener: plain, HeadLimit: testLimit}) }()
+	defer server.Close()
+	for text, want := range map[string]string{
+		"GET / HTTP/1.1\r\nHost: a\r\n\r\n": "404",
+		"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n": "400",
+		"GET / HTTP/1.1\nHost: a\n\n": "400",
+	} {
+		conn, err := net.Dial("tcp", plain.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := conn.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprint(conn, text)
+		line, err := bufio.NewReader(conn).ReadString('\n')
+		if err != nil || !strings.Contains(line, want) {
+			t.Errorf("%q got %q, %v", text, line, err)
+		}
+		conn.Close()
+	}
+}
+
+// FuzzGuard checks that net/http sees the same requests and bodies in what is
+// passed on, however the bytes arrive, and that nothing is added.
+func FuzzGuard(f *testing.F) {
+	f.Add([]byte("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhelloGET / HTTP/1.1\r\nHost: a\r\n\r\n"))
+	f.Add([]byte("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\nGET / HTTP/1.1\r\n\r\n"))
+	f.Add([]byte("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab"))
+	f.Add([]byte("GET / HTTP/1.1\nHost: a\n\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		whole, wholeErr := io.ReadAll(NewConn(&bytesConn{reader: bytes.NewReader(data)}, testLimit))
+		split, splitErr := io.ReadAll(NewConn(&bytesConn{reader: &oneByte{bytes.NewReader(data)}}, testLimit))
+		if len(data) <= testLimit && (!bytes.Equal(whole, split) || wholeErr != splitErr) {
+			t.Fatalf("%q, %v in one piece and %q, %v in many", whole, wholeErr, split, splitErr)
+		}
+		passed := bytes.TrimSuffix(whole, []byte(refusedHead))
+		if !bytes.HasPrefix(data, passed) {
+			t.Fatalf("%q was passed on as %q", data, passed)
+		}
+		checkFraming(t, passed)
+	})
+}
+
+// checkFraming compares the requests that net/http reads with the guard's.
+func checkFraming(t *testing.T, passed []byte) {
+	reader := bufio.NewReader(bytes.NewReader(passed))
+	at := 0
+	for at < len(passed) {
+		end := headEnd(passed[at:])
+		if end < 0 {
+			return
+		}
+		framed, err := parseHead(passed[at : at+end])
+		if err != nil {
+			t.Fatalf("an unsound head was passed on: %q", passed[at:at+end])
+		}
+		at += end
+		taken, err := framed.take(passed[at:])
+		at += taken
+		whole := err == nil && framed.done()
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return // net/http refuses more than the guard does.
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		if whole && reader.Buffered() == 0 && at < len(passed) && len(passed) < 4096 {
+			t.Fatalf("net/http read to the end, the guard to %d of %d", at, len(passed))
+		}
+		if whole && len(passed) < 4096 && reader.Buffered() != len(passed)-at {
+			t.Fatalf("net/http has %d bytes left, the guard %d", reader.Buffered(), len(passed)-at)
+		}
+	}
+}
--- a/internal/routebench/home_way.go
+++ b/internal/routebench/home_way.go
@@ -1,11 +1,10 @@
 package routebench
 
 import (
-	"time"
-
 	"cmp"
 	"encoding/json"
 	"slices"
+	"time"
 
 	"cardamompoint.example/cardamompoint/affinity"
 	"cardamompoint.example/cardamompoint/balance"
