Refuse arguments that commands do not use, and check platform files

Cause: cardamompoint check FILE checked nothing and said that no fault was found. Change: all commands refuse unused arguments, check with nothing to check fails, and it takes settings files and stored configurations of the users' platform. Tests: check.txtar; signals in series and reloading with the real program.

--- a/cmd/cardamompoint/check.go
+++ b/cmd/cardamompoint/check.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"path/filepath"
 
 	"github.com/urfave/cli/v3"
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/published"
+	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/settings"
 )
 
@@ -20,10 +22,23 @@
 			"The exit code is 2 if there is a fault.",
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: "settings", Usage: "a settings `FILE`; may be given several times"},
+			&cli.StringSliceFlag{Name: "platform", Usage: "a settings `FILE` of the users' platform; may be given several times"},
+			&cli.StringSliceFlag{Name: "configuration", Usage: "a stored configuration of the users' platform as a `FILE`; may be given several times"},
 			&cli.StringFlag{Name: "published", Usage: "a `DIR` with workspaces/NAME/template.json, workspaces/NAME/parameters.json, models/NAME.json and vms.json"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
+			if !c.IsSet("settings") && !c.IsSet("platform") && !c.IsSet("configuration") && !c.IsSet("published") {
+				return code.New(code.InvalidSettings, "nothing to check: give --settings, --platform, --configuration or --published")
+			}
 			faults := checkSettings(c, c.StringSlice("settings"))
+			faults += checkFiles(c, c.StringSlice("platform"), func(raw []byte) error {
+				_, err := platform.ParseSettings(raw)
+				return err
+			})
+			faults += checkFiles(c, c.StringSlice("configuration"), func(raw []byte) error {
+				_, err := platform.DecodeConfiguration(raw)
+				return err
+			})
 			if dir := c.String("published"); dir != "" {
 				found, err := published.Check(dir)
 				if err != nil {
@@ -43,6 +58,22 @@
 	}
 }
 
+// checkFiles prints the faults that check finds and returns their number.
+func checkFiles(c *cli.Command, files []string, check func([]byte) error) int {
+	faults := 0
+	for _, file := range files {
+		raw, err := os.ReadFile(file)
+		if err == nil {
+			err = check(raw)
+		}
+		if err != nil {
+			fmt.Fprintf(c.Root().Writer, "%s: %v\n", filepath.Base(file), err)
+			faults++
+		}
+	}
+	return faults
+}
+
 // checkSettings prints the faults of the files and returns their number.
 func checkSettings(c *cli.Command, files []string) int {
 	faults := 0
--- a/cmd/cardamompoint/gateway.go
+++ b/cmd/cardamompoint/gateway.go
@@ -13,7 +13,6 @@
 	"github.com/urfave/cli/v3"
 	"k8s.io/klog/v2"
 
-	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/gateway"
 	"cardamompoint.example/cardamompoint/internal/logsink"
 	"cardamompoint.example/cardamompoint/platform"
@@ -29,10 +28,7 @@
 		Description: "Reads the settings file that " + platform.SettingsVariable + " names. Serves until SIGTERM:\n" +
 			"it becomes unready, takes callers for a while longer and lets requests in progress end.\n" +
 			"Structured log lines go to standard output.",
-		Action: func(ctx context.Context, c *cli.Command) error {
-			if c.Args().Present() {
-				return code.New(code.InvalidSettings, "gateway takes no arguments")
-			}
+		Action: func(ctx context.Context, _ *cli.Command) error {
 			return runGateway(ctx)
 		},
 	}
--- /dev/null
+++ b/cmd/cardamompoint/gateway_process_test.go
@@ -0,0 +1,178 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"cardamompoint.example/cardamompoint/internal/standin/hosted"
+	"cardamompoint.example/cardamompoint/platform"
+)
+
+// hostedFleet is a stand-in of the platform with one gateway as a process.
+type hostedFleet struct {
+	t        *testing.T
+	net      string
+	dir      string
+	store    *hosted.Store
+	engine   *hosted.Worker
+	process  *exec.Cmd
+	settings string
+}
+
+// startHosted starts a store, an engine, a plain worker and a gateway process,
+// and waits until it is ready.
+func startHosted(t *testing.T) *hostedFleet {
+	t.Helper()
+	f := &hostedFleet{t: t, net: reserveNet(t), dir: t.TempDir(), store: hosted.NewStore(), engine: hosted.NewWorker("engine-1")}
+	f.serve(f.net+".0.200:7100", f.store)
+	f.serve(f.net+".0.100:7200", f.engine)
+	f.serve(f.net+".0.110:7200", hosted.NewWorker("plain-1"))
+	f.store.Publish(hosted.DefaultConfiguration())
+	f.store.Enter("engine-1", "engines", f.net+".0.100:7200", "ready")
+	f.store.Enter("plain-1", "plain", f.net+".0.110:7200", "ready")
+	f.settings = filepath.Join(f.dir, "settings.toml")
+	f.writeSettings("")
+	f.start()
+	return f
+}
+
+func (f *hostedFleet) serve(address string, handler http.Handler) {
+	f.t.Helper()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(listener) }()
+	f.t.Cleanup(func() { _ = listener.Close() })
+}
+
+func (f *hostedFleet) writeSettings(more string) {
+	f.t.Helper()
+	text := hosted.Settings(f.net+".0.1", [4]int{7001, 7002, 7003, 7010}, f.net+".0.200:7100", nil)
+	if err := os.WriteFile(f.settings, []byte(text+more), 0o644); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// start runs the gateway; its standard output goes to a file.
+func (f *hostedFleet) start() {
+	f.t.Helper()
+	log, err := os.Create(filepath.Join(f.dir, "gateway.log"))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { log.Close() })
+	f.process = exec.Command("cardamompoint", "gateway")
+	f.process.Env = append(os.Environ(), platform.SettingsVariable+"="+f.settings)
+	f.process.Stdout, f.process.Stderr = log, log
+	if err := f.process.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = f.process.Process.Kill() })
+	f.eventually("the gateway is ready", func() bool { return f.ready() == http.StatusOK })
+}
+
+func (f *hostedFleet) ready() int {
+	response, err := http.Get("http://" + f.net + ".0.1:7002" + platform.ReadinessPath)
+	if err != nil {
+		return 0
+	}
+	response.Body.Close()
+	return response.StatusCode
+}
+
+func (f *hostedFleet) eventually(what string, condition func() bool) {
+	f.t.Helper()
+	for range 2000 {
+		if condition() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.t.Fatalf("it did not happen that %s; the log:\n%s", what, f.log())
+}
+
+func (f *hostedFleet) log() string {
+	raw, err := os.ReadFile(filepath.Join(f.dir, "gateway.log"))
+	if err != nil {
+		return err.Error()
+	}
+	return string(raw)
+}
+
+// ask begins a stream and returns its answer.
+func (f *hostedFleet) ask(id string) *http.Response {
+	f.t.Helper()
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+f.net+".0.1:7001/chat/1", nil)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	request.Host = hosted.Host
+	request.Header.Set("Cardamompoint-Attempt-Id", id)
+	request.Header.Set("Authorization", "Bearer "+hosted.Key)
+	request.Header.Set("Cardamompoint-Model", "m")
+	request.Header.Set("Cardamompoint-Prompt-Prefix", "a:10,b:5")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return response
+}
+
+// TestSignalsInSeriesCutNoStream sends SIGHUP and SIGTERM by turns while a stream
+// is in progress: it ends whole, and the process ends by itself afterwards.
+func TestSignalsInSeriesCutNoStream(t *testing.T) {
+	f := startHosted(t)
+	f.engine.Events, f.engine.Pause = 150, 10*time.Millisecond
+	response := f.ask("00000000000000a1")
+	defer response.Body.Close()
+	f.writeSettings("# changed\n")
+	for _, signal := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
+		if err := f.process.Process.Signal(signal); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(60 * time.Millisecond)
+	}
+	if status := f.ready(); status != http.StatusServiceUnavailable {
+		t.Errorf("after SIGTERM the readiness is %d", status)
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil || !strings.HasSuffix(string(body), fmt.Sprintf("data: piece %d\n\n", f.engine.Events)) {
+		t.Errorf("the stream ended after %d bytes with %v", len(body), err)
+	}
+	if err := f.process.Wait(); err != nil {
+		t.Errorf("the process ended with %v; the log:\n%s", err, f.log())
+	}
+}
+
+// TestChangedSettingsAreReloaded changes the file and sends SIGHUP, then breaks
+// it: the gateway goes on with the last sound one.
+func TestChangedSettingsAreReloaded(t *testing.T) {
+	f := startHosted(t)
+	f.writeSettings("# changed\n")
+	if err := f.process.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	f.eventually("the settings are reloaded", func() bool { return strings.Contains(f.log(), "settings were reloaded") })
+	if err := os.WriteFile(f.settings, []byte("ip = = 1"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.process.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	f.eventually("the fault is told", func() bool { return strings.Contains(f.log(), "the settings stay as they are") })
+	if status := f.ready(); status != http.StatusOK {
+		t.Errorf("the readiness is %d", status)
+	}
+}
--- a/cmd/cardamompoint/main.go
+++ b/cmd/cardamompoint/main.go
@@ -44,7 +44,7 @@
 }
 
 func newCommand() *cli.Command {
-	return &cli.Command{
+	root := &cli.Command{
 		Name:  "cardamompoint",
 		Usage: "a router fleet for returning chats",
 		Description: "Exit codes: 0 success, 1 failure, 2 settings or a published document is not valid,\n" +
@@ -61,6 +61,34 @@
 			routerCommand(), gatewayCommand(), checkCommand(), statusCommand(), explainCommand(), standinCommand(), demoCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Args().Present() {
+				return code.New(code.InvalidSettings, "there is no command %q", c.Args().First())
+			}
+			return cli.ShowAppHelp(c)
+		},
+	}
+	for _, command := range root.Commands {
+		refuseArguments(command)
+	}
+	return root
+}
+
+// refuseArguments lets a command and those below it fail on arguments that they
+// do not use.
+func refuseArguments(command *cli.Command) {
+	for _, below := range command.Commands {
+		refuseArguments(below)
+	}
+	action := command.Action
+	command.Action = func(ctx context.Context, c *cli.Command) error {
+		if c.Args().Present() && command.ArgsUsage == "" {
+			return code.New(code.InvalidSettings, "%s takes no argument %q", c.FullName(), c.Args().First())
+		}
+		if action == nil {
+			return cli.ShowSubcommandHelp(c)
+		}
+		return action(ctx, c)
 	}
 }
 
