Let one VM in each failure domain read the store for the others

Change: the VM that ranks first in its domain watches the store; the others keep asking it, take over when it does not answer within 1.3 s or their knowledge is older than 1.75 s, and ask any VM that reports a newer change. Watches wait 0.8 s and gather changes for 60 ms. Ages count the wait at the other VM. Tests: nothing goes back, lapsed entries are held, ages through chains of VMs, feeds, reader on and off duty and with a lost store.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"strconv"
+	"time"
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/clock"
@@ -42,5 +44,19 @@
 		jsonhttp.WriteError(w, code.New(code.InvalidParameter, "from is not a number"))
 		return
 	}
-	jsonhttp.Write(w, g.tracker.Share(g.incarnation, incarnation, from, clock.Now()))
+	wait, err := strconv.ParseInt(query.Get("wait_ms"), 10, 64)
+	if err != nil || wait < 0 {
+		jsonhttp.WriteError(w, code.New(code.InvalidParameter, "wait_ms is not a number of milliseconds"))
+		return
+	}
+	arrived := clock.Now()
+	if incarnation == g.incarnation {
+		ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond)
+		defer cancel()
+		g.tracker.Await(ctx, from)
+	}
+	now := clock.Now()
+	share := g.tracker.Share(g.incarnation, incarnation, from, now)
+	share.WaitedMS = now.Sub(arrived).Milliseconds()
+	jsonhttp.Write(w, share)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,6 +32,8 @@
 	budget   *budget.Budget
 	pool     *upstream.Pool
 	peers    *peerClient
+	reader   *knowledge.Reader
+	follower *knowledge.PeerReader
 	exchange *news.Exchange
 
 	incarnation int64
@@ -58,7 +60,9 @@
 	g.tracker = knowledge.NewTracker(g.table.Update)
 	g.members = news.NewTable(settings.IP, seedIPs(settings.Seeds))
 	g.budget = budget.New(g.retryLimits, g.countMembers)
-	g.peers = newPeerClient(g.members, settings.FirstPeerPort)
+	g.peers = newPeerClient(settings.FirstPeerPort)
+	g.follower = knowledge.NewPeerReader(g, g.tracker)
+	g.reader = knowledge.NewReader(platform.NewStore(settings.StoreAddress), g.tracker, g.readsStore)
 	return g, g.openExchange()
 }
 
@@ -114,6 +118,8 @@
 	now := clock.Now()
 	report.Leaving = g.stopping.Load()
 	report.Learned = g.learned.Load()
+	report.Newest = g.tracker.Newest()
+	report.StoreLost = g.reader.Lost()
 	report.AgeMS = -1
 	if at, ok := g.tracker.Confirmed(); ok {
 		report.AgeMS = now.Sub(at).Milliseconds()
@@ -129,8 +135,9 @@
 func (g *Gateway) Run(stop context.Context) error {
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go knowledge.NewReader(platform.NewStore(g.settings.StoreAddress), g.tracker).Run(background)
-	go knowledge.NewPeerReader(g.peers, g.tracker).Run(background)
+	go g.reader.Run(background)
+	go g.follower.Run(background)
+	go g.follower.Follow(background)
 	go g.exchange.Send(background)
 	go g.exchange.Receive(background)
 	defer g.exchange.Close()
--- a/knowledge/peer_reader.go
+++ b/knowledge/peer_reader.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -9,73 +11,128 @@
 	"cardamompoint.example/cardamompoint/internal/clock"
 )
 
-// PeerSource asks another VM for its knowledge.
+// PeerSource asks other VMs for their knowledge.
 type PeerSource interface {
-	// Freshest returns the address of the peer that should know most, and how
-	// old its knowledge was told to be; ok is false if there is none.
+	// Leader returns the VM that reads the store for this one; ok is false if
+	// this VM reads for itself.
+	Leader() (address string, ok bool)
+	// Newer returns a VM that has applied a change newer than the given revision.
+	Newer(newest int64) (address string, ok bool)
+	// Freshest returns the VM whose knowledge was confirmed last, and how old it
+	// was told to be; ok is false if there is none.
 	Freshest() (address string, age time.Duration, ok bool)
-	// Ask returns the peer's changes from a number on.
-	Ask(ctx context.Context, address string, incarnation, from int64) (Share, error)
+	// Ask returns a VM's changes from a number on. The VM waits up to wait for a
+	// change or a newer confirmation.
+	Ask(ctx context.Context, address string, incarnation, from int64, wait time.Duration) (Share, error)
 }
 
 const (
-	// peerCheckPeriod is how often the age of the own knowledge is checked.
-	peerCheckPeriod = 150 * time.Millisecond
-	// peerAskTimeout bounds a question to a peer.
-	peerAskTimeout = 600 * time.Millisecond
-	// staleAfter is the age from which a peer is asked. The store confirms the
-	// knowledge well before.
-	staleAfter = watchWait*2 + 150*time.Millisecond
-	// betterBy is how much younger a peer's knowledge must be.
+	// peerCheckPeriod is how often it is looked for newer knowledge.
+	peerCheckPeriod = 100 * time.Millisecond
+	// peerAskTimeout bounds a question to a VM beyond its wait.
+	peerAskTimeout = 400 * time.Millisecond
+	// followWait is how long the VM that reads the store may wait.
+	followWait = watchWait + 100*time.Millisecond
+	// failedPause is how long a VM reads for itself after the one that reads for
+	// it has failed.
+	failedPause = time.Second
+	// StaleAfter is the age from which the own source has failed: a read confirms
+	// the knowledge of its beginning, and is followed by the next one.
+	StaleAfter = 2*watchWait + 150*time.Millisecond
+	// betterBy is how much younger another VM's knowledge must be.
 	betterBy = 400 * time.Millisecond
 )
 
-// PeerReader feeds a Tracker from other VMs while the store does not.
+// PeerReader feeds a Tracker from other VMs: from the one that reads the store
+// for this VM, and from any that knows more.
 type PeerReader struct {
-	source      PeerSource
-	tracker     *Tracker
-	address     string
+	source  PeerSource
+	tracker *Tracker
+
+	mu sync.Mutex
+	// cursors are where to go on at each VM.
+	cursors map[string]cursor
+	// failedUntil is the time up to which this VM reads for itself.
+	failedUntil atomic.Int64
+}
+
+// cursor is the place in a VM's numbered changes.
+type cursor struct {
 	incarnation int64
 	next        int64
 }
 
 // NewPeerReader returns a PeerReader for the tracker.
 func NewPeerReader(source PeerSource, tracker *Tracker) *PeerReader {
-	return &PeerReader{source: source, tracker: tracker}
+	return &PeerReader{source: source, tracker: tracker, cursors: map[string]cursor{}}
+}
+
+// Failed reports whether the VM that reads for this one did not answer lately.
+func (p *PeerReader) Failed(now clock.Boot) bool {
+	return int64(now) < p.failedUntil.Load()
+}
+
+// Follow keeps asking the VM that reads the store for this one, until ctx ends.
+func (p *PeerReader) Follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		now := clock.Now()
+		address, ok := p.source.Leader()
+		if !ok || p.Failed(now) {
+			sleep(ctx, peerCheckPeriod)
+			continue
+		}
+		if err := p.ask(ctx, address, followWait); err != nil && ctx.Err() == nil {
+			p.failedUntil.Store(int64(clock.Now().Add(failedPause)))
+			klog.InfoS("config: the peer that reads the store is lost", "peer", address, "reason", err.Error())
+		}
+	}
 }
 
-// Run checks the knowledge's age, and decides about held endpoints, until ctx
+// Run looks for VMs that know more, and decides about held endpoints, until ctx
 // ends.
 func (p *PeerReader) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, peerCheckPeriod)
 		now := clock.Now()
 		p.tracker.Decide(now)
-		p.check(ctx, now)
+		p.catchUp(ctx, now)
 	}
 }
 
-func (p *PeerReader) check(ctx context.Context, now clock.Boot) {
-	age := p.tracker.Age(now)
-	if age < staleAfter {
-		return
+func (p *PeerReader) catchUp(ctx context.Context, now clock.Boot) {
+	address, ok := p.source.Newer(p.tracker.Newest())
+	if age := p.tracker.Age(now); !ok && age >= StaleAfter {
+		var told time.Duration
+		address, told, ok = p.source.Freshest()
+		ok = ok && told+betterBy <= age
 	}
-	address, told, ok := p.source.Freshest()
-	if !ok || told+betterBy > age {
+	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, peerAskTimeout)
-	defer cancel()
-	if address != p.address {
-		p.address, p.incarnation, p.next = address, 0, 0
+	if err := p.ask(ctx, address, 0); err != nil && ctx.Err() == nil {
+		klog.InfoS("config: a peer does not tell what it knows", "peer", address, "reason", err.Error())
 	}
+}
+
+// ask asks one VM and takes in what it tells.
+func (p *PeerReader) ask(ctx context.Context, address string, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+peerAskTimeout)
+	defer cancel()
+	at := p.cursor(address)
 	asked := clock.Now()
-	share, err := p.source.Ask(ctx, address, p.incarnation, p.next)
+	share, err := p.source.Ask(ctx, address, at.incarnation, at.next, wait)
 	if err != nil {
-		klog.InfoS("config: a peer does not tell what it knows", "peer", address, "reason", err.Error())
-		return
+		return err
 	}
 	p.tracker.Apply(share.update(asked), clock.Now())
-	p.incarnation, p.next = share.Incarnation, share.Next
-	klog.V(1).InfoS("config: confirmed by a peer", "peer", address, "revision", share.Revision, "age_ms", share.AgeMS)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cursors[address] = cursor{share.Incarnation, share.Next}
+	return nil
+}
+
+func (p *PeerReader) cursor(address string) cursor {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cursors[address]
 }
--- a/knowledge/reader.go
+++ b/knowledge/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -21,9 +22,14 @@
 const (
 	// watchWait is how long a watch waits. A waiting watch confirms nothing, so
 	// it bounds the age of the knowledge.
-	watchWait = 1200 * time.Millisecond
+	watchWait = 800 * time.Millisecond
 	// callTimeout bounds a call beyond its wait.
-	callTimeout = 700 * time.Millisecond
+	callTimeout = 600 * time.Millisecond
+	// gatherTime is the pause after a watch that brought changes, so that changes
+	// in quick succession take one call.
+	gatherTime = 60 * time.Millisecond
+	// idlePause is how often a Reader that is not on duty looks again.
+	idlePause = 50 * time.Millisecond
 	// readTimeout bounds a call of a whole read.
 	readTimeout = 2 * time.Second
 	// retryPause and longestRetryPause bound the pause between failed calls.
@@ -35,20 +41,31 @@
 type Reader struct {
 	store   Store
 	tracker *Tracker
+	// onDuty tells whether this VM reads from the store now.
+	onDuty func() bool
 	// revision is where the next watch begins; 0 asks for a whole read.
 	revision int64
 	lostAt   clock.Boot
+	lost     atomic.Bool
 	pause    time.Duration
 }
 
-// NewReader returns a Reader for the tracker.
-func NewReader(store Store, tracker *Tracker) *Reader {
-	return &Reader{store: store, tracker: tracker}
+// NewReader returns a Reader for the tracker. It reads while onDuty, which is
+// called often, returns true.
+func NewReader(store Store, tracker *Tracker, onDuty func() bool) *Reader {
+	return &Reader{store: store, tracker: tracker, onDuty: onDuty}
 }
 
 // Run reads until ctx ends.
 func (r *Reader) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if !r.onDuty() && r.lostAt == 0 {
+			// Others' decisions about lapsed endpoints are not in the watch, so
+			// everything is read anew at the next duty.
+			r.revision = 0
+			sleep(ctx, idlePause)
+			continue
+		}
 		err := r.step(ctx)
 		if ctx.Err() != nil {
 			return
@@ -62,6 +79,11 @@
 	}
 }
 
+// Lost reports whether the store does not serve this VM.
+func (r *Reader) Lost() bool {
+	return r.lost.Load()
+}
+
 // step makes one whole read or one watch.
 func (r *Reader) step(ctx context.Context) error {
 	if r.revision == 0 {
@@ -78,6 +100,7 @@
 	now := clock.Now()
 	klog.InfoS("config: the store serves again", "lost_ms", now.Sub(r.lostAt).Milliseconds())
 	r.lostAt = 0
+	r.lost.Store(false)
 	r.tracker.StoreBack(now)
 }
 
@@ -95,6 +118,7 @@
 	}
 	r.lostAt = clock.Now()
 	r.tracker.StoreAway()
+	r.lost.Store(true)
 	klog.InfoS("config: the store is lost", "reason", err.Error(), "age_ms", r.tracker.Age(r.lostAt).Milliseconds())
 }
 
@@ -154,6 +178,9 @@
 	r.regained()
 	r.tracker.Apply(Update{Items: changes.Items, Revision: changes.Revision, Confirmed: asked}, clock.Now())
 	r.revision = max(r.revision, changes.Revision)
+	if len(changes.Items) > 0 {
+		sleep(ctx, gatherTime)
+	}
 	return nil
 }
 
--- /dev/null
+++ b/knowledge/reader_test.go
@@ -0,0 +1,89 @@
+package knowledge
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/platform"
+)
+
+// item is short for an item of the store.
+type item = platform.Item
+
+func always() bool { return true }
+
+// TestReaderFollowsTheStore reads everything, then changes, then everything again
+// after the store has dropped its history.
+func TestReaderFollowsTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{items: []item{configurationItem(1, 1), endpointItem("a", 2)}, revision: 2}
+		tracker := NewTracker(nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			NewReader(store, tracker, always).Run(ctx)
+		}()
+		time.Sleep(time.Second)
+		store.put(endpointItem("b", 3))
+		time.Sleep(2 * time.Second)
+		if count := len(tracker.Snapshot().Endpoints); count != 2 {
+			t.Errorf("%d endpoints are known, want 2", count)
+		}
+		before, _ := store.calls()
+		store.setFail(code.New(code.SnapshotTooOld, "dropped"))
+		time.Sleep(watchWait)
+		store.setFail(nil)
+		time.Sleep(2 * time.Second)
+		if reads, _ := store.calls(); reads == before {
+			t.Error("nothing was read anew")
+		}
+		cancel()
+		<-done
+	})
+}
+
+// TestReaderOffDutyMakesNoCalls bounds the calls of a VM that follows another.
+func TestReaderOffDutyMakesNoCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{items: []item{configurationItem(1, 1)}, revision: 1}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			NewReader(store, NewTracker(nil), func() bool { return false }).Run(ctx)
+		}()
+		time.Sleep(10 * time.Second)
+		if reads, watches := store.calls(); reads+watches > 0 {
+			t.Errorf("%d reads and %d watches", reads, watches)
+		}
+		cancel()
+		<-done
+	})
+}
+
+// TestLostStoreIsAskedSeldom bounds the calls to a store that rejects them.
+func TestLostStoreIsAskedSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{fail: code.New(code.PlatformRejected, "busy")}
+		reader := NewReader(store, NewTracker(nil), always)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			reader.Run(ctx)
+		}()
+		time.Sleep(10 * time.Second)
+		if !reader.Lost() {
+			t.Error("the store does not count as lost")
+		}
+		if reads, watches := store.calls(); reads+watches > 20 {
+			t.Errorf("%d calls in 10 s", reads+watches)
+		}
+		cancel()
+		<-done
+	})
+}
--- a/knowledge/share.go
+++ b/knowledge/share.go
@@ -1,6 +1,7 @@
 package knowledge
 
 import (
+	"context"
 	"time"
 
 	"cardamompoint.example/cardamompoint/internal/clock"
@@ -22,6 +23,27 @@
 	// AgeMS is how old the sender's knowledge may be when it answers, in
 	// milliseconds; -1 if it has none.
 	AgeMS int64 `json:"age_ms"`
+	// WaitedMS is how long the sender waited before it answered, in milliseconds.
+	WaitedMS int64 `json:"waited_ms,omitempty"`
+}
+
+// Await waits until there is a change with a number of from or more, or the
+// knowledge was confirmed anew, until ctx ends.
+func (t *Tracker) Await(ctx context.Context, from int64) {
+	began := t.confirmed.Load()
+	for {
+		t.mu.Lock()
+		news, number := t.news, t.feed.next()
+		t.mu.Unlock()
+		if number != from || t.confirmed.Load() != began {
+			return
+		}
+		select {
+		case <-news:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 // Share returns the changes from a number on, or everything if they can't be
@@ -53,7 +75,8 @@
 func (s *Share) update(asked clock.Boot) Update {
 	update := Update{Items: s.Items, Whole: s.Whole, Revision: s.Revision, Decided: true}
 	if s.AgeMS >= 0 {
-		update.Confirmed = asked.Add(-time.Duration(s.AgeMS) * time.Millisecond)
+		// The sender was asked after asked and answered WaitedMS later at least.
+		update.Confirmed = asked.Add(time.Duration(s.WaitedMS-s.AgeMS) * time.Millisecond)
 	}
 	return update
 }
--- a/knowledge/tracker.go
+++ b/knowledge/tracker.go
@@ -39,7 +39,11 @@
 	away          bool
 	holdUntil     clock.Boot
 	feed          *feed
-	changed       func(*Snapshot)
+	// news is closed and replaced with each update.
+	news chan struct{}
+	// newest is the revision of the newest change that was applied.
+	newest  atomic.Int64
+	changed func(*Snapshot)
 }
 
 // NewTracker returns a Tracker that knows nothing. changed, which may be nil, is
@@ -54,6 +58,7 @@
 		tombstones: map[string]int64{},
 		held:       map[string]int64{},
 		feed:       newFeed(),
+		news:       make(chan struct{}),
 		changed:    changed,
 	}
 	t.snapshot.Store(&Snapshot{})
@@ -111,6 +116,19 @@
 	if changed || t.snapshot.Load().Revision == 0 {
 		t.publish()
 	}
+	close(t.news)
+	t.news = make(chan struct{})
+}
+
+// Newest returns the revision of the newest change that was applied.
+func (t *Tracker) Newest() int64 {
+	return t.newest.Load()
+}
+
+// tell notes an applied change for other VMs.
+func (t *Tracker) tell(item platform.Item) {
+	t.feed.add(item)
+	t.newest.Store(max(t.newest.Load(), item.Revision))
 }
 
 func (t *Tracker) applyItems(update Update, now clock.Boot) bool {
@@ -140,7 +158,7 @@
 	}
 	t.configuration = configuration
 	t.raw = item
-	t.feed.add(item)
+	t.tell(item)
 	klog.InfoS("config: a version is in force", "version", configuration.Version, "revision", item.Revision, "routes", len(configuration.Routes))
 	return true
 }
@@ -160,7 +178,7 @@
 	delete(t.held, item.Key)
 	delete(t.tombstones, item.Key)
 	t.entries[item.Key] = item
-	t.feed.add(item)
+	t.tell(item)
 	endpoint, err := platform.DecodeEndpoint(item)
 	if err != nil {
 		klog.ErrorS(err, "config: an entry names no endpoint", "key", item.Key, "revision", item.Revision)
@@ -200,7 +218,7 @@
 	delete(t.entries, item.Key)
 	delete(t.endpoints, item.Key)
 	t.bury(item.Key, item.Revision)
-	t.feed.add(platform.Item{Key: item.Key, Revision: item.Revision, Deleted: true})
+	t.tell(platform.Item{Key: item.Key, Revision: item.Revision, Deleted: true})
 	klog.InfoS("config: an endpoint is gone", "key", item.Key, "revision", item.Revision)
 }
 
--- /dev/null
+++ b/knowledge/tracker_test.go
@@ -0,0 +1,236 @@
+package knowledge
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/platform"
+)
+
+func configurationItem(version, revision int64) platform.Item {
+	value := fmt.Sprintf(`{"version":%d,"routes":[],"services":[],"tenants":[]}`, version)
+	return platform.Item{Key: platform.ConfigurationKey, Value: []byte(value), Revision: revision}
+}
+
+func endpointItem(id string, revision int64) platform.Item {
+	value := fmt.Sprintf(`{"service":"s","address":"10.0.0.1:80","zone":"a","slots":4,"state":"ready","sequence":%d}`, revision)
+	return platform.Item{Key: platform.EndpointPrefix + id, Value: []byte(value), Revision: revision}
+}
+
+func deletion(id string, revision int64) platform.Item {
+	return platform.Item{Key: platform.EndpointPrefix + id, Revision: revision, Deleted: true}
+}
+
+const testStart = clock.Boot(time.Hour)
+
+// TestNothingGoesBack applies updates in any order, whole and as changes, from
+// the store and from peers: neither the version in force nor an endpoint's entry
+// nor the time of confirmation ever gets older.
+func TestNothingGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tracker := NewTracker(nil)
+		newest := map[string]int64{}
+		version, confirmed := int64(0), clock.Boot(0)
+		for range 40 {
+			revision := rapid.Int64Range(1, 60).Draw(t, "revision")
+			update := Update{
+				Revision:  revision,
+				Whole:     rapid.Bool().Draw(t, "whole"),
+				Decided:   rapid.Bool().Draw(t, "decided"),
+				Confirmed: testStart.Add(time.Duration(rapid.Int64Range(0, 1000).Draw(t, "confirmed"))),
+			}
+			update.Items = append(update.Items, configurationItem(revision, revision))
+			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
+			if rapid.Bool().Draw(t, "deleted") {
+				update.Items = append(update.Items, deletion(id, revision))
+			} else {
+				update.Items = append(update.Items, endpointItem(id, revision))
+			}
+			tracker.Apply(update, testStart)
+			snapshot := tracker.Snapshot()
+			if snapshot.Configuration.Version < version {
+				t.Fatalf("version %d after %d", snapshot.Configuration.Version, version)
+			}
+			version = snapshot.Configuration.Version
+			for id, endpoint := range snapshot.Endpoints {
+				if endpoint.Revision < newest[id] {
+					t.Fatalf("endpoint %s has revision %d after %d", id, endpoint.Revision, newest[id])
+				}
+				newest[id] = endpoint.Revision
+			}
+			if at, _ := tracker.Confirmed(); at < confirmed {
+				t.Fatal("the confirmation got older")
+			} else {
+				confirmed = at
+			}
+		}
+	})
+}
+
+// TestLapsedEndpointsAreHeld lets entries lapse while the store is away: they are
+// kept for a while after its return, and dropped if they are not back by then.
+func TestLapsedEndpointsAreHeld(t *testing.T) {
+	tracker := NewTracker(nil)
+	now := testStart
+	tracker.Apply(Update{Items: []platform.Item{endpointItem("a", 1), endpointItem("b", 2)}, Whole: true, Revision: 2}, now)
+	tracker.StoreAway()
+	now = now.Add(5 * time.Second)
+	tracker.StoreBack(now)
+	tracker.Apply(Update{Items: []platform.Item{deletion("a", 3), deletion("b", 4)}, Revision: 4}, now)
+	tracker.Decide(now.Add(HoldAfterReturn - time.Millisecond))
+	if count := len(tracker.Snapshot().Ready["s"]); count != 2 {
+		t.Fatalf("%d endpoints are held, want 2", count)
+	}
+	tracker.Apply(Update{Items: []platform.Item{endpointItem("a", 5)}, Revision: 5}, now)
+	tracker.Decide(now.Add(HoldAfterReturn))
+	if ready := tracker.Snapshot().Ready["s"]; len(ready) != 1 || ready[0].ID != "a" {
+		t.Errorf("after the hold there are %v", ready)
+	}
+}
+
+// TestRemovalWithTheStoreSteadyIsLeaving drops the entry at once.
+func TestRemovalWithTheStoreSteadyIsLeaving(t *testing.T) {
+	tracker := NewTracker(nil)
+	tracker.Apply(Update{Items: []platform.Item{endpointItem("a", 1)}, Whole: true, Revision: 1}, testStart)
+	tracker.Apply(Update{Items: []platform.Item{deletion("a", 2)}, Revision: 2}, testStart)
+	if count := len(tracker.Snapshot().Ready["s"]); count != 0 {
+		t.Errorf("%d endpoints are left", count)
+	}
+}
+
+// TestGarbageEntriesNameNobody applies entries of other writers.
+func TestGarbageEntriesNameNobody(t *testing.T) {
+	tracker := NewTracker(nil)
+	items := []platform.Item{endpointItem("good", 1)}
+	for i, value := range []string{"", "\xff\xfe", "[]", `{"service":7}`, `{"service":"s"}`, `{"service":"s","address":"nowhere","state":"ready"}`,
+		`{"service":"s","address":"10.0.0.1:80","state":"asleep"}`, `{"service":"s","address":"10.0.0.1:80","state":"ready","slots":"many"}`} {
+		items = append(items, platform.Item{Key: fmt.Sprint(platform.EndpointPrefix, "g", i), Value: []byte(value), Revision: int64(i + 2)})
+	}
+	items = append(items, platform.Item{Key: platform.ConfigurationKey, Value: []byte("{"), Revision: 30})
+	tracker.Apply(Update{Items: items, Whole: true, Revision: 30}, testStart)
+	if ready := tracker.Snapshot().Ready["s"]; len(ready) != 1 || ready[0].ID != "good" {
+		t.Errorf("the endpoints are %v", ready)
+	}
+}
+
+// TestAgeThroughPeersIsNeverTooYoung hands knowledge through a chain of VMs with
+// random delays: no VM may believe that it was confirmed later than it was.
+func TestAgeThroughPeersIsNeverTooYoung(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		delay := func(name string) time.Duration {
+			return time.Duration(rapid.Int64Range(0, 3000).Draw(t, name)) * time.Millisecond
+		}
+		now := testStart
+		truth := now
+		tracker := NewTracker(nil)
+		tracker.Apply(Update{Items: []platform.Item{configurationItem(1, 1)}, Whole: true, Revision: 1, Confirmed: now}, now)
+		for hop := range 4 {
+			now = now.Add(delay("pause"))
+			asked := now
+			arrived := now.Add(delay("request"))
+			now = arrived.Add(delay("wait"))
+			share := tracker.Share(int64(hop), 0, 0, now)
+			share.WaitedMS = now.Sub(arrived).Milliseconds()
+			now = now.Add(delay("answer"))
+			next := NewTracker(nil)
+			next.Apply(share.update(asked), now)
+			if at, ok := next.Confirmed(); !ok || at > truth {
+				t.Fatalf("hop %d: confirmed %v after the truth", hop, at.Sub(truth))
+			}
+			tracker = next
+		}
+	})
+}
+
+// TestSharesBringAllChanges lets a VM follow another one through changes, a
+// restart and a feed that is too short.
+func TestSharesBringAllChanges(t *testing.T) {
+	source, follower := NewTracker(nil), NewTracker(nil)
+	at := cursor{}
+	incarnation := int64(7)
+	for revision := int64(1); revision <= 3*feedLimit; revision++ {
+		item := endpointItem(fmt.Sprint("e", revision%9), revision)
+		if revision%5 == 0 {
+			item = deletion(fmt.Sprint("e", revision%9), revision)
+		}
+		source.Apply(Update{Items: []platform.Item{item}, Revision: revision}, testStart)
+		if revision%7 != 0 && revision < 2*feedLimit {
+			continue
+		}
+		if revision == feedLimit {
+			incarnation++
+		}
+		share := source.Share(incarnation, at.incarnation, at.next, testStart)
+		follower.Apply(share.update(testStart), testStart)
+		at = cursor{share.Incarnation, share.Next}
+		if got, want := len(follower.Snapshot().Endpoints), len(source.Snapshot().Endpoints); got != want {
+			t.Fatalf("revision %d: %d endpoints, want %d", revision, got, want)
+		}
+	}
+}
+
+// fakeStore answers from a list of items and fails on demand.
+type fakeStore struct {
+	mu       sync.Mutex
+	items    []platform.Item
+	revision int64
+	fail     error
+	reads    int
+	watches  int
+}
+
+func (s *fakeStore) Range(context.Context, string, string) (platform.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	return platform.Page{Items: s.items, Revision: s.revision}, s.fail
+}
+
+func (s *fakeStore) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (platform.Changes, error) {
+	changes, err := s.since(after)
+	if err == nil && len(changes.Items) == 0 {
+		sleep(ctx, wait)
+	}
+	return changes, err
+}
+
+func (s *fakeStore) since(after int64) (platform.Changes, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watches++
+	changes := platform.Changes{Revision: s.revision}
+	for _, item := range s.items {
+		if item.Revision > after {
+			changes.Items = append(changes.Items, item)
+		}
+	}
+	return changes, s.fail
+}
+
+// put adds an item with the next revision.
+func (s *fakeStore) put(item platform.Item) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items, s.revision = append(s.items, item), item.Revision
+}
+
+func (s *fakeStore) setFail(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fail = err
+}
+
+// calls returns the number of reads and of watches.
+func (s *fakeStore) calls() (reads, watches int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads, s.watches
+}
+
+func (s *fakeStore) Reset() {}
--- a/news/report.go
+++ b/news/report.go
@@ -16,6 +16,10 @@
 	Learned bool `json:"k,omitempty"`
 	// Version is the configuration in force at the sender.
 	Version int64 `json:"v"`
+	// Newest is the revision of the newest change that the sender has applied.
+	Newest int64 `json:"r"`
+	// StoreLost tells that the store does not serve the sender.
+	StoreLost bool `json:"o,omitempty"`
 	// AgeMS is how old the sender's knowledge may be, in milliseconds; -1 if it
 	// has none.
 	AgeMS int64 `json:"g"`
