Count what the gateway does, and bound log lines by kind and class

Change: OpenTelemetry instruments of the gateway on port 9464 with labels from fixed lists; the log's budget per second is kept by kind and by class, refusals and failures longest, then requests that must not be repeated.

--- a/cmd/cardamompoint/gateway.go
+++ b/cmd/cardamompoint/gateway.go
@@ -54,11 +54,26 @@
 	if err != nil {
 		return err
 	}
-	klog.InfoS("gateway: started", "node", settings.Node, "settings", settings.Checksum, "front", settings.FrontAddress, "domain", settings.FailureDomain, "seeds", settings.Seeds)
+	g.CountDroppedLines(sink.Dropped)
+	klog.InfoS("gateway: started", "version", programVersion(), "role", settings.Role, "node", settings.Node, "settings", settings.Checksum, "front", settings.FrontAddress, "ready", settings.ReadyAddress, "control", settings.ControlAddress, "domain", settings.FailureDomain, "seeds", settings.Seeds)
 	go followSettings(hangUp, g, settings.Checksum)
 	return g.Run(stopping)
 }
 
+// programVersion returns the revision that the program was built from.
+func programVersion() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	for _, setting := range info.Settings {
+		if setting.Key == "vcs.revision" {
+			return setting.Value
+		}
+	}
+	return info.Main.Version
+}
+
 // settingsPeriod is how often the settings file is looked at without a signal.
 const settingsPeriod = 3 * time.Second
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -55,7 +55,7 @@
 	work := table.Begin(pick, &c.request.Prompt, clock.Now())
 	defer work.End()
 	x := &exchange{call: c, pick: pick, work: work}
-	conn, err := c.gateway.pool.Get(c.r.Context(), id, pick.Endpoint.Address)
+	conn, err := c.connect(pick)
 	if err != nil {
 		if c.r.Context().Err() == nil {
 			table.Silent(id, clock.Now())
@@ -68,12 +68,30 @@
 	whole := came.fate == fateDone || came.fate == fateNotRun || c.held != nil && came.fate == fateFailed && came.status != 0
 	if abandon() && whole && x.sent() && conn.Finish(x.response, x.answer) {
 		c.gateway.pool.Put(conn)
+		c.gateway.metrics.Connection("kept")
 		return came
 	}
 	conn.Close()
+	c.gateway.metrics.Connection("closed")
 	return came
 }
 
+// connect returns a connection to the picked endpoint.
+func (c *call) connect(pick choice.Pick) (*upstream.Conn, error) {
+	began := clock.Now()
+	conn, err := c.gateway.pool.Get(c.r.Context(), pick.Endpoint.ID, pick.Endpoint.Address)
+	c.gateway.metrics.Connect(clock.Now().Sub(began))
+	switch {
+	case err != nil:
+		c.gateway.metrics.Connection("failed")
+	case conn.Reused():
+		c.gateway.metrics.Connection("reused")
+	default:
+		c.gateway.metrics.Connection("opened")
+	}
+	return conn, err
+}
+
 // exchange sends the request and handles the answer.
 func (x *exchange) exchange() outcome {
 	if err := x.checkLease(); err != nil {
@@ -83,11 +101,13 @@
 		return came
 	}
 	x.expire(x.patience())
+	sent := clock.Now()
 	response, answer, err := x.conn.ReadAnswer(x.r.Method, x.request.ID)
 	if err != nil {
 		return x.broken(err)
 	}
 	x.response, x.answer = response, answer
+	x.gateway.metrics.FirstByte(clock.Now().Sub(sent))
 	if answer.HasLoad {
 		x.gateway.table.Told(x.pick.Endpoint.ID, answer.Load, clock.Now())
 	}
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -70,6 +70,11 @@
 	began   clock.Boot
 	firstAt clock.Boot
 
+	// pieces counts the pieces of a stream that went out.
+	pieces       int
+	lastPiece    clock.Boot
+	longestPause time.Duration
+
 	result code.Code
 	status int
 	notes  []attemptNote
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -13,6 +13,7 @@
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
 	"cardamompoint.example/cardamompoint/platform"
+	"cardamompoint.example/cardamompoint/traffic"
 )
 
 // finish ends a call that has no success: with the failure that an endpoint
@@ -121,9 +122,38 @@
 	c.notes = append(c.notes, note)
 }
 
+// kind is the kind of the call's route in metrics.
+func (c *call) kind() string {
+	switch {
+	case c.grant.route == nil:
+		return "none"
+	case c.grant.route.Stream && c.grant.route.Resume:
+		return "resumable_stream"
+	case c.grant.route.Stream:
+		return "stream"
+	case c.grant.route.Repeat == traffic.RepeatFreely:
+		return "idempotent"
+	default:
+		return "non_idempotent"
+	}
+}
+
+// repeatName tells in logs whether the request may run again; the log keeps the
+// lines of those that may not for longest.
+func (c *call) repeatName() string {
+	if c.grant.route != nil && !c.grant.route.MayRepeat() && !c.grant.route.Stream {
+		return "never"
+	}
+	return "maybe"
+}
+
 // log writes one line for the call.
 func (c *call) log() {
-	took := clock.Now().Sub(c.arrived).Milliseconds()
+	took := clock.Now().Sub(c.arrived)
+	c.gateway.metrics.Request(c.result.String(), c.kind(), took)
+	if c.pieces > 0 {
+		c.gateway.metrics.Stream(c.pieces, c.firstAt.Sub(c.arrived), c.longestPause)
+	}
 	route, workspace := "", ""
 	if c.grant.route != nil {
 		route = c.grant.route.Name
@@ -132,9 +162,9 @@
 		workspace = c.grant.workspace.Name
 	}
 	age := c.gateway.tracker.Age(clock.Now()).Milliseconds()
-	fields := []any{"request", c.request.ID, "code", int(c.result), "status", c.status, "took_ms", took,
-		"route", route, "workspace", workspace, "service", c.grant.service, "version", c.grant.version, "age_ms", age,
-		"attempts", c.notes}
+	fields := []any{"request", c.request.ID, "code", int(c.result), "status", c.status, "took_ms", took.Milliseconds(),
+		"repeat", c.repeatName(), "route", route, "workspace", workspace, "service", c.grant.service, "version", c.grant.version, "age_ms", age,
+		"pieces", c.pieces, "pause_ms", c.longestPause.Milliseconds(), "attempts", c.notes}
 	if c.result == code.OK {
 		klog.InfoS("route: served", fields...)
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"cardamompoint.example/cardamompoint/choice"
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/knowledge"
+	"cardamompoint.example/cardamompoint/metrics"
 	"cardamompoint.example/cardamompoint/news"
 	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/traffic"
@@ -36,6 +37,10 @@
 	follower *knowledge.PeerReader
 	exchange *news.Exchange
 
+	metrics *metrics.Gateway
+	// droppedLines returns the number of log lines that were left out.
+	droppedLines func() int64
+
 	incarnation int64
 	stopping    atomic.Bool
 	learned     atomic.Bool
@@ -57,12 +62,21 @@
 	}
 	g.bounds.Store(&settings.Bounds)
 	g.placesKnown = sync.OnceFunc(func() { close(g.places) })
+	instruments, err := metrics.NewGateway()
+	if err != nil {
+		return nil, err
+	}
+	g.metrics = instruments
+	g.droppedLines = func() int64 { return 0 }
 	g.tracker = knowledge.NewTracker(g.table.Update)
 	g.members = news.NewTable(settings.IP, seedIPs(settings.Seeds))
 	g.budget = budget.New(g.retryLimits, g.countMembers)
 	g.peers = newPeerClient(settings.FirstPeerPort)
 	g.follower = knowledge.NewPeerReader(g, g.tracker)
 	g.reader = knowledge.NewReader(platform.NewStore(settings.StoreAddress), g.tracker, g.readsStore)
+	if err := g.addGauges(); err != nil {
+		return nil, err
+	}
 	return g, g.openExchange()
 }
 
--- /dev/null
+++ b/gateway/gauges.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"time"
+
+	"cardamompoint.example/cardamompoint/internal/clock"
+)
+
+// MetricsPort is where a gateway serves its metrics, at MetricsPath.
+const (
+	MetricsPort = 9464
+	MetricsPath = "/metrics"
+)
+
+// oldestShown is the age that a gauge shows when nothing was ever confirmed.
+const oldestShown = time.Hour
+
+// addGauges registers the gauges that are read when metrics are served.
+func (g *Gateway) addGauges() error {
+	gauges := []struct {
+		name, help string
+		read       func() int64
+	}{
+		{"cardamompoint.gateway_in_progress", "Requests of callers in progress.", g.active.Load},
+		{"cardamompoint.gateway_config_version", "Version of the configuration in force, 0 if there is none.", g.configVersion},
+		{"cardamompoint.gateway_knowledge_age", "Time since the knowledge was confirmed, in milliseconds.", g.knowledgeAge},
+		{"cardamompoint.gateway_members", "VMs that count as alive, this one included.", g.memberCount},
+		{"cardamompoint.gateway_endpoints", "Published endpoints that take new work.", g.endpointCount},
+		{"cardamompoint.gateway_idle_connections", "Idle connections to endpoints.", func() int64 { return int64(g.pool.Idle()) }},
+		{"cardamompoint.gateway_retry_budget", "Sends beyond the first that are still allowed now, the least of all services.", g.budgetLeft},
+		{"cardamompoint.gateway_log_lines_dropped", "Log lines that were left out.", func() int64 { return g.droppedLines() }},
+	}
+	for _, gauge := range gauges {
+		if err := g.metrics.Gauge(gauge.name, gauge.help, gauge.read); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (g *Gateway) configVersion() int64 {
+	if configuration := g.tracker.Snapshot().Configuration; configuration != nil {
+		return configuration.Version
+	}
+	return 0
+}
+
+func (g *Gateway) knowledgeAge() int64 {
+	return min(g.tracker.Age(clock.Now()), oldestShown).Milliseconds()
+}
+
+func (g *Gateway) memberCount() int64 {
+	count, _ := g.countMembers()
+	return int64(count)
+}
+
+func (g *Gateway) endpointCount() int64 {
+	count := 0
+	for _, ready := range g.tracker.Snapshot().Ready {
+		count += len(ready)
+	}
+	return int64(count)
+}
+
+func (g *Gateway) budgetLeft() int64 {
+	configuration := g.tracker.Snapshot().Configuration
+	if configuration == nil {
+		return 0
+	}
+	least, found := 0.0, false
+	for name := range configuration.Services {
+		if left := g.budget.Left(name, clock.Now()); !found || left < least {
+			least, found = left, true
+		}
+	}
+	return int64(least)
+}
+
+// CountDroppedLines sets where the number of dropped log lines is read. It must
+// be called before Run.
+func (g *Gateway) CountDroppedLines(dropped func() int64) {
+	g.droppedLines = dropped
+}
--- a/gateway/learner.go
+++ b/gateway/learner.go
@@ -173,11 +173,7 @@
 // awaitPlaces holds a request with a long shared prompt until the VM has learned
 // where its parts are, or for a short time after the start.
 func (c *call) awaitPlaces() {
-	shared := 0
-	for _, part := range c.request.Prompt.Parts {
-		shared += part.Tokens
-	}
-	if shared < longPrompt {
+	if c.request.Prompt.SharedTokens() < longPrompt {
 		return
 	}
 	select {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -33,6 +33,19 @@
 	fateLate
 )
 
+// String returns the fate's name in logs and metrics.
+func (f fate) String() string {
+	return [...]string{"done", "not_run", "failed", "broken", "caller_gone", "late"}[f]
+}
+
+// attemptName is the label of the attempt in metrics.
+func (c *call) attemptName() string {
+	if c.sends > 1 {
+		return "retry"
+	}
+	return "first"
+}
+
 // run tries endpoints until the caller has an answer.
 func (c *call) run() {
 	c.gateway.budget.First(c.grant.service, c.arrived)
@@ -47,6 +60,7 @@
 		c.began = clock.Now()
 		came := c.attempt(pick)
 		c.note(pick, came, clock.Now().Sub(c.began))
+		c.gateway.metrics.Send(c.attemptName(), came.fate.String())
 		if came.fate == fateFailed || came.fate == fateBroken {
 			c.runs++
 		}
@@ -107,10 +121,15 @@
 	now := clock.Now()
 	tried := func(id string) bool { return slices.Contains(c.tried, id) }
 	pick, ok := c.gateway.table.Pick(snapshot.Ready[c.grant.service], &c.request.Prompt, c.grant.route.Objective, tried, now)
+	c.gateway.metrics.Choice(clock.Now().Sub(now))
 	if !ok {
 		return pick, code.New(code.NoEndpoint, "no endpoint of the service is left").After(comeBackStale)
 	}
 	c.tried = append(c.tried, pick.Endpoint.ID)
+	if shared := c.request.Prompt.SharedTokens(); shared > 0 {
+		read := min(shared, pick.Reading)
+		c.gateway.metrics.Prompt(shared-read, read)
+	}
 	return pick, nil
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -7,6 +7,7 @@
 	"log"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -63,6 +64,8 @@
 	ready := http.NewServeMux()
 	ready.HandleFunc(readinessPattern, g.serveReadiness)
 	control := g.controlMux()
+	metrics := http.NewServeMux()
+	metrics.Handle("GET "+MetricsPath, g.metrics.Handler())
 	addresses := []struct {
 		name    string
 		address string
@@ -72,6 +75,7 @@
 		{"ready", g.settings.ReadyAddress, ready},
 		{"control", g.settings.ControlAddress, control},
 		{"peer", g.peerAddress(), control},
+		{"metrics", net.JoinHostPort(g.settings.IP, strconv.Itoa(MetricsPort)), metrics},
 	}
 	var listeners []listener
 	for _, at := range addresses {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -27,6 +27,7 @@
 		}
 		x.work.Read()
 		x.startStream()
+		x.countPiece()
 		if _, err := x.w.Write(piece); err != nil {
 			return outcome{fate: fateGone, status: x.answer.Status, err: err}
 		}
@@ -51,6 +52,16 @@
 	x.w.WriteHeader(x.answer.Status)
 }
 
+// countPiece notes when a piece came.
+func (x *exchange) countPiece() {
+	now := clock.Now()
+	if x.pieces > 0 {
+		x.longestPause = max(x.longestPause, now.Sub(x.lastPiece))
+	}
+	x.pieces++
+	x.lastPiece = now
+}
+
 func (x *exchange) endStream() outcome {
 	x.startStream()
 	x.gateway.table.Answered(x.pick.Endpoint.ID, false, clock.Now())
--- a/internal/logsink/sink.go
+++ b/internal/logsink/sink.go
@@ -8,13 +8,18 @@
 	"time"
 )
 
+// The bounds of a Sink.
 const (
-	// bufferLimit bounds the bytes that wait to be written.
-	bufferLimit = 256 << 10
-	// lineLimit is the number of lines in one second beyond which lines are left
-	// out; urgentLimit is the same for lines that matter most.
-	lineLimit   = 150
-	urgentLimit = 400
+	// BufferLimit bounds the bytes that wait to be written.
+	BufferLimit = 256 << 10
+	// KindLimit is the number of lines of one kind in a second beyond which
+	// routine lines are left out.
+	KindLimit = 60
+	// RoutineLimit, LastingLimit and UrgentLimit are the numbers of lines in a
+	// second beyond which lines of a class are left out.
+	RoutineLimit = 120
+	LastingLimit = 200
+	UrgentLimit  = 300
 )
 
 // Sink is an io.Writer whose Write never blocks. It is safe for concurrent use.
@@ -28,6 +33,7 @@
 	spare   []byte
 	second  int64
 	lines   int
+	kinds   map[string]int
 	omitted int
 	closed  bool
 	written chan struct{}
@@ -37,7 +43,7 @@
 
 // New returns a Sink that writes to out until it is closed.
 func New(out io.Writer) *Sink {
-	s := &Sink{out: out, now: time.Now, written: make(chan struct{})}
+	s := &Sink{out: out, now: time.Now, kinds: map[string]int{}, written: make(chan struct{})}
 	s.ready = sync.NewCond(&s.mu)
 	go s.run()
 	return s
@@ -53,11 +59,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.turn()
-	limit := lineLimit
-	if urgent(line) {
-		limit = urgentLimit
-	}
-	if s.closed || s.lines >= limit || len(s.pending)+len(line) > bufferLimit {
+	if !s.admits(line) {
 		s.omitted++
 		s.dropped.Add(1)
 		return len(line), nil
@@ -68,9 +70,24 @@
 	return len(line), nil
 }
 
-// urgent reports whether a line tells of an error.
-func urgent(line []byte) bool {
-	return len(line) > 0 && (line[0] == 'E' || line[0] == 'W' || line[0] == 'F')
+// admits reports whether there is room for a line in the buffer and in the
+// second.
+func (s *Sink) admits(line []byte) bool {
+	if s.closed || len(s.pending)+len(line) > BufferLimit {
+		return false
+	}
+	switch classOf(line) {
+	case urgent:
+		return s.lines < UrgentLimit
+	case lasting:
+		return s.lines < LastingLimit
+	}
+	kind := kindOf(line)
+	if s.lines >= RoutineLimit || s.kinds[kind] >= KindLimit {
+		return false
+	}
+	s.kinds[kind]++
+	return true
 }
 
 // turn begins a new second, with a line on what was left out in the last one.
@@ -79,11 +96,12 @@
 	if second == s.second {
 		return
 	}
-	if s.omitted > 0 && len(s.pending) < bufferLimit {
+	if s.omitted > 0 && len(s.pending) < BufferLimit {
 		s.pending = fmt.Appendf(s.pending, "log: lines were left out count=%d\n", s.omitted)
 		s.omitted = 0
 	}
 	s.second, s.lines = second, 0
+	clear(s.kinds)
 }
 
 // Close writes what is pending, for at most the given time, and ends the writer.
--- /dev/null
+++ b/internal/logsink/sink_test.go
@@ -0,0 +1,117 @@
+package logsink
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// collector is a writer that can be held up.
+type collector struct {
+	mu   sync.Mutex
+	text strings.Builder
+	hold chan struct{}
+}
+
+func (c *collector) Write(p []byte) (int, error) {
+	if c.hold != nil {
+		<-c.hold
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.text.Write(p)
+}
+
+func (c *collector) count(part string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return strings.Count(c.text.String(), part)
+}
+
+func line(severity, kind, fields string, number int) []byte {
+	return fmt.Appendf(nil, "%s0806 22:13:28.273705 9450 a.go:58] \"%s: text\" n=%d %s\n", severity, kind, number, fields)
+}
+
+// newTestSink returns a Sink whose time stands still until it is moved.
+func newTestSink(out io.Writer) (*Sink, *time.Time) {
+	now := time.Unix(1000, 0)
+	sink := New(out)
+	sink.now = func() time.Time { return now }
+	return sink, &now
+}
+
+// TestBudgets floods a second with lines of each class: those that matter most
+// are kept longest, one kind can't use the whole second up, and what was left out
+// is told in the next second.
+func TestBudgets(t *testing.T) {
+	out := &collector{}
+	sink, now := newTestSink(out)
+	for i := range 500 {
+		sink.Write(line("I", "route", "", i))
+	}
+	for i := range 30 {
+		sink.Write(line("I", "member", "", i))
+	}
+	for i := range 500 {
+		sink.Write(line("I", "route", LastingMark, i))
+	}
+	for i := range 500 {
+		sink.Write(line("E", "route", "", i))
+	}
+	*now = now.Add(time.Second)
+	sink.Write(line("I", "route", "", 0))
+	sink.Close(time.Minute)
+	for _, test := range []struct {
+		part string
+		want int
+	}{
+		{"I0806", UrgentLimit - (UrgentLimit - LastingLimit) + 1},
+		{`"member: text"`, 30},
+		{LastingMark, LastingLimit - KindLimit - 30},
+		{"E0806", UrgentLimit - LastingLimit},
+		{fmt.Sprintf("log: lines were left out count=%d\n", 1530-UrgentLimit), 1},
+	} {
+		if got := out.count(test.part); got != test.want {
+			t.Errorf("%s: %d lines, want %d", test.part, got, test.want)
+		}
+	}
+	if dropped := sink.Dropped(); dropped != 1530-UrgentLimit {
+		t.Errorf("%d lines count as dropped", dropped)
+	}
+}
+
+// TestOutputThatIsNeverReadHoldsNobodyUp writes far more than the buffer holds to
+// an output that blocks: all writes return, and the buffer stays bounded.
+func TestOutputThatIsNeverReadHoldsNobodyUp(t *testing.T) {
+	out := &collector{hold: make(chan struct{})}
+	sink, now := newTestSink(out)
+	long := strings.Repeat("x", 1000)
+	for i := range 2000 {
+		*now = now.Add(time.Second)
+		sink.Write(line("E", "route", long, i))
+	}
+	sink.mu.Lock()
+	waiting := len(sink.pending)
+	sink.mu.Unlock()
+	if waiting > BufferLimit+200 {
+		t.Errorf("%d bytes wait", waiting)
+	}
+	if sink.Dropped() == 0 {
+		t.Error("nothing was dropped")
+	}
+	close(out.hold)
+	sink.Close(time.Minute)
+}
+
+func BenchmarkWrite(b *testing.B) {
+	sink := New(io.Discard)
+	text := line("E", "route", "", 1)
+	b.ReportAllocs()
+	for b.Loop() {
+		sink.Write(text)
+	}
+	sink.Close(time.Minute)
+}
--- a/traffic/request.go
+++ b/traffic/request.go
@@ -28,6 +28,15 @@
 	Parts []Part
 }
 
+// SharedTokens is the size of the parts before the request's own one.
+func (p *Prompt) SharedTokens() int {
+	shared := 0
+	for i := 0; i < len(p.Parts)-1; i++ {
+		shared += p.Parts[i].Tokens
+	}
+	return shared
+}
+
 // Part is a piece of a prompt that other requests may share.
 type Part struct {
 	// ID is the hash that the caller gives.
--- a/traffic/settings.go
+++ b/traffic/settings.go
@@ -6,6 +6,8 @@
 type Settings struct {
 	// Node is the VM's name in logs.
 	Node string
+	// Role is the process's role in the deployment.
+	Role string
 	// IP is the VM's own IP number.
 	IP string
 	// FailureDomain and Region are where the VM is.
