Print the story of a request from logs

Change: cardamompoint trace ID finds the lines of a request, an endpoint or a version in the logs of any number of gateways and prints them in order, with each attempt's inputs and times.

--- a/cmd/cardamompoint/main.go
+++ b/cmd/cardamompoint/main.go
@@ -58,7 +58,7 @@
 			return ctx, setUpLog(c.Int("log-level"), c.Bool("quiet"))
 		},
 		Commands: []*cli.Command{
-			routerCommand(), gatewayCommand(), checkCommand(), statusCommand(), explainCommand(), standinCommand(), demoCommand(),
+			routerCommand(), gatewayCommand(), checkCommand(), statusCommand(), explainCommand(), traceCommand(), standinCommand(), demoCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Action: func(_ context.Context, c *cli.Command) error {
