Carry knowledge between VMs as what the asker lacks

Reports reached a fifth of the fleet, so VMs seemed lost by turns. Change: a VM tells what it knows, and gets entries, late deletions and a compressed configuration beyond that; VMs of the largest capacity read the store; what is newer is asked of a random VM. Reports relay when others were heard of, loads told by engines and prompt places; first reports are answered at once. Tests: shares bring all changes, membership of 7, 60 and 100 VMs from one seed with lost reports, lost VMs are noticed, old reports.

--- a/choice/places.go
+++ b/choice/places.go
@@ -38,5 +38,7 @@
 func (t *Table) Tell(places []news.PartPlace) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.fresh = append(t.fresh, places[:min(len(places), freshLimit-min(freshLimit, len(t.fresh)))]...)
+	for _, at := range places {
+		t.tell(at)
+	}
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -35,7 +35,7 @@
 
 const (
 	// toldFor is how long an endpoint's word about its load counts.
-	toldFor = 400 * time.Millisecond
+	toldFor = 600 * time.Millisecond
 	// faultWeight is the weight of the newest outcome.
 	faultWeight = 0.2
 	// faultHalfLife is the time after which a fault counts half.
--- a/choice/table.go
+++ b/choice/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/knowledge"
@@ -125,6 +126,9 @@
 			report.Faults = append(report.Faults, news.Fault{Endpoint: id, Percent: int(share * 100)})
 		}
 	}
+	if len(report.Pulses) > 0 {
+		t.fillTold(report, now)
+	}
 	report.Parts = t.fresh
 	t.fresh = nil
 }
@@ -143,8 +147,14 @@
 		known.peersReading += work.Reading
 	}
 	t.reports[report.Address] = report.Work
+	for _, told := range report.Told {
+		t.receiveTold(told, now)
+	}
 	for _, at := range report.Parts {
-		t.parts.note(at.Part, at.Endpoint, now)
+		isNew := t.parts.note(at.Part, at.Endpoint, now)
+		if isNew && len(report.Pulses) > 0 {
+			t.tell(at) // In a large fleet each VM passes news on once.
+		}
 	}
 	for _, fault := range report.Faults {
 		known := t.state(fault.Endpoint)
@@ -155,6 +165,27 @@
 	}
 }
 
+// fillTold adds what endpoints told lately of their loads.
+func (t *Table) fillTold(report *news.Report, now clock.Boot) {
+	for id, known := range t.states {
+		age := now.Sub(known.toldAt)
+		if known.toldAt == 0 || age > toldFor/2 {
+			continue
+		}
+		report.Told = append(report.Told, news.Told{Endpoint: id, Requests: known.told.Running + known.told.Waiting, AgeMS: age.Milliseconds()})
+	}
+}
+
+// receiveTold takes in what an endpoint told another VM, if that is newer.
+func (t *Table) receiveTold(told news.Told, now clock.Boot) {
+	known := t.state(told.Endpoint)
+	at := now.Add(-time.Duration(told.AgeMS) * time.Millisecond)
+	if told.AgeMS < 0 || at <= known.toldAt {
+		return
+	}
+	known.told, known.toldAt, known.sent = traffic.Load{Running: told.Requests, Slots: known.told.Slots}, at, 0
+}
+
 // Lost forgets the work of a VM that fell silent.
 func (t *Table) Lost(address string) {
 	t.mu.Lock()
--- a/choice/work.go
+++ b/choice/work.go
@@ -25,14 +25,22 @@
 	known.own++
 	known.sent++
 	known.reading += pick.Reading
-	for _, part := range prompt.Parts {
-		if t.parts.note(part.ID, id, now) && len(t.fresh) < freshLimit {
-			t.fresh = append(t.fresh, news.PartPlace{Part: part.ID, Endpoint: id})
+	shared := max(1, len(prompt.Parts)-1)
+	for i, part := range prompt.Parts {
+		if t.parts.note(part.ID, id, now) && i < shared {
+			t.tell(news.PartPlace{Part: part.ID, Endpoint: id})
 		}
 	}
 	return &Work{table: t, id: id, reading: pick.Reading}
 }
 
+// tell lets the next report tell of a place, if there is room.
+func (t *Table) tell(at news.PartPlace) {
+	if len(t.fresh) < freshLimit {
+		t.fresh = append(t.fresh, at)
+	}
+}
+
 // Read notes that the endpoint has read the prompt.
 func (w *Work) Read() {
 	if w.reading == 0 {
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -10,6 +10,7 @@
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+	"cardamompoint.example/cardamompoint/knowledge"
 )
 
 // knowledgePath is where a VM tells others what it knows.
@@ -33,30 +34,22 @@
 }
 
 func (g *Gateway) serveKnowledge(w http.ResponseWriter, r *http.Request) {
-	query := r.URL.Query()
-	incarnation, err := strconv.ParseInt(query.Get("incarnation"), 10, 64)
-	if err != nil {
-		jsonhttp.WriteError(w, code.New(code.InvalidParameter, "incarnation is not a number"))
-		return
-	}
-	from, err := strconv.ParseInt(query.Get("from"), 10, 64)
-	if err != nil {
-		jsonhttp.WriteError(w, code.New(code.InvalidParameter, "from is not a number"))
-		return
-	}
-	wait, err := strconv.ParseInt(query.Get("wait_ms"), 10, 64)
-	if err != nil || wait < 0 {
-		jsonhttp.WriteError(w, code.New(code.InvalidParameter, "wait_ms is not a number of milliseconds"))
-		return
+	var values [4]int64
+	for i, name := range []string{"revision", "configuration", "newest", "wait_ms"} {
+		value, err := strconv.ParseInt(r.URL.Query().Get(name), 10, 64)
+		if err != nil || value < 0 {
+			jsonhttp.WriteError(w, code.New(code.InvalidParameter, "%s is not a number", name))
+			return
+		}
+		values[i] = value
 	}
+	question := knowledge.Question{Revision: values[0], Configuration: values[1], Newest: values[2]}
 	arrived := clock.Now()
-	if incarnation == g.incarnation {
-		ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond)
-		defer cancel()
-		g.tracker.Await(ctx, from)
-	}
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(values[3])*time.Millisecond)
+	defer cancel()
+	g.tracker.Await(ctx, question.Newest)
 	now := clock.Now()
-	share := g.tracker.Share(g.incarnation, incarnation, from, now)
+	share := g.tracker.Share(question, now)
 	share.WaitedMS = now.Sub(arrived).Milliseconds()
 	jsonhttp.Write(w, share)
 }
--- a/gateway/duty.go
+++ b/gateway/duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"cardamompoint.example/cardamompoint/internal/clock"
@@ -14,7 +15,7 @@
 const readerKey = "reader"
 
 // Leader implements knowledge.PeerSource. In each failure domain the VM that
-// ranks first reads the store for the others. Where none can, the VMs of all
+// ranks first of those with the largest capacity reads the store for the others. Where none can, the VMs of all
 // domains are ranked. VMs that disagree for a moment read once too often.
 func (g *Gateway) Leader() (address string, ok bool) {
 	alive := g.members.Alive(clock.Now())
@@ -28,16 +29,18 @@
 // rankReaders returns the VM that ranks first among those that the store serves
 // in the wanted domains, "" if there is none.
 func (g *Gateway) rankReaders(alive []news.Member, wanted func(domain string) bool) string {
-	leader, best := "", uint64(0)
-	consider := func(address, domain string, serves bool) {
-		if draw := rank.Key(readerKey, address); serves && wanted(domain) && draw > best {
-			leader, best = address, draw
+	leader, best, most := "", uint64(0), 0
+	consider := func(address, domain string, capacity int, serves bool) {
+		draw := rank.Key(readerKey, address)
+		if serves && wanted(domain) && (capacity > most || capacity == most && draw > best) {
+			leader, best, most = address, draw, capacity
 		}
 	}
-	consider(g.settings.IP, g.settings.FailureDomain, !g.reader.Lost() && !g.stopping.Load())
+	consider(g.settings.IP, g.settings.FailureDomain, g.settings.Capacity, !g.reader.Lost() && !g.stopping.Load())
 	for _, member := range alive {
 		report := &member.Report
-		consider(report.Address, report.FailureDomain, !report.StoreLost && report.AgeMS >= 0)
+		serves := !report.StoreLost && report.AgeMS >= 0 && !g.follower.FailedAt(report.Address, clock.Now())
+		consider(report.Address, report.FailureDomain, report.Capacity, serves)
 	}
 	return leader
 }
@@ -54,9 +57,20 @@
 
 // Newer implements knowledge.PeerSource.
 func (g *Gateway) Newer(newest int64) (address string, ok bool) {
+	var near, far []string
 	for _, member := range g.members.Alive(clock.Now()) {
-		if member.Report.Newest > newest {
-			return member.Report.Address, true
+		switch {
+		case member.Report.Newest <= newest:
+		case member.Report.FailureDomain == g.settings.FailureDomain:
+			near = append(near, member.Report.Address)
+		default:
+			far = append(far, member.Report.Address)
+		}
+	}
+	// Each VM asks another one, so that none has to answer all.
+	for _, addresses := range [][]string{near, far} {
+		if len(addresses) > 0 {
+			return addresses[rand.IntN(len(addresses))], true
 		}
 	}
 	return "", false
@@ -78,6 +92,6 @@
 }
 
 // Ask implements knowledge.PeerSource.
-func (g *Gateway) Ask(ctx context.Context, address string, incarnation, from int64, wait time.Duration) (knowledge.Share, error) {
-	return g.peers.Knowledge(ctx, address, incarnation, from, wait)
+func (g *Gateway) Ask(ctx context.Context, address string, question knowledge.Question, wait time.Duration) (knowledge.Share, error) {
+	return g.peers.Knowledge(ctx, address, question, wait)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -132,6 +132,7 @@
 	now := clock.Now()
 	report.Leaving = g.stopping.Load()
 	report.Learned = g.learned.Load()
+	report.Capacity = g.settings.Capacity
 	report.Newest = g.tracker.Newest()
 	report.StoreLost = g.reader.Lost()
 	report.AgeMS = -1
--- a/gateway/learner.go
+++ b/gateway/learner.go
@@ -19,6 +19,10 @@
 	// learnAfter is when a started VM begins to ask: it has heard the others by
 	// then.
 	learnAfter = 120 * time.Millisecond
+	// settleTime bounds the wait for a steady number of VMs.
+	settleTime = 400 * time.Millisecond
+	// askedPeers bounds the VMs that are asked where parts are.
+	askedPeers = 8
 	// learnFor is how long it asks others that start at the same time.
 	learnFor = 4 * time.Second
 	// learnPeriod is the time between two rounds.
@@ -45,6 +49,11 @@
 	// listing tells that nobody knew and the engines are asked, also those that
 	// are published later.
 	listing bool
+	// members is the number of VMs that were alive in the last round.
+	members int
+	began   clock.Boot
+	// peers counts the VMs that were asked.
+	peers int
 }
 
 func newLearner(g *Gateway) *learner {
@@ -64,8 +73,8 @@
 	limit := time.AfterFunc(learnWait, l.gateway.placesKnown)
 	defer limit.Stop()
 	wait(ctx, learnAfter)
-	began := clock.Now()
-	for ctx.Err() == nil && clock.Now().Sub(began) < learnFor {
+	l.began = clock.Now()
+	for ctx.Err() == nil && clock.Now().Sub(l.began) < learnFor {
 		if l.round(ctx) {
 			l.gateway.learned.Store(true)
 		}
@@ -97,6 +106,9 @@
 			continue
 		}
 		someKnow = true
+		if l.peers >= askedPeers {
+			continue
+		}
 		l.askPeer(ctx, member.Report.Address)
 	}
 	if allKnow && l.gateway.learned.Load() {
@@ -105,6 +117,11 @@
 	if someKnow && !l.listing {
 		return true
 	}
+	settled := len(alive) > 0 && len(alive) == l.members
+	l.members = len(alive)
+	if !settled && !l.listing && clock.Now().Sub(l.began) < settleTime {
+		return false // Who else is there decides which engines to ask.
+	}
 	l.listing = true
 	l.askEngines(ctx, l.gateway.tracker.Snapshot(), alive)
 	return true
@@ -115,6 +132,7 @@
 		return
 	}
 	l.asked[address] = true
+	l.peers++
 	ctx, cancel := context.WithTimeout(ctx, learnTimeout)
 	defer cancel()
 	places, err := l.gateway.peers.Places(ctx, address)
--- a/gateway/peer_client.go
+++ b/gateway/peer_client.go
@@ -32,10 +32,11 @@
 	return &peerClient{port: strconv.Itoa(port), client: &http.Client{Transport: transport}}
 }
 
-// Knowledge asks a VM for its changes from a number on. The VM waits up to wait
-// for one.
-func (p *peerClient) Knowledge(ctx context.Context, address string, incarnation, from int64, wait time.Duration) (knowledge.Share, error) {
-	url := fmt.Sprintf("http://%s%s?incarnation=%d&from=%d&wait_ms=%d", net.JoinHostPort(address, p.port), knowledgePath, incarnation, from, wait.Milliseconds())
+// Knowledge asks a VM for what it knows beyond the question. The VM waits up to
+// wait for a change.
+func (p *peerClient) Knowledge(ctx context.Context, address string, question knowledge.Question, wait time.Duration) (knowledge.Share, error) {
+	url := fmt.Sprintf("http://%s%s?revision=%d&configuration=%d&newest=%d&wait_ms=%d", net.JoinHostPort(address, p.port), knowledgePath,
+		question.Revision, question.Configuration, question.Newest, wait.Milliseconds())
 	var share knowledge.Share
 	err := jsonhttp.Get(ctx, p.client, url, &share)
 	if err != nil {
--- a/knowledge/peer_reader.go
+++ b/knowledge/peer_reader.go
@@ -21,9 +21,9 @@
 	// Freshest returns the VM whose knowledge was confirmed last, and how old it
 	// was told to be; ok is false if there is none.
 	Freshest() (address string, age time.Duration, ok bool)
-	// Ask returns a VM's changes from a number on. The VM waits up to wait for a
-	// change or a newer confirmation.
-	Ask(ctx context.Context, address string, incarnation, from int64, wait time.Duration) (Share, error)
+	// Ask returns what a VM knows beyond the question. The VM waits up to wait for
+	// a change or a newer confirmation.
+	Ask(ctx context.Context, address string, question Question, wait time.Duration) (Share, error)
 }
 
 const (
@@ -36,9 +36,14 @@
 	// failedPause is how long a VM reads for itself after the one that reads for
 	// it has failed.
 	failedPause = time.Second
+	// avoidPause is how long another VM is preferred to one that did not answer.
+	avoidPause = 5 * time.Second
 	// StaleAfter is the age from which the own source has failed: a read confirms
 	// the knowledge of its beginning, and is followed by the next one.
 	StaleAfter = 2*watchWait + 150*time.Millisecond
+	// behindTime is how long another VM must have known more before it is asked:
+	// the usual way takes as long.
+	behindTime = 250 * time.Millisecond
 	// betterBy is how much younger another VM's knowledge must be.
 	betterBy = 400 * time.Millisecond
 )
@@ -49,22 +54,20 @@
 	source  PeerSource
 	tracker *Tracker
 
+	// behindSince is when another VM was first found to know more.
+	behindSince clock.Boot
+
 	mu sync.Mutex
-	// cursors are where to go on at each VM.
-	cursors map[string]cursor
+	// failedPeer is the VM that did not answer last, until failedPeerUntil.
+	failedPeer      string
+	failedPeerUntil clock.Boot
 	// failedUntil is the time up to which this VM reads for itself.
 	failedUntil atomic.Int64
 }
 
-// cursor is the place in a VM's numbered changes.
-type cursor struct {
-	incarnation int64
-	next        int64
-}
-
 // NewPeerReader returns a PeerReader for the tracker.
 func NewPeerReader(source PeerSource, tracker *Tracker) *PeerReader {
-	return &PeerReader{source: source, tracker: tracker, cursors: map[string]cursor{}}
+	return &PeerReader{source: source, tracker: tracker}
 }
 
 // Failed reports whether the VM that reads for this one did not answer lately.
@@ -72,6 +75,21 @@
 	return int64(now) < p.failedUntil.Load()
 }
 
+// fail notes that a VM did not answer.
+func (p *PeerReader) fail(address string, now clock.Boot) {
+	p.failedUntil.Store(int64(now.Add(failedPause)))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failedPeer, p.failedPeerUntil = address, now.Add(avoidPause)
+}
+
+// FailedAt reports whether a VM was asked lately and did not answer.
+func (p *PeerReader) FailedAt(address string, now clock.Boot) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return address == p.failedPeer && now < p.failedPeerUntil
+}
+
 // Follow keeps asking the VM that reads the store for this one, until ctx ends.
 func (p *PeerReader) Follow(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -82,7 +100,7 @@
 			continue
 		}
 		if err := p.ask(ctx, address, followWait); err != nil && ctx.Err() == nil {
-			p.failedUntil.Store(int64(clock.Now().Add(failedPause)))
+			p.fail(address, clock.Now())
 			klog.InfoS("config: the peer that reads the store is lost", "peer", address, "reason", err.Error())
 		}
 	}
@@ -101,6 +119,7 @@
 
 func (p *PeerReader) catchUp(ctx context.Context, now clock.Boot) {
 	address, ok := p.source.Newer(p.tracker.Newest())
+	ok = p.behindFor(ok, now) >= behindTime
 	if age := p.tracker.Age(now); !ok && age >= StaleAfter {
 		var told time.Duration
 		address, told, ok = p.source.Freshest()
@@ -118,21 +137,27 @@
 func (p *PeerReader) ask(ctx context.Context, address string, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+peerAskTimeout)
 	defer cancel()
-	at := p.cursor(address)
 	asked := clock.Now()
-	share, err := p.source.Ask(ctx, address, at.incarnation, at.next, wait)
+	share, err := p.source.Ask(ctx, address, p.tracker.Question(), wait)
 	if err != nil {
 		return err
 	}
-	p.tracker.Apply(share.update(asked), clock.Now())
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.cursors[address] = cursor{share.Incarnation, share.Next}
+	update, err := share.update(asked)
+	if err != nil {
+		return err
+	}
+	p.tracker.Apply(update, clock.Now())
 	return nil
 }
 
-func (p *PeerReader) cursor(address string) cursor {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.cursors[address]
+// behindFor returns for how long other VMs have known more.
+func (p *PeerReader) behindFor(behind bool, now clock.Boot) time.Duration {
+	if !behind {
+		p.behindSince = 0
+		return 0
+	}
+	if p.behindSince == 0 {
+		p.behindSince = now
+	}
+	return now.Sub(p.behindSince)
 }
--- a/knowledge/share.go
+++ b/knowledge/share.go
@@ -1,23 +1,29 @@
 package knowledge
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
+	"io"
 	"time"
 
+	"k8s.io/klog/v2"
+
+	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/platform"
 )
 
 // Share is what one VM tells another of its knowledge.
 type Share struct {
-	// Incarnation identifies the process; numbers of changes of another one mean
-	// nothing.
-	Incarnation int64 `json:"incarnation"`
-	// Next is the number from which to ask on.
-	Next int64 `json:"next"`
-	// Whole tells that Items are everything, not changes.
-	Whole bool            `json:"whole,omitempty"`
-	Items []platform.Item `json:"items,omitempty"`
+	// Whole tells that the other items are everything, not changes.
+	Whole bool `json:"whole,omitempty"`
+	// Configuration is the compressed configuration, empty if the asker has it.
+	Configuration []byte `json:"configuration,omitempty"`
+	// ConfigurationRevision is the revision of Configuration.
+	ConfigurationRevision int64 `json:"configuration_revision,omitempty"`
+	// Entries are those of endpoints, and deletions of some.
+	Entries []platform.Item `json:"entries,omitempty"`
 	// Revision is the store's revision that the sender knows everything up to.
 	Revision int64 `json:"revision"`
 	// AgeMS is how old the sender's knowledge may be when it answers, in
@@ -27,15 +33,33 @@
 	WaitedMS int64 `json:"waited_ms,omitempty"`
 }
 
-// Await waits until there is a change with a number of from or more, or the
-// knowledge was confirmed anew, until ctx ends.
-func (t *Tracker) Await(ctx context.Context, from int64) {
+// Question is what a VM knows when it asks another one.
+type Question struct {
+	// Revision is the store's revision that the asker knows everything up to; 0
+	// asks for everything.
+	Revision int64
+	// Configuration is the revision of the asker's configuration.
+	Configuration int64
+	// Newest is the revision of the newest change that the asker has applied.
+	Newest int64
+}
+
+// Question returns the question that asks for what this Tracker lacks.
+func (t *Tracker) Question() Question {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Question{Revision: t.revision, Configuration: t.raw.Revision, Newest: t.newest.Load()}
+}
+
+// Await waits until there is a change newer than newest, or the knowledge was
+// confirmed anew, until ctx ends.
+func (t *Tracker) Await(ctx context.Context, newest int64) {
 	began := t.confirmed.Load()
 	for {
 		t.mu.Lock()
-		news, number := t.news, t.feed.next()
+		news := t.news
 		t.mu.Unlock()
-		if number != from || t.confirmed.Load() != began {
+		if t.newest.Load() > newest || t.confirmed.Load() != began {
 			return
 		}
 		select {
@@ -46,37 +70,79 @@
 	}
 }
 
-// Share returns the changes from a number on, or everything if they can't be
-// told.
-func (t *Tracker) Share(incarnation, asked, from int64, now clock.Boot) Share {
+// Share returns what the asker lacks. Deletions that were decided lately are
+// always told, since those of held entries are older than what the asker knows.
+func (t *Tracker) Share(question Question, now clock.Boot) Share {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	share := Share{Incarnation: incarnation, Next: t.feed.next(), Revision: t.revision, AgeMS: -1}
+	share := Share{Whole: question.Revision == 0, Revision: t.revision, AgeMS: -1}
 	if at, ok := t.Confirmed(); ok {
 		share.AgeMS = now.Sub(at).Milliseconds() + 1
 	}
-	if asked == incarnation {
-		if items, ok := t.feed.since(from); ok {
-			share.Items = items
-			return share
-		}
-	}
-	share.Whole = true
-	if t.raw.Revision > 0 {
-		share.Items = append(share.Items, t.raw)
+	if t.raw.Revision > question.Configuration {
+		share.Configuration, share.ConfigurationRevision = t.pack(), t.raw.Revision
 	}
 	for _, entry := range t.entries {
-		share.Items = append(share.Items, entry)
+		if entry.Revision > question.Revision {
+			share.Entries = append(share.Entries, entry)
+		}
+	}
+	for key, stone := range t.tombstones {
+		if !share.Whole {
+			share.Entries = append(share.Entries, platform.Item{Key: key, Revision: stone.revision, Deleted: true})
+		}
 	}
 	return share
 }
 
+// pack returns the compressed configuration. A configuration is long and many
+// VMs ask for it at once.
+func (t *Tracker) pack() []byte {
+	if t.packed != nil {
+		return t.packed
+	}
+	var buffer bytes.Buffer
+	writer := gzip.NewWriter(&buffer)
+	_, err := writer.Write(t.raw.Value)
+	if closed := writer.Close(); err == nil {
+		err = closed
+	}
+	if err != nil {
+		klog.ErrorS(err, "config: the configuration can't be compressed")
+		return nil
+	}
+	t.packed = buffer.Bytes()
+	return t.packed
+}
+
+// maxConfiguration bounds an unpacked configuration, in bytes.
+const maxConfiguration = 16 << 20
+
+func unpack(packed []byte) ([]byte, error) {
+	reader, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, code.Wrap(err, code.InvalidDocument, "a peer's configuration can't be unpacked")
+	}
+	value, err := io.ReadAll(io.LimitReader(reader, maxConfiguration))
+	if err != nil {
+		return nil, code.Wrap(err, code.InvalidDocument, "a peer's configuration can't be unpacked")
+	}
+	return value, nil
+}
+
 // update turns a share into an update. asked is when the question was sent.
-func (s *Share) update(asked clock.Boot) Update {
-	update := Update{Items: s.Items, Whole: s.Whole, Revision: s.Revision, Decided: true}
+func (s *Share) update(asked clock.Boot) (Update, error) {
+	update := Update{Items: s.Entries, Whole: s.Whole, Revision: s.Revision, Decided: true}
+	if len(s.Configuration) > 0 {
+		value, err := unpack(s.Configuration)
+		if err != nil {
+			return update, err
+		}
+		update.Items = append(update.Items, platform.Item{Key: platform.ConfigurationKey, Value: value, Revision: s.ConfigurationRevision})
+	}
 	if s.AgeMS >= 0 {
 		// The sender was asked after asked and answered WaitedMS later at least.
 		update.Confirmed = asked.Add(time.Duration(s.WaitedMS-s.AgeMS) * time.Millisecond)
 	}
-	return update
+	return update, nil
 }
--- a/knowledge/tracker.go
+++ b/knowledge/tracker.go
@@ -18,10 +18,19 @@
 	// HoldAfterReturn is how long endpoints whose entries lapsed while the store
 	// was away are kept after its return.
 	HoldAfterReturn = 1900 * time.Millisecond
+	// tombstoneKeep is how long deletions are remembered. No source of knowledge
+	// that is still in use lags as far behind.
+	tombstoneKeep = 60 * time.Second
 	// tombstoneLimit bounds the remembered revisions of deleted entries.
 	tombstoneLimit = 4096
 )
 
+// tombstone is a deletion that was applied.
+type tombstone struct {
+	revision int64
+	applied  clock.Boot
+}
+
 // Tracker holds the newest knowledge. It is safe for concurrent use; reading a
 // snapshot takes no lock.
 type Tracker struct {
@@ -31,14 +40,16 @@
 	mu            sync.Mutex
 	configuration *traffic.Configuration
 	raw           platform.Item
-	endpoints     map[string]*traffic.Endpoint
-	entries       map[string]platform.Item
-	tombstones    map[string]int64
-	revision      int64
-	held          map[string]int64
-	away          bool
-	holdUntil     clock.Boot
-	feed          *feed
+	// packed is the compressed value of raw, nil until it is asked for.
+	packed    []byte
+	endpoints map[string]*traffic.Endpoint
+	entries   map[string]platform.Item
+	// tombstones are the deletions that were applied lately.
+	tombstones map[string]tombstone
+	revision   int64
+	held       map[string]int64
+	away       bool
+	holdUntil  clock.Boot
 	// news is closed and replaced with each update.
 	news chan struct{}
 	// newest is the revision of the newest change that was applied.
@@ -55,9 +66,8 @@
 	t := &Tracker{
 		endpoints:  map[string]*traffic.Endpoint{},
 		entries:    map[string]platform.Item{},
-		tombstones: map[string]int64{},
+		tombstones: map[string]tombstone{},
 		held:       map[string]int64{},
-		feed:       newFeed(),
 		news:       make(chan struct{}),
 		changed:    changed,
 	}
@@ -125,9 +135,8 @@
 	return t.newest.Load()
 }
 
-// tell notes an applied change for other VMs.
-func (t *Tracker) tell(item platform.Item) {
-	t.feed.add(item)
+// note records that a change was applied.
+func (t *Tracker) note(item platform.Item) {
 	t.newest.Store(max(t.newest.Load(), item.Revision))
 }
 
@@ -157,15 +166,15 @@
 		return false
 	}
 	t.configuration = configuration
-	t.raw = item
-	t.tell(item)
+	t.raw, t.packed = item, nil
+	t.note(item)
 	klog.InfoS("config: a version is in force", "version", configuration.Version, "revision", item.Revision, "routes", len(configuration.Routes))
 	return true
 }
 
 // known returns the newest revision that was seen of a key.
 func (t *Tracker) known(key string) int64 {
-	return max(t.entries[key].Revision, t.tombstones[key])
+	return max(t.entries[key].Revision, t.tombstones[key].revision)
 }
 
 func (t *Tracker) applyEndpoint(item platform.Item, decided bool, now clock.Boot) bool {
@@ -178,7 +187,7 @@
 	delete(t.held, item.Key)
 	delete(t.tombstones, item.Key)
 	t.entries[item.Key] = item
-	t.tell(item)
+	t.note(item)
 	endpoint, err := platform.DecodeEndpoint(item)
 	if err != nil {
 		klog.ErrorS(err, "config: an entry names no endpoint", "key", item.Key, "revision", item.Revision)
@@ -201,7 +210,7 @@
 // applyDeletion drops an endpoint, or holds it if the store was away.
 func (t *Tracker) applyDeletion(item platform.Item, decided bool, now clock.Boot) bool {
 	if _, ok := t.entries[item.Key]; !ok {
-		t.bury(item.Key, item.Revision)
+		t.bury(item.Key, item.Revision, now)
 		return false
 	}
 	if !decided && (t.away || now < t.holdUntil) {
@@ -209,24 +218,28 @@
 		klog.InfoS("config: a lapsed endpoint is held", "key", item.Key, "revision", item.Revision)
 		return false
 	}
-	t.drop(item)
+	t.drop(item, now)
 	return true
 }
 
-func (t *Tracker) drop(item platform.Item) {
+func (t *Tracker) drop(item platform.Item, now clock.Boot) {
 	delete(t.held, item.Key)
 	delete(t.entries, item.Key)
 	delete(t.endpoints, item.Key)
-	t.bury(item.Key, item.Revision)
-	t.tell(platform.Item{Key: item.Key, Revision: item.Revision, Deleted: true})
+	t.bury(item.Key, item.Revision, now)
+	t.note(item)
 	klog.InfoS("config: an endpoint is gone", "key", item.Key, "revision", item.Revision)
 }
 
-func (t *Tracker) bury(key string, revision int64) {
-	if len(t.tombstones) >= tombstoneLimit {
-		clear(t.tombstones)
+// bury remembers a deletion, so that an older entry can't come back, and that
+// other VMs are told of it.
+func (t *Tracker) bury(key string, revision int64, now clock.Boot) {
+	for old, stone := range t.tombstones {
+		if now.Sub(stone.applied) > tombstoneKeep || len(t.tombstones) >= tombstoneLimit {
+			delete(t.tombstones, old)
+		}
 	}
-	t.tombstones[key] = revision
+	t.tombstones[key] = tombstone{revision, now}
 }
 
 // dropUnlisted drops the endpoints that a whole read does not list.
@@ -272,7 +285,7 @@
 		return
 	}
 	for key, revision := range t.held {
-		t.drop(platform.Item{Key: key, Revision: revision, Deleted: true})
+		t.drop(platform.Item{Key: key, Revision: revision, Deleted: true}, now)
 	}
 	t.publish()
 }
--- a/knowledge/tracker_test.go
+++ b/knowledge/tracker_test.go
@@ -135,11 +135,15 @@
 			asked := now
 			arrived := now.Add(delay("request"))
 			now = arrived.Add(delay("wait"))
-			share := tracker.Share(int64(hop), 0, 0, now)
+			share := tracker.Share(Question{}, now)
 			share.WaitedMS = now.Sub(arrived).Milliseconds()
 			now = now.Add(delay("answer"))
 			next := NewTracker(nil)
-			next.Apply(share.update(asked), now)
+			update, err := share.update(asked)
+			if err != nil {
+				t.Fatal(err)
+			}
+			next.Apply(update, now)
 			if at, ok := next.Confirmed(); !ok || at > truth {
 				t.Fatalf("hop %d: confirmed %v after the truth", hop, at.Sub(truth))
 			}
@@ -148,31 +152,58 @@
 	})
 }
 
-// TestSharesBringAllChanges lets a VM follow another one through changes, a
-// restart and a feed that is too short.
+// TestSharesBringAllChanges lets VMs follow others through changes, deletions
+// that are decided late, and questions to different VMs.
 func TestSharesBringAllChanges(t *testing.T) {
-	source, follower := NewTracker(nil), NewTracker(nil)
-	at := cursor{}
-	incarnation := int64(7)
-	for revision := int64(1); revision <= 3*feedLimit; revision++ {
-		item := endpointItem(fmt.Sprint("e", revision%9), revision)
-		if revision%5 == 0 {
-			item = deletion(fmt.Sprint("e", revision%9), revision)
-		}
-		source.Apply(Update{Items: []platform.Item{item}, Revision: revision}, testStart)
-		if revision%7 != 0 && revision < 2*feedLimit {
-			continue
-		}
-		if revision == feedLimit {
-			incarnation++
+	rapid.Check(t, func(t *rapid.T) {
+		source := NewTracker(nil)
+		followers := []*Tracker{NewTracker(nil), NewTracker(nil), NewTracker(nil)}
+		now := testStart
+		for revision := int64(1); revision <= 40; revision++ {
+			now = now.Add(100 * time.Millisecond)
+			id := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "id")
+			item := endpointItem(id, revision)
+			switch rapid.IntRange(0, 3).Draw(t, "change") {
+			case 0:
+				item = deletion(id, revision)
+			case 1:
+				item = configurationItem(revision, revision)
+			}
+			if rapid.IntRange(0, 5).Draw(t, "outage") == 0 {
+				source.StoreAway()
+				source.StoreBack(now)
+			}
+			source.Apply(Update{Items: []platform.Item{item}, Revision: revision, Confirmed: now}, now)
+			source.Decide(now)
+			from := rapid.SampledFrom(append(followers, source)).Draw(t, "from")
+			rapid.SampledFrom(followers).Draw(t, "to").takeFrom(t, from, now)
 		}
-		share := source.Share(incarnation, at.incarnation, at.next, testStart)
-		follower.Apply(share.update(testStart), testStart)
-		at = cursor{share.Incarnation, share.Next}
-		if got, want := len(follower.Snapshot().Endpoints), len(source.Snapshot().Endpoints); got != want {
-			t.Fatalf("revision %d: %d endpoints, want %d", revision, got, want)
+		now = now.Add(HoldAfterReturn)
+		source.Decide(now)
+		want := source.Snapshot()
+		for _, follower := range followers {
+			follower.takeFrom(t, source, now)
+			got := follower.Snapshot()
+			if len(got.Endpoints) != len(want.Endpoints) || (want.Configuration != nil && got.Configuration.Version != want.Configuration.Version) {
+				t.Fatalf("a follower has %d endpoints, want %d", len(got.Endpoints), len(want.Endpoints))
+			}
+			for id, endpoint := range want.Endpoints {
+				if got.Endpoints[id] == nil || got.Endpoints[id].Revision != endpoint.Revision {
+					t.Fatalf("endpoint %s differs", id)
+				}
+			}
 		}
+	})
+}
+
+// takeFrom asks another VM for what this one lacks.
+func (t *Tracker) takeFrom(test *rapid.T, source *Tracker, now clock.Boot) {
+	share := source.Share(t.Question(), now)
+	update, err := share.update(now)
+	if err != nil {
+		test.Fatal(err)
 	}
+	t.Apply(update, now)
 }
 
 // fakeStore answers from a list of items and fails on demand.
--- a/news/exchange.go
+++ b/news/exchange.go
@@ -25,6 +25,19 @@
 	sendAll = 12
 	// namedMembers is how many members one report names.
 	namedMembers = 4
+	// nearTargets and farTargets are the numbers of VMs in the own and in other
+	// failure domains that get a report in large fleets.
+	nearTargets = 5
+	farTargets  = 2
+	// relayedPulses is the number of VMs that a report in a large fleet tells of.
+	relayedPulses = 12
+	// greetedReports is the number of first reports of a process that are
+	// answered at once, and greetingPulses the number of VMs that the answer tells
+	// of: a VM that starts alone knows the seeds only.
+	greetedReports = 4
+	greetingPulses = 60
+	// greetingQueue bounds the answers that wait.
+	greetingQueue = 64
 	// maxDatagram bounds a report.
 	maxDatagram = 8192
 )
@@ -41,9 +54,11 @@
 	// lost is called with the address of each VM that fell silent.
 	lost func(string)
 
-	identity Report
-	number   int64
-	random   *rand.Rand
+	// greetings are the VMs that get a report of their own.
+	greetings chan string
+	identity  Report
+	number    int64
+	random    *rand.Rand
 }
 
 // ExchangeOptions are the parts that an Exchange connects.
@@ -62,14 +77,15 @@
 func NewExchange(options ExchangeOptions) *Exchange {
 	seed := uint64(options.Identity.Incarnation)
 	return &Exchange{
-		table:    options.Table,
-		port:     options.Conn.LocalAddr().(*net.UDPAddr).AddrPort().Port(),
-		conn:     options.Conn,
-		fill:     options.Fill,
-		received: options.Received,
-		lost:     options.Lost,
-		identity: options.Identity,
-		random:   rand.New(rand.NewPCG(seed, uint64(len(options.Identity.Address)))),
+		table:     options.Table,
+		port:      options.Conn.LocalAddr().(*net.UDPAddr).AddrPort().Port(),
+		conn:      options.Conn,
+		fill:      options.Fill,
+		received:  options.Received,
+		lost:      options.Lost,
+		greetings: make(chan string, greetingQueue),
+		identity:  options.Identity,
+		random:    rand.New(rand.NewPCG(seed, uint64(len(options.Identity.Address)))),
 	}
 }
 
@@ -84,15 +100,41 @@
 		}
 		e.report(now)
 		timer.Reset(e.pause())
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
+		if !e.greetUntil(ctx, timer.C) {
 			e.report(clock.Now())
 			return
 		}
 	}
 }
 
+// greetUntil answers VMs that have just started until the next report is due; it
+// returns false when ctx has ended.
+func (e *Exchange) greetUntil(ctx context.Context, due <-chan time.Time) bool {
+	for {
+		select {
+		case <-due:
+			return true
+		case <-ctx.Done():
+			return false
+		case address := <-e.greetings:
+			e.greet(address, clock.Now())
+		}
+	}
+}
+
+// greet sends one VM a report that tells of many others.
+func (e *Exchange) greet(address string, now clock.Boot) {
+	report := e.identity
+	report.Greeting = true
+	report.Pulses = e.table.Pulses(greetingPulses, e.random, now)
+	raw, err := json.Marshal(report)
+	if err != nil {
+		klog.ErrorS(err, "member: a report can't be encoded")
+		return
+	}
+	e.sendTo(address, raw)
+}
+
 // pause is the time to the next report.
 func (e *Exchange) pause() time.Duration {
 	if e.number < startReports {
@@ -108,6 +150,10 @@
 	e.number++
 	report.Number = e.number
 	report.Members = targets[:min(namedMembers, len(targets))]
+	if e.table.Large() {
+		report.Pulses = e.table.Pulses(relayedPulses, e.random, now)
+		targets = e.choose(targets)
+	}
 	e.fill(&report)
 	raw, err := json.Marshal(report)
 	if err != nil {
@@ -119,6 +165,25 @@
 	}
 }
 
+// choose returns the targets of one report in a large fleet: more of them in the
+// own failure domain, as bytes between domains are dear.
+func (e *Exchange) choose(shuffled []string) []string {
+	near, far := 0, 0
+	var chosen []string
+	for _, address := range shuffled {
+		switch domain := e.table.Domain(address); {
+		case domain == e.identity.FailureDomain && near < nearTargets:
+			near++
+		case domain != e.identity.FailureDomain && far < farTargets:
+			far++
+		default:
+			continue
+		}
+		chosen = append(chosen, address)
+	}
+	return chosen
+}
+
 // sendTo sends one datagram. A loss is as good as an error: the next report
 // comes soon.
 func (e *Exchange) sendTo(address string, raw []byte) {
@@ -132,6 +197,17 @@
 	}
 }
 
+// answerFirst lets the sender of a first report be greeted, unless too many wait.
+func (e *Exchange) answerFirst(report Report) {
+	if report.Number > greetedReports {
+		return
+	}
+	select {
+	case e.greetings <- report.Address:
+	default:
+	}
+}
+
 // Close closes the connection.
 func (e *Exchange) Close() {
 	if err := e.conn.Close(); err != nil {
@@ -159,6 +235,7 @@
 		now := clock.Now()
 		if e.table.Receive(report, now) {
 			e.received(report, now)
+			e.answerFirst(report)
 		}
 	}
 }
--- a/news/report.go
+++ b/news/report.go
@@ -10,10 +10,14 @@
 	Number int64 `json:"n"`
 	// FailureDomain is where the sender is.
 	FailureDomain string `json:"d"`
+	// Capacity is the sender's part of a processor core, in thousandths.
+	Capacity int `json:"c,omitempty"`
 	// Leaving tells that the sender shuts down.
 	Leaving bool `json:"l,omitempty"`
 	// Learned tells that the sender knows where prompt parts are.
 	Learned bool `json:"k,omitempty"`
+	// Greeting tells that only Pulses are to be taken from the report.
+	Greeting bool `json:"h,omitempty"`
 	// Version is the configuration in force at the sender.
 	Version int64 `json:"v"`
 	// Newest is the revision of the newest change that the sender has applied.
@@ -25,6 +29,10 @@
 	AgeMS int64 `json:"g"`
 	// Members are the addresses of some VMs that the sender hears.
 	Members []string `json:"m,omitempty"`
+	// Pulses tell when the sender last heard of others, in large fleets.
+	Pulses []Pulse `json:"u,omitempty"`
+	// Told are the loads that endpoints told lately, in large fleets.
+	Told []Told `json:"e,omitempty"`
 	// Work is the sender's work in progress, by endpoint.
 	Work []Work `json:"w,omitempty"`
 	// Parts tell where the sender has sent prompt parts lately.
@@ -33,6 +41,26 @@
 	Faults []Fault `json:"f,omitempty"`
 }
 
+// Pulse tells when a VM was last heard of, directly or through others.
+type Pulse struct {
+	Address     string `json:"a"`
+	Incarnation int64  `json:"i"`
+	// AgeMS is how long ago that was, in milliseconds.
+	AgeMS int64 `json:"g"`
+	// FailureDomain is where the VM is.
+	FailureDomain string `json:"d"`
+	Learned       bool   `json:"k,omitempty"`
+}
+
+// Told is an endpoint's own word about its load.
+type Told struct {
+	Endpoint string `json:"e"`
+	// Requests are those in progress and waiting there.
+	Requests int `json:"r"`
+	// AgeMS is how long ago it said so, in milliseconds.
+	AgeMS int64 `json:"g"`
+}
+
 // Work is the work in progress at one endpoint.
 type Work struct {
 	Endpoint string `json:"e"`
--- a/news/table.go
+++ b/news/table.go
@@ -1,6 +1,7 @@
 package news
 
 import (
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
@@ -11,8 +12,11 @@
 )
 
 const (
-	// aliveFor is how long a VM counts as alive after its last report.
-	aliveFor = 1500 * time.Millisecond
+	// aliveFor is how long a VM counts as alive after it was last heard of. In
+	// fleets of more than steadyFleet VMs it is longer in proportion, as reports
+	// do not grow with the fleet.
+	aliveFor    = 1500 * time.Millisecond
+	steadyFleet = 40
 	// rememberFor is how long a silent VM is still sent reports.
 	rememberFor = 60 * time.Second
 	// memberLimit bounds the known VMs.
@@ -44,6 +48,12 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if report.Greeting {
+		for _, pulse := range report.Pulses {
+			t.receivePulse(pulse, now)
+		}
+		return false
+	}
 	member, ok := t.members[report.Address]
 	if !ok {
 		if len(t.members) >= memberLimit {
@@ -56,8 +66,11 @@
 		(report.Incarnation == member.Report.Incarnation && report.Number <= member.Report.Number) {
 		return false
 	}
-	member.Report, member.Heard = report, now
+	member.Report, member.Heard, member.Direct = report, now, true
 	delete(t.told, report.Address)
+	for _, pulse := range report.Pulses {
+		t.receivePulse(pulse, now)
+	}
 	for _, address := range report.Members {
 		if _, known := t.members[address]; !known && address != t.self && len(t.told) < memberLimit {
 			t.told[address] = now
@@ -66,6 +79,67 @@
 	return true
 }
 
+// receivePulse takes in when another VM was heard of.
+func (t *Table) receivePulse(pulse Pulse, now clock.Boot) {
+	heard := now.Add(-time.Duration(pulse.AgeMS) * time.Millisecond)
+	if pulse.Address == t.self || pulse.AgeMS < 0 || now.Sub(heard) > t.aliveFor() {
+		return
+	}
+	member, ok := t.members[pulse.Address]
+	if !ok && len(t.members) >= memberLimit {
+		return
+	}
+	if !ok || pulse.Incarnation > member.Report.Incarnation {
+		report := Report{Address: pulse.Address, Incarnation: pulse.Incarnation, FailureDomain: pulse.FailureDomain, Learned: pulse.Learned, AgeMS: -1}
+		t.members[pulse.Address] = &Member{Report: report, Heard: heard}
+		return
+	}
+	if pulse.Incarnation == member.Report.Incarnation {
+		member.Heard = max(member.Heard, heard)
+	}
+}
+
+// aliveFor returns how long a VM counts as alive. The caller holds the lock.
+func (t *Table) aliveFor() time.Duration {
+	return aliveFor * time.Duration(max(steadyFleet, len(t.members))) / steadyFleet
+}
+
+// Pulses returns up to limit of the members that count as alive, chosen at
+// random, so that each one is passed on as often as any other.
+func (t *Table) Pulses(limit int, random *rand.Rand, now clock.Boot) []Pulse {
+	alive := t.Alive(now)
+	random.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	var pulses []Pulse
+	for _, member := range alive[:min(limit, len(alive))] {
+		pulses = append(pulses, Pulse{
+			Address:       member.Report.Address,
+			Incarnation:   member.Report.Incarnation,
+			AgeMS:         now.Sub(member.Heard).Milliseconds(),
+			FailureDomain: member.Report.FailureDomain,
+			Learned:       member.Report.Learned,
+		})
+	}
+	return pulses
+}
+
+// Large reports whether the fleet is too large for each VM to report to all
+// others.
+func (t *Table) Large() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.members) > sendAll
+}
+
+// Domain returns the failure domain of a member, "" if it is not known.
+func (t *Table) Domain(address string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if member, ok := t.members[address]; ok {
+		return member.Report.FailureDomain
+	}
+	return ""
+}
+
 // Alive returns the members that reported lately and don't leave, in the order
 // of their addresses.
 func (t *Table) Alive(now clock.Boot) []Member {
@@ -73,7 +147,7 @@
 	defer t.mu.Unlock()
 	alive := make([]Member, 0, len(t.members))
 	for _, member := range t.members {
-		if now.Sub(member.Heard) <= aliveFor && !member.Report.Leaving {
+		if now.Sub(member.Heard) <= t.aliveFor() && !member.Report.Leaving {
 			alive = append(alive, *member)
 		}
 	}
@@ -88,7 +162,7 @@
 	defer t.mu.Unlock()
 	count = 1
 	for _, member := range t.members {
-		if now.Sub(member.Heard) <= aliveFor {
+		if now.Sub(member.Heard) <= t.aliveFor() {
 			count++
 		}
 	}
@@ -133,7 +207,7 @@
 	defer t.mu.Unlock()
 	for address, member := range t.members {
 		silent := now.Sub(member.Heard)
-		isAlive := silent <= aliveFor
+		isAlive := silent <= t.aliveFor()
 		if isAlive == t.alive[address] {
 			continue
 		}
--- /dev/null
+++ b/news/table_test.go
@@ -0,0 +1,140 @@
+package news
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"cardamompoint.example/cardamompoint/internal/clock"
+)
+
+const testStart = clock.Boot(time.Hour)
+
+// testFleet is a number of tables that report to each other in virtual time.
+type testFleet struct {
+	now     clock.Boot
+	tables  []*Table
+	numbers []int64
+	down    []bool
+	random  *rand.Rand
+	// loss is the part of reports that are lost.
+	loss float64
+}
+
+func testAddress(i int) string {
+	return fmt.Sprintf("10.%d.0.%d", i%3, i)
+}
+
+func newTestFleet(count int, seed uint64) *testFleet {
+	f := &testFleet{now: testStart, numbers: make([]int64, count), down: make([]bool, count), random: rand.New(rand.NewPCG(seed, 1))}
+	for i := range count {
+		f.tables = append(f.tables, nil)
+		f.restart(i)
+	}
+	return f
+}
+
+// restart starts a process anew; it knows the first three VMs as seeds.
+func (f *testFleet) restart(i int) {
+	f.tables[i] = NewTable(testAddress(i), []string{testAddress(0), testAddress(1), testAddress(2)})
+	f.numbers[i] = 0
+	f.down[i] = false
+}
+
+// round lets each VM report once.
+func (f *testFleet) round() {
+	f.now = f.now.Add(period)
+	for from, table := range f.tables {
+		if f.down[from] {
+			continue
+		}
+		f.numbers[from]++
+		report := Report{
+			Address: testAddress(from), Incarnation: int64(f.now) / int64(time.Hour), Number: f.numbers[from],
+			FailureDomain: fmt.Sprint(from % 3),
+		}
+		targets := table.Targets(f.now)
+		f.random.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+		report.Members = targets[:min(namedMembers, len(targets))]
+		if table.Large() {
+			report.Pulses = table.Pulses(relayedPulses, f.random, f.now)
+			exchange := &Exchange{table: table, identity: report}
+			targets = exchange.choose(targets)
+		}
+		f.deliver(report, targets[:min(sendAll, len(targets))])
+	}
+}
+
+func (f *testFleet) deliver(report Report, targets []string) {
+	for to, table := range f.tables {
+		for _, target := range targets {
+			if target == testAddress(to) && !f.down[to] && f.random.Float64() >= f.loss {
+				table.Receive(report, f.now)
+			}
+		}
+	}
+}
+
+// TestEveryoneIsFoundFromOneSeed starts fleets whose VMs know three seeds, two of
+// which never run; after some rounds each VM counts all others as alive, and goes
+// on doing so although datagrams are lost.
+func TestEveryoneIsFoundFromOneSeed(t *testing.T) {
+	for _, count := range []int{7, 60, 100} {
+		f := newTestFleet(count, uint64(count))
+		f.loss = 0.05
+		f.down[1], f.down[2] = true, true
+		for range 30 {
+			f.round()
+		}
+		missed, total := 0, 0
+		for range 20 {
+			f.round()
+			for i, table := range f.tables {
+				if f.down[i] {
+					continue
+				}
+				total += count - 3
+				missed += count - 3 - len(table.Alive(f.now))
+			}
+		}
+		if missed*200 > total {
+			t.Errorf("%d VMs: %d of %d looks missed a living VM", count, missed, total)
+		}
+	}
+}
+
+// TestLostVMsAreNoticed stops a third of a fleet: the others count it as lost
+// soon, though all relay when they last heard of it.
+func TestLostVMsAreNoticed(t *testing.T) {
+	const count = 60
+	f := newTestFleet(count, 3)
+	for range 20 {
+		f.round()
+	}
+	for i := 0; i < count; i += 3 {
+		f.down[i] = true
+	}
+	for range int(aliveFor*count/steadyFleet/period) + 3 {
+		f.round()
+	}
+	for i, table := range f.tables {
+		if alive := len(table.Alive(f.now)); !f.down[i] && alive > count*2/3-1 {
+			t.Fatalf("VM %d counts %d others as alive", i, alive)
+		}
+	}
+}
+
+// TestOldReportsAreLeftOut delivers reports twice and out of order.
+func TestOldReportsAreLeftOut(t *testing.T) {
+	table := NewTable("a", nil)
+	for _, test := range []struct {
+		incarnation, number int64
+		newer               bool
+	}{{5, 2, true}, {5, 2, false}, {5, 1, false}, {4, 9, false}, {6, 1, true}, {5, 3, false}} {
+		report := Report{Address: "b", Incarnation: test.incarnation, Number: test.number}
+		if newer := table.Receive(report, testStart); newer != test.newer {
+			t.Errorf("incarnation %d, number %d: newer is %v", test.incarnation, test.number, newer)
+		}
+	}
+}
--- a/traffic/settings.go
+++ b/traffic/settings.go
@@ -29,6 +29,8 @@
 	Seeds []string
 	// StoreAddress is the address of the configuration store.
 	StoreAddress string
+	// Capacity is the VM's part of a processor core, in thousandths.
+	Capacity int
 	// MemoryBytes is the memory limit of the process, 0 if there is none.
 	MemoryBytes int64
 	// FirstStart tells that the whole fleet starts for the first time.
