--- /dev/null
+++ b/gateway/knowledge_test.go
@@ -0,0 +1,118 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/internal/standin/hosted"
+)
+
+// TestChangeIsInForceOnAllVMs publishes versions to three VMs of which one reads
+// the store: all have each version, and a revoked key stops on all.
+func TestChangeIsInForceOnAllVMs(t *testing.T) {
+	f := newTestFleet(t, 3)
+	configuration := hosted.DefaultConfiguration()
+	for version := int64(2); version <= 6; version++ {
+		configuration.Version = version
+		f.store.Publish(configuration)
+		f.eventually("the version is in force", func() bool {
+			for _, g := range f.gateways {
+				if g.configVersion() != version {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	configuration.Version = 7
+	configuration.Tenants[0].Keys = []string{"other"}
+	f.store.Publish(configuration)
+	f.eventually("the key is revoked everywhere", func() bool {
+		for i := range f.gateways {
+			if f.ask(context.Background(), i+1, query{path: "/lookup/1"}).status != http.StatusUnauthorized {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestKeysStopWithTheStoreAway rejects all calls of the store for longer than the
+// key lease: no request with a key runs after it, public ones go on, and keys
+// work again after the store's return.
+func TestKeysStopWithTheStoreAway(t *testing.T) {
+	f := newTestFleet(t, 2)
+	f.store.SetFault(hosted.FaultBusy)
+	lease := f.gateways[0].settings.Bounds.KeyLease
+	f.eventually("the lease is over on both VMs", func() bool {
+		now := clock.Now()
+		return f.gateways[0].tracker.Age(now) > lease && f.gateways[1].tracker.Age(now) > lease
+	})
+	for number := 1; number <= 2; number++ {
+		got := f.ask(context.Background(), number, query{path: "/lookup/1"})
+		if got.status != http.StatusServiceUnavailable || f.runs(got.id) != 0 || got.header.Get("Retry-After") == "" {
+			t.Errorf("VM %d: status %d after %d runs", number, got.status, f.runs(got.id))
+		}
+		if got := f.ask(context.Background(), number, query{path: "/open/1"}); got.status != http.StatusOK {
+			t.Errorf("VM %d: a public request got %d", number, got.status)
+		}
+		if status := f.ready(number); status != http.StatusServiceUnavailable {
+			t.Errorf("VM %d: the readiness is %d", number, status)
+		}
+	}
+	f.store.SetFault(hosted.FaultNone)
+	f.eventually("keys work again", func() bool {
+		return f.ask(context.Background(), 1, query{path: "/lookup/1"}).status == http.StatusOK && f.ready(2) == http.StatusOK
+	})
+}
+
+// TestLostReaderIsReplaced stops the VM that reads the store; the others learn of
+// a later change.
+func TestLostReaderIsReplaced(t *testing.T) {
+	f := newTestFleet(t, 3)
+	var leader string
+	f.eventually("the VMs agree who reads", func() bool {
+		leader = ""
+		for _, g := range f.gateways {
+			address, follows := g.Leader()
+			if !follows {
+				address = g.settings.IP
+			}
+			if leader != "" && leader != address {
+				return false
+			}
+			leader = address
+		}
+		return len(f.gateways[0].members.Alive(clock.Now())) == 2
+	})
+	for i, g := range f.gateways {
+		if g.settings.IP == leader {
+			f.stops[i]()
+		}
+	}
+	time.Sleep(lingerTime + time.Second)
+	configuration := hosted.DefaultConfiguration()
+	configuration.Version = 9
+	f.store.Publish(configuration)
+	f.eventually("the others have the version", func() bool {
+		for _, g := range f.gateways {
+			if g.settings.IP != leader && g.configVersion() != 9 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestCompactedStoreIsReadAnew drops the store's history behind a change.
+func TestCompactedStoreIsReadAnew(t *testing.T) {
+	f := newTestFleet(t, 1)
+	f.store.Leave("engine-1")
+	f.store.Compact()
+	f.eventually("the departure is known", func() bool {
+		return len(f.gateways[0].tracker.Snapshot().Ready["engines"]) == 1
+	})
+}
