--- /dev/null
+++ b/choice/option.go
@@ -0,0 +1,23 @@
+package choice
+
+import (
+	"cardamompoint.example/cardamompoint/traffic"
+)
+
+// option is one candidate.
+type option struct {
+	endpoint *traffic.Endpoint
+	state    *state
+	load     int
+	missing  int
+	// position is the candidate's place by rank for the shared parts, from 0.
+	position int
+	// source holds more of the shared parts, nil if there is none.
+	source   *traffic.Endpoint
+	reading  int
+	delayMS  float64
+	draw     uint64
+	avoided  bool
+	excluded bool
+	faults   float64
+}
--- a/choice/pick.go
+++ b/choice/pick.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/rank"
 	"cardamompoint.example/cardamompoint/traffic"
@@ -102,24 +100,6 @@
 	floor float64
 }
 
-// option is one candidate.
-type option struct {
-	endpoint *traffic.Endpoint
-	state    *state
-	load     int
-	missing  int
-	// position is the candidate's place by rank for the shared parts, from 0.
-	position int
-	// source holds more of the shared parts, nil if there is none.
-	source   *traffic.Endpoint
-	reading  int
-	delayMS  float64
-	draw     uint64
-	avoided  bool
-	excluded bool
-	faults   float64
-}
-
 func (c *chooser) survey(candidates []*traffic.Endpoint, excluded func(string) bool) {
 	c.options = make([]option, 0, len(candidates))
 	key, shared := c.sharedKey()
@@ -286,114 +266,6 @@
 	}
 }
 
-// leastFetch is the number of missing tokens from which a copy is fetched.
-const leastFetch = 128
-
-// readSoon is the time after which a part has been read for sure.
-const readSoon = 700 * time.Millisecond
-
-// source is an endpoint that parts can be copied from.
-type source struct {
-	endpoint *traffic.Endpoint
-	missing  int
-}
-
-// findSources lists the reachable endpoints that hold some of the shared parts
-// and have probably read them, those that hold most first.
-func (c *chooser) findSources() {
-	for _, places := range c.places {
-		for _, at := range places {
-			known, ok := c.table.states[at.endpoint]
-			if !ok || known.endpoint == nil || c.now < known.avoidUntil {
-				continue
-			}
-			if known.reading+known.peersReading > 0 && c.now.Sub(at.since) < readSoon {
-				continue
-			}
-			c.sources = append(c.sources, source{known.endpoint, c.missing(at.endpoint)})
-		}
-	}
-	slices.SortStableFunc(c.sources, func(a, b source) int { return cmp.Compare(a.missing, b.missing) })
-}
-
-// fetchFrom returns the endpoint that holds the most of the shared parts, if
-// that is more than the chosen one holds.
-func (c *chooser) fetchFrom(chosen *option) *traffic.Endpoint {
-	for _, from := range c.sources {
-		if from.missing > chosen.missing-leastFetch {
-			return nil
-		}
-		if from.endpoint.ID != chosen.endpoint.ID {
-			return from.endpoint
-		}
-	}
-	return nil
-}
-
-const (
-	// overBoundMS and avoidedMS put a candidate behind all others.
-	overBoundMS = 1e6
-	avoidedMS   = 1e8
-)
-
-// The costs, in milliseconds.
-const (
-	// lateWeight multiplies a delay beyond latePart of the objective.
-	lateWeight = 4.0
-	latePart   = 0.45
-	// readTokenMS is the cost of each token that is read again though another
-	// engine holds it, and copyTokenMS of each one that is copied.
-	readTokenMS = 0.19
-	copyTokenMS = 0.03
-	// positionMS is the cost of each place behind the best-ranked engine for
-	// parts that nobody holds, up to lastPosition.
-	positionMS   = 120.0
-	lastPosition = 4
-)
-
-// cost estimates what a candidate costs, in milliseconds of delay.
-func (c *chooser) cost(o *option, bound float64) float64 {
-	cost := 0.0
-	if o.avoided {
-		cost += avoidedMS
-	}
-	if float64(o.load) > bound {
-		cost += overBoundMS + float64(o.load)*plainRequestMS
-	}
-	if excess := o.faults - c.floor; excess > faultFloor {
-		cost += excess * faultMS
-	}
-	if o.endpoint.FailureDomain != c.table.domain {
-		cost += otherDomainMS
-	}
-	if len(c.prompt.Parts) == 0 {
-		return cost + float64(o.load)*plainRequestMS/float64(max(1, o.endpoint.Slots)) + jitter(o)
-	}
-	return cost + float64(o.load)*runningMS + c.promptCost(o)
-}
-
-// promptCost is the cost of reading the prompt at a candidate.
-func (c *chooser) promptCost(o *option) float64 {
-	cost := o.delayMS
-	if c.objectiveMS > 0 {
-		cost += lateWeight * max(0, o.delayMS-latePart*c.objectiveMS)
-	}
-	if !c.known {
-		return cost + positionMS*float64(min(o.position, lastPosition))
-	}
-	if o.source == nil {
-		return cost + readTokenMS*float64(o.missing)
-	}
-	left := c.missing(o.source.ID)
-	return cost + readTokenMS*float64(left) + copyTokenMS*float64(o.missing-left)
-}
-
-// jitter breaks ties between endpoints without a prompt by the number of
-// requests sent there.
-func jitter(o *option) float64 {
-	return float64(xxhash.Sum64String(o.endpoint.ID)%7)/100 + float64(o.state.sent%16)/10
-}
-
 func (c *chooser) reason(o *option, bound float64) Reason {
 	switch {
 	case o.avoided || float64(o.load) > bound:
--- a/gateway/learner.go
+++ b/gateway/learner.go
@@ -72,13 +72,13 @@
 	l.awaitEndpoints(ctx)
 	limit := time.AfterFunc(learnWait, l.gateway.placesKnown)
 	defer limit.Stop()
-	wait(ctx, learnAfter)
+	clock.Sleep(ctx, learnAfter)
 	l.began = clock.Now()
 	for ctx.Err() == nil && clock.Now().Sub(l.began) < learnFor {
 		if l.round(ctx) {
 			l.gateway.learned.Store(true)
 		}
-		wait(ctx, learnPeriod)
+		clock.Sleep(ctx, learnPeriod)
 	}
 	l.gateway.learned.Store(true)
 }
@@ -91,7 +91,7 @@
 		if snapshot.Configuration != nil && len(snapshot.Endpoints) > 0 {
 			return
 		}
-		wait(ctx, learnPeriod/4)
+		clock.Sleep(ctx, learnPeriod/4)
 	}
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -136,12 +136,3 @@
 	}
 	return nil
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/knowledge/peer_reader.go
+++ b/knowledge/peer_reader.go
@@ -96,7 +96,7 @@
 		now := clock.Now()
 		address, ok := p.source.Leader()
 		if !ok || p.Failed(now) {
-			sleep(ctx, peerCheckPeriod)
+			clock.Sleep(ctx, peerCheckPeriod)
 			continue
 		}
 		if err := p.ask(ctx, address, followWait); err != nil && ctx.Err() == nil {
@@ -110,7 +110,7 @@
 // ends.
 func (p *PeerReader) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, peerCheckPeriod)
+		clock.Sleep(ctx, peerCheckPeriod)
 		now := clock.Now()
 		p.tracker.Decide(now)
 		p.catchUp(ctx, now)
--- a/knowledge/reader.go
+++ b/knowledge/reader.go
@@ -63,7 +63,7 @@
 			// Others' decisions about lapsed endpoints are not in the watch, so
 			// everything is read anew at the next duty.
 			r.revision = 0
-			sleep(ctx, idlePause)
+			clock.Sleep(ctx, idlePause)
 			continue
 		}
 		err := r.step(ctx)
@@ -75,7 +75,7 @@
 			continue
 		}
 		r.failed(err)
-		sleep(ctx, r.pause)
+		clock.Sleep(ctx, r.pause)
 	}
 }
 
@@ -179,17 +179,7 @@
 	r.tracker.Apply(Update{Items: changes.Items, Revision: changes.Revision, Confirmed: asked}, clock.Now())
 	r.revision = max(r.revision, changes.Revision)
 	if len(changes.Items) > 0 {
-		sleep(ctx, gatherTime)
+		clock.Sleep(ctx, gatherTime)
 	}
 	return nil
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/knowledge/tracker_test.go
+++ b/knowledge/tracker_test.go
@@ -226,7 +226,7 @@
 func (s *fakeStore) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (platform.Changes, error) {
 	changes, err := s.since(after)
 	if err == nil && len(changes.Items) == 0 {
-		sleep(ctx, wait)
+		clock.Sleep(ctx, wait)
 	}
 	return changes, err
 }
--- a/router/clearance.go
+++ b/router/clearance.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/once"
 	"cardamompoint.example/cardamompoint/source"
 )
@@ -36,7 +37,7 @@
 func (r *Router) noteViews(ctx context.Context) {
 	for ctx.Err() == nil {
 		r.noteView()
-		sleep(ctx, noteViewsPause)
+		clock.Sleep(ctx, noteViewsPause)
 	}
 }
 
--- a/router/freeze_detector.go
+++ b/router/freeze_detector.go
@@ -35,7 +35,7 @@
 func (d *freezeDetector) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		d.check(time.Now())
-		sleep(ctx, freezeCheckPeriod)
+		clock.Sleep(ctx, freezeCheckPeriod)
 	}
 }
 
--- a/router/job.go
+++ b/router/job.go
@@ -9,6 +9,7 @@
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/internal/clock"
 )
 
 // The bounds of one request's attempts.
@@ -79,7 +80,7 @@
 
 // waitForRoom waits before the engines are asked again for a begun answer.
 func (j *job) waitForRoom(ctx context.Context) {
-	sleep(ctx, movePause)
+	clock.Sleep(ctx, movePause)
 	j.leftErr = j.receiver.alive()
 }
 
--- a/router/lease.go
+++ b/router/lease.go
@@ -8,6 +8,7 @@
 
 	"cardamompoint.example/cardamompoint/balance"
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/member"
 	"cardamompoint.example/cardamompoint/source"
 )
@@ -57,7 +58,7 @@
 		if r.learned.Load() && !r.draining.Load() {
 			r.askLease(ctx, period)
 		}
-		sleep(ctx, period)
+		clock.Sleep(ctx, period)
 	}
 }
 
--- a/router/loads.go
+++ b/router/loads.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"cardamompoint.example/cardamompoint/balance"
+	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/member"
 	"cardamompoint.example/cardamompoint/source"
 )
@@ -52,7 +53,7 @@
 			r.noteSpread(time.Now())
 			r.pollRound(ctx, poller)
 		}
-		sleep(ctx, jitter(milliseconds(r.settings.Timing.LoadReportMS)))
+		clock.Sleep(ctx, jitter(milliseconds(r.settings.Timing.LoadReportMS)))
 	}
 }
 
--- a/router/place.go
+++ b/router/place.go
@@ -44,7 +44,7 @@
 // place looks after the engines that this router manages until ctx ends.
 func (r *Router) place(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, placePeriod)
+		clock.Sleep(ctx, placePeriod)
 		r.placeOnce(ctx, time.Now())
 	}
 }
--- a/router/run.go
+++ b/router/run.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/peer"
 )
 
@@ -94,11 +95,11 @@
 	klog.Infof("member: router %s drains.", r.settings.Name)
 	r.releaseLease(ctx)
 	r.spreadLeaving(ctx)
-	sleep(ctx, milliseconds(r.settings.Timing.LingerMS))
+	clock.Sleep(ctx, milliseconds(r.settings.Timing.LingerMS))
 	r.closing.Store(true)
 	deadline := time.Now().Add(milliseconds(r.settings.Timing.DrainMS))
 	for r.unfinished() > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
-		sleep(ctx, drainCheck)
+		clock.Sleep(ctx, drainCheck)
 	}
 }
 
--- a/router/start.go
+++ b/router/start.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"cardamompoint.example/cardamompoint/internal/clock"
 )
 
 const (
@@ -46,7 +48,7 @@
 		if !known && r.knowsAll() {
 			continue
 		}
-		sleep(ctx, around(startCheck))
+		clock.Sleep(ctx, around(startCheck))
 	}
 }
 
--- a/router/watch.go
+++ b/router/watch.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/internal/clock"
 )
 
 const (
@@ -46,7 +47,7 @@
 	for ctx.Err() == nil {
 		view := r.members.View()
 		if view.List.Version == 0 {
-			sleep(ctx, newsCheck)
+			clock.Sleep(ctx, newsCheck)
 			continue
 		}
 		if isReader(view, r.members.Self()) {
@@ -55,7 +56,7 @@
 		}
 		if !reading.news.older(newsLimit, time.Now()) {
 			failures = 0
-			sleep(ctx, around(newsCheck))
+			clock.Sleep(ctx, around(newsCheck))
 			continue
 		}
 		failures = r.readWithoutNews(ctx, reading, len(view.Routers), failures)
@@ -64,10 +65,10 @@
 
 func (r *Router) readAsReader(ctx context.Context, reading reading) {
 	if err := reading.read(ctx, watchWait); err != nil {
-		sleep(ctx, around(retryPause))
+		clock.Sleep(ctx, around(retryPause))
 		return
 	}
-	sleep(ctx, around(reading.pause))
+	clock.Sleep(ctx, around(reading.pause))
 }
 
 // readWithoutNews waits for a random time, which keeps all routers together
@@ -75,7 +76,7 @@
 // number of failures in a row.
 func (r *Router) readWithoutNews(ctx context.Context, reading reading, routers, failures int) int {
 	backoff := time.Duration(min(1<<failures, maxBackoff))
-	sleep(ctx, spread(sparePause(routers)*backoff))
+	clock.Sleep(ctx, spread(sparePause(routers)*backoff))
 	if ctx.Err() != nil || !reading.news.older(newsLimit, time.Now()) {
 		return 0
 	}
@@ -124,13 +125,3 @@
 	}
 	return nil
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
