--- /dev/null
+++ b/choice/status.go
@@ -0,0 +1,48 @@
+package choice
+
+import (
+	"cmp"
+	"slices"
+
+	"cardamompoint.example/cardamompoint/internal/clock"
+)
+
+// EndpointStatus is what is believed of one endpoint.
+type EndpointStatus struct {
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	Address string `json:"address"`
+	// Load is the estimated number of requests there, Own this VM's part.
+	Load int `json:"load"`
+	Own  int `json:"own"`
+	// Reading is the number of prompt tokens that it has still to read.
+	Reading int `json:"reading"`
+	// FaultPercent is the part of recent requests that failed.
+	FaultPercent int `json:"fault_percent"`
+	// Avoided tells that it gets no requests for a moment.
+	Avoided bool `json:"avoided"`
+}
+
+// Status returns what is believed of all endpoints, in the order of their IDs.
+func (t *Table) Status(now clock.Boot) []EndpointStatus {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var all []EndpointStatus
+	for id, known := range t.states {
+		if known.endpoint == nil {
+			continue
+		}
+		all = append(all, EndpointStatus{
+			ID:           id,
+			Service:      known.endpoint.Service,
+			Address:      known.endpoint.Address,
+			Load:         known.load(now),
+			Own:          known.own,
+			Reading:      known.reading + known.peersReading,
+			FaultPercent: int(known.faultShare(now) * 100),
+			Avoided:      now < known.avoidUntil,
+		})
+	}
+	slices.SortFunc(all, func(a, b EndpointStatus) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
--- a/cmd/cardamompoint/demo.go
+++ b/cmd/cardamompoint/demo.go
@@ -24,6 +24,11 @@
 			&cli.IntFlag{Name: "deposits", Value: 50, Usage: "the number of deposits, each sent twice"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Root().Bool("quiet") {
+				if err := setUpExpectedFailures(); err != nil {
+					return err
+				}
+			}
 			return demo.Run(ctx, c.Root().Writer, demo.Options{
 				Deployment: c.String("deployment"),
 				Chats:      c.Int("chats"),
--- a/cmd/cardamompoint/gateway_process_test.go
+++ b/cmd/cardamompoint/gateway_process_test.go
@@ -156,6 +156,20 @@
 	}
 }
 
+// TestStatusShowsWhatAGatewayBelieves asks a gateway by the command.
+func TestStatusShowsWhatAGatewayBelieves(t *testing.T) {
+	f := startHosted(t)
+	out, err := exec.Command("cardamompoint", "status", "--gateway", f.net+".0.1:7003").CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	for _, part := range []string{"ready=true", "version=1", "store_lost=false", "endpoint engine-1 engines", "endpoint plain-1 plain"} {
+		if !strings.Contains(string(out), part) {
+			t.Errorf("%q lacks %q", out, part)
+		}
+	}
+}
+
 // TestChangedSettingsAreReloaded changes the file and sends SIGHUP, then breaks
 // it: the gateway goes on with the last sound one.
 func TestChangedSettingsAreReloaded(t *testing.T) {
--- a/cmd/cardamompoint/main.go
+++ b/cmd/cardamompoint/main.go
@@ -92,6 +92,14 @@
 	}
 }
 
+// setUpExpectedFailures keeps lines of failed requests from the terminal: the
+// demo brings failures about.
+func setUpExpectedFailures() error {
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	return flags.Set("stderrthreshold", "FATAL")
+}
+
 func setUpLog(level int, quiet bool) error {
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(flags)
--- a/cmd/cardamompoint/status.go
+++ b/cmd/cardamompoint/status.go
@@ -10,6 +10,8 @@
 	"github.com/urfave/cli/v3"
 
 	"cardamompoint.example/cardamompoint/api"
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/gateway"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
 )
 
@@ -18,13 +20,17 @@
 func statusCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "status",
-		Usage: "ask routers what is in force and whom they know",
+		Usage: "ask routers or gateways what is in force and whom they know",
 		Flags: []cli.Flag{
-			&cli.StringSliceFlag{Name: "router", Usage: "the operators' `ADDRESS` of a router; may be given several times", Required: true},
+			&cli.StringSliceFlag{Name: "router", Usage: "the operators' `ADDRESS` of a router; may be given several times"},
+			&cli.StringSliceFlag{Name: "gateway", Usage: "the control `ADDRESS` of a gateway; may be given several times"},
 			&cli.BoolFlag{Name: "workspaces", Usage: "list the versions of each workspace"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			var failed error
+			if !c.IsSet("router") && !c.IsSet("gateway") {
+				return code.New(code.InvalidParameter, "status needs --router or --gateway")
+			}
+			failed := printGateways(ctx, c)
 			for _, address := range c.StringSlice("router") {
 				status, err := askStatus(ctx, address)
 				if err != nil {
@@ -39,6 +45,35 @@
 	}
 }
 
+// printGateways asks gateways; it returns the last failure.
+func printGateways(ctx context.Context, c *cli.Command) (failed error) {
+	for _, address := range c.StringSlice("gateway") {
+		ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+		var status gateway.Status
+		err := jsonhttp.Get(ctx, http.DefaultClient, "http://"+address+gateway.StatusPath, &status)
+		cancel()
+		if err != nil {
+			fmt.Fprintf(c.Root().Writer, "%s: %v\n", address, err)
+			failed = err
+			continue
+		}
+		printGateway(c.Root().Writer, &status)
+	}
+	return failed
+}
+
+func printGateway(w io.Writer, status *gateway.Status) {
+	fmt.Fprintf(w, "%s ready=%t stopping=%t version=%d age_ms=%d leader=%s store_lost=%t in_progress=%d\n",
+		status.Node, status.Ready, status.Stopping, status.Version, status.KnowledgeAgeMS, status.Leader, status.StoreLost, status.InProgress)
+	for _, member := range status.Members {
+		fmt.Fprintf(w, "  peer %s %s heard_ms=%d version=%d\n", member.Address, member.FailureDomain, member.HeardMS, member.Version)
+	}
+	for _, endpoint := range status.Endpoints {
+		fmt.Fprintf(w, "  endpoint %s %s %s load=%d own=%d reading=%d fault_percent=%d avoided=%t\n",
+			endpoint.ID, endpoint.Service, endpoint.Address, endpoint.Load, endpoint.Own, endpoint.Reading, endpoint.FaultPercent, endpoint.Avoided)
+	}
+}
+
 func askStatus(ctx context.Context, address string) (*api.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -22,6 +22,7 @@
 func (g *Gateway) controlMux() *http.ServeMux {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+knowledgePath, g.serveKnowledge)
+	mux.HandleFunc("GET "+StatusPath, g.serveStatus)
 	mux.HandleFunc("GET "+placesPath, func(w http.ResponseWriter, _ *http.Request) {
 		jsonhttp.Write(w, g.table.Places())
 	})
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -30,7 +30,7 @@
 	d := &run{fleet: f, options: options, report: &report{w: w}}
 	d.report.count("%s: %d routers, %d engines, %d service workers, all in this process",
 		options.Deployment, len(f.routers), len(f.engines), len(f.services))
-	steps := []func(context.Context) error{d.askChats, d.loseEngine, d.changeTemplate, d.reportControl, d.sendDeposits}
+	steps := []func(context.Context) error{d.askChats, d.loseEngine, d.changeTemplate, d.reportControl, d.sendDeposits, d.showPlatform}
 	for _, step := range steps {
 		if err := step(ctx); err != nil {
 			return err
