Keep a connection only after a whole answer

Cause: found by reading: when the key lease ended between the choice and the send, or a send failed before its first byte, the handler looked at an answer that was not there and its panic closed the caller's connection without an answer. Change: one function tells whether a whole answer was read.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -65,8 +65,7 @@
 	x.conn = conn
 	abandon := context.AfterFunc(c.r.Context(), conn.Close)
 	came := x.exchange()
-	whole := came.fate == fateDone || came.fate == fateNotRun || c.held != nil && came.fate == fateFailed && came.status != 0
-	if abandon() && whole && x.sent() && conn.Finish(x.response, x.answer) {
+	if abandon() && x.readWhole(came) && x.sent() && conn.Finish(x.response, x.answer) {
 		c.gateway.pool.Put(conn)
 		c.gateway.metrics.Connection("kept")
 		return came
@@ -76,6 +75,22 @@
 	return came
 }
 
+// readWhole reports whether the endpoint's whole answer was read, so that nothing
+// is left on the connection.
+func (x *exchange) readWhole(came outcome) bool {
+	if x.response == nil {
+		return false // The request was not sent, or not answered.
+	}
+	switch came.fate {
+	case fateDone, fateNotRun:
+		return true
+	case fateFailed:
+		return came.status != 0
+	default:
+		return false
+	}
+}
+
 // connect returns a connection to the picked endpoint.
 func (c *call) connect(pick choice.Pick) (*upstream.Conn, error) {
 	began := clock.Now()
