Handle SIGHUP from the first instruction

Its log had no line: SIGHUP had come between its start and the registration of the signal. Change: SIGHUP is registered before anything else in main.

--- a/cmd/cardamompoint/gateway.go
+++ b/cmd/cardamompoint/gateway.go
@@ -48,15 +48,13 @@
 	boundMemory(settings.MemoryBytes)
 	stopping, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	hangUp := make(chan os.Signal, 1)
-	signal.Notify(hangUp, syscall.SIGHUP)
 	g, err := gateway.New(settings)
 	if err != nil {
 		return err
 	}
 	g.CountDroppedLines(sink.Dropped)
 	klog.InfoS("gateway: started", "version", programVersion(), "role", settings.Role, "node", settings.Node, "settings", settings.Checksum, "front", settings.FrontAddress, "ready", settings.ReadyAddress, "control", settings.ControlAddress, "domain", settings.FailureDomain, "seeds", settings.Seeds)
-	go followSettings(hangUp, g, settings.Checksum)
+	go followSettings(hangUps, g, settings.Checksum)
 	return g.Run(stopping)
 }
 
--- a/cmd/cardamompoint/main.go
+++ b/cmd/cardamompoint/main.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/urfave/cli/v3"
 	"k8s.io/klog/v2"
@@ -22,7 +24,12 @@
 	exitCut     = 3
 )
 
+// hangUps receives SIGHUP. It is registered before anything else, since a process
+// that does not handle the signal ends.
+var hangUps = make(chan os.Signal, 1)
+
 func main() {
+	signal.Notify(hangUps, syscall.SIGHUP)
 	os.Exit(run(context.Background(), os.Args))
 }
 
