Let the stand-in serve on behind a stray answer

The protocol's workers go on serving. Change: the stand-in answers further requests on the connection; the test is as it was.

--- a/internal/standin/hosted/worker.go
+++ b/internal/standin/hosted/worker.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net/http"
@@ -189,7 +190,8 @@
 	}
 }
 
-// sendStray sends an answer that belongs to no request of the connection.
+// sendStray sends an answer that belongs to no request of the connection, and
+// goes on serving the connection.
 func (w *Worker) sendStray(out http.ResponseWriter) {
 	control := http.NewResponseController(out)
 	if control.Flush() != nil {
@@ -200,14 +202,30 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer raw.Close()
-	stray := "HTTP/1.1 200 OK\r\nCardamompoint-Attempt-Id: ffff\r\nCardamompoint-Response-Seal: x\r\nContent-Length: 5\r\n\r\nstray"
-	if _, err := buffer.WriteString(stray); err != nil {
+	if writeAnswer(buffer.Writer, "ffff", "stray") != nil {
 		return
 	}
-	if err := buffer.Flush(); err != nil {
-		return
+	for {
+		request, err := http.ReadRequest(buffer.Reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		id := request.Header.Get("Cardamompoint-Attempt-Id")
+		w.note(id, request, string(body))
+		if writeAnswer(buffer.Writer, id, "answer to "+id) != nil {
+			return
+		}
 	}
-	time.Sleep(50 * time.Millisecond)
+}
+
+// writeAnswer writes a whole sealed answer.
+func writeAnswer(to *bufio.Writer, id, body string) error {
+	fmt.Fprintf(to, "HTTP/1.1 200 OK\r\nCardamompoint-Attempt-Id: %s\r\nCardamompoint-Response-Seal: x\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+	return to.Flush()
 }
 
 // stream sends the events behind the last one that the caller has.
