Drop a field of members that nobody reads

Change: news.Member.Direct was set and never used; found by reading the whole diff. Behaviour is the same; go vet and the tests of news pass.

--- a/news/member.go
+++ b/news/member.go
@@ -7,6 +7,4 @@
 	Report Report
 	// Heard is when the VM was last heard of.
 	Heard clock.Boot
-	// Direct tells that the VM itself has reported, not only others of it.
-	Direct bool
 }
--- a/news/table.go
+++ b/news/table.go
@@ -66,7 +66,7 @@
 		(report.Incarnation == member.Report.Incarnation && report.Number <= member.Report.Number) {
 		return false
 	}
-	member.Report, member.Heard, member.Direct = report, now, true
+	member.Report, member.Heard = report, now
 	delete(t.told, report.Address)
 	for _, pulse := range report.Pulses {
 		t.receivePulse(pulse, now)
