Do not decode settings that nobody reads

Change: four bounds and the connection limit of a service were decoded and never used; found by reading the whole diff. Behaviour is the same; go vet and the tests of platform and a served request of each kind pass.

--- a/traffic/configuration.go
+++ b/traffic/configuration.go
@@ -133,9 +133,6 @@
 // Service is a pool of endpoints of one kind.
 type Service struct {
 	Name string
-	// MaxConnections is how many connections one endpoint accepts from all
-	// callers together; 0 if it is not told.
-	MaxConnections int
 	// Engine is set for services that run language models.
 	Engine *Engine
 }
--- a/traffic/settings.go
+++ b/traffic/settings.go
@@ -50,8 +50,6 @@
 	StrictRevoke bool
 	// ConfigWithin is how fast a new configuration must be in force.
 	ConfigWithin time.Duration
-	// DrainWithin is how fast new work for a leaving endpoint must stop.
-	DrainWithin time.Duration
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace time.Duration
 	// RetryRatio and RetrySlack bound the sends beyond the first one to one
@@ -61,12 +59,4 @@
 	RetryWindow time.Duration
 	// LoadMultiple bounds the requests at one endpoint, as a multiple of the mean.
 	LoadMultiple float64
-	// ReuseWindow is how long after its last use a shared prompt part counts as
-	// held.
-	ReuseWindow time.Duration
-	// AddressReuse is the least time after which the address of an endpoint that
-	// has ended may belong to another one.
-	AddressReuse time.Duration
-	// Heartbeat is the usual interval of the endpoints' reports.
-	Heartbeat time.Duration
 }
