Tell in the log when endpoints are lost and regained

Cause: an endpoint that fell silent or failed was seen in single attempts only; peers and readers that came back had no line with how long they were away; a stream that broke off was logged with code 301 where the page says 305; the cost of logging was not measured.

Change: one line at each turn of an endpoint's health (silent, answering, failing, serving), of the peer that reads the store and of members, with lost_ms; 305 for each answer that the caller has a part of, but for deadlines; a benchmark of a request with and without lines.

--- a/choice/state.go
+++ b/choice/state.go
@@ -31,6 +31,10 @@
 	// silent counts the failures to connect or to answer in a row.
 	silent     int
 	avoidUntil clock.Boot
+	// lostAt and failingAt are since when the endpoint does not answer, or fails
+	// most requests; 0 if it does not.
+	lostAt    clock.Boot
+	failingAt clock.Boot
 }
 
 const (
--- a/choice/table.go
+++ b/choice/table.go
@@ -90,20 +90,24 @@
 // Answered notes an answer, and whether it was a failure.
 func (t *Table) Answered(id string, failed bool, now clock.Boot) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	known := t.state(id)
 	known.silent = 0
 	known.avoidUntil = 0
 	known.outcome(failed, now)
+	change, lasted := known.turn(now)
+	t.mu.Unlock()
+	change.log(id, "", lasted)
 }
 
-// Silent notes that an endpoint could not be reached or did not answer.
-func (t *Table) Silent(id string, now clock.Boot) {
+// Silent notes that an endpoint could not be reached or did not answer, and why.
+func (t *Table) Silent(id, reason string, now clock.Boot) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	known := t.state(id)
 	known.silence(now)
 	known.outcome(true, now)
+	change, lasted := known.turn(now)
+	t.mu.Unlock()
+	change.log(id, reason, lasted)
 }
 
 // Avoid keeps new requests from an endpoint until the given time.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -58,7 +58,7 @@
 	conn, err := c.connect(pick)
 	if err != nil {
 		if c.r.Context().Err() == nil {
-			table.Silent(id, clock.Now())
+			table.Silent(id, err.Error(), clock.Now())
 		}
 		return x.failed(outcome{fate: fateNotRun, untouched: true, err: err})
 	}
@@ -212,7 +212,7 @@
 		return outcome{fate: fateLate, err: err}
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		x.gateway.table.Silent(x.pick.Endpoint.ID, clock.Now())
+		x.gateway.table.Silent(x.pick.Endpoint.ID, err.Error(), clock.Now())
 	} else {
 		x.gateway.table.Answered(x.pick.Endpoint.ID, true, clock.Now())
 	}
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -26,6 +26,9 @@
 		return
 	}
 	if c.streaming {
+		if coded.Code != code.DeadlineExceeded {
+			c.result = code.AnswerIncomplete
+		}
 		// The caller must see that the answer is not whole.
 		panic(http.ErrAbortHandler)
 	}
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -29,7 +29,7 @@
 
 // testFleet is a store, workers and gateways on one loopback network.
 type testFleet struct {
-	t        *testing.T
+	t        testing.TB
 	network  *loopback.Network
 	store    *hosted.Store
 	gateways []*Gateway
@@ -41,7 +41,7 @@
 
 // newTestFleet starts a store with the default configuration, two engines, two
 // plain workers and count gateways, and waits until all are ready.
-func newTestFleet(t *testing.T, count int) *testFleet {
+func newTestFleet(t testing.TB, count int) *testFleet {
 	t.Helper()
 	network, err := loopback.Reserve()
 	if err != nil {
--- a/knowledge/peer_reader.go
+++ b/knowledge/peer_reader.go
@@ -61,6 +61,8 @@
 	// failedPeer is the VM that did not answer last, until failedPeerUntil.
 	failedPeer      string
 	failedPeerUntil clock.Boot
+	// lostAt is since when no VM has read the store for this one, 0 if one does.
+	lostAt clock.Boot
 	// failedUntil is the time up to which this VM reads for itself.
 	failedUntil atomic.Int64
 }
@@ -81,6 +83,20 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.failedPeer, p.failedPeerUntil = address, now.Add(avoidPause)
+	if p.lostAt == 0 {
+		p.lostAt = now
+	}
+}
+
+// served notes that a VM has read the store for this one.
+func (p *PeerReader) served(address string, now clock.Boot) {
+	p.mu.Lock()
+	lostAt := p.lostAt
+	p.lostAt = 0
+	p.mu.Unlock()
+	if lostAt != 0 {
+		klog.InfoS("config: a peer reads the store for this VM again", "peer", address, "lost_ms", now.Sub(lostAt).Milliseconds())
+	}
 }
 
 // FailedAt reports whether a VM was asked lately and did not answer.
@@ -99,10 +115,14 @@
 			clock.Sleep(ctx, peerCheckPeriod)
 			continue
 		}
-		if err := p.ask(ctx, address, followWait); err != nil && ctx.Err() == nil {
+		err := p.ask(ctx, address, followWait)
+		if err != nil && ctx.Err() == nil {
 			p.fail(address, clock.Now())
 			klog.InfoS("config: the peer that reads the store is lost", "peer", address, "reason", err.Error())
 		}
+		if err == nil {
+			p.served(address, clock.Now())
+		}
 	}
 }
 
--- a/news/table.go
+++ b/news/table.go
@@ -32,13 +32,22 @@
 	members map[string]*Member
 	// told are addresses that others named and that have not reported yet.
 	told map[string]clock.Boot
-	// alive are the addresses that counted as alive at the last check.
-	alive map[string]bool
+	// alive are the addresses that counted as alive at the last check, lostAt is
+	// when others ceased to.
+	alive  map[string]bool
+	lostAt map[string]clock.Boot
 }
 
 // NewTable returns a Table of a VM. seeds are the IP numbers of VMs to ask first.
 func NewTable(self string, seeds []string) *Table {
-	return &Table{self: self, seeds: seeds, members: map[string]*Member{}, told: map[string]clock.Boot{}, alive: map[string]bool{}}
+	return &Table{
+		self:    self,
+		seeds:   seeds,
+		members: map[string]*Member{},
+		told:    map[string]clock.Boot{},
+		alive:   map[string]bool{},
+		lostAt:  map[string]clock.Boot{},
+	}
 }
 
 // Receive takes in a report. It reports whether it is newer than what was known.
@@ -177,6 +186,7 @@
 	for address, member := range t.members {
 		if now.Sub(member.Heard) > rememberFor {
 			delete(t.members, address)
+			delete(t.lostAt, address)
 			continue
 		}
 		targets[address] = true
@@ -213,12 +223,23 @@
 		}
 		if isAlive {
 			t.alive[address] = true
-			klog.InfoS("member: a peer is heard", "peer", address, "domain", member.Report.FailureDomain, "incarnation", member.Report.Incarnation)
+			klog.InfoS("member: a peer is heard", "peer", address, "domain", member.Report.FailureDomain, "incarnation", member.Report.Incarnation, "lost_ms", t.regained(address, now))
 			continue
 		}
 		delete(t.alive, address)
+		t.lostAt[address] = now
 		lost = append(lost, address)
 		klog.InfoS("member: a peer is lost", "peer", address, "silent_ms", silent.Milliseconds(), "leaving", member.Report.Leaving)
 	}
 	return lost
 }
+
+// regained returns for how long a VM was lost, in milliseconds; 0 if it was not.
+func (t *Table) regained(address string, now clock.Boot) int64 {
+	at, ok := t.lostAt[address]
+	if !ok {
+		return 0
+	}
+	delete(t.lostAt, address)
+	return now.Sub(at).Milliseconds()
+}
