Let news of prompt places reach all VMs and end

Cause: on the grown sites shared parts read again were the greatest price. Each VM remembered six endpoints of a part; a common first part is on all engines, so each report displaced a place, made it new again and passed it on: 128 places in every report for ever, also without requests, and no room for places that were new. Reports grew to the 8 KB that a receiver took.

Change: 64 endpoints of a part are remembered; others are told of a place only while fewer than four are known, as a copy can be fetched from any; a restart of an endpoint makes its places void by a number instead of a search through all parts. A choice marks the holders in the states of endpoints and ranks only the first four, in memory that is kept. Reports of up to 64 KB are taken.

Test: TestNewsOfPlacesReachAllAndEnd failed before with 4,386 of 5,760 places unknown and 7,677 told when nothing was new, TestHotPartIsToldOfAFewTimes with 60 places told.

--- a/choice/cost.go
+++ b/choice/cost.go
@@ -1,9 +1,5 @@
 package choice
 
-import (
-	"github.com/cespare/xxhash/v2"
-)
-
 const (
 	// overBoundMS and avoidedMS put a candidate behind all others.
 	overBoundMS = 1e6
@@ -55,15 +51,11 @@
 	if !c.known {
 		return cost + positionMS*float64(min(o.position, lastPosition))
 	}
-	if o.source == nil {
-		return cost + readTokenMS*float64(o.missing)
-	}
-	left := c.missing(o.source.ID)
-	return cost + readTokenMS*float64(left) + copyTokenMS*float64(o.missing-left)
+	return cost + readTokenMS*float64(o.left) + copyTokenMS*float64(o.missing-o.left)
 }
 
 // jitter breaks ties between endpoints without a prompt by the number of
 // requests sent there.
 func jitter(o *option) float64 {
-	return float64(xxhash.Sum64String(o.endpoint.ID)%7)/100 + float64(o.state.sent%16)/10
+	return float64(o.state.hash%7)/100 + float64(o.state.sent%16)/10
 }
--- a/choice/holders.go
+++ b/choice/holders.go
@@ -1,7 +1,6 @@
 package choice
 
 import (
-	"slices"
 	"time"
 
 	"cardamompoint.example/cardamompoint/internal/clock"
@@ -9,7 +8,12 @@
 
 const (
 	// holdersPerPart bounds the endpoints that are remembered for one part.
-	holdersPerPart = 6
+	holdersPerPart = 64
+	// toldHolders is the number of endpoints of a part from which other VMs are
+	// told of no further ones: they can copy from those that they know.
+	toldHolders = 4
+	// countedFor is how long after its last known use a place counts for that.
+	countedFor = 20 * time.Second
 	// partLimit bounds the remembered parts.
 	partLimit = 200_000
 	// partKeep is how long an unused place is remembered.
@@ -22,6 +26,8 @@
 	// since is when the part was first sent there.
 	since clock.Boot
 	used  clock.Boot
+	// life is the start of the endpoint that holds it.
+	life int
 }
 
 // holders remembers where prompt parts are. It is not safe for concurrent use.
@@ -29,13 +35,19 @@
 	current  map[uint64][]place
 	previous map[uint64][]place
 	started  clock.Boot
+	// lives counts how often endpoints started anew; what was there before is gone.
+	lives map[string]int
 }
 
 func newHolders() *holders {
-	return &holders{current: map[uint64][]place{}, previous: map[uint64][]place{}}
+	return &holders{
+		current:  map[uint64][]place{},
+		previous: map[uint64][]place{},
+		lives:    map[string]int{},
+	}
 }
 
-// of returns the places of a part, the latest use first.
+// of returns the places of a part, also those that are not valid any more.
 func (h *holders) of(part uint64) []place {
 	if places, ok := h.current[part]; ok {
 		return places
@@ -43,22 +55,53 @@
 	return h.previous[part]
 }
 
-// note records that an endpoint holds a part. It reports whether that is new.
-func (h *holders) note(part uint64, endpoint string, now clock.Boot) bool {
+// valid reports whether the endpoint has not started anew since.
+func (h *holders) valid(at *place) bool {
+	return h.lives[at.endpoint] == at.life
+}
+
+// note records that an endpoint holds a part. It reports whether that is new and
+// few other places are known, so that other VMs should know it too.
+func (h *holders) note(part uint64, endpoint string, now clock.Boot) (tell bool) {
 	h.rotate(now)
 	places := h.of(part)
+	others, replace := 0, -1
 	for i := range places {
-		if places[i].endpoint == endpoint {
-			found := places[i]
-			found.used = max(found.used, now)
-			next := append([]place{found}, places[:i]...)
-			h.current[part] = append(next, places[i+1:]...)
+		at := &places[i]
+		valid := h.valid(at)
+		switch {
+		case valid && at.endpoint == endpoint:
+			at.used = max(at.used, now)
+			h.current[part] = places
 			return false
+		case !valid:
+			replace = i
+		case now.Sub(at.used) < countedFor:
+			others++
+		}
+	}
+	next := place{endpoint, now, now, h.lives[endpoint]}
+	if replace < 0 && len(places) == holdersPerPart {
+		replace = leastUsed(places)
+	}
+	if replace >= 0 {
+		places[replace] = next
+	} else {
+		places = append(places, next)
+	}
+	h.current[part] = places
+	return others < toldHolders
+}
+
+// leastUsed returns the index of the place whose last use is longest ago.
+func leastUsed(places []place) int {
+	least := 0
+	for i := range places {
+		if places[i].used < places[least].used {
+			least = i
 		}
 	}
-	kept := places[:min(len(places), holdersPerPart-1)]
-	h.current[part] = append([]place{{endpoint, now, now}}, kept...)
-	return true
+	return least
 }
 
 // rotate forgets what was not used for long, or when there is too much.
@@ -71,9 +114,5 @@
 
 // forget drops all places at an endpoint that started anew.
 func (h *holders) forget(endpoint string) {
-	for _, generation := range []map[uint64][]place{h.current, h.previous} {
-		for part, places := range generation {
-			generation[part] = slices.DeleteFunc(slices.Clone(places), func(at place) bool { return at.endpoint == endpoint })
-		}
-	}
+	h.lives[endpoint]++
 }
--- a/choice/pick.go
+++ b/choice/pick.go
@@ -1,12 +1,12 @@
 package choice
 
 import (
-	"cmp"
-	"slices"
+	"encoding/binary"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/rank"
 	"cardamompoint.example/cardamompoint/traffic"
 )
 
@@ -72,8 +72,10 @@
 func (t *Table) Pick(candidates []*traffic.Endpoint, prompt *traffic.Prompt, objective time.Duration, excluded func(id string) bool, now clock.Boot) (Pick, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := chooser{table: t, prompt: prompt, objectiveMS: float64(objective) / float64(time.Millisecond), now: now}
+	t.serial++
+	c := chooser{table: t, prompt: prompt, objectiveMS: float64(objective) / float64(time.Millisecond), now: now, options: t.options[:0]}
 	c.survey(candidates, excluded)
+	t.options = c.options
 	if c.usable == 0 {
 		return Pick{}, false
 	}
@@ -91,22 +93,18 @@
 	options []option
 	usable  int
 	total   int
+	// shared is the number of tokens of the shared parts.
+	shared int
 	// known tells that some candidate holds the last shared part.
 	known bool
-	// places are where each shared part is held, sources what can be copied from.
-	places  [][]place
+	// sources are what can be copied from.
 	sources []source
 	// floor is the least part of failed requests among the candidates.
 	floor float64
 }
 
 func (c *chooser) survey(candidates []*traffic.Endpoint, excluded func(string) bool) {
-	c.options = make([]option, 0, len(candidates))
-	key, shared := c.sharedKey()
-	for _, part := range c.sharedParts() {
-		c.places = append(c.places, c.table.parts.of(part.ID))
-	}
-	c.findSources()
+	c.markHolders()
 	c.floor = 1
 	for _, endpoint := range candidates {
 		known := c.table.state(endpoint.ID)
@@ -114,58 +112,116 @@
 			endpoint: endpoint,
 			state:    known,
 			load:     known.load(c.now),
+			missing:  c.missing(known),
+			position: lastPosition,
 			avoided:  c.now < known.avoidUntil,
 			excluded: excluded(endpoint.ID),
 			faults:   known.faultShare(c.now),
 		}
 		c.total += o.load
-		if shared {
-			o.missing = c.missing(endpoint.ID)
-			c.known = c.known || c.holdsLast(endpoint.ID)
-		}
+		c.known = c.known || c.holdsLast(known)
 		if !o.excluded {
 			c.usable++
 			c.floor = min(c.floor, o.faults)
 		}
 		c.options = append(c.options, o)
 	}
-	if shared && !c.known {
-		c.setPositions(key)
+	if c.shared > 0 && !c.known {
+		c.setPositions()
+	}
+	if len(c.prompt.Parts) == 0 {
+		return
 	}
 	for i := range c.options {
 		c.estimate(&c.options[i])
 	}
 }
 
-// setPositions ranks the candidates for the shared parts. Load does not change
-// the order, so that VMs that know nothing yet agree on it.
-func (c *chooser) setPositions(key string) {
-	order := make([]*option, 0, len(c.options))
+// markHolders sets what the endpoints that hold shared parts lack, and lists what
+// can be copied from. Whoever holds a part has read all parts before it.
+func (c *chooser) markHolders() {
+	parts := c.sharedParts()
+	for i := len(parts) - 1; i >= 0; i-- {
+		places := c.table.parts.of(parts[i].ID)
+		for at := range places {
+			c.markHolder(&places[at])
+		}
+		c.shared += parts[i].Tokens
+	}
+	c.sortSources()
+}
+
+// markHolder takes in one place of the part before which shared tokens were
+// counted.
+func (c *chooser) markHolder(at *place) {
+	known, ok := c.table.states[at.endpoint]
+	if !ok || !c.table.parts.valid(at) {
+		return
+	}
+	if known.marked != c.table.serial {
+		known.marked, known.missing = c.table.serial, c.shared
+	}
+	c.addSource(known, at)
+}
+
+// missing returns the shared tokens behind the last part that the endpoint is
+// known to hold.
+func (c *chooser) missing(known *state) int {
+	if known.marked == c.table.serial {
+		return known.missing
+	}
+	return c.shared
+}
+
+func (c *chooser) holdsLast(known *state) bool {
+	return known.marked == c.table.serial && known.missing == 0
+}
+
+// setPositions ranks the candidates for the last shared part. Load does not
+// change the order, so that VMs that know nothing yet agree on it.
+func (c *chooser) setPositions() {
+	parts := c.sharedParts()
+	key := parts[len(parts)-1].ID
+	var first [lastPosition]*option
 	for i := range c.options {
-		if o := &c.options[i]; !o.excluded && !o.avoided {
-			o.draw = rank.Key(key, o.endpoint.ID)
-			order = append(order, o)
+		o := &c.options[i]
+		if o.excluded || o.avoided {
+			continue
+		}
+		o.draw = draw(key, o.state.hash)
+		for position := range first {
+			if first[position] == nil || o.draw > first[position].draw {
+				o, first[position] = first[position], o
+			}
+			if o == nil {
+				break
+			}
 		}
 	}
-	slices.SortFunc(order, func(a, b *option) int { return cmp.Compare(b.draw, a.draw) })
-	for position, o := range order {
-		o.position = position
+	for position, o := range first {
+		if o != nil {
+			o.position = position
+		}
 	}
 }
 
+// draw returns the rank of an endpoint for a part; the highest goes first.
+func draw(part, endpoint uint64) uint64 {
+	var key [16]byte
+	binary.LittleEndian.PutUint64(key[:8], part)
+	binary.LittleEndian.PutUint64(key[8:], endpoint)
+	return xxhash.Sum64(key[:])
+}
+
 // estimate sets what the endpoint would have to read and how long that takes.
 func (c *chooser) estimate(o *option) {
-	if len(c.prompt.Parts) == 0 {
-		return
-	}
-	o.reading = o.missing + c.ownTokens()
 	copyMS := 0.0
-	o.source = c.fetchFrom(o)
-	if o.source != nil {
-		left := c.missing(o.source.ID)
-		copyMS = copySetUpMS + float64(o.missing-left)/copyTokensPerMS
-		o.reading = left + c.ownTokens()
+	o.left = o.missing
+	if from := c.fetchFrom(o); from != nil {
+		o.source, o.left = from.endpoint, from.missing
+		copyMS = copySetUpMS + float64(o.missing-o.left)/copyTokensPerMS
 	}
+	o.reading = o.left + c.ownTokens()
 	backlog := o.state.reading + o.state.peersReading + o.reading
 	o.delayMS = copyMS + float64(backlog)/readTokensPerMS
 }
@@ -188,47 +244,6 @@
 	return parts[:len(parts)-1]
 }
 
-// sharedKey identifies the last shared part.
-func (c *chooser) sharedKey() (string, bool) {
-	parts := c.sharedParts()
-	if len(parts) == 0 {
-		return "", false
-	}
-	var digest [8]byte
-	last := parts[len(parts)-1].ID
-	for i := range digest {
-		digest[i] = byte(last >> (8 * i))
-	}
-	return string(digest[:]), true
-}
-
-// missing returns the shared tokens behind the last part that the endpoint is
-// known to hold. Whoever holds a part has read all parts before it.
-func (c *chooser) missing(id string) int {
-	parts := c.sharedParts()
-	lacking := 0
-	for i := len(parts) - 1; i >= 0; i-- {
-		if holds(c.places[i], id) {
-			return lacking
-		}
-		lacking += parts[i].Tokens
-	}
-	return lacking
-}
-
-func holds(places []place, id string) bool {
-	for i := range places {
-		if places[i].endpoint == id {
-			return true
-		}
-	}
-	return false
-}
-
-func (c *chooser) holdsLast(id string) bool {
-	return holds(c.places[len(c.places)-1], id)
-}
-
 // bound is the largest load at which an endpoint still takes a request.
 func (c *chooser) bound() float64 {
 	mean := c.mean()
@@ -272,7 +287,7 @@
 		return ReasonLast
 	case len(c.prompt.Parts) == 0:
 		return ReasonLoad
-	case c.known && c.holdsLast(o.endpoint.ID):
+	case c.known && c.holdsLast(o.state):
 		return ReasonHeld
 	case !c.known && o.position == 0:
 		return ReasonRank
--- a/choice/places.go
+++ b/choice/places.go
@@ -19,6 +19,9 @@
 			if len(places) == placesLimit {
 				return places
 			}
+			if !t.parts.valid(&at[i]) {
+				continue
+			}
 			places = append(places, news.PartPlace{Part: part, Endpoint: at[i].endpoint})
 		}
 	}
--- a/choice/source.go
+++ b/choice/source.go
@@ -20,33 +20,34 @@
 	missing  int
 }
 
-// findSources lists the reachable endpoints that hold some of the shared parts
-// and have probably read them, those that hold most first.
-func (c *chooser) findSources() {
-	for _, places := range c.places {
-		for _, at := range places {
-			known, ok := c.table.states[at.endpoint]
-			if !ok || known.endpoint == nil || c.now < known.avoidUntil {
-				continue
-			}
-			if known.reading+known.peersReading > 0 && c.now.Sub(at.since) < readSoon {
-				continue
-			}
-			c.sources = append(c.sources, source{known.endpoint, c.missing(at.endpoint)})
-		}
+// addSource lists the endpoint of a place if it can be reached and has probably
+// read the part.
+func (c *chooser) addSource(known *state, at *place) {
+	if known.sourceOf == c.table.serial || known.endpoint == nil || c.now < known.avoidUntil {
+		return
+	}
+	if known.reading+known.peersReading > 0 && c.now.Sub(at.since) < readSoon {
+		return
 	}
+	known.sourceOf = c.table.serial
+	c.sources = append(c.sources, source{known.endpoint, known.missing})
+}
+
+// sortSources puts those first that hold most.
+func (c *chooser) sortSources() {
 	slices.SortStableFunc(c.sources, func(a, b source) int { return cmp.Compare(a.missing, b.missing) })
 }
 
 // fetchFrom returns the endpoint that holds the most of the shared parts, if
 // that is more than the chosen one holds.
-func (c *chooser) fetchFrom(chosen *option) *traffic.Endpoint {
-	for _, from := range c.sources {
+func (c *chooser) fetchFrom(chosen *option) *source {
+	for i := range c.sources {
+		from := &c.sources[i]
 		if from.missing > chosen.missing-leastFetch {
 			return nil
 		}
 		if from.endpoint.ID != chosen.endpoint.ID {
-			return from.endpoint
+			return from
 		}
 	}
 	return nil
--- a/choice/state.go
+++ b/choice/state.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/traffic"
 )
@@ -10,6 +12,8 @@
 // state is what is known of one endpoint's load and health.
 type state struct {
 	endpoint *traffic.Endpoint
+	// hash is that of the endpoint's ID.
+	hash uint64
 	// own is this VM's work in progress there, peers is that of the others.
 	own   int
 	peers int
@@ -35,6 +39,17 @@
 	// most requests; 0 if it does not.
 	lostAt    clock.Boot
 	failingAt clock.Boot
+
+	// missing is the number of shared prompt tokens that the endpoint lacks, valid
+	// in the choice whose number is marked; sourceOf is the last choice in which
+	// it could be copied from.
+	missing  int
+	marked   uint64
+	sourceOf uint64
+}
+
+func newState(id string) *state {
+	return &state{hash: xxhash.Sum64String(id)}
 }
 
 const (
--- a/choice/table.go
+++ b/choice/table.go
@@ -21,6 +21,10 @@
 	parts   *holders
 	reports map[string][]news.Work
 	fresh   []news.PartPlace
+
+	// serial numbers the choices; options is the memory of the last one.
+	serial  uint64
+	options []option
 }
 
 // freshLimit bounds the part places that wait to be told to other VMs.
@@ -52,7 +56,8 @@
 			known.endpoint = endpoint
 			continue
 		}
-		next := &state{endpoint: endpoint}
+		next := newState(id)
+		next.endpoint = endpoint
 		if ok {
 			next.own, next.peers = known.own, known.peers
 			next.reading, next.peersReading = known.reading, known.peersReading
@@ -73,7 +78,7 @@
 func (t *Table) state(id string) *state {
 	known, ok := t.states[id]
 	if !ok {
-		known = &state{}
+		known = newState(id)
 		t.states[id] = known
 	}
 	return known
@@ -155,8 +160,8 @@
 		t.receiveTold(told, now)
 	}
 	for _, at := range report.Parts {
-		isNew := t.parts.note(at.Part, at.Endpoint, now)
-		if isNew && len(report.Pulses) > 0 {
+		isNews := t.parts.note(at.Part, at.Endpoint, now)
+		if isNews && len(report.Pulses) > 0 {
 			t.tell(at) // In a large fleet each VM passes news on once.
 		}
 	}
--- a/news/exchange.go
+++ b/news/exchange.go
@@ -38,8 +38,8 @@
 	greetingPulses = 60
 	// greetingQueue bounds the answers that wait.
 	greetingQueue = 64
-	// maxDatagram bounds a report.
-	maxDatagram = 8192
+	// maxDatagram is the size of the largest datagram of UDP, in bytes.
+	maxDatagram = 65507
 )
 
 // Exchange sends this VM's reports and receives those of others.
