Copy chats of unknown place from where they rank first

Cause: a VM that was not told yet of a chat's place and sends it away from where it ranks first, as that is too loaded or was tried, let it be read again there.

Change: such a choice copies from the endpoint that ranks first, unless a copy from a known place saves more; only a choice of that endpoint has the reason "rank". A copy that finds nothing costs little.

Test: TestUnknownChatIsCopiedFromItsFirstRank failed before.

--- a/choice/pick.go
+++ b/choice/pick.go
@@ -99,6 +99,9 @@
 	known bool
 	// sources are what can be copied from.
 	sources []source
+	// likely is the candidate that ranks first for parts that are not known to be
+	// anywhere: other VMs send them there.
+	likely *option
 	// floor is the least part of failed requests among the candidates.
 	floor float64
 }
@@ -185,10 +188,16 @@
 	var first [lastPosition]*option
 	for i := range c.options {
 		o := &c.options[i]
-		if o.excluded || o.avoided {
+		if o.avoided {
 			continue
 		}
 		o.draw = draw(key, o.state.hash)
+		if c.likely == nil || o.draw > c.likely.draw {
+			c.likely = o
+		}
+		if o.excluded {
+			continue
+		}
 		for position := range first {
 			if first[position] == nil || o.draw > first[position].draw {
 				o, first[position] = first[position], o
@@ -269,6 +278,7 @@
 		}
 	}
 	o := &c.options[chosen]
+	c.guessSource(o)
 	return Pick{
 		Endpoint:  o.endpoint,
 		Reason:    c.reason(o, bound),
@@ -289,7 +299,7 @@
 		return ReasonLoad
 	case c.known && c.holdsLast(o.state):
 		return ReasonHeld
-	case !c.known && o.position == 0:
+	case !c.known && o == c.likely:
 		return ReasonRank
 	default:
 		return ReasonSpill
--- a/choice/source.go
+++ b/choice/source.go
@@ -52,3 +52,17 @@
 	}
 	return nil
 }
+
+// guessSource lets parts that are not known to be anywhere be copied from where
+// they probably are, unless that would forgo a larger copy from a known place. A
+// copy that finds nothing costs little.
+func (c *chooser) guessSource(chosen *option) {
+	if c.likely == nil || c.likely.endpoint.ID == chosen.endpoint.ID {
+		return
+	}
+	parts := c.sharedParts()
+	last := parts[len(parts)-1].Tokens
+	if last >= leastFetch && last > chosen.missing-chosen.left {
+		chosen.source = c.likely.endpoint
+	}
+}
