Wait for a read in progress instead of reading twice

Cause: two requests of a chat that come close together both had its parts read: an engine finds a part only when it was read.

The line of the request has waited_ms.

Tests: TestUnreadChatIsWaitedFor, TestRequestWaitsForAReadInProgress.

--- a/choice/holders.go
+++ b/choice/holders.go
@@ -26,6 +26,8 @@
 	// since is when the part was first sent there.
 	since clock.Boot
 	used  clock.Boot
+	// due is when the endpoint has read the part at the latest, as far as is known.
+	due clock.Boot
 	// life is the start of the endpoint that holds it.
 	life int
 }
@@ -80,7 +82,7 @@
 			others++
 		}
 	}
-	next := place{endpoint, now, now, h.lives[endpoint]}
+	next := place{endpoint: endpoint, since: now, used: now, life: h.lives[endpoint]}
 	if replace < 0 && len(places) == holdersPerPart {
 		replace = leastUsed(places)
 	}
@@ -93,6 +95,17 @@
 	return others < toldHolders
 }
 
+// find returns the place of a part at an endpoint, nil if it is not known there.
+func (h *holders) find(part uint64, endpoint string) *place {
+	places := h.of(part)
+	for i := range places {
+		if places[i].endpoint == endpoint && h.valid(&places[i]) {
+			return &places[i]
+		}
+	}
+	return nil
+}
+
 // leastUsed returns the index of the place whose last use is longest ago.
 func leastUsed(places []place) int {
 	least := 0
--- a/choice/pick.go
+++ b/choice/pick.go
@@ -60,6 +60,9 @@
 	Reading int
 	// DelayMS is the estimated time until the endpoint has read the prompt.
 	DelayMS float64
+	// Unread is how long the endpoint may still read the shared parts for another
+	// request: one that came at once would have them read twice.
+	Unread time.Duration
 	// FetchFrom holds more of the shared parts than Endpoint, nil if none does.
 	FetchFrom *traffic.Endpoint
 }
@@ -287,10 +290,25 @@
 		Missing:   o.missing,
 		Reading:   o.reading,
 		DelayMS:   o.delayMS,
+		Unread:    c.unread(o),
 		FetchFrom: o.source,
 	}
 }
 
+// unread returns how long the last shared part may not be read yet at a
+// candidate that is known to have been sent it.
+func (c *chooser) unread(o *option) time.Duration {
+	if !c.holdsLast(o.state) {
+		return 0
+	}
+	parts := c.sharedParts()
+	at := c.table.parts.find(parts[len(parts)-1].ID, o.endpoint.ID)
+	if at == nil {
+		return 0
+	}
+	return max(0, at.due.Sub(c.now))
+}
+
 func (c *chooser) reason(o *option, bound float64) Reason {
 	switch {
 	case o.avoided || float64(o.load) > bound:
--- a/choice/pick_test.go
+++ b/choice/pick_test.go
@@ -232,3 +232,29 @@
 		t.Errorf("the copy comes from %v, want %s", pick.FetchFrom, first.Endpoint.ID)
 	}
 }
+
+// TestUnreadChatIsWaitedFor picks for a chat whose prompt an engine still reads:
+// the choice tells to wait until it is read, and at most for the estimate.
+func TestUnreadChatIsWaitedFor(t *testing.T) {
+	endpoints := testEndpoints(6)
+	table := newTestTable(endpoints)
+	now := clock.Boot(time.Hour)
+	first, _ := table.Pick(endpoints, chat(1, 1), testObjective, none, now)
+	if first.Unread != 0 {
+		t.Errorf("a chat that nobody reads is waited for: %v", first.Unread)
+	}
+	work := table.Begin(first, chat(1, 1), now)
+	second, _ := table.Pick(endpoints, chat(1, 2), testObjective, none, now.Add(time.Millisecond))
+	if second.Endpoint != first.Endpoint || second.Unread <= 0 {
+		t.Fatalf("the second request goes to %s and waits for %v", second.Endpoint.ID, second.Unread)
+	}
+	late, _ := table.Pick(endpoints, chat(1, 2), testObjective, none, now.Add(second.Unread+time.Millisecond))
+	if late.Unread != 0 {
+		t.Errorf("after the estimate it waits for %v", late.Unread)
+	}
+	work.Read()
+	third, _ := table.Pick(endpoints, chat(1, 3), testObjective, none, now.Add(2*time.Millisecond))
+	if third.Unread != 0 {
+		t.Errorf("a chat that was read is waited for: %v", third.Unread)
+	}
+}
--- a/choice/work.go
+++ b/choice/work.go
@@ -1,6 +1,8 @@
 package choice
 
 import (
+	"time"
+
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/news"
 	"cardamompoint.example/cardamompoint/traffic"
@@ -12,7 +14,9 @@
 	table   *Table
 	id      string
 	reading int
-	ended   bool
+	// unread are the shared parts that the endpoint reads for this request.
+	unread []traffic.Part
+	ended  bool
 }
 
 // Begin counts a request that is sent to the picked endpoint, and notes where
@@ -31,7 +35,30 @@
 			t.tell(news.PartPlace{Part: part.ID, Endpoint: id})
 		}
 	}
-	return &Work{table: t, id: id, reading: pick.Reading}
+	work := &Work{table: t, id: id, reading: pick.Reading}
+	if pick.Missing > 0 {
+		work.unread = prompt.Parts[:min(shared, len(prompt.Parts))]
+		work.setDue(now, pick.DelayMS)
+	}
+	return work
+}
+
+// latestRead is how long after its estimate a prompt counts as read at last, as a
+// multiple of the estimate and beyond that.
+const (
+	latestReadFactor = 2.0
+	latestReadMS     = 50.0
+)
+
+// setDue notes until when the parts that were new at the endpoint may not be read
+// yet.
+func (w *Work) setDue(now clock.Boot, delayMS float64) {
+	due := now.Add(time.Duration((latestReadFactor*delayMS + latestReadMS) * float64(time.Millisecond)))
+	for _, part := range w.unread {
+		if at := w.table.parts.find(part.ID, w.id); at != nil && at.since == now {
+			at.due = due
+		}
+	}
 }
 
 // tell lets the next report tell of a place, if there is room.
@@ -43,7 +70,7 @@
 
 // Read notes that the endpoint has read the prompt.
 func (w *Work) Read() {
-	if w.reading == 0 {
+	if w.reading == 0 && w.unread == nil {
 		return
 	}
 	w.table.mu.Lock()
@@ -55,7 +82,12 @@
 	if known, ok := w.table.states[w.id]; ok {
 		known.reading = max(0, known.reading-w.reading)
 	}
-	w.reading = 0
+	for _, part := range w.unread {
+		if at := w.table.parts.find(part.ID, w.id); at != nil {
+			at.due = 0
+		}
+	}
+	w.reading, w.unread = 0, nil
 }
 
 // End counts the request off. Further calls do nothing.
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -58,6 +58,8 @@
 	// total is how long the caller is kept waiting at most; 0 means no bound.
 	total time.Duration
 	tried []string
+	// waited is how long the request waited for reads of its shared parts.
+	waited time.Duration
 	// sends counts the endpoints that were sent the request, runs those that may
 	// have run it.
 	sends int
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -167,7 +167,7 @@
 	age := c.gateway.tracker.Age(clock.Now()).Milliseconds()
 	fields := []any{"request", c.request.ID, "code", int(c.result), "status", c.status, "took_ms", took.Milliseconds(),
 		"repeat", c.repeatName(), "route", route, "workspace", workspace, "service", c.grant.service, "version", c.grant.version, "age_ms", age,
-		"pieces", c.pieces, "pause_ms", c.longestPause.Milliseconds(), "attempts", c.notes}
+		"waited_ms", c.waited.Milliseconds(), "pieces", c.pieces, "pause_ms", c.longestPause.Milliseconds(), "attempts", c.notes}
 	if c.result == code.OK {
 		klog.InfoS("route: served", fields...)
 		return
--- /dev/null
+++ b/gateway/run_test.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+
+	"cardamompoint.example/cardamompoint/choice"
+	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/platform"
+)
+
+// TestRequestWaitsForAReadInProgress starts a chat whose prompt an engine reads
+// for another request. The second request goes to the same engine when it is
+// read, and without that after a part of the objective.
+func TestRequestWaitsForAReadInProgress(t *testing.T) {
+	f := newTestFleet(t, 1)
+	g := f.gateways[0]
+	for _, isRead := range []bool{true, false} {
+		chat := map[bool]string{true: "a1:100,b1:20000,", false: "a1:100,b2:20000,"}[isRead]
+		first := f.newChat(t, chat+"c1:10")
+		pick, err := first.next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if first.waited != 0 {
+			t.Errorf("the first request waited %v", first.waited)
+		}
+		work := g.table.Begin(pick, &first.request.Prompt, clock.Now())
+		if isRead {
+			go func() { work.Read() }()
+		}
+		second := f.newChat(t, chat+"c2:10")
+		again, err := second.next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if again.Endpoint.ID != pick.Endpoint.ID || (!isRead && second.waited < part(second.grant.route.Objective, readWaitPart)) {
+			t.Errorf("read %v: at %s after %v, the first is at %s", isRead, again.Endpoint.ID, second.waited, pick.Endpoint.ID)
+		}
+		if isRead && again.Reason != choice.ReasonHeld {
+			t.Errorf("chosen as %s", again.Reason)
+		}
+		work.End()
+	}
+}
+
+// newChat returns a call of a chat with the given prompt parts.
+func (f *testFleet) newChat(t *testing.T, parts string) *call {
+	t.Helper()
+	g := f.gateways[0]
+	c := &call{gateway: g, r: f.newRequest(context.Background(), 1, "00000000000000d1", query{path: "/chat/1", parts: parts})}
+	request, err := platform.DecodeRequest(c.r.Header)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.request = request
+	if err := c.authorize(g.tracker.Snapshot()); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
