Hear a VM again whose clock was set back before a restart

Cause: an incarnation is the time of day of a start. A VM that started anew after its clock was set back had a lower one than before, and the others left its reports out until they forgot it after 60 s; its load was not counted and it could not be asked for knowledge.

Change: a lower incarnation is taken once the higher one is silent for as long as a VM counts as alive; pulses of the old one don't replace it.

Test: TestClockSetBackBeforeARestart failed before (the VM is not heard).

--- a/news/table.go
+++ b/news/table.go
@@ -71,8 +71,7 @@
 		member = &Member{}
 		t.members[report.Address] = member
 	}
-	if report.Incarnation < member.Report.Incarnation ||
-		(report.Incarnation == member.Report.Incarnation && report.Number <= member.Report.Number) {
+	if !t.isNewer(report, member, now) {
 		return false
 	}
 	member.Report, member.Heard = report, now
@@ -88,6 +87,16 @@
 	return true
 }
 
+// isNewer reports whether a report goes before what is known of its sender. A
+// lower incarnation does so once the higher one is silent: the VM's clock was set
+// back before its process started anew. The caller holds the lock.
+func (t *Table) isNewer(report Report, member *Member, now clock.Boot) bool {
+	if report.Incarnation == member.Report.Incarnation {
+		return report.Number > member.Report.Number
+	}
+	return report.Incarnation > member.Report.Incarnation || now.Sub(member.Heard) > t.aliveFor()
+}
+
 // receivePulse takes in when another VM was heard of.
 func (t *Table) receivePulse(pulse Pulse, now clock.Boot) {
 	heard := now.Add(-time.Duration(pulse.AgeMS) * time.Millisecond)
@@ -98,7 +107,7 @@
 	if !ok && len(t.members) >= memberLimit {
 		return
 	}
-	if !ok || pulse.Incarnation > member.Report.Incarnation {
+	if !ok || pulse.Incarnation > member.Report.Incarnation && heard > member.Heard {
 		report := Report{Address: pulse.Address, Incarnation: pulse.Incarnation, FailureDomain: pulse.FailureDomain, Learned: pulse.Learned, AgeMS: -1}
 		t.members[pulse.Address] = &Member{Report: report, Heard: heard}
 		return
--- a/news/table_test.go
+++ b/news/table_test.go
@@ -138,3 +138,26 @@
 		}
 	}
 }
+
+// TestClockSetBackBeforeARestart starts a VM anew after its clock was set back: its
+// incarnation is lower than before, and it is heard again once the old one has
+// fallen silent.
+func TestClockSetBackBeforeARestart(t *testing.T) {
+	table := NewTable("a", nil)
+	now := testStart
+	table.Receive(Report{Address: "b", Incarnation: 900, Number: 70}, now)
+	if table.Receive(Report{Address: "b", Incarnation: 300, Number: 1}, now.Add(100*time.Millisecond)) {
+		t.Error("an older incarnation was taken while the newer one is alive")
+	}
+	now = now.Add(aliveFor + time.Millisecond)
+	if !table.Receive(Report{Address: "b", Incarnation: 300, Number: 9}, now) {
+		t.Fatal("the VM is not heard though its old incarnation is silent")
+	}
+	if alive := table.Alive(now); len(alive) != 1 || alive[0].Report.Incarnation != 300 {
+		t.Errorf("alive are %+v", alive)
+	}
+	table.Receive(Report{Address: "c", Incarnation: 1, Number: 1, Pulses: []Pulse{{Address: "b", Incarnation: 900, AgeMS: 1400}}}, now.Add(time.Millisecond))
+	if alive := table.Alive(now.Add(aliveFor)); len(alive) == 0 || alive[0].Report.Incarnation != 300 {
+		t.Errorf("an old pulse replaced the VM: %+v", alive)
+	}
+}
