Let the soak check keys, versions, retries, leaving and exits

Cause: the soak checked at most once, true promises and whole answers; revoked keys, versions going back, the retry budget, leaving workers, work after callers left, processes that end by themselves, memory and descriptors were not looked at, no restart learned prompt places, and nothing showed that a check can fail.

Change: callers and workers record a history that pure checks compare; TestSoakChecksCanFail breaks a sound history in eleven ways and just the meant check goes red. New faults: storms of versions with paths and keys of their own, workers that leave, come back or are replaced at their address with a stale entry, callers that go away. Restarted processes learn places from the stand-ins' memory lists.

--- /dev/null
+++ b/cmd/cardamompoint/soak_faults_test.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+
+	"cardamompoint.example/cardamompoint/internal/standin/hosted"
+)
+
+// soakStart is the time that a process takes to its first instructions; before
+// them no process can handle a signal.
+const soakStart = time.Second
+
+// note adds a fault to the plan.
+func (s *soak) note(format string, values ...any) {
+	s.plan = append(s.plan, fmt.Sprintf("%7.3f ", time.Since(s.began).Seconds())+fmt.Sprintf(format, values...))
+}
+
+// fault injects one fault, or ends one.
+func (s *soak) fault() {
+	faults := []func(){
+		s.kill, s.freeze, s.terminate, s.reload, s.cutLink, s.cutLink, s.resetLink, s.failStore, s.change, s.change, s.misbehave, s.leave, s.replace,
+	}
+	faults[s.random.IntN(len(faults))]()
+}
+
+func (s *soak) anyGateway() *soakGateway {
+	return s.gateways[s.random.IntN(len(s.gateways))]
+}
+
+func (s *soak) anySlot() *soakSlot {
+	return s.slots[s.random.IntN(len(s.slots))]
+}
+
+func (s *soak) kill() {
+	g := s.anyGateway()
+	s.note("kill VM %d", g.number)
+	s.end(g, syscall.SIGKILL, 1)
+	s.start(g)
+}
+
+func (s *soak) freeze() {
+	g := s.anyGateway()
+	g.frozen = !g.frozen
+	s.note("freeze VM %d: %v", g.number, g.frozen)
+	if g.frozen {
+		_ = g.command.Process.Signal(syscall.SIGSTOP)
+	} else {
+		_ = g.command.Process.Signal(syscall.SIGCONT)
+	}
+}
+
+func (s *soak) terminate() {
+	g := s.anyGateway()
+	times := 1 + s.random.IntN(2)
+	s.note("terminate VM %d, %d signals", g.number, times)
+	s.end(g, syscall.SIGTERM, times)
+	s.start(g)
+}
+
+func (s *soak) reload() {
+	g := s.anyGateway()
+	if time.Since(g.started) > soakStart {
+		s.note("reload VM %d", g.number)
+		_ = g.command.Process.Signal(syscall.SIGHUP)
+	}
+}
+
+func (s *soak) cutLink() {
+	at := s.random.IntN(len(s.proxies))
+	fault := linkFault(s.random.IntN(int(linkFaults)))
+	s.note("link %d: fault %d", at, fault)
+	s.proxies[at].fault.Store(int32(fault))
+}
+
+func (s *soak) resetLink() {
+	at := s.random.IntN(len(s.proxies))
+	s.note("link %d: reset", at)
+	s.proxies[at].reset()
+}
+
+func (s *soak) failStore() {
+	fault := hosted.Fault(s.random.IntN(int(hosted.FaultSilent) + 1))
+	s.note("store: fault %d", fault)
+	s.store.SetFault(fault)
+}
+
+// change publishes one version or a storm of them, sometimes without history.
+func (s *soak) change() {
+	versions := 1 + s.random.IntN(3)
+	compact := s.random.IntN(3) == 0
+	s.note("%d versions, history dropped: %v", versions, compact)
+	for range versions {
+		s.publish()
+	}
+	if compact {
+		s.store.Compact()
+	}
+}
+
+func (s *soak) misbehave() {
+	slot := s.anySlot()
+	first, third := hosted.Behaviour(s.random.IntN(int(hosted.Twice)+1)), hosted.Behaviour(s.random.IntN(int(hosted.Twice)+1))
+	s.note("worker at %s: %d, %d", slot.public, first, third)
+	slot.worker.Load().Plan(first, hosted.Serve, third)
+}
+
+// leave lets a worker drain, and another time come back.
+func (s *soak) leave() {
+	slot := s.anySlot()
+	state := []string{"draining", "ready"}[s.random.IntN(2)]
+	s.note("worker at %s: %s", slot.public, state)
+	s.store.Enter(slot.worker.Load().ID, slot.service, slot.public, state)
+}
+
+// replace lets another worker have the address of one that crashes. The entry of
+// the old one goes at once, or stays behind.
+func (s *soak) replace() {
+	slot := s.anySlot()
+	old := slot.worker.Load()
+	stale := s.random.IntN(2) == 0
+	s.note("worker at %s: replaced, stale entry: %v", slot.public, stale)
+	slot.proxy.reset()
+	if !stale {
+		s.store.Leave(old.ID)
+	}
+	s.enter(slot)
+}
+
+// heal ends all faults.
+func (s *soak) heal() {
+	s.note("heal")
+	s.store.SetFault(hosted.FaultNone)
+	for _, proxy := range s.proxies {
+		proxy.fault.Store(int32(linkSound))
+	}
+	for _, g := range s.gateways {
+		_ = g.command.Process.Signal(syscall.SIGCONT)
+	}
+	for _, slot := range s.slots {
+		now := slot.worker.Load()
+		now.Plan()
+		for _, worker := range slot.all {
+			if worker != now {
+				s.store.Leave(worker.ID)
+			}
+		}
+		s.store.Enter(now.ID, slot.service, slot.public, "ready")
+	}
+}
--- /dev/null
+++ b/cmd/cardamompoint/soak_history_red_test.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"cardamompoint.example/cardamompoint/internal/standin/hosted"
+)
+
+// soundHistory has one call of each kind and no violation.
+func soundHistory() *soakHistory {
+	start := time.Now()
+	h := &soakHistory{
+		revoked: map[string]time.Time{"old": start},
+		removed: map[string]time.Time{"/version-1/": start.Add(time.Minute)},
+	}
+	for i, path := range []string{"/deposit/1", "/lookup/1", "/version-1/"} {
+		id := string(rune('a' + i))
+		sent := start.Add(time.Duration(i) * time.Second)
+		h.calls = append(h.calls, soakCall{id: id, path: path, key: hosted.Key, sent: sent, ended: sent.Add(time.Second), status: http.StatusOK, body: "answer to " + id, whole: true})
+		h.seen = append(h.seen, soakSeen{"plain", hosted.Seen{ID: id, Target: path, Workspace: hosted.Workspace, Body: soakBody, Run: true, At: sent}})
+	}
+	return h
+}
+
+// TestSoakChecksCanFail breaks a sound history in one way after the other; just
+// the check that is meant to see it goes red.
+func TestSoakChecksCanFail(t *testing.T) {
+	for name, test := range map[string]struct {
+		check  string
+		damage func(*soakHistory)
+	}{
+		"nothing":          {"", func(*soakHistory) {}},
+		"a deposit twice":  {"runs", func(h *soakHistory) { h.seen = append(h.seen, h.seen[0]) }},
+		"a lookup thrice":  {"runs", func(h *soakHistory) { h.seen = append(h.seen, h.seen[1], h.seen[1]) }},
+		"a false promise":  {"not run", func(h *soakHistory) { h.calls[0].status = http.StatusServiceUnavailable }},
+		"a foreign answer": {"answers", func(h *soakHistory) { h.calls[0].body = "answer to z" }},
+		"half an answer":   {"answers", func(h *soakHistory) { h.calls[0].body = "answer" }},
+		"a revoked key": {"keys", func(h *soakHistory) {
+			h.calls[0].key, h.calls[0].sent = "old", h.calls[0].sent.Add(soakKeyLease+time.Millisecond)
+		}},
+		"a version back":    {"versions", func(h *soakHistory) { h.calls = append(h.calls, laterUnknown(h.calls[2])) }},
+		"too many retries":  {"retries", func(h *soakHistory) { h.seen = append(h.seen, manyRetries(h.seen[1])...) }},
+		"another path":      {"unasked", func(h *soakHistory) { h.seen[0].Target = "/lookup/1" }},
+		"another workspace": {"unasked", func(h *soakHistory) { h.seen[0].Workspace = "other" }},
+		"another body":      {"unasked", func(h *soakHistory) { h.seen[0].Body = "more" }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := soundHistory()
+			test.damage(h)
+			for check, find := range soakChecks {
+				if bad := find(h); (len(bad) > 0) != (check == test.check) {
+					t.Errorf("check %q found %q", check, bad)
+				}
+			}
+		})
+	}
+}
+
+// laterUnknown is the same call a second later, answered as unknown.
+func laterUnknown(call soakCall) soakCall {
+	call.id, call.status, call.body = "later", http.StatusNotFound, ""
+	call.sent = call.ended.Add(time.Second)
+	call.ended = call.sent.Add(time.Second)
+	return call
+}
+
+// manyRetries are arrivals beyond the first of many refused sends.
+func manyRetries(seen soakSeen) (more []soakSeen) {
+	seen.Run = false
+	for range soakRetrySlack + 2 {
+		more = append(more, seen)
+	}
+	return more
+}
--- a/internal/standin/hosted/worker.go
+++ b/internal/standin/hosted/worker.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -51,6 +52,10 @@
 	runs   map[string]int
 	seen   []Seen
 	ended  map[string]bool
+	// parts are the prompt parts that runs brought.
+	parts map[string]int
+	// active is the number of requests in progress.
+	active atomic.Int64
 }
 
 // Seen is a request as it reached the worker.
@@ -63,11 +68,18 @@
 	LastEvent string
 	Header    http.Header
 	Run       bool
+	// At is when it came.
+	At time.Time
 }
 
 // NewWorker returns a Worker that serves.
 func NewWorker(id string) *Worker {
-	return &Worker{ID: id, Events: 5, Pause: 5 * time.Millisecond, runs: map[string]int{}, ended: map[string]bool{}}
+	return &Worker{ID: id, Events: 5, Pause: 5 * time.Millisecond, runs: map[string]int{}, ended: map[string]bool{}, parts: map[string]int{}}
+}
+
+// Active returns the number of requests in progress.
+func (w *Worker) Active() int {
+	return int(w.active.Load())
 }
 
 // Plan sets what is done with the next requests, in order.
@@ -107,6 +119,12 @@
 
 // ServeHTTP answers one request.
 func (w *Worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == memoryPath {
+		w.serveMemory(out)
+		return
+	}
+	w.active.Add(1)
+	defer w.active.Add(-1)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		panic(http.ErrAbortHandler)
@@ -135,10 +153,11 @@
 	run := behaviour != Refuse && (expected == "" || expected == w.ID)
 	if run {
 		w.runs[id]++
+		w.keepParts(r.Header.Get("Cardamompoint-Prompt-Prefix"))
 	}
 	w.seen = append(w.seen, Seen{
 		ID: id, Method: r.Method, Target: r.RequestURI, Workspace: r.Header.Get("Cardamompoint-Tenant"),
-		Body: body, LastEvent: r.Header.Get("Last-Event-Id"), Header: r.Header.Clone(), Run: run,
+		Body: body, LastEvent: r.Header.Get("Last-Event-Id"), Header: r.Header.Clone(), Run: run, At: time.Now(),
 	})
 	return behaviour
 }
