Explain where a gateway would send a request

Cause: explain asked routers only; for the users' platform it could not be seen beforehand where a request goes and why.

Choosing is the same code.

--- /dev/null
+++ b/choice/explain.go
@@ -0,0 +1,67 @@
+package choice
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/traffic"
+)
+
+// Candidate is an endpoint as a choice would see it now.
+type Candidate struct {
+	Endpoint      string `json:"endpoint"`
+	FailureDomain string `json:"failure_domain"`
+	// Reason is why it would be picked.
+	Reason Reason `json:"reason"`
+	// CostMS is what decides, in milliseconds; the least goes first.
+	CostMS float64 `json:"cost_ms"`
+	// Load is the estimated number of requests there.
+	Load int `json:"load"`
+	// Missing is the number of shared prompt tokens not known to be there, Reading
+	// that of the tokens that it would read, and DelayMS how long that takes.
+	Missing int     `json:"missing"`
+	Reading int     `json:"reading"`
+	DelayMS float64 `json:"delay_ms"`
+	// FetchFrom is where it would copy from, "" if nowhere.
+	FetchFrom    string `json:"fetch_from,omitempty"`
+	FaultPercent int    `json:"fault_percent"`
+	Avoided      bool   `json:"avoided"`
+}
+
+// Explain returns the candidates for a prompt in the order in which a choice
+// would take them. Nothing is counted or remembered.
+func (t *Table) Explain(candidates []*traffic.Endpoint, prompt *traffic.Prompt, objective time.Duration, now clock.Boot) []Candidate {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.newChooser(prompt, objective, now)
+	c.survey(candidates, func(string) bool { return false })
+	bound := c.bound()
+	all := make([]Candidate, 0, len(c.options))
+	for i := range c.options {
+		all = append(all, c.describe(&c.options[i], bound))
+	}
+	slices.SortStableFunc(all, func(a, b Candidate) int { return cmp.Compare(a.CostMS, b.CostMS) })
+	return all
+}
+
+func (c *chooser) describe(o *option, bound float64) Candidate {
+	candidate := Candidate{
+		Endpoint:      o.endpoint.ID,
+		FailureDomain: o.endpoint.FailureDomain,
+		CostMS:        c.cost(o, bound),
+		Reason:        c.reason(o, bound),
+		Load:          o.load,
+		Missing:       o.missing,
+		Reading:       o.reading,
+		DelayMS:       o.delayMS,
+		FaultPercent:  int(o.faults * 100),
+		Avoided:       o.avoided,
+	}
+	c.guessSource(o)
+	if o.source != nil {
+		candidate.FetchFrom = o.source.ID
+	}
+	return candidate
+}
--- a/choice/pick.go
+++ b/choice/pick.go
@@ -75,8 +75,7 @@
 func (t *Table) Pick(candidates []*traffic.Endpoint, prompt *traffic.Prompt, objective time.Duration, excluded func(id string) bool, now clock.Boot) (Pick, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.serial++
-	c := chooser{table: t, prompt: prompt, objectiveMS: float64(objective) / float64(time.Millisecond), now: now, options: t.options[:0]}
+	c := t.newChooser(prompt, objective, now)
 	c.survey(candidates, excluded)
 	t.options = c.options
 	if c.usable == 0 {
@@ -85,6 +84,12 @@
 	return c.best(), true
 }
 
+// newChooser begins a choice. The caller holds the lock until its end.
+func (t *Table) newChooser(prompt *traffic.Prompt, objective time.Duration, now clock.Boot) *chooser {
+	t.serial++
+	return &chooser{table: t, prompt: prompt, objectiveMS: float64(objective) / float64(time.Millisecond), now: now, options: t.options[:0]}
+}
+
 // chooser compares the candidates of one request.
 type chooser struct {
 	table  *Table
--- a/cmd/cardamompoint/explain.go
+++ b/cmd/cardamompoint/explain.go
@@ -9,21 +9,33 @@
 	"github.com/urfave/cli/v3"
 
 	"cardamompoint.example/cardamompoint/api"
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/gateway"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
 )
 
 func explainCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "explain",
-		Usage: "tell which engine a chat goes to and why",
+		Usage: "tell which endpoint a request goes to and why",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "router", Usage: "the operators' `ADDRESS` of a router", Required: true},
-			&cli.StringFlag{Name: "workspace", Usage: "the workspace's `NAME`", Required: true},
-			&cli.StringFlag{Name: "chat", Usage: "the chat's `NAME`", Required: true},
+			&cli.StringFlag{Name: "router", Usage: "the operators' `ADDRESS` of a router; needs --workspace and --chat"},
+			&cli.StringFlag{Name: "workspace", Usage: "the workspace's `NAME`"},
+			&cli.StringFlag{Name: "chat", Usage: "the chat's `NAME`"},
+			&cli.StringFlag{Name: "gateway", Usage: "the control `ADDRESS` of a gateway; needs --host and --path"},
+			&cli.StringFlag{Name: "host", Usage: "the request's `HOST`"},
+			&cli.StringFlag{Name: "path", Usage: "the request's `PATH`"},
+			&cli.StringFlag{Name: "prompt", Usage: "the prompt's parts as `ID:TOKENS,...`"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			if err := checkExplainFlags(c); err != nil {
+				return err
+			}
 			ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 			defer cancel()
+			if c.IsSet("gateway") {
+				return explainGateway(ctx, c)
+			}
 			query := url.Values{"workspace": {c.String("workspace")}, "chat": {c.String("chat")}}
 			var explanation api.Explanation
 			target := "http://" + c.String("router") + "/explain?" + query.Encode()
@@ -46,3 +58,41 @@
 		fmt.Fprintf(w, "  - %s %s %s\n", candidate.Engine, candidate.FailureDomain, candidate.Reason)
 	}
 }
+
+// checkExplainFlags allows the flags of a router or those of a gateway.
+func checkExplainFlags(c *cli.Command) error {
+	router := []string{"router", "workspace", "chat"}
+	gateway := []string{"gateway", "host", "path"}
+	needed, others := router, append(gateway, "prompt")
+	if c.IsSet("gateway") {
+		needed, others = gateway, router
+	}
+	for _, name := range needed {
+		if !c.IsSet(name) {
+			return code.New(code.InvalidParameter, "explain needs --router, --workspace and --chat, or --gateway, --host and --path; --%s is missing", name)
+		}
+	}
+	for _, name := range others {
+		if c.IsSet(name) {
+			return code.New(code.InvalidParameter, "--%s does not go with --%s", name, needed[0])
+		}
+	}
+	return nil
+}
+
+// explainGateway prints what a gateway would do with a request.
+func explainGateway(ctx context.Context, c *cli.Command) error {
+	query := url.Values{"host": {c.String("host")}, "path": {c.String("path")}, "prompt": {c.String("prompt")}}
+	var explanation gateway.Explanation
+	target := "http://" + c.String("gateway") + gateway.ExplainPath + "?" + query.Encode()
+	if err := jsonhttp.Get(ctx, http.DefaultClient, target, &explanation); err != nil {
+		return err
+	}
+	w := c.Root().Writer
+	fmt.Fprintf(w, "route %s service %s version=%d age_ms=%d\n", explanation.Route, explanation.Service, explanation.Version, explanation.KnowledgeAgeMS)
+	for i, at := range explanation.Candidates {
+		fmt.Fprintf(w, "%3d %s %s %s cost_ms=%.0f load=%d missing=%d reading=%d delay_ms=%.0f fetch=%s fault_percent=%d avoided=%t\n",
+			i+1, at.Endpoint, at.FailureDomain, at.Reason, at.CostMS, at.Load, at.Missing, at.Reading, at.DelayMS, at.FetchFrom, at.FaultPercent, at.Avoided)
+	}
+	return nil
+}
--- a/cmd/cardamompoint/gateway_process_test.go
+++ b/cmd/cardamompoint/gateway_process_test.go
@@ -182,6 +182,33 @@
 	}
 }
 
+// TestExplainShowsWhereARequestGoes asks a gateway by the command, and gives it
+// arguments that don't go together.
+func TestExplainShowsWhereARequestGoes(t *testing.T) {
+	f := startHosted(t)
+	control := f.net + ".0.1:7003"
+	out, err := exec.Command("cardamompoint", "explain", "--gateway", control, "--host", hosted.Host, "--path", "/chat/1", "--prompt", "a:100,b:5").CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	for _, part := range []string{"route chat service engines version=1", "  1 engine-1 domain-a rank", "missing=100 reading=105"} {
+		if !strings.Contains(string(out), part) {
+			t.Errorf("%q lacks %q", out, part)
+		}
+	}
+	for _, arguments := range [][]string{
+		{"--gateway", control, "--host", hosted.Host},
+		{"--gateway", control, "--host", hosted.Host, "--path", "/chat/1", "--chat", "x"},
+		{"--gateway", control, "--host", hosted.Host, "--path", "/nowhere"},
+		{"--router", control, "--workspace", "w"},
+		{},
+	} {
+		if out, err := exec.Command("cardamompoint", append([]string{"explain"}, arguments...)...).CombinedOutput(); err == nil {
+			t.Errorf("%v is accepted: %s", arguments, out)
+		}
+	}
+}
+
 // TestChangedSettingsAreReloaded changes the file and sends SIGHUP, then breaks
 // it: the gateway goes on with the last sound one.
 func TestChangedSettingsAreReloaded(t *testing.T) {
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -23,6 +23,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+knowledgePath, g.serveKnowledge)
 	mux.HandleFunc("GET "+StatusPath, g.serveStatus)
+	mux.HandleFunc("GET "+ExplainPath, g.serveExplanation)
 	mux.HandleFunc("GET "+placesPath, func(w http.ResponseWriter, _ *http.Request) {
 		jsonhttp.Write(w, g.table.Places())
 	})
