Let go of callers that read nothing

Cause: a caller that did not read its answer held its connection, the endpoint's and its room for ever: nothing bounded the writes to it.

Change: writes end one second after the request's time, those of refusals after six; each request of a connection sets its own bound.

Test: TestCallerThatReadsNothingIsLetGo, which waited in vain before.

--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -35,13 +35,35 @@
 	}
 	defer c.log()
 	defer c.dropBodyRoom()
+	c.boundWrites(refusalWriteTime)
 	if err := c.prepare(); err != nil {
 		c.refuse(err)
 		return
 	}
+	c.boundWrites(c.total)
 	c.run()
 }
 
+const (
+	// refusalWriteTime bounds the write of a refusal.
+	refusalWriteTime = 5 * time.Second
+	// writeSlack is added to the caller's time for the end of an answer.
+	writeSlack = time.Second
+)
+
+// boundWrites ends the connection of a caller that does not read the answer
+// within limit from now; 0 means no bound. The bound of the request before on
+// this connection is replaced.
+func (c *call) boundWrites(limit time.Duration) {
+	deadline := time.Time{}
+	if limit > 0 {
+		deadline = time.Now().Add(limit + writeSlack)
+	}
+	if err := http.NewResponseController(c.w).SetWriteDeadline(deadline); err != nil {
+		c.detail = "the writes can't be bounded"
+	}
+}
+
 // call is one request of a caller.
 type call struct {
 	gateway *Gateway
--- /dev/null
+++ b/gateway/slow_reader_test.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"cardamompoint.example/cardamompoint/internal/standin/hosted"
+)
+
+// TestCallerThatReadsNothingIsLetGo asks for an answer that fits in no buffer and
+// does not read it: the request ends soon after the route's time.
+func TestCallerThatReadsNothingIsLetGo(t *testing.T) {
+	f := newTestFleet(t, 1)
+	long := strings.Repeat("x", 16<<20)
+	f.listen(f.address(120, workerPort), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for _, name := range []string{"Cardamompoint-Attempt-Id"} {
+			w.Header().Set(name, r.Header.Get(name))
+		}
+		w.Header().Set("Cardamompoint-Response-Seal", "x")
+		_, _ = io.WriteString(w, long)
+	}))
+	f.store.Leave("plain-1")
+	f.store.Leave("plain-2")
+	f.store.Enter("long-1", "plain", f.address(120, workerPort), "ready")
+	g := f.gateways[0]
+	f.eventually("only the long answer is left", func() bool {
+		ready := g.tracker.Snapshot().Ready["plain"]
+		return len(ready) == 1 && ready[0].ID == "long-1"
+	})
+	conn, err := net.Dial("tcp", f.address(1, frontPort))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "POST /open/1 HTTP/1.1\r\nHost: %s\r\nCardamompoint-Attempt-Id: a1\r\nContent-Length: 0\r\n\r\n", hosted.Host)
+	f.eventually("the request is served", func() bool { return g.active.Load() == 1 })
+	f.eventually("the caller is let go", func() bool { return g.active.Load() == 0 })
+}
