Send reports of large fleets to four VMs

Cause: seven targets of each report took most of the control bytes and a good part of the processor time on the grown sites.

Change: three VMs of the own failure domain and one other.

--- a/news/exchange.go
+++ b/news/exchange.go
@@ -26,8 +26,8 @@
 	namedMembers = 4
 	// nearTargets and farTargets are the numbers of VMs in the own and in other
 	// failure domains that get a report in large fleets.
-	nearTargets = 5
-	farTargets  = 2
+	nearTargets = 3
+	farTargets  = 1
 	// relayedPulses is the number of VMs that a report in a large fleet tells of.
 	relayedPulses = 12
 	// greetedReports is the number of first reports of a process that are
