Let one VM read the store at the first start of all

Change: at the first start of the whole fleet, which settings tell, a VM hears others for 1.5 s and waits up to 3 s for one that ranks before it. Later starts read at once.

--- a/gateway/duty.go
+++ b/gateway/duty.go
@@ -15,8 +15,9 @@
 const readerKey = "reader"
 
 // Leader implements knowledge.PeerSource. In each failure domain the VM that
-// ranks first of those with the largest capacity reads the store for the others. Where none can, the VMs of all
-// domains are ranked. VMs that disagree for a moment read once too often.
+// ranks first of those with the largest capacity reads the store for the others.
+// Where none can, the VMs of all domains are ranked. VMs that disagree for a moment
+// read once too often.
 func (g *Gateway) Leader() (address string, ok bool) {
 	alive := g.members.Alive(clock.Now())
 	leader := g.rankReaders(alive, func(domain string) bool { return domain == g.settings.FailureDomain })
@@ -46,8 +47,12 @@
 }
 
 // readsStore reports whether this VM reads the store now: it ranks first, or the
-// one that reads for it does not answer.
+// one that reads for it does not answer. A VM that has just started waits for a
+// moment.
 func (g *Gateway) readsStore() bool {
+	if g.holdsAtStart() {
+		return false
+	}
 	if _, follows := g.Leader(); !follows {
 		return true
 	}
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -37,11 +37,20 @@
 	done     []chan error
 	workers  map[string]*hosted.Worker
 	requests atomic.Int64
+	// first tells that gateways start for the first time.
+	first bool
 }
 
 // newTestFleet starts a store with the default configuration, two engines, two
 // plain workers and count gateways, and waits until all are ready.
 func newTestFleet(t testing.TB, count int) *testFleet {
+	t.Helper()
+	return startTestFleet(t, count, false)
+}
+
+// startTestFleet does the same; first tells that the whole fleet starts for the
+// first time.
+func startTestFleet(t testing.TB, count int, first bool) *testFleet {
 	t.Helper()
 	network, err := loopback.Reserve()
 	if err != nil {
@@ -52,7 +61,7 @@
 			t.Error(err)
 		}
 	})
-	f := &testFleet{t: t, network: network, store: hosted.NewStore(), workers: map[string]*hosted.Worker{}}
+	f := &testFleet{t: t, network: network, store: hosted.NewStore(), workers: map[string]*hosted.Worker{}, first: first}
 	f.listen(f.address(200, storePort), f.store)
 	f.store.Publish(hosted.DefaultConfiguration())
 	for i, id := range []string{"engine-1", "engine-2"} {
@@ -112,10 +121,12 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	settings.FirstStart = f.first
 	g, err := New(settings)
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	g.linger = 0 // No balancer has to notice that it ends.
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- g.Run(ctx) }()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,8 +43,11 @@
 	droppedLines func() int64
 
 	incarnation int64
-	stopping    atomic.Bool
-	learned     atomic.Bool
+	started     clock.Boot
+	// linger is how long new callers are still taken after SIGTERM.
+	linger   time.Duration
+	stopping atomic.Bool
+	learned  atomic.Bool
 	// places is closed when no request has to wait for what is learned at the
 	// start.
 	places      chan struct{}
@@ -57,6 +60,8 @@
 	g := &Gateway{
 		settings:    settings,
 		incarnation: time.Now().UnixNano(),
+		started:     clock.Now(),
+		linger:      lingerTime,
 		pool:        upstream.NewPool(),
 		bodies:      newBodyRoom(settings.MemoryBytes),
 		places:      make(chan struct{}),
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -124,7 +124,7 @@
 	if grace <= 0 {
 		grace = defaultGrace
 	}
-	time.Sleep(lingerTime)
+	time.Sleep(g.linger)
 	ctx, cancel := context.WithTimeout(context.Background(), grace-graceMargin-time.Since(began))
 	defer cancel()
 	cut := false
--- /dev/null
+++ b/gateway/start_hold.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"time"
+
+	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/news"
+	"cardamompoint.example/cardamompoint/rank"
+)
+
+const (
+	// hearingTime is how long VMs that all start for the first time hear each
+	// other before one of them reads the store, and readWithin how long the others
+	// wait for it.
+	hearingTime = 1500 * time.Millisecond
+	readWithin  = 3 * time.Second
+)
+
+// start is what a VM that knows no configuration yet has seen since its start.
+type start struct {
+	elapsed time.Duration
+	// first tells that the whole fleet starts for the first time.
+	first bool
+	// betterReader tells that another VM that is alive rather reads the store.
+	betterReader bool
+}
+
+// holds reports whether the VM waits for others instead of reading the store.
+// Only the first start of all has time for that.
+func (s start) holds() bool {
+	return s.first && (s.elapsed < hearingTime || (s.betterReader && s.elapsed < readWithin))
+}
+
+// holdsAtStart reports whether this VM still waits for others.
+func (g *Gateway) holdsAtStart() bool {
+	if _, known := g.tracker.Confirmed(); known {
+		return false
+	}
+	now := clock.Now()
+	return start{
+		elapsed:      now.Sub(g.started),
+		first:        g.settings.FirstStart,
+		betterReader: g.hasBetterReader(g.members.Alive(now)),
+	}.holds()
+}
+
+// hasBetterReader reports whether a VM of the own failure domain ranks before
+// this one for reading the store.
+func (g *Gateway) hasBetterReader(alive []news.Member) bool {
+	own := rank.Key(readerKey, g.settings.IP)
+	for i := range alive {
+		report := &alive[i].Report
+		if report.FailureDomain != g.settings.FailureDomain || report.StoreLost {
+			continue
+		}
+		if report.Capacity > g.settings.Capacity || report.Capacity == g.settings.Capacity && rank.Key(readerKey, report.Address) > own {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/standin/hosted/store.go
+++ b/internal/standin/hosted/store.go
@@ -36,6 +36,7 @@
 	fault    Fault
 	pageSize int
 	calls    int
+	ranges   int
 }
 
 // item is one stored item or the deletion of one.
@@ -113,6 +114,13 @@
 	return s.calls
 }
 
+// Ranges returns the number of calls that read items so far.
+func (s *Store) Ranges() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ranges
+}
+
 // ServeHTTP serves the store's reading calls.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
@@ -149,6 +157,7 @@
 
 func (s *Store) serveRange(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
+	s.ranges++
 	defer s.mu.Unlock()
 	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
 	var found []item
