Split the choice and the attempts into smaller files

choice/pick.go and gateway/run.go had grown; the survey of candidates and the choice of the next endpoint have files of their own. No change of behaviour; vet, linter and tests pass.

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -1,12 +1,10 @@
 package gateway
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
-	"cardamompoint.example/cardamompoint/choice"
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/clock"
 )
@@ -109,71 +107,6 @@
 	return nil
 }
 
-// next picks the endpoint of the next attempt from the newest knowledge. It waits
-// for a short time while the endpoint reads the same shared parts for another
-// request.
-func (c *call) next() (choice.Pick, error) {
-	for {
-		pick, err := c.pick()
-		if err != nil {
-			return pick, err
-		}
-		if pick.Unread > 0 && c.waitForRead(pick.Unread) {
-			continue
-		}
-		c.tried = append(c.tried, pick.Endpoint.ID)
-		if shared := c.request.Prompt.SharedTokens(); shared > 0 {
-			read := min(shared, pick.Reading)
-			c.gateway.metrics.Prompt(shared-read, read)
-		}
-		return pick, nil
-	}
-}
-
-// pick chooses an endpoint now.
-func (c *call) pick() (choice.Pick, error) {
-	snapshot := c.gateway.tracker.Snapshot()
-	if err := c.authorize(snapshot); err != nil {
-		return choice.Pick{}, err
-	}
-	if left, bounded := c.left(); bounded && left <= 0 {
-		return choice.Pick{}, code.New(code.DeadlineExceeded, "the time is over")
-	}
-	now := clock.Now()
-	tried := func(id string) bool { return slices.Contains(c.tried, id) }
-	pick, ok := c.gateway.table.Pick(snapshot.Ready[c.grant.service], &c.request.Prompt, c.grant.route.Objective, tried, now)
-	c.gateway.metrics.Choice(clock.Now().Sub(now))
-	if !ok {
-		return pick, code.New(code.NoEndpoint, "no endpoint of the service is left").After(comeBackStale)
-	}
-	return pick, nil
-}
-
-const (
-	// readWaitPart is the part of the objective for which a request waits at most
-	// until its shared parts are read, and readWait the same without objective.
-	readWaitPart = 0.45
-	readWait     = 300 * time.Millisecond
-	// readPoll is the time between two looks.
-	readPoll = 10 * time.Millisecond
-)
-
-// waitForRead waits for a moment. It returns false when the request has waited
-// long enough.
-func (c *call) waitForRead(unread time.Duration) bool {
-	limit := readWait
-	if objective := c.grant.route.Objective; objective > 0 {
-		limit = part(objective, readWaitPart)
-	}
-	if c.waited >= limit {
-		return false
-	}
-	began := clock.Now()
-	clock.Sleep(c.r.Context(), min(unread, readPoll))
-	c.waited += clock.Now().Sub(began)
-	return c.r.Context().Err() == nil
-}
-
 // hash spreads requests over a route's services; a chat stays with one.
 func (c *call) hash() uint64 {
 	parts := c.request.Prompt.Parts
--- a/gateway/slow_reader_test.go
+++ b/gateway/slow_reader_test.go
@@ -17,9 +17,7 @@
 	f := newTestFleet(t, 1)
 	long := strings.Repeat("x", 16<<20)
 	f.listen(f.address(120, workerPort), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		for _, name := range []string{"Cardamompoint-Attempt-Id"} {
-			w.Header().Set(name, r.Header.Get(name))
-		}
+		w.Header().Set("Cardamompoint-Attempt-Id", r.Header.Get("Cardamompoint-Attempt-Id"))
 		w.Header().Set("Cardamompoint-Response-Seal", "x")
 		_, _ = io.WriteString(w, long)
 	}))
