--- a/cmd/cardamompoint/soak_fleet_test.go
+++ b/cmd/cardamompoint/soak_fleet_test.go
@@ -175,6 +175,10 @@
 	return fmt.Sprintf("%s.%d.%d", s.net, i/perNumber, i%perNumber+1)
 }
 
+func (s *soak) settingsPath(g *soakGateway) string {
+	return filepath.Join(s.dir, fmt.Sprintf("settings-%d.toml", g.number))
+}
+
 // start runs a VM's process. Only the first one starts with the whole fleet.
 func (s *soak) start(g *soakGateway) {
 	seeds := []string{s.ip(0) + ":7003", s.ip(1) + ":7003"}
@@ -182,7 +186,7 @@
 	if g.boot.Load() > 0 {
 		text = strings.Replace(text, "bootstrap = true", "bootstrap = false", 1)
 	}
-	path := filepath.Join(s.dir, fmt.Sprintf("settings-%d.toml", g.number))
+	path := s.settingsPath(g)
 	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
 		s.t.Fatal(err)
 	}
--- a/cmd/cardamompoint/soak_test.go
+++ b/cmd/cardamompoint/soak_test.go
@@ -114,13 +114,17 @@
 func (s *soak) askNew(what string, gateway int, path, key string, want int) {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: soakTimeout}
 	s.eventually(what, func() bool {
-		s.mu.Lock()
-		id := fmt.Sprintf("f%015x", len(s.history.calls))
-		s.mu.Unlock()
-		return s.ask(client, soakCall{id: id, path: path, key: key, gateway: gateway}, 0).status == want
+		return s.ask(client, soakCall{id: s.newID(), path: path, key: key, gateway: gateway}, 0).status == want
 	})
 }
 
+// newID returns an id that no caller has used.
+func (s *soak) newID() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fmt.Sprintf("f%015x", len(s.history.calls))
+}
+
 // checkRecovery asks each kind at each gateway after the faults have ended.
 func (s *soak) checkRecovery() {
 	for i := range s.gateways {
