Let one piece of code rank readers, set log flags and reckon the budget

Found in reading the whole change: who reads the store was ranked by the same rule in two places; three places set flags of the log in the same way; Take and Left of the budget reckoned the same sum; explain built a call only to hash a prompt; an alias of a type, an empty branch of the soak's proxy and comments on names that are gone were left. No change of behaviour; the packages' tests pass.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -62,8 +62,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	account := b.account(service)
-	earned := b.limits().Ratio * account.first.sum(now)
-	if account.again.sum(now)+1 > caution*(earned+allowed) {
+	if b.left(account, allowed, now) < 1 {
 		return false
 	}
 	account.again.add(now, 1)
@@ -75,8 +74,14 @@
 	allowed := b.allowance()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	account := b.account(service)
-	return caution*(b.limits().Ratio*account.first.sum(now)+allowed) - account.again.sum(now)
+	return b.left(b.account(service), allowed, now)
+}
+
+// left returns how many further sends an account allows. The caller holds the
+// lock.
+func (b *Budget) left(account *account, allowed float64, now clock.Boot) float64 {
+	earned := b.limits().Ratio * account.first.sum(now)
+	return caution*(earned+allowed) - account.again.sum(now)
 }
 
 // allowance returns this VM's part of the fixed allowance.
--- a/cmd/cardamompoint/gateway.go
+++ b/cmd/cardamompoint/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"io"
 	"os"
 	"os/signal"
@@ -100,16 +99,8 @@
 
 // logTo sends each log line to sink, once.
 func logTo(sink io.Writer) error {
-	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
-	klog.InitFlags(flags)
-	values := map[string]string{"logtostderr": "false", "alsologtostderr": "false", "stderrthreshold": "FATAL", "one_output": "true"}
-	for name, value := range values {
-		if err := flags.Set(name, value); err != nil {
-			return err
-		}
-	}
 	klog.SetOutput(sink)
-	return nil
+	return setLogFlags(map[string]string{"logtostderr": "false", "alsologtostderr": "false", "stderrthreshold": "FATAL", "one_output": "true"})
 }
 
 // collectPercent is the growth of the heap at which garbage is collected.
--- a/cmd/cardamompoint/main.go
+++ b/cmd/cardamompoint/main.go
@@ -102,14 +102,10 @@
 // setUpExpectedFailures keeps lines of failed requests from the terminal: the
 // demo brings failures about.
 func setUpExpectedFailures() error {
-	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
-	klog.InitFlags(flags)
-	return flags.Set("stderrthreshold", "FATAL")
+	return setLogFlags(map[string]string{"stderrthreshold": "FATAL"})
 }
 
 func setUpLog(level int, quiet bool) error {
-	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
-	klog.InitFlags(flags)
 	values := map[string]string{"v": fmt.Sprint(level), "logtostderr": "true"}
 	if quiet {
 		values["logtostderr"] = "false"
@@ -117,6 +113,13 @@
 		values["alsologtostderr"] = "false"
 		klog.SetOutput(io.Discard)
 	}
+	return setLogFlags(values)
+}
+
+// setLogFlags sets flags of the log by name.
+func setLogFlags(values map[string]string) error {
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
 	for name, value := range values {
 		if err := flags.Set(name, value); err != nil {
 			return err
--- a/cmd/cardamompoint/soak_fleet_test.go
+++ b/cmd/cardamompoint/soak_fleet_test.go
@@ -24,7 +24,7 @@
 	random   *rand.Rand
 	gateways []*soakGateway
 	slots    []*soakSlot
-	// storeProxies are the ways of the gateways to the store.
+	// proxies stand before the store and each worker.
 	proxies []*soakProxy
 	plan    []string
 	began   time.Time
--- a/cmd/cardamompoint/soak_proxy_test.go
+++ b/cmd/cardamompoint/soak_proxy_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -78,9 +77,6 @@
 			time.Sleep(soakDelay)
 		}
 		if _, failed := to.Write(buffer[:count]); failed != nil || err != nil {
-			if err == io.EOF && failed == nil {
-				return
-			}
 			return
 		}
 	}
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -17,8 +17,8 @@
 const (
 	// leaseMargin is kept to the end of the key lease.
 	leaseMargin = 150 * time.Millisecond
-	// comeBackSoon, comeBackStale and comeBackLoad are when a refused caller
-	// should ask again: at another VM, or when there may be room.
+	// comeBackSoon and comeBackStale are when a refused caller should ask again: at
+	// another VM, or when this one may know more.
 	comeBackSoon  = 100 * time.Millisecond
 	comeBackStale = 500 * time.Millisecond
 	// defaultBodyLimit bounds a body while the configuration tells no limit.
@@ -159,7 +159,7 @@
 			return c.definite(code.New(code.UnknownKey, "the key is not known"))
 		}
 	}
-	next.service = route.Pick(c.hash())
+	next.service = route.Pick(serviceHash(&c.request))
 	if c.grant.service != "" && route.Allows(c.grant.service) {
 		next.service = c.grant.service
 	}
--- a/gateway/duty.go
+++ b/gateway/duty.go
@@ -14,6 +14,24 @@
 // readerKey ranks the VMs for reading the store.
 const readerKey = "reader"
 
+// readerRank orders the VMs for reading the store: by capacity, then by draw. The
+// zero value is behind all.
+type readerRank struct {
+	capacity int
+	draw     uint64
+}
+
+func newReaderRank(address string, capacity int) readerRank {
+	return readerRank{capacity, rank.Key(readerKey, address)}
+}
+
+func (r readerRank) before(other readerRank) bool {
+	if r.capacity != other.capacity {
+		return r.capacity > other.capacity
+	}
+	return r.draw > other.draw
+}
+
 // Leader implements knowledge.PeerSource. In each failure domain the VM that
 // ranks first of those with the largest capacity reads the store for the others.
 // Where none can, the VMs of all domains are ranked. VMs that disagree for a moment
@@ -30,11 +48,11 @@
 // rankReaders returns the VM that ranks first among those that the store serves
 // in the wanted domains, "" if there is none.
 func (g *Gateway) rankReaders(alive []news.Member, wanted func(domain string) bool) string {
-	leader, best, most := "", uint64(0), 0
+	leader, best := "", readerRank{}
 	consider := func(address, domain string, capacity int, serves bool) {
-		draw := rank.Key(readerKey, address)
-		if serves && wanted(domain) && (capacity > most || capacity == most && draw > best) {
-			leader, best, most = address, draw, capacity
+		own := newReaderRank(address, capacity)
+		if serves && wanted(domain) && own.before(best) {
+			leader, best = address, own
 		}
 	}
 	consider(g.settings.IP, g.settings.FailureDomain, g.settings.Capacity, !g.reader.Lost() && !g.stopping.Load())
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -47,13 +47,13 @@
 	if route == nil {
 		return nil, code.New(code.UnknownRoute, "no route has the host %q and the path %q", host, path)
 	}
-	c := &call{gateway: g, request: traffic.Request{Prompt: traffic.Prompt{Parts: platform.ParsePromptParts(parts)}}}
-	service := route.Pick(c.hash())
+	request := traffic.Request{Prompt: traffic.Prompt{Parts: platform.ParsePromptParts(parts)}}
+	service := route.Pick(serviceHash(&request))
 	return &Explanation{
 		Route:          route.Name,
 		Version:        snapshot.Configuration.Version,
 		KnowledgeAgeMS: g.knowledgeAge(),
 		Service:        service,
-		Candidates:     g.table.Explain(snapshot.Ready[service], &c.request.Prompt, route.Objective, clock.Now()),
+		Candidates:     g.table.Explain(snapshot.Ready[service], &request.Prompt, route.Objective, clock.Now()),
 	}, nil
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -7,6 +7,7 @@
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/traffic"
 )
 
 // maxSends bounds the endpoints that one request is sent to, also when they
@@ -107,13 +108,13 @@
 	return nil
 }
 
-// hash spreads requests over a route's services; a chat stays with one.
-func (c *call) hash() uint64 {
-	parts := c.request.Prompt.Parts
+// serviceHash spreads requests over a route's services; a chat stays with one.
+func serviceHash(request *traffic.Request) uint64 {
+	parts := request.Prompt.Parts
 	if len(parts) > 1 {
 		return parts[len(parts)-2].ID
 	}
-	return xxhash.Sum64String(c.request.ID)
+	return xxhash.Sum64String(request.ID)
 }
 
 // priority returns the rank that the endpoint is told.
--- a/gateway/start_hold.go
+++ b/gateway/start_hold.go
@@ -5,7 +5,6 @@
 
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/news"
-	"cardamompoint.example/cardamompoint/rank"
 )
 
 const (
@@ -47,13 +46,13 @@
 // hasBetterReader reports whether a VM of the own failure domain ranks before
 // this one for reading the store.
 func (g *Gateway) hasBetterReader(alive []news.Member) bool {
-	own := rank.Key(readerKey, g.settings.IP)
+	own := newReaderRank(g.settings.IP, g.settings.Capacity)
 	for i := range alive {
 		report := &alive[i].Report
 		if report.FailureDomain != g.settings.FailureDomain || report.StoreLost {
 			continue
 		}
-		if report.Capacity > g.settings.Capacity || report.Capacity == g.settings.Capacity && rank.Key(readerKey, report.Address) > own {
+		if newReaderRank(report.Address, report.Capacity).before(own) {
 			return true
 		}
 	}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -14,8 +14,6 @@
 	"cardamompoint.example/cardamompoint/platform"
 )
 
-type rawConn = syscall.RawConn
-
 // readBuffer is the size of a connection's read buffer.
 const readBuffer = 4096
 
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -92,7 +93,8 @@
 	return conn
 }
 
-// Put returns a connection for further use; it must be Reusable.
+// Put returns a connection for further use; its Finish has
+// returned true.
 func (p *Pool) Put(conn *Conn) {
 	p.mu.Lock()
 	full := len(p.idle[conn.key]) >= idlePerEndpoint
@@ -144,7 +146,7 @@
 }
 
 // setUnackedTimeout bounds the time that sent bytes wait for an acknowledgement.
-func setUnackedTimeout(_ context.Context, _, _ string, raw rawConn) error {
+func setUnackedTimeout(_ context.Context, _, _ string, raw syscall.RawConn) error {
 	var failed error
 	err := raw.Control(func(fd uintptr) {
 		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
