Refuse by rank while endpoints turn requests away

Ruled out: queues at gateways (hold refused requests), a coordinator (nobody may write shared state), caps in settings (refuse while there is room). Change: package shed measures the part of a service's requests that is too much and refuses about as many before they are sent, the last rank first: priority, then workspaces over four times an even share; never beyond a bound for a rank, and nothing under 0.6 of the slots. 201 overloaded or 202 workspace_share. Failure domains are not told apart, see design/shedding.md.

--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -86,6 +86,8 @@
 	// have run it.
 	sends int
 	runs  int
+	// turnedAway counts the endpoints that refused it since they are full.
+	turnedAway int
 	// held is the last failure that an endpoint answered.
 	held *wholeAnswer
 	// streaming tells that the answer's header is out, lastEvent the last event.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,6 +33,7 @@
 	budget   *budget.Budget
 	pool     *upstream.Pool
 	bodies   *bodyRoom
+	shedders *shedders
 	peers    *peerClient
 	reader   *knowledge.Reader
 	follower *knowledge.PeerReader
@@ -65,6 +66,7 @@
 		pool:        upstream.NewPool(),
 		bodies:      newBodyRoom(settings.MemoryBytes),
 		places:      make(chan struct{}),
+		shedders:    newShedders(),
 		table:       choice.NewTable(settings.FailureDomain, settings.Bounds.LoadMultiple),
 	}
 	g.bounds.Store(&settings.Bounds)
--- a/gateway/next.go
+++ b/gateway/next.go
@@ -21,6 +21,9 @@
 		if pick.Unread > 0 && c.waitForRead(pick.Unread) {
 			continue
 		}
+		if err := c.shed(pick); err != nil {
+			return pick, err
+		}
 		c.tried = append(c.tried, pick.Endpoint.ID)
 		if shared := c.request.Prompt.SharedTokens(); shared > 0 {
 			read := min(shared, pick.Reading)
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -52,6 +52,7 @@
 	for {
 		pick, err := c.next()
 		if err != nil {
+			c.countLost()
 			c.finish(err)
 			return
 		}
@@ -63,6 +64,9 @@
 		if came.fate == fateFailed || came.fate == fateBroken {
 			c.runs++
 		}
+		if came.turnedAway() {
+			c.turnedAway++
+		}
 		if stop := c.settle(came); stop {
 			return
 		}
@@ -84,6 +88,7 @@
 		return true
 	}
 	if err := c.mayTryAgain(came); err != nil {
+		c.countLost()
 		c.finish(err)
 		return true
 	}
--- /dev/null
+++ b/gateway/shedding.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cardamompoint.example/cardamompoint/choice"
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/shed"
+	"cardamompoint.example/cardamompoint/traffic"
+)
+
+// shedders holds one Shedder for each service. It is safe for concurrent use.
+type shedders struct {
+	mu       sync.Mutex
+	services map[string]*shed.Shedder
+}
+
+func newShedders() *shedders {
+	return &shedders{services: map[string]*shed.Shedder{}}
+}
+
+// of returns the Shedder of a service.
+func (s *shedders) of(service string) *shed.Shedder {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found, ok := s.services[service]
+	if !ok {
+		found = shed.New()
+		s.services[service] = found
+	}
+	return found
+}
+
+// outputWeight is the work of a token of the answer against one of the prompt.
+const outputWeight = 10
+
+// shed refuses a request before its first send if too many come for its service and
+// others go before it.
+func (c *call) shed(pick choice.Pick) error {
+	if c.sends > 0 {
+		return nil
+	}
+	request := shed.Request{
+		Priority:  c.priority(),
+		Cost:      workOf(&c.request.Prompt),
+		Draw:      xxhash.Sum64String(c.request.ID),
+		Occupancy: pick.Mean / float64(max(1, pick.Endpoint.Slots)),
+	}
+	if c.grant.workspace != nil {
+		request.Workspace = c.grant.workspace.Name
+	}
+	decision := c.gateway.shedders.of(c.grant.service).Decide(request, clock.Now())
+	if !decision.Refused {
+		return nil
+	}
+	reason := code.Overloaded
+	if decision.Over {
+		reason = code.WorkspaceShare
+	}
+	return code.New(reason, "%.0f%% of the requests for %s are too many, rank %d goes first; %.0f%% of the slots are taken",
+		100*decision.Excess, c.grant.service, decision.Rank, 100*request.Occupancy).After(comeBackLater(decision.Excess))
+}
+
+// workOf estimates the work of a request at an endpoint, in thousands of tokens; a
+// request without a prompt counts as one.
+func workOf(prompt *traffic.Prompt) float64 {
+	if len(prompt.Parts) == 0 {
+		return 1
+	}
+	output := prompt.ExpectedOutput
+	if output == 0 {
+		output = prompt.MaxOutput
+	}
+	own := max(0, prompt.Tokens-prompt.SharedTokens())
+	return float64(1000+own+outputWeight*output) / 1000
+}
+
+// comeBackLater tells a refused caller to leave the endpoints more time when more is
+// too much.
+func comeBackLater(excess float64) time.Duration {
+	return comeBackSoon + time.Duration(excess*float64(comeBackStale-comeBackSoon))
+}
+
+// turnedAway reports whether an endpoint refused a request since it is full.
+func (o outcome) turnedAway() bool {
+	full := o.status == http.StatusServiceUnavailable || o.status == http.StatusTooManyRequests
+	return o.fate == fateNotRun && !o.untouched && full
+}
+
+// countLost tells the Shedder of a request that endpoints turned away, all that it was
+// sent to.
+func (c *call) countLost() {
+	if c.sends > 0 && c.turnedAway == c.sends {
+		c.gateway.shedders.of(c.grant.service).Lost(clock.Now())
+	}
+}
