Refuse by the expected wait before endpoints turn requests away

Cause: with long queues at endpoints nothing is turned away, but most answers begin too late, and the many requests in progress crowd shared parts out of the engines' memories. Change: the excess is also reckoned from the wait that reports foretell: prompts still to be read and requests beyond the slots, as a part of the usual objective, which is one for the service so that only the rank tells who goes first (with each request's own one, chats were served less than tags).

--- a/choice/chooser.go
+++ b/choice/chooser.go
@@ -27,6 +27,8 @@
 	options []option
 	usable  int
 	total   int
+	// backlog is the number of prompt tokens that the candidates have still to read.
+	backlog int
 	// shared is the number of tokens of the shared parts.
 	shared int
 	// known tells that some candidate holds the last shared part.
@@ -56,6 +58,7 @@
 			faults:   known.faultShare(c.now),
 		}
 		c.total += o.load
+		c.backlog += known.reading + known.peersReading
 		c.known = c.known || c.holdsLast(known)
 		if !o.excluded {
 			c.usable++
--- a/choice/pick.go
+++ b/choice/pick.go
@@ -51,6 +51,9 @@
 	// Load is the estimated work in progress there, Mean that of the service.
 	Load int
 	Mean float64
+	// BacklogMS is how long the service's endpoints have to read on average, before
+	// this request's prompt.
+	BacklogMS float64
 	// Missing is the number of shared prompt tokens not known to be there.
 	Missing int
 	// Reading is the number of prompt tokens that the endpoint has to read.
@@ -112,6 +115,7 @@
 		Reason:    c.reason(o, bound),
 		Load:      o.load,
 		Mean:      c.mean(),
+		BacklogMS: float64(c.backlog) / float64(len(c.options)) / readTokensPerMS,
 		Missing:   o.missing,
 		Reading:   o.reading,
 		DelayMS:   o.delayMS,
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -78,6 +78,7 @@
 func (c *call) settle(came outcome) (stop bool) {
 	switch came.fate {
 	case fateDone:
+		c.countRun()
 		c.result = code.OK
 		return true
 	case fateGone:
--- a/gateway/shedding.go
+++ b/gateway/shedding.go
@@ -49,6 +49,8 @@
 		Priority:  c.priority(),
 		Cost:      workOf(&c.request.Prompt),
 		Draw:      xxhash.Sum64String(c.request.ID),
+		Backlog:   time.Duration(pick.BacklogMS * float64(time.Millisecond)),
+		Objective: c.grant.route.Objective,
 		Occupancy: pick.Mean / float64(max(1, pick.Endpoint.Slots)),
 	}
 	if c.grant.workspace != nil {
@@ -92,6 +94,13 @@
 	return o.fate == fateNotRun && !o.untouched && full
 }
 
+// countRun tells the Shedder how long a whole stream lasted after its first event.
+func (c *call) countRun() {
+	if c.streaming && c.firstAt >= c.began {
+		c.gateway.shedders.of(c.grant.service).Ran(clock.Now().Sub(c.firstAt))
+	}
+}
+
 // countLost tells the Shedder of a request that endpoints turned away, all that it was
 // sent to.
 func (c *call) countLost() {
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -114,7 +114,10 @@
 
 // TestFloodSparesOthers lets one workspace send twelve times its usual.
 func TestFloodSparesOthers(t *testing.T) {
-	flood := Scenarios(1)[2]
+	flood := Scenarios(1)[3]
+	if flood.Flood <= 1 {
+		t.Fatal("this is no flood")
+	}
 	if shares := play(t, flood, &GatewayWay{}).smallWorkspaces(); shares.Served < spared {
 		t.Errorf("%.3f of the other workspaces' requests are served", shares.Served)
 	}
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -41,7 +41,7 @@
 				Slots:         s.Slots,
 			},
 			memory:   newMemory(s.Memory),
-			queueLen: s.Slots / 4,
+			queueLen: s.Queue,
 		})
 	}
 	way.Start(f)
--- a/internal/emulator/gateway_way.go
+++ b/internal/emulator/gateway_way.go
@@ -127,6 +127,8 @@
 		Priority:  r.Kind.Priority,
 		Cost:      1 + float64(r.Own)/1000,
 		Draw:      w.fleet.random.Uint64(),
+		Backlog:   time.Duration(pick.BacklogMS * float64(time.Millisecond)),
+		Objective: r.Kind.Objective,
 		Occupancy: pick.Mean / float64(pick.Endpoint.Slots),
 	}
 	return w.shedders[r.VM].Decide(request, w.fleet.now).Refused
@@ -153,6 +155,9 @@
 		return
 	}
 	work.End()
+	if r.fate == Served {
+		w.shedders[w.vms[r]].Ran(w.fleet.now.Sub(r.firstAt))
+	}
 	w.tables[w.vms[r]].Answered(e.endpoint.ID, false, w.fleet.now)
 	delete(w.work, r)
 	delete(w.vms, r)
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -6,10 +6,12 @@
 type Scenario struct {
 	Name string
 	Seed uint64
-	// Engines and VMs are their numbers, Slots and Memory the size of one engine.
+	// Engines and VMs are their numbers, Slots, Queue and Memory the size of one
+	// engine: requests that run and that wait, and tokens.
 	Engines int
 	VMs     int
 	Slots   int
+	Queue   int
 	Memory  int
 	// Load is the rate of all kinds as a multiple of Kind.Rate.
 	Load float64
@@ -26,7 +28,7 @@
 
 // Calm returns a scenario that leaves engines some room.
 func Calm(seed uint64) Scenario {
-	return Scenario{Name: "calm", Seed: seed, Engines: 8, VMs: 6, Slots: 24, Memory: 240_000, Load: 0.6, For: 40 * time.Second, Flood: 1, Domain: 1, Long: 1}
+	return Scenario{Name: "calm", Seed: seed, Engines: 8, VMs: 6, Slots: 24, Queue: 6, Memory: 240_000, Load: 0.6, For: 40 * time.Second, Flood: 1, Domain: 1, Long: 1}
 }
 
 // Scenarios returns what is played in tests and tables.
@@ -40,6 +42,7 @@
 	return []Scenario{
 		Calm(seed),
 		change("overload", func(s *Scenario) { s.Load = 1.6 }),
+		change("overload, long queues", func(s *Scenario) { s.Load, s.Queue = 1.6, 72 }),
 		change("one workspace floods", func(s *Scenario) { s.Flood = 12 }),
 		change("one hot subject", func(s *Scenario) { s.Hot = 0.5 }),
 		change("one failure domain's burst", func(s *Scenario) { s.Domain = 5 }),
--- a/shed/shedder.go
+++ b/shed/shedder.go
@@ -11,6 +11,13 @@
 const (
 	// halfLife is the time after which a request counts half.
 	halfLife = 1500 * time.Millisecond
+	// waitFrom is the expected wait from which requests are refused, and waitMost that
+	// from which all but the least part are. Between them the excess grows evenly, so
+	// the wait settles where as much is refused as is too much.
+	waitFrom = 0.15
+	waitMost = 0.6
+	// newestWeight is the weight of the newest value in a smoothed one.
+	newestWeight = 0.05
 	// probe is the part of the sent requests that may be turned away while others are
 	// refused: it tells how much is still too much.
 	probe = 0.1
@@ -54,6 +61,11 @@
 	// use is the recent work of each workspace, total that of all.
 	use   map[string]float64
 	total float64
+	// ran is the smoothed time for which endpoints give an answer after its begin.
+	ran time.Duration
+	// objective is the smoothed objective of the requests. It is the same for all, so
+	// that only the rank tells who goes first.
+	objective time.Duration
 }
 
 // New returns a Shedder that has seen no request.
@@ -70,8 +82,11 @@
 	rank := level*priorities + min(max(r.Priority, 0), priorities-1)
 	s.arrived++
 	s.byRank[rank]++
-	decision := Decision{Rank: rank, Over: level > 0, Excess: s.lost / s.arrived}
-	if r.Occupancy < leastOccupancy || s.arrived < leastCount || decision.Excess < leastExcess {
+	s.objective = smooth(s.objective, r.Objective)
+	wait := s.wait(r)
+	decision := Decision{Rank: rank, Over: level > 0, Excess: max(s.lost/s.arrived, waitExcess(wait))}
+	idle := r.Occupancy < leastOccupancy && wait < waitFrom
+	if idle || s.arrived < leastCount || decision.Excess < leastExcess {
 		return decision
 	}
 	draw := float64(r.Draw) / math.MaxUint64
@@ -82,6 +97,36 @@
 	return decision
 }
 
+// wait returns the expected time until an endpoint begins with the answer, as a part of
+// the usual objective: it reads what came before, and has more requests than slots.
+func (s *Shedder) wait(r Request) float64 {
+	if s.objective <= 0 {
+		return 0
+	}
+	waiting := r.Backlog + time.Duration(max(0, r.Occupancy-1)*float64(s.ran))
+	return float64(waiting) / float64(s.objective)
+}
+
+// Ran notes how long an endpoint gave an answer after its begin.
+func (s *Shedder) Ran(took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ran = smooth(s.ran, took)
+}
+
+// smooth takes a new value into a smoothed one, which begins with the first.
+func smooth(known, next time.Duration) time.Duration {
+	if known == 0 {
+		return next
+	}
+	return known + time.Duration(float64(next-known)*newestWeight)
+}
+
+// waitExcess returns what part is too much if requests wait so long.
+func waitExcess(wait float64) float64 {
+	return min(1, max(0, (wait-waitFrom)/(waitMost-waitFrom)))
+}
+
 // weight is what a refused request counts against one that endpoints turned away.
 func (s *Shedder) weight(now clock.Boot) float64 {
 	if now.Sub(s.lostAt) > lossAge {
--- a/shed/shedder_test.go
+++ b/shed/shedder_test.go
@@ -172,3 +172,35 @@
 		s.Decide(Request{Workspace: "a", Priority: 1, Cost: 1, Occupancy: 1}, now)
 	}
 }
+
+// TestLongWaitsAreRefused lets endpoints queue more than they can begin in time, while
+// they turn nothing away.
+func TestLongWaitsAreRefused(t *testing.T) {
+	objective := time.Second
+	for _, c := range []struct {
+		name      string
+		backlog   time.Duration
+		occupancy float64
+		refused   bool
+	}{
+		{"nothing waits", 0, 0.9, false},
+		{"prompts wait, slots are free", 700 * time.Millisecond, 0.2, true},
+		{"requests wait for slots", 0, 1.5, true},
+		{"a short wait", 100 * time.Millisecond, 1, false},
+	} {
+		s := New()
+		now := clock.Boot(time.Hour)
+		refused := 0
+		for i := range 200 {
+			now = now.Add(20 * time.Millisecond)
+			s.Ran(2 * time.Second)
+			decision := s.Decide(Request{Cost: 1, Draw: uint64(i) << 55, Backlog: c.backlog, Objective: objective, Occupancy: c.occupancy}, now)
+			if decision.Refused {
+				refused++
+			}
+		}
+		if (refused > 100) != c.refused {
+			t.Errorf("%s: %d of 200 are refused", c.name, refused)
+		}
+	}
+}
