Ask seeds at a later start, and a lost store less often

Change: a VM that starts later asks two seeds, for 80 ms at most, before it reads the store, and then listens for 0.6 s who reads for others; while the store is lost only the first three VMs of each failure domain try every 0.8 s, the others every 3.2 s.

--- a/gateway/duty.go
+++ b/gateway/duty.go
@@ -72,12 +72,29 @@
 		return false
 	}
 	if _, follows := g.Leader(); !follows {
-		return true
+		return !g.toldBySeed()
 	}
 	now := clock.Now()
 	return g.follower.Failed(now) || g.tracker.Age(now) >= knowledge.StaleAfter
 }
 
+// tryingVMs is the number of VMs of each failure domain that try often to reach a lost
+// store.
+const tryingVMs = 3
+
+// othersTry reports whether enough VMs of the own failure domain rank before this one.
+func (g *Gateway) othersTry() bool {
+	own := newReaderRank(g.settings.IP, g.settings.Capacity)
+	before := 0
+	for _, member := range g.members.Alive(clock.Now()) {
+		report := &member.Report
+		if report.FailureDomain == g.settings.FailureDomain && newReaderRank(report.Address, report.Capacity).before(own) {
+			before++
+		}
+	}
+	return before >= tryingVMs
+}
+
 // Newer implements knowledge.PeerSource.
 func (g *Gateway) Newer(newest int64) (address string, ok bool) {
 	var near, far []string
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,7 +82,7 @@
 	g.budget = budget.New(g.retryLimits, g.countMembers)
 	g.peers = newPeerClient(settings.FirstPeerPort)
 	g.follower = knowledge.NewPeerReader(g, g.tracker)
-	g.reader = knowledge.NewReader(platform.NewStore(settings.StoreAddress), g.tracker, g.readsStore)
+	g.reader = knowledge.NewReader(platform.NewStore(settings.StoreAddress), g.tracker, g.readsStore, g.othersTry)
 	if err := g.addGauges(); err != nil {
 		return nil, err
 	}
@@ -159,7 +159,7 @@
 func (g *Gateway) Run(stop context.Context) error {
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go g.reader.Run(background)
+	go g.readStore(background)
 	go g.follower.Run(background)
 	go g.follower.Follow(background)
 	go g.exchange.Send(background)
--- a/knowledge/peer_reader.go
+++ b/knowledge/peer_reader.go
@@ -170,6 +170,11 @@
 	return nil
 }
 
+// AskOnce asks one VM for what it knows and takes that in.
+func (p *PeerReader) AskOnce(ctx context.Context, address string) error {
+	return p.ask(ctx, address, 0)
+}
+
 // behindFor returns for how long other VMs have known more.
 func (p *PeerReader) behindFor(behind bool, now clock.Boot) time.Duration {
 	if !behind {
--- a/knowledge/reader.go
+++ b/knowledge/reader.go
@@ -35,6 +35,8 @@
 	// retryPause and longestRetryPause bound the pause between failed calls.
 	retryPause        = 150 * time.Millisecond
 	longestRetryPause = 800 * time.Millisecond
+	// sparePause is the pause of a VM while enough others try.
+	sparePause = 3200 * time.Millisecond
 )
 
 // Reader feeds a Tracker from the store.
@@ -43,6 +45,8 @@
 	tracker *Tracker
 	// onDuty tells whether this VM reads from the store now.
 	onDuty func() bool
+	// othersTry tells whether enough other VMs try to reach a lost store.
+	othersTry func() bool
 	// revision is where the next watch begins; 0 asks for a whole read.
 	revision int64
 	lostAt   clock.Boot
@@ -51,9 +55,10 @@
 }
 
 // NewReader returns a Reader for the tracker. It reads while onDuty, which is
-// called often, returns true.
-func NewReader(store Store, tracker *Tracker, onDuty func() bool) *Reader {
-	return &Reader{store: store, tracker: tracker, onDuty: onDuty}
+// called often, returns true. While othersTry returns true, it asks a lost store
+// seldom: whoever reaches it tells the others.
+func NewReader(store Store, tracker *Tracker, onDuty, othersTry func() bool) *Reader {
+	return &Reader{store: store, tracker: tracker, onDuty: onDuty, othersTry: othersTry}
 }
 
 // Run reads until ctx ends.
@@ -112,6 +117,9 @@
 		r.pause = time.Millisecond
 		return
 	}
+	if r.othersTry() {
+		r.pause = sparePause
+	}
 	r.store.Reset()
 	if r.lostAt != 0 {
 		return
--- a/knowledge/reader_test.go
+++ b/knowledge/reader_test.go
@@ -15,6 +15,8 @@
 
 func always() bool { return true }
 
+func never() bool { return false }
+
 // TestReaderFollowsTheStore reads everything, then changes, then everything again
 // after the store has dropped its history.
 func TestReaderFollowsTheStore(t *testing.T) {
@@ -25,7 +27,7 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			NewReader(store, tracker, always).Run(ctx)
+			NewReader(store, tracker, always, never).Run(ctx)
 		}()
 		time.Sleep(time.Second)
 		store.put(endpointItem("b", 3))
@@ -54,7 +56,7 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			NewReader(store, NewTracker(nil), func() bool { return false }).Run(ctx)
+			NewReader(store, NewTracker(nil), never, never).Run(ctx)
 		}()
 		time.Sleep(10 * time.Second)
 		if reads, watches := store.calls(); reads+watches > 0 {
@@ -67,9 +69,19 @@
 
 // TestLostStoreIsAskedSeldom bounds the calls to a store that rejects them.
 func TestLostStoreIsAskedSeldom(t *testing.T) {
+	for others, limit := range map[bool]int{false: 20, true: 4} {
+		if calls := callsOfLostStore(t, others); calls > limit || calls < 2 {
+			t.Errorf("others try %v: %d calls in 10 s", others, calls)
+		}
+	}
+}
+
+// callsOfLostStore counts the calls of 10 s while the store refuses all.
+func callsOfLostStore(t *testing.T, others bool) int {
+	calls := 0
 	synctest.Test(t, func(t *testing.T) {
 		store := &fakeStore{fail: code.New(code.PlatformRejected, "busy")}
-		reader := NewReader(store, NewTracker(nil), always)
+		reader := NewReader(store, NewTracker(nil), always, func() bool { return others })
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
@@ -80,10 +92,10 @@
 		if !reader.Lost() {
 			t.Error("the store does not count as lost")
 		}
-		if reads, watches := store.calls(); reads+watches > 20 {
-			t.Errorf("%d calls in 10 s", reads+watches)
-		}
+		reads, watches := store.calls()
+		calls = reads + watches
 		cancel()
 		<-done
 	})
+	return calls
 }
