Count no workspace with a small part of the work as over its share

Cause: among hundreds of workspaces that send now and then, five requests in a row are four times an even share; under load they would have gone last. Change: a workspace is over its share from a tenth of all the work on. TestSmallWorkspacesAreNotOver failed first.

--- a/shed/shedder.go
+++ b/shed/shedder.go
@@ -46,6 +46,9 @@
 	// overFactor is the use, against an even share, from which a workspace is over it;
 	// each further level is at twice the use of the one before.
 	overFactor = 4.0
+	// leastOver is the part of the work of all below which no workspace is over its
+	// share: among many, a few requests in a row are no flood.
+	leastOver = 0.1
 )
 
 // Shedder decides for one service. It is safe for concurrent use.
@@ -184,7 +187,7 @@
 	s.total += r.Cost
 	even := s.total / float64(len(s.use))
 	over := s.use[r.Workspace] / (even * overFactor)
-	if len(s.use) < 2 || over < 1 {
+	if len(s.use) < 2 || over < 1 || s.use[r.Workspace] < leastOver*s.total {
 		return 0
 	}
 	return min(overLevels, 1+int(math.Log2(over)))
--- a/shed/shedder_test.go
+++ b/shed/shedder_test.go
@@ -204,3 +204,25 @@
 		}
 	}
 }
+
+// TestSmallWorkspacesAreNotOver lets hundreds of workspaces send now and then: one that
+// happens to send a few requests in a row is not over its share.
+func TestSmallWorkspacesAreNotOver(t *testing.T) {
+	s := New()
+	now := clock.Boot(time.Hour)
+	for i := range 1000 {
+		now = now.Add(25 * time.Millisecond)
+		s.Decide(Request{Workspace: time.Duration(i).String(), Cost: 1}, now)
+	}
+	for range 5 {
+		if decision := s.Decide(Request{Workspace: "small", Cost: 1}, now); decision.Over {
+			t.Fatal("a workspace with five requests of hundreds is over its share")
+		}
+	}
+	for range 500 {
+		s.Decide(Request{Workspace: "large", Cost: 1}, now)
+	}
+	if decision := s.Decide(Request{Workspace: "large", Cost: 1}, now); !decision.Over {
+		t.Error("a workspace with most of the requests is not over its share")
+	}
+}
