--- a/choice/bench_test.go
+++ b/choice/bench_test.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/knowledge"
 	"cardamompoint.example/cardamompoint/news"
+	"cardamompoint.example/cardamompoint/traffic"
 )
 
 func BenchmarkPick(b *testing.B) {
@@ -41,3 +43,20 @@
 		table.Receive(report, clock.Boot(time.Hour))
 	}
 }
+
+// BenchmarkUpdate takes in a snapshot, for which choices wait.
+func BenchmarkUpdate(b *testing.B) {
+	for _, count := range []int{140, 1000, 3000} {
+		b.Run(fmt.Sprint("endpoints=", count), func(b *testing.B) {
+			table := newTestTable(testEndpoints(count))
+			snapshot := &knowledge.Snapshot{Endpoints: map[string]*traffic.Endpoint{}}
+			for _, endpoint := range testEndpoints(count) {
+				snapshot.Endpoints[endpoint.ID] = endpoint
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				table.Update(snapshot)
+			}
+		})
+	}
+}
