Leave endpoints that say that they stop or want rest, and bound endless answers

Cause: nothing read an endpoint's word that it is about to stop, or that it wants no requests for a time; the head of an answer was read without a bound, and a refusal's or stray answer's body without end kept its request for ever, since closing such a body reads it to its end.

Change: notices of instances (choice/notice.go) that survive an entry's coming and going; a leaving endpoint serves only what has nowhere else to go, for half of the agreed drain time; all resting: refused at once, with the time at which the first is back. The word counts only from the endpoint's own, sealed answer. Heads are bounded at 32 KB, events at 128 KB, dropped bodies in bytes and time, kept answers together by a part of the memory. A refusal that was not read to its end no longer leaves its connection for further use.

Tests: choice, gateway (leaving, rest, foreign word, endless refusal), platform and upstream; TestEndlessAnswersAreGivenUp hung on the stray body before the change.

--- a/choice/chooser.go
+++ b/choice/chooser.go
@@ -55,7 +55,8 @@
 			missing:  c.missing(known),
 			position: lastPosition,
 			avoided:  c.now < known.avoidUntil,
-			excluded: excluded(endpoint.ID),
+			leaving:  known.notice.leavingAt != 0,
+			excluded: excluded(endpoint.ID) || known.notice.bars(c.now, c.table.leavingFor),
 			faults:   known.faultShare(c.now),
 		}
 		c.total += o.load
--- a/choice/cost.go
+++ b/choice/cost.go
@@ -1,8 +1,9 @@
 package choice
 
 const (
-	// overBoundMS and avoidedMS put a candidate behind all others.
+	// overBoundMS, leavingMS and avoidedMS put a candidate behind all others.
 	overBoundMS = 1e6
+	leavingMS   = 1e7
 	avoidedMS   = 1e8
 )
 
@@ -27,6 +28,9 @@
 	if o.avoided {
 		cost += avoidedMS
 	}
+	if o.leaving {
+		cost += leavingMS
+	}
 	if float64(o.load) > bound {
 		cost += overBoundMS + float64(o.load)*plainRequestMS
 	}
--- a/choice/explain.go
+++ b/choice/explain.go
@@ -28,6 +28,10 @@
 	FetchFrom    string `json:"fetch_from,omitempty"`
 	FaultPercent int    `json:"fault_percent"`
 	Avoided      bool   `json:"avoided"`
+	// Leaving tells that it has said that it is about to stop, Barred that no new
+	// request goes there.
+	Leaving bool `json:"leaving,omitempty"`
+	Barred  bool `json:"barred,omitempty"`
 }
 
 // Explain returns the candidates for a prompt in the order in which a choice
@@ -42,10 +46,23 @@
 	for i := range c.options {
 		all = append(all, c.describe(&c.options[i], bound))
 	}
-	slices.SortStableFunc(all, func(a, b Candidate) int { return cmp.Compare(a.CostMS, b.CostMS) })
+	slices.SortStableFunc(all, func(a, b Candidate) int {
+		if a.Barred != b.Barred {
+			return cmp.Compare(rankBarred(a), rankBarred(b))
+		}
+		return cmp.Compare(a.CostMS, b.CostMS)
+	})
 	return all
 }
 
+// rankBarred puts the candidates that get no request last.
+func rankBarred(c Candidate) int {
+	if c.Barred {
+		return 1
+	}
+	return 0
+}
+
 func (c *chooser) describe(o *option, bound float64) Candidate {
 	candidate := Candidate{
 		Endpoint:      o.endpoint.ID,
@@ -58,6 +75,8 @@
 		DelayMS:       o.delayMS,
 		FaultPercent:  int(o.faults * 100),
 		Avoided:       o.avoided,
+		Leaving:       o.leaving,
+		Barred:        o.excluded,
 	}
 	c.guessSource(o)
 	if o.source != nil {
--- a/choice/option.go
+++ b/choice/option.go
@@ -20,6 +20,7 @@
 	delayMS  float64
 	draw     uint64
 	avoided  bool
+	leaving  bool
 	excluded bool
 	faults   float64
 }
--- a/choice/pick.go
+++ b/choice/pick.go
@@ -140,7 +140,7 @@
 
 func (c *chooser) reason(o *option, bound float64) Reason {
 	switch {
-	case o.avoided || float64(o.load) > bound:
+	case o.avoided || o.leaving || float64(o.load) > bound:
 		return ReasonLast
 	case len(c.prompt.Parts) == 0:
 		return ReasonLoad
--- a/choice/state.go
+++ b/choice/state.go
@@ -35,6 +35,7 @@
 	// silent counts the failures to connect or to answer in a row.
 	silent     int
 	avoidUntil clock.Boot
+	notice     notice
 	// lostAt and failingAt are since when the endpoint does not answer, or fails
 	// most requests; 0 if it does not.
 	lostAt    clock.Boot
--- a/choice/status.go
+++ b/choice/status.go
@@ -21,6 +21,10 @@
 	FaultPercent int `json:"fault_percent"`
 	// Avoided tells that it gets no requests for a moment.
 	Avoided bool `json:"avoided"`
+	// Leaving tells that it has said that it is about to stop.
+	Leaving bool `json:"leaving,omitempty"`
+	// RestMS is how long it still wants no requests, in milliseconds.
+	RestMS int64 `json:"rest_ms,omitempty"`
 }
 
 // Status returns what is believed of all endpoints, in the order of their IDs.
@@ -41,6 +45,8 @@
 			Reading:      known.reading + known.peersReading,
 			FaultPercent: int(known.faultShare(now) * 100),
 			Avoided:      now < known.avoidUntil,
+			Leaving:      known.notice.leavingAt != 0,
+			RestMS:       max(0, known.notice.restUntil.Sub(now)).Milliseconds(),
 		})
 	}
 	slices.SortFunc(all, func(a, b EndpointStatus) int { return cmp.Compare(a.ID, b.ID) })
--- a/choice/table.go
+++ b/choice/table.go
@@ -24,6 +24,11 @@
 	// are never changed.
 	resolved map[**traffic.Endpoint][]*state
 	fresh    []news.PartPlace
+	// notices are what instances have said of the requests that they want; states of
+	// listed endpoints have a copy.
+	notices map[instance]notice
+	// leavingFor is how long endpoints that leave still get requests.
+	leavingFor time.Duration
 
 	// serial numbers the choices; options is the memory of the last one.
 	serial  uint64
@@ -46,6 +51,7 @@
 		parts:    newHolders(),
 		reports:  map[string][]news.Work{},
 		resolved: map[**traffic.Endpoint][]*state{},
+		notices:  map[instance]notice{},
 	}
 }
 
@@ -63,6 +69,7 @@
 		}
 		next := newState(id)
 		next.endpoint = endpoint
+		next.notice = t.notices[instanceOf(endpoint)]
 		if ok {
 			next.own, next.peers = known.own, known.peers
 			next.reading, next.peersReading = known.reading, known.peersReading
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"time"
@@ -46,6 +45,8 @@
 	response *http.Response
 	answer   platform.Answer
 	sending  chan error
+	// leftOver tells that a part of the answer was not read.
+	leftOver bool
 }
 
 // attempt sends the request to one endpoint and passes the answer on.
@@ -78,8 +79,8 @@
 // readWhole reports whether the endpoint's whole answer was read, so that nothing
 // is left on the connection.
 func (x *exchange) readWhole(came outcome) bool {
-	if x.response == nil {
-		return false // The request was not sent, or not answered.
+	if x.response == nil || x.leftOver {
+		return false // The request was not sent, or its answer was not read to the end.
 	}
 	switch came.fate {
 	case fateDone, fateNotRun:
@@ -123,12 +124,34 @@
 	}
 	x.response, x.answer = response, answer
 	x.gateway.metrics.FirstByte(clock.Now().Sub(sent))
-	if answer.HasLoad {
-		x.gateway.table.Told(x.pick.Endpoint.ID, answer.Load, clock.Now())
-	}
+	x.heed()
 	return x.handle()
 }
 
+// heed takes in what the endpoint says of itself with an answer. The word of another
+// instance at the address, or of an answer that is not sealed, does not count.
+func (x *exchange) heed() {
+	if x.answer.WrongInstance || x.unsealed() {
+		return
+	}
+	now := clock.Now()
+	table := x.gateway.table
+	if x.answer.HasLoad {
+		table.Told(x.pick.Endpoint.ID, x.answer.Load, now)
+	}
+	if x.answer.Leaving {
+		table.Leaves(x.pick.Endpoint, now)
+	}
+	if x.answer.RestFor > 0 {
+		table.Rests(x.pick.Endpoint, now.Add(x.answer.RestFor), now)
+	}
+}
+
+// unsealed reports whether a success lacks the endpoint's seal or was changed on the way.
+func (x *exchange) unsealed() bool {
+	return x.answer.Status < http.StatusMultipleChoices && (!x.answer.Sealed || x.answer.Encoded)
+}
+
 // send writes the request. ok is false if that failed.
 func (x *exchange) send() (came outcome, ok bool) {
 	left, bounded := x.left()
@@ -238,7 +261,7 @@
 		err := x.dropBody()
 		x.gateway.table.Answered(id, true, now)
 		return outcome{fate: fateNotRun, status: x.answer.Status, err: statusError(x.answer.Status, err)}
-	case x.answer.Status < http.StatusMultipleChoices && (!x.answer.Sealed || x.answer.Encoded):
+	case x.unsealed():
 		return x.broken(code.New(code.EndpointFault, "the answer is not sealed"))
 	case x.answer.Status < http.StatusMultipleChoices && x.grant.route.Stream:
 		return x.passStream()
@@ -257,10 +280,13 @@
 	return code.New(code.EndpointFault, "the endpoint answered with status %d", status)
 }
 
-// dropLimit bounds the body of a refusal that is read to keep the connection.
-const dropLimit = 16 << 10
+// dropTime bounds the time in which the body of a refusal is read to keep the connection.
+const dropTime = 200 * time.Millisecond
 
+// dropBody reads a refusal to its end. On an error the connection can't be kept.
 func (x *exchange) dropBody() error {
-	_, err := io.Copy(io.Discard, io.LimitReader(x.response.Body, dropLimit))
+	x.expire(dropTime)
+	err := upstream.Discard(x.response)
+	x.leftOver = err != nil
 	return err
 }
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -75,7 +75,9 @@
 	body    []byte
 	// bodyBytes is the room that the body takes.
 	bodyBytes int64
-	grant     grant
+	// answerBytes is the room that answers of endpoints take.
+	answerBytes int64
+	grant       grant
 
 	// total is how long the caller is kept waiting at most; 0 means no bound.
 	total time.Duration
@@ -238,6 +240,7 @@
 
 func (c *call) dropBodyRoom() {
 	c.gateway.bodies.give(c.bodyBytes)
+	c.gateway.answers.give(c.answerBytes)
 }
 
 // readAll reads source to its end; size is its expected size, or negative.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,6 +33,7 @@
 	budget   *budget.Budget
 	pool     *upstream.Pool
 	bodies   *bodyRoom
+	answers  *bodyRoom
 	shedders *shedders
 	peers    *peerClient
 	reader   *knowledge.Reader
@@ -64,12 +65,13 @@
 		started:     clock.Now(),
 		linger:      lingerTime,
 		pool:        upstream.NewPool(),
-		bodies:      newBodyRoom(settings.MemoryBytes),
+		bodies:      newBodyRoom(settings.MemoryBytes, bodyPart),
+		answers:     newBodyRoom(settings.MemoryBytes, answerPart),
 		places:      make(chan struct{}),
 		shedders:    newShedders(),
 		table:       choice.NewTable(settings.FailureDomain, settings.Bounds.LoadMultiple),
 	}
-	g.bounds.Store(&settings.Bounds)
+	g.setBounds(settings.Bounds)
 	g.placesKnown = sync.OnceFunc(func() { close(g.places) })
 	instruments, err := metrics.NewGateway()
 	if err != nil {
@@ -123,11 +125,20 @@
 // Reload takes in changed settings. Addresses stay as they are until the
 // process starts anew.
 func (g *Gateway) Reload(next *traffic.Settings) {
-	bounds := next.Bounds
-	g.bounds.Store(&bounds)
+	g.setBounds(next.Bounds)
 	klog.InfoS("gateway: settings were reloaded", "settings", next.Checksum, "started_with", g.settings.Checksum)
 }
 
+// lastUsePart is the part of the drain time for which an endpoint that leaves still gets
+// requests that have nowhere else to go; those that wait before they are sent need the
+// rest.
+const lastUsePart = 0.5
+
+func (g *Gateway) setBounds(bounds traffic.Bounds) {
+	g.bounds.Store(&bounds)
+	g.table.UseLeaving(part(bounds.DrainWithin, lastUsePart))
+}
+
 func (g *Gateway) retryLimits() budget.Limits {
 	bounds := g.bounds.Load()
 	return budget.Limits{Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow}
--- a/gateway/next.go
+++ b/gateway/next.go
@@ -7,6 +7,7 @@
 	"cardamompoint.example/cardamompoint/choice"
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/knowledge"
 )
 
 // next picks the endpoint of the next attempt from the newest knowledge. It waits
@@ -47,11 +48,21 @@
 	pick, ok := c.gateway.table.Pick(snapshot.Ready[c.grant.service], &c.request.Prompt, c.grant.route.Objective, tried, now)
 	c.gateway.metrics.Choice(clock.Now().Sub(now))
 	if !ok {
-		return pick, code.New(code.NoEndpoint, "no endpoint of the service is left").After(comeBackStale)
+		return pick, code.New(code.NoEndpoint, "no endpoint of the service is left").After(c.comeBackRested(snapshot, now))
 	}
 	return pick, nil
 }
 
+// comeBackRested returns when a caller for whom no endpoint is left should come back: when
+// the first endpoint takes requests again, if all want rest.
+func (c *call) comeBackRested(snapshot *knowledge.Snapshot, now clock.Boot) time.Duration {
+	rest := c.gateway.table.RestLeft(snapshot.Ready[c.grant.service], now)
+	if rest == 0 {
+		return comeBackStale
+	}
+	return max(rest, comeBackSoon)
+}
+
 const (
 	// readWaitPart is the part of the objective for which a request waits at most
 	// until its shared parts are read, and readWait the same without objective.
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -15,6 +15,9 @@
 // passWhole reads an answer to its end before the caller gets it, so that a
 // broken one can be replaced.
 func (x *exchange) passWhole() outcome {
+	if !x.takeAnswerRoom() {
+		return x.passLong(nil)
+	}
 	body, err := io.ReadAll(io.LimitReader(x.response.Body, wholeLimit+1))
 	if err != nil {
 		return x.broken(err)
@@ -32,6 +35,20 @@
 	return x.deliver(answer)
 }
 
+// takeAnswerRoom reserves room for the answer until the end of the call. It returns false
+// if the answers of other calls fill it.
+func (x *exchange) takeAnswerRoom() bool {
+	size := int64(wholeLimit + 1)
+	if length := x.response.ContentLength; length >= 0 {
+		size = min(size, length)
+	}
+	if !x.gateway.answers.tryTake(size) {
+		return false
+	}
+	x.answerBytes += size
+	return true
+}
+
 // deliver sends a whole answer to the caller.
 func (c *call) deliver(answer *wholeAnswer) outcome {
 	platform.CopyAnswerHeader(c.w.Header(), answer.header)
@@ -44,7 +61,7 @@
 	return outcome{fate: fateDone, status: answer.status}
 }
 
-// passLong passes an answer on that is too long to be kept.
+// passLong passes an answer on that is too long to be kept, or for which there is no room.
 func (x *exchange) passLong(begin []byte) outcome {
 	platform.CopyAnswerHeader(x.w.Header(), x.response.Header)
 	if x.response.ContentLength >= 0 {
--- a/internal/standin/hosted/worker.go
+++ b/internal/standin/hosted/worker.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -35,6 +36,12 @@
 	Cut
 	// Twice sends a further answer behind the right one.
 	Twice
+	// Leave serves and says that the worker is about to stop.
+	Leave
+	// Rest answers that the request was not run, and when the worker wants the next one.
+	Rest
+	// Endless answers that the request was not run, in a body without end.
+	Endless
 )
 
 // Worker stands in for a worker of the platform, an engine or a plain service.
@@ -45,6 +52,10 @@
 	// Events is the number of events of a stream, Pause the time between them.
 	Events int
 	Pause  time.Duration
+	// RestFor is what Rest tells, in seconds.
+	RestFor string
+	// Header is added to each answer.
+	Header http.Header
 
 	mu     sync.Mutex
 	plan   []Behaviour
@@ -131,6 +142,7 @@
 	}
 	id := r.Header.Get("Cardamompoint-Attempt-Id")
 	behaviour := w.note(id, r, string(body))
+	maps.Copy(out.Header(), w.Header)
 	out.Header().Set("Cardamompoint-Attempt-Id", id)
 	out.Header().Set("Cardamompoint-Server-Load", "1,0,8")
 	if expected := r.Header.Get("Cardamompoint-Expect-Instance"); expected != "" && expected != w.ID {
@@ -150,7 +162,8 @@
 		behaviour, w.plan = w.plan[0], w.plan[1:]
 	}
 	expected := r.Header.Get("Cardamompoint-Expect-Instance")
-	run := behaviour != Refuse && (expected == "" || expected == w.ID)
+	refused := behaviour == Refuse || behaviour == Rest || behaviour == Endless
+	run := !refused && (expected == "" || expected == w.ID)
 	if run {
 		w.runs[id]++
 		w.keepParts(r.Header.Get("Cardamompoint-Prompt-Prefix"))
@@ -167,6 +180,21 @@
 	case Refuse:
 		out.Header().Set("Cardamompoint-Not-Executed", "1")
 		out.WriteHeader(http.StatusServiceUnavailable)
+	case Rest:
+		out.Header().Set("Cardamompoint-Not-Executed", "1")
+		out.Header().Set("Retry-After", w.RestFor)
+		out.WriteHeader(http.StatusServiceUnavailable)
+	case Endless:
+		out.Header().Set("Cardamompoint-Not-Executed", "1")
+		out.WriteHeader(http.StatusServiceUnavailable)
+		for r.Context().Err() == nil {
+			if _, err := out.Write(make([]byte, 1<<10)); err != nil {
+				return
+			}
+		}
+	case Leave:
+		out.Header().Set("Server-Leaving", "1")
+		w.serve(out, r, id, behaviour)
 	case Fail:
 		w.seal(out)
 		out.WriteHeader(http.StatusInternalServerError)
--- a/stream/events.go
+++ b/stream/events.go
@@ -11,7 +11,7 @@
 	// eventBuffer is the first size of the buffer of an EventReader, eventLimit
 	// the largest event that it takes.
 	eventBuffer = 4 << 10
-	eventLimit  = 1 << 20
+	eventLimit  = 128 << 10
 )
 
 // EventReader splits a stream into whole server-sent events without decoding
--- a/traffic/settings.go
+++ b/traffic/settings.go
@@ -50,6 +50,9 @@
 	StrictRevoke bool
 	// ConfigWithin is how fast a new configuration must be in force.
 	ConfigWithin time.Duration
+	// DrainWithin is how long after it is known that an endpoint leaves new requests
+	// may still reach it.
+	DrainWithin time.Duration
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace time.Duration
 	// RetryRatio and RetrySlack bound the sends beyond the first one to one
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -25,6 +25,7 @@
 type Conn struct {
 	key    string
 	raw    net.Conn
+	bound  *headBound
 	reader *bufio.Reader
 	// reused tells that the connection has served a request before.
 	reused    bool
@@ -32,7 +33,8 @@
 }
 
 func newConn(key string, raw net.Conn) *Conn {
-	return &Conn{key: key, raw: raw, reader: bufio.NewReaderSize(raw, readBuffer)}
+	bound := &headBound{source: raw}
+	return &Conn{key: key, raw: raw, bound: bound, reader: bufio.NewReaderSize(bound, readBuffer)}
 }
 
 // Reused reports whether the connection has served a request before.
@@ -62,7 +64,9 @@
 // Answers to earlier requests are skipped.
 func (c *Conn) ReadAnswer(method, id string) (*http.Response, platform.Answer, error) {
 	for range strayAnswers + 1 {
+		c.bound.begin()
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		c.bound.end()
 		if err != nil {
 			return nil, platform.Answer{}, code.Wrap(err, code.EndpointFault, "no answer can be read")
 		}
@@ -73,7 +77,7 @@
 		if answer.ID == id {
 			return response, answer, nil
 		}
-		if err := discard(response); err != nil {
+		if err := Discard(response); err != nil {
 			return nil, platform.Answer{}, code.Wrap(err, code.EndpointFault, "an answer to another request broke off")
 		}
 	}
