Walk members without copies, pack reports in binary form and check their senders

Cause: each look at the members copied and sorted all of them (234 us and 74 KB at 295 VMs), 20 to 40 times a second and VM; a report of a large fleet took 131 us to pack and 163 us to unpack (JSON and deflate), 16 of them a second and VM. Reports were believed from any sender.

Change: news.Table keeps a list that is visited in place and sampled as far as needed; the rank for duties is drawn once. Reports have a binary form in which a name is written once: 17 to 25 us to pack, 11 us to unpack, at most 1,400 bytes as before. Each field has bounds. A report must come from the address and port that it names, a greeting from a VM that was written to, and a VM's own word goes before what others tell of it. The age of another VM's knowledge counts from its own report, not from when others heard it.

Figures (benchmarks on a busy machine): a look at 300 members 2.1 us, at 1,000 6.7 us, no allocation; the members' part of a report 14 us at 300. Failed first: reports of other senders, greetings of strangers, own word after a forged pulse, all of TestReportsOutOfBounds (the fields had no bounds).

--- a/gateway/duty.go
+++ b/gateway/duty.go
@@ -8,12 +8,8 @@
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/knowledge"
 	"cardamompoint.example/cardamompoint/news"
-	"cardamompoint.example/cardamompoint/rank"
 )
 
-// readerKey ranks the VMs for reading the store.
-const readerKey = "reader"
-
 // readerRank orders the VMs for reading the store: by capacity, then by draw. The
 // zero value is behind all.
 type readerRank struct {
@@ -21,8 +17,13 @@
 	draw     uint64
 }
 
-func newReaderRank(address string, capacity int) readerRank {
-	return readerRank{capacity, rank.Key(readerKey, address)}
+func rankOf(member *news.Member) readerRank {
+	return readerRank{member.Report.Capacity, member.Draw}
+}
+
+// ownRank is the rank of this VM.
+func (g *Gateway) ownRank() readerRank {
+	return readerRank{g.settings.Capacity, g.draw}
 }
 
 func (r readerRank) before(other readerRank) bool {
@@ -32,36 +33,44 @@
 	return r.draw > other.draw
 }
 
+// candidate is the best reader of some VMs that was found so far.
+type candidate struct {
+	address string
+	rank    readerRank
+}
+
+func (c *candidate) consider(address string, rank readerRank) {
+	if rank.before(c.rank) {
+		c.address, c.rank = address, rank
+	}
+}
+
 // Leader implements knowledge.PeerSource. In each failure domain the VM that
 // ranks first of those with the largest capacity reads the store for the others.
 // Where none can, the VMs of all domains are ranked. VMs that disagree for a moment
 // read once too often.
 func (g *Gateway) Leader() (address string, ok bool) {
-	alive := g.members.Alive(clock.Now())
-	leader := g.rankReaders(alive, func(domain string) bool { return domain == g.settings.FailureDomain })
-	if leader == "" {
-		leader = g.rankReaders(alive, func(string) bool { return true })
+	var near, anywhere candidate
+	if !g.reader.Lost() && !g.stopping.Load() {
+		near.consider(g.settings.IP, g.ownRank())
+		anywhere.consider(g.settings.IP, g.ownRank())
 	}
-	return leader, leader != "" && leader != g.settings.IP
-}
-
-// rankReaders returns the VM that ranks first among those that the store serves
-// in the wanted domains, "" if there is none.
-func (g *Gateway) rankReaders(alive []news.Member, wanted func(domain string) bool) string {
-	leader, best := "", readerRank{}
-	consider := func(address, domain string, capacity int, serves bool) {
-		own := newReaderRank(address, capacity)
-		if serves && wanted(domain) && own.before(best) {
-			leader, best = address, own
-		}
-	}
-	consider(g.settings.IP, g.settings.FailureDomain, g.settings.Capacity, !g.reader.Lost() && !g.stopping.Load())
-	for _, member := range alive {
+	now := clock.Now()
+	g.members.Each(now, func(member *news.Member) {
 		report := &member.Report
-		serves := !report.StoreLost && report.AgeMS >= 0 && !g.follower.FailedAt(report.Address, clock.Now())
-		consider(report.Address, report.FailureDomain, report.Capacity, serves)
+		if report.StoreLost || report.AgeMS < 0 || g.follower.FailedAt(report.Address, now) {
+			return
+		}
+		anywhere.consider(report.Address, rankOf(member))
+		if report.FailureDomain == g.settings.FailureDomain {
+			near.consider(report.Address, rankOf(member))
+		}
+	})
+	leader := near.address
+	if leader == "" {
+		leader = anywhere.address
 	}
-	return leader
+	return leader, leader != "" && leader != g.settings.IP
 }
 
 // readsStore reports whether this VM reads the store now: it ranks first, or the
@@ -84,50 +93,66 @@
 
 // othersTry reports whether enough VMs of the own failure domain rank before this one.
 func (g *Gateway) othersTry() bool {
-	own := newReaderRank(g.settings.IP, g.settings.Capacity)
-	before := 0
-	for _, member := range g.members.Alive(clock.Now()) {
-		report := &member.Report
-		if report.FailureDomain == g.settings.FailureDomain && newReaderRank(report.Address, report.Capacity).before(own) {
-			before++
+	return g.betterReaders(func(*news.Member) bool { return true }) >= tryingVMs
+}
+
+// betterReaders counts the VMs of the own failure domain that rank before this one for
+// reading the store and that counts accepts.
+func (g *Gateway) betterReaders(counts func(*news.Member) bool) int {
+	better := 0
+	own := g.ownRank()
+	g.members.Each(clock.Now(), func(member *news.Member) {
+		if member.Report.FailureDomain == g.settings.FailureDomain && rankOf(member).before(own) && counts(member) {
+			better++
 		}
-	}
-	return before >= tryingVMs
+	})
+	return better
 }
 
-// Newer implements knowledge.PeerSource.
+// Newer implements knowledge.PeerSource. Each VM asks another one, so that none has to
+// answer all.
 func (g *Gateway) Newer(newest int64) (address string, ok bool) {
-	var near, far []string
-	for _, member := range g.members.Alive(clock.Now()) {
+	var near, far draw
+	g.members.Each(clock.Now(), func(member *news.Member) {
 		switch {
 		case member.Report.Newest <= newest:
 		case member.Report.FailureDomain == g.settings.FailureDomain:
-			near = append(near, member.Report.Address)
+			near.offer(member.Report.Address)
 		default:
-			far = append(far, member.Report.Address)
+			far.offer(member.Report.Address)
 		}
+	})
+	if near.offered > 0 {
+		return near.address, true
 	}
-	// Each VM asks another one, so that none has to answer all.
-	for _, addresses := range [][]string{near, far} {
-		if len(addresses) > 0 {
-			return addresses[rand.IntN(len(addresses))], true
-		}
+	return far.address, far.offered > 0
+}
+
+// draw is one of the addresses that were offered, each as likely as any other.
+type draw struct {
+	address string
+	offered int
+}
+
+func (d *draw) offer(address string) {
+	d.offered++
+	if rand.IntN(d.offered) == 0 {
+		d.address = address
 	}
-	return "", false
 }
 
 // Freshest implements knowledge.PeerSource.
 func (g *Gateway) Freshest() (address string, age time.Duration, ok bool) {
 	now := clock.Now()
-	for _, member := range g.members.Alive(now) {
-		if member.Report.AgeMS < 0 {
-			continue
+	g.members.Each(now, func(member *news.Member) {
+		if member.Report.AgeMS < 0 || member.Reported == 0 {
+			return
 		}
-		told := time.Duration(member.Report.AgeMS)*time.Millisecond + now.Sub(member.Heard)
+		told := time.Duration(member.Report.AgeMS)*time.Millisecond + now.Sub(member.Reported)
 		if !ok || told < age {
 			address, age, ok = member.Report.Address, told, true
 		}
-	}
+	})
 	return address, age, ok
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,7 +45,9 @@
 	droppedLines func() int64
 
 	incarnation int64
-	started     clock.Boot
+	// draw is this VM's place in the order for duties.
+	draw    uint64
+	started clock.Boot
 	// linger is how long new callers are still taken after SIGTERM.
 	linger   time.Duration
 	stopping atomic.Bool
@@ -63,6 +65,7 @@
 		settings:    settings,
 		incarnation: time.Now().UnixMilli(),
 		started:     clock.Now(),
+		draw:        news.DrawOf(settings.IP),
 		linger:      lingerTime,
 		pool:        upstream.NewPool(),
 		bodies:      newBodyRoom(settings.MemoryBytes, bodyPart),
@@ -111,7 +114,7 @@
 	if err != nil {
 		return eris.Wrap(err, "the port for reports can't be used")
 	}
-	g.exchange, err = news.NewExchange(news.ExchangeOptions{
+	g.exchange = news.NewExchange(news.ExchangeOptions{
 		Table:    g.members,
 		Conn:     conn,
 		Identity: news.Report{Address: g.settings.IP, Incarnation: g.incarnation, FailureDomain: g.settings.FailureDomain},
@@ -119,7 +122,7 @@
 		Received: g.table.Receive,
 		Lost:     g.table.Lost,
 	})
-	return err
+	return nil
 }
 
 // Reload takes in changed settings. Addresses stay as they are until the
--- a/gateway/learner.go
+++ b/gateway/learner.go
@@ -98,19 +98,19 @@
 // round asks the peers that know and were not asked yet. If there are none at
 // all, it asks this VM's part of the engines. It reports whether this VM knows.
 func (l *learner) round(ctx context.Context) bool {
-	alive := l.gateway.members.Alive(clock.Now())
-	someKnow, allKnow := false, true
-	for _, member := range alive {
-		if !member.Report.Learned {
-			allKnow = false
-			continue
+	var alive, knowing []string
+	l.gateway.members.Each(clock.Now(), func(member *news.Member) {
+		alive = append(alive, member.Report.Address)
+		if member.Report.Learned {
+			knowing = append(knowing, member.Report.Address)
 		}
-		someKnow = true
-		if l.peers >= askedPeers {
-			continue
+	})
+	for _, address := range knowing {
+		if l.peers < askedPeers {
+			l.askPeer(ctx, address)
 		}
-		l.askPeer(ctx, member.Report.Address)
 	}
+	someKnow, allKnow := len(knowing) > 0, len(knowing) == len(alive)
 	if allKnow && l.gateway.learned.Load() {
 		l.gateway.placesKnown()
 	}
@@ -145,7 +145,7 @@
 }
 
 // askEngines asks the engines for which this VM ranks first among those alive.
-func (l *learner) askEngines(ctx context.Context, snapshot *knowledge.Snapshot, alive []news.Member) {
+func (l *learner) askEngines(ctx context.Context, snapshot *knowledge.Snapshot, alive []string) {
 	for _, endpoint := range snapshot.Endpoints {
 		service := snapshot.Configuration.Services[endpoint.Service]
 		if service == nil || service.Engine == nil || l.asked[endpoint.ID] {
@@ -159,10 +159,10 @@
 	}
 }
 
-func (l *learner) ranksFirst(endpoint *traffic.Endpoint, alive []news.Member) bool {
+func (l *learner) ranksFirst(endpoint *traffic.Endpoint, alive []string) bool {
 	own := rank.Key(endpoint.ID, l.gateway.settings.IP)
-	for _, member := range alive {
-		if rank.Key(endpoint.ID, member.Report.Address) > own {
+	for _, address := range alive {
+		if rank.Key(endpoint.ID, address) > own {
 			return false
 		}
 	}
--- a/gateway/seed_ask_test.go
+++ b/gateway/seed_ask_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cardamompoint.example/cardamompoint/news"
 	"fmt"
 	"net/http"
 	"testing"
@@ -30,10 +31,10 @@
 // followingNumber returns the number of a VM that ranks behind the first one for
 // reading the store.
 func (f *testFleet) followingNumber() int {
-	first := newReaderRank(f.gateways[0].settings.IP, f.gateways[0].settings.Capacity)
+	first := f.gateways[0].ownRank()
 	for number := 3; ; number++ {
 		ip := fmt.Sprintf("%s.0.%d", f.network.Prefix, number)
-		if first.before(newReaderRank(ip, f.gateways[0].settings.Capacity)) {
+		if first.before(readerRank{f.gateways[0].settings.Capacity, news.DrawOf(ip)}) {
 			return number
 		}
 	}
--- a/gateway/start_hold.go
+++ b/gateway/start_hold.go
@@ -39,22 +39,12 @@
 	return start{
 		elapsed:      now.Sub(g.started),
 		first:        g.settings.FirstStart,
-		betterReader: g.hasBetterReader(g.members.Alive(now)),
+		betterReader: g.hasBetterReader(),
 	}.holds()
 }
 
-// hasBetterReader reports whether a VM of the own failure domain ranks before
-// this one for reading the store.
-func (g *Gateway) hasBetterReader(alive []news.Member) bool {
-	own := newReaderRank(g.settings.IP, g.settings.Capacity)
-	for i := range alive {
-		report := &alive[i].Report
-		if report.FailureDomain != g.settings.FailureDomain || report.StoreLost {
-			continue
-		}
-		if newReaderRank(report.Address, report.Capacity).before(own) {
-			return true
-		}
-	}
-	return false
+// hasBetterReader reports whether a VM of the own failure domain that the store serves
+// ranks before this one for reading it.
+func (g *Gateway) hasBetterReader() bool {
+	return g.betterReaders(func(member *news.Member) bool { return !member.Report.StoreLost }) > 0
 }
--- a/news/codec.go
+++ b/news/codec.go
@@ -1,94 +1,176 @@
 package news
 
 import (
-	"bytes"
-	"compress/flate"
-	"encoding/json"
-	"io"
-	"strings"
+	"math"
 
-	"github.com/rotisserie/eris"
+	"cardamompoint.example/cardamompoint/code"
 )
 
+// format begins each datagram; a VM leaves out datagrams of another format.
+const format = 2
+
+// The bounds of what a report may tell.
 const (
-	// compressFrom is the size of a report from which it is sent compressed.
-	compressFrom = 400
-	// compressedMark begins a compressed datagram; JSON never begins so.
-	compressedMark = 1
-	// maxReport bounds an unpacked report, in bytes.
-	maxReport = 256 << 10
-	// compression is fast, as each VM packs five reports a second.
-	compression = 3
+	mostMembers  = 64
+	mostPulses   = 256
+	mostEntries  = 8192
+	mostRequests = 1 << 20
+	mostTokens   = 1 << 40
+	longestAgeMS = 1 << 40
 )
 
-// dictionary is text that reports are made of; both ends must have the same.
-var dictionary = []byte(strings.Join([]string{
-	`{"a":"10.","i":17,"n":1,"d":"","c":,"l":true,"k":true,"h":true,"v":,"r":,"o":true,"g":,"m":["10.","10."],`,
-	`"u":[{"a":"10.","i":17,"g":,"d":""},{"a":"10.","i":17,"g":,"d":"","k":true}],`,
-	`"e":[{"e":"i-","r":,"g":},{"e":"i-","r":,"g":}],"w":[{"e":"i-","r":1,"t":},{"e":"i-","r":2}],`,
-	`"p":[{"p":1,"e":"i-"},{"p":2,"e":"i-"}],"f":[{"e":"i-","x":}]}`,
-}, ""))
-
 // encoder packs reports. It is not safe for concurrent use.
 type encoder struct {
-	buffer bytes.Buffer
-	writer *flate.Writer
+	writer wireWriter
 }
 
-func newEncoder() (*encoder, error) {
-	e := &encoder{}
-	writer, err := flate.NewWriterDict(&e.buffer, compression, dictionary)
-	if err != nil {
-		return nil, eris.Wrap(err, "reports can't be compressed")
-	}
-	e.writer = writer
-	return e, nil
+func newEncoder() *encoder {
+	return &encoder{writer: wireWriter{names: map[string]uint64{}}}
 }
 
 // encode returns a datagram. It is valid until the next call.
-func (e *encoder) encode(report *Report) ([]byte, error) {
-	raw, err := json.Marshal(report)
-	if err != nil || len(raw) < compressFrom {
-		return raw, err
+func (e *encoder) encode(report *Report) []byte {
+	w := &e.writer
+	w.reset()
+	w.datagram = append(w.datagram, format)
+	w.name(report.Address)
+	w.number(report.Incarnation)
+	w.number(report.Number)
+	w.name(report.FailureDomain)
+	w.number(int64(report.Capacity))
+	w.flags(report.Leaving, report.Learned, report.Greeting, report.StoreLost)
+	w.number(report.Version)
+	w.number(report.Newest)
+	w.number(report.AgeMS)
+	e.encodeMembers(report)
+	e.encodeEndpoints(report)
+	return w.datagram
+}
+
+// encodeMembers packs what the report tells of other VMs.
+func (e *encoder) encodeMembers(report *Report) {
+	w := &e.writer
+	w.count(len(report.Members))
+	for _, address := range report.Members {
+		w.name(address)
 	}
-	e.buffer.Reset()
-	e.buffer.WriteByte(compressedMark)
-	e.writer.Reset(&e.buffer)
-	if _, err := e.writer.Write(raw); err != nil {
-		return nil, err
+	w.count(len(report.Pulses))
+	for i := range report.Pulses {
+		pulse := &report.Pulses[i]
+		w.name(pulse.Address)
+		w.number(pulse.Incarnation - report.Incarnation)
+		w.number(pulse.AgeMS)
+		w.name(pulse.FailureDomain)
+		w.flags(pulse.Learned)
 	}
-	if err := e.writer.Close(); err != nil {
-		return nil, err
+}
+
+// encodeEndpoints packs what the report tells of endpoints.
+func (e *encoder) encodeEndpoints(report *Report) {
+	w := &e.writer
+	w.count(len(report.Told))
+	for _, told := range report.Told {
+		w.name(told.Endpoint)
+		w.number(int64(told.Requests))
+		w.number(told.AgeMS)
+	}
+	w.count(len(report.Work))
+	for _, work := range report.Work {
+		w.name(work.Endpoint)
+		w.number(int64(work.Requests))
+		w.number(int64(work.Reading))
+	}
+	w.count(len(report.Parts))
+	for _, at := range report.Parts {
+		w.hash(at.Part)
+		w.name(at.Endpoint)
+	}
+	w.count(len(report.Faults))
+	for _, fault := range report.Faults {
+		w.name(fault.Endpoint)
+		w.number(int64(fault.Percent))
 	}
-	return e.buffer.Bytes(), nil
 }
 
 // decoder unpacks reports. It is not safe for concurrent use.
 type decoder struct {
-	source bytes.Reader
-	reader io.ReadCloser
-	buffer bytes.Buffer
+	reader wireReader
 }
 
 func newDecoder() *decoder {
-	d := &decoder{}
-	d.reader = flate.NewReaderDict(&d.source, dictionary)
-	return d
+	return &decoder{reader: wireReader{interned: map[string]string{}}}
 }
 
-// decode returns the report of a datagram.
+// decode returns the report of a datagram. Errors, which carry code.InvalidDocument, mean
+// that it is cut, of another format, or tells what no VM would.
 func (d *decoder) decode(datagram []byte) (Report, error) {
+	if len(datagram) == 0 || datagram[0] != format {
+		return Report{}, code.New(code.InvalidDocument, "a report has another format")
+	}
+	r := &d.reader
+	r.reset(datagram[1:])
 	var report Report
-	if len(datagram) == 0 || datagram[0] != compressedMark {
-		return report, json.Unmarshal(datagram, &report)
+	report.Address = r.name()
+	report.Incarnation = r.number()
+	report.Number = r.within(0, math.MaxInt64)
+	report.FailureDomain = r.name()
+	report.Capacity = int(r.within(0, mostRequests))
+	r.flags(&report.Leaving, &report.Learned, &report.Greeting, &report.StoreLost)
+	report.Version = r.within(0, math.MaxInt64)
+	report.Newest = r.within(0, math.MaxInt64)
+	report.AgeMS = r.within(-1, math.MaxInt64)
+	d.decodeMembers(&report)
+	d.decodeEndpoints(&report)
+	if r.err == nil && len(r.rest) > 0 {
+		r.fail("bytes behind its end")
+	}
+	if r.err != nil {
+		return Report{}, r.err
 	}
-	d.source.Reset(datagram[1:])
-	if err := d.reader.(flate.Resetter).Reset(&d.source, dictionary); err != nil {
-		return report, err
+	return report, nil
+}
+
+func (d *decoder) decodeMembers(report *Report) {
+	r := &d.reader
+	report.Members = list[string](r.entries(mostMembers))
+	for i := range report.Members {
+		report.Members[i] = r.name()
+	}
+	report.Pulses = list[Pulse](r.entries(mostPulses))
+	for i := range report.Pulses {
+		pulse := &report.Pulses[i]
+		pulse.Address = r.name()
+		pulse.Incarnation = report.Incarnation + r.number()
+		pulse.AgeMS = r.within(0, longestAgeMS)
+		pulse.FailureDomain = r.name()
+		r.flags(&pulse.Learned)
+	}
+}
+
+func (d *decoder) decodeEndpoints(report *Report) {
+	r := &d.reader
+	report.Told = list[Told](r.entries(mostEntries))
+	for i := range report.Told {
+		report.Told[i] = Told{Endpoint: r.name(), Requests: int(r.within(0, mostRequests)), AgeMS: r.within(0, longestAgeMS)}
 	}
-	d.buffer.Reset()
-	if _, err := io.Copy(&d.buffer, io.LimitReader(d.reader, maxReport)); err != nil {
-		return report, err
+	report.Work = list[Work](r.entries(mostEntries))
+	for i := range report.Work {
+		report.Work[i] = Work{Endpoint: r.name(), Requests: int(r.within(0, mostRequests)), Reading: int(r.within(0, mostTokens))}
+	}
+	report.Parts = list[PartPlace](r.entries(mostEntries))
+	for i := range report.Parts {
+		report.Parts[i] = PartPlace{Part: r.hash(), Endpoint: r.name()}
+	}
+	report.Faults = list[Fault](r.entries(mostEntries))
+	for i := range report.Faults {
+		report.Faults[i] = Fault{Endpoint: r.name(), Percent: int(r.within(0, 100))}
+	}
+}
+
+// list returns a list of the given size, nil if it is empty.
+func list[T any](size int) []T {
+	if size == 0 {
+		return nil
 	}
-	return report, json.Unmarshal(d.buffer.Bytes(), &report)
+	return make([]T, size)
 }
--- a/news/codec_test.go
+++ b/news/codec_test.go
@@ -26,18 +26,12 @@
 // TestReportsComeThrough packs and unpacks reports of all sizes, one after the
 // other.
 func TestReportsComeThrough(t *testing.T) {
-	packer, err := newEncoder()
-	if err != nil {
-		t.Fatal(err)
-	}
+	packer := newEncoder()
 	unpacker := newDecoder()
 	random := rand.New(rand.NewPCG(4, 4))
 	for range 50 {
 		for _, report := range []*Report{{Address: "a"}, typicalReport(random)} {
-			raw, err := packer.encode(report)
-			if err != nil {
-				t.Fatal(err)
-			}
+			raw := packer.encode(report)
 			if got, err := unpacker.decode(raw); err != nil || !reflect.DeepEqual(got, *report) {
 				t.Fatalf("%+v came as %+v, %v", report, got, err)
 			}
@@ -48,27 +42,18 @@
 // TestReportsAreSmall packs a typical report of a large fleet.
 func TestReportsAreSmall(t *testing.T) {
 	const limit = 1400
-	packer, err := newEncoder()
-	if err != nil {
-		t.Fatal(err)
-	}
-	raw, err := packer.encode(typicalReport(rand.New(rand.NewPCG(1, 1))))
-	if err != nil || len(raw) > limit {
-		t.Errorf("%d bytes, want at most %d; %v", len(raw), limit, err)
+	packer := newEncoder()
+	raw := packer.encode(typicalReport(rand.New(rand.NewPCG(1, 1))))
+	if len(raw) > limit {
+		t.Errorf("%d bytes, want at most %d", len(raw), limit)
 	}
 	t.Logf("%d bytes", len(raw))
 }
 
 // FuzzDecode unpacks any datagrams; a broken one must not harm the next.
 func FuzzDecode(f *testing.F) {
-	packer, err := newEncoder()
-	if err != nil {
-		f.Fatal(err)
-	}
-	raw, err := packer.encode(typicalReport(rand.New(rand.NewPCG(1, 1))))
-	if err != nil {
-		f.Fatal(err)
-	}
+	packer := newEncoder()
+	raw := packer.encode(typicalReport(rand.New(rand.NewPCG(1, 1))))
 	sound := append([]byte(nil), raw...)
 	f.Add(sound)
 	f.Add(sound[:len(sound)/2])
@@ -83,27 +68,16 @@
 }
 
 func BenchmarkEncode(b *testing.B) {
-	packer, err := newEncoder()
-	if err != nil {
-		b.Fatal(err)
-	}
+	packer := newEncoder()
 	report := typicalReport(rand.New(rand.NewPCG(1, 1)))
 	for b.Loop() {
-		if _, err := packer.encode(report); err != nil {
-			b.Fatal(err)
-		}
+		packer.encode(report)
 	}
 }
 
 func BenchmarkDecode(b *testing.B) {
-	packer, err := newEncoder()
-	if err != nil {
-		b.Fatal(err)
-	}
-	raw, err := packer.encode(typicalReport(rand.New(rand.NewPCG(1, 1))))
-	if err != nil {
-		b.Fatal(err)
-	}
+	packer := newEncoder()
+	raw := packer.encode(typicalReport(rand.New(rand.NewPCG(1, 1))))
 	unpacker := newDecoder()
 	for b.Loop() {
 		if _, err := unpacker.decode(raw); err != nil {
--- a/news/exchange.go
+++ b/news/exchange.go
@@ -77,11 +77,7 @@
 }
 
 // NewExchange returns an Exchange that does not run yet.
-func NewExchange(options ExchangeOptions) (*Exchange, error) {
-	packer, err := newEncoder()
-	if err != nil {
-		return nil, err
-	}
+func NewExchange(options ExchangeOptions) *Exchange {
 	seed := uint64(options.Identity.Incarnation)
 	return &Exchange{
 		table:     options.Table,
@@ -91,11 +87,11 @@
 		received:  options.Received,
 		lost:      options.Lost,
 		greetings: make(chan string, greetingQueue),
-		packer:    packer,
+		packer:    newEncoder(),
 		unpacker:  newDecoder(),
 		identity:  options.Identity,
 		random:    rand.New(rand.NewPCG(seed, uint64(len(options.Identity.Address)))),
-	}, nil
+	}
 }
 
 // Send sends reports until ctx ends.
@@ -136,12 +132,7 @@
 	report := e.identity
 	report.Greeting = true
 	report.Pulses = e.table.Pulses(greetingPulses, e.random, now)
-	raw, err := e.packer.encode(&report)
-	if err != nil {
-		klog.ErrorS(err, "member: a report can't be encoded")
-		return
-	}
-	e.sendTo(address, raw)
+	e.sendTo(address, e.packer.encode(&report))
 }
 
 // pause is the time to the next report.
@@ -156,44 +147,28 @@
 }
 
 func (e *Exchange) report(now clock.Boot) {
-	targets := e.table.Targets(now)
-	e.random.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
 	report := e.identity
 	e.number++
 	report.Number = e.number
-	report.Members = targets[:min(namedMembers, len(targets))]
-	if e.table.Large() {
-		report.Pulses = e.table.Pulses(relayedPulses, e.random, now)
-		targets = e.choose(targets)
-	}
+	targets := e.address(&report, now)
 	e.fill(&report)
-	raw, err := e.packer.encode(&report)
-	if err != nil {
-		klog.ErrorS(err, "member: a report can't be encoded")
-		return
-	}
+	raw := e.packer.encode(&report)
 	for _, address := range targets[:min(sendAll, len(targets))] {
 		e.sendTo(address, raw)
 	}
 }
 
-// choose returns the targets of one report in a large fleet: more of them in the
-// own failure domain, as bytes between domains are dear.
-func (e *Exchange) choose(shuffled []string) []string {
-	near, far := 0, 0
-	var chosen []string
-	for _, address := range shuffled {
-		switch domain := e.table.Domain(address); {
-		case domain == e.identity.FailureDomain && near < nearTargets:
-			near++
-		case domain != e.identity.FailureDomain && far < farTargets:
-			far++
-		default:
-			continue
-		}
-		chosen = append(chosen, address)
+// address sets what the report tells of other VMs and returns who gets it. In a large
+// fleet these are more of the own failure domain, as bytes between domains are dear.
+func (e *Exchange) address(report *Report, now clock.Boot) (targets []string) {
+	if e.table.Large() {
+		report.Pulses = e.table.Pulses(relayedPulses, e.random, now)
+		return e.table.Sample(report.FailureDomain, nearTargets, farTargets, e.random)
 	}
-	return chosen
+	targets = e.table.Targets()
+	e.random.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	report.Members = targets[:min(namedMembers, len(targets))]
+	return targets
 }
 
 // sendTo sends one datagram. A loss is as good as an error: the next report
@@ -231,7 +206,7 @@
 func (e *Exchange) Receive(ctx context.Context) {
 	buffer := make([]byte, maxDatagram)
 	for ctx.Err() == nil {
-		size, _, err := e.conn.ReadFromUDPAddrPort(buffer)
+		size, from, err := e.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -244,6 +219,10 @@
 			klog.V(1).InfoS("member: a report can't be read", "reason", err.Error())
 			continue
 		}
+		if from.Port() != e.port || from.Addr().Unmap().String() != report.Address {
+			klog.V(1).InfoS("member: a report is not from the VM that it names", "from", from.String(), "peer", report.Address)
+			continue
+		}
 		now := clock.Now()
 		if e.table.Receive(report, now) {
 			e.received(report, now)
--- a/news/report.go
+++ b/news/report.go
@@ -3,70 +3,70 @@
 // Report is what one VM tells the others.
 type Report struct {
 	// Address is the sender's IP number; it identifies the VM.
-	Address string `json:"a"`
+	Address string
 	// Incarnation is new with each start of the process.
-	Incarnation int64 `json:"i"`
+	Incarnation int64
 	// Number rises with each report of an incarnation.
-	Number int64 `json:"n"`
+	Number int64
 	// FailureDomain is where the sender is.
-	FailureDomain string `json:"d"`
+	FailureDomain string
 	// Capacity is the sender's part of a processor core, in thousandths.
-	Capacity int `json:"c,omitempty"`
+	Capacity int
 	// Leaving tells that the sender shuts down.
-	Leaving bool `json:"l,omitempty"`
+	Leaving bool
 	// Learned tells that the sender knows where prompt parts are.
-	Learned bool `json:"k,omitempty"`
+	Learned bool
 	// Greeting tells that only Pulses are to be taken from the report.
-	Greeting bool `json:"h,omitempty"`
+	Greeting bool
 	// Version is the configuration in force at the sender.
-	Version int64 `json:"v"`
+	Version int64
 	// Newest is the revision of the newest change that the sender has applied.
-	Newest int64 `json:"r"`
+	Newest int64
 	// StoreLost tells that the store does not serve the sender.
-	StoreLost bool `json:"o,omitempty"`
+	StoreLost bool
 	// AgeMS is how old the sender's knowledge may be, in milliseconds; -1 if it
 	// has none.
-	AgeMS int64 `json:"g"`
+	AgeMS int64
 	// Members are the addresses of some VMs that the sender hears.
-	Members []string `json:"m,omitempty"`
+	Members []string
 	// Pulses tell when the sender last heard of others, in large fleets.
-	Pulses []Pulse `json:"u,omitempty"`
+	Pulses []Pulse
 	// Told are the loads that endpoints told lately, in large fleets.
-	Told []Told `json:"e,omitempty"`
+	Told []Told
 	// Work is the sender's work in progress, by endpoint.
-	Work []Work `json:"w,omitempty"`
+	Work []Work
 	// Parts tell where the sender has sent prompt parts lately.
-	Parts []PartPlace `json:"p,omitempty"`
+	Parts []PartPlace
 	// Faults are endpoints that fail requests of the sender.
-	Faults []Fault `json:"f,omitempty"`
+	Faults []Fault
 }
 
 // Pulse tells when a VM was last heard of, directly or through others.
 type Pulse struct {
-	Address     string `json:"a"`
-	Incarnation int64  `json:"i"`
+	Address     string
+	Incarnation int64
 	// AgeMS is how long ago that was, in milliseconds.
-	AgeMS int64 `json:"g"`
+	AgeMS int64
 	// FailureDomain is where the VM is.
-	FailureDomain string `json:"d"`
-	Learned       bool   `json:"k,omitempty"`
+	FailureDomain string
+	Learned       bool
 }
 
 // Told is an endpoint's own word about its load.
 type Told struct {
-	Endpoint string `json:"e"`
+	Endpoint string
 	// Requests are those in progress and waiting there.
-	Requests int `json:"r"`
+	Requests int
 	// AgeMS is how long ago it said so, in milliseconds.
-	AgeMS int64 `json:"g"`
+	AgeMS int64
 }
 
 // Work is the work in progress at one endpoint.
 type Work struct {
-	Endpoint string `json:"e"`
-	Requests int    `json:"r"`
+	Endpoint string
+	Requests int
 	// Reading is the number of prompt tokens that the endpoint has still to read.
-	Reading int `json:"t,omitempty"`
+	Reading int
 }
 
 // PartPlace tells that an endpoint holds a prompt part.
@@ -78,7 +78,7 @@
 
 // Fault tells how an endpoint fails.
 type Fault struct {
-	Endpoint string `json:"e"`
+	Endpoint string
 	// Percent is the part of the last requests that failed.
-	Percent int `json:"x"`
+	Percent int
 }
--- a/news/table.go
+++ b/news/table.go
@@ -1,7 +1,9 @@
 package news
 
 import (
+	"iter"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -30,6 +32,8 @@
 
 	mu      sync.Mutex
 	members map[string]*Member
+	// list has the same members, in no order.
+	list []*Member
 	// told are addresses that others named and that have not reported yet.
 	told map[string]clock.Boot
 	// alive are the addresses that counted as alive at the last check, lostAt is
@@ -58,9 +62,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if report.Greeting {
-		for _, pulse := range report.Pulses {
-			t.receivePulse(pulse, now)
-		}
+		t.receiveGreeting(report, now)
 		return false
 	}
 	member, ok := t.members[report.Address]
@@ -68,13 +70,12 @@
 		if len(t.members) >= memberLimit {
 			return false
 		}
-		member = &Member{}
-		t.members[report.Address] = member
+		member = t.add(report.Address)
 	}
 	if !t.isNewer(report, member, now) {
 		return false
 	}
-	member.Report, member.Heard = report, now
+	member.Report, member.Heard, member.Reported = report, now, now
 	delete(t.told, report.Address)
 	for _, pulse := range report.Pulses {
 		t.receivePulse(pulse, now)
@@ -87,10 +88,52 @@
 	return true
 }
 
+// receiveGreeting takes in what a VM tells in answer to a first report. Nobody else has
+// been sent one.
+func (t *Table) receiveGreeting(greeting Report, now clock.Boot) {
+	_, isMember := t.members[greeting.Address]
+	_, isTold := t.told[greeting.Address]
+	if !isMember && !isTold && !slices.Contains(t.seeds, greeting.Address) {
+		return
+	}
+	for _, pulse := range greeting.Pulses {
+		t.receivePulse(pulse, now)
+	}
+}
+
+// add returns a new member. The caller holds the lock.
+func (t *Table) add(address string) *Member {
+	member := &Member{Draw: DrawOf(address), place: len(t.list)}
+	t.members[address] = member
+	t.list = append(t.list, member)
+	return member
+}
+
+// remove forgets a member. The caller holds the lock.
+func (t *Table) remove(member *Member) {
+	last := len(t.list) - 1
+	t.swap(member.place, last)
+	t.list[last] = nil
+	t.list = t.list[:last]
+	address := member.Report.Address
+	delete(t.members, address)
+	delete(t.lostAt, address)
+	delete(t.alive, address)
+}
+
+// swap exchanges the places of two members.
+func (t *Table) swap(a, b int) {
+	t.list[a], t.list[b] = t.list[b], t.list[a]
+	t.list[a].place, t.list[b].place = a, b
+}
+
 // isNewer reports whether a report goes before what is known of its sender. A
 // lower incarnation does so once the higher one is silent: the VM's clock was set
 // back before its process started anew. The caller holds the lock.
 func (t *Table) isNewer(report Report, member *Member, now clock.Boot) bool {
+	if member.Reported == 0 {
+		return true // The VM's own word goes before that of others.
+	}
 	if report.Incarnation == member.Report.Incarnation {
 		return report.Number > member.Report.Number
 	}
@@ -108,8 +151,11 @@
 		return
 	}
 	if !ok || pulse.Incarnation > member.Report.Incarnation && heard > member.Heard {
-		report := Report{Address: pulse.Address, Incarnation: pulse.Incarnation, FailureDomain: pulse.FailureDomain, Learned: pulse.Learned, AgeMS: -1}
-		t.members[pulse.Address] = &Member{Report: report, Heard: heard}
+		if !ok {
+			member = t.add(pulse.Address)
+		}
+		member.Report = Report{Address: pulse.Address, Incarnation: pulse.Incarnation, FailureDomain: pulse.FailureDomain, Learned: pulse.Learned, AgeMS: -1}
+		member.Heard, member.Reported = heard, 0
 		return
 	}
 	if pulse.Incarnation == member.Report.Incarnation {
@@ -125,10 +171,16 @@
 // Pulses returns up to limit of the members that count as alive, chosen at
 // random, so that each one is passed on as often as any other.
 func (t *Table) Pulses(limit int, random *rand.Rand, now clock.Boot) []Pulse {
-	alive := t.Alive(now)
-	random.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
-	var pulses []Pulse
-	for _, member := range alive[:min(limit, len(alive))] {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	pulses := make([]Pulse, 0, min(limit, len(t.list)))
+	for member := range t.shuffled(random) {
+		if len(pulses) == limit {
+			break
+		}
+		if !t.lives(member, now) {
+			continue
+		}
 		pulses = append(pulses, Pulse{
 			Address:       member.Report.Address,
 			Incarnation:   member.Report.Incarnation,
@@ -140,6 +192,25 @@
 	return pulses
 }
 
+// shuffled yields the members in a random order, which is drawn as far as the caller goes.
+// The caller holds the lock.
+func (t *Table) shuffled(random *rand.Rand) iter.Seq[*Member] {
+	return func(yield func(*Member) bool) {
+		for i := range t.list {
+			t.swap(i, i+random.IntN(len(t.list)-i))
+			if !yield(t.list[i]) {
+				return
+			}
+		}
+	}
+}
+
+// lives reports whether a member reported lately and does not leave. The caller holds
+// the lock.
+func (t *Table) lives(member *Member, now clock.Boot) bool {
+	return now.Sub(member.Heard) <= t.aliveFor() && !member.Report.Leaving
+}
+
 // Large reports whether the fleet is too large for each VM to report to all
 // others.
 func (t *Table) Large() bool {
@@ -148,27 +219,22 @@
 	return len(t.members) > sendAll
 }
 
-// Domain returns the failure domain of a member, "" if it is not known.
-func (t *Table) Domain(address string) string {
+// Each calls visit with the members that reported lately and don't leave, in no order.
+// visit must not keep the member nor call the Table.
+func (t *Table) Each(now clock.Boot, visit func(*Member)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if member, ok := t.members[address]; ok {
-		return member.Report.FailureDomain
+	for _, member := range t.list {
+		if t.lives(member, now) {
+			visit(member)
+		}
 	}
-	return ""
 }
 
-// Alive returns the members that reported lately and don't leave, in the order
-// of their addresses.
+// Alive returns the same members in the order of their addresses.
 func (t *Table) Alive(now clock.Boot) []Member {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	alive := make([]Member, 0, len(t.members))
-	for _, member := range t.members {
-		if now.Sub(member.Heard) <= t.aliveFor() && !member.Report.Leaving {
-			alive = append(alive, *member)
-		}
-	}
+	var alive []Member
+	t.Each(now, func(member *Member) { alive = append(alive, *member) })
 	sort.Slice(alive, func(i, j int) bool { return alive[i].Report.Address < alive[j].Report.Address })
 	return alive
 }
@@ -179,7 +245,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	count = 1
-	for _, member := range t.members {
+	for _, member := range t.list {
 		if now.Sub(member.Heard) <= t.aliveFor() {
 			count++
 		}
@@ -188,35 +254,76 @@
 }
 
 // Targets returns the addresses to send reports to.
-func (t *Table) Targets(now clock.Boot) []string {
+func (t *Table) Targets() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	targets := make(map[string]bool, len(t.members)+len(t.seeds))
-	for address, member := range t.members {
-		if now.Sub(member.Heard) > rememberFor {
-			delete(t.members, address)
-			delete(t.lostAt, address)
-			continue
+	targets := make([]string, 0, len(t.list)+len(t.seeds))
+	for _, member := range t.list {
+		targets = append(targets, member.Report.Address)
+	}
+	targets = append(targets, t.strangers()...)
+	sort.Strings(targets)
+	return targets
+}
+
+// strangers returns the addresses of VMs that were never heard of. The caller holds the
+// lock.
+func (t *Table) strangers() []string {
+	var strangers []string
+	for address := range t.told {
+		strangers = append(strangers, address)
+	}
+	for _, seed := range t.seeds {
+		_, isMember := t.members[seed]
+		_, isTold := t.told[seed]
+		if !isMember && !isTold && seed != t.self {
+			strangers = append(strangers, seed)
+		}
+	}
+	sort.Strings(strangers)
+	return strangers
+}
+
+// Sample returns the addresses that get one report in a large fleet, drawn at random:
+// near VMs of the given failure domain and far other ones. A VM that was never heard of
+// is as likely among the far ones as any other.
+func (t *Table) Sample(domain string, near, far int, random *rand.Rand) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	chosen := make([]string, 0, near+far)
+	strangers := t.strangers()
+	if len(strangers) > 0 && far > 0 && random.IntN(len(strangers)+len(t.list)) < len(strangers) {
+		chosen = append(chosen, strangers[random.IntN(len(strangers))])
+		far--
+	}
+	for member := range t.shuffled(random) {
+		left := &far
+		if member.Report.FailureDomain == domain {
+			left = &near
+		}
+		if *left > 0 {
+			*left--
+			chosen = append(chosen, member.Report.Address)
+		}
+		if near == 0 && far == 0 {
+			break
+		}
+	}
+	return chosen
+}
+
+// forget drops VMs that have been silent for long. The caller holds the lock.
+func (t *Table) forget(now clock.Boot) {
+	for i := len(t.list) - 1; i >= 0; i-- {
+		if now.Sub(t.list[i].Heard) > rememberFor {
+			t.remove(t.list[i])
 		}
-		targets[address] = true
 	}
 	for address, since := range t.told {
 		if now.Sub(since) > rememberFor {
 			delete(t.told, address)
-			continue
 		}
-		targets[address] = true
-	}
-	for _, seed := range t.seeds {
-		targets[seed] = true
-	}
-	delete(targets, t.self)
-	sorted := make([]string, 0, len(targets))
-	for address := range targets {
-		sorted = append(sorted, address)
 	}
-	sort.Strings(sorted)
-	return sorted
 }
 
 // Changes logs which VMs were lost or regained since the last call and returns
@@ -224,7 +331,9 @@
 func (t *Table) Changes(now clock.Boot) (lost []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for address, member := range t.members {
+	t.forget(now)
+	for _, member := range t.list {
+		address := member.Report.Address
 		silent := now.Sub(member.Heard)
 		isAlive := silent <= t.aliveFor()
 		if isAlive == t.alive[address] {
--- a/news/table_test.go
+++ b/news/table_test.go
@@ -54,14 +54,8 @@
 			Address: testAddress(from), Incarnation: int64(f.now) / int64(time.Hour), Number: f.numbers[from],
 			FailureDomain: fmt.Sprint(from % 3),
 		}
-		targets := table.Targets(f.now)
-		f.random.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
-		report.Members = targets[:min(namedMembers, len(targets))]
-		if table.Large() {
-			report.Pulses = table.Pulses(relayedPulses, f.random, f.now)
-			exchange := &Exchange{table: table, identity: report}
-			targets = exchange.choose(targets)
-		}
+		exchange := &Exchange{table: table, random: f.random}
+		targets := exchange.address(&report, f.now)
 		f.deliver(report, targets[:min(sendAll, len(targets))])
 	}
 }
--- /dev/null
+++ b/news/trust_test.go
@@ -0,0 +1,164 @@
+package news
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/internal/loopback"
+)
+
+// TestReportsOfOtherSendersAreLeftOut sends reports that name another VM than their sender,
+// garbled ones, and a sound one: only the sound one is taken in.
+func TestReportsOfOtherSendersAreLeftOut(t *testing.T) {
+	network, err := loopback.Reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer network.Close()
+	const port = 7010
+	open := func(host, port int) *net.UDPConn {
+		conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(fmt.Sprintf("%s.0.%d", network.Prefix, host)), Port: port})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return conn
+	}
+	address := func(host int) string { return fmt.Sprintf("%s.0.%d", network.Prefix, host) }
+	taken := make(chan Report, 10)
+	exchange := NewExchange(ExchangeOptions{
+		Table: NewTable(address(1), nil), Conn: open(1, port), Identity: Report{Address: address(1), Incarnation: 1},
+		Received: func(report Report, _ clock.Boot) { taken <- report },
+	})
+	done := make(chan struct{})
+	go func() {
+		exchange.Receive(context.Background())
+		close(done)
+	}()
+	sound, stranger, otherPort := open(2, port), open(3, port), open(2, port+1)
+	send := func(from *net.UDPConn, raw []byte) {
+		if _, err := from.WriteTo(raw, exchange.conn.LocalAddr()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	forged := newEncoder().encode(&Report{Address: address(2), Incarnation: 9, Number: 9, Newest: 99})
+	send(stranger, forged)
+	send(otherPort, forged)
+	send(sound, []byte(`{"a":"x"}`))
+	send(sound, forged[:len(forged)-3])
+	send(sound, newEncoder().encode(&Report{Address: address(2), Incarnation: 1, Number: 1}))
+	if got := <-taken; got.Incarnation != 1 || len(taken) > 0 {
+		t.Errorf("%+v was taken in", got)
+	}
+	exchange.Close()
+	<-done
+	for _, conn := range []*net.UDPConn{sound, stranger, otherPort} {
+		conn.Close()
+	}
+}
+
+// TestGreetingOfAStranger takes in greetings: only a VM that was written to may send one.
+func TestGreetingOfAStranger(t *testing.T) {
+	table := NewTable("10.0.0.1", []string{"10.0.0.2"})
+	greeting := func(sender, tells string) Report {
+		return Report{Address: sender, Greeting: true, Pulses: []Pulse{{Address: tells, Incarnation: 5}}}
+	}
+	table.Receive(greeting("10.0.0.3", "10.0.0.8"), testStart)
+	table.Receive(greeting("10.0.0.2", "10.0.0.9"), testStart)
+	if alive := table.Alive(testStart); len(alive) != 1 || alive[0].Report.Address != "10.0.0.9" {
+		t.Errorf("alive are %+v", alive)
+	}
+}
+
+// TestOwnWordGoesFirst lets others tell of a later incarnation of a VM: its own next report
+// is taken in all the same.
+func TestOwnWordGoesFirst(t *testing.T) {
+	table := NewTable("a", nil)
+	table.Receive(Report{Address: "b", Incarnation: 5, Number: 1, Newest: 7}, testStart)
+	forged := Report{Address: "c", Incarnation: 1, Number: 1, Pulses: []Pulse{{Address: "b", Incarnation: 1 << 60}}}
+	table.Receive(forged, testStart.Add(time.Millisecond))
+	if !table.Receive(Report{Address: "b", Incarnation: 5, Number: 2, Newest: 8}, testStart.Add(2*time.Millisecond)) {
+		t.Error("the VM's own report was left out")
+	}
+}
+
+// TestReportsOutOfBounds packs reports with values that no VM tells.
+func TestReportsOutOfBounds(t *testing.T) {
+	for name, report := range map[string]Report{
+		"negative number":   {Number: -1},
+		"negative revision": {Newest: -1},
+		"negative age":      {AgeMS: -2},
+		"negative work":     {Work: []Work{{Endpoint: "e", Requests: -1}}},
+		"too much work":     {Work: []Work{{Endpoint: "e", Requests: mostRequests + 1}}},
+		"negative tokens":   {Work: []Work{{Endpoint: "e", Reading: -1}}},
+		"negative load":     {Told: []Told{{Endpoint: "e", Requests: -1}}},
+		"load in future":    {Told: []Told{{Endpoint: "e", AgeMS: -1}}},
+		"heard in future":   {Pulses: []Pulse{{Address: "b", AgeMS: -1}}},
+		"too many faults":   {Faults: []Fault{{Endpoint: "e", Percent: 101}}},
+		"too many members":  {Members: make([]string, mostMembers+1)},
+		"too many pulses":   {Pulses: make([]Pulse, mostPulses+1)},
+	} {
+		if _, err := newDecoder().decode(newEncoder().encode(&report)); err == nil {
+			t.Errorf("%s: the report was taken", name)
+		}
+	}
+}
+
+// fullTable returns a Table of a fleet of the given size in five failure domains.
+func fullTable(count int) *Table {
+	table := NewTable("10.0.0.1", nil)
+	for i := range count {
+		table.Receive(Report{Address: fmt.Sprintf("10.1.%d.%d", i/200, i%200), Incarnation: 1, Number: 1, FailureDomain: fmt.Sprint(i % 5)}, testStart)
+	}
+	return table
+}
+
+// TestLargeFleetsCostNoAllocation bounds what a look at the members and the choice of a
+// report's targets allocate, in fleets of 30, 300 and 1,000 VMs.
+func TestLargeFleetsCostNoAllocation(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	for _, count := range []int{30, 300, 1000} {
+		table := fullTable(count)
+		table.Changes(testStart)
+		alive := 0
+		looks := testing.AllocsPerRun(100, func() {
+			alive = 0
+			table.Each(testStart, func(*Member) { alive++ })
+			table.Count(testStart)
+			table.Changes(testStart)
+		})
+		if looks != 0 || alive != count {
+			t.Errorf("%d VMs: %v allocations for a look at %d members", count, looks, alive)
+		}
+		report := testing.AllocsPerRun(100, func() {
+			table.Pulses(relayedPulses, random, testStart)
+			table.Sample("1", nearTargets, farTargets, random)
+		})
+		if report > 6 {
+			t.Errorf("%d VMs: %v allocations for a report", count, report)
+		}
+	}
+}
+
+func BenchmarkMembers(b *testing.B) {
+	random := rand.New(rand.NewPCG(1, 1))
+	for _, count := range []int{30, 300, 1000} {
+		table := fullTable(count)
+		b.Run(fmt.Sprintf("each-%d", count), func(b *testing.B) {
+			for b.Loop() {
+				table.Each(testStart, func(*Member) {})
+			}
+		})
+		b.Run(fmt.Sprintf("report-%d", count), func(b *testing.B) {
+			for b.Loop() {
+				table.Changes(testStart)
+				table.Pulses(relayedPulses, random, testStart)
+				table.Sample("1", nearTargets, farTargets, random)
+			}
+		})
+	}
+}
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -98,4 +98,3 @@
 		}
 	}
 }
-
