Let all VMs soon agree on who reads the store

Change: pulses carry capacity and whether the VM serves, each report tells of the VM that ranks first in its failure domain; at a first start those that wait ask the one that will read; a VM that has just brought fresh knowledge goes on being asked.

Tests: TestFewTakeThemselvesForFirst (9 of 300 before greetings were played, 0 now), the first-start test ten times.

--- a/gateway/duty.go
+++ b/gateway/duty.go
@@ -10,37 +10,19 @@
 	"cardamompoint.example/cardamompoint/news"
 )
 
-// readerRank orders the VMs for reading the store: by capacity, then by draw. The
-// zero value is behind all.
-type readerRank struct {
-	capacity int
-	draw     uint64
-}
-
-func rankOf(member *news.Member) readerRank {
-	return readerRank{member.Report.Capacity, member.Draw}
-}
-
-// ownRank is the rank of this VM.
-func (g *Gateway) ownRank() readerRank {
-	return readerRank{g.settings.Capacity, g.draw}
-}
-
-func (r readerRank) before(other readerRank) bool {
-	if r.capacity != other.capacity {
-		return r.capacity > other.capacity
-	}
-	return r.draw > other.draw
+// ownRank is the rank of this VM for reading the store.
+func (g *Gateway) ownRank() news.Rank {
+	return news.Rank{Capacity: g.settings.Capacity, Draw: g.draw}
 }
 
 // candidate is the best reader of some VMs that was found so far.
 type candidate struct {
 	address string
-	rank    readerRank
+	rank    news.Rank
 }
 
-func (c *candidate) consider(address string, rank readerRank) {
-	if rank.before(c.rank) {
+func (c *candidate) consider(address string, rank news.Rank) {
+	if rank.Before(c.rank) {
 		c.address, c.rank = address, rank
 	}
 }
@@ -48,7 +30,8 @@
 // Leader implements knowledge.PeerSource. In each failure domain the VM that
 // ranks first of those with the largest capacity reads the store for the others.
 // Where none can, the VMs of all domains are ranked. VMs that disagree for a moment
-// read once too often.
+// read once too often. When the whole fleet starts, none can yet: those that wait ask the
+// one that will.
 func (g *Gateway) Leader() (address string, ok bool) {
 	var near, anywhere candidate
 	if !g.reader.Lost() && !g.stopping.Load() {
@@ -56,14 +39,16 @@
 		anywhere.consider(g.settings.IP, g.ownRank())
 	}
 	now := clock.Now()
+	starts := g.awaitsFirstRead(now)
 	g.members.Each(now, func(member *news.Member) {
 		report := &member.Report
-		if report.StoreLost || report.AgeMS < 0 || g.follower.FailedAt(report.Address, now) {
+		serves := member.Serves || starts || g.follower.ServedBy(report.Address, now)
+		if !serves || g.follower.FailedAt(report.Address, now) {
 			return
 		}
-		anywhere.consider(report.Address, rankOf(member))
+		anywhere.consider(report.Address, member.Rank)
 		if report.FailureDomain == g.settings.FailureDomain {
-			near.consider(report.Address, rankOf(member))
+			near.consider(report.Address, member.Rank)
 		}
 	})
 	leader := near.address
@@ -102,7 +87,7 @@
 	better := 0
 	own := g.ownRank()
 	g.members.Each(clock.Now(), func(member *news.Member) {
-		if member.Report.FailureDomain == g.settings.FailureDomain && rankOf(member).before(own) && counts(member) {
+		if member.Report.FailureDomain == g.settings.FailureDomain && member.Rank.Before(own) && counts(member) {
 			better++
 		}
 	})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,7 +65,7 @@
 		settings:    settings,
 		incarnation: time.Now().UnixMilli(),
 		started:     clock.Now(),
-		draw:        news.DrawOf(settings.IP),
+		draw:        news.RankOf(settings.IP, 0).Draw,
 		linger:      lingerTime,
 		pool:        upstream.NewPool(),
 		bodies:      newBodyRoom(settings.MemoryBytes, bodyPart),
--- a/gateway/seed_ask_test.go
+++ b/gateway/seed_ask_test.go
@@ -34,7 +34,7 @@
 	first := f.gateways[0].ownRank()
 	for number := 3; ; number++ {
 		ip := fmt.Sprintf("%s.0.%d", f.network.Prefix, number)
-		if first.before(readerRank{f.gateways[0].settings.Capacity, news.DrawOf(ip)}) {
+		if first.Before(news.RankOf(ip, f.gateways[0].settings.Capacity)) {
 			return number
 		}
 	}
--- a/gateway/start_hold.go
+++ b/gateway/start_hold.go
@@ -30,6 +30,16 @@
 	return s.first && (s.elapsed < hearingTime || (s.betterReader && s.elapsed < readWithin))
 }
 
+// awaitsFirstRead reports whether this VM, at the first start of all, has heard others and
+// waits until one of them has read the store.
+func (g *Gateway) awaitsFirstRead(now clock.Boot) bool {
+	if _, known := g.tracker.Confirmed(); known || !g.settings.FirstStart {
+		return false
+	}
+	elapsed := now.Sub(g.started)
+	return elapsed >= hearingTime/2 && elapsed < readWithin
+}
+
 // holdsAtStart reports whether this VM still waits for others.
 func (g *Gateway) holdsAtStart() bool {
 	if _, known := g.tracker.Confirmed(); known {
--- a/knowledge/peer_reader.go
+++ b/knowledge/peer_reader.go
@@ -61,6 +61,9 @@
 	// failedPeer is the VM that did not answer last, until failedPeerUntil.
 	failedPeer      string
 	failedPeerUntil clock.Boot
+	// servedPeer is the VM that brought fresh knowledge last, until servedPeerUntil.
+	servedPeer      string
+	servedPeerUntil clock.Boot
 	// lostAt is since when no VM has read the store for this one, 0 if one does.
 	lostAt clock.Boot
 	// failedUntil is the time up to which this VM reads for itself.
@@ -90,9 +93,13 @@
 
 // served notes that a VM has read the store for this one.
 func (p *PeerReader) served(address string, now clock.Boot) {
+	fresh := p.tracker.Age(now) < StaleAfter
 	p.mu.Lock()
 	lostAt := p.lostAt
 	p.lostAt = 0
+	if fresh {
+		p.servedPeer, p.servedPeerUntil = address, now.Add(StaleAfter)
+	}
 	p.mu.Unlock()
 	if lostAt != 0 {
 		klog.InfoS("config: a peer reads the store for this VM again", "peer", address, "lost_ms", now.Sub(lostAt).Milliseconds())
@@ -106,6 +113,13 @@
 	return address == p.failedPeer && now < p.failedPeerUntil
 }
 
+// ServedBy reports whether a VM has read the store for this one lately.
+func (p *PeerReader) ServedBy(address string, now clock.Boot) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return address == p.servedPeer && now < p.servedPeerUntil
+}
+
 // Follow keeps asking the VM that reads the store for this one, until ctx ends.
 func (p *PeerReader) Follow(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/news/codec.go
+++ b/news/codec.go
@@ -61,7 +61,8 @@
 		w.number(pulse.Incarnation - report.Incarnation)
 		w.number(pulse.AgeMS)
 		w.name(pulse.FailureDomain)
-		w.flags(pulse.Learned)
+		w.number(int64(pulse.Capacity))
+		w.flags(pulse.Learned, pulse.Serves)
 	}
 }
 
@@ -143,7 +144,8 @@
 		pulse.Incarnation = report.Incarnation + r.number()
 		pulse.AgeMS = r.within(0, longestAgeMS)
 		pulse.FailureDomain = r.name()
-		r.flags(&pulse.Learned)
+		pulse.Capacity = int(r.within(0, mostRequests))
+		r.flags(&pulse.Learned, &pulse.Serves)
 	}
 }
 
--- a/news/codec_test.go
+++ b/news/codec_test.go
@@ -11,7 +11,7 @@
 func typicalReport(random *rand.Rand) *Report {
 	report := &Report{Address: "10.1.0.7", Incarnation: 1767778491332676111, Number: 812, FailureDomain: "domain-a", Capacity: 400, Version: 38, Newest: 57}
 	for i := range 12 {
-		report.Pulses = append(report.Pulses, Pulse{fmt.Sprintf("10.%d.0.%d", i%3, i), 1767778491000000000 + random.Int64N(1e9), random.Int64N(900), "domain-b", i%2 == 0})
+		report.Pulses = append(report.Pulses, Pulse{fmt.Sprintf("10.%d.0.%d", i%3, i), 1767778491000000000 + random.Int64N(1e9), random.Int64N(900), "domain-b", 400, i%2 == 0, i%3 == 0})
 	}
 	for range 30 {
 		report.Told = append(report.Told, Told{fmt.Sprintf("i-%010x", random.Int64N(1<<40)), random.IntN(9), random.Int64N(300)})
--- a/news/exchange.go
+++ b/news/exchange.go
@@ -131,7 +131,7 @@
 func (e *Exchange) greet(address string, now clock.Boot) {
 	report := e.identity
 	report.Greeting = true
-	report.Pulses = e.table.Pulses(greetingPulses, e.random, now)
+	report.Pulses = e.table.Pulses(report.FailureDomain, greetingPulses, e.random, now)
 	e.sendTo(address, e.packer.encode(&report))
 }
 
@@ -162,7 +162,7 @@
 // fleet these are more of the own failure domain, as bytes between domains are dear.
 func (e *Exchange) address(report *Report, now clock.Boot) (targets []string) {
 	if e.table.Large() {
-		report.Pulses = e.table.Pulses(relayedPulses, e.random, now)
+		report.Pulses = e.table.Pulses(report.FailureDomain, relayedPulses, e.random, now)
 		return e.table.Sample(report.FailureDomain, nearTargets, farTargets, e.random)
 	}
 	targets = e.table.Targets()
--- a/news/member.go
+++ b/news/member.go
@@ -8,6 +8,26 @@
 // drawKey draws the order of the VMs for duties.
 const drawKey = "reader"
 
+// Rank orders the VMs for duties: by capacity, then by draw. The zero value is behind all.
+type Rank struct {
+	// Capacity is the VM's part of a processor core, in thousandths.
+	Capacity int
+	Draw     uint64
+}
+
+// RankOf returns the rank of a VM.
+func RankOf(address string, capacity int) Rank {
+	return Rank{capacity, rank.Key(drawKey, address)}
+}
+
+// Before reports whether r goes first.
+func (r Rank) Before(other Rank) bool {
+	if r.Capacity != other.Capacity {
+		return r.Capacity > other.Capacity
+	}
+	return r.Draw > other.Draw
+}
+
 // Member is another VM as its last report shows it.
 type Member struct {
 	Report Report
@@ -15,14 +35,38 @@
 	Heard clock.Boot
 	// Reported is when Report came from the VM itself, 0 if others told of it.
 	Reported clock.Boot
-	// Draw orders the VMs for duties.
-	Draw uint64
+	// Rank and Serves are by the newest word, of the VM itself or of others.
+	Rank Rank
+	// Serves tells that the VM has knowledge and that the store serves it.
+	Serves bool
 
 	// place is the member's index in the list of the Table.
 	place int
 }
 
-// DrawOf returns the place of a VM in the order for duties; the highest goes first.
-func DrawOf(address string) uint64 {
-	return rank.Key(drawKey, address)
+// take sets what the VM itself reports.
+func (m *Member) take(report Report, now clock.Boot) {
+	m.Report, m.Heard, m.Reported = report, now, now
+	m.Rank.Capacity = report.Capacity
+	m.Serves = report.AgeMS >= 0 && !report.StoreLost
+}
+
+// takeWord sets what others tell of the VM.
+func (m *Member) takeWord(pulse Pulse, heard clock.Boot) {
+	m.Heard = heard
+	m.Rank.Capacity = pulse.Capacity
+	m.Serves = pulse.Serves
+}
+
+// pulse returns what is told to others of the VM.
+func (m *Member) pulse(now clock.Boot) Pulse {
+	return Pulse{
+		Address:       m.Report.Address,
+		Incarnation:   m.Report.Incarnation,
+		AgeMS:         now.Sub(m.Heard).Milliseconds(),
+		FailureDomain: m.Report.FailureDomain,
+		Capacity:      m.Rank.Capacity,
+		Learned:       m.Report.Learned,
+		Serves:        m.Serves,
+	}
 }
--- a/news/report.go
+++ b/news/report.go
@@ -49,7 +49,11 @@
 	AgeMS int64
 	// FailureDomain is where the VM is.
 	FailureDomain string
-	Learned       bool
+	// Capacity is the VM's part of a processor core, in thousandths.
+	Capacity int
+	Learned  bool
+	// Serves tells that the VM has knowledge and that the store serves it.
+	Serves bool
 }
 
 // Told is an endpoint's own word about its load.
--- a/news/table.go
+++ b/news/table.go
@@ -75,7 +75,7 @@
 	if !t.isNewer(report, member, now) {
 		return false
 	}
-	member.Report, member.Heard, member.Reported = report, now, now
+	member.take(report, now)
 	delete(t.told, report.Address)
 	for _, pulse := range report.Pulses {
 		t.receivePulse(pulse, now)
@@ -103,7 +103,7 @@
 
 // add returns a new member. The caller holds the lock.
 func (t *Table) add(address string) *Member {
-	member := &Member{Draw: DrawOf(address), place: len(t.list)}
+	member := &Member{Rank: RankOf(address, 0), place: len(t.list)}
 	t.members[address] = member
 	t.list = append(t.list, member)
 	return member
@@ -155,11 +155,12 @@
 			member = t.add(pulse.Address)
 		}
 		member.Report = Report{Address: pulse.Address, Incarnation: pulse.Incarnation, FailureDomain: pulse.FailureDomain, Learned: pulse.Learned, AgeMS: -1}
-		member.Heard, member.Reported = heard, 0
+		member.Reported = 0
+		member.takeWord(pulse, heard)
 		return
 	}
-	if pulse.Incarnation == member.Report.Incarnation {
-		member.Heard = max(member.Heard, heard)
+	if pulse.Incarnation == member.Report.Incarnation && heard > member.Heard {
+		member.takeWord(pulse, heard)
 	}
 }
 
@@ -168,30 +169,42 @@
 	return aliveFor * time.Duration(max(steadyFleet, len(t.members))) / steadyFleet
 }
 
-// Pulses returns up to limit of the members that count as alive, chosen at
-// random, so that each one is passed on as often as any other.
-func (t *Table) Pulses(limit int, random *rand.Rand, now clock.Boot) []Pulse {
+// Pulses returns the member of a failure domain that ranks first for duties, and up to
+// limit of those that count as alive, chosen at random, so that each one is passed on as
+// often as any other.
+func (t *Table) Pulses(domain string, limit int, random *rand.Rand, now clock.Boot) []Pulse {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	pulses := make([]Pulse, 0, min(limit, len(t.list)))
+	pulses := make([]Pulse, 0, 1+min(limit, len(t.list)))
+	if first := t.firstOf(domain, now); first != nil {
+		pulses = append(pulses, first.pulse(now))
+	}
 	for member := range t.shuffled(random) {
-		if len(pulses) == limit {
+		if len(pulses) >= limit {
 			break
 		}
-		if !t.lives(member, now) {
-			continue
+		if t.lives(member, now) {
+			pulses = append(pulses, member.pulse(now))
 		}
-		pulses = append(pulses, Pulse{
-			Address:       member.Report.Address,
-			Incarnation:   member.Report.Incarnation,
-			AgeMS:         now.Sub(member.Heard).Milliseconds(),
-			FailureDomain: member.Report.FailureDomain,
-			Learned:       member.Report.Learned,
-		})
 	}
 	return pulses
 }
 
+// firstOf returns the living member of a failure domain that ranks first for duties, nil
+// if there is none: all VMs have to agree on it soon. The caller holds the lock.
+func (t *Table) firstOf(domain string, now clock.Boot) *Member {
+	var first *Member
+	for _, member := range t.list {
+		if member.Report.FailureDomain != domain || !t.lives(member, now) {
+			continue
+		}
+		if first == nil || member.Rank.Before(first.Rank) {
+			first = member
+		}
+	}
+	return first
+}
+
 // shuffled yields the members in a random order, which is drawn as far as the caller goes.
 // The caller holds the lock.
 func (t *Table) shuffled(random *rand.Rand) iter.Seq[*Member] {
--- a/news/table_test.go
+++ b/news/table_test.go
@@ -52,7 +52,7 @@
 		f.numbers[from]++
 		report := Report{
 			Address: testAddress(from), Incarnation: int64(f.now) / int64(time.Hour), Number: f.numbers[from],
-			FailureDomain: fmt.Sprint(from % 3),
+			FailureDomain: fmt.Sprint(from % 3), Capacity: 100,
 		}
 		exchange := &Exchange{table: table, random: f.random}
 		targets := exchange.address(&report, f.now)
@@ -63,9 +63,23 @@
 func (f *testFleet) deliver(report Report, targets []string) {
 	for to, table := range f.tables {
 		for _, target := range targets {
-			if target == testAddress(to) && !f.down[to] && f.random.Float64() >= f.loss {
-				table.Receive(report, f.now)
+			if target != testAddress(to) || f.down[to] || f.random.Float64() < f.loss {
+				continue
 			}
+			if table.Receive(report, f.now) && report.Number <= greetedReports {
+				f.greet(to, report.Address)
+			}
+		}
+	}
+}
+
+// greet answers a first report.
+func (f *testFleet) greet(from int, address string) {
+	greeting := Report{Address: testAddress(from), Greeting: true}
+	greeting.Pulses = f.tables[from].Pulses(fmt.Sprint(from%3), greetingPulses, f.random, f.now)
+	for to, table := range f.tables {
+		if testAddress(to) == address && f.random.Float64() >= f.loss {
+			table.Receive(greeting, f.now)
 		}
 	}
 }
@@ -178,3 +192,37 @@
 		}
 	}
 }
+
+// TestFewTakeThemselvesForFirst starts 300 VMs at once that know three seeds: after the
+// rounds of 1.5 s only the VM that ranks first for duties in its failure domain knows none
+// that goes before it.
+func TestFewTakeThemselvesForFirst(t *testing.T) {
+	const count = 300
+	const rounds = startReports + int((1500*time.Millisecond-startReports*startPeriod)/largePeriod)
+	f := newTestFleet(count, 9)
+	f.loss = 0.02
+	best := map[string]int{}
+	rank := func(i int) Rank { return RankOf(testAddress(i), 100) }
+	for i := range count {
+		domain := fmt.Sprint(i % 3)
+		if first, ok := best[domain]; !ok || rank(i).Before(rank(first)) {
+			best[domain] = i
+		}
+	}
+	for range rounds {
+		f.round()
+	}
+	unaware := 0
+	for i, table := range f.tables {
+		domain := fmt.Sprint(i % 3)
+		if i == best[domain] {
+			continue
+		}
+		if first := table.firstOf(domain, f.now); first == nil || !first.Rank.Before(rank(i)) {
+			unaware++
+		}
+	}
+	if unaware > 0 {
+		t.Errorf("%d of %d VMs take themselves for first", unaware, count)
+	}
+}
--- a/news/trust_test.go
+++ b/news/trust_test.go
@@ -135,7 +135,7 @@
 			t.Errorf("%d VMs: %v allocations for a look at %d members", count, looks, alive)
 		}
 		report := testing.AllocsPerRun(100, func() {
-			table.Pulses(relayedPulses, random, testStart)
+			table.Pulses("1", relayedPulses, random, testStart)
 			table.Sample("1", nearTargets, farTargets, random)
 		})
 		if report > 6 {
@@ -156,7 +156,7 @@
 		b.Run(fmt.Sprintf("report-%d", count), func(b *testing.B) {
 			for b.Loop() {
 				table.Changes(testStart)
-				table.Pulses(relayedPulses, random, testStart)
+				table.Pulses("1", relayedPulses, random, testStart)
 				table.Sample("1", nearTargets, farTargets, random)
 			}
 		})
