--- /dev/null
+++ b/gateway/troubles_test.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/internal/standin/hosted"
+)
+
+// engines are the engines of a test fleet.
+var engines = []string{"engine-1", "engine-2"}
+
+// TestSlowSoundStreamIsNotCut lets engines pause before each event for nearly as long as
+// the route allows: the stream is whole and ran once.
+func TestSlowSoundStreamIsNotCut(t *testing.T) {
+	f := newTestFleet(t, 1)
+	for _, id := range engines {
+		f.workers[id].Pause = 390 * time.Millisecond
+	}
+	for _, path := range []string{"/chat/1", "/roster/1"} {
+		got := f.ask(context.Background(), 1, query{path: path, parts: chatParts, deadline: "8000"})
+		if got.body != wholeChat || !got.whole || f.runs(got.id) != 1 {
+			t.Errorf("%s: %d runs, %+v", path, f.runs(got.id), got)
+		}
+	}
+}
+
+// TestTricklingStreamEnds lets an engine send a byte now and then that never makes an
+// event: a stream that may be resumed goes on at the other engine, another one ends when
+// the caller's time is over.
+func TestTricklingStreamEnds(t *testing.T) {
+	f := newTestFleet(t, 1)
+	for _, id := range engines {
+		f.workers["engine-1"].Plan()
+		f.workers["engine-2"].Plan()
+		f.workers[id].Plan(hosted.Trickle)
+		got := f.ask(context.Background(), 1, query{path: "/roster/1", parts: chatParts, deadline: "8000"})
+		if got.body != wholeChat || !got.whole {
+			t.Errorf("a stream that may be resumed: %+v", got)
+		}
+	}
+	for _, id := range engines {
+		f.workers[id].Always(hosted.Trickle)
+	}
+	got := f.ask(context.Background(), 1, query{path: "/chat/1", parts: chatParts, deadline: shortLimit})
+	if got.status == http.StatusOK && got.whole || promises[got.status] {
+		t.Errorf("a stream that may not be resumed: %+v", got)
+	}
+	f.eventually("the engines are idle", func() bool {
+		return f.workers["engine-1"].Active() == 0 && f.workers["engine-2"].Active() == 0
+	})
+}
+
+// TestRestartKeepsWhatWasWithdrawn withdraws a key and an endpoint, loses the store and
+// starts a VM anew: neither is in use again there.
+func TestRestartKeepsWhatWasWithdrawn(t *testing.T) {
+	f := newTestFleet(t, 2)
+	next := hosted.DefaultConfiguration()
+	next.Version, next.Tenants[0].Keys = 2, []string{"key-2"}
+	f.store.Publish(next)
+	f.store.Leave("plain-1")
+	f.eventually("all VMs know the change", func() bool {
+		for _, g := range f.gateways {
+			snapshot := g.tracker.Snapshot()
+			if snapshot.Configuration.Version != 2 || len(snapshot.Ready["plain"]) != 1 {
+				return false
+			}
+		}
+		return true
+	})
+	asked := f.asked("plain-1")
+	f.store.SetFault(hosted.FaultSilent)
+	f.stops[0]()
+	<-f.done[0]
+	f.done[0] <- nil // The clean-up waits for it again.
+	f.start(1)
+	f.eventually("the VM knows the configuration", func() bool {
+		return f.gateways[2].tracker.Snapshot().Configuration != nil
+	})
+	for range 10 {
+		if got := f.ask(context.Background(), 1, query{path: "/lookup/1", body: "work"}); f.runs(got.id) > 0 {
+			t.Errorf("a withdrawn key was accepted: %+v", got)
+		}
+		f.ask(context.Background(), 1, query{path: "/lookup/1", body: "work", key: "key-2"})
+	}
+	if again := f.asked("plain-1"); again != asked {
+		t.Errorf("the endpoint that had left got %d requests", again-asked)
+	}
+}
+
+// TestWorkOfASilentVMIsLeftAlone takes a VM's reports away while it serves a stream: the
+// other VM counts it as lost, and the stream runs once and is whole.
+func TestWorkOfASilentVMIsLeftAlone(t *testing.T) {
+	f := newTestFleet(t, 2)
+	for _, id := range engines {
+		f.workers[id].Events, f.workers[id].Pause = 30, 100*time.Millisecond
+	}
+	done := make(chan result, 1)
+	go func() { done <- f.ask(context.Background(), 1, query{path: "/roster/1", parts: chatParts}) }()
+	f.eventually("the stream runs", func() bool {
+		return f.workers["engine-1"].Active()+f.workers["engine-2"].Active() > 0
+	})
+	f.gateways[0].exchange.Close()
+	f.eventually("the VM counts as lost", func() bool { return len(f.gateways[1].members.Alive(clock.Now())) == 0 })
+	if got := <-done; !got.whole || f.runs(got.id) != 1 {
+		t.Errorf("%d runs, whole %v", f.runs(got.id), got.whole)
+	}
+}
--- a/internal/standin/hosted/worker.go
+++ b/internal/standin/hosted/worker.go
@@ -40,6 +40,8 @@
 	Leave
 	// Rest answers that the request was not run, and when the worker wants the next one.
 	Rest
+	// Trickle runs a stream and sends a byte now and then that never makes an event.
+	Trickle
 	// Endless answers that the request was not run, in a body without end.
 	Endless
 )
@@ -290,6 +292,10 @@
 			_ = control.Flush()
 			panic(http.ErrAbortHandler)
 		}
+		if behaviour == Trickle {
+			w.trickle(out, r, id)
+			return
+		}
 		fmt.Fprintf(out, "id: %d\ndata: piece %d\n\n", event, event)
 		if control.Flush() != nil {
 			w.abandon(id)
@@ -304,6 +310,27 @@
 	}
 }
 
+// tricklePause is the time between two bytes of Trickle.
+const tricklePause = 50 * time.Millisecond
+
+// trickle sends bytes of one event until the caller closes.
+func (w *Worker) trickle(out http.ResponseWriter, r *http.Request, id string) {
+	control := http.NewResponseController(out)
+	for {
+		fmt.Fprint(out, "x")
+		if control.Flush() != nil {
+			break
+		}
+		select {
+		case <-time.After(tricklePause):
+			continue
+		case <-r.Context().Done():
+		}
+		break
+	}
+	w.abandon(id)
+}
+
 func (w *Worker) abandon(id string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
