Bound heads of store and peer answers; tell of leaving, rest and the six troubles

The soak lets workers say that they leave, ask for rest, trickle and refuse without end, and checks leaving and rest from what callers and workers see.

--- a/cmd/cardamompoint/soak_callers_test.go
+++ b/cmd/cardamompoint/soak_callers_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
 	"cardamompoint.example/cardamompoint/internal/standin/hosted"
@@ -85,6 +86,9 @@
 		body, failed := io.ReadAll(response.Body)
 		response.Body.Close()
 		call.status, call.body, call.whole = response.StatusCode, string(body), failed == nil
+		if response.Header.Get("Server-Leaving") != "" {
+			call.leaving = strings.TrimSuffix(response.Header.Get("Cardamompoint-Response-Seal"), ".seal")
+		}
 	}
 	call.ended, call.left = time.Now(), ctx.Err() != nil
 	if boot := int(s.gateways[call.gateway].boot.Load()); boot != call.boot {
--- a/cmd/cardamompoint/soak_faults_test.go
+++ b/cmd/cardamompoint/soak_faults_test.go
@@ -20,7 +20,7 @@
 // fault injects one fault, or ends one.
 func (s *soak) fault() {
 	faults := []func(){
-		s.kill, s.freeze, s.terminate, s.reload, s.cutLink, s.cutLink, s.resetLink, s.failStore, s.change, s.change, s.misbehave, s.leave, s.replace,
+		s.kill, s.freeze, s.terminate, s.reload, s.cutLink, s.cutLink, s.resetLink, s.failStore, s.change, s.change, s.misbehave, s.leave, s.replace, s.sayLeaving,
 	}
 	faults[s.random.IntN(len(faults))]()
 }
@@ -101,11 +101,28 @@
 
 func (s *soak) misbehave() {
 	slot := s.anySlot()
-	first, third := hosted.Behaviour(s.random.IntN(int(hosted.Twice)+1)), hosted.Behaviour(s.random.IntN(int(hosted.Twice)+1))
+	first, third := s.anyBehaviour(), s.anyBehaviour()
 	s.note("worker at %s: %d, %d", slot.public, first, third)
 	slot.worker.Load().Plan(first, hosted.Serve, third)
 }
 
+// anyBehaviour returns one of the behaviours of a worker that stays.
+func (s *soak) anyBehaviour() hosted.Behaviour {
+	for {
+		if behaviour := hosted.Behaviour(s.random.IntN(int(hosted.Endless) + 1)); behaviour != hosted.Leave {
+			return behaviour
+		}
+	}
+}
+
+// sayLeaving lets a worker say in all its answers that it leaves; its entry stays.
+func (s *soak) sayLeaving() {
+	slot := s.anySlot()
+	s.note("worker at %s: says that it leaves", slot.public)
+	slot.leaves = true
+	slot.worker.Load().Always(hosted.Leave)
+}
+
 // leave lets a worker drain, and another time come back.
 func (s *soak) leave() {
 	slot := s.anySlot()
@@ -139,6 +156,9 @@
 		_ = g.command.Process.Signal(syscall.SIGCONT)
 	}
 	for _, slot := range s.slots {
+		if slot.leaves {
+			s.enter(slot)
+		}
 		now := slot.worker.Load()
 		now.Plan()
 		for _, worker := range slot.all {
--- a/cmd/cardamompoint/soak_fleet_test.go
+++ b/cmd/cardamompoint/soak_fleet_test.go
@@ -53,6 +53,8 @@
 	service string
 	public  string
 	worker  atomic.Pointer[hosted.Worker]
+	// leaves tells that the worker there says that it leaves.
+	leaves bool
 	// all are the workers that were there.
 	all   []*hosted.Worker
 	proxy *soakProxy
@@ -129,6 +131,8 @@
 func (s *soak) enter(slot *soakSlot) {
 	worker := hosted.NewWorker(fmt.Sprintf("%s-%s-%d", slot.service, slot.public, len(slot.all)))
 	worker.Events = soakEvents
+	worker.RestFor = fmt.Sprint(soakRest.Seconds())
+	slot.leaves = false
 	slot.all = append(slot.all, worker)
 	slot.worker.Store(worker)
 	s.store.Enter(worker.ID, slot.service, slot.public, "ready")
--- a/cmd/cardamompoint/soak_history_red_test.go
+++ b/cmd/cardamompoint/soak_history_red_test.go
@@ -19,7 +19,7 @@
 		id := string(rune('a' + i))
 		sent := start.Add(time.Duration(i) * time.Second)
 		h.calls = append(h.calls, soakCall{id: id, path: path, key: hosted.Key, sent: sent, ended: sent.Add(time.Second), status: http.StatusOK, body: "answer to " + id, whole: true})
-		h.seen = append(h.seen, soakSeen{"plain", hosted.Seen{ID: id, Target: path, Workspace: hosted.Workspace, Body: soakBody, Run: true, At: sent}})
+		h.seen = append(h.seen, soakSeen{"plain", "w1", hosted.Seen{ID: id, Target: path, Workspace: hosted.Workspace, Body: soakBody, Run: true, At: sent}})
 	}
 	return h
 }
@@ -44,7 +44,21 @@
 		"too many retries":  {"retries", func(h *soakHistory) { h.seen = append(h.seen, manyRetries(h.seen[1])...) }},
 		"another path":      {"unasked", func(h *soakHistory) { h.seen[0].Target = "/lookup/1" }},
 		"another workspace": {"unasked", func(h *soakHistory) { h.seen[0].Workspace = "other" }},
-		"another body":      {"unasked", func(h *soakHistory) { h.seen[0].Body = "more" }},
+		"a leaving worker": {"leaving", func(h *soakHistory) {
+			h.calls[0].leaving, h.calls[0].ended = "w1", h.calls[0].sent
+			h.calls[2].sent = h.calls[0].sent.Add(soakDrain + time.Millisecond)
+		}},
+		"a resting worker": {"rest", func(h *soakHistory) {
+			h.seen[0].Behaviour, h.seen[0].Run = hosted.Rest, false
+			h.calls[0].ended = h.calls[0].sent
+			at := h.calls[0].sent.Add(soakRestNoticed + time.Millisecond)
+			for i := range soakRestSlack + 1 {
+				id := string(rune('k' + i))
+				h.calls = append(h.calls, soakCall{id: id, path: "/lookup/1", key: hosted.Key, sent: at, ended: at, status: http.StatusBadGateway})
+				h.seen = append(h.seen, soakSeen{"plain", "w1", hosted.Seen{ID: id, Target: "/lookup/1", Workspace: hosted.Workspace, Body: soakBody, Run: true, At: at}})
+			}
+		}},
+		"another body": {"unasked", func(h *soakHistory) { h.seen[0].Body = "more" }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := soundHistory()
--- a/cmd/cardamompoint/soak_history_test.go
+++ b/cmd/cardamompoint/soak_history_test.go
@@ -16,6 +16,12 @@
 	soakRetryWindow = 10 * time.Second
 	soakRetryRatio  = 0.2
 	soakRetrySlack  = 54
+	soakDrain       = 2 * time.Second
+	// soakRest is how long resting workers want no requests, soakRestNoticed the time
+	// from which their word counts, and soakRestSlack how many requests still may come.
+	soakRest        = 3 * time.Second
+	soakRestNoticed = 500 * time.Millisecond
+	soakRestSlack   = 2
 	soakMemoryKB    = 284 << 10
 	soakDescriptors = 4100
 	// soakEvents is the number of events of each stream.
@@ -38,11 +44,14 @@
 	status int
 	body   string
 	whole  bool
+	// leaving is the worker that said in the answer that it leaves, "" if none did.
+	leaving string
 }
 
 // soakSeen is a request as it reached a worker.
 type soakSeen struct {
 	service string
+	worker  string
 	hosted.Seen
 }
 
@@ -66,6 +75,8 @@
 	"versions": checkVersions,
 	"retries":  checkRetries,
 	"unasked":  checkUnasked,
+	"leaving":  checkLeaving,
+	"rest":     checkRest,
 }
 
 // runs counts how often each request was run.
--- a/cmd/cardamompoint/soak_test.go
+++ b/cmd/cardamompoint/soak_test.go
@@ -72,7 +72,7 @@
 	for _, slot := range s.slots {
 		for _, worker := range slot.all {
 			for _, seen := range worker.Seen() {
-				s.history.seen = append(s.history.seen, soakSeen{slot.service, seen})
+				s.history.seen = append(s.history.seen, soakSeen{slot.service, worker.ID, seen})
 			}
 		}
 	}
--- a/gateway/learner.go
+++ b/gateway/learner.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/internal/jsonhttp"
 	"cardamompoint.example/cardamompoint/knowledge"
 	"cardamompoint.example/cardamompoint/news"
 	"cardamompoint.example/cardamompoint/platform"
@@ -57,7 +58,7 @@
 }
 
 func newLearner(g *Gateway) *learner {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: learnTimeout}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: jsonhttp.MaxHeaderBytes}, Timeout: learnTimeout}
 	return &learner{gateway: g, client: client, asked: map[string]bool{}}
 }
 
--- a/gateway/peer_client.go
+++ b/gateway/peer_client.go
@@ -28,7 +28,12 @@
 
 func newPeerClient(port int) *peerClient {
 	dialer := &net.Dialer{Timeout: peerDialTimeout}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout}
+	transport := &http.Transport{
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    1,
+		IdleConnTimeout:        peerIdleTimeout,
+		MaxResponseHeaderBytes: jsonhttp.MaxHeaderBytes,
+	}
 	return &peerClient{port: strconv.Itoa(port), client: &http.Client{Transport: transport}}
 }
 
--- a/internal/jsonhttp/client.go
+++ b/internal/jsonhttp/client.go
@@ -14,6 +14,9 @@
 
 const maxAnswerBytes = 16 << 20
 
+// MaxHeaderBytes bounds the head of an answer between processes and of the store, in bytes.
+const MaxHeaderBytes = 64 << 10
+
 // Get asks for url and decodes the answer into out.
 func Get(ctx context.Context, client *http.Client, url string, out any) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
--- a/internal/standin/hosted/worker.go
+++ b/internal/standin/hosted/worker.go
@@ -81,6 +81,8 @@
 	LastEvent string
 	Header    http.Header
 	Run       bool
+	// Behaviour is what the worker did with it.
+	Behaviour Behaviour
 	// At is when it came.
 	At time.Time
 }
@@ -172,7 +174,7 @@
 	}
 	w.seen = append(w.seen, Seen{
 		ID: id, Method: r.Method, Target: r.RequestURI, Workspace: r.Header.Get("Cardamompoint-Tenant"),
-		Body: body, LastEvent: r.Header.Get("Last-Event-Id"), Header: r.Header.Clone(), Run: run, At: time.Now(),
+		Body: body, LastEvent: r.Header.Get("Last-Event-Id"), Header: r.Header.Clone(), Run: run, Behaviour: behaviour, At: time.Now(),
 	})
 	return behaviour
 }
