--- a/cmd/cardamompoint/capacity_bench_test.go
+++ b/cmd/cardamompoint/capacity_bench_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"cardamompoint.example/cardamompoint/api"
+	"cardamompoint.example/cardamompoint/router/api"
 )
 
 // ticksPerSecond is the unit of processor time in /proc.
--- a/cmd/cardamompoint/check.go
+++ b/cmd/cardamompoint/check.go
@@ -11,7 +11,7 @@
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/published"
 	"cardamompoint.example/cardamompoint/platform"
-	"cardamompoint.example/cardamompoint/settings"
+	"cardamompoint.example/cardamompoint/router/settings"
 )
 
 func checkCommand() *cli.Command {
--- a/cmd/cardamompoint/explain.go
+++ b/cmd/cardamompoint/explain.go
@@ -8,10 +8,10 @@
 
 	"github.com/urfave/cli/v3"
 
-	"cardamompoint.example/cardamompoint/api"
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/gateway"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+	"cardamompoint.example/cardamompoint/router/api"
 )
 
 func explainCommand() *cli.Command {
--- a/cmd/cardamompoint/fleet_test.go
+++ b/cmd/cardamompoint/fleet_test.go
@@ -15,13 +15,13 @@
 	"testing"
 	"time"
 
-	"cardamompoint.example/cardamompoint/api"
 	"cardamompoint.example/cardamompoint/examples"
 	"cardamompoint.example/cardamompoint/internal/caller"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
 	"cardamompoint.example/cardamompoint/internal/loopback"
-	"cardamompoint.example/cardamompoint/settings"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/api"
+	"cardamompoint.example/cardamompoint/router/settings"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 // fleetConfig says which processes of an example deployment run.
--- a/cmd/cardamompoint/knowledge_test.go
+++ b/cmd/cardamompoint/knowledge_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"cardamompoint.example/cardamompoint/api"
 	"cardamompoint.example/cardamompoint/internal/standin"
+	"cardamompoint.example/cardamompoint/router/api"
 )
 
 const testWorkspace = "outlet-klang"
--- a/cmd/cardamompoint/once_load_test.go
+++ b/cmd/cardamompoint/once_load_test.go
@@ -12,7 +12,7 @@
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/standin"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 const (
--- a/cmd/cardamompoint/once_test.go
+++ b/cmd/cardamompoint/once_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"cardamompoint.example/cardamompoint/settings"
+	"cardamompoint.example/cardamompoint/router/settings"
 )
 
 const (
--- a/cmd/cardamompoint/router.go
+++ b/cmd/cardamompoint/router.go
@@ -7,7 +7,7 @@
 
 	"cardamompoint.example/cardamompoint/internal/daemon"
 	"cardamompoint.example/cardamompoint/router"
-	"cardamompoint.example/cardamompoint/settings"
+	"cardamompoint.example/cardamompoint/router/settings"
 )
 
 func routerCommand() *cli.Command {
--- a/cmd/cardamompoint/script_test.go
+++ b/cmd/cardamompoint/script_test.go
@@ -11,10 +11,10 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"cardamompoint.example/cardamompoint/api"
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/caller"
 	"cardamompoint.example/cardamompoint/internal/standin"
+	"cardamompoint.example/cardamompoint/router/api"
 )
 
 func TestScripts(t *testing.T) {
--- a/cmd/cardamompoint/status.go
+++ b/cmd/cardamompoint/status.go
@@ -9,10 +9,10 @@
 
 	"github.com/urfave/cli/v3"
 
-	"cardamompoint.example/cardamompoint/api"
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/gateway"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+	"cardamompoint.example/cardamompoint/router/api"
 )
 
 const operatorTimeout = 5 * time.Second
--- a/cmd/cardamompoint/stream_load_test.go
+++ b/cmd/cardamompoint/stream_load_test.go
@@ -9,12 +9,12 @@
 	"sync/atomic"
 	"time"
 
-	"cardamompoint.example/cardamompoint/api"
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/endpoint"
 	"cardamompoint.example/cardamompoint/internal/caller"
 	"cardamompoint.example/cardamompoint/internal/standin"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/api"
+	"cardamompoint.example/cardamompoint/router/endpoint"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 // streamLoad is a number of chats that are answered at the same time.
--- a/cmd/cardamompoint/streams_test.go
+++ b/cmd/cardamompoint/streams_test.go
@@ -8,12 +8,12 @@
 	"testing"
 	"time"
 
-	"cardamompoint.example/cardamompoint/api"
-	"cardamompoint.example/cardamompoint/endpoint"
 	"cardamompoint.example/cardamompoint/internal/caller"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
-	"cardamompoint.example/cardamompoint/settings"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/api"
+	"cardamompoint.example/cardamompoint/router/endpoint"
+	"cardamompoint.example/cardamompoint/router/settings"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 // startStreamFleet starts a small fleet with short timeouts.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -7,11 +7,11 @@
 	"os"
 	"time"
 
-	"cardamompoint.example/cardamompoint/choice"
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/gateway/choice"
+	"cardamompoint.example/cardamompoint/gateway/upstream"
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/platform"
-	"cardamompoint.example/cardamompoint/upstream"
 )
 
 // outcome is what came of one attempt.
--- a/gateway/attempt_test.go
+++ b/gateway/attempt_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"cardamompoint.example/cardamompoint/traffic"
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 )
 
 // TestOnlyWholeAnswersKeepAConnection lists what came of an exchange, with and
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -7,11 +7,11 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/gateway/knowledge"
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/internal/httpguard"
-	"cardamompoint.example/cardamompoint/knowledge"
 	"cardamompoint.example/cardamompoint/platform"
-	"cardamompoint.example/cardamompoint/traffic"
 )
 
 const (
--- a/choice/bench_test.go
+++ b/gateway/choice/bench_test.go
@@ -5,10 +5,10 @@
 	"testing"
 	"time"
 
+	"cardamompoint.example/cardamompoint/gateway/knowledge"
+	"cardamompoint.example/cardamompoint/gateway/news"
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/knowledge"
-	"cardamompoint.example/cardamompoint/news"
-	"cardamompoint.example/cardamompoint/traffic"
 )
 
 func BenchmarkPick(b *testing.B) {
--- a/choice/chooser.go
+++ b/gateway/choice/chooser.go
@@ -6,8 +6,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/traffic"
 )
 
 // newChooser begins a choice. The caller holds the lock until its end.
--- a/choice/explain.go
+++ b/gateway/choice/explain.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/traffic"
 )
 
 // Candidate is an endpoint as a choice would see it now.
--- a/choice/news_test.go
+++ b/gateway/choice/news_test.go
@@ -6,9 +6,9 @@
 	"testing"
 	"time"
 
+	"cardamompoint.example/cardamompoint/gateway/news"
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/news"
-	"cardamompoint.example/cardamompoint/traffic"
 )
 
 // gossip lets VMs of a large fleet send their reports in rounds.
--- a/choice/notice.go
+++ b/gateway/choice/notice.go
@@ -5,8 +5,8 @@
 
 	"k8s.io/klog/v2"
 
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/traffic"
 )
 
 // instance is one start of an endpoint.
--- a/choice/notice_test.go
+++ b/gateway/choice/notice_test.go
@@ -5,9 +5,9 @@
 	"testing"
 	"time"
 
+	"cardamompoint.example/cardamompoint/gateway/knowledge"
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/knowledge"
-	"cardamompoint.example/cardamompoint/traffic"
 )
 
 // noticeStart is when the tests of notices begin.
--- a/choice/option.go
+++ b/gateway/choice/option.go
@@ -1,7 +1,7 @@
 package choice
 
 import (
-	"cardamompoint.example/cardamompoint/traffic"
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 )
 
 // option is one candidate.
--- a/choice/pick.go
+++ b/gateway/choice/pick.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/traffic"
 )
 
 const (
--- a/choice/places.go
+++ b/gateway/choice/places.go
@@ -1,8 +1,8 @@
 package choice
 
 import (
+	"cardamompoint.example/cardamompoint/gateway/news"
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/news"
 )
 
 // placesLimit bounds the places that are told at once.
--- a/choice/resolved_test.go
+++ b/gateway/choice/resolved_test.go
@@ -4,9 +4,9 @@
 	"testing"
 	"time"
 
+	"cardamompoint.example/cardamompoint/gateway/knowledge"
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/knowledge"
-	"cardamompoint.example/cardamompoint/traffic"
 )
 
 // TestChoiceSeesEndpointsThatStartAnew picks from one list of candidates before and
--- a/choice/source.go
+++ b/gateway/choice/source.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"cardamompoint.example/cardamompoint/traffic"
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 )
 
 // leastFetch is the number of missing tokens from which a copy is fetched.
--- a/choice/state.go
+++ b/gateway/choice/state.go
@@ -5,8 +5,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/traffic"
 )
 
 // state is what is known of one endpoint's load and health.
--- a/choice/table.go
+++ b/gateway/choice/table.go
@@ -4,10 +4,10 @@
 	"sync"
 	"time"
 
+	"cardamompoint.example/cardamompoint/gateway/knowledge"
+	"cardamompoint.example/cardamompoint/gateway/news"
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/knowledge"
-	"cardamompoint.example/cardamompoint/news"
-	"cardamompoint.example/cardamompoint/traffic"
 )
 
 // Table keeps load, health and prompt places of all endpoints. It is safe for
--- a/choice/work.go
+++ b/gateway/choice/work.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
+	"cardamompoint.example/cardamompoint/gateway/news"
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/news"
-	"cardamompoint.example/cardamompoint/traffic"
 )
 
 // Work is one request in progress at an endpoint. It is not safe for concurrent
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/gateway/knowledge"
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
-	"cardamompoint.example/cardamompoint/knowledge"
 )
 
 // knowledgePath is where a VM tells others what it knows.
--- a/gateway/duty.go
+++ b/gateway/duty.go
@@ -5,9 +5,9 @@
 	"math/rand/v2"
 	"time"
 
+	"cardamompoint.example/cardamompoint/gateway/knowledge"
+	"cardamompoint.example/cardamompoint/gateway/news"
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/knowledge"
-	"cardamompoint.example/cardamompoint/news"
 )
 
 // ownRank is the rank of this VM for reading the store.
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -3,12 +3,12 @@
 import (
 	"net/http"
 
-	"cardamompoint.example/cardamompoint/choice"
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/gateway/choice"
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
 	"cardamompoint.example/cardamompoint/platform"
-	"cardamompoint.example/cardamompoint/traffic"
 )
 
 // ExplainPath is where a gateway tells operators what it would do with a request.
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -8,12 +8,12 @@
 
 	"k8s.io/klog/v2"
 
-	"cardamompoint.example/cardamompoint/choice"
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/gateway/choice"
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
 	"cardamompoint.example/cardamompoint/platform"
-	"cardamompoint.example/cardamompoint/traffic"
 )
 
 // finish ends a call that has no success: with the failure that an endpoint
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,15 +11,15 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
-	"cardamompoint.example/cardamompoint/budget"
-	"cardamompoint.example/cardamompoint/choice"
+	"cardamompoint.example/cardamompoint/gateway/budget"
+	"cardamompoint.example/cardamompoint/gateway/choice"
+	"cardamompoint.example/cardamompoint/gateway/knowledge"
+	"cardamompoint.example/cardamompoint/gateway/news"
+	"cardamompoint.example/cardamompoint/gateway/traffic"
+	"cardamompoint.example/cardamompoint/gateway/upstream"
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/knowledge"
 	"cardamompoint.example/cardamompoint/metrics"
-	"cardamompoint.example/cardamompoint/news"
 	"cardamompoint.example/cardamompoint/platform"
-	"cardamompoint.example/cardamompoint/traffic"
-	"cardamompoint.example/cardamompoint/upstream"
 )
 
 // Gateway serves callers on one VM.
--- a/knowledge/snapshot.go
+++ b/gateway/knowledge/snapshot.go
@@ -1,6 +1,6 @@
 package knowledge
 
-import "cardamompoint.example/cardamompoint/traffic"
+import "cardamompoint.example/cardamompoint/gateway/traffic"
 
 // Snapshot is what is known at one moment. It is immutable.
 type Snapshot struct {
--- a/knowledge/tracker.go
+++ b/gateway/knowledge/tracker.go
@@ -9,9 +9,9 @@
 
 	"k8s.io/klog/v2"
 
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/platform"
-	"cardamompoint.example/cardamompoint/traffic"
 )
 
 const (
--- a/gateway/learner.go
+++ b/gateway/learner.go
@@ -7,13 +7,13 @@
 
 	"k8s.io/klog/v2"
 
+	"cardamompoint.example/cardamompoint/gateway/knowledge"
+	"cardamompoint.example/cardamompoint/gateway/news"
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
-	"cardamompoint.example/cardamompoint/knowledge"
-	"cardamompoint.example/cardamompoint/news"
 	"cardamompoint.example/cardamompoint/platform"
 	"cardamompoint.example/cardamompoint/rank"
-	"cardamompoint.example/cardamompoint/traffic"
 )
 
 const (
--- a/gateway/next.go
+++ b/gateway/next.go
@@ -4,10 +4,10 @@
 	"slices"
 	"time"
 
-	"cardamompoint.example/cardamompoint/choice"
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/gateway/choice"
+	"cardamompoint.example/cardamompoint/gateway/knowledge"
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/knowledge"
 )
 
 // next picks the endpoint of the next attempt from the newest knowledge. It waits
--- a/gateway/peer_client.go
+++ b/gateway/peer_client.go
@@ -8,9 +8,9 @@
 	"strconv"
 	"time"
 
+	"cardamompoint.example/cardamompoint/gateway/knowledge"
+	"cardamompoint.example/cardamompoint/gateway/news"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
-	"cardamompoint.example/cardamompoint/knowledge"
-	"cardamompoint.example/cardamompoint/news"
 )
 
 const (
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -6,8 +6,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/traffic"
 )
 
 // maxSends bounds the endpoints that one request is sent to, also when they
--- a/gateway/run_test.go
+++ b/gateway/run_test.go
@@ -4,7 +4,7 @@
 	"context"
 	"testing"
 
-	"cardamompoint.example/cardamompoint/choice"
+	"cardamompoint.example/cardamompoint/gateway/choice"
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/platform"
 )
--- a/gateway/seed_ask.go
+++ b/gateway/seed_ask.go
@@ -7,8 +7,8 @@
 
 	"k8s.io/klog/v2"
 
+	"cardamompoint.example/cardamompoint/gateway/knowledge"
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/knowledge"
 )
 
 const (
--- a/gateway/seed_ask_test.go
+++ b/gateway/seed_ask_test.go
@@ -1,7 +1,7 @@
 package gateway
 
 import (
-	"cardamompoint.example/cardamompoint/news"
+	"cardamompoint.example/cardamompoint/gateway/news"
 	"fmt"
 	"net/http"
 	"testing"
--- a/gateway/shedding.go
+++ b/gateway/shedding.go
@@ -7,11 +7,11 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"cardamompoint.example/cardamompoint/choice"
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/gateway/choice"
+	"cardamompoint.example/cardamompoint/gateway/shed"
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/shed"
-	"cardamompoint.example/cardamompoint/traffic"
 )
 
 // shedders holds one Shedder for each service. It is safe for concurrent use.
--- a/gateway/shedding_test.go
+++ b/gateway/shedding_test.go
@@ -7,10 +7,10 @@
 	"testing"
 
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/gateway/shed"
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/internal/standin/hosted"
-	"cardamompoint.example/cardamompoint/shed"
-	"cardamompoint.example/cardamompoint/traffic"
 )
 
 // TestLostRequestsAreCounted lets all engines turn requests away: that is what the
--- a/gateway/start_hold.go
+++ b/gateway/start_hold.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"cardamompoint.example/cardamompoint/gateway/news"
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/news"
 )
 
 const (
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -3,7 +3,7 @@
 import (
 	"net/http"
 
-	"cardamompoint.example/cardamompoint/choice"
+	"cardamompoint.example/cardamompoint/gateway/choice"
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
 )
--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -9,8 +9,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"cardamompoint.example/cardamompoint/api"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+	"cardamompoint.example/cardamompoint/router/api"
 )
 
 // Answer is a streamed answer as it came.
--- a/internal/caller/client.go
+++ b/internal/caller/client.go
@@ -10,8 +10,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"cardamompoint.example/cardamompoint/api"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+	"cardamompoint.example/cardamompoint/router/api"
 )
 
 // Client asks one router. It is safe for concurrent use.
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -10,10 +10,10 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
-	"cardamompoint.example/cardamompoint/api"
-	"cardamompoint.example/cardamompoint/config"
 	"cardamompoint.example/cardamompoint/internal/caller"
 	"cardamompoint.example/cardamompoint/internal/standin"
+	"cardamompoint.example/cardamompoint/router/api"
+	"cardamompoint.example/cardamompoint/router/config"
 )
 
 // parallelAsks is the number of requests in progress at once.
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -17,8 +17,8 @@
 	"cardamompoint.example/cardamompoint/internal/loopback"
 	"cardamompoint.example/cardamompoint/internal/standin"
 	"cardamompoint.example/cardamompoint/router"
-	"cardamompoint.example/cardamompoint/settings"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/settings"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 // fleet is a running deployment.
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"cardamompoint.example/cardamompoint/traffic"
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 )
 
 // The speed of an engine.
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"cardamompoint.example/cardamompoint/traffic"
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 )
 
 // callerRetries is how often a refused caller comes back.
--- a/internal/emulator/gateway_way.go
+++ b/internal/emulator/gateway_way.go
@@ -4,11 +4,11 @@
 	"fmt"
 	"time"
 
-	"cardamompoint.example/cardamompoint/choice"
-	"cardamompoint.example/cardamompoint/knowledge"
-	"cardamompoint.example/cardamompoint/news"
-	"cardamompoint.example/cardamompoint/shed"
-	"cardamompoint.example/cardamompoint/traffic"
+	"cardamompoint.example/cardamompoint/gateway/choice"
+	"cardamompoint.example/cardamompoint/gateway/knowledge"
+	"cardamompoint.example/cardamompoint/gateway/news"
+	"cardamompoint.example/cardamompoint/gateway/shed"
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 )
 
 // What gateways do, as package gateway has it.
--- a/internal/emulator/memory.go
+++ b/internal/emulator/memory.go
@@ -1,8 +1,8 @@
 package emulator
 
 import (
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/traffic"
 )
 
 // memory is what an engine keeps, in tokens: prompt parts that were read, and what
--- a/internal/emulator/request.go
+++ b/internal/emulator/request.go
@@ -1,8 +1,8 @@
 package emulator
 
 import (
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/traffic"
 )
 
 // Request is one request of a caller, with all its attempts.
--- a/internal/emulator/work.go
+++ b/internal/emulator/work.go
@@ -7,8 +7,8 @@
 	"slices"
 	"time"
 
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/traffic"
 )
 
 // start is the time at which callers begin.
--- a/internal/published/check.go
+++ b/internal/published/check.go
@@ -12,9 +12,9 @@
 	"github.com/rotisserie/eris"
 
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/config"
-	"cardamompoint.example/cardamompoint/source"
-	"cardamompoint.example/cardamompoint/template"
+	"cardamompoint.example/cardamompoint/router/config"
+	"cardamompoint.example/cardamompoint/router/source"
+	"cardamompoint.example/cardamompoint/router/template"
 )
 
 // Fault is one fault of one file.
--- a/internal/routebench/class.go
+++ b/internal/routebench/class.go
@@ -4,7 +4,7 @@
 	"math"
 	"math/rand/v2"
 
-	"cardamompoint.example/cardamompoint/template"
+	"cardamompoint.example/cardamompoint/router/template"
 )
 
 // class is a kind of chat.
--- a/internal/routebench/entry_way.go
+++ b/internal/routebench/entry_way.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/json"
 
-	"cardamompoint.example/cardamompoint/balance"
+	"cardamompoint.example/cardamompoint/router/balance"
 )
 
 // EntryWay lets the router that takes the request decide. It counts what it
--- a/internal/routebench/fleet.go
+++ b/internal/routebench/fleet.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"time"
 
-	"cardamompoint.example/cardamompoint/member"
-	"cardamompoint.example/cardamompoint/settings"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/member"
+	"cardamompoint.example/cardamompoint/router/settings"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 const group = "pool"
--- a/internal/routebench/home.go
+++ b/internal/routebench/home.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"cardamompoint.example/cardamompoint/affinity"
-	"cardamompoint.example/cardamompoint/balance"
-	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/router/affinity"
+	"cardamompoint.example/cardamompoint/router/balance"
+	"cardamompoint.example/cardamompoint/router/endpoint"
 )
 
 const model = "model"
--- a/internal/routebench/home_way.go
+++ b/internal/routebench/home_way.go
@@ -6,10 +6,10 @@
 	"slices"
 	"time"
 
-	"cardamompoint.example/cardamompoint/affinity"
-	"cardamompoint.example/cardamompoint/balance"
 	"cardamompoint.example/cardamompoint/rank"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/affinity"
+	"cardamompoint.example/cardamompoint/router/balance"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 // HomeWay lets one router, the home of an engine, count the engine's load
--- a/internal/routebench/reports.go
+++ b/internal/routebench/reports.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/json"
 
-	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/router/endpoint"
 )
 
 // reports is what ways share that read the loads that engines report.
--- a/internal/routebench/request.go
+++ b/internal/routebench/request.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"cardamompoint.example/cardamompoint/template"
+	"cardamompoint.example/cardamompoint/router/template"
 )
 
 // Request is one request of a chat.
--- a/internal/routebench/subset_way.go
+++ b/internal/routebench/subset_way.go
@@ -2,7 +2,7 @@
 
 import (
 	"cardamompoint.example/cardamompoint/rank"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 // subsetPart is the part of the engines that one router uses.
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/endpoint"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+	"cardamompoint.example/cardamompoint/router/endpoint"
 )
 
 // EngineOptions are the settings of an Engine.
--- a/internal/standin/engine_stream.go
+++ b/internal/standin/engine_stream.go
@@ -4,7 +4,7 @@
 	"sync"
 
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/router/endpoint"
 )
 
 // engineStream is one answer in progress at an Engine.
--- a/internal/standin/orders.go
+++ b/internal/standin/orders.go
@@ -6,8 +6,8 @@
 	"sync"
 
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/endpoint"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+	"cardamompoint.example/cardamompoint/router/endpoint"
 )
 
 // Orders is the part of an Engine that takes orders. It is safe for concurrent
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -11,7 +11,7 @@
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 const maxValueBytes = 1 << 20
--- a/internal/standin/published.go
+++ b/internal/standin/published.go
@@ -9,7 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 // LoadPublished publishes every JSON file below dir under its path without the
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
-	"cardamompoint.example/cardamompoint/endpoint"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+	"cardamompoint.example/cardamompoint/router/endpoint"
 )
 
 // ServiceOptions are the settings of a Service.
--- a/router/admission.go
+++ b/router/admission.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"cardamompoint.example/cardamompoint/balance"
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/router/balance"
+	"cardamompoint.example/cardamompoint/router/endpoint"
 )
 
 // admitWork holds room for the work at an engine that this router manages.
--- a/api/completion.go
+++ b/router/api/completion.go
@@ -5,7 +5,7 @@
 	"strings"
 
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/template"
+	"cardamompoint.example/cardamompoint/router/template"
 )
 
 // RoleAssistant is the role of messages that a model wrote.
--- a/router/ask_router.go
+++ b/router/ask_router.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/member"
+	"cardamompoint.example/cardamompoint/router/member"
 )
 
 // askRouter sends in to the router at address and returns its answer. This
--- a/balance/class.go
+++ b/router/balance/class.go
@@ -1,6 +1,6 @@
 package balance
 
-import "cardamompoint.example/cardamompoint/template"
+import "cardamompoint.example/cardamompoint/router/template"
 
 // The parts of an engine's caps up to which a class is admitted. What is above
 // is kept for more urgent classes, so that tags and chat replies are not held
--- a/balance/engine_count.go
+++ b/router/balance/engine_count.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"cardamompoint.example/cardamompoint/template"
+	"cardamompoint.example/cardamompoint/router/template"
 )
 
 // engineCount is what a router counts of one engine. The ledger's lock guards
--- a/balance/estimator.go
+++ b/router/balance/estimator.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"cardamompoint.example/cardamompoint/template"
+	"cardamompoint.example/cardamompoint/router/template"
 )
 
 const (
--- a/balance/fleet_test.go
+++ b/router/balance/fleet_test.go
@@ -9,10 +9,10 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/endpoint"
 	"cardamompoint.example/cardamompoint/rank"
-	"cardamompoint.example/cardamompoint/settings"
-	"cardamompoint.example/cardamompoint/template"
+	"cardamompoint.example/cardamompoint/router/endpoint"
+	"cardamompoint.example/cardamompoint/router/settings"
+	"cardamompoint.example/cardamompoint/router/template"
 )
 
 // The sizes of Gelek's deployment.
--- a/balance/ledger.go
+++ b/router/balance/ledger.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/settings"
-	"cardamompoint.example/cardamompoint/template"
+	"cardamompoint.example/cardamompoint/router/settings"
+	"cardamompoint.example/cardamompoint/router/template"
 )
 
 // When a caller may come back, if an engine is full.
--- a/balance/ledger_reports.go
+++ b/router/balance/ledger_reports.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/router/endpoint"
 )
 
 // AskReport notes that a load report of the engine is asked for. Its number
--- a/balance/ledger_test.go
+++ b/router/balance/ledger_test.go
@@ -8,9 +8,9 @@
 	"pgregory.net/rapid"
 
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/endpoint"
-	"cardamompoint.example/cardamompoint/settings"
-	"cardamompoint.example/cardamompoint/template"
+	"cardamompoint.example/cardamompoint/router/endpoint"
+	"cardamompoint.example/cardamompoint/router/settings"
+	"cardamompoint.example/cardamompoint/router/template"
 )
 
 // testEngine is one engine at a home that holds its lease.
--- a/balance/limits.go
+++ b/router/balance/limits.go
@@ -1,6 +1,6 @@
 package balance
 
-import "cardamompoint.example/cardamompoint/settings"
+import "cardamompoint.example/cardamompoint/router/settings"
 
 // engineLimits are the hard caps of one engine for one decision.
 type engineLimits struct {
--- a/balance/reports.go
+++ b/router/balance/reports.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/router/endpoint"
 )
 
 // keptSamples is the number of load reports over which the least foreign load
--- a/balance/request.go
+++ b/router/balance/request.go
@@ -1,6 +1,6 @@
 package balance
 
-import "cardamompoint.example/cardamompoint/template"
+import "cardamompoint.example/cardamompoint/router/template"
 
 // Request asks for room at an engine.
 type Request struct {
--- a/balance/takeover_test.go
+++ b/router/balance/takeover_test.go
@@ -6,9 +6,9 @@
 
 	"pgregory.net/rapid"
 
-	"cardamompoint.example/cardamompoint/endpoint"
-	"cardamompoint.example/cardamompoint/settings"
-	"cardamompoint.example/cardamompoint/template"
+	"cardamompoint.example/cardamompoint/router/endpoint"
+	"cardamompoint.example/cardamompoint/router/settings"
+	"cardamompoint.example/cardamompoint/router/template"
 )
 
 const (
--- a/router/call_once.go
+++ b/router/call_once.go
@@ -5,8 +5,8 @@
 	"net/http"
 
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/endpoint"
-	"cardamompoint.example/cardamompoint/once"
+	"cardamompoint.example/cardamompoint/router/endpoint"
+	"cardamompoint.example/cardamompoint/router/once"
 )
 
 // callOnce runs a call that may not be repeated, under the ticket or the
--- a/router/candidate_order.go
+++ b/router/candidate_order.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"cardamompoint.example/cardamompoint/affinity"
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/router/affinity"
 )
 
 // candidateOrder yields the candidates of one attempt in the order in which
--- a/router/chat_context.go
+++ b/router/chat_context.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"cardamompoint.example/cardamompoint/affinity"
-	"cardamompoint.example/cardamompoint/balance"
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/rank"
+	"cardamompoint.example/cardamompoint/router/affinity"
+	"cardamompoint.example/cardamompoint/router/balance"
 )
 
 // The bounds of what a router remembers of chats at the engines that it manages.
--- a/router/chat_context_test.go
+++ b/router/chat_context_test.go
@@ -6,10 +6,10 @@
 	"testing/synctest"
 	"time"
 
-	"cardamompoint.example/cardamompoint/balance"
-	"cardamompoint.example/cardamompoint/endpoint"
-	"cardamompoint.example/cardamompoint/settings"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/balance"
+	"cardamompoint.example/cardamompoint/router/endpoint"
+	"cardamompoint.example/cardamompoint/router/settings"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 // quickEngine answers each work at once.
--- a/router/clearance.go
+++ b/router/clearance.go
@@ -8,8 +8,8 @@
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/once"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/once"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 // noteViewsPause is the time between two looks at the list of VMs.
--- a/router/clearance_round.go
+++ b/router/clearance_round.go
@@ -6,7 +6,7 @@
 
 	"k8s.io/klog/v2"
 
-	"cardamompoint.example/cardamompoint/once"
+	"cardamompoint.example/cardamompoint/router/once"
 )
 
 // clearanceRound is one attempt to get a clearance.
--- a/router/completion.go
+++ b/router/completion.go
@@ -10,12 +10,12 @@
 	"github.com/google/uuid"
 	"k8s.io/klog/v2"
 
-	"cardamompoint.example/cardamompoint/api"
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/endpoint"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+	"cardamompoint.example/cardamompoint/router/api"
+	"cardamompoint.example/cardamompoint/router/endpoint"
+	"cardamompoint.example/cardamompoint/router/template"
 	"cardamompoint.example/cardamompoint/stream"
-	"cardamompoint.example/cardamompoint/template"
 )
 
 // serveCompletion answers POST /v1/chat/completions.
--- a/config/entry.go
+++ b/router/config/entry.go
@@ -2,7 +2,7 @@
 
 import (
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 // entry is what the store keeps of one unit.
--- a/config/install.go
+++ b/router/config/install.go
@@ -2,8 +2,8 @@
 
 import (
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/source"
-	"cardamompoint.example/cardamompoint/template"
+	"cardamompoint.example/cardamompoint/router/source"
+	"cardamompoint.example/cardamompoint/router/template"
 )
 
 // install puts a unit's documents in force, or returns why they can't be.
--- a/config/snapshot.go
+++ b/router/config/snapshot.go
@@ -4,7 +4,7 @@
 	"maps"
 
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/template"
+	"cardamompoint.example/cardamompoint/router/template"
 )
 
 // Snapshot is everything in force at one moment. It is immutable; a request
--- a/config/store.go
+++ b/router/config/store.go
@@ -9,7 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 // Store keeps the newest documents of each unit, the last accepted ones, and
--- a/config/store_test.go
+++ b/router/config/store_test.go
@@ -9,7 +9,7 @@
 	"strings"
 	"testing"
 
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 const (
--- a/config/unit.go
+++ b/router/config/unit.go
@@ -3,7 +3,7 @@
 import (
 	"strings"
 
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 // Unit is a group of documents that is accepted or refused as a whole: a
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"cardamompoint.example/cardamompoint/endpoint"
-	"cardamompoint.example/cardamompoint/member"
+	"cardamompoint.example/cardamompoint/router/endpoint"
+	"cardamompoint.example/cardamompoint/router/member"
 )
 
 // dispatch runs order through the engine's home and relays the answer to sink.
--- a/endpoint/line_reader_test.go
+++ b/router/endpoint/line_reader_test.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/endpoint"
 	"cardamompoint.example/cardamompoint/internal/standin"
+	"cardamompoint.example/cardamompoint/router/endpoint"
 )
 
 const (
--- a/endpoint/work.go
+++ b/router/endpoint/work.go
@@ -1,6 +1,6 @@
 package endpoint
 
-import "cardamompoint.example/cardamompoint/template"
+import "cardamompoint.example/cardamompoint/router/template"
 
 // Work is one model request, as routers and engines see it.
 type Work struct {
--- a/router/execute_test.go
+++ b/router/execute_test.go
@@ -10,10 +10,10 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/endpoint"
-	"cardamompoint.example/cardamompoint/once"
-	"cardamompoint.example/cardamompoint/settings"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/endpoint"
+	"cardamompoint.example/cardamompoint/router/once"
+	"cardamompoint.example/cardamompoint/router/settings"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 // sleepyService refuses the first connection after a long sleep and counts
--- a/router/halves_test.go
+++ b/router/halves_test.go
@@ -15,13 +15,13 @@
 
 	"k8s.io/klog/v2"
 
-	"cardamompoint.example/cardamompoint/api"
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/endpoint"
-	"cardamompoint.example/cardamompoint/member"
-	"cardamompoint.example/cardamompoint/peer"
-	"cardamompoint.example/cardamompoint/settings"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/api"
+	"cardamompoint.example/cardamompoint/router/endpoint"
+	"cardamompoint.example/cardamompoint/router/member"
+	"cardamompoint.example/cardamompoint/router/peer"
+	"cardamompoint.example/cardamompoint/router/settings"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 const (
--- a/router/home.go
+++ b/router/home.go
@@ -7,9 +7,9 @@
 
 	"k8s.io/klog/v2"
 
-	"cardamompoint.example/cardamompoint/balance"
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/router/balance"
+	"cardamompoint.example/cardamompoint/router/endpoint"
 )
 
 // runAtHome admits work to an engine that this router manages and relays its
--- a/router/home_stream.go
+++ b/router/home_stream.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"cardamompoint.example/cardamompoint/balance"
+	"cardamompoint.example/cardamompoint/router/balance"
 )
 
 // homeStream is a stream at an engine that this router counts. Its fields are
--- a/router/home_streams.go
+++ b/router/home_streams.go
@@ -7,8 +7,8 @@
 
 	"k8s.io/klog/v2"
 
-	"cardamompoint.example/cardamompoint/balance"
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/router/balance"
 )
 
 // homeStreams keeps the streams that this router counts. A stream that nobody
--- a/router/home_streams_test.go
+++ b/router/home_streams_test.go
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	"cardamompoint.example/cardamompoint/balance"
+	"cardamompoint.example/cardamompoint/router/balance"
 )
 
 // TestHomeStreamsEndOnce lets readers come, leave and cancel in any order: no
--- a/router/job.go
+++ b/router/job.go
@@ -8,8 +8,8 @@
 	"k8s.io/klog/v2"
 
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/endpoint"
 	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/router/endpoint"
 )
 
 // The bounds of one request's attempts.
--- a/router/knowledge_test.go
+++ b/router/knowledge_test.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/internal/standin"
-	"cardamompoint.example/cardamompoint/member"
-	"cardamompoint.example/cardamompoint/settings"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/member"
+	"cardamompoint.example/cardamompoint/router/settings"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 const (
--- a/router/learn.go
+++ b/router/learn.go
@@ -7,7 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/member"
+	"cardamompoint.example/cardamompoint/router/member"
 )
 
 // maxUnitsBytes bounds the documents of one message.
--- a/router/lease.go
+++ b/router/lease.go
@@ -6,11 +6,11 @@
 
 	"k8s.io/klog/v2"
 
-	"cardamompoint.example/cardamompoint/balance"
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/member"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/balance"
+	"cardamompoint.example/cardamompoint/router/member"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 const leasePath = "/peer/v1/lease"
--- a/router/lease_bytes_test.go
+++ b/router/lease_bytes_test.go
@@ -7,10 +7,10 @@
 	"strings"
 	"testing"
 
-	"cardamompoint.example/cardamompoint/endpoint"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
-	"cardamompoint.example/cardamompoint/peer"
-	"cardamompoint.example/cardamompoint/settings"
+	"cardamompoint.example/cardamompoint/router/endpoint"
+	"cardamompoint.example/cardamompoint/router/peer"
+	"cardamompoint.example/cardamompoint/router/settings"
 )
 
 // bytesOf returns the bytes of one exchange on an open connection, averaged
--- a/router/line_writer.go
+++ b/router/line_writer.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/endpoint"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+	"cardamompoint.example/cardamompoint/router/endpoint"
 )
 
 // lineWriter sends the lines of an answer to another router and an empty line
--- a/router/loads.go
+++ b/router/loads.go
@@ -9,10 +9,10 @@
 
 	"k8s.io/klog/v2"
 
-	"cardamompoint.example/cardamompoint/balance"
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/member"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/balance"
+	"cardamompoint.example/cardamompoint/router/member"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 const (
--- a/router/loads_test.go
+++ b/router/loads_test.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/endpoint"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/endpoint"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 // askedEngine counts the load reports that are asked of each engine.
--- a/member/exchange.go
+++ b/router/member/exchange.go
@@ -5,7 +5,7 @@
 
 	"k8s.io/klog/v2"
 
-	"cardamompoint.example/cardamompoint/balance"
+	"cardamompoint.example/cardamompoint/router/balance"
 )
 
 // BeginPeriod takes in the own load.
--- a/member/heartbeat.go
+++ b/router/member/heartbeat.go
@@ -1,6 +1,6 @@
 package member
 
-import "cardamompoint.example/cardamompoint/balance"
+import "cardamompoint.example/cardamompoint/router/balance"
 
 // Heartbeat is what two routers tell each other in one exchange. Its size does
 // not depend on the size of the fleet.
--- a/member/mean.go
+++ b/router/member/mean.go
@@ -3,7 +3,7 @@
 import (
 	"math"
 
-	"cardamompoint.example/cardamompoint/balance"
+	"cardamompoint.example/cardamompoint/router/balance"
 )
 
 // Mean is an estimate of the mean load of one router for one model.
--- a/member/pool.go
+++ b/router/member/pool.go
@@ -2,7 +2,7 @@
 
 import (
 	"cardamompoint.example/cardamompoint/rank"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 // Pool is a set of VMs that is prepared for ranking. It is immutable.
--- a/member/rankings.go
+++ b/router/member/rankings.go
@@ -1,6 +1,6 @@
 package member
 
-import "cardamompoint.example/cardamompoint/source"
+import "cardamompoint.example/cardamompoint/router/source"
 
 // rankings are the prepared pools of a View.
 type rankings struct {
--- a/member/table.go
+++ b/router/member/table.go
@@ -9,8 +9,8 @@
 
 	"k8s.io/klog/v2"
 
-	"cardamompoint.example/cardamompoint/balance"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/balance"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 // ProbeAll is the largest number of peers that are all probed in each period.
--- a/member/table_test.go
+++ b/router/member/table_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
-	"cardamompoint.example/cardamompoint/balance"
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/balance"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 const testSuspect = 3 * time.Second
--- a/member/view.go
+++ b/router/member/view.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 // View is an immutable view of the fleet.
--- a/router/memory_fleet_test.go
+++ b/router/memory_fleet_test.go
@@ -13,8 +13,8 @@
 	"k8s.io/klog/v2"
 
 	"cardamompoint.example/cardamompoint/internal/standin"
-	"cardamompoint.example/cardamompoint/settings"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/settings"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 const (
--- a/router/messages.go
+++ b/router/messages.go
@@ -1,9 +1,9 @@
 package router
 
 import (
-	"cardamompoint.example/cardamompoint/config"
-	"cardamompoint.example/cardamompoint/member"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/config"
+	"cardamompoint.example/cardamompoint/router/member"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 // The paths of control messages are short: each message carries one.
--- a/once/outcome.go
+++ b/router/once/outcome.go
@@ -2,7 +2,7 @@
 
 import (
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/router/endpoint"
 )
 
 // Outcome is the end of one piece of work: an answer or an error.
--- a/router/operators.go
+++ b/router/operators.go
@@ -6,9 +6,9 @@
 	"strings"
 	"time"
 
-	"cardamompoint.example/cardamompoint/api"
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+	"cardamompoint.example/cardamompoint/router/api"
 )
 
 // operatorsMux returns the handler for operators and the balancer.
--- a/router/options.go
+++ b/router/options.go
@@ -1,9 +1,9 @@
 package router
 
 import (
-	"cardamompoint.example/cardamompoint/endpoint"
-	"cardamompoint.example/cardamompoint/settings"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/endpoint"
+	"cardamompoint.example/cardamompoint/router/settings"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 // Options are what a Router is made of. Nil adapters are made from the
--- a/router/outcome.go
+++ b/router/outcome.go
@@ -6,7 +6,7 @@
 	"strings"
 
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/once"
+	"cardamompoint.example/cardamompoint/router/once"
 )
 
 // serveOutcome answers GET /v1/outcomes/{workspace}/{key}.
--- a/router/own_key.go
+++ b/router/own_key.go
@@ -8,9 +8,9 @@
 	"k8s.io/klog/v2"
 
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/endpoint"
-	"cardamompoint.example/cardamompoint/member"
-	"cardamompoint.example/cardamompoint/once"
+	"cardamompoint.example/cardamompoint/router/endpoint"
+	"cardamompoint.example/cardamompoint/router/member"
+	"cardamompoint.example/cardamompoint/router/once"
 )
 
 const (
--- a/router/own_outcome.go
+++ b/router/own_outcome.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/once"
+	"cardamompoint.example/cardamompoint/router/once"
 )
 
 // ownInquiry asks a router for the outcome of a caller's own key.
--- a/router/peers.go
+++ b/router/peers.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"time"
 
-	"cardamompoint.example/cardamompoint/member"
-	"cardamompoint.example/cardamompoint/peer"
+	"cardamompoint.example/cardamompoint/router/member"
+	"cardamompoint.example/cardamompoint/router/peer"
 )
 
 // peersMux returns the handler for the other routers.
--- a/router/place.go
+++ b/router/place.go
@@ -8,13 +8,13 @@
 	"k8s.io/klog/v2"
 
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/config"
-	"cardamompoint.example/cardamompoint/endpoint"
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/member"
-	"cardamompoint.example/cardamompoint/placement"
-	"cardamompoint.example/cardamompoint/settings"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/config"
+	"cardamompoint.example/cardamompoint/router/endpoint"
+	"cardamompoint.example/cardamompoint/router/member"
+	"cardamompoint.example/cardamompoint/router/placement"
+	"cardamompoint.example/cardamompoint/router/settings"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 // placePeriod is the time between two looks at the engines that this router
--- a/router/place_test.go
+++ b/router/place_test.go
@@ -8,11 +8,11 @@
 	"testing/synctest"
 	"time"
 
-	"cardamompoint.example/cardamompoint/endpoint"
 	"cardamompoint.example/cardamompoint/internal/standin"
-	"cardamompoint.example/cardamompoint/placement"
-	"cardamompoint.example/cardamompoint/settings"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/endpoint"
+	"cardamompoint.example/cardamompoint/router/placement"
+	"cardamompoint.example/cardamompoint/router/settings"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 // fakeOrders are engines in memory that take orders.
--- a/placement/desired.go
+++ b/router/placement/desired.go
@@ -4,7 +4,7 @@
 	"slices"
 	"strings"
 
-	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/router/endpoint"
 )
 
 // Desired is the whole set that an engine should have loaded.
--- a/placement/plan.go
+++ b/router/placement/plan.go
@@ -3,10 +3,10 @@
 import (
 	"slices"
 
-	"cardamompoint.example/cardamompoint/config"
-	"cardamompoint.example/cardamompoint/endpoint"
 	"cardamompoint.example/cardamompoint/rank"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/config"
+	"cardamompoint.example/cardamompoint/router/endpoint"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 // Eligible returns the indexes of the engines that may have the model loaded,
--- a/placement/plan_test.go
+++ b/router/placement/plan_test.go
@@ -7,9 +7,9 @@
 
 	"pgregory.net/rapid"
 
-	"cardamompoint.example/cardamompoint/config"
-	"cardamompoint.example/cardamompoint/endpoint"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/config"
+	"cardamompoint.example/cardamompoint/router/endpoint"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 func engines(count int) []source.VM {
--- a/placement/scaler.go
+++ b/router/placement/scaler.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"cardamompoint.example/cardamompoint/config"
+	"cardamompoint.example/cardamompoint/router/config"
 )
 
 const (
--- a/router/pools.go
+++ b/router/pools.go
@@ -3,10 +3,10 @@
 import (
 	"sync"
 
-	"cardamompoint.example/cardamompoint/config"
-	"cardamompoint.example/cardamompoint/member"
-	"cardamompoint.example/cardamompoint/placement"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/config"
+	"cardamompoint.example/cardamompoint/router/member"
+	"cardamompoint.example/cardamompoint/router/placement"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 // pools keeps the engines that should have each model loaded, prepared for
--- a/router/push.go
+++ b/router/push.go
@@ -6,9 +6,9 @@
 	"sync"
 	"time"
 
-	"cardamompoint.example/cardamompoint/config"
-	"cardamompoint.example/cardamompoint/member"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/config"
+	"cardamompoint.example/cardamompoint/router/member"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 const (
--- a/router/readers.go
+++ b/router/readers.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"cardamompoint.example/cardamompoint/member"
 	"cardamompoint.example/cardamompoint/rank"
+	"cardamompoint.example/cardamompoint/router/member"
 )
 
 const (
--- a/router/receiver.go
+++ b/router/receiver.go
@@ -1,6 +1,6 @@
 package router
 
-import "cardamompoint.example/cardamompoint/endpoint"
+import "cardamompoint.example/cardamompoint/router/endpoint"
 
 // receiver takes an answer in progress.
 type receiver interface {
--- a/router/receivers.go
+++ b/router/receivers.go
@@ -4,10 +4,10 @@
 	"net/http"
 	"strings"
 
-	"cardamompoint.example/cardamompoint/api"
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/endpoint"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+	"cardamompoint.example/cardamompoint/router/api"
+	"cardamompoint.example/cardamompoint/router/endpoint"
 	"cardamompoint.example/cardamompoint/stream"
 )
 
--- a/router/relay.go
+++ b/router/relay.go
@@ -6,7 +6,7 @@
 	"k8s.io/klog/v2"
 
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/router/endpoint"
 )
 
 // maxReconnects bounds the new connections to an engine without a token in
--- a/router/resume.go
+++ b/router/resume.go
@@ -8,7 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/router/endpoint"
 	"cardamompoint.example/cardamompoint/stream"
 )
 
--- a/router/resumed_reader.go
+++ b/router/resumed_reader.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/router/endpoint"
 	"cardamompoint.example/cardamompoint/stream"
 )
 
--- a/router/route.go
+++ b/router/route.go
@@ -3,14 +3,14 @@
 import (
 	"time"
 
-	"cardamompoint.example/cardamompoint/affinity"
-	"cardamompoint.example/cardamompoint/api"
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/config"
-	"cardamompoint.example/cardamompoint/member"
 	"cardamompoint.example/cardamompoint/rank"
-	"cardamompoint.example/cardamompoint/source"
-	"cardamompoint.example/cardamompoint/template"
+	"cardamompoint.example/cardamompoint/router/affinity"
+	"cardamompoint.example/cardamompoint/router/api"
+	"cardamompoint.example/cardamompoint/router/config"
+	"cardamompoint.example/cardamompoint/router/member"
+	"cardamompoint.example/cardamompoint/router/source"
+	"cardamompoint.example/cardamompoint/router/template"
 )
 
 // Why a candidate is in its place.
--- a/router/route_test.go
+++ b/router/route_test.go
@@ -5,12 +5,12 @@
 	"testing"
 	"time"
 
-	"cardamompoint.example/cardamompoint/config"
-	"cardamompoint.example/cardamompoint/member"
-	"cardamompoint.example/cardamompoint/placement"
-	"cardamompoint.example/cardamompoint/settings"
-	"cardamompoint.example/cardamompoint/source"
-	"cardamompoint.example/cardamompoint/template"
+	"cardamompoint.example/cardamompoint/router/config"
+	"cardamompoint.example/cardamompoint/router/member"
+	"cardamompoint.example/cardamompoint/router/placement"
+	"cardamompoint.example/cardamompoint/router/settings"
+	"cardamompoint.example/cardamompoint/router/source"
+	"cardamompoint.example/cardamompoint/router/template"
 )
 
 const testGroup = "pool"
--- a/router/router.go
+++ b/router/router.go
@@ -9,16 +9,16 @@
 	"github.com/google/uuid"
 	"golang.org/x/sync/singleflight"
 
-	"cardamompoint.example/cardamompoint/affinity"
-	"cardamompoint.example/cardamompoint/balance"
-	"cardamompoint.example/cardamompoint/config"
-	"cardamompoint.example/cardamompoint/endpoint"
-	"cardamompoint.example/cardamompoint/member"
 	"cardamompoint.example/cardamompoint/metrics"
-	"cardamompoint.example/cardamompoint/once"
-	"cardamompoint.example/cardamompoint/peer"
-	"cardamompoint.example/cardamompoint/settings"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/affinity"
+	"cardamompoint.example/cardamompoint/router/balance"
+	"cardamompoint.example/cardamompoint/router/config"
+	"cardamompoint.example/cardamompoint/router/endpoint"
+	"cardamompoint.example/cardamompoint/router/member"
+	"cardamompoint.example/cardamompoint/router/once"
+	"cardamompoint.example/cardamompoint/router/peer"
+	"cardamompoint.example/cardamompoint/router/settings"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 // Router is one router process. It is safe for concurrent use.
--- a/router/router_set.go
+++ b/router/router_set.go
@@ -3,10 +3,10 @@
 import (
 	"slices"
 
-	"cardamompoint.example/cardamompoint/balance"
-	"cardamompoint.example/cardamompoint/member"
 	"cardamompoint.example/cardamompoint/rank"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/balance"
+	"cardamompoint.example/cardamompoint/router/member"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 // routerSet is the live routers of one published list. It is immutable.
--- a/router/run.go
+++ b/router/run.go
@@ -12,7 +12,7 @@
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/peer"
+	"cardamompoint.example/cardamompoint/router/peer"
 )
 
 const (
--- a/router/service.go
+++ b/router/service.go
@@ -9,11 +9,11 @@
 	"k8s.io/klog/v2"
 
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/endpoint"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
-	"cardamompoint.example/cardamompoint/member"
 	"cardamompoint.example/cardamompoint/rank"
-	"cardamompoint.example/cardamompoint/template"
+	"cardamompoint.example/cardamompoint/router/endpoint"
+	"cardamompoint.example/cardamompoint/router/member"
+	"cardamompoint.example/cardamompoint/router/template"
 )
 
 // The headers of calls to plain services.
--- a/router/set_history.go
+++ b/router/set_history.go
@@ -4,8 +4,8 @@
 	"sync"
 	"time"
 
-	"cardamompoint.example/cardamompoint/balance"
-	"cardamompoint.example/cardamompoint/member"
+	"cardamompoint.example/cardamompoint/router/balance"
+	"cardamompoint.example/cardamompoint/router/member"
 )
 
 // maxTerms bounds the sets of routers that a setHistory remembers.
--- a/router/set_history_test.go
+++ b/router/set_history_test.go
@@ -5,9 +5,9 @@
 	"testing"
 	"time"
 
-	"cardamompoint.example/cardamompoint/balance"
-	"cardamompoint.example/cardamompoint/member"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/balance"
+	"cardamompoint.example/cardamompoint/router/member"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 const (
--- a/settings/docs_test.go
+++ b/router/settings/docs_test.go
@@ -25,7 +25,7 @@
 }
 
 func TestEachFieldIsInTheDocs(t *testing.T) {
-	raw, err := os.ReadFile("../docs/SETTINGS.md")
+	raw, err := os.ReadFile("../../docs/SETTINGS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/router/stream_pair_test.go
+++ b/router/stream_pair_test.go
@@ -8,15 +8,15 @@
 	"testing/synctest"
 	"time"
 
-	"cardamompoint.example/cardamompoint/api"
-	"cardamompoint.example/cardamompoint/endpoint"
 	"cardamompoint.example/cardamompoint/internal/caller"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
 	"cardamompoint.example/cardamompoint/internal/standin"
-	"cardamompoint.example/cardamompoint/member"
-	"cardamompoint.example/cardamompoint/peer"
-	"cardamompoint.example/cardamompoint/settings"
-	"cardamompoint.example/cardamompoint/source"
+	"cardamompoint.example/cardamompoint/router/api"
+	"cardamompoint.example/cardamompoint/router/endpoint"
+	"cardamompoint.example/cardamompoint/router/member"
+	"cardamompoint.example/cardamompoint/router/peer"
+	"cardamompoint.example/cardamompoint/router/settings"
+	"cardamompoint.example/cardamompoint/router/source"
 )
 
 const (
--- a/router/streams_test.go
+++ b/router/streams_test.go
@@ -11,10 +11,10 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/code"
-	"cardamompoint.example/cardamompoint/endpoint"
 	"cardamompoint.example/cardamompoint/internal/caller"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
 	"cardamompoint.example/cardamompoint/internal/standin"
+	"cardamompoint.example/cardamompoint/router/endpoint"
 )
 
 const pairTokenInterval = 100 * time.Millisecond
--- a/router/ticket.go
+++ b/router/ticket.go
@@ -4,10 +4,10 @@
 	"net/http"
 	"time"
 
-	"cardamompoint.example/cardamompoint/api"
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
-	"cardamompoint.example/cardamompoint/once"
+	"cardamompoint.example/cardamompoint/router/api"
+	"cardamompoint.example/cardamompoint/router/once"
 )
 
 // serveTicket answers POST /v1/tickets.
--- a/router/work_order.go
+++ b/router/work_order.go
@@ -1,8 +1,8 @@
 package router
 
 import (
-	"cardamompoint.example/cardamompoint/affinity"
-	"cardamompoint.example/cardamompoint/endpoint"
+	"cardamompoint.example/cardamompoint/router/affinity"
+	"cardamompoint.example/cardamompoint/router/endpoint"
 )
 
 const workPath = "/peer/v1/work"
