--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -34,7 +34,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer c.log()
-	defer c.dropBodyRoom()
+	defer c.dropRoom()
 	c.boundWrites(refusalWriteTime)
 	if err := c.prepare(); err != nil {
 		c.refuse(err)
@@ -238,7 +238,7 @@
 	return nil
 }
 
-func (c *call) dropBodyRoom() {
+func (c *call) dropRoom() {
 	c.gateway.bodies.give(c.bodyBytes)
 	c.gateway.answers.give(c.answerBytes)
 }
--- a/gateway/news/codec.go
+++ b/gateway/news/codec.go
@@ -133,11 +133,11 @@
 
 func (d *decoder) decodeMembers(report *Report) {
 	r := &d.reader
-	report.Members = list[string](r.entries(mostMembers))
+	report.Members = makeList[string](r.entries(mostMembers))
 	for i := range report.Members {
 		report.Members[i] = r.name()
 	}
-	report.Pulses = list[Pulse](r.entries(mostPulses))
+	report.Pulses = makeList[Pulse](r.entries(mostPulses))
 	for i := range report.Pulses {
 		pulse := &report.Pulses[i]
 		pulse.Address = r.name()
@@ -151,26 +151,26 @@
 
 func (d *decoder) decodeEndpoints(report *Report) {
 	r := &d.reader
-	report.Told = list[Told](r.entries(mostEntries))
+	report.Told = makeList[Told](r.entries(mostEntries))
 	for i := range report.Told {
 		report.Told[i] = Told{Endpoint: r.name(), Requests: int(r.within(0, mostRequests)), AgeMS: r.within(0, longestAgeMS)}
 	}
-	report.Work = list[Work](r.entries(mostEntries))
+	report.Work = makeList[Work](r.entries(mostEntries))
 	for i := range report.Work {
 		report.Work[i] = Work{Endpoint: r.name(), Requests: int(r.within(0, mostRequests)), Reading: int(r.within(0, mostTokens))}
 	}
-	report.Parts = list[PartPlace](r.entries(mostEntries))
+	report.Parts = makeList[PartPlace](r.entries(mostEntries))
 	for i := range report.Parts {
 		report.Parts[i] = PartPlace{Part: r.hash(), Endpoint: r.name()}
 	}
-	report.Faults = list[Fault](r.entries(mostEntries))
+	report.Faults = makeList[Fault](r.entries(mostEntries))
 	for i := range report.Faults {
 		report.Faults[i] = Fault{Endpoint: r.name(), Percent: int(r.within(0, 100))}
 	}
 }
 
-// list returns a list of the given size, nil if it is empty.
-func list[T any](size int) []T {
+// makeList returns a list of the given size, nil if it is empty.
+func makeList[T any](size int) []T {
 	if size == 0 {
 		return nil
 	}
--- a/gateway/news/exchange.go
+++ b/gateway/news/exchange.go
@@ -150,7 +150,7 @@
 	report := e.identity
 	e.number++
 	report.Number = e.number
-	targets := e.address(&report, now)
+	targets := e.addressees(&report, now)
 	e.fill(&report)
 	raw := e.packer.encode(&report)
 	for _, address := range targets[:min(sendAll, len(targets))] {
@@ -158,9 +158,9 @@
 	}
 }
 
-// address sets what the report tells of other VMs and returns who gets it. In a large
+// addressees sets what the report tells of other VMs and returns who gets it. In a large
 // fleet these are more of the own failure domain, as bytes between domains are dear.
-func (e *Exchange) address(report *Report, now clock.Boot) (targets []string) {
+func (e *Exchange) addressees(report *Report, now clock.Boot) (targets []string) {
 	if e.table.Large() {
 		report.Pulses = e.table.Pulses(report.FailureDomain, relayedPulses, e.random, now)
 		return e.table.Sample(report.FailureDomain, nearTargets, farTargets, e.random)
--- a/gateway/news/table_test.go
+++ b/gateway/news/table_test.go
@@ -55,7 +55,7 @@
 			FailureDomain: fmt.Sprint(from % 3), Capacity: 100,
 		}
 		exchange := &Exchange{table: table, random: f.random}
-		targets := exchange.address(&report, f.now)
+		targets := exchange.addressees(&report, f.now)
 		f.deliver(report, targets[:min(sendAll, len(targets))])
 	}
 }
--- a/internal/standin/hosted/worker.go
+++ b/internal/standin/hosted/worker.go
@@ -7,7 +7,6 @@
 	"maps"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -278,63 +277,3 @@
 	fmt.Fprintf(to, "HTTP/1.1 200 OK\r\nCardamompoint-Attempt-Id: %s\r\nCardamompoint-Response-Seal: x\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 	return to.Flush()
 }
-
-// stream sends the events behind the last one that the caller has.
-func (w *Worker) stream(out http.ResponseWriter, r *http.Request, id string, behaviour Behaviour) {
-	out.Header().Set("Content-Type", "text/event-stream")
-	out.WriteHeader(http.StatusOK)
-	control := http.NewResponseController(out)
-	first := 1
-	if last, err := strconv.Atoi(strings.TrimSpace(r.Header.Get("Last-Event-Id"))); err == nil {
-		first = last + 1
-	}
-	for event := first; event <= w.Events; event++ {
-		if behaviour == Cut && event > first+w.Events/2 {
-			fmt.Fprintf(out, "id: %d\ndata: half", event)
-			_ = control.Flush()
-			panic(http.ErrAbortHandler)
-		}
-		if behaviour == Trickle {
-			w.trickle(out, r, id)
-			return
-		}
-		fmt.Fprintf(out, "id: %d\ndata: piece %d\n\n", event, event)
-		if control.Flush() != nil {
-			w.abandon(id)
-			return
-		}
-		select {
-		case <-time.After(w.Pause):
-		case <-r.Context().Done():
-			w.abandon(id)
-			return
-		}
-	}
-}
-
-// tricklePause is the time between two bytes of Trickle.
-const tricklePause = 50 * time.Millisecond
-
-// trickle sends bytes of one event until the caller closes.
-func (w *Worker) trickle(out http.ResponseWriter, r *http.Request, id string) {
-	control := http.NewResponseController(out)
-	for {
-		fmt.Fprint(out, "x")
-		if control.Flush() != nil {
-			break
-		}
-		select {
-		case <-time.After(tricklePause):
-			continue
-		case <-r.Context().Done():
-		}
-		break
-	}
-	w.abandon(id)
-}
-
-func (w *Worker) abandon(id string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.ended[id] = true
-}
