--- a/gateway/news/table_test.go
+++ b/gateway/news/table_test.go
@@ -18,6 +18,8 @@
 	numbers []int64
 	down    []bool
 	random  *rand.Rand
+	// numberOf is the number of each VM by its address.
+	numberOf map[string]int
 	// loss is the part of reports that are lost.
 	loss float64
 }
@@ -27,8 +29,9 @@
 }
 
 func newTestFleet(count int, seed uint64) *testFleet {
-	f := &testFleet{now: testStart, numbers: make([]int64, count), down: make([]bool, count), random: rand.New(rand.NewPCG(seed, 1))}
+	f := &testFleet{now: testStart, numbers: make([]int64, count), down: make([]bool, count), random: rand.New(rand.NewPCG(seed, 1)), numberOf: map[string]int{}}
 	for i := range count {
+		f.numberOf[testAddress(i)] = i
 		f.tables = append(f.tables, nil)
 		f.restart(i)
 	}
@@ -61,14 +64,13 @@
 }
 
 func (f *testFleet) deliver(report Report, targets []string) {
-	for to, table := range f.tables {
-		for _, target := range targets {
-			if target != testAddress(to) || f.down[to] || f.random.Float64() < f.loss {
-				continue
-			}
-			if table.Receive(report, f.now) && report.Number <= greetedReports {
-				f.greet(to, report.Address)
-			}
+	for _, target := range targets {
+		to := f.numberOf[target]
+		if f.down[to] || f.random.Float64() < f.loss {
+			continue
+		}
+		if f.tables[to].Receive(report, f.now) && report.Number <= greetedReports {
+			f.greet(to, report.Address)
 		}
 	}
 }
@@ -77,10 +79,8 @@
 func (f *testFleet) greet(from int, address string) {
 	greeting := Report{Address: testAddress(from), Greeting: true}
 	greeting.Pulses = f.tables[from].Pulses(fmt.Sprint(from%3), greetingPulses, f.random, f.now)
-	for to, table := range f.tables {
-		if testAddress(to) == address && f.random.Float64() >= f.loss {
-			table.Receive(greeting, f.now)
-		}
+	if f.random.Float64() >= f.loss {
+		f.tables[f.numberOf[address]].Receive(greeting, f.now)
 	}
 }
 
