--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -69,7 +69,7 @@
 		f.workers[id].Always(hosted.Rest)
 	}
 	for i := range 20 {
-		got := f.ask(context.Background(), 1, query{path: "/deposit/1", body: "work"})
+		got := f.ask(context.Background(), 1, query{path: "/lookup/1", body: "work"})
 		if got.status != http.StatusServiceUnavailable || f.runs(got.id) != 0 {
 			t.Errorf("request %d got status %d", i, got.status)
 		}
@@ -102,7 +102,7 @@
 // askPlain sends a request that must be served.
 func (f *testFleet) askPlain() {
 	f.t.Helper()
-	got := f.ask(context.Background(), 1, query{path: "/deposit/1", body: "work"})
+	got := f.ask(context.Background(), 1, query{path: "/lookup/1", body: "work"})
 	if got.status != http.StatusOK || got.body != "answer to "+got.id {
 		f.t.Errorf("%+v", got)
 	}
--- a/gateway/troubles_test.go
+++ b/gateway/troubles_test.go
@@ -13,12 +13,12 @@
 // engines are the engines of a test fleet.
 var engines = []string{"engine-1", "engine-2"}
 
-// TestSlowSoundStreamIsNotCut lets engines pause before each event for most of what
+// TestSlowSoundStreamIsNotCut lets engines pause before each event for nearly as long as
 // the route allows: the stream is whole and ran once.
 func TestSlowSoundStreamIsNotCut(t *testing.T) {
 	f := newTestFleet(t, 1)
 	for _, id := range engines {
-		f.workers[id].Pause = 300 * time.Millisecond
+		f.workers[id].Pause = 390 * time.Millisecond
 	}
 	for _, path := range []string{"/chat/1", "/roster/1"} {
 		got := f.ask(context.Background(), 1, query{path: path, parts: chatParts, deadline: "8000"})
