Let test callers come back when a refusal says so

A router that is lost holds its lease for up to 4 s with the test's times, and its backup may not act before; the refusals say so and tell callers to come back after 1 s. The callers of the test came back after 100 ms, at most 40 times, so quick refusals used up their tries in 4 s. Change: a test's caller waits as long as the refusal says before its next try. Its 40 tries, its 50 s and what is checked stay. Conclusion: the answers' time to come back is what callers need there.

--- a/cmd/cardamompoint/stream_load_test.go
+++ b/cmd/cardamompoint/stream_load_test.go
@@ -108,12 +108,19 @@
 		}
 		lost = lost && err != nil
 		if err != nil {
-			time.Sleep(callerPause)
+			time.Sleep(pauseAfter(err))
 		}
 	}
 	l.count(counts, completion, answer, err)
 }
 
+// pauseAfter returns how long a caller waits before its next try: as long as the
+// refusal says, if it says so.
+func pauseAfter(err error) time.Duration {
+	told := time.Duration(code.Of(err).RetryAfterMS) * time.Millisecond
+	return max(callerPause, told)
+}
+
 // noteGap keeps the longest time between two tokens, for the log only.
 func (l *streamLoad) noteGap(tokens int, gap time.Duration) {
 	l.mu.Lock()
