Mend the test of later starts for busy machines

Cause: a seed has 80 ms of wall clock to tell a started VM what it knows, which a busy machine uses up; the VM then reads the store, as it should. Besides, the test counted calls of the other VMs, which may still end their own starts. Change: what a later start waits for are fields of the Gateway, which the test sets to times that no machine uses up, and the started VM has an address of the store of its own where its calls are counted. A new test shows that the product's own times end the wait for seeds that never answer.

--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -39,6 +39,10 @@
 	requests atomic.Int64
 	// first tells that gateways start for the first time.
 	first bool
+	// storeHost is where gateways that start from now on find the store.
+	storeHost int
+	// waits replace what later starts wait for, if they are set.
+	waits startWaits
 }
 
 // newTestFleet starts a store with the default configuration, two engines, two
@@ -61,8 +65,8 @@
 			t.Error(err)
 		}
 	})
-	f := &testFleet{t: t, network: network, store: hosted.NewStore(), workers: map[string]*hosted.Worker{}, first: first}
-	f.listen(f.address(200, storePort), f.store)
+	f := &testFleet{t: t, network: network, store: hosted.NewStore(), workers: map[string]*hosted.Worker{}, first: first, storeHost: 200}
+	f.listen(f.address(f.storeHost, storePort), f.store)
 	f.store.Publish(hosted.DefaultConfiguration())
 	for i, id := range []string{"engine-1", "engine-2"} {
 		f.addWorker(id, "engines", 100+i)
@@ -116,7 +120,7 @@
 	f.t.Helper()
 	ip := fmt.Sprintf("%s.0.%d", f.network.Prefix, number)
 	seeds := []string{f.address(1, controlPort), f.address(2, controlPort)}
-	text := hosted.Settings(ip, [4]int{frontPort, readyPort, controlPort, peerPort}, f.address(200, storePort), seeds)
+	text := hosted.Settings(ip, [4]int{frontPort, readyPort, controlPort, peerPort}, f.address(f.storeHost, storePort), seeds)
 	settings, err := platform.ParseSettings([]byte(text))
 	if err != nil {
 		f.t.Fatal(err)
@@ -127,6 +131,9 @@
 		f.t.Fatal(err)
 	}
 	g.linger = 0 // No balancer has to notice that it ends.
+	if f.waits != (startWaits{}) {
+		g.startWaits = f.waits
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- g.Run(ctx) }()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,6 +48,8 @@
 	// draw is this VM's place in the order for duties.
 	draw    uint64
 	started clock.Boot
+	// startWaits bound what a later start waits for.
+	startWaits startWaits
 	// linger is how long new callers are still taken after SIGTERM.
 	linger   time.Duration
 	stopping atomic.Bool
@@ -66,6 +68,7 @@
 		incarnation: time.Now().UnixMilli(),
 		started:     clock.Now(),
 		draw:        news.RankOf(settings.IP, 0).Draw,
+		startWaits:  shortWaits,
 		linger:      lingerTime,
 		pool:        upstream.NewPool(),
 		bodies:      newBodyRoom(settings.MemoryBytes, bodyPart),
--- a/gateway/seed_ask.go
+++ b/gateway/seed_ask.go
@@ -11,15 +11,21 @@
 	"cardamompoint.example/cardamompoint/internal/clock"
 )
 
-const (
-	// askedSeeds is the number of seeds that a VM asks at its start what they know.
-	askedSeeds = 2
-	// seedAskTime bounds that: if none answers, the store is read.
-	seedAskTime = 80 * time.Millisecond
-	// heardWithin is how long after its start a VM has heard most others, if some are
+// askedSeeds is the number of seeds that a VM asks at its start what they know.
+const askedSeeds = 2
+
+// startWaits bound what a VM that starts later than others waits for.
+type startWaits struct {
+	// seeds is how long a seed may take to tell what it knows: if none does, the store
+	// is read.
+	seeds time.Duration
+	// reports is how long after its start the VM has heard most others, if some are
 	// there.
-	heardWithin = 600 * time.Millisecond
-)
+	reports time.Duration
+}
+
+// shortWaits keep the start of a VM whose seeds are away short.
+var shortWaits = startWaits{seeds: 80 * time.Millisecond, reports: 600 * time.Millisecond}
 
 // readStore reads the store while it is this VM's duty, until ctx ends. A VM that
 // starts later than the others first asks some of them: most starts are of one VM
@@ -34,7 +40,7 @@
 // askSeeds returns when one seed has told what it knows, when all have failed, or
 // after a short time.
 func (g *Gateway) askSeeds(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, seedAskTime)
+	ctx, cancel := context.WithTimeout(ctx, g.startWaits.seeds)
 	defer cancel()
 	seeds := g.otherSeeds()
 	failures := make(chan error, len(seeds))
@@ -68,5 +74,5 @@
 // has not had the time to hear who reads the store.
 func (g *Gateway) toldBySeed() bool {
 	now := clock.Now()
-	return now.Sub(g.started) < heardWithin && g.tracker.Age(now) < knowledge.StaleAfter
+	return now.Sub(g.started) < g.startWaits.reports && g.tracker.Age(now) < knowledge.StaleAfter
 }
--- a/gateway/seed_ask_test.go
+++ b/gateway/seed_ask_test.go
@@ -1,17 +1,23 @@
 package gateway
 
 import (
-	"cardamompoint.example/cardamompoint/gateway/news"
+	"context"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
+	"time"
+
+	"cardamompoint.example/cardamompoint/gateway/news"
 )
 
 // TestLaterStartReadsNothing starts a VM while others run: a seed tells it all, and it
 // follows the one that reads the store.
 func TestLaterStartReadsNothing(t *testing.T) {
 	f := newTestFleet(t, 2)
-	before := f.store.Ranges()
+	// However busy the machine is, a seed that runs answers within these.
+	f.waits = startWaits{seeds: 20 * time.Second, reports: 20 * time.Second}
+	reads := f.countReads()
 	number := f.followingNumber()
 	f.start(number)
 	f.eventually("the VM is ready", func() bool { return f.ready(number) == http.StatusOK })
@@ -23,11 +29,25 @@
 		_, follows := g.Leader()
 		return follows
 	})
-	if reads := f.store.Ranges() - before; reads > 0 {
-		t.Errorf("%d calls read what a seed knew", reads)
+	if reads.Load() > 0 {
+		t.Errorf("%d calls read what a seed knew", reads.Load())
 	}
 }
 
+// countReads gives VMs that start from now on an address of the store of their own and
+// counts their calls that read everything there: the others may still end their starts.
+func (f *testFleet) countReads() *atomic.Int64 {
+	var reads atomic.Int64
+	f.storeHost++
+	f.listen(f.address(f.storeHost, storePort), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/-/kv-range" {
+			reads.Add(1)
+		}
+		f.store.ServeHTTP(w, r)
+	}))
+	return &reads
+}
+
 // followingNumber returns the number of a VM that ranks behind the first one for
 // reading the store.
 func (f *testFleet) followingNumber() int {
@@ -51,3 +71,21 @@
 	f.start(3)
 	f.eventually("the VM is ready", func() bool { return f.ready(3) == http.StatusOK })
 }
+
+// TestStartBesideSilentSeedsReadsTheStore starts a VM whose seeds take its question and
+// never answer.
+func TestStartBesideSilentSeedsReadsTheStore(t *testing.T) {
+	f := newTestFleet(t, 0)
+	ctx, answer := context.WithCancel(context.Background())
+	t.Cleanup(answer)
+	silent := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-ctx.Done() })
+	for _, seed := range []int{1, 2} {
+		f.listen(f.address(seed, peerPort), silent)
+		f.listen(f.address(seed, controlPort), silent)
+	}
+	f.start(3)
+	f.eventually("the VM is ready", func() bool { return f.ready(3) == http.StatusOK })
+	if f.store.Ranges() == 0 {
+		t.Error("the store was not read")
+	}
+}
