Read and send requests with fewer copies, and keep the tables of compression

A read of 4 KB allocated its buffer, was copied to what is ready and then to the body, and head and body were copied once more to be sent. Each compressed answer to a peer allocated tables of 800 KB, on a VM that many follow after each change. Change: read buffers are pooled; a body of known length is read straight into place, as much as there is; head and body are written together without a copy; package compress keeps packers.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -36,6 +36,9 @@
 // the answer: an endpoint may answer before it has read a long body.
 const asyncBody = 16 << 10
 
+// headSize is the room for the head of a request, in bytes, that most need.
+const headSize = 2 << 10
+
 // exchange is one attempt at one endpoint.
 type exchange struct {
 	*call
@@ -176,17 +179,17 @@
 	if x.grant.workspace != nil {
 		message.Workspace = x.grant.workspace.Name
 	}
-	raw := append(message.AppendHead(make([]byte, 0, 1024+len(x.body))), x.body...)
+	head := message.AppendHead(make([]byte, 0, headSize))
 	x.expire(0)
-	if len(raw) > asyncBody {
+	if len(head)+len(x.body) > asyncBody {
 		x.sending = make(chan error, 1)
 		go func(conn *upstream.Conn) {
-			_, err := conn.Send(raw)
+			_, err := conn.Send(head, x.body)
 			x.sending <- err
 		}(x.conn)
 		return outcome{}, true
 	}
-	sent, err := x.conn.Send(raw)
+	sent, err := x.conn.Send(head, x.body)
 	if err == nil {
 		return outcome{}, true
 	}
--- a/gateway/knowledge/share.go
+++ b/gateway/knowledge/share.go
@@ -11,6 +11,7 @@
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/internal/compress"
 	"cardamompoint.example/cardamompoint/platform"
 )
 
@@ -102,12 +103,7 @@
 		return t.packed
 	}
 	var buffer bytes.Buffer
-	writer := gzip.NewWriter(&buffer)
-	_, err := writer.Write(t.raw.Value)
-	if closed := writer.Close(); err == nil {
-		err = closed
-	}
-	if err != nil {
+	if err := compress.Write(&buffer, t.raw.Value); err != nil {
 		klog.ErrorS(err, "config: the configuration can't be compressed")
 		return nil
 	}
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -55,8 +55,9 @@
 }
 
 // Send writes a request. sent tells whether any byte may have left.
-func (c *Conn) Send(request []byte) (sent bool, err error) {
-	written, err := c.raw.Write(request)
+func (c *Conn) Send(head, body []byte) (sent bool, err error) {
+	pieces := net.Buffers{head, body}
+	written, err := pieces.WriteTo(c.raw)
 	return written > 0, err
 }
 
--- a/internal/httpguard/conn.go
+++ b/internal/httpguard/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -28,6 +29,9 @@
 // readSize is the size of one read from the connection.
 const readSize = 4096
 
+// readBuffers are for reads of all connections.
+var readBuffers = sync.Pool{New: func() any { return new([readSize]byte) }}
+
 // Conn checks the requests that are read from a connection. Like any net.Conn
 // it may be read by one goroutine at a time.
 type Conn struct {
@@ -41,7 +45,9 @@
 	// be passed on.
 	pending []byte
 	ready   []byte
-	body    body
+	// passed is where ready begins.
+	passed []byte
+	body   body
 	// ended tells that nothing more is passed on.
 	ended error
 }
@@ -56,6 +62,9 @@
 	if len(p) == 0 {
 		return 0, nil
 	}
+	if c.inBody() {
+		return c.readBody(p)
+	}
 	for len(c.ready) == 0 {
 		if c.ended != nil {
 			return 0, c.ended
@@ -73,10 +82,23 @@
 	return count, nil
 }
 
+// inBody reports whether all that comes next is of a body of known length.
+func (c *Conn) inBody() bool {
+	return len(c.ready) == 0 && len(c.pending) == 0 && c.ended == nil && !c.body.chunked && c.body.left > 0
+}
+
+// readBody reads once from the connection, at most to the end of the body.
+func (c *Conn) readBody(p []byte) (int, error) {
+	count, err := c.Conn.Read(p[:min(len(p), c.body.left)])
+	c.body.left -= count
+	return count, err
+}
+
 // fill reads once from the connection. What was read before an error is kept,
 // so that a read may be repeated after a timeout.
 func (c *Conn) fill() error {
-	var buffer [readSize]byte
+	buffer := readBuffers.Get().(*[readSize]byte)
+	defer readBuffers.Put(buffer)
 	count, err := c.Conn.Read(buffer[:])
 	c.pending = append(c.pending, buffer[:count]...)
 	if count > 0 {
@@ -157,8 +179,10 @@
 	c.ended = io.EOF
 }
 
+// pass makes the first bytes of pending ready. All that was ready before has been read.
 func (c *Conn) pass(count int) {
-	c.ready = append(c.ready[:0:0], c.pending[:count]...)
+	c.passed = append(c.passed[:0], c.pending[:count]...)
+	c.ready = c.passed
 	c.pending = append(c.pending[:0], c.pending[count:]...)
 }
 
--- a/internal/httpguard/guard_test.go
+++ b/internal/httpguard/guard_test.go
@@ -218,3 +218,68 @@
 		}
 	}
 }
+
+// endlessRequests gives the same request over and over.
+type endlessRequests struct {
+	net.Conn
+	request []byte
+}
+
+func (e *endlessRequests) Read(p []byte) (int, error) {
+	return copy(p, e.request), nil
+}
+
+// TestKeptConnectionAllocatesLittle reads requests from a kept connection: reading one
+// allocates no buffer.
+func TestKeptConnectionAllocatesLittle(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+	conn := NewConn(&endlessRequests{request: []byte(request)}, func() Limits { return Limits{HeadBytes: CeilingBytes} })
+	buffer := make([]byte, readSize)
+	allocated := testing.Benchmark(func(b *testing.B) {
+		for b.Loop() {
+			if _, err := conn.Read(buffer); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}).AllocedBytesPerOp()
+	if allocated >= readSize/2 {
+		t.Errorf("%d bytes are allocated for each request", allocated)
+	}
+}
+
+// TestLongBodyIsReadAtOnce reads a long body of known length: as many bytes at once as the
+// reader takes, and none behind it.
+func TestLongBodyIsReadAtOnce(t *testing.T) {
+	const size = 40 << 10
+	head := fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", size)
+	body := strings.Repeat("b", size)
+	source := &pieces{left: []string{head, body + "GET /next"}}
+	conn := NewConn(source, func() Limits { return Limits{HeadBytes: CeilingBytes} })
+	buffer := make([]byte, 2*size)
+	if count, err := conn.Read(buffer); err != nil || string(buffer[:count]) != head {
+		t.Fatalf("got %q, %v", buffer[:count], err)
+	}
+	if count, err := conn.Read(buffer); err != nil || string(buffer[:count]) != body {
+		t.Errorf("got %d bytes of the body, %v", count, err)
+	}
+	if source.left[0] != "GET /next" {
+		t.Errorf("%q is left, want what is behind the body", source.left[0])
+	}
+}
+
+// pieces gives at most one piece with each read.
+type pieces struct {
+	net.Conn
+	left []string
+}
+
+func (p *pieces) Read(buffer []byte) (int, error) {
+	if len(p.left) == 0 {
+		return 0, io.EOF
+	}
+	count := copy(buffer, p.left[0])
+	if p.left[0] = p.left[0][count:]; p.left[0] == "" {
+		p.left = p.left[1:]
+	}
+	return count, nil
+}
--- a/internal/jsonhttp/server.go
+++ b/internal/jsonhttp/server.go
@@ -1,7 +1,6 @@
 package jsonhttp
 
 import (
-	"compress/gzip"
 	"encoding/json"
 	"errors"
 	"io"
@@ -10,6 +9,7 @@
 	"strings"
 
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/internal/compress"
 )
 
 // ErrorBody is the JSON body of every answer that is not a success.
@@ -44,9 +44,7 @@
 		return
 	}
 	w.Header().Set("Content-Encoding", "gzip")
-	packer := gzip.NewWriter(w)
-	packer.Write(raw)
-	packer.Close()
+	compress.Write(w, raw) // The caller is gone if that fails.
 }
 
 // WriteError answers with the numbered error in err.
