Let the soak check times for VMs in touch, in calm times between its rounds of faults

Change: faults come in rounds, each with a calm time behind it in which a worker drains and versions come; every fault notes what it harms; inTouch tells from these spells whether a VM is held to times, spans in which the machine let the soak itself wait count against all; four checks: a change in force within the configuration time, a draining worker reached no later than the drain time, readiness of VMs in touch, requests served at VMs in touch while workers are sound. VM-seconds in touch are printed.

--- a/cmd/cardamompoint/soak_faults_test.go
+++ b/cmd/cardamompoint/soak_faults_test.go
@@ -36,27 +36,33 @@
 func (s *soak) kill() {
 	g := s.anyGateway()
 	s.note("kill VM %d", g.number)
-	s.end(g, syscall.SIGKILL, 1)
+	s.restart(g, syscall.SIGKILL, 1)
+}
+
+// restart ends a process by a signal, sent once or more, and starts the next one.
+func (s *soak) restart(g *soakGateway, signal syscall.Signal, times int) {
+	back := s.record.harm(g.number, "restart")
+	s.end(g, signal, times)
 	s.start(g)
+	back()
 }
 
 func (s *soak) freeze() {
 	g := s.anyGateway()
-	g.frozen = !g.frozen
-	s.note("freeze VM %d: %v", g.number, g.frozen)
-	if g.frozen {
-		_ = g.command.Process.Signal(syscall.SIGSTOP)
-	} else {
-		_ = g.command.Process.Signal(syscall.SIGCONT)
+	s.note("freeze VM %d: %v", g.number, g.thaw == nil)
+	if g.thaw != nil {
+		s.wake(g)
+		return
 	}
+	g.thaw = s.record.harm(g.number, "freeze")
+	_ = g.command.Process.Signal(syscall.SIGSTOP)
 }
 
 func (s *soak) terminate() {
 	g := s.anyGateway()
 	times := 1 + s.random.IntN(2)
 	s.note("terminate VM %d, %d signals", g.number, times)
-	s.end(g, syscall.SIGTERM, times)
-	s.start(g)
+	s.restart(g, syscall.SIGTERM, times)
 }
 
 func (s *soak) reload() {
@@ -71,18 +77,45 @@
 	at := s.random.IntN(len(s.proxies))
 	fault := linkFault(s.random.IntN(int(linkFaults)))
 	s.note("link %d: fault %d", at, fault)
+	s.harmLink(at, fault)
 	s.proxies[at].fault.Store(int32(fault))
 }
 
+// harmLink notes what a fault of a link harms: that to the store all VMs.
+func (s *soak) harmLink(at int, fault linkFault) {
+	if at != storeLink {
+		s.record.harmWorkers("link")
+		return
+	}
+	if sound := s.linksSound[at]; sound != nil {
+		defer sound()
+	}
+	if fault != linkSound {
+		s.linksSound[at] = s.record.harm(everyVM, "link to the store")
+		s.record.untilHealed(s.linksSound[at])
+	}
+}
+
+// storeLink is the number of the link to the store.
+const storeLink = 0
+
 func (s *soak) resetLink() {
 	at := s.random.IntN(len(s.proxies))
 	s.note("link %d: reset", at)
 	s.proxies[at].reset()
+	s.record.harm(everyVM, "reset")()
 }
 
 func (s *soak) failStore() {
 	fault := hosted.Fault(s.random.IntN(int(hosted.FaultSilent) + 1))
 	s.note("store: fault %d", fault)
+	if s.storeSound != nil {
+		defer s.storeSound()
+	}
+	if fault != hosted.FaultNone {
+		s.storeSound = s.record.harm(everyVM, "store")
+		s.record.untilHealed(s.storeSound)
+	}
 	s.store.SetFault(fault)
 }
 
@@ -103,6 +136,7 @@
 	slot := s.anySlot()
 	first, third := s.anyBehaviour(), s.anyBehaviour()
 	s.note("worker at %s: %d, %d", slot.public, first, third)
+	s.record.harmWorkers("misbehaviour")
 	slot.worker.Load().Plan(first, hosted.Serve, third)
 }
 
@@ -119,6 +153,7 @@
 func (s *soak) sayLeaving() {
 	slot := s.anySlot()
 	s.note("worker at %s: says that it leaves", slot.public)
+	s.record.harmWorkers("says that it leaves")
 	slot.leaves = true
 	slot.worker.Load().Always(hosted.Leave)
 }
@@ -128,7 +163,20 @@
 	slot := s.anySlot()
 	state := []string{"draining", "ready"}[s.random.IntN(2)]
 	s.note("worker at %s: %s", slot.public, state)
-	s.store.Enter(slot.worker.Load().ID, slot.service, slot.public, state)
+	s.record.harmWorkers("drains")
+	s.publishWorker(slot, state)
+}
+
+// publishWorker publishes the state of the worker at an address.
+func (s *soak) publishWorker(slot *soakSlot, state string) {
+	worker := slot.worker.Load().ID
+	if state == "ready" {
+		s.record.drain(worker, false)
+	}
+	s.store.Enter(worker, slot.service, slot.public, state)
+	if state != "ready" {
+		s.record.drain(worker, true)
+	}
 }
 
 // replace lets another worker have the address of one that crashes. The entry of
@@ -138,9 +186,11 @@
 	old := slot.worker.Load()
 	stale := s.random.IntN(2) == 0
 	s.note("worker at %s: replaced, stale entry: %v", slot.public, stale)
+	s.record.harmWorkers("replaced")
 	slot.proxy.reset()
 	if !stale {
 		s.store.Leave(old.ID)
+		s.record.drain(old.ID, true)
 	}
 	s.enter(slot)
 }
@@ -153,7 +203,7 @@
 		proxy.fault.Store(int32(linkSound))
 	}
 	for _, g := range s.gateways {
-		_ = g.command.Process.Signal(syscall.SIGCONT)
+		s.wake(g)
 	}
 	for _, slot := range s.slots {
 		if slot.leaves {
@@ -164,8 +214,10 @@
 		for _, worker := range slot.all {
 			if worker != now {
 				s.store.Leave(worker.ID)
+				s.record.drain(worker.ID, true)
 			}
 		}
-		s.store.Enter(now.ID, slot.service, slot.public, "ready")
+		s.publishWorker(slot, "ready")
 	}
+	s.record.heal()
 }
--- a/cmd/cardamompoint/soak_fleet_test.go
+++ b/cmd/cardamompoint/soak_fleet_test.go
@@ -29,6 +29,12 @@
 	plan    []string
 	began   time.Time
 
+	// record is what harmed whom; storeSound ends the store's fault, linksSound those of
+	// the links.
+	record     *soakRecord
+	storeSound func()
+	linksSound map[int]func()
+
 	mu      sync.Mutex
 	history soakHistory
 	// version is the last published one, keys are those in force.
@@ -41,8 +47,9 @@
 	number  int
 	command *exec.Cmd
 	started time.Time
-	frozen  bool
-	boot    atomic.Int64
+	// thaw ends the spell of a frozen process, nil if it runs.
+	thaw func()
+	boot atomic.Int64
 	// expected tells that the process is to end.
 	expected atomic.Bool
 	ended    chan struct{}
@@ -70,8 +77,10 @@
 		hostedFleet: &hostedFleet{t: t, net: reserveNet(t), dir: soakFolder(t, seed), store: hosted.NewStore()},
 		random:      rand.New(rand.NewPCG(seed, 77)),
 		began:       time.Now(),
-		history:     soakHistory{revoked: map[string]time.Time{}, removed: map[string]time.Time{}},
+		record:      &soakRecord{published: map[string]time.Time{}},
+		linksSound:  map[int]func(){},
 	}
+	s.history = soakHistory{revoked: map[string]time.Time{}, removed: map[string]time.Time{}, record: s.record}
 	s.serve(s.net+".250.2:7100", s.store)
 	s.addProxy(s.net+".250.1:7100", s.net+".250.2:7100")
 	s.publish()
@@ -165,6 +174,7 @@
 		s.history.removed[versionPath(old)] = time.Now()
 	}
 	s.store.Publish(configuration)
+	s.record.published[versionPath(s.version)] = time.Now()
 	if gone != "" {
 		s.history.revoked[gone] = time.Now()
 	}
@@ -207,7 +217,7 @@
 	}
 	g.boot.Add(1)
 	g.expected.Store(false)
-	g.frozen, g.started, g.ended = false, time.Now(), make(chan struct{})
+	g.started, g.ended = time.Now(), make(chan struct{})
 	go s.watch(g, g.command, g.ended)
 }
 
@@ -223,13 +233,22 @@
 // end stops a process by a signal, sent once or more, and waits for it.
 func (s *soak) end(g *soakGateway, signal syscall.Signal, times int) {
 	g.expected.Store(true)
-	_ = g.command.Process.Signal(syscall.SIGCONT)
+	s.wake(g)
 	for range times {
 		_ = g.command.Process.Signal(signal)
 	}
 	<-g.ended
 }
 
+// wake lets a frozen process run again.
+func (s *soak) wake(g *soakGateway) {
+	_ = g.command.Process.Signal(syscall.SIGCONT)
+	if g.thaw != nil {
+		g.thaw()
+		g.thaw = nil
+	}
+}
+
 func (s *soak) stopAll() {
 	for _, g := range s.gateways {
 		s.end(g, syscall.SIGKILL, 1)
--- a/cmd/cardamompoint/soak_history_red_test.go
+++ b/cmd/cardamompoint/soak_history_red_test.go
@@ -14,6 +14,7 @@
 	h := &soakHistory{
 		revoked: map[string]time.Time{"old": start},
 		removed: map[string]time.Time{"/version-1/": start.Add(time.Minute)},
+		record:  &soakRecord{published: map[string]time.Time{"/version-1/": start.Add(3 * time.Second)}},
 	}
 	for i, path := range []string{"/deposit/1", "/lookup/1", "/version-1/"} {
 		id := string(rune('a' + i))
@@ -24,6 +25,27 @@
 	return h
 }
 
+// TestHarmedVMsAreNotHeldToTimes breaks the bounds of time at a VM that is not in touch.
+func TestHarmedVMsAreNotHeldToTimes(t *testing.T) {
+	h := soundHistory()
+	start := h.calls[0].sent
+	h.record.spells = []soakSpell{{gateway: 0, from: start, to: start.Add(2 * time.Minute)}}
+	for i := range 20 {
+		call := h.calls[2]
+		call.id, call.status, call.body = string(rune('k'+i)), http.StatusNotFound, ""
+		call.sent = start.Add(soakConfig + time.Second)
+		call.ended = call.sent
+		h.calls = append(h.calls, call)
+		h.record.readiness = append(h.record.readiness, soakReady{0, call.sent, false})
+	}
+	h.record.drained = []soakSpan{{worker: "w1", from: start.Add(-time.Minute)}}
+	for _, name := range []string{"config in time", "drain in time", "readiness in time", "served in time"} {
+		if bad := soakChecks[name](h); len(bad) > 0 {
+			t.Errorf("%s: %q", name, bad)
+		}
+	}
+}
+
 // TestSoakChecksCanFail breaks a sound history in one way after the other; just
 // the check that is meant to see it goes red.
 func TestSoakChecksCanFail(t *testing.T) {
@@ -58,6 +80,34 @@
 				h.seen = append(h.seen, soakSeen{"plain", "w1", hosted.Seen{ID: id, Target: "/lookup/1", Workspace: hosted.Workspace, Body: soakBody, Run: true, At: at}})
 			}
 		}},
+		"a version too late": {"config in time", func(h *soakHistory) {
+			call := h.calls[2]
+			call.id, call.status, call.body, call.gateway = "late", http.StatusNotFound, "", 1
+			call.sent = h.record.published[call.path].Add(soakConfig + time.Millisecond)
+			call.ended = call.sent.Add(time.Second)
+			h.calls = append(h.calls, call)
+		}},
+		"a version too long": {"config in time", func(h *soakHistory) {
+			h.calls[2].sent = h.removed["/version-1/"].Add(soakConfig + time.Millisecond)
+			h.calls[2].ended = h.calls[2].sent.Add(time.Second)
+		}},
+		"a worker that drains": {"drain in time", func(h *soakHistory) {
+			h.seen[0].Header = http.Header{"Cardamompoint-Expect-Instance": {"w1"}}
+			h.record.drained = []soakSpan{{worker: "w1", from: h.calls[0].sent.Add(-soakConfig - soakDrain - time.Millisecond)}}
+		}},
+		"an unready VM": {"readiness in time", func(h *soakHistory) {
+			for i := range 8 {
+				at := h.calls[0].sent.Add(time.Duration(i) * readyPeriod)
+				h.record.readiness = append(h.record.readiness, soakReady{0, at, i > 1})
+			}
+		}},
+		"unserved requests": {"served in time", func(h *soakHistory) {
+			for i := range unservedSlack + 1 {
+				call := h.calls[0]
+				call.id, call.status, call.body, call.whole = string(rune('k'+i)), http.StatusBadGateway, "", false
+				h.calls = append(h.calls, call)
+			}
+		}},
 		"another body": {"unasked", func(h *soakHistory) { h.seen[0].Body = "more" }},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/cmd/cardamompoint/soak_history_test.go
+++ b/cmd/cardamompoint/soak_history_test.go
@@ -64,6 +64,7 @@
 	revoked map[string]time.Time
 	// removed is when the store took in that a path is gone.
 	removed map[string]time.Time
+	record  *soakRecord
 }
 
 // soakChecks are all checks by name.
@@ -77,6 +78,11 @@
 	"unasked":  checkUnasked,
 	"leaving":  checkLeaving,
 	"rest":     checkRest,
+
+	"config in time":    checkConfigInTime,
+	"drain in time":     checkDrainInTime,
+	"readiness in time": checkReadyInTime,
+	"served in time":    checkServedInTime,
 }
 
 // runs counts how often each request was run.
--- a/cmd/cardamompoint/soak_test.go
+++ b/cmd/cardamompoint/soak_test.go
@@ -19,6 +19,8 @@
 	soakSeed     = flag.Uint64("soak-seed", 1, "the first seed of the soak")
 	soakRuns     = flag.Int("soak-runs", 1, "the number of seeds of the soak")
 	soakTime     = flag.Duration("soak-time", 8*time.Second, "how long faults are injected with each seed")
+	soakRounds   = flag.Int("soak-rounds", 2, "the number of rounds of faults, each with a calm time behind it")
+	soakCalm     = flag.Duration("soak-calm", 5500*time.Millisecond, "how long VMs may be in touch in each calm time")
 	soakCalls    = flag.Int("soak-callers", 8, "the number of callers that ask at the same time")
 	soakGateways = flag.Int("soak-gateways", 3, "the number of gateway processes")
 	soakWorkers  = flag.Int("soak-workers", 3, "the number of workers of each service")
@@ -44,11 +46,19 @@
 			s.call(ctx, number, seed)
 		}()
 	}
-	for end := time.Now().Add(*soakTime); time.Now().Before(end); {
-		s.fault()
-		time.Sleep(time.Duration(50+s.random.IntN(350)) * time.Millisecond)
+	watched, done := time.Now(), make(chan struct{})
+	var watchers sync.WaitGroup
+	watchers.Go(func() { s.record.beat(done) })
+	for gateway := range s.gateways {
+		watchers.Go(func() { s.lookAtReadiness(gateway, done) })
 	}
-	s.heal()
+	for range *soakRounds {
+		s.storm(*soakTime / time.Duration(*soakRounds))
+		s.calm()
+	}
+	s.touched(watched, time.Now())
+	close(done)
+	watchers.Wait()
 	s.eventually("all gateways are ready again", s.allReady)
 	cancel()
 	callers.Wait()
@@ -65,6 +75,49 @@
 	}
 }
 
+// storm injects faults for a while.
+func (s *soak) storm(long time.Duration) {
+	for end := time.Now().Add(long); time.Now().Before(end); {
+		s.fault()
+		time.Sleep(time.Duration(50+s.random.IntN(350)) * time.Millisecond)
+	}
+}
+
+// calm ends all faults. Once VMs are in touch, a worker drains, and versions come.
+func (s *soak) calm() {
+	s.heal()
+	time.Sleep(soakStable)
+	slot := s.anySlot()
+	s.note("worker at %s: drains in a calm time", slot.public)
+	s.publishWorker(slot, "draining")
+	for end := time.Now().Add(*soakCalm); time.Now().Before(end); {
+		s.note("a version in a calm time")
+		s.publish()
+		time.Sleep(time.Duration(200+s.random.IntN(800)) * time.Millisecond)
+	}
+	s.publishWorker(slot, "ready")
+}
+
+// touched tells for how long VMs were in touch: checks of time see only that.
+func (s *soak) touched(from, to time.Time) {
+	s.record.mu.Lock()
+	defer s.record.mu.Unlock()
+	var touched, late time.Duration
+	for gateway := range s.gateways {
+		touched += touchedFor(s.record.spells, gateway, from, to)
+	}
+	for _, spell := range s.record.spells {
+		if spell.what == "machine" {
+			late += spell.to.Sub(spell.from)
+		}
+	}
+	all := to.Sub(from) * time.Duration(len(s.gateways))
+	s.t.Logf("%.1f of %.1f VM-seconds in touch, the machine stood still for %.2f s", touched.Seconds(), all.Seconds(), late.Seconds())
+	if touched == 0 {
+		s.t.Log("no VM was in touch at any time: the checks of time prove nothing")
+	}
+}
+
 // checkHistory runs all checks of what was seen.
 func (s *soak) checkHistory() {
 	s.mu.Lock()
@@ -154,7 +207,7 @@
 func (s *soak) checkLeaving() {
 	slot := s.slots[len(s.slots)-1]
 	worker := slot.worker.Load()
-	s.store.Enter(worker.ID, slot.service, slot.public, "draining")
+	s.publishWorker(slot, "draining")
 	s.publish()
 	for i := range s.gateways {
 		s.askNew("the change behind the leaving is in force", i, versionPath(s.version), hosted.Key, http.StatusOK)
