--- a/cmd/cardamompoint/soak_fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -1,8 +1,9 @@
-package main
+package soak
 
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -14,13 +15,18 @@
 	"testing"
 	"time"
 
+	"cardamompoint.example/cardamompoint/internal/loopback"
 	"cardamompoint.example/cardamompoint/internal/standin/hosted"
 	"cardamompoint.example/cardamompoint/platform"
 )
 
 // soak is a fleet of real processes under faults.
 type soak struct {
-	*hostedFleet
+	t     *testing.T
+	net   string
+	dir   string
+	store *hosted.Store
+
 	random   *rand.Rand
 	gateways []*soakGateway
 	slots    []*soakSlot
@@ -74,11 +80,14 @@
 
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{
-		hostedFleet: &hostedFleet{t: t, net: reserveNet(t), dir: soakFolder(t, seed), store: hosted.NewStore()},
-		random:      rand.New(rand.NewPCG(seed, 77)),
-		began:       time.Now(),
-		record:      &soakRecord{published: map[string]time.Time{}},
-		linksSound:  map[int]func(){},
+		t:          t,
+		net:        reserveNet(t),
+		dir:        soakFolder(t, seed),
+		store:      hosted.NewStore(),
+		random:     rand.New(rand.NewPCG(seed, 77)),
+		began:      time.Now(),
+		record:     &soakRecord{published: map[string]time.Time{}},
+		linksSound: map[int]func(){},
 	}
 	s.history = soakHistory{revoked: map[string]time.Time{}, removed: map[string]time.Time{}, record: s.record}
 	s.serve(s.net+".250.2:7100", s.store)
@@ -97,6 +106,40 @@
 	return s
 }
 
+// reserveNet returns the first two numbers of a loopback network that no other test uses
+// at the same time.
+func reserveNet(t *testing.T) string {
+	network, err := loopback.Reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = network.Close() })
+	return network.Prefix
+}
+
+// serve serves a handler until the test ends.
+func (s *soak) serve(address string, handler http.Handler) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(listener) }()
+	s.t.Cleanup(func() { _ = listener.Close() })
+}
+
+// eventually waits for a condition for a time that no healthy run comes near.
+func (s *soak) eventually(what string, condition func() bool) {
+	s.t.Helper()
+	for range 2000 {
+		if condition() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	s.t.Fatalf("it did not happen that %s; the logs are in %s", what, s.dir)
+}
+
 // soakFolder returns a folder that is kept if the test fails.
 func soakFolder(t *testing.T, seed uint64) string {
 	folder, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
@@ -209,7 +252,7 @@
 		s.t.Fatal(err)
 	}
 	defer log.Close()
-	g.command = exec.Command("cardamompoint", "gateway")
+	g.command = exec.Command(program, "gateway")
 	g.command.Env = append(os.Environ(), platform.SettingsVariable+"="+path)
 	g.command.Stdout, g.command.Stderr = log, log
 	if err := g.command.Start(); err != nil {
--- a/cmd/cardamompoint/log_lines_test.go
+++ b/internal/soak/log_lines_test.go
@@ -1,4 +1,4 @@
-package main
+package soak
 
 import (
 	"net/http"
--- /dev/null
+++ b/internal/soak/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package soak
+
+const raceDetector = false
--- a/internal/tools/knownred/main.go
+++ b/internal/tools/knownred/main.go
@@ -76,7 +76,7 @@
 	withoutRace = []string{"./internal/routebench"}
 	// alone are the packages that start many processes. They run after the
 	// others, so that a busy machine does not look like a lost router.
-	alone = []string{"./cmd/cardamompoint"}
+	alone = []string{"./cmd/cardamompoint", "./internal/soak"}
 )
 
 func runTests() (*results, error) {
@@ -88,7 +88,7 @@
 	return collected, errors.Join(
 		collected.run(withoutRace),
 		collected.run(append([]string{"-race"}, others...)),
-		collected.run(append([]string{"-race"}, alone...)),
+		collected.run(append([]string{"-race", "-p=1"}, alone...)),
 	)
 }
 
