--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -41,7 +41,6 @@
 	cache   *contextCache
 	leaving bool
 	runs    map[string]int
-	peak    int
 }
 
 // NewEngine returns an Engine.
@@ -88,13 +87,6 @@
 	return runs
 }
 
-// Peak returns the largest number of requests that were in progress at once.
-func (e *Engine) Peak() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.peak
-}
-
 // Load returns the engine's report.
 func (e *Engine) Load() endpoint.Load {
 	e.mu.Lock()
@@ -141,21 +133,10 @@
 	s := newEngineStream(work, prompt, e.cache.use(work.Workspace, work.Chat, prompt+work.MaxTokens, prompt))
 	e.streams[work.StreamID] = s
 	e.runs[work.RequestID]++
-	e.peak = max(e.peak, e.inProgress())
 	go e.generate(s)
 	return s, nil
 }
 
-func (e *Engine) inProgress() int {
-	count := 0
-	for _, s := range e.streams {
-		if s.left() > 0 {
-			count++
-		}
-	}
-	return count
-}
-
 func (e *Engine) generate(s *engineStream) {
 	time.Sleep(e.options.FirstToken)
 	for s.advance() {
--- a/router/config/key.go
+++ b/router/config/key.go
@@ -30,11 +30,6 @@
 	return workspacePrefix + workspace + parametersSuffix
 }
 
-// ModelKey returns the key of a model's declaration.
-func ModelKey(model string) string {
-	return modelPrefix + model
-}
-
 // SplitKey returns the kind of document at key and the workspace's or model's name.
 func SplitKey(key string) (Kind, string) {
 	if name, ok := strings.CutPrefix(key, modelPrefix); ok {
