--- a/gateway/shed/shedder_test.go
+++ b/gateway/shed/shedder_test.go
@@ -185,6 +185,8 @@
 	}{
 		{"nothing waits", 0, 0.9, false},
 		{"prompts wait, slots are free", 700 * time.Millisecond, 0.2, true},
+		{"prompts wait for less than half of the time, slots are free", 380 * time.Millisecond, 0.1, false},
+		{"prompts wait as long, slots are taken", 380 * time.Millisecond, 0.8, true},
 		{"requests wait for slots", 0, 1.5, true},
 		{"a short wait", 100 * time.Millisecond, 1, false},
 	} {
