--- a/gateway/shed/shedder.go
+++ b/gateway/shed/shedder.go
@@ -16,8 +16,8 @@
 	// the wait settles where as much is refused as is too much.
 	waitFrom = 0.15
 	waitMost = 0.6
-	// roomyWaitFrom and roomyWaitMost are the same while slots are free: what waits there
-	// are prompts to be read for a few requests, and most still begin in time.
+	// roomyWaitFrom and roomyWaitMost are the same while most slots are free: what waits
+	// there are prompts to be read for a few requests, and most still begin in time.
 	roomyWaitFrom = 0.45
 	roomyWaitMost = 0.75
 	// newestWeight is the weight of the newest value in a smoothed one.
@@ -30,8 +30,10 @@
 	lossAge = 3 * time.Second
 	// leastExcess is the excess below which nothing is refused.
 	leastExcess = 0.02
-	// leastOccupancy is the part of the slots from which they do not count as free.
+	// leastOccupancy is the part of the slots that must be taken, unless requests wait, and
+	// roomyOccupancy the part up to which most are free.
 	leastOccupancy = 0.6
+	roomyOccupancy = 0.3
 	// leastServed is the part of the requests of any rank that is served, against that
 	// of all requests, and leastServedOver the same for workspaces that use more than
 	// their share: nobody starves.
@@ -91,9 +93,10 @@
 	s.byRank[rank]++
 	s.objective = smooth(s.objective, r.Objective)
 	wait := s.wait(r)
-	roomy := r.Occupancy < leastOccupancy
-	decision := Decision{Rank: rank, Over: level > 0, Excess: max(s.lost/s.arrived, waitExcess(wait, roomy))}
-	if roomy && wait < roomyWaitFrom || s.arrived < leastCount || decision.Excess < leastExcess {
+	from, most := waitBounds(r.Occupancy)
+	decision := Decision{Rank: rank, Over: level > 0, Excess: max(s.lost/s.arrived, waitExcess(wait, from, most))}
+	idle := r.Occupancy < leastOccupancy && wait < from
+	if idle || s.arrived < leastCount || decision.Excess < leastExcess {
 		return decision
 	}
 	draw := float64(r.Draw) / math.MaxUint64
@@ -129,13 +132,16 @@
 	return known + time.Duration(float64(next-known)*newestWeight)
 }
 
-// waitExcess returns what part is too much if requests wait so long; roomy tells that
-// slots are free.
-func waitExcess(wait float64, roomy bool) float64 {
-	from, most := waitFrom, waitMost
-	if roomy {
-		from, most = roomyWaitFrom, roomyWaitMost
+// waitBounds returns from which wait on requests are too many, and from which all are.
+func waitBounds(occupancy float64) (from, most float64) {
+	if occupancy < roomyOccupancy {
+		return roomyWaitFrom, roomyWaitMost
 	}
+	return waitFrom, waitMost
+}
+
+// waitExcess returns what part is too much if requests wait so long.
+func waitExcess(wait, from, most float64) float64 {
 	return min(1, max(0, (wait-from)/(most-from)))
 }
 
