--- a/gateway/learner.go
+++ b/gateway/learner.go
@@ -39,8 +39,7 @@
 )
 
 // learner finds out where prompt parts are when a VM starts: from VMs that know
-// it, or from the engines. Each engine is asked by one VM only, since the
-// question delays its work.
+// it, or from the engines, which VMs that start together divide.
 type learner struct {
 	gateway *Gateway
 	client  *http.Client
@@ -90,8 +89,8 @@
 	}
 }
 
-// round asks the peers that know and were not asked yet. If there are none at
-// all, it asks this VM's part of the engines. It reports whether this VM knows.
+// round asks the peers that know and were not asked yet. If none knew when this VM had
+// heard others, it asks the engines whose turn it is. It reports whether this VM knows.
 func (l *learner) round(ctx context.Context) bool {
 	limit := askedPeers
 	if l.gateway.members.Large() {
