--- a/internal/soak/history_red_test.go
+++ b/internal/soak/history_red_test.go
@@ -46,6 +46,22 @@
 	}
 }
 
+// TestRequestsForTheInstanceBeforeDoNotCount lets requests reach a leaving worker that were
+// meant for the instance that was at its address before: it turns them away.
+func TestRequestsForTheInstanceBeforeDoNotCount(t *testing.T) {
+	h := soundHistory()
+	h.calls[0].leaving, h.calls[0].ended = "w1", h.calls[0].sent
+	h.calls[2].sent = h.calls[0].sent.Add(soakDrain + time.Millisecond)
+	h.seen[2].Header = http.Header{"Cardamompoint-Expect-Instance": {"w0"}}
+	if bad := checkLeaving(h); len(bad) > 0 {
+		t.Errorf("found %q", bad)
+	}
+	h.seen[2].Header = http.Header{"Cardamompoint-Expect-Instance": {"w1"}}
+	if bad := checkLeaving(h); len(bad) == 0 {
+		t.Error("a request that was meant for it is not found")
+	}
+}
+
 // TestSoakChecksCanFail breaks a sound history in one way after the other; just
 // the check that is meant to see it goes red.
 func TestSoakChecksCanFail(t *testing.T) {
