Read and write places, answers and bounds in one piece of code each

Found when reading the change again: reports and the list of places each wrote and read places by a loop of their own, with the check of what is behind the end; the bound of that list stood in two packages; a peer's places were asked for beside jsonhttp.Get; WriteCompressed began as Write does; Large counted what Known counts. Each is one function or constant now. Behaviour, bounds and tests' assertions are as they were.

--- a/gateway/choice/places.go
+++ b/gateway/choice/places.go
@@ -5,9 +5,6 @@
 	"cardamompoint.example/cardamompoint/internal/clock"
 )
 
-// placesLimit bounds the places that are told at once.
-const placesLimit = 8192
-
 // Places returns where prompt parts are known to be, for a VM that has just started.
 // Parts that several endpoints hold come first: they are shared by most requests.
 func (t *Table) Places() []news.PartPlace {
@@ -25,7 +22,7 @@
 			continue
 		}
 		for i := range at {
-			if len(places) == placesLimit {
+			if len(places) == news.MostPlaces {
 				return places
 			}
 			if t.parts.valid(&at[i]) {
--- a/gateway/choice/places_test.go
+++ b/gateway/choice/places_test.go
@@ -16,7 +16,7 @@
 	table := newTestTable(endpoints)
 	now := clock.Boot(time.Hour)
 	var known []news.PartPlace
-	for part := uint64(1000); part < 1000+2*placesLimit; part++ {
+	for part := uint64(1000); part < 1000+2*news.MostPlaces; part++ {
 		known = append(known, news.PartPlace{Part: part, Endpoint: endpoints[part%holders].ID})
 	}
 	for _, endpoint := range endpoints {
@@ -24,8 +24,8 @@
 	}
 	table.Learn(known, now)
 	told := table.Places()
-	if len(told) != placesLimit {
-		t.Errorf("%d places are told, want %d", len(told), placesLimit)
+	if len(told) != news.MostPlaces {
+		t.Errorf("%d places are told, want %d", len(told), news.MostPlaces)
 	}
 	found := 0
 	for _, at := range told {
--- a/gateway/news/codec.go
+++ b/gateway/news/codec.go
@@ -82,11 +82,7 @@
 		w.number(int64(work.Requests))
 		w.number(int64(work.Reading))
 	}
-	w.count(len(report.Parts))
-	for _, at := range report.Parts {
-		w.hash(at.Part)
-		w.name(at.Endpoint)
-	}
+	w.places(report.Parts)
 	w.count(len(report.Faults))
 	for _, fault := range report.Faults {
 		w.name(fault.Endpoint)
@@ -124,11 +120,8 @@
 	report.AgeMS = r.within(-1, math.MaxInt64)
 	d.decodeMembers(&report)
 	d.decodeEndpoints(&report)
-	if r.err == nil && len(r.rest) > 0 {
-		r.fail("bytes behind its end")
-	}
-	if r.err != nil {
-		return Report{}, r.err
+	if err := r.end(); err != nil {
+		return Report{}, err
 	}
 	return report, nil
 }
@@ -161,10 +154,7 @@
 	for i := range report.Work {
 		report.Work[i] = Work{Endpoint: r.name(), Requests: int(r.within(0, mostRequests)), Reading: int(r.within(0, mostTokens))}
 	}
-	report.Parts = makeList[PartPlace](r.entries(mostEntries))
-	for i := range report.Parts {
-		report.Parts[i] = PartPlace{Part: r.hash(), Endpoint: r.name()}
-	}
+	report.Parts = r.places(mostEntries)
 	report.Faults = makeList[Fault](r.entries(mostEntries))
 	for i := range report.Faults {
 		report.Faults[i] = Fault{Endpoint: r.name(), Percent: int(r.within(0, 100))}
--- a/gateway/news/look.go
+++ b/gateway/news/look.go
@@ -52,9 +52,7 @@
 // Large reports whether the fleet is too large for each VM to report to all
 // others.
 func (t *Table) Large() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.members) > sendAll
+	return t.Known() > sendAll
 }
 
 // Known returns the number of VMs that were heard of.
--- a/gateway/news/place_list.go
+++ b/gateway/news/place_list.go
@@ -2,20 +2,15 @@
 
 import "cardamompoint.example/cardamompoint/code"
 
-// mostPlaces bounds the places that one VM tells another at its start.
-const mostPlaces = 8192
+// MostPlaces bounds the places that one VM tells another at its start.
+const MostPlaces = 8192
 
 // PackPlaces packs places in the binary form of reports: a fleet that starts anew tells
-// millions of them. It packs at most as many as UnpackPlaces takes.
+// millions of them. It packs at most MostPlaces.
 func PackPlaces(places []PartPlace) []byte {
 	w := &wireWriter{names: map[string]uint64{}}
 	w.datagram = append(w.datagram, format)
-	places = places[:min(len(places), mostPlaces)]
-	w.count(len(places))
-	for _, at := range places {
-		w.hash(at.Part)
-		w.name(at.Endpoint)
-	}
+	w.places(places[:min(len(places), MostPlaces)])
 	return w.datagram
 }
 
@@ -25,15 +20,26 @@
 		return nil, code.New(code.InvalidDocument, "places have another format")
 	}
 	r := &wireReader{rest: raw[1:], interned: map[string]string{}}
-	places := makeList[PartPlace](r.entries(mostPlaces))
-	for i := range places {
-		places[i] = PartPlace{Part: r.hash(), Endpoint: r.name()}
+	places := r.places(MostPlaces)
+	if err := r.end(); err != nil {
+		return nil, err
 	}
-	if r.err == nil && len(r.rest) > 0 {
-		r.fail("bytes behind its end")
+	return places, nil
+}
+
+func (w *wireWriter) places(places []PartPlace) {
+	w.count(len(places))
+	for _, at := range places {
+		w.hash(at.Part)
+		w.name(at.Endpoint)
 	}
-	if r.err != nil {
-		return nil, r.err
+}
+
+// places reads places, at most limit.
+func (r *wireReader) places(limit int) []PartPlace {
+	places := makeList[PartPlace](r.entries(limit))
+	for i := range places {
+		places[i] = PartPlace{Part: r.hash(), Endpoint: r.name()}
 	}
-	return places, nil
+	return places
 }
--- a/gateway/news/place_list_test.go
+++ b/gateway/news/place_list_test.go
@@ -17,7 +17,7 @@
 }
 
 func TestPlacesAreUnpackedAsTheyWere(t *testing.T) {
-	for _, count := range []int{0, 1, 300, mostPlaces} {
+	for _, count := range []int{0, 1, 300, MostPlaces} {
 		places := somePlaces(count)
 		got, err := UnpackPlaces(PackPlaces(places))
 		if err != nil || !slices.Equal(got, places) {
@@ -27,8 +27,8 @@
 }
 
 func TestTooManyPlacesAreCut(t *testing.T) {
-	got, err := UnpackPlaces(PackPlaces(somePlaces(mostPlaces + 1)))
-	if err != nil || len(got) != mostPlaces {
+	got, err := UnpackPlaces(PackPlaces(somePlaces(MostPlaces + 1)))
+	if err != nil || len(got) != MostPlaces {
 		t.Errorf("got %d places, %v", len(got), err)
 	}
 }
@@ -36,8 +36,8 @@
 // TestPlaceTakesFewBytes bounds what a VM that has started is sent.
 func TestPlaceTakesFewBytes(t *testing.T) {
 	const bytesOfPlace = 11
-	if size := len(PackPlaces(somePlaces(mostPlaces))); size > bytesOfPlace*mostPlaces {
-		t.Errorf("%d places take %d bytes", mostPlaces, size)
+	if size := len(PackPlaces(somePlaces(MostPlaces))); size > bytesOfPlace*MostPlaces {
+		t.Errorf("%d places take %d bytes", MostPlaces, size)
 	}
 }
 
--- a/gateway/news/wire_reader.go
+++ b/gateway/news/wire_reader.go
@@ -40,6 +40,14 @@
 	r.rest = nil
 }
 
+// end returns the error that was met, also if bytes are left.
+func (r *wireReader) end() error {
+	if r.err == nil && len(r.rest) > 0 {
+		r.fail("bytes behind its end")
+	}
+	return r.err
+}
+
 func (r *wireReader) number() int64 {
 	value, size := binary.Varint(r.rest)
 	if size <= 0 {
--- a/gateway/peer_client.go
+++ b/gateway/peer_client.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"time"
 
-	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/gateway/knowledge"
 	"cardamompoint.example/cardamompoint/gateway/news"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
@@ -54,12 +53,7 @@
 
 // Places asks a peer where prompt parts are.
 func (p *peerClient) Places(ctx context.Context, address string) ([]news.PartPlace, error) {
-	url := "http://" + net.JoinHostPort(address, p.port) + placesPath
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return nil, code.Wrap(err, code.InternalFault, "the peer can't be asked")
-	}
-	raw, err := jsonhttp.DoBytes(p.client, request)
+	raw, err := jsonhttp.GetBytes(ctx, p.client, "http://"+net.JoinHostPort(address, p.port)+placesPath)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/jsonhttp/client.go
+++ b/internal/jsonhttp/client.go
@@ -19,11 +19,20 @@
 
 // Get asks for url and decodes the answer into out.
 func Get(ctx context.Context, client *http.Client, url string, out any) error {
+	raw, err := GetBytes(ctx, client, url)
+	if err != nil {
+		return err
+	}
+	return decode(raw, out)
+}
+
+// GetBytes asks for url and returns the body of the answer.
+func GetBytes(ctx context.Context, client *http.Client, url string) ([]byte, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return code.Wrap(err, code.InternalFault, "the request can't be made")
+		return nil, code.Wrap(err, code.InternalFault, "the request can't be made")
 	}
-	return Do(client, request, out)
+	return doBytes(client, request)
 }
 
 // Post sends in to url and decodes the answer into out, which may be nil.
@@ -54,18 +63,26 @@
 // Do sends request and decodes the answer into out, which may be nil. The
 // body is read to its end, so that the connection may be used again.
 func Do(client *http.Client, request *http.Request, out any) error {
-	raw, err := DoBytes(client, request)
-	if err != nil || out == nil {
+	raw, err := doBytes(client, request)
+	if err != nil {
 		return err
 	}
+	return decode(raw, out)
+}
+
+// decode decodes an answer into out, which may be nil.
+func decode(raw []byte, out any) error {
+	if out == nil {
+		return nil
+	}
 	if err := json.Unmarshal(raw, out); err != nil {
 		return code.Wrap(err, code.EndpointFault, "the answer can't be decoded")
 	}
 	return nil
 }
 
-// DoBytes sends request and returns the body of the answer, read to its end.
-func DoBytes(client *http.Client, request *http.Request) ([]byte, error) {
+// doBytes sends request and returns the body of the answer, read to its end.
+func doBytes(client *http.Client, request *http.Request) ([]byte, error) {
 	response, err := client.Do(request)
 	if err != nil {
 		return nil, SendError(err)
--- a/internal/jsonhttp/server.go
+++ b/internal/jsonhttp/server.go
@@ -19,13 +19,21 @@
 
 // Write answers with status 200 and body as JSON.
 func Write(w http.ResponseWriter, body any) {
+	if raw, ok := encode(w, body); ok {
+		w.Write(raw)
+	}
+}
+
+// encode returns body as JSON and sets its type. If that fails, it answers and reports
+// false.
+func encode(w http.ResponseWriter, body any) ([]byte, bool) {
 	raw, err := json.Marshal(body)
 	if err != nil {
 		WriteError(w, code.Wrap(err, code.InternalFault, "the answer can't be encoded"))
-		return
+		return nil, false
 	}
 	w.Header().Set("Content-Type", "application/json")
-	w.Write(raw)
+	return raw, true
 }
 
 // compressFrom is the size from which an answer is worth compressing, in bytes.
@@ -33,12 +41,10 @@
 
 // WriteCompressed does the same, and compresses a long answer if the caller takes that.
 func WriteCompressed(w http.ResponseWriter, r *http.Request, body any) {
-	raw, err := json.Marshal(body)
-	if err != nil {
-		WriteError(w, code.Wrap(err, code.InternalFault, "the answer can't be encoded"))
+	raw, ok := encode(w, body)
+	if !ok {
 		return
 	}
-	w.Header().Set("Content-Type", "application/json")
 	if len(raw) < compressFrom || !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
 		w.Write(raw)
 		return
