Share what tests of fleets need, and build the soak's program when it is first started

Reserving a loopback network, serving a stand-in and waiting for a condition stood in the tests of processes, of package gateway and of the soak; package internal/fleettest has them once. The soak built the program at the start of each test run, also for tests that start no process.

--- a/cmd/cardamompoint/fleet_test.go
+++ b/cmd/cardamompoint/fleet_test.go
@@ -17,8 +17,8 @@
 
 	"cardamompoint.example/cardamompoint/examples"
 	"cardamompoint.example/cardamompoint/internal/caller"
+	"cardamompoint.example/cardamompoint/internal/fleettest"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
-	"cardamompoint.example/cardamompoint/internal/loopback"
 	"cardamompoint.example/cardamompoint/router/api"
 	"cardamompoint.example/cardamompoint/router/settings"
 	"cardamompoint.example/cardamompoint/router/source"
@@ -60,7 +60,7 @@
 	t.Helper()
 	f := &testFleet{t: t, dir: t.TempDir(), config: config, processes: map[string]*exec.Cmd{}}
 	f.logs = filepath.Join(f.dir, "logs")
-	f.net = reserveNet(t)
+	f.net = fleettest.ReserveNet(t)
 	f.unpack()
 	t.Cleanup(f.killAll)
 	f.startPlatform()
@@ -72,18 +72,6 @@
 	return f
 }
 
-// reserveNet returns the first two numbers of a loopback network that no other
-// test uses at the same time.
-func reserveNet(t testing.TB) string {
-	t.Helper()
-	network, err := loopback.Reserve()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { network.Close() })
-	return network.Prefix
-}
-
 // unpack writes the deployment's files with the test's own network numbers.
 func (f *testFleet) unpack() {
 	f.t.Helper()
--- a/cmd/cardamompoint/gateway_process_test.go
+++ b/cmd/cardamompoint/gateway_process_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -14,6 +13,7 @@
 	"testing"
 	"time"
 
+	"cardamompoint.example/cardamompoint/internal/fleettest"
 	"cardamompoint.example/cardamompoint/internal/standin/hosted"
 	"cardamompoint.example/cardamompoint/platform"
 )
@@ -33,7 +33,7 @@
 // and waits until it is ready.
 func startHosted(t *testing.T) *hostedFleet {
 	t.Helper()
-	f := &hostedFleet{t: t, net: reserveNet(t), dir: t.TempDir(), store: hosted.NewStore(), engine: hosted.NewWorker("engine-1")}
+	f := &hostedFleet{t: t, net: fleettest.ReserveNet(t), dir: t.TempDir(), store: hosted.NewStore(), engine: hosted.NewWorker("engine-1")}
 	f.serve(f.net+".0.200:7100", f.store)
 	f.serve(f.net+".0.100:7200", f.engine)
 	f.serve(f.net+".0.110:7200", hosted.NewWorker("plain-1"))
@@ -48,13 +48,7 @@
 
 func (f *hostedFleet) serve(address string, handler http.Handler) {
 	f.t.Helper()
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
-	go func() { _ = server.Serve(listener) }()
-	f.t.Cleanup(func() { _ = listener.Close() })
+	fleettest.Serve(f.t, address, handler)
 }
 
 func (f *hostedFleet) writeSettings(more string) {
@@ -94,13 +88,9 @@
 
 func (f *hostedFleet) eventually(what string, condition func() bool) {
 	f.t.Helper()
-	for range 2000 {
-		if condition() {
-			return
-		}
-		time.Sleep(10 * time.Millisecond)
+	if !fleettest.Reached(condition) {
+		f.t.Fatalf("it did not happen that %s; the log:\n%s", what, f.log())
 	}
-	f.t.Fatalf("it did not happen that %s; the log:\n%s", what, f.log())
 }
 
 // logTail bounds what is shown of each log, in bytes.
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"cardamompoint.example/cardamompoint/internal/loopback"
+	"cardamompoint.example/cardamompoint/internal/fleettest"
 	"cardamompoint.example/cardamompoint/internal/standin/hosted"
 	"cardamompoint.example/cardamompoint/platform"
 )
@@ -30,7 +30,7 @@
 // testFleet is a store, workers and gateways on one loopback network.
 type testFleet struct {
 	t        testing.TB
-	network  *loopback.Network
+	network  string
 	store    *hosted.Store
 	gateways []*Gateway
 	stops    []context.CancelFunc
@@ -56,16 +56,7 @@
 // first time.
 func startTestFleet(t testing.TB, count int, first bool) *testFleet {
 	t.Helper()
-	network, err := loopback.Reserve()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		if err := network.Close(); err != nil {
-			t.Error(err)
-		}
-	})
-	f := &testFleet{t: t, network: network, store: hosted.NewStore(), workers: map[string]*hosted.Worker{}, first: first, storeHost: 200}
+	f := &testFleet{t: t, network: fleettest.ReserveNet(t), store: hosted.NewStore(), workers: map[string]*hosted.Worker{}, first: first, storeHost: 200}
 	f.listen(f.address(f.storeHost, storePort), f.store)
 	f.store.Publish(hosted.DefaultConfiguration())
 	for i, id := range []string{"engine-1", "engine-2"} {
@@ -89,7 +80,7 @@
 }
 
 func (f *testFleet) address(host, port int) string {
-	return fmt.Sprintf("%s.0.%d:%d", f.network.Prefix, host, port)
+	return fmt.Sprintf("%s.0.%d:%d", f.network, host, port)
 }
 
 // listen serves a handler until the test ends.
@@ -118,7 +109,7 @@
 // start runs a gateway on the VM of the given number.
 func (f *testFleet) start(number int) {
 	f.t.Helper()
-	ip := fmt.Sprintf("%s.0.%d", f.network.Prefix, number)
+	ip := fmt.Sprintf("%s.0.%d", f.network, number)
 	seeds := []string{f.address(1, controlPort), f.address(2, controlPort)}
 	text := hosted.Settings(ip, [4]int{frontPort, readyPort, controlPort, peerPort}, f.address(f.storeHost, storePort), seeds)
 	settings, err := platform.ParseSettings([]byte(text))
@@ -159,13 +150,9 @@
 // healthy run comes near.
 func (f *testFleet) eventually(what string, condition func() bool) {
 	f.t.Helper()
-	for range 2000 {
-		if condition() {
-			return
-		}
-		time.Sleep(10 * time.Millisecond)
+	if !fleettest.Reached(condition) {
+		f.t.Fatalf("it did not happen that %s", what)
 	}
-	f.t.Fatalf("it did not happen that %s", what)
 }
 
 // query is a caller's request.
--- a/gateway/news/trust_test.go
+++ b/gateway/news/trust_test.go
@@ -9,26 +9,22 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/internal/loopback"
+	"cardamompoint.example/cardamompoint/internal/fleettest"
 )
 
 // TestReportsOfOtherSendersAreLeftOut sends reports that name another VM than their sender,
 // garbled ones, and a sound one: only the sound one is taken in.
 func TestReportsOfOtherSendersAreLeftOut(t *testing.T) {
-	network, err := loopback.Reserve()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer network.Close()
+	network := fleettest.ReserveNet(t)
 	const port = 7010
 	open := func(host, port int) *net.UDPConn {
-		conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(fmt.Sprintf("%s.0.%d", network.Prefix, host)), Port: port})
+		conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(fmt.Sprintf("%s.0.%d", network, host)), Port: port})
 		if err != nil {
 			t.Fatal(err)
 		}
 		return conn
 	}
-	address := func(host int) string { return fmt.Sprintf("%s.0.%d", network.Prefix, host) }
+	address := func(host int) string { return fmt.Sprintf("%s.0.%d", network, host) }
 	taken := make(chan Report, 10)
 	exchange := NewExchange(ExchangeOptions{
 		Table: NewTable(address(1), nil), Conn: open(1, port), Identity: Report{Address: address(1), Incarnation: 1},
--- a/gateway/seed_ask_test.go
+++ b/gateway/seed_ask_test.go
@@ -53,7 +53,7 @@
 func (f *testFleet) followingNumber() int {
 	first := f.gateways[0].ownRank()
 	for number := 3; ; number++ {
-		ip := fmt.Sprintf("%s.0.%d", f.network.Prefix, number)
+		ip := fmt.Sprintf("%s.0.%d", f.network, number)
 		if first.Before(news.RankOf(ip, f.gateways[0].settings.Capacity)) {
 			return number
 		}
--- /dev/null
+++ b/internal/fleettest/fleettest.go
@@ -0,0 +1,53 @@
+// Package fleettest has what tests of whole fleets share: loopback networks, stand-ins that
+// serve on them, and waits.
+package fleettest
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"cardamompoint.example/cardamompoint/internal/loopback"
+)
+
+// ReserveNet returns the first two numbers of a loopback network that no other test uses
+// until t ends.
+func ReserveNet(t testing.TB) string {
+	t.Helper()
+	network, err := loopback.Reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := network.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	return network.Prefix
+}
+
+// Serve serves handler at address until t ends.
+func Serve(t testing.TB, address string, handler http.Handler) {
+	t.Helper()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = listener.Close() })
+}
+
+// Reached waits for condition and reports whether it came true, in a time that no healthy
+// run comes near.
+func Reached(condition func() bool) bool {
+	const looks, period = 2000, 10 * time.Millisecond
+	for range looks {
+		if condition() {
+			return true
+		}
+		time.Sleep(period)
+	}
+	return false
+}
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -15,7 +14,7 @@
 	"testing"
 	"time"
 
-	"cardamompoint.example/cardamompoint/internal/loopback"
+	"cardamompoint.example/cardamompoint/internal/fleettest"
 	"cardamompoint.example/cardamompoint/internal/standin/hosted"
 	"cardamompoint.example/cardamompoint/platform"
 )
@@ -26,6 +25,8 @@
 	net   string
 	dir   string
 	store *hosted.Store
+	// program is the path of the program under test.
+	program string
 
 	random   *rand.Rand
 	gateways []*soakGateway
@@ -79,11 +80,16 @@
 }
 
 func newSoak(t *testing.T, seed uint64) *soak {
+	program, err := buildProgram()
+	if err != nil {
+		t.Fatalf("the program can't be built: %v", err)
+	}
 	s := &soak{
 		t:          t,
-		net:        reserveNet(t),
+		net:        fleettest.ReserveNet(t),
 		dir:        soakFolder(t, seed),
 		store:      hosted.NewStore(),
+		program:    program,
 		random:     rand.New(rand.NewPCG(seed, 77)),
 		began:      time.Now(),
 		record:     &soakRecord{published: map[string]time.Time{}},
@@ -106,38 +112,18 @@
 	return s
 }
 
-// reserveNet returns the first two numbers of a loopback network that no other test uses
-// at the same time.
-func reserveNet(t *testing.T) string {
-	network, err := loopback.Reserve()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = network.Close() })
-	return network.Prefix
-}
-
 // serve serves a handler until the test ends.
 func (s *soak) serve(address string, handler http.Handler) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
-	go func() { _ = server.Serve(listener) }()
-	s.t.Cleanup(func() { _ = listener.Close() })
+	s.t.Helper()
+	fleettest.Serve(s.t, address, handler)
 }
 
-// eventually waits for a condition for a time that no healthy run comes near.
+// eventually waits for a condition.
 func (s *soak) eventually(what string, condition func() bool) {
 	s.t.Helper()
-	for range 2000 {
-		if condition() {
-			return
-		}
-		time.Sleep(10 * time.Millisecond)
+	if !fleettest.Reached(condition) {
+		s.t.Fatalf("it did not happen that %s; the logs are in %s", what, s.dir)
 	}
-	s.t.Fatalf("it did not happen that %s; the logs are in %s", what, s.dir)
 }
 
 // soakFolder returns a folder that is kept if the test fails.
@@ -252,7 +238,7 @@
 		s.t.Fatal(err)
 	}
 	defer log.Close()
-	g.command = exec.Command(program, "gateway")
+	g.command = exec.Command(s.program, "gateway")
 	g.command.Env = append(os.Environ(), platform.SettingsVariable+"="+path)
 	g.command.Stdout, g.command.Stderr = log, log
 	if err := g.command.Start(); err != nil {
--- a/internal/soak/main_test.go
+++ b/internal/soak/main_test.go
@@ -1,40 +1,39 @@
 package soak
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"testing"
 )
 
-// program is the path of the program under test.
-var program string
+// programFolder is where the program under test is built.
+var programFolder string
 
-// TestMain builds the program first, with the race detector if the tests have it.
+// TestMain removes the program afterwards.
 func TestMain(m *testing.M) {
-	flag.Parse()
 	folder, err := os.MkdirTemp("", "soak-program-")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	program = filepath.Join(folder, "cardamompoint")
-	code := 1
-	if err := build(program); err == nil {
-		code = m.Run()
-	}
+	programFolder = folder
+	code := m.Run()
 	_ = os.RemoveAll(folder)
 	os.Exit(code)
 }
 
-func build(path string) error {
+// buildProgram builds the program once, with the race detector if the tests have it, and
+// returns its path.
+var buildProgram = sync.OnceValues(func() (string, error) {
+	path := filepath.Join(programFolder, "cardamompoint")
 	arguments := []string{"build", "-o", path}
 	if raceDetector {
 		arguments = append(arguments, "-race")
 	}
 	command := exec.Command("go", append(arguments, "cardamompoint.example/cardamompoint/cmd/cardamompoint")...)
 	command.Stdout, command.Stderr = os.Stdout, os.Stderr
-	return command.Run()
-}
+	return path, command.Run()
+})
