Tell followers everything if deletions since their revision are not known

Callers: after the VM that reads the store was restarted, or had read everything again, VMs that follow it kept an endpoint that had left in between, for as long as they followed. Its address may serve another endpoint by then.

Cause: an answer to a follower has the entries after its revision and the responder's tombstones. A VM that read all items has no tombstones of what was deleted before; so the follower's revision passed a deletion that nobody told it. The class: a difference built on a base that the sender does not know.

A VM now keeps the revision from which on it knows all deletions (its last full list, and the newest tombstone that it dropped), and answers a follower that is behind it with everything. Followers at the same revision get differences as before, so a restart costs one full answer only where something changed.

--- a/gateway/knowledge/sync.go
+++ b/gateway/knowledge/sync.go
@@ -38,7 +38,8 @@
 // SyncRequest is what a VM already has when it requests data from another one.
 type SyncRequest struct {
 	// Revision is the store's revision that the requester's data is complete up to; 0
-	// requests everything.
+	// requests everything. A responder that does not know all deletions since then also
+	// sends everything.
 	Revision int64
 	// ConfigurationRevision is the revision of the requester's configuration.
 	ConfigurationRevision int64
@@ -78,7 +79,8 @@
 func (t *Tracker) SyncResponse(request SyncRequest, now clock.Boot) SyncResponse {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	response := SyncResponse{Full: request.Revision == 0, Revision: t.revision, AgeMS: -1}
+	full := request.Revision == 0 || request.Revision < t.deletionsSince
+	response := SyncResponse{Full: full, Revision: t.revision, AgeMS: -1}
 	if at, ok := t.ConfirmedAt(); ok {
 		response.AgeMS = now.Sub(at).Milliseconds() + 1
 	}
@@ -86,7 +88,7 @@
 		response.Configuration, response.ConfigurationRevision = t.compressConfiguration(), t.configurationItem.Revision
 	}
 	for _, entry := range t.entries {
-		if entry.Revision > request.Revision {
+		if full || entry.Revision > request.Revision {
 			response.Entries = append(response.Entries, entry)
 		}
 	}
--- a/gateway/knowledge/tracker.go
+++ b/gateway/knowledge/tracker.go
@@ -51,6 +51,8 @@
 	entries   map[string]platform.Item
 	// tombstones are the recent deletions by key.
 	tombstones map[string]tombstone
+	// deletionsSince is the revision after which all deletions are in tombstones.
+	deletionsSince int64
 	// revision is the store's revision that the data is complete up to.
 	revision int64
 	// held are the keys of the held endpoints, with the revisions of their deletions.
@@ -130,6 +132,7 @@
 	changed := t.applyItems(update, now)
 	if update.Full {
 		changed = t.removeUnlisted(update, now) || changed
+		t.deletionsSince = max(t.deletionsSince, update.Revision)
 	}
 	t.revision = max(t.revision, update.Revision)
 	if update.Revision >= before && int64(update.ConfirmedAt) > t.confirmed.Load() {
@@ -261,6 +264,7 @@
 	for old, entry := range t.tombstones {
 		if now.Sub(entry.appliedAt) > tombstoneTTL || len(t.tombstones) >= maxTombstones {
 			delete(t.tombstones, old)
+			t.deletionsSince = max(t.deletionsSince, entry.revision)
 		}
 	}
 	t.tombstones[key] = tombstone{revision, now}
--- a/gateway/knowledge/tracker_test.go
+++ b/gateway/knowledge/tracker_test.go
@@ -198,6 +198,25 @@
 	})
 }
 
+// TestDeletionsReachFollowersOfRestartedVM lets a VM follow one that has started, or has read
+// everything again, after an endpoint was removed.
+func TestDeletionsReachFollowersOfRestartedVM(t *testing.T) {
+	before := Update{Items: []platform.Item{endpointItem("a", 1), endpointItem("b", 2)}, Full: true, Revision: 2}
+	after := Update{Items: []platform.Item{endpointItem("b", 2)}, Full: true, Revision: 3}
+	follower, restarted := NewTracker(nil), NewTracker(nil)
+	follower.Apply(before, testStart)
+	restarted.Apply(after, testStart)
+	response := restarted.SyncResponse(follower.SyncRequest(), testStart)
+	update, err := response.update(testStart)
+	if err != nil {
+		t.Fatal(err)
+	}
+	follower.Apply(update, testStart)
+	if ready := follower.Snapshot().Ready["s"]; len(ready) != 1 || ready[0].ID != "b" {
+		t.Errorf("the endpoints are %v, want b", ready)
+	}
+}
+
 // syncFrom fetches and applies what this Tracker lacks from another VM's.
 func (t *Tracker) syncFrom(test *rapid.T, source *Tracker, now clock.Boot) {
 	response := source.SyncResponse(t.SyncRequest(), now)
