--- a/cmd/cardamompoint/status.go
+++ b/cmd/cardamompoint/status.go
@@ -11,6 +11,7 @@
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/gateway"
+	"cardamompoint.example/cardamompoint/gateway/knowledge"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
 	"cardamompoint.example/cardamompoint/router/api"
 )
@@ -63,8 +64,9 @@
 }
 
 func printGateway(w io.Writer, status *gateway.Status) {
-	fmt.Fprintf(w, "%s ready=%t stopping=%t version=%d age_ms=%d leader=%s store_lost=%t in_progress=%d\n",
-		status.Node, status.Ready, status.Stopping, status.Version, status.KnowledgeAgeMS, status.Leader, status.StoreLost, status.InProgress)
+	fmt.Fprintf(w, "%s ready=%t stopping=%t version=%d age_ms=%d leader=%s store_lost=%t era=%d revision=%d in_progress=%d\n",
+		status.Node, status.Ready, status.Stopping, status.Version, status.KnowledgeAgeMS, status.Leader, status.StoreLost, status.Position.Era, status.Position.Revision, status.InProgress)
+	printUnsettled(w, status.Unsettled)
 	for _, member := range status.Members {
 		fmt.Fprintf(w, "  peer %s %s heard_ms=%d version=%d\n", member.Address, member.FailureDomain, member.HeardMS, member.Version)
 	}
@@ -77,6 +79,13 @@
 	}
 }
 
+// printUnsettled prints the entries of which it is open whether they still stand.
+func printUnsettled(w io.Writer, entries []knowledge.UnsettledEntry) {
+	for _, entry := range entries {
+		fmt.Fprintf(w, "  unsettled %s %s era=%d revision=%d\n", entry.Endpoint, entry.Reason, entry.Position.Era, entry.Position.Revision)
+	}
+}
+
 func fetchStatus(ctx context.Context, address string) (*api.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -37,29 +38,53 @@
 	return net.JoinHostPort(g.settings.IP, strconv.Itoa(g.settings.FirstPeerPort))
 }
 
-// serveKnowledge responds with a knowledge.SyncResponse. The query has the fields of the
-// knowledge.SyncRequest, and wait_ms, which bounds the wait for a change.
+// Parameters of a request for knowledge: the fields of a knowledge.SyncRequest, and for how long, in
+// milliseconds, the VM waits for a change at most.
+const (
+	paramEra            = "era"
+	paramRevision       = "revision"
+	paramVersion        = "version"
+	paramNewestEra      = "newest_era"
+	paramNewestRevision = "newest_revision"
+	paramWaitMS         = "wait_ms"
+)
+
+// serveKnowledge responds with a knowledge.SyncResponse.
 func (g *Gateway) serveKnowledge(w http.ResponseWriter, r *http.Request) {
-	var values [4]int64
-	for i, name := range []string{"revision", "configuration", "newest", "wait_ms"} {
-		value, err := strconv.ParseInt(r.URL.Query().Get(name), 10, 64)
-		if err != nil || value < 0 {
-			jsonhttp.WriteError(w, code.New(code.InvalidParameter, "%s is not a number", name))
-			return
-		}
-		values[i] = value
+	request, wait, err := parseSyncQuery(r.URL.Query())
+	if err != nil {
+		jsonhttp.WriteError(w, err)
+		return
 	}
-	request := knowledge.SyncRequest{Revision: values[0], ConfigurationRevision: values[1], NewestRevision: values[2]}
 	arrived := clock.Now()
-	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(values[3])*time.Millisecond)
+	ctx, cancel := context.WithTimeout(r.Context(), wait)
 	defer cancel()
-	g.tracker.WaitForChange(ctx, request.NewestRevision)
+	g.tracker.WaitForChange(ctx, request)
 	now := clock.Now()
 	response := g.tracker.SyncResponse(request, now)
 	response.WaitedMS = now.Sub(arrived).Milliseconds()
 	jsonhttp.WriteCompressed(w, r, response)
 }
 
+// parseSyncQuery is the reverse of syncQuery. Errors have the code code.InvalidParameter.
+func parseSyncQuery(query url.Values) (request knowledge.SyncRequest, wait time.Duration, err error) {
+	var waitMS int64
+	for name, value := range map[string]*int64{
+		paramEra:            &request.Position.Era,
+		paramRevision:       &request.Position.Revision,
+		paramVersion:        &request.ConfigurationVersion,
+		paramNewestEra:      &request.Newest.Era,
+		paramNewestRevision: &request.Newest.Revision,
+		paramWaitMS:         &waitMS,
+	} {
+		*value, err = strconv.ParseInt(query.Get(name), 10, 64)
+		if err != nil || *value < 0 {
+			return request, 0, code.New(code.InvalidParameter, "%s is not a number", name)
+		}
+	}
+	return request, time.Duration(waitMS) * time.Millisecond, nil
+}
+
 // serveLocations responds with the known locations, packed by gossip.PackPartLocations.
 func (g *Gateway) serveLocations(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/octet-stream")
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -5,6 +5,7 @@
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/gateway/choice"
+	"cardamompoint.example/cardamompoint/gateway/knowledge"
 	"cardamompoint.example/cardamompoint/gateway/limit"
 	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
@@ -32,6 +33,8 @@
 	Limits []limit.Status `json:"limits,omitempty"`
 	// Candidates holds the endpoints in order of preference.
 	Candidates []choice.Candidate `json:"candidates"`
+	// Unsettled holds the entries of which it is open whether they still stand.
+	Unsettled []knowledge.UnsettledEntry `json:"unsettled,omitempty"`
 }
 
 func (g *Gateway) serveExplain(w http.ResponseWriter, r *http.Request) {
@@ -65,5 +68,6 @@
 		Quarantine:     g.quarantineOf(request.Prompt.SharedPartIDs(), now),
 		Limits:         g.limits.Status(snapshot.Ready[service], now),
 		Candidates:     candidates,
+		Unsettled:      g.tracker.Unsettled(),
 	}, nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -101,6 +101,7 @@
 	g.metrics = instruments
 	g.droppedLines = func() int64 { return 0 }
 	g.tracker = knowledge.NewTracker(g.table.Update)
+	g.tracker.SetEntryLifetime(settings.EntryLifetime)
 	g.members = gossip.NewTable(settings.IP, seedIPs(settings.Seeds))
 	g.budget = budget.New(g.retryLimits, g.countMembers)
 	g.limits = limit.New(g.vmCount, g.rankTieBreaker^uint64(g.incarnation))
@@ -184,7 +185,7 @@
 	report.Leaving = g.stopping.Load()
 	report.HasPartLocations = g.learned.Load()
 	report.Capacity = g.settings.Capacity
-	report.NewestRevision = g.tracker.NewestRevision()
+	report.Newest = g.tracker.Newest()
 	report.StoreLost = g.reader.StoreLost()
 	report.AgeMS = -1
 	if at, ok := g.tracker.ConfirmedAt(); ok {
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -24,6 +24,8 @@
 		{"cardamompoint.gateway_in_progress", "Requests of callers in progress.", g.active.Load},
 		{"cardamompoint.gateway_config_version", "Version of the configuration in force, 0 if there is none.", g.configVersion},
 		{"cardamompoint.gateway_knowledge_age", "Time since the knowledge was confirmed, in milliseconds.", g.knowledgeAge},
+		{"cardamompoint.gateway_store_era", "Era of the store, which rises when the store comes back from a copy.", g.storeEra},
+		{"cardamompoint.gateway_unsettled_entries", "Entries of endpoints of which it is open whether they still stand.", g.unsettledCount},
 		{"cardamompoint.gateway_members", "VMs that count as alive, this one included.", g.memberCount},
 		{"cardamompoint.gateway_endpoints", "Published endpoints that take new work.", g.endpointCount},
 		{"cardamompoint.gateway_idle_connections", "Idle connections to endpoints.", func() int64 { return int64(g.pool.Idle()) }},
@@ -53,6 +55,15 @@
 	return min(g.tracker.Age(clock.Now()), maxShownAge).Milliseconds()
 }
 
+// storeEra returns the era of the store; 0 if it is not known.
+func (g *Gateway) storeEra() int64 {
+	return g.tracker.Newest().Era
+}
+
+func (g *Gateway) unsettledCount() int64 {
+	return int64(len(g.tracker.Unsettled()))
+}
+
 func (g *Gateway) memberCount() int64 {
 	return int64(g.vmCount())
 }
--- a/gateway/gossip/codec.go
+++ b/gateway/gossip/codec.go
@@ -8,7 +8,7 @@
 
 // reportFormat is the first byte of each datagram. Datagrams of another format are
 // ignored.
-const reportFormat = 6
+const reportFormat = 7
 
 // Limits on decoded reports; a report that exceeds one is invalid.
 const (
@@ -42,7 +42,8 @@
 	w.number(int64(report.KnownVMs))
 	w.flags(report.Leaving, report.HasPartLocations, report.MembershipOnly, report.StoreLost, report.hasCrashFields(), report.hasLimitFields())
 	w.number(report.ConfigVersion)
-	w.number(report.NewestRevision)
+	w.number(report.Newest.Era)
+	w.number(report.Newest.Revision)
 	w.number(report.AgeMS)
 	e.encodeMembers(report)
 	e.encodeEndpoints(report)
@@ -124,7 +125,8 @@
 	report.KnownVMs = int(r.numberInRange(0, maxKnownVMs))
 	r.flags(&report.Leaving, &report.HasPartLocations, &report.MembershipOnly, &report.StoreLost, &hasCrashFields, &hasLimitFields)
 	report.ConfigVersion = r.numberInRange(0, math.MaxInt64)
-	report.NewestRevision = r.numberInRange(0, math.MaxInt64)
+	report.Newest.Era = r.numberInRange(0, math.MaxInt64)
+	report.Newest.Revision = r.numberInRange(0, math.MaxInt64)
 	report.AgeMS = r.numberInRange(-1, math.MaxInt64)
 	d.decodeMembers(&report)
 	d.decodeEndpoints(&report)
--- a/gateway/gossip/codec_test.go
+++ b/gateway/gossip/codec_test.go
@@ -5,11 +5,13 @@
 	"math/rand/v2"
 	"reflect"
 	"testing"
+
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 )
 
 // typicalReport returns a report as a VM of a large fleet under load sends it.
 func typicalReport(random *rand.Rand) *Report {
-	report := &Report{Address: "10.1.0.7", Incarnation: 1767778491332676111, Sequence: 812, FailureDomain: "domain-a", Capacity: 400, ConfigVersion: 38, NewestRevision: 57}
+	report := &Report{Address: "10.1.0.7", Incarnation: 1767778491332676111, Sequence: 812, FailureDomain: "domain-a", Capacity: 400, ConfigVersion: 38, Newest: traffic.Position{Era: 1, Revision: 57}}
 	for i := range 12 {
 		report.Heartbeats = append(report.Heartbeats, Heartbeat{fmt.Sprintf("10.%d.0.%d", i%3, i), 1767778491000000000 + random.Int64N(1e9), random.Int64N(900), "domain-b", 400, i%2 == 0, i%3 == 0})
 	}
--- a/gateway/gossip/report.go
+++ b/gateway/gossip/report.go
@@ -1,5 +1,7 @@
 package gossip
 
+import "cardamompoint.example/cardamompoint/gateway/traffic"
+
 // Report is the datagram that a VM sends to other VMs. The order of encoding is in
 // codec.go.
 type Report struct {
@@ -25,8 +27,8 @@
 	MembershipOnly bool
 	// ConfigVersion is the version of the configuration that the sender applies.
 	ConfigVersion int64
-	// NewestRevision is the revision of the newest change that the sender has applied.
-	NewestRevision int64
+	// Newest is the position of the newest change that the sender has applied.
+	Newest traffic.Position
 	// StoreLost reports whether the sender's calls to the store fail.
 	StoreLost bool
 	// AgeMS is the maximum age of the sender's knowledge of the store, in
--- a/gateway/gossip/report_validation_test.go
+++ b/gateway/gossip/report_validation_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/internal/fleettest"
 )
@@ -41,7 +42,7 @@
 			t.Fatal(err)
 		}
 	}
-	forged := newEncoder().encode(&Report{Address: address(2), Incarnation: 9, Sequence: 9, NewestRevision: 99})
+	forged := newEncoder().encode(&Report{Address: address(2), Incarnation: 9, Sequence: 9, Newest: traffic.Position{Revision: 99}})
 	send(forger, forged)
 	send(otherPort, forged)
 	send(sender, []byte(`{"a":"x"}`))
@@ -75,10 +76,10 @@
 // the VM's own next report, with its lower incarnation, must still be accepted.
 func TestOwnReportOverridesRelayedHeartbeat(t *testing.T) {
 	table := NewTable("a", nil)
-	table.Receive(Report{Address: "b", Incarnation: 5, Sequence: 1, NewestRevision: 7}, testStart)
+	table.Receive(Report{Address: "b", Incarnation: 5, Sequence: 1, Newest: traffic.Position{Revision: 7}}, testStart)
 	forged := Report{Address: "c", Incarnation: 1, Sequence: 1, Heartbeats: []Heartbeat{{Address: "b", Incarnation: 1 << 60}}}
 	table.Receive(forged, testStart.Add(time.Millisecond))
-	if !table.Receive(Report{Address: "b", Incarnation: 5, Sequence: 2, NewestRevision: 8}, testStart.Add(2*time.Millisecond)) {
+	if !table.Receive(Report{Address: "b", Incarnation: 5, Sequence: 2, Newest: traffic.Position{Revision: 8}}, testStart.Add(2*time.Millisecond)) {
 		t.Error("the VM's own report was ignored")
 	}
 }
@@ -87,7 +88,8 @@
 func TestReportsOutOfBounds(t *testing.T) {
 	for name, report := range map[string]Report{
 		"negative number":     {Sequence: -1},
-		"negative revision":   {NewestRevision: -1},
+		"negative revision":   {Newest: traffic.Position{Revision: -1}},
+		"negative era":        {Newest: traffic.Position{Era: -1}},
 		"negative age":        {AgeMS: -2},
 		"negative work":       {Work: []EndpointWork{{Endpoint: "e", Requests: -1}}},
 		"too much work":       {Work: []EndpointWork{{Endpoint: "e", Requests: maxRequests + 1}}},
--- /dev/null
+++ b/gateway/knowledge/entries.go
@@ -0,0 +1,301 @@
+package knowledge
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"cardamompoint.example/cardamompoint/gateway/traffic"
+	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/platform"
+)
+
+const (
+	// HoldAfterRecovery is how long endpoints whose entries expired during an outage
+	// of the store are kept after it: they could not renew their entries meanwhile.
+	HoldAfterRecovery = 1900 * time.Millisecond
+	// defaultEntryLifetime is how long the entry of an endpoint that has stopped stays in the
+	// store if the settings do not tell.
+	defaultEntryLifetime = 4 * time.Second
+)
+
+// entries holds the entries of endpoints in the store, in the order in which they were
+// written. It is not safe for concurrent use.
+//
+// A store that came back from a copy lists entries that are older than the known ones, and
+// entries of endpoints that are gone. Such an entry is doubted: the endpoint writes a newer one,
+// or the entry expires; if neither happens in time, it holds.
+type entries struct {
+	// items are the newest items by key, endpoints the valid ones decoded.
+	items     map[string]platform.Item
+	endpoints map[string]*traffic.Endpoint
+	// tombstones are the recent deletions by key.
+	tombstones map[string]tombstone
+	// deletionsSince is the position after which all deletions are in tombstones.
+	deletionsSince traffic.Position
+	// held are the keys of the endpoints whose entries may only have expired, with the
+	// positions of the deletions.
+	held map[string]traffic.Position
+	// doubted are the doubted items by key.
+	doubted map[string]platform.Item
+	// newest is the position of the newest change that was applied.
+	newest traffic.Position
+	// storeLost reports whether the store is unavailable. holdUntil is the end of
+	// HoldAfterRecovery after the last outage, doubtUntil the time at which doubted items are
+	// applied.
+	storeLost  bool
+	holdUntil  clock.Boot
+	doubtUntil clock.Boot
+	// lifetime is how long the entry of an endpoint that has stopped stays in the store.
+	lifetime time.Duration
+}
+
+func newEntries() *entries {
+	return &entries{
+		items:      map[string]platform.Item{},
+		endpoints:  map[string]*traffic.Endpoint{},
+		tombstones: map[string]tombstone{},
+		held:       map[string]traffic.Position{},
+		doubted:    map[string]platform.Item{},
+		lifetime:   defaultEntryLifetime,
+	}
+}
+
+// beginEra prepares for the items of a later era of the store. Endpoints that registered after
+// the copy was made get the time to write their entries again.
+func (e *entries) beginEra(era int64, now clock.Boot) {
+	if len(e.items) > 0 {
+		e.storeLost = false
+		e.holdUntil = now.Add(HoldAfterRecovery)
+	}
+	e.doubtUntil = now.Add(HoldAfterRecovery + e.lifetime)
+	e.doubted = map[string]platform.Item{}
+	e.newest = traffic.Position{Era: era}
+}
+
+// recordPosition raises newest to the position of an applied item.
+func (e *entries) recordPosition(position traffic.Position) {
+	if position.After(e.newest) {
+		e.newest = position
+	}
+}
+
+// knownPosition returns the newest known position of a key, also of a deleted or doubted one.
+func (e *entries) knownPosition(key string) traffic.Position {
+	known := e.tombstones[key].position
+	for _, item := range []platform.Item{e.items[key], e.doubted[key]} {
+		if item.Position().After(known) {
+			known = item.Position()
+		}
+	}
+	return known
+}
+
+// apply applies an endpoint's entry, or its deletion, if it is newer than the known one. An
+// invalid entry removes the endpoint. It reports whether the endpoints changed.
+func (e *entries) apply(item platform.Item, deletionFinal bool, now clock.Boot) bool {
+	known := e.knownPosition(item.Key)
+	if !item.Position().After(known) {
+		return false
+	}
+	if item.Deleted {
+		return e.applyDeletion(item, deletionFinal, now)
+	}
+	endpoint, err := platform.DecodeEndpoint(item)
+	if err == nil && item.Era > known.Era && e.isOutdated(endpoint, item.Key) {
+		e.doubt(item)
+		return false
+	}
+	return e.accept(item, endpoint, err)
+}
+
+// accept stores an item as the newest one of its key. endpoint and err are the result of decoding
+// it. It reports whether the endpoints changed.
+func (e *entries) accept(item platform.Item, endpoint *traffic.Endpoint, err error) bool {
+	delete(e.held, item.Key)
+	delete(e.doubted, item.Key)
+	delete(e.tombstones, item.Key)
+	e.items[item.Key] = item
+	e.recordPosition(item.Position())
+	if err != nil {
+		klog.ErrorS(err, "config: ignored an invalid endpoint entry", "key", item.Key, "revision", item.Revision, "era", item.Era)
+		_, existed := e.endpoints[item.Key]
+		delete(e.endpoints, item.Key)
+		return existed
+	}
+	logEndpoint(e.endpoints[item.Key], endpoint)
+	e.endpoints[item.Key] = endpoint
+	return true
+}
+
+// isOutdated reports whether an entry of a later era is older than what is known of its key.
+func (e *entries) isOutdated(listed *traffic.Endpoint, key string) bool {
+	if deletion, ok := e.tombstones[key]; ok {
+		return deletion.startedMS == 0 || listed.StartedMS <= deletion.startedMS
+	}
+	known, ok := e.endpoints[key]
+	return ok && listed.WrittenBefore(known)
+}
+
+// doubt sets an item aside. The known endpoint, if any, stays as it is.
+func (e *entries) doubt(item platform.Item) {
+	delete(e.held, item.Key)
+	e.doubted[item.Key] = item
+	klog.InfoS("config: entry of a restored copy is doubted", "key", item.Key, "revision", item.Revision, "era", item.Era)
+}
+
+// logEndpoint logs an endpoint that is new, was restarted or moved, or started or stopped
+// draining. before is nil for a new one.
+func logEndpoint(before, after *traffic.Endpoint) {
+	if before == nil || !before.SameInstance(after) || before.Draining != after.Draining {
+		klog.InfoS("config: endpoint", "endpoint", after.ID, "address", after.Address, "service", after.Service,
+			"draining", after.Draining, "revision", after.Position.Revision, "era", after.Position.Era)
+	}
+}
+
+// applyDeletion removes an endpoint. During an outage of the store and for
+// HoldAfterRecovery after it, it holds the endpoint instead, unless the deletion is final: its
+// entry may only have expired. It reports whether an endpoint was removed.
+func (e *entries) applyDeletion(item platform.Item, final bool, now clock.Boot) bool {
+	delete(e.doubted, item.Key)
+	if _, ok := e.items[item.Key]; !ok {
+		e.addTombstone(item, e.tombstones[item.Key].startedMS, now)
+		return false
+	}
+	if !final && (e.storeLost || now < e.holdUntil) {
+		e.held[item.Key] = item.Position()
+		klog.InfoS("config: expired endpoint is held", "key", item.Key, "revision", item.Revision, "era", item.Era)
+		return false
+	}
+	e.remove(item, now)
+	return true
+}
+
+// remove removes an endpoint and records its tombstone.
+func (e *entries) remove(deletion platform.Item, now clock.Boot) {
+	startedMS := int64(0)
+	if endpoint, ok := e.endpoints[deletion.Key]; ok {
+		startedMS = endpoint.StartedMS
+	}
+	delete(e.held, deletion.Key)
+	delete(e.items, deletion.Key)
+	delete(e.endpoints, deletion.Key)
+	e.addTombstone(deletion, startedMS, now)
+	e.recordPosition(deletion.Position())
+	klog.InfoS("config: endpoint removed", "key", deletion.Key, "revision", deletion.Revision, "era", deletion.Era)
+}
+
+// addTombstone records a deletion, so that an older entry can't restore the key and that other VMs
+// receive the deletion.
+func (e *entries) addTombstone(deletion platform.Item, startedMS int64, now clock.Boot) {
+	for old, entry := range e.tombstones {
+		if now.Sub(entry.appliedAt) > tombstoneTTL || len(e.tombstones) >= maxTombstones {
+			delete(e.tombstones, old)
+			e.deletionsKnownAfter(entry.position)
+		}
+	}
+	e.tombstones[deletion.Key] = tombstone{deletion.Position(), now, startedMS}
+}
+
+// deletionsKnownAfter raises deletionsSince.
+func (e *entries) deletionsKnownAfter(position traffic.Position) {
+	if position.After(e.deletionsSince) {
+		e.deletionsSince = position
+	}
+}
+
+// removeUnlisted removes the endpoints that a full update does not list. An endpoint whose entry
+// is of an earlier era may have registered after the copy was made, so it can be held in any case.
+// It reports whether any was removed.
+func (e *entries) removeUnlisted(update *Update, now clock.Boot) bool {
+	listed := make(map[string]bool, len(update.Items))
+	for i := range update.Items {
+		if !update.Items[i].Deleted {
+			listed[update.Items[i].Key] = true
+		}
+	}
+	changed := false
+	for key, item := range e.items {
+		if listed[key] || item.Position().After(update.Position()) {
+			continue
+		}
+		deletion := platform.Item{Key: key, Era: update.Era, Revision: update.Revision, Deleted: true}
+		final := update.DeletionsFinal && item.Era == update.Era
+		changed = e.applyDeletion(deletion, final, now) || changed
+	}
+	e.deletionsKnownAfter(update.Position())
+	for key, item := range e.doubted {
+		if !listed[key] && !item.Position().After(update.Position()) {
+			delete(e.doubted, key)
+		}
+	}
+	return changed
+}
+
+// since returns the items after a position, or all of them. It includes all tombstones, since the
+// deletion of a held entry has a lower position than the requester's when it becomes final, and all
+// doubted items, since a requester without them would not accept them in time.
+func (e *entries) since(position traffic.Position, all bool) []platform.Item {
+	var items []platform.Item
+	for key, deletion := range e.tombstones {
+		items = append(items, platform.Item{Key: key, Era: deletion.position.Era, Revision: deletion.position.Revision, Deleted: true})
+	}
+	for _, item := range e.items {
+		if all || item.Position().After(position) {
+			items = append(items, item)
+		}
+	}
+	for _, item := range e.doubted {
+		items = append(items, item)
+	}
+	return items
+}
+
+// markStoreLost begins an outage of the store.
+func (e *entries) markStoreLost() {
+	e.storeLost = true
+}
+
+// markStoreRestored ends an outage of the store, if there is one.
+func (e *entries) markStoreRestored(now clock.Boot) {
+	if e.storeLost {
+		e.storeLost = false
+		e.holdUntil = now.Add(HoldAfterRecovery)
+	}
+}
+
+// expire removes the held endpoints that did not renew their entries in time, and accepts the
+// doubted items that still stand. It reports whether it changed anything.
+func (e *entries) expire(now clock.Boot) bool {
+	if e.storeLost {
+		return false
+	}
+	changed := false
+	if now >= e.holdUntil {
+		changed = e.removeHeld(now)
+	}
+	if now >= e.doubtUntil {
+		changed = e.acceptDoubted() || changed
+	}
+	return changed
+}
+
+// removeHeld removes all held endpoints. It reports whether there was any.
+func (e *entries) removeHeld(now clock.Boot) bool {
+	found := len(e.held) > 0
+	for key, position := range e.held {
+		e.remove(platform.Item{Key: key, Era: position.Era, Revision: position.Revision, Deleted: true}, now)
+	}
+	return found
+}
+
+// acceptDoubted accepts all doubted items. It reports whether there was any.
+func (e *entries) acceptDoubted() bool {
+	found := len(e.doubted) > 0
+	for key, item := range e.doubted {
+		klog.InfoS("config: doubted entry is accepted", "key", key, "revision", item.Revision, "era", item.Era)
+		endpoint, err := platform.DecodeEndpoint(item)
+		e.accept(item, endpoint, err)
+	}
+	return found
+}
--- /dev/null
+++ b/gateway/knowledge/era_test.go
@@ -0,0 +1,155 @@
+package knowledge
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cardamompoint.example/cardamompoint/gateway/traffic"
+	"cardamompoint.example/cardamompoint/platform"
+)
+
+// inEra returns the item with another era.
+func inEra(era int64, item platform.Item) platform.Item {
+	item.Era = era
+	return item
+}
+
+// entryItem returns the entry that an endpoint of a start time writes as its sequence-th one.
+func entryItem(id string, at traffic.Position, startedMS, sequence int64, state string) platform.Item {
+	value := fmt.Sprintf(`{"service":"s","address":"10.0.0.1:80","zone":"a","slots":4,"state":%q,"born":%d,"sequence":%d}`, state, startedMS, sequence)
+	return platform.Item{Key: platform.EndpointPrefix + id, Value: []byte(value), Era: at.Era, Revision: at.Revision}
+}
+
+// restoredTracker returns a Tracker at revision 50 of era 1, with version 9 of the configuration, and
+// the endpoints "ready", "draining" and "late"; "gone" was removed.
+func restoredTracker() *Tracker {
+	tracker := NewTracker(nil)
+	tracker.Apply(Update{Full: true, Era: 1, Revision: 10, ConfirmedAt: testStart, Items: []platform.Item{
+		inEra(1, configurationItem(5, 1)),
+		entryItem("ready", traffic.Position{Era: 1, Revision: 2}, 7, 1, "ready"),
+		entryItem("draining", traffic.Position{Era: 1, Revision: 3}, 7, 1, "ready"),
+		entryItem("gone", traffic.Position{Era: 1, Revision: 4}, 7, 1, "ready"),
+	}}, testStart)
+	tracker.Apply(Update{Era: 1, Revision: 50, ConfirmedAt: testStart, Items: []platform.Item{
+		inEra(1, configurationItem(9, 20)),
+		entryItem("draining", traffic.Position{Era: 1, Revision: 21}, 7, 5, "draining"),
+		inEra(1, deletedItem("gone", 22)),
+		entryItem("late", traffic.Position{Era: 1, Revision: 50}, 7, 1, "ready"),
+	}}, testStart)
+	return tracker
+}
+
+// copyUpdate returns the full read of the copy at revision 10, in era 2.
+func copyUpdate() Update {
+	return Update{Full: true, Era: 2, Revision: 10, ConfirmedAt: testStart.Add(time.Second), Items: []platform.Item{
+		inEra(2, configurationItem(5, 1)),
+		entryItem("ready", traffic.Position{Era: 2, Revision: 2}, 7, 1, "ready"),
+		entryItem("draining", traffic.Position{Era: 2, Revision: 3}, 7, 1, "ready"),
+		entryItem("gone", traffic.Position{Era: 2, Revision: 4}, 7, 1, "ready"),
+	}}
+}
+
+func wantReady(t *testing.T, tracker *Tracker, want ...string) {
+	t.Helper()
+	var got []string
+	for _, endpoint := range tracker.Snapshot().Ready["s"] {
+		got = append(got, endpoint.ID)
+	}
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("ready are %v, want %v", got, want)
+	}
+}
+
+// TestConfigurationsAreAppliedAfterRestore publishes at revisions that the store had before.
+func TestConfigurationsAreAppliedAfterRestore(t *testing.T) {
+	tracker := restoredTracker()
+	now := testStart.Add(time.Second)
+	tracker.Apply(copyUpdate(), now)
+	if version := tracker.Snapshot().Configuration.Version; version != 9 {
+		t.Errorf("version %d is in force, want 9", version)
+	}
+	tracker.Apply(Update{Era: 2, Revision: 11, Items: []platform.Item{inEra(2, configurationItem(12, 11))}}, now)
+	if version := tracker.Snapshot().Configuration.Version; version != 12 {
+		t.Errorf("version %d is in force, want 12", version)
+	}
+}
+
+// TestRestoredStoreConfirmsKnowledge checks that keys do not expire while the store is below its old
+// revision.
+func TestRestoredStoreConfirmsKnowledge(t *testing.T) {
+	tracker := restoredTracker()
+	update := copyUpdate()
+	tracker.Apply(update, update.ConfirmedAt)
+	if at, _ := tracker.ConfirmedAt(); at != update.ConfirmedAt {
+		t.Errorf("the data was confirmed %v before the answer", update.ConfirmedAt.Sub(at))
+	}
+}
+
+// TestRestoredCopyBringsNoEndpointBack checks that endpoints that drain or were removed get no work
+// by an old entry, and that those the copy lacks are held.
+func TestRestoredCopyBringsNoEndpointBack(t *testing.T) {
+	tracker := restoredTracker()
+	now := testStart.Add(time.Second)
+	tracker.Apply(copyUpdate(), now)
+	wantReady(t, tracker, "late", "ready")
+	tracker.Expire(now.Add(HoldAfterRecovery))
+	wantReady(t, tracker, "ready")
+}
+
+// TestEndpointsWriteAgainAfterRestore lets endpoints write again: the newer entries hold at once.
+func TestEndpointsWriteAgainAfterRestore(t *testing.T) {
+	tracker := restoredTracker()
+	now := testStart.Add(time.Second)
+	tracker.Apply(copyUpdate(), now)
+	tracker.Apply(Update{Era: 2, Revision: 14, Items: []platform.Item{
+		entryItem("draining", traffic.Position{Era: 2, Revision: 11}, 7, 6, "draining"),
+		entryItem("gone", traffic.Position{Era: 2, Revision: 12}, 8, 1, "ready"),
+		entryItem("late", traffic.Position{Era: 2, Revision: 13}, 7, 1, "ready"),
+		entryItem("ready", traffic.Position{Era: 2, Revision: 14}, 7, 9, "draining"),
+	}}, now)
+	tracker.Expire(now.Add(time.Minute))
+	wantReady(t, tracker, "gone", "late")
+	if unsettled := tracker.Unsettled(); len(unsettled) > 0 {
+		t.Errorf("unsettled are %v", unsettled)
+	}
+}
+
+// TestDoubtedEntryThatStandsIsAccepted keeps an old entry in the store: its endpoint is alive and has
+// nothing new to write.
+func TestDoubtedEntryThatStandsIsAccepted(t *testing.T) {
+	tracker := restoredTracker()
+	tracker.SetEntryLifetime(3 * time.Second)
+	now := testStart.Add(time.Second)
+	tracker.Apply(copyUpdate(), now)
+	tracker.Expire(now.Add(HoldAfterRecovery + 3*time.Second - time.Millisecond))
+	wantReady(t, tracker, "ready")
+	tracker.Expire(now.Add(HoldAfterRecovery + 3*time.Second))
+	wantReady(t, tracker, "draining", "gone", "ready")
+}
+
+// TestDoubtedEntryThatExpiresIsForgotten lets the store remove the entry of an endpoint that is gone.
+func TestDoubtedEntryThatExpiresIsForgotten(t *testing.T) {
+	tracker := restoredTracker()
+	now := testStart.Add(time.Second)
+	tracker.Apply(copyUpdate(), now)
+	tracker.Apply(Update{Era: 2, Revision: 11, Items: []platform.Item{inEra(2, deletedItem("gone", 11))}}, now.Add(4*time.Second))
+	tracker.Expire(now.Add(time.Minute))
+	wantReady(t, tracker, "draining", "ready")
+}
+
+// TestEarlierEraBringsOnlyItsConfiguration lets a VM that read the copy sync with one that has not
+// heard of the restore.
+func TestEarlierEraBringsOnlyItsConfiguration(t *testing.T) {
+	started := NewTracker(nil)
+	started.Apply(copyUpdate(), testStart)
+	response := restoredTracker().SyncResponse(started.SyncRequest(), testStart)
+	update, err := response.update(testStart)
+	if err != nil {
+		t.Fatal(err)
+	}
+	started.Apply(update, testStart)
+	if snapshot := started.Snapshot(); snapshot.Configuration.Version != 9 || len(snapshot.Endpoints) != 3 {
+		t.Errorf("version %d with %d endpoints, want 9 with 3", snapshot.Configuration.Version, len(snapshot.Endpoints))
+	}
+}
--- a/gateway/knowledge/peer_reader.go
+++ b/gateway/knowledge/peer_reader.go
@@ -17,12 +17,13 @@
 	// Leader returns the VM that reads the store for this one; ok is false if this VM
 	// reads it itself.
 	Leader() (address string, ok bool)
-	// NewerPeer returns a VM that has applied a change newer than the given revision; ok
-	// is false if there is none.
-	NewerPeer(newest int64) (address string, ok bool)
-	// FreshestPeer returns the VM whose data was confirmed last, and the age of that data
-	// by the VM's reports; ok is false if there is none.
-	FreshestPeer() (address string, age time.Duration, ok bool)
+	// NewerPeer returns a VM that has applied a change or a configuration that the sender
+	// of request lacks; ok is false if there is none.
+	NewerPeer(request SyncRequest) (address string, ok bool)
+	// FreshestPeer returns the VM whose data of the given era, or of a later one, was
+	// confirmed last, and the age of that data by the VM's reports; ok is false if there is
+	// none.
+	FreshestPeer(era int64) (address string, age time.Duration, ok bool)
 	// FetchKnowledge sends a request to a VM. The VM waits up to wait for a change or a
 	// newer confirmation before it responds.
 	FetchKnowledge(ctx context.Context, address string, request SyncRequest, wait time.Duration) (SyncResponse, error)
@@ -148,13 +149,13 @@
 	}
 }
 
-// Run fetches data from VMs that have newer data, and removes held endpoints that expired,
-// until ctx ends.
+// Run fetches data from VMs that have newer data, and settles held and doubted entries, until ctx
+// ends.
 func (p *PeerReader) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, peerCheckPeriod)
 		now := clock.Now()
-		p.tracker.ExpireHeld(now)
+		p.tracker.Expire(now)
 		p.catchUp(ctx, now)
 	}
 }
@@ -163,11 +164,12 @@
 // data is stale, it fetches from the VM with the freshest data, provided that this is younger
 // by minAgeImprovement.
 func (p *PeerReader) catchUp(ctx context.Context, now clock.Boot) {
-	address, ok := p.source.NewerPeer(p.tracker.NewestRevision())
+	known := p.tracker.SyncRequest()
+	address, ok := p.source.NewerPeer(known)
 	ok = p.behindFor(ok, now) >= behindThreshold
 	if age := p.tracker.Age(now); !ok && age >= StaleAfter {
 		var reportedAge time.Duration
-		address, reportedAge, ok = p.source.FreshestPeer()
+		address, reportedAge, ok = p.source.FreshestPeer(known.Position.Era)
 		ok = ok && reportedAge+minAgeImprovement <= age
 	}
 	if !ok {
--- a/gateway/knowledge/reader.go
+++ b/gateway/knowledge/reader.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/platform"
 )
@@ -48,8 +49,8 @@
 	shouldRead func() bool
 	// othersProbe reports whether enough other VMs probe a lost store.
 	othersProbe func() bool
-	// revision is the revision after which the next watch starts; 0 means a full read.
-	revision int64
+	// position is the position after which the next watch starts; zero means a full read.
+	position traffic.Position
 	// lostAt is when the calls to the store began to fail, 0 if they succeed. lost tells
 	// the same to StoreLost.
 	lostAt clock.Boot
@@ -71,7 +72,7 @@
 		if !r.shouldRead() && r.lostAt == 0 {
 			// A watch does not show which held endpoints other VMs have removed, so
 			// the next turn starts with a full read.
-			r.revision = 0
+			r.position = traffic.Position{}
 			clock.Sleep(ctx, idlePause)
 			continue
 		}
@@ -96,7 +97,7 @@
 
 // step makes one full read or one watch.
 func (r *Reader) step(ctx context.Context) error {
-	if r.revision == 0 {
+	if r.position.IsZero() {
 		return r.readAll(ctx)
 	}
 	return r.watch(ctx)
@@ -115,14 +116,17 @@
 	r.tracker.MarkStoreRestored(now)
 }
 
-// markFailed sets the backoff after a failed call. If the store has compacted its history, the
-// next call begins a full read; any other error counts as an outage of the store.
+// markFailed sets the backoff after a failed call. If the store no longer has the history after
+// the known position, the next call begins a full read; any other error counts as an outage of the
+// store.
 func (r *Reader) markFailed(err error) {
 	r.backoff = min(max(minRetryPause, 2*r.backoff), maxRetryPause)
 	if code.Is(err, code.SnapshotTooOld) {
-		klog.InfoS("config: store compacted its history, starting a full read", "revision", r.revision)
-		r.revision = 0
-		r.backoff = time.Millisecond
+		klog.InfoS("config: history is gone, starting a full read", "revision", r.position.Revision, "era", r.position.Era, "reason", err.Error())
+		if !r.position.IsZero() {
+			r.backoff = time.Millisecond
+		}
+		r.position = traffic.Position{}
 		return
 	}
 	if r.othersProbe() {
@@ -142,33 +146,43 @@
 // starts after the revision of the first page.
 func (r *Reader) readAll(ctx context.Context) error {
 	requestedAt := clock.Now()
-	items, firstRevision, err := r.readPrefix(ctx, platform.ConfigurationKey)
+	items, first, err := r.readPrefix(ctx, platform.ConfigurationKey)
 	if err != nil {
 		return err
 	}
-	endpoints, _, err := r.readPrefix(ctx, platform.EndpointPrefix)
+	endpoints, second, err := r.readPrefix(ctx, platform.EndpointPrefix)
 	if err != nil {
 		return err
 	}
+	if first.Era != second.Era {
+		return errEraChanged
+	}
 	r.markRestored()
-	r.tracker.Apply(Update{Items: append(items, endpoints...), Full: true, Revision: firstRevision, ConfirmedAt: requestedAt}, clock.Now())
-	r.revision = firstRevision
-	klog.InfoS("config: full read complete", "revision", firstRevision, "items", len(items)+len(endpoints))
+	items = append(items, endpoints...)
+	r.tracker.Apply(Update{Items: items, Full: true, Era: first.Era, Revision: first.Revision, ConfirmedAt: requestedAt}, clock.Now())
+	r.position = first
+	klog.InfoS("config: full read complete", "revision", first.Revision, "era", first.Era, "items", len(items))
 	return nil
 }
 
-// readPrefix returns all items whose keys start with prefix and the revision of the first
+// errEraChanged reports that the store came back from a copy, so that the known position means
+// nothing any more.
+var errEraChanged = code.New(code.SnapshotTooOld, "the store came back from a copy")
+
+// readPrefix returns all items whose keys start with prefix and the position of the first
 // page.
-func (r *Reader) readPrefix(ctx context.Context, prefix string) ([]platform.Item, int64, error) {
-	var items []platform.Item
-	first, after := int64(0), ""
+func (r *Reader) readPrefix(ctx context.Context, prefix string) (items []platform.Item, first traffic.Position, err error) {
+	after := ""
 	for {
 		page, err := r.readPage(ctx, prefix, after)
 		if err != nil {
-			return nil, 0, err
+			return nil, first, err
 		}
-		if first == 0 {
-			first = page.Revision
+		if after == "" {
+			first = traffic.Position{Era: page.Era, Revision: page.Revision}
+		}
+		if page.Era != first.Era {
+			return nil, first, errEraChanged
 		}
 		items = append(items, page.Items...)
 		if !page.More || len(page.Items) == 0 {
@@ -184,18 +198,21 @@
 	return r.store.Range(ctx, prefix, after)
 }
 
-// watch waits for changes after r.revision and applies them.
+// watch waits for changes after r.position and applies them.
 func (r *Reader) watch(ctx context.Context) error {
 	call, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
 	defer cancel()
 	requestedAt := clock.Now()
-	changes, err := r.store.Watch(call, "", r.revision, watchWait)
+	changes, err := r.store.Watch(call, "", r.position.Revision, watchWait)
 	if err != nil {
 		return err
 	}
+	if changes.Era != r.position.Era {
+		return errEraChanged
+	}
 	r.markRestored()
-	r.tracker.Apply(Update{Items: changes.Items, Revision: changes.Revision, ConfirmedAt: requestedAt}, clock.Now())
-	r.revision = max(r.revision, changes.Revision)
+	r.tracker.Apply(Update{Items: changes.Items, Era: changes.Era, Revision: changes.Revision, ConfirmedAt: requestedAt}, clock.Now())
+	r.position.Revision = max(r.position.Revision, changes.Revision)
 	if len(changes.Items) > 0 {
 		clock.Sleep(ctx, batchPause)
 	}
--- a/gateway/knowledge/snapshot.go
+++ b/gateway/knowledge/snapshot.go
@@ -11,6 +11,6 @@
 	// Ready are the endpoints of each service that accept new requests, sorted by
 	// ID.
 	Ready map[string][]*traffic.Endpoint
-	// Revision is the store's revision that the snapshot is complete up to.
-	Revision int64
+	// Position is the position in the store's history that the snapshot is complete up to.
+	Position traffic.Position
 }
--- a/gateway/knowledge/sync.go
+++ b/gateway/knowledge/sync.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/internal/compress"
 	"cardamompoint.example/cardamompoint/platform"
@@ -21,12 +22,14 @@
 	Full bool `json:"whole,omitempty"`
 	// Configuration is the gzip-compressed configuration, empty if the requester has it.
 	Configuration []byte `json:"configuration,omitempty"`
-	// ConfigurationRevision is the revision of Configuration.
-	ConfigurationRevision int64 `json:"configuration_revision,omitempty"`
+	// ConfigurationPosition is the position of Configuration.
+	ConfigurationPosition traffic.Position `json:"configuration_position,omitzero"`
 	// Entries are entries of endpoints, and deletions.
 	Entries []platform.Item `json:"entries,omitempty"`
-	// Revision is the store's revision that the responder's data is complete up to.
-	Revision int64 `json:"revision"`
+	// Position is the position that the responder's data is complete up to.
+	Position traffic.Position `json:"position"`
+	// Newest is the position of the newest change that the responder has applied.
+	Newest traffic.Position `json:"newest"`
 	// AgeMS is the maximum age of the responder's data when it responds, in
 	// milliseconds; -1 if it has none.
 	AgeMS int64 `json:"age_ms"`
@@ -37,32 +40,40 @@
 
 // SyncRequest is what a VM already has when it requests data from another one.
 type SyncRequest struct {
-	// Revision is the store's revision that the requester's data is complete up to; 0
+	// Position is the position that the requester's data is complete up to; the zero Position
 	// requests everything. A responder that does not know all deletions since then also
 	// sends everything.
-	Revision int64
-	// ConfigurationRevision is the revision of the requester's configuration.
-	ConfigurationRevision int64
-	// NewestRevision is the highest revision of a change that the requester has applied.
-	NewestRevision int64
+	Position traffic.Position
+	// ConfigurationVersion is the version of the requester's configuration.
+	ConfigurationVersion int64
+	// Newest is the position of the newest change that the requester has applied.
+	Newest traffic.Position
 }
 
 // SyncRequest returns the request for what this Tracker lacks.
 func (t *Tracker) SyncRequest() SyncRequest {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return SyncRequest{Revision: t.revision, ConfigurationRevision: t.configurationItem.Revision, NewestRevision: t.newest.Load()}
+	return SyncRequest{Position: t.position, ConfigurationVersion: t.version(), Newest: t.Newest()}
 }
 
-// WaitForChange waits until a change newer than the revision newest is applied, the data is
+// version returns the version of the configuration, 0 if there is none. The caller holds the lock.
+func (t *Tracker) version() int64 {
+	if t.configuration == nil {
+		return 0
+	}
+	return t.configuration.Version
+}
+
+// WaitForChange waits until this Tracker has applied a change that the requester lacks, the data is
 // confirmed anew, or ctx ends.
-func (t *Tracker) WaitForChange(ctx context.Context, newest int64) {
+func (t *Tracker) WaitForChange(ctx context.Context, request SyncRequest) {
 	confirmed := t.confirmed.Load()
 	for {
 		t.mu.Lock()
-		updated := t.updated
+		updated, version := t.updated, t.version()
 		t.mu.Unlock()
-		if t.newest.Load() > newest || t.confirmed.Load() != confirmed {
+		if t.Newest().After(request.Newest) || version > request.ConfigurationVersion || t.confirmed.Load() != confirmed {
 			return
 		}
 		select {
@@ -73,29 +84,21 @@
 	}
 }
 
-// SyncResponse returns what the requester lacks. It includes all tombstones, unless the
-// response is full: the deletion of a held entry has a lower revision than the requester's
-// when it becomes final.
+// SyncResponse returns what the requester lacks; a requester that knows a later era lacks at most
+// the configuration.
 func (t *Tracker) SyncResponse(request SyncRequest, now clock.Boot) SyncResponse {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	full := request.Revision == 0 || request.Revision < t.deletionsSince
-	response := SyncResponse{Full: full, Revision: t.revision, AgeMS: -1}
+	response := SyncResponse{Position: t.position, Newest: t.Newest(), AgeMS: -1}
 	if at, ok := t.ConfirmedAt(); ok {
 		response.AgeMS = now.Sub(at).Milliseconds() + 1
 	}
-	if t.configurationItem.Revision > request.ConfigurationRevision {
-		response.Configuration, response.ConfigurationRevision = t.compressConfiguration(), t.configurationItem.Revision
+	if t.version() > request.ConfigurationVersion {
+		response.Configuration, response.ConfigurationPosition = t.compressConfiguration(), t.configurationItem.Position()
 	}
-	for _, entry := range t.entries {
-		if full || entry.Revision > request.Revision {
-			response.Entries = append(response.Entries, entry)
-		}
-	}
-	for key, deletion := range t.tombstones {
-		if !response.Full {
-			response.Entries = append(response.Entries, platform.Item{Key: key, Revision: deletion.revision, Deleted: true})
-		}
+	if request.Position.Era <= t.position.Era {
+		response.Full = request.Position.IsZero() || t.entries.deletionsSince.After(request.Position)
+		response.Entries = t.entries.since(request.Position, response.Full)
 	}
 	return response
 }
@@ -135,13 +138,14 @@
 
 // update converts a response to an Update. requestedAt is when the request was sent.
 func (s *SyncResponse) update(requestedAt clock.Boot) (Update, error) {
-	update := Update{Items: s.Entries, Full: s.Full, Revision: s.Revision, DeletionsFinal: true}
+	update := Update{Items: s.Entries, Full: s.Full, Era: s.Position.Era, Revision: s.Position.Revision, Newest: s.Newest, DeletionsFinal: true}
 	if len(s.Configuration) > 0 {
 		value, err := decompress(s.Configuration)
 		if err != nil {
 			return update, err
 		}
-		update.Items = append(update.Items, platform.Item{Key: platform.ConfigurationKey, Value: value, Revision: s.ConfigurationRevision})
+		at := s.ConfigurationPosition
+		update.Items = append(update.Items, platform.Item{Key: platform.ConfigurationKey, Value: value, Era: at.Era, Revision: at.Revision})
 	}
 	if s.AgeMS >= 0 {
 		// The responder received the request after requestedAt and measured AgeMS at least
--- a/gateway/knowledge/tracker.go
+++ b/gateway/knowledge/tracker.go
@@ -14,30 +14,15 @@
 	"cardamompoint.example/cardamompoint/platform"
 )
 
-const (
-	// HoldAfterRecovery is how long endpoints whose entries expired during an outage
-	// of the store are kept after it: they could not renew their entries meanwhile.
-	HoldAfterRecovery = 1900 * time.Millisecond
-	// tombstoneTTL is how long tombstones are kept. No source of updates that is still
-	// in use lags that far behind.
-	tombstoneTTL = 60 * time.Second
-	// maxTombstones bounds the tombstones.
-	maxTombstones = 4096
-)
-
-// tombstone records the deletion of an entry.
-type tombstone struct {
-	revision  int64
-	appliedAt clock.Boot
-}
-
 // Tracker holds the newest known state of the store. It is safe for concurrent use;
-// Snapshot, ConfirmedAt, Age and NewestRevision take no lock.
+// Snapshot, ConfirmedAt, Age and Newest take no lock.
 type Tracker struct {
 	snapshot atomic.Pointer[Snapshot]
 	// confirmed is the clock.Boot that ConfirmedAt returns, 0 if the data was never
 	// confirmed.
 	confirmed atomic.Int64
+	// newest is what Newest returns.
+	newest atomic.Pointer[traffic.Position]
 
 	mu sync.Mutex
 	// configuration is the decoded configurationItem.
@@ -46,25 +31,12 @@
 	// compressedConfiguration is the compressed value of configurationItem, nil until
 	// it is needed.
 	compressedConfiguration []byte
-	// entries are the items of the endpoints by key, endpoints the valid ones decoded.
-	endpoints map[string]*traffic.Endpoint
-	entries   map[string]platform.Item
-	// tombstones are the recent deletions by key.
-	tombstones map[string]tombstone
-	// deletionsSince is the revision after which all deletions are in tombstones.
-	deletionsSince int64
-	// revision is the store's revision that the data is complete up to.
-	revision int64
-	// held are the keys of the held endpoints, with the revisions of their deletions.
-	held map[string]int64
-	// storeLost reports whether the store is unavailable. holdUntil is the end of
-	// HoldAfterRecovery after the last outage.
-	storeLost bool
-	holdUntil clock.Boot
+	// entries are the entries of the endpoints.
+	entries *entries
+	// position is the position in the store's history that the data is complete up to.
+	position traffic.Position
 	// updated is closed and replaced with each update.
-	updated chan struct{}
-	// newest is the highest revision of an applied item or deletion.
-	newest   atomic.Int64
+	updated  chan struct{}
 	onChange func(*Snapshot)
 }
 
@@ -76,17 +48,25 @@
 		onChange = func(*Snapshot) {}
 	}
 	t := &Tracker{
-		endpoints:  map[string]*traffic.Endpoint{},
-		entries:    map[string]platform.Item{},
-		tombstones: map[string]tombstone{},
-		held:       map[string]int64{},
-		updated:    make(chan struct{}),
-		onChange:   onChange,
+		entries:  newEntries(),
+		updated:  make(chan struct{}),
+		onChange: onChange,
 	}
 	t.snapshot.Store(&Snapshot{})
+	t.newest.Store(&traffic.Position{})
 	return t
 }
 
+// SetEntryLifetime sets how long the entry of an endpoint that has stopped stays in the store. 0
+// leaves it as it is.
+func (t *Tracker) SetEntryLifetime(lifetime time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if lifetime > 0 {
+		t.entries.lifetime = lifetime
+	}
+}
+
 // Snapshot returns the newest snapshot.
 func (t *Tracker) Snapshot() *Snapshot {
 	return t.snapshot.Load()
@@ -109,183 +89,128 @@
 	return now.Sub(at)
 }
 
-// Update is a set of items that brings a Tracker up to a revision.
-type Update struct {
-	Items []platform.Item
-	// Full reports whether Items are all items that exist, not only the changed ones.
-	Full bool
-	// Revision is the store's revision that Items are complete up to.
-	Revision int64
-	// ConfirmedAt is a time such that all changes made before it are in Items or were
-	// known already. 0 if there is none.
-	ConfirmedAt clock.Boot
-	// DeletionsFinal reports whether deletions apply at once because another VM has
-	// already decided whether and how long to hold the endpoints.
-	DeletionsFinal bool
-}
-
-// Apply applies an update. It ignores items that are older than the known ones.
+// Apply applies an update. It ignores items that are older than the known ones, and all but the
+// configuration of an update that does not go on from the known position.
 func (t *Tracker) Apply(update Update, now clock.Boot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	before := t.revision
-	changed := t.applyItems(update, now)
+	changed := t.applyConfiguration(&update)
+	if t.followsOn(&update, now) {
+		changed = t.applyEntries(&update, now) || changed
+		t.confirm(&update)
+	}
+	if changed || t.snapshot.Load().Position.IsZero() {
+		t.publish()
+	}
+	t.announce()
+}
+
+// followsOn reports whether the entries of an update go on from the known ones. A full update of a
+// later era begins that era. The caller holds the lock.
+func (t *Tracker) followsOn(update *Update, now clock.Boot) bool {
+	if update.Era == t.position.Era {
+		return true
+	}
+	if update.Era < t.position.Era || !update.Full {
+		klog.InfoS("config: entries of another era are ignored", "era", update.Era, "known_era", t.position.Era)
+		return false
+	}
+	klog.InfoS("config: an era of the store begins", "era", update.Era, "revision", update.Revision,
+		"known_era", t.position.Era, "known_revision", t.position.Revision)
+	t.entries.beginEra(update.Era, now)
+	t.position = traffic.Position{Era: update.Era}
+	return true
+}
+
+// applyEntries applies the entries of an update. It reports whether an endpoint changed. The caller
+// holds the lock.
+func (t *Tracker) applyEntries(update *Update, now clock.Boot) bool {
+	changed := false
+	for _, item := range update.Items {
+		if strings.HasPrefix(item.Key, platform.EndpointPrefix) {
+			changed = t.entries.apply(item, update.DeletionsFinal, now) || changed
+		}
+	}
 	if update.Full {
-		changed = t.removeUnlisted(update, now) || changed
-		t.deletionsSince = max(t.deletionsSince, update.Revision)
+		changed = t.entries.removeUnlisted(update, now) || changed
 	}
-	t.revision = max(t.revision, update.Revision)
-	if update.Revision >= before && int64(update.ConfirmedAt) > t.confirmed.Load() {
-		t.confirmed.Store(int64(update.ConfirmedAt))
+	return changed
+}
+
+// confirm takes in up to which position an update is complete, and when that was so. The caller
+// holds the lock.
+func (t *Tracker) confirm(update *Update) {
+	t.entries.recordPosition(update.Newest)
+	if t.position.After(update.Position()) {
+		return
 	}
-	if changed || t.snapshot.Load().Revision == 0 {
-		t.publish()
+	t.position = update.Position()
+	if int64(update.ConfirmedAt) > t.confirmed.Load() {
+		t.confirmed.Store(int64(update.ConfirmedAt))
 	}
+}
+
+// announce makes newest known and wakes up who waits for a change. The caller holds the lock.
+func (t *Tracker) announce() {
+	newest := t.entries.newest
+	t.newest.Store(&newest)
 	close(t.updated)
 	t.updated = make(chan struct{})
 }
 
-// NewestRevision returns the highest revision of an applied change.
-func (t *Tracker) NewestRevision() int64 {
-	return t.newest.Load()
+// Position returns the position in the store's history that the data is complete up to.
+func (t *Tracker) Position() traffic.Position {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.position
 }
 
-// recordRevision raises newest to the revision of an applied item.
-func (t *Tracker) recordRevision(item platform.Item) {
-	t.newest.Store(max(t.newest.Load(), item.Revision))
+// Newest returns the position of the newest change that was applied.
+func (t *Tracker) Newest() traffic.Position {
+	return *t.newest.Load()
 }
 
-// applyItems applies the items of an update. It reports whether the configuration or an
-// endpoint changed. The caller holds the lock.
-func (t *Tracker) applyItems(update Update, now clock.Boot) bool {
+// applyConfiguration applies the configuration of an update, if it has one. It reports whether that
+// changed anything. The caller holds the lock.
+func (t *Tracker) applyConfiguration(update *Update) bool {
 	changed := false
 	for _, item := range update.Items {
-		switch {
-		case item.Key == platform.ConfigurationKey:
-			changed = t.applyConfiguration(item) || changed
-		case strings.HasPrefix(item.Key, platform.EndpointPrefix):
-			changed = t.applyEndpoint(item, update.DeletionsFinal, now) || changed
+		if item.Key == platform.ConfigurationKey && !item.Deleted {
+			changed = t.acceptConfiguration(item) || changed
 		}
 	}
 	return changed
 }
 
-// applyConfiguration applies a valid configuration whose revision and version are newer than
-// the known ones. It reports whether it did. The caller holds the lock.
-func (t *Tracker) applyConfiguration(item platform.Item) bool {
-	if item.Deleted || item.Revision <= t.configurationItem.Revision {
+// acceptConfiguration puts a configuration into force if it is valid and its version is newer than
+// the known one. Versions, other than revisions, never go back. It reports whether it did. The
+// caller holds the lock.
+func (t *Tracker) acceptConfiguration(item platform.Item) bool {
+	if item.Position() == t.configurationItem.Position() {
 		return false
 	}
 	configuration, err := platform.DecodeConfiguration(item.Value)
 	if err != nil {
-		klog.ErrorS(err, "config: ignored an invalid configuration", "revision", item.Revision)
+		klog.ErrorS(err, "config: ignored an invalid configuration", "revision", item.Revision, "era", item.Era)
 		return false
 	}
 	if t.configuration != nil && configuration.Version <= t.configuration.Version {
+		t.logOldConfiguration(configuration.Version, item)
 		return false
 	}
 	t.configuration = configuration
 	t.configurationItem, t.compressedConfiguration = item, nil
-	t.recordRevision(item)
-	klog.InfoS("config: configuration applied", "version", configuration.Version, "revision", item.Revision, "routes", len(configuration.Routes))
+	t.entries.recordPosition(item.Position())
+	klog.InfoS("config: configuration applied", "version", configuration.Version, "revision", item.Revision, "era", item.Era, "routes", len(configuration.Routes))
 	return true
 }
 
-// knownRevision returns the newest known revision of a key, also of a deleted one.
-func (t *Tracker) knownRevision(key string) int64 {
-	return max(t.entries[key].Revision, t.tombstones[key].revision)
-}
-
-// applyEndpoint applies an endpoint's entry, or its deletion, if it is newer than the known
-// one. An invalid entry removes the endpoint. It reports whether the endpoints changed. The
-// caller holds the lock.
-func (t *Tracker) applyEndpoint(item platform.Item, deletionsFinal bool, now clock.Boot) bool {
-	if item.Revision <= t.knownRevision(item.Key) {
-		return false
+// logOldConfiguration logs a configuration that a restored copy has and that is older than the one in
+// force.
+func (t *Tracker) logOldConfiguration(version int64, item platform.Item) {
+	if version < t.configuration.Version {
+		klog.InfoS("config: ignored an older configuration", "version", version, "revision", item.Revision, "era", item.Era, "in_force", t.configuration.Version)
 	}
-	if item.Deleted {
-		return t.applyDeletion(item, deletionsFinal, now)
-	}
-	delete(t.held, item.Key)
-	delete(t.tombstones, item.Key)
-	t.entries[item.Key] = item
-	t.recordRevision(item)
-	endpoint, err := platform.DecodeEndpoint(item)
-	if err != nil {
-		klog.ErrorS(err, "config: ignored an invalid endpoint entry", "key", item.Key, "revision", item.Revision)
-		_, existed := t.endpoints[item.Key]
-		delete(t.endpoints, item.Key)
-		return existed
-	}
-	t.logEndpoint(t.endpoints[item.Key], endpoint)
-	t.endpoints[item.Key] = endpoint
-	return true
-}
-
-// logEndpoint logs an endpoint that is new, was restarted or moved, or started or stopped
-// draining. before is nil for a new one.
-func (t *Tracker) logEndpoint(before, after *traffic.Endpoint) {
-	if before == nil || !before.SameInstance(after) || before.Draining != after.Draining {
-		klog.InfoS("config: endpoint", "endpoint", after.ID, "address", after.Address, "service", after.Service,
-			"draining", after.Draining, "revision", after.Revision)
-	}
-}
-
-// applyDeletion removes an endpoint. During an outage of the store and for
-// HoldAfterRecovery after it, it holds the endpoint instead, unless deletionsFinal: its
-// entry may only have expired. It reports whether an endpoint was removed.
-func (t *Tracker) applyDeletion(item platform.Item, deletionsFinal bool, now clock.Boot) bool {
-	if _, ok := t.entries[item.Key]; !ok {
-		t.addTombstone(item.Key, item.Revision, now)
-		return false
-	}
-	if !deletionsFinal && (t.storeLost || now < t.holdUntil) {
-		t.held[item.Key] = item.Revision
-		klog.InfoS("config: expired endpoint is held", "key", item.Key, "revision", item.Revision)
-		return false
-	}
-	t.removeEndpoint(item, now)
-	return true
-}
-
-// removeEndpoint removes an endpoint and records its tombstone. The caller holds the lock.
-func (t *Tracker) removeEndpoint(item platform.Item, now clock.Boot) {
-	delete(t.held, item.Key)
-	delete(t.entries, item.Key)
-	delete(t.endpoints, item.Key)
-	t.addTombstone(item.Key, item.Revision, now)
-	t.recordRevision(item)
-	klog.InfoS("config: endpoint removed", "key", item.Key, "revision", item.Revision)
-}
-
-// addTombstone records a deletion, so that an older entry can't restore the key and that
-// other VMs receive the deletion.
-func (t *Tracker) addTombstone(key string, revision int64, now clock.Boot) {
-	for old, entry := range t.tombstones {
-		if now.Sub(entry.appliedAt) > tombstoneTTL || len(t.tombstones) >= maxTombstones {
-			delete(t.tombstones, old)
-			t.deletionsSince = max(t.deletionsSince, entry.revision)
-		}
-	}
-	t.tombstones[key] = tombstone{revision, now}
-}
-
-// removeUnlisted removes the endpoints that a full update does not list. It reports whether
-// any was removed.
-func (t *Tracker) removeUnlisted(update Update, now clock.Boot) bool {
-	listed := make(map[string]bool, len(update.Items))
-	for _, item := range update.Items {
-		listed[item.Key] = true
-	}
-	changed := false
-	for key, entry := range t.entries {
-		if listed[key] || entry.Revision > update.Revision {
-			continue
-		}
-		deletion := platform.Item{Key: key, Revision: update.Revision, Deleted: true}
-		changed = t.applyDeletion(deletion, update.DeletionsFinal, now) || changed
-	}
-	return changed
 }
 
 // MarkStoreLost records that an outage of the store began: from now on endpoints whose
@@ -293,7 +218,7 @@
 func (t *Tracker) MarkStoreLost() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.storeLost = true
+	t.entries.markStoreLost()
 }
 
 // MarkStoreRestored records that the outage is over. Held endpoints are kept for
@@ -301,35 +226,30 @@
 func (t *Tracker) MarkStoreRestored(now clock.Boot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.storeLost {
-		t.storeLost = false
-		t.holdUntil = now.Add(HoldAfterRecovery)
-	}
+	t.entries.markStoreRestored(now)
 }
 
-// ExpireHeld removes the held endpoints that did not renew their entries by the end of
-// HoldAfterRecovery. It must be called every few hundred milliseconds.
-func (t *Tracker) ExpireHeld(now clock.Boot) {
+// Expire removes the held endpoints that did not renew their entries by the end of
+// HoldAfterRecovery, and accepts doubted entries that still stand. It must be called every few
+// hundred milliseconds.
+func (t *Tracker) Expire(now clock.Boot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.storeLost || now < t.holdUntil || len(t.held) == 0 {
-		return
-	}
-	for key, revision := range t.held {
-		t.removeEndpoint(platform.Item{Key: key, Revision: revision, Deleted: true}, now)
+	if t.entries.expire(now) {
+		t.publish()
+		t.announce()
 	}
-	t.publish()
 }
 
 // publish stores a new snapshot and passes it to onChange. The caller holds the lock.
 func (t *Tracker) publish() {
 	next := &Snapshot{
 		Configuration: t.configuration,
-		Endpoints:     make(map[string]*traffic.Endpoint, len(t.endpoints)),
+		Endpoints:     make(map[string]*traffic.Endpoint, len(t.entries.endpoints)),
 		Ready:         map[string][]*traffic.Endpoint{},
-		Revision:      t.revision,
+		Position:      t.position,
 	}
-	for _, endpoint := range t.endpoints {
+	for _, endpoint := range t.entries.endpoints {
 		next.Endpoints[endpoint.ID] = endpoint
 		if !endpoint.Draining {
 			next.Ready[endpoint.Service] = append(next.Ready[endpoint.Service], endpoint)
--- a/gateway/knowledge/tracker_test.go
+++ b/gateway/knowledge/tracker_test.go
@@ -59,10 +59,10 @@
 			}
 			version = snapshot.Configuration.Version
 			for id, endpoint := range snapshot.Endpoints {
-				if endpoint.Revision < newest[id] {
-					t.Fatalf("endpoint %s has revision %d after %d", id, endpoint.Revision, newest[id])
+				if endpoint.Position.Revision < newest[id] {
+					t.Fatalf("endpoint %s has revision %d after %d", id, endpoint.Position.Revision, newest[id])
 				}
-				newest[id] = endpoint.Revision
+				newest[id] = endpoint.Position.Revision
 			}
 			if at, _ := tracker.ConfirmedAt(); at < confirmed {
 				t.Fatal("the confirmation got older")
@@ -83,12 +83,12 @@
 	now = now.Add(5 * time.Second)
 	tracker.MarkStoreRestored(now)
 	tracker.Apply(Update{Items: []platform.Item{deletedItem("a", 3), deletedItem("b", 4)}, Revision: 4}, now)
-	tracker.ExpireHeld(now.Add(HoldAfterRecovery - time.Millisecond))
+	tracker.Expire(now.Add(HoldAfterRecovery - time.Millisecond))
 	if count := len(tracker.Snapshot().Ready["s"]); count != 2 {
 		t.Fatalf("%d endpoints are held, want 2", count)
 	}
 	tracker.Apply(Update{Items: []platform.Item{endpointItem("a", 5)}, Revision: 5}, now)
-	tracker.ExpireHeld(now.Add(HoldAfterRecovery))
+	tracker.Expire(now.Add(HoldAfterRecovery))
 	if ready := tracker.Snapshot().Ready["s"]; len(ready) != 1 || ready[0].ID != "a" {
 		t.Errorf("after the hold there are %v", ready)
 	}
@@ -176,12 +176,12 @@
 				source.MarkStoreRestored(now)
 			}
 			source.Apply(Update{Items: []platform.Item{item}, Revision: revision, ConfirmedAt: now}, now)
-			source.ExpireHeld(now)
+			source.Expire(now)
 			from := rapid.SampledFrom(append(followers, source)).Draw(t, "from")
 			rapid.SampledFrom(followers).Draw(t, "to").syncFrom(t, from, now)
 		}
 		now = now.Add(HoldAfterRecovery)
-		source.ExpireHeld(now)
+		source.Expire(now)
 		want := source.Snapshot()
 		for _, follower := range followers {
 			follower.syncFrom(t, source, now)
@@ -190,7 +190,7 @@
 				t.Fatalf("a follower has %d endpoints, want %d", len(got.Endpoints), len(want.Endpoints))
 			}
 			for id, endpoint := range want.Endpoints {
-				if got.Endpoints[id] == nil || got.Endpoints[id].Revision != endpoint.Revision {
+				if got.Endpoints[id] == nil || got.Endpoints[id].Position.Revision != endpoint.Position.Revision {
 					t.Fatalf("endpoint %s differs", id)
 				}
 			}
--- /dev/null
+++ b/gateway/knowledge/unsettled.go
@@ -0,0 +1,45 @@
+package knowledge
+
+import (
+	"sort"
+	"strings"
+
+	"cardamompoint.example/cardamompoint/gateway/traffic"
+	"cardamompoint.example/cardamompoint/platform"
+)
+
+// UnsettledReason is why it is open whether an entry still stands.
+type UnsettledReason string
+
+// Values of UnsettledReason.
+const (
+	// ReasonHeld means that the entry is gone from the store, but may only have expired. The
+	// endpoint is used.
+	ReasonHeld UnsettledReason = "held"
+	// ReasonDoubted means that the store came back from a copy and lists an entry that is older
+	// than what is known. What is known holds.
+	ReasonDoubted UnsettledReason = "doubted"
+)
+
+// UnsettledEntry is an entry of which it is open whether it still stands.
+type UnsettledEntry struct {
+	Endpoint string          `json:"endpoint"`
+	Reason   UnsettledReason `json:"reason"`
+	// Position is the position of the deletion or of the doubted entry.
+	Position traffic.Position `json:"position"`
+}
+
+// Unsettled returns the unsettled entries, sorted by endpoint.
+func (t *Tracker) Unsettled() []UnsettledEntry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var unsettled []UnsettledEntry
+	for key, position := range t.entries.held {
+		unsettled = append(unsettled, UnsettledEntry{strings.TrimPrefix(key, platform.EndpointPrefix), ReasonHeld, position})
+	}
+	for key, item := range t.entries.doubted {
+		unsettled = append(unsettled, UnsettledEntry{strings.TrimPrefix(key, platform.EndpointPrefix), ReasonDoubted, item.Position()})
+	}
+	sort.Slice(unsettled, func(i, j int) bool { return unsettled[i].Endpoint < unsettled[j].Endpoint })
+	return unsettled
+}
--- /dev/null
+++ b/gateway/knowledge/update.go
@@ -0,0 +1,31 @@
+package knowledge
+
+import (
+	"cardamompoint.example/cardamompoint/gateway/traffic"
+	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/platform"
+)
+
+// Update is a set of items that brings a Tracker up to a position in the store's history.
+type Update struct {
+	Items []platform.Item
+	// Full reports whether Items are all items that exist, not only the changed ones.
+	Full bool
+	// Era and Revision are the position that Items are complete up to.
+	Era      int64
+	Revision int64
+	// Newest is the position of the newest change that the sender of Items has applied. It may be
+	// after Revision. Zero if the update comes from the store.
+	Newest traffic.Position
+	// ConfirmedAt is a time such that all changes made before it are in Items or were
+	// known already. 0 if there is none.
+	ConfirmedAt clock.Boot
+	// DeletionsFinal reports whether deletions apply at once because another VM has
+	// already decided whether and how long to hold the endpoints.
+	DeletionsFinal bool
+}
+
+// Position returns the position that Items are complete up to.
+func (u *Update) Position() traffic.Position {
+	return traffic.Position{Era: u.Era, Revision: u.Revision}
+}
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -97,11 +97,11 @@
 
 // NewerPeer implements knowledge.PeerSource. It chooses among the peers at random, so that no
 // single VM has to serve all others.
-func (g *Gateway) NewerPeer(newest int64) (address string, ok bool) {
+func (g *Gateway) NewerPeer(request knowledge.SyncRequest) (address string, ok bool) {
 	var near, far randomChoice
 	g.members.ForEachAlive(clock.Now(), func(member *gossip.Member) {
 		switch {
-		case member.Report.NewestRevision <= newest:
+		case !member.Report.Newest.After(request.Newest) && member.Report.ConfigVersion <= request.ConfigurationVersion:
 		case member.Report.FailureDomain == g.settings.FailureDomain:
 			near.add(member.Report.Address)
 		default:
@@ -129,10 +129,10 @@
 }
 
 // FreshestPeer implements knowledge.PeerSource.
-func (g *Gateway) FreshestPeer() (address string, age time.Duration, ok bool) {
+func (g *Gateway) FreshestPeer(era int64) (address string, age time.Duration, ok bool) {
 	now := clock.Now()
 	g.members.ForEachAlive(now, func(member *gossip.Member) {
-		if member.Report.AgeMS < 0 || member.LastReported == 0 {
+		if member.Report.AgeMS < 0 || member.LastReported == 0 || member.Report.Newest.Era < era {
 			return
 		}
 		reported := time.Duration(member.Report.AgeMS)*time.Millisecond + now.Sub(member.LastReported)
--- a/gateway/peer_client.go
+++ b/gateway/peer_client.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -40,10 +40,9 @@
 // Sync asks a VM for the data that is newer than stated in request. The VM waits up to
 // wait for a change.
 func (p *peerClient) Sync(ctx context.Context, address string, request knowledge.SyncRequest, wait time.Duration) (knowledge.SyncResponse, error) {
-	url := fmt.Sprintf("http://%s%s?revision=%d&configuration=%d&newest=%d&wait_ms=%d", net.JoinHostPort(address, p.port), knowledgePath,
-		request.Revision, request.ConfigurationRevision, request.NewestRevision, wait.Milliseconds())
+	target := "http://" + net.JoinHostPort(address, p.port) + knowledgePath + "?" + syncQuery(request, wait).Encode()
 	var response knowledge.SyncResponse
-	err := jsonhttp.Get(ctx, p.client, url, &response)
+	err := jsonhttp.Get(ctx, p.client, target, &response)
 	if err != nil {
 		// An open connection may have become unresponsive while new ones work.
 		p.client.CloseIdleConnections()
@@ -51,6 +50,22 @@
 	return response, err
 }
 
+// syncQuery returns the query of a request for knowledge.
+func syncQuery(request knowledge.SyncRequest, wait time.Duration) url.Values {
+	query := url.Values{}
+	for name, value := range map[string]int64{
+		paramEra:            request.Position.Era,
+		paramRevision:       request.Position.Revision,
+		paramVersion:        request.ConfigurationVersion,
+		paramNewestEra:      request.Newest.Era,
+		paramNewestRevision: request.Newest.Revision,
+		paramWaitMS:         wait.Milliseconds(),
+	} {
+		query.Set(name, strconv.FormatInt(value, 10))
+	}
+	return query
+}
+
 // Locations asks a VM for the known locations of prompt parts.
 func (p *peerClient) Locations(ctx context.Context, address string) ([]gossip.PartLocation, error) {
 	raw, err := jsonhttp.GetBytes(ctx, p.client, "http://"+net.JoinHostPort(address, p.port)+locationsPath)
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -4,6 +4,8 @@
 	"net/http"
 
 	"cardamompoint.example/cardamompoint/gateway/choice"
+	"cardamompoint.example/cardamompoint/gateway/knowledge"
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
 )
@@ -23,10 +25,14 @@
 	KnowledgeAgeMS int64 `json:"knowledge_age_ms"`
 	// Leader is the address of the VM that reads the store for this one, "" if this VM reads it
 	// itself.
-	Leader     string         `json:"leader,omitempty"`
-	StoreLost  bool           `json:"store_lost"`
-	InProgress int64          `json:"in_progress"`
-	Members    []MemberStatus `json:"members"`
+	Leader    string `json:"leader,omitempty"`
+	StoreLost bool   `json:"store_lost"`
+	// Position is the position in the store's history that this VM's data is complete up to.
+	Position traffic.Position `json:"position"`
+	// Unsettled holds the entries of which it is open whether they still stand.
+	Unsettled  []knowledge.UnsettledEntry `json:"unsettled,omitempty"`
+	InProgress int64                      `json:"in_progress"`
+	Members    []MemberStatus             `json:"members"`
 	// Endpoints holds the endpoints of all services, sorted by ID.
 	Endpoints []choice.EndpointStatus `json:"endpoints"`
 	// Quarantines holds the prompt parts on which engines crash.
@@ -57,6 +63,8 @@
 		KnowledgeAgeMS: g.knowledgeAge(),
 		Leader:         leader,
 		StoreLost:      g.reader.StoreLost(),
+		Position:       g.tracker.Position(),
+		Unsettled:      g.tracker.Unsettled(),
 		InProgress:     g.active.Load(),
 		Endpoints:      g.table.Status(now),
 	}
--- a/gateway/traffic/endpoint.go
+++ b/gateway/traffic/endpoint.go
@@ -1,6 +1,9 @@
 package traffic
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Endpoint is a published instance of a service. It is immutable.
 type Endpoint struct {
@@ -21,8 +24,15 @@
 	Draining bool
 	// WarmUpLeft is the rest of its slow warm-up phase after a start, as of its last report.
 	WarmUpLeft time.Duration
-	// Revision is the store revision of its entry.
-	Revision int64
+	// Sequence counts the writes of its entry since its start; 0 if it is not known.
+	Sequence int64
+	// Position is the position of its entry in the store's history.
+	Position Position
+}
+
+// WrittenBefore reports whether the endpoint wrote this entry before the other one.
+func (e *Endpoint) WrittenBefore(other *Endpoint) bool {
+	return cmp.Or(cmp.Compare(e.StartedMS, other.StartedMS), cmp.Compare(e.Sequence, other.Sequence)) < 0
 }
 
 // Instance identifies one incarnation of an endpoint: one that restarts may keep its ID.
--- a/gateway/traffic/settings.go
+++ b/gateway/traffic/settings.go
@@ -36,6 +36,9 @@
 	// FirstStart reports whether the whole fleet starts for the first time, so that no VM
 	// can have any state yet.
 	FirstStart bool
+	// EntryLifetime is how long the entry of an endpoint that has stopped stays in the store; 0
+	// if it is not known.
+	EntryLifetime time.Duration
 	// Bounds holds the limits that the deployment guarantees.
 	Bounds Bounds
 	// Checksum identifies the content of the settings file.
--- a/internal/soak/forged_reports_test.go
+++ b/internal/soak/forged_reports_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/gateway/gossip"
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/standin/hosted"
 )
 
@@ -92,7 +93,7 @@
 // in progress at all endpoints, which fail all requests.
 func (s *soak) fillForgedReport(report *gossip.Report) {
 	report.Leaving = true
-	report.ConfigVersion, report.NewestRevision = 1<<40, 1<<40
+	report.ConfigVersion, report.Newest = 1<<40, traffic.Position{Era: 1 << 40, Revision: 1 << 40}
 	for _, slot := range s.slots {
 		id := slot.worker.Load().ID
 		report.Work = append(report.Work, gossip.EndpointWork{Endpoint: id, Requests: forgedRequests, PrefillTokens: 1 << 30})
