Log what net/http reports about connections of callers

A handler that panics, or an answer that net/http refuses to write, closed the caller's connection without any line in the log, as the server's log was discarded. Of the three hypotheses on requests that end without an answer (docs/incidents/lost-beside-configuration.md, written before any change of logic), this is the one that no line could confirm or rule out.

Checked with vet, staticcheck and the tests of ./gateway.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -105,11 +106,21 @@
 		MaxHeaderBytes: httpguard.MaxHeadBytes,
 		ConnContext:    conns.context,
 		ConnState:      conns.stateChanged,
-		ErrorLog:       log.New(io.Discard, "", 0),
+		ErrorLog:       log.New(connectionLog{}, "", 0),
 	}
 	return listener{frontName, guarded, server}
 }
 
+// connectionLog logs what net/http reports about connections of callers, such as a handler that
+// panicked or a connection that could not be accepted.
+type connectionLog struct{}
+
+// Write implements io.Writer. It is called with one message at a time.
+func (connectionLog) Write(message []byte) (int, error) {
+	klog.ErrorS(nil, "gateway: a connection of a caller failed", "detail", string(bytes.TrimSpace(message)))
+	return len(message), nil
+}
+
 // newServer returns a server for an address other than that for callers.
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
