Give a silent endpoint up only when another one may take the request

Callers saw streams that ended in the middle, and requests that ended with 502, although their endpoint was sound and only silent for a second: after the progress timeout the gateway closed the endpoint's connection first and asked then whether the request may be sent elsewhere. A configuration that had withdrawn the key or the route meanwhile, a spent budget of retries, a quarantine or the lack of another endpoint refused the next attempt, and the caller's connection was cut.

Now the next attempt is reserved first, from the newest data, and the endpoint is kept if there is none. It is marked as silent for other requests all the same. A read whose deadline passed while the process stood still takes the bytes that had arrived in time. Deadlines for silence no longer bound the writing of a long body.

The two tests of silent_endpoint_test.go failed before in all seven cases.

Ruled out: a longer progress timeout, which only moves the moment at which a sound endpoint is cut.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -130,7 +130,8 @@
 	if out, ok := x.send(); !ok {
 		return out
 	}
-	x.setDeadline(x.progressTimeout())
+	x.conn.OnReadTimeout(x.waitLonger)
+	x.setReadDeadline(x.progressTimeout())
 	sentAt := clock.Now()
 	response, info, err := x.conn.ReadResponse(x.r.Method, x.request.ID)
 	if err != nil {
@@ -194,7 +195,7 @@
 		message.Workspace = x.grant.workspace.Name
 	}
 	head := message.AppendHead(make([]byte, 0, headerCapacity))
-	x.setDeadline(0)
+	x.setDeadline()
 	if len(head)+len(x.body) > asyncWriteBytes {
 		x.writeDone = make(chan error, 1)
 		go func(conn *upstream.Conn) {
@@ -226,22 +227,56 @@
 	}
 }
 
-// setDeadline sets the deadline for the next read or write: after progressTimeout, but at the
-// latest when the caller's time is up. A progressTimeout of 0 means that only the caller's time
-// counts.
-func (x *exchange) setDeadline(progressTimeout time.Duration) {
+// setDeadline sets the deadline for reads and writes to the end of the caller's time.
+func (x *exchange) setDeadline() {
+	if err := x.conn.SetDeadline(x.deadlineAfter(0)); err != nil {
+		x.detail = connClosed
+	}
+}
+
+// setReadDeadline sets the deadline for the next reads: after progressTimeout, but at the latest
+// when the caller's time is up. A progressTimeout of 0 means that only the caller's time counts.
+func (x *exchange) setReadDeadline(progressTimeout time.Duration) {
+	if err := x.conn.SetReadDeadline(x.deadlineAfter(progressTimeout)); err != nil {
+		x.detail = connClosed
+	}
+}
+
+// connClosed is the detail of a request whose connection to the endpoint was closed before.
+const connClosed = "the connection was already closed"
+
+// deadlineAfter returns the time after wait, or the end of the caller's time if that is earlier. A
+// wait of 0 has no end.
+func (x *exchange) deadlineAfter(wait time.Duration) time.Time {
 	left, bounded := x.timeLeft()
-	wait := progressTimeout
 	if bounded && (wait <= 0 || left < wait) {
 		wait = max(left, time.Millisecond)
 	}
-	deadline := time.Time{}
-	if wait > 0 {
-		deadline = time.Now().Add(wait)
+	if wait <= 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(wait)
+}
+
+// lateReadTime is the time to read bytes that arrived in time but were not read in time.
+const lateReadTime = 10 * time.Millisecond
+
+// waitLonger returns until when to wait on for an endpoint that has been silent for the progress
+// timeout, or the zero time if the request is to be sent to another endpoint instead. An endpoint
+// is given up only for another one that may be tried.
+func (x *exchange) waitLonger(arrived bool) time.Time {
+	if left, bounded := x.timeLeft(); bounded && left <= 0 || x.r.Context().Err() != nil {
+		return time.Time{}
+	}
+	if arrived {
+		return time.Now().Add(lateReadTime)
 	}
-	if err := x.conn.SetDeadline(deadline); err != nil {
-		x.detail = "the connection was already closed"
+	if x.reserveRetry() {
+		return time.Time{}
 	}
+	x.silences++
+	x.gateway.table.RecordUnreachable(x.pick.Endpoint.ID, "silent, and no other endpoint may be tried", clock.Now())
+	return x.deadlineAfter(x.progressTimeout())
 }
 
 // classifyError returns the outcome of a failed exchange in which the request may have been
@@ -329,7 +364,8 @@
 // discardBody reads the body of a refusal to its end. After an error the connection can't be
 // reused.
 func (x *exchange) discardBody() error {
-	x.setDeadline(discardTimeout)
+	x.conn.OnReadTimeout(nil)
+	x.setReadDeadline(discardTimeout)
 	err := upstream.Discard(x.response)
 	x.unreadBody = err != nil
 	return err
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -95,6 +95,9 @@
 	executions int
 	// refusals counts the endpoints that refused the request because they were full.
 	refusals int
+	// retryReserved reports whether the next attempt was taken from the retry budget when its
+	// predecessor was given up.
+	retryReserved bool
 	// lastFailure is the last failure response of an endpoint. It is delivered if no retry
 	// succeeds.
 	lastFailure *bufferedResponse
@@ -103,6 +106,8 @@
 	headerSent  bool
 	lastEventID []byte
 
+	// silences counts the progress timeouts after which the last attempt went on.
+	silences int
 	// attemptStarted is the start of the last attempt. firstEventAt is when the first event of
 	// a stream was forwarded.
 	attemptStarted clock.Boot
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -95,10 +95,13 @@
 	Status        int           `json:"status,omitempty"`
 	// BeganMS is when the attempt began, and FirstMS when the first event of a stream was
 	// forwarded, in milliseconds since the request arrived.
-	BeganMS int64  `json:"began_ms"`
-	FirstMS int64  `json:"first_ms,omitempty"`
-	TookMS  int64  `json:"took_ms"`
-	Fault   string `json:"fault,omitempty"`
+	BeganMS int64 `json:"began_ms"`
+	FirstMS int64 `json:"first_ms,omitempty"`
+	TookMS  int64 `json:"took_ms"`
+	// Silences counts the progress timeouts after which the attempt went on, as no other one
+	// was possible.
+	Silences int    `json:"silences,omitempty"`
+	Fault    string `json:"fault,omitempty"`
 }
 
 // recordAttempt adds an attempt to the log line of the request.
@@ -114,6 +117,7 @@
 		Status:        out.status,
 		BeganMS:       c.attemptStarted.Sub(c.arrived).Milliseconds(),
 		TookMS:        took.Milliseconds(),
+		Silences:      c.silences,
 	}
 	if c.firstEventAt >= c.attemptStarted {
 		record.FirstMS = c.firstEventAt.Sub(c.arrived).Milliseconds()
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -37,28 +37,42 @@
 // pickEndpoint picks an endpoint without waiting.
 func (c *call) pickEndpoint() (choice.Pick, error) {
 	snapshot := c.gateway.tracker.Snapshot()
-	if err := c.authorize(snapshot); err != nil {
+	if err := c.checkPermitted(snapshot); err != nil {
 		return choice.Pick{}, err
 	}
+	now := clock.Now()
+	pick, ok := c.choose(snapshot, now)
+	c.gateway.metrics.ObserveChoice(clock.Now().Sub(now))
+	if !ok {
+		return pick, c.noEndpoint(snapshot, now)
+	}
+	return pick, nil
+}
+
+// checkPermitted returns the reason why the request may not be sent to any endpoint, or nil. It
+// updates the grant.
+func (c *call) checkPermitted(snapshot *knowledge.Snapshot) error {
+	if err := c.authorize(snapshot); err != nil {
+		return err
+	}
 	if err := c.checkQuarantine(); err != nil {
-		return choice.Pick{}, err
+		return err
 	}
 	if left, bounded := c.timeLeft(); bounded && left <= 0 {
-		return choice.Pick{}, code.New(code.DeadlineExceeded, "the timeout has expired")
+		return code.New(code.DeadlineExceeded, "the timeout has expired")
 	}
-	now := clock.Now()
+	return nil
+}
+
+// choose picks an endpoint that was not tried yet. It returns false if none is left.
+func (c *call) choose(snapshot *knowledge.Snapshot, now clock.Boot) (choice.Pick, bool) {
 	candidates := snapshot.Ready[c.grant.service]
 	limited := c.gateway.limits.InForce() > 0
 	excluded := func(id string) bool {
 		return slices.Contains(c.triedEndpoints, id) || limited && !c.gateway.limits.Allows(snapshot.Endpoints[id], now)
 	}
 	request := choice.Request{Prompt: &c.request.Prompt, Objective: c.grant.route.LatencyObjective, Once: c.lastExecution()}
-	pick, ok := c.gateway.table.Pick(candidates, request, excluded, now)
-	c.gateway.metrics.ObserveChoice(clock.Now().Sub(now))
-	if !ok {
-		return pick, c.noEndpoint(snapshot, now)
-	}
-	return pick, nil
+	return c.gateway.table.Pick(candidates, request, excluded, now)
 }
 
 // noEndpoint returns the refusal of a request for which no endpoint is left.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -59,7 +59,7 @@
 			return
 		}
 		c.attempts++
-		c.attemptStarted = clock.Now()
+		c.attemptStarted, c.silences = clock.Now(), 0
 		out := c.attempt(pick)
 		c.recordAttempt(pick, out, clock.Now().Sub(c.attemptStarted))
 		c.gateway.metrics.CountAttempt(c.attemptLabel(), out.result.String())
@@ -103,6 +103,10 @@
 	if c.r.Context().Err() != nil {
 		return code.New(code.Canceled, "the caller has disconnected")
 	}
+	if c.retryReserved {
+		c.retryReserved = false
+		return nil
+	}
 	route := c.grant.route
 	if out.result != resultNotExecuted && !route.Retryable() {
 		return code.Wrap(out.err, code.OutcomeUnknown, "the request may have run")
@@ -116,6 +120,28 @@
 	return nil
 }
 
+// reserveRetry reports whether the request may be sent to another endpoint if the current one is
+// given up, and takes the retry from the budget then. If not, the grant stays as it is.
+func (c *call) reserveRetry() bool {
+	before := c.grant
+	c.retryReserved = c.mayRetry() && c.gateway.budget.Take(c.grant.service, clock.Now())
+	if !c.retryReserved {
+		c.grant = before
+	}
+	return c.retryReserved
+}
+
+// mayRetry reports whether the newest data allow another attempt while one is in progress. It
+// updates the grant.
+func (c *call) mayRetry() bool {
+	snapshot := c.gateway.tracker.Snapshot()
+	if c.checkPermitted(snapshot) != nil || c.lastExecution() || c.attempts >= maxAttempts {
+		return false
+	}
+	_, ok := c.choose(snapshot, clock.Now())
+	return ok
+}
+
 // serviceHash returns the hash that distributes requests over the services of a route. All
 // requests of a chat have the same hash.
 func serviceHash(request *traffic.Request) uint64 {
--- /dev/null
+++ b/gateway/silent_endpoint_test.go
@@ -0,0 +1,118 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"cardamompoint.example/cardamompoint/internal/standin/hosted"
+)
+
+// TestSilentStreamIsNotCutWhenNoOtherEndpointMayTakeIt lets the only engine that may serve a
+// resumable stream pause for longer than the silence after which another one is tried: the caller
+// must get the whole stream, whatever forbids the next attempt.
+func TestSilentStreamIsNotCutWhenNoOtherEndpointMayTakeIt(t *testing.T) {
+	for name, forbid := range map[string]func(f *testFleet){
+		"no other endpoint":  func(f *testFleet) { f.keepOnly("engine-1", "engines") },
+		"retry budget spent": (*testFleet).spendRetryBudget,
+		"route withdrawn":    func(f *testFleet) { f.publishChanged(withdrawRoster) },
+		"key withdrawn":      func(f *testFleet) { f.publishChanged(replaceKey) },
+		"fewer executions":   func(f *testFleet) { f.publishChanged(allowOneExecution) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newTestFleet(t, 1)
+			for _, id := range engineIDs {
+				f.workers[id].Events, f.workers[id].EventInterval = 3, 1500*time.Millisecond
+			}
+			request := f.newRequest(context.Background(), 1, "00000000000000c1", query{path: "/roster/1", promptParts: chatPromptParts})
+			response, err := http.DefaultClient.Do(request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer response.Body.Close()
+			reader := bufio.NewReader(response.Body)
+			if line, err := reader.ReadString('\n'); err != nil || line != "id: 1\n" {
+				t.Fatalf("the stream begins with %q, %v", line, err)
+			}
+			forbid(f)
+			rest, err := io.ReadAll(reader)
+			if err != nil || !strings.HasSuffix(string(rest), "id: 3\ndata: piece 3\n\n") {
+				t.Errorf("the rest of the stream is %q, %v", rest, err)
+			}
+		})
+	}
+}
+
+// keepOnly withdraws the endpoints of a service but one, and waits until the gateway knows it.
+func (f *testFleet) keepOnly(kept, service string) {
+	f.t.Helper()
+	g := f.gateways[0]
+	for id := range f.workers {
+		if endpoint := g.tracker.Snapshot().Endpoints[id]; id != kept && endpoint != nil && endpoint.Service == service {
+			f.store.DeleteEndpoint(id)
+		}
+	}
+	f.eventually("one endpoint is left", func() bool { return len(g.tracker.Snapshot().Ready[service]) == 1 })
+}
+
+// spendRetryBudget leaves the gateway without retries.
+func (f *testFleet) spendRetryBudget() {
+	bounds := *f.gateways[0].bounds.Load()
+	bounds.RetryRatio, bounds.RetrySlack = 0, 0
+	f.gateways[0].bounds.Store(&bounds)
+}
+
+// publishChanged publishes a changed configuration and waits until the gateway has it.
+func (f *testFleet) publishChanged(change func(*hosted.Configuration)) {
+	f.t.Helper()
+	next := hosted.DefaultConfiguration()
+	next.Version = 2
+	change(&next)
+	f.store.Publish(next)
+	f.eventually("the change is known", func() bool { return f.gateways[0].tracker.Snapshot().Configuration.Version == 2 })
+}
+
+func withdrawRoster(c *hosted.Configuration) {
+	for i := range c.Routes {
+		if c.Routes[i].Name == "roster" {
+			c.Routes[i].Prefix = "/elsewhere/"
+		}
+	}
+}
+
+func replaceKey(c *hosted.Configuration) {
+	c.Tenants = []hosted.Tenant{{Name: hosted.Workspace, Keys: []string{"key-2"}}}
+}
+
+func allowOneExecution(c *hosted.Configuration) {
+	for i := range c.Routes {
+		c.Routes[i].MaxAttempts = 1
+	}
+}
+
+// TestSlowAnswerIsAwaitedWhenNoOtherEndpointMayTakeIt lets the only endpoint that may serve a
+// request take longer than the silence after which another one is tried: the caller must get its
+// answer.
+func TestSlowAnswerIsAwaitedWhenNoOtherEndpointMayTakeIt(t *testing.T) {
+	for name, q := range map[string]query{
+		"answer": {path: "/lookup/1", body: "work", deadline: "5000"},
+		"stream": {path: "/roster/1", promptParts: chatPromptParts},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newTestFleet(t, 1)
+			f.workers["engine-1"].Delay, f.workers["plain-1"].Delay = 2*time.Second, time.Second
+			f.keepOnly("engine-1", "engines")
+			f.keepOnly("plain-1", "plain")
+			got := f.ask(context.Background(), 1, q)
+			if got.status != http.StatusOK || !got.complete || f.executions(got.id) != 1 {
+				t.Errorf("%+v after %d runs", got, f.executions(got.id))
+			}
+		})
+	}
+}
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -4,11 +4,8 @@
 	"bufio"
 	"net"
 	"net/http"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/platform"
@@ -26,6 +23,7 @@
 	// key is the key of the endpoint in the pool.
 	key     string
 	raw     net.Conn
+	reads   *patientReader
 	limiter *headerLimiter
 	reader  *bufio.Reader
 	// reused reports whether the connection has served a request before.
@@ -36,9 +34,10 @@
 }
 
 func newConn(key string, raw net.Conn) *Conn {
-	limiter := &headerLimiter{source: raw}
+	reads := &patientReader{conn: raw}
+	limiter := &headerLimiter{source: reads}
 	return &Conn{
-		key: key, raw: raw, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes),
+		key: key, raw: raw, reads: reads, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes),
 		idleDeadline: clock.Now().Add(defaultIdleTimeout),
 	}
 }
@@ -60,6 +59,18 @@
 	return c.raw.SetDeadline(at)
 }
 
+// SetReadDeadline sets the time after which reads fail, unless the function set with OnReadTimeout
+// lets them go on. The zero time means no deadline.
+func (c *Conn) SetReadDeadline(at time.Time) error {
+	return c.raw.SetReadDeadline(at)
+}
+
+// OnReadTimeout sets the function that decides about reads that have reached their deadline, nil if
+// they fail. It holds for one request.
+func (c *Conn) OnReadTimeout(decide TimeoutFunc) {
+	c.reads.onTimeout = decide
+}
+
 // Send writes a request. sent reports whether any byte may have been sent, even if err is not
 // nil.
 func (c *Conn) Send(head, body []byte) (sent bool, err error) {
@@ -108,6 +119,7 @@
 	if err := c.raw.SetDeadline(time.Time{}); err != nil {
 		return false
 	}
+	c.reads.onTimeout = nil
 	keep := defaultIdleTimeout
 	if info.IdleTimeout > 0 {
 		keep = info.IdleTimeout - idleTimeoutMargin
@@ -116,23 +128,3 @@
 	c.idleDeadline = clock.Now().Add(keep)
 	return keep > 0
 }
-
-// idleAndOpen reports whether an idle connection is open and has no unread bytes.
-func (c *Conn) idleAndOpen() bool {
-	system, ok := c.raw.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := system.SyscallConn()
-	if err != nil {
-		return false
-	}
-	silent := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, failed := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		silent = failed == unix.EAGAIN
-		return true
-	})
-	return err == nil && silent
-}
--- /dev/null
+++ b/gateway/upstream/patient_reader_test.go
@@ -0,0 +1,81 @@
+package upstream
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// dialPair returns both ends of a connection over the loopback interface.
+func dialPair(t *testing.T) (near, far net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	near, err = net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	far, err = listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { near.Close(); far.Close() })
+	return near, far
+}
+
+const shortResponse = "HTTP/1.1 200 OK\r\nCardamompoint-Attempt-Id: a1\r\nContent-Length: 5\r\n\r\nright"
+
+// TestResponseThatArrivedInTimeIsReadLate lets the deadline pass while nobody reads the response
+// that has arrived: it must be read all the same.
+func TestResponseThatArrivedInTimeIsReadLate(t *testing.T) {
+	near, far := dialPair(t)
+	if _, err := io.WriteString(far, shortResponse); err != nil {
+		t.Fatal(err)
+	}
+	for isSilent(near) {
+		time.Sleep(time.Millisecond)
+	}
+	conn := newConn("a", near)
+	conn.OnReadTimeout(func(arrived bool) time.Time {
+		if !arrived {
+			return time.Time{}
+		}
+		return time.Now().Add(10 * time.Second)
+	})
+	if err := conn.SetReadDeadline(time.Now().Add(-time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	response, _, err := conn.ReadResponse(http.MethodGet, "a1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(response.Body); err != nil || string(body) != "right" {
+		t.Errorf("%q, %v", body, err)
+	}
+}
+
+// TestReadGoesOnUntilItIsGivenUp lets an endpoint be silent for three deadlines: the read must go on
+// twice and fail then.
+func TestReadGoesOnUntilItIsGivenUp(t *testing.T) {
+	near, _ := dialPair(t)
+	conn := newConn("a", near)
+	timeouts := 0
+	conn.OnReadTimeout(func(arrived bool) time.Time {
+		timeouts++
+		if arrived || timeouts == 3 {
+			return time.Time{}
+		}
+		return time.Now().Add(time.Millisecond)
+	})
+	if err := conn.SetReadDeadline(time.Now().Add(time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := conn.ReadResponse(http.MethodGet, "a1"); err == nil || timeouts != 3 {
+		t.Errorf("%d timeouts, %v", timeouts, err)
+	}
+}
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -68,7 +68,7 @@
 		if conn == nil {
 			return p.Dial(ctx, key, address)
 		}
-		if now < conn.idleDeadline && conn.idleAndOpen() {
+		if now < conn.idleDeadline && isSilent(conn.raw) {
 			return conn, nil
 		}
 		conn.Close()
--- a/internal/standin/hosted/worker.go
+++ b/internal/standin/hosted/worker.go
@@ -54,6 +54,8 @@
 	// Events is the number of events of a stream, EventInterval the time between them.
 	Events        int
 	EventInterval time.Duration
+	// Delay is the time before a successful response.
+	Delay time.Duration
 	// RetryAfter is the Retry-After value of RefuseWithRetryAfter, in seconds.
 	RetryAfter string
 	// Header is added to each response.
@@ -240,6 +242,9 @@
 		crash.run()
 		panic(http.ErrAbortHandler)
 	}
+	if !w.pause(r, id) {
+		return
+	}
 	w.seal(out)
 	if r.Header.Get("Cardamompoint-Model") != "" {
 		w.stream(out, r, id, behavior)
@@ -257,6 +262,20 @@
 	}
 }
 
+// pause waits for Delay. It returns false if the client closes the connection meanwhile.
+func (w *Worker) pause(r *http.Request, id string) bool {
+	if w.Delay <= 0 {
+		return true
+	}
+	select {
+	case <-time.After(w.Delay):
+		return true
+	case <-r.Context().Done():
+		w.abandon(id)
+		return false
+	}
+}
+
 // sendExtraResponse sends a response that belongs to no request of the connection, and then
 // continues to serve the connection.
 func (w *Worker) sendExtraResponse(out http.ResponseWriter) {
