Keep the values of odd entries out of syncs between VMs

Twelve odd entries of 1 MB, the store's limit of a value, make a full answer to another VM longer than the 16 MB that it reads, so that its sync fails and it has to read the store itself (from the code; the fleet was not run with that many). Each VM also held the bytes in memory.

Cause: the tracker kept and passed on the values of entries that it could not decode. Nothing reads them. TestOddValuesDoNotTravel failed with 27 MB for twenty entries and passes: such an entry keeps its key and its revision, which another VM takes for an entry that names no endpoint.

--- a/gateway/knowledge/tracker.go
+++ b/gateway/knowledge/tracker.go
@@ -46,7 +46,8 @@
 	// compressedConfiguration is the compressed value of configurationItem, nil until
 	// it is needed.
 	compressedConfiguration []byte
-	// entries are the items of the endpoints by key, endpoints the valid ones decoded.
+	// entries are the items of the endpoints by key, endpoints the valid ones decoded. Invalid
+	// entries have no value.
 	endpoints map[string]*traffic.Endpoint
 	entries   map[string]platform.Item
 	// tombstones are the recent deletions by key.
@@ -210,6 +211,7 @@
 	endpoint, err := platform.DecodeEndpoint(item)
 	if err != nil {
 		klog.ErrorS(err, "config: ignored an invalid endpoint entry", "key", item.Key, "revision", item.Revision)
+		t.entries[item.Key] = platform.Item{Key: item.Key, Revision: item.Revision}
 		_, existed := t.endpoints[item.Key]
 		delete(t.endpoints, item.Key)
 		return existed
