Follow documents and VMs beside odd ones (product's own interface)

One entry of the list of VMs with a number too large or a field of another type, or one document nested deeper than 10,000 levels, made the whole answer unreadable: every router kept its old list or its old configuration as long as the entry was there. A document nested a few levels less was read and could not be passed on to other routers, whose messages nest it deeper. VMs with a port out of range, a host name or an unknown state were used.

Cause: answers were decoded in one piece and VMs not checked. `check` finds the same VMs before they are published.

--- a/internal/published/check.go
+++ b/internal/published/check.go
@@ -4,7 +4,6 @@
 import (
 	"encoding/json"
 	"io/fs"
-	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -80,8 +79,8 @@
 	}
 	seen := map[string]bool{}
 	for _, vm := range vms {
-		if _, err := netip.ParseAddrPort(vm.Address); err != nil {
-			return code.New(code.InvalidDocument, "%q is not an IP number with a port", vm.Address).At("$.address")
+		if err := vm.Check(); err != nil {
+			return err
 		}
 		if seen[vm.Address] {
 			return code.New(code.InvalidDocument, "%q is listed twice", vm.Address).At("$.address")
--- a/router/source/client.go
+++ b/router/source/client.go
@@ -34,29 +34,30 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	url := fmt.Sprintf("http://%s/v1/changes?after=%d&wait_ms=%d", c.address, after, wait.Milliseconds())
-	var changes Changes
-	err := c.get(ctx, url, &changes)
-	return changes, err
+	raw, err := c.get(ctx, url)
+	if err != nil {
+		return Changes{}, err
+	}
+	return decodeChanges(raw)
 }
 
 // List implements VMLister.
 func (c *Client) List(ctx context.Context, after int64) (VMList, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var list VMList
-	err := c.get(ctx, fmt.Sprintf("http://%s/v1/vms?after=%d", c.address, after), &list)
-	return list, err
+	raw, err := c.get(ctx, fmt.Sprintf("http://%s/v1/vms?after=%d", c.address, after))
+	if err != nil {
+		return VMList{}, err
+	}
+	return decodeList(raw)
 }
 
-// get performs a GET request and decodes the answer. Errors other than a rejection
-// carry code.PlatformSilent.
-func (c *Client) get(ctx context.Context, url string, out any) error {
-	err := jsonhttp.Get(ctx, c.http, url, out)
-	if err == nil {
-		return nil
-	}
-	if code.Is(err, code.PlatformRejected) {
-		return err
+// get performs a GET request and returns the body of the answer. Errors other than a
+// rejection carry code.PlatformSilent.
+func (c *Client) get(ctx context.Context, url string) ([]byte, error) {
+	raw, err := jsonhttp.GetBytes(ctx, c.http, url)
+	if err == nil || code.Is(err, code.PlatformRejected) {
+		return raw, err
 	}
-	return code.Wrap(err, code.PlatformSilent, "the platform does not answer")
+	return nil, code.Wrap(err, code.PlatformSilent, "the platform does not answer")
 }
--- a/router/source/vm.go
+++ b/router/source/vm.go
@@ -1,5 +1,11 @@
 package source
 
+import (
+	"net/netip"
+
+	"cardamompoint.example/cardamompoint/code"
+)
+
 // Role is the function of a VM.
 type Role string
 
@@ -51,3 +57,24 @@
 	// Removed are the addresses that were removed since After.
 	Removed []string `json:"gone,omitempty"`
 }
+
+// maxCapacity bounds the weight of a VM within its group.
+const maxCapacity = 1e6
+
+// Check returns the reason why the entry names no VM to use, or nil. Errors carry
+// code.InvalidDocument and the path of the invalid field.
+func (v *VM) Check() error {
+	if address, err := netip.ParseAddrPort(v.Address); err != nil || address.Port() == 0 {
+		return code.New(code.InvalidDocument, "%.50q is not an IP address with a port", v.Address).At("$.address")
+	}
+	if v.Role != RoleRouter && v.Role != RoleEngine && v.Role != RoleService {
+		return code.New(code.InvalidDocument, "the role %.50q is not known", v.Role).At("$.role")
+	}
+	if v.State != StateLive && v.State != StateLeaving {
+		return code.New(code.InvalidDocument, "the state %.50q is not known", v.State).At("$.state")
+	}
+	if v.Capacity < 0 || v.Capacity > maxCapacity {
+		return code.New(code.InvalidDocument, "the capacity %g is out of range", v.Capacity).At("$.capacity")
+	}
+	return nil
+}
