--- a/gateway/knowledge/entries.go
+++ b/gateway/knowledge/entries.go
@@ -26,7 +26,8 @@
 // entries of endpoints that are gone. Such an entry is doubted: the endpoint writes a newer one,
 // or the entry expires; if neither happens in time, it holds.
 type entries struct {
-	// items are the newest items by key, endpoints the valid ones decoded.
+	// items are the newest items by key, endpoints the valid ones decoded. Invalid items have no
+	// value.
 	items     map[string]platform.Item
 	endpoints map[string]*traffic.Endpoint
 	// tombstones are the recent deletions by key.
@@ -119,6 +120,7 @@
 	e.recordPosition(item.Position())
 	if err != nil {
 		klog.ErrorS(err, "config: ignored an invalid endpoint entry", "key", item.Key, "revision", item.Revision, "era", item.Era)
+		e.items[item.Key] = platform.Item{Key: item.Key, Era: item.Era, Revision: item.Revision}
 		_, existed := e.endpoints[item.Key]
 		delete(e.endpoints, item.Key)
 		return existed
