Never continue a partly forwarded answer with another endpoint's

A long answer is forwarded while it is read.

A response without events that has begun can be completed by its endpoint alone: it is the last attempt, so no silence ends it, and if it breaks off the caller's connection is closed. Streams are resumed as before.

The cause was that whether a request may be repeated was taken from its route alone, not from what the caller already has.

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -111,6 +111,9 @@
 	if out.result != resultNotExecuted && !route.Retryable() {
 		return code.Wrap(out.err, code.OutcomeUnknown, "the request may have run")
 	}
+	if c.partlyAnswered() {
+		return code.Wrap(out.err, code.AnswerIncomplete, "no other endpoint can complete the response")
+	}
 	if c.executions >= route.MaxExecutions || c.attempts >= maxAttempts {
 		return code.Wrap(out.err, code.EndpointFault, "no further attempt is allowed")
 	}
@@ -192,7 +195,13 @@
 // one may have executed it.
 func (c *call) lastExecution() bool {
 	route := c.grant.route
-	return !route.Retryable() || c.executions+1 >= route.MaxExecutions
+	return !route.Retryable() || c.partlyAnswered() || c.executions+1 >= route.MaxExecutions
+}
+
+// partlyAnswered reports whether the caller has a part of a response that only the same endpoint can
+// complete: one without events.
+func (c *call) partlyAnswered() bool {
+	return c.headerSent && c.events == 0
 }
 
 // scale returns the given share, or multiple, of a duration.
