Keep the connection of a request in progress when the next head is slow

A caller that sends the start of its next request while an answer is in progress had the connection closed under that answer once headerTimeoutMs had passed since: the server reads ahead to notice a caller who leaves, the guard took these bytes for a head in progress and started its timer, which closes the connection whatever is served on it. A configuration that lowers headerTimeoutMs made the cut come sooner.

The time of a head begins now when the request before it has been served: the next read starts the timer. Letting the timer close only after the answer was tried first and ruled out: a further piece of that head then ends the read with an error, and the server takes that for a caller who has left.

--- a/internal/httpguard/claim.go
+++ b/internal/httpguard/claim.go
@@ -23,6 +23,13 @@
 	return c.claim.held
 }
 
+// claimed reports whether a request is being served.
+func (c *Conn) claimed() bool {
+	c.claim.mu.Lock()
+	defer c.claim.mu.Unlock()
+	return c.claim.held
+}
+
 // Release must be called once the response to a claimed request has been written. It closes
 // the connection if Close was called meanwhile. Without a claim it does nothing.
 func (c *Conn) Release() {
--- a/internal/httpguard/conn.go
+++ b/internal/httpguard/conn.go
@@ -39,7 +39,7 @@
 	// limits returns the limits in force. It is called for each head.
 	limits func() Limits
 	// headTimer closes the connection if a head takes too long. It is nil unless a head
-	// is incomplete.
+	// is incomplete and the request before it has been served.
 	headTimer *time.Timer
 	// claim keeps the connection open while a request is served.
 	claim claim
@@ -168,9 +168,10 @@
 	return line > limit || end-line > limit
 }
 
-// startTimer starts the timer of a head unless it is running. A limit of 0 means none.
+// startTimer starts the timer of a head unless it is running or a request is being served. A
+// limit of 0 means none.
 func (c *Conn) startTimer(limit time.Duration) {
-	if c.headTimer == nil && limit > 0 {
+	if c.headTimer == nil && limit > 0 && !c.claimed() {
 		c.headTimer = time.AfterFunc(limit, func() { _ = c.Conn.Close() })
 	}
 }
