Abort the connection of a caller that has closed its half

A caller that closes only its sending half after the request counts as gone, as before; but the handler then returned, and net/http ended the response as a complete one: "200 OK" with an empty body for a request whose endpoint was still at work, and the closing chunk after the events of a stream that had just begun. Such a caller took a lost request for a success.

A call that ends as canceled aborts the connection now, like every other response that is incomplete.

Evidence: both cases of TestCallerThatClosesItsHalfGetsNoFalseSuccess failed before (200 with Content-Length 0; "data: piece 1" followed by the last chunk). All tests of ./gateway passed with the change.

--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -22,14 +22,12 @@
 	coded := code.Of(err)
 	c.result = coded.Code
 	c.detail = coded.Message
-	if coded.Code == code.Canceled {
-		return
+	if c.headerSent && coded.Code != code.DeadlineExceeded && coded.Code != code.Canceled {
+		c.result = code.AnswerIncomplete
 	}
-	if c.headerSent {
-		if coded.Code != code.DeadlineExceeded {
-			c.result = code.AnswerIncomplete
-		}
-		// Abort the connection, so that the caller notices that the response is incomplete.
+	if c.headerSent || coded.Code == code.Canceled {
+		// Abort the connection: if the handler returned, net/http would end the response as a
+		// complete one. A caller that has closed only its sending half would receive that.
 		panic(http.ErrAbortHandler)
 	}
 	if c.lastFailure != nil {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -84,7 +84,7 @@
 		c.result = code.OK
 		return true
 	case resultCallerGone:
-		c.result = code.Canceled
+		c.finish(errCallerGone())
 		return true
 	case resultTimedOut:
 		c.finish(code.New(code.DeadlineExceeded, "no response arrived within the timeout"))
@@ -101,7 +101,7 @@
 // retryError returns the reason why the request can't be retried at another endpoint, or nil.
 func (c *call) retryError(out outcome) error {
 	if c.r.Context().Err() != nil {
-		return code.New(code.Canceled, "the caller has disconnected")
+		return errCallerGone()
 	}
 	if c.retryReserved {
 		c.retryReserved = false
@@ -123,6 +123,11 @@
 	return nil
 }
 
+// errCallerGone returns the error of a request whose caller has disconnected.
+func errCallerGone() error {
+	return code.New(code.Canceled, "the caller has disconnected")
+}
+
 // reserveRetry reports whether the request may be sent to another endpoint if the current one is
 // given up, and takes the retry from the budget then. If not, the grant stays as it is.
 func (c *call) reserveRetry() bool {
