Let no request be answered by net/http itself with a success

"OPTIONS *" got a 200 without an endpoint's seal from net/http's own handler, past the gateway's checks and its log. Found by reading. Requests for no path go through the gateway now and end as requests for an unknown route.

Evidence: TestRequestForTheServerItselfGetsNoSuccess failed before.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -107,6 +107,8 @@
 		ConnContext:    conns.context,
 		ConnState:      conns.stateChanged,
 		ErrorLog:       log.New(connectionLog{}, "", 0),
+		// net/http would answer OPTIONS * with a success of its own.
+		DisableGeneralOptionsHandler: true,
 	}
 	return listener{frontName, guarded, server}
 }
