Let the stand-in store come back from a copy in a new era

The operator and the live endpoints write again on request. Entries have born and sequence as PROTOCOL.md tells, which readers need to tell an older entry of the same start from a newer one.

go test -race -count=20 ./internal/standin/hosted passes.

--- a/internal/standin/hosted/configuration.go
+++ b/internal/standin/hosted/configuration.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"time"
 )
 
 // Route is a route of a Configuration.
@@ -43,6 +44,12 @@
 	Tenants  []Tenant       `json:"tenants"`
 }
 
+// Keys of the store.
+const (
+	configurationKey = "op/config"
+	endpointPrefix   = "servers/"
+)
+
 // Names in the default configuration.
 const (
 	Host      = "desk.example"
@@ -81,18 +88,45 @@
 	if err != nil {
 		panic(err) // Every value of this type can be encoded.
 	}
-	return s.Put("op/config", raw)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.configuration = raw
+	return s.put(configurationKey, raw)
 }
 
-// PutEndpoint writes the entry of an endpoint and returns its revision.
+// PutEndpoint writes the entry of an endpoint and returns its revision. The first entry of an
+// endpoint, or the first one after DeleteEndpoint, is that of a new start.
 func (s *Store) PutEndpoint(id, service, address, state string) int64 {
-	entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"domain-a","version":"v1","slots":8,"state":%q,"coldLeftMs":0,"sequence":1}`, service, address, state)
-	return s.Put("servers/"+id, []byte(entry))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	registered, ok := s.registrations[id]
+	if !ok {
+		registered.bornMS = s.newBirth()
+	}
+	registered.service, registered.address, registered.state = service, address, state
+	registered.sequence++
+	s.registrations[id] = registered
+	return s.put(endpointPrefix+id, registered.entry())
 }
 
-// DeleteEndpoint deletes the entry of an endpoint.
+// newBirth returns the Unix time in milliseconds of a start, which is later than that of the
+// start before. The caller must hold s.mu.
+func (s *Store) newBirth() int64 {
+	s.lastBirthMS = max(time.Now().UnixMilli(), s.lastBirthMS+1)
+	return s.lastBirthMS
+}
+
+// DeleteEndpoint deletes the entry of an endpoint that has left.
 func (s *Store) DeleteEndpoint(id string) {
-	s.Delete("servers/" + id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.registrations, id)
+	s.remove(endpointPrefix + id)
+}
+
+// ExpireEndpoint deletes the entry of an endpoint that may still be alive.
+func (s *Store) ExpireEndpoint(id string) {
+	s.Delete(endpointPrefix + id)
 }
 
 // Settings returns the content of a settings file for a process that listens on the given IP
--- /dev/null
+++ b/internal/standin/hosted/registration.go
@@ -0,0 +1,20 @@
+package hosted
+
+import "fmt"
+
+// registration is what a live endpoint says of itself in its entry.
+type registration struct {
+	service string
+	address string
+	state   string
+	// bornMS is the Unix time in milliseconds at which the endpoint started.
+	bornMS int64
+	// sequence counts the reports since the start.
+	sequence int64
+}
+
+// entry returns the value that the endpoint writes under its key.
+func (r registration) entry() []byte {
+	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"domain-a","version":"v1","slots":8,"state":%q,"coldLeftMs":0,"born":%d,"sequence":%d}`,
+		r.service, r.address, r.state, r.bornMS, r.sequence)
+}
--- a/internal/standin/hosted/store.go
+++ b/internal/standin/hosted/store.go
@@ -7,22 +7,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"time"
-)
-
-// Fault is the way in which the Store fails calls.
-type Fault int
-
-// Values of Fault.
-const (
-	// FaultNone serves all calls.
-	FaultNone Fault = iota
-	// FaultUnavailable responds with status 503.
-	FaultUnavailable
-	// FaultReset closes the connection without a response.
-	FaultReset
-	// FaultHang never responds.
-	FaultHang
 )
 
 // Store is a stand-in for the platform's key-value store. It is safe for concurrent use.
@@ -35,35 +19,45 @@
 	// longer known.
 	compactedRevision int64
 	revision          int64
-	fault             Fault
-	pageSize          int
-	calls             int
+	// era rises by one with each call of Restore.
+	era      int64
+	fault    Fault
+	pageSize int
+	calls    int
 	// rangeCalls counts the range calls among calls.
 	rangeCalls int
-}
-
-// item is a stored item or the deletion of one.
-type item struct {
-	Key      string `json:"key"`
-	Value    []byte `json:"value,omitempty"`
-	Revision int64  `json:"revision"`
-	Created  int64  `json:"created,omitempty"`
-	Lease    int64  `json:"lease,omitempty"`
-	Deleted  bool   `json:"deleted,omitempty"`
+	// configuration is what the operator published last, nil before that. registrations are
+	// the live endpoints by ID. Restore leaves both: they belong to the writers.
+	configuration []byte
+	registrations map[string]registration
+	// lastBirthMS is the time of the last start of an endpoint.
+	lastBirthMS int64
 }
 
 // pageSize is the default number of items per page of a range.
 const pageSize = 20
 
+const (
+	// eraHeader is the header of all responses with the store's era.
+	eraHeader = "Store-Era"
+	// firstEra is the era of a store that was never restored.
+	firstEra = 1
+)
+
 // NewStore returns an empty Store.
 func NewStore() *Store {
-	return &Store{changed: make(chan struct{}), items: map[string]item{}, revision: 1, pageSize: pageSize}
+	return &Store{changed: make(chan struct{}), items: map[string]item{}, revision: 1, era: firstEra, pageSize: pageSize, registrations: map[string]registration{}}
 }
 
 // Put writes an item and returns its revision.
 func (s *Store) Put(key string, value []byte) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.put(key, value)
+}
+
+// put does the same as Put. The caller must hold s.mu.
+func (s *Store) put(key string, value []byte) int64 {
 	s.revision++
 	created := s.revision
 	if before, ok := s.items[key]; ok {
@@ -79,6 +73,11 @@
 func (s *Store) Delete(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.remove(key)
+}
+
+// remove does the same as Delete. The caller must hold s.mu.
+func (s *Store) remove(key string) {
 	if _, ok := s.items[key]; !ok {
 		return
 	}
@@ -87,8 +86,14 @@
 	s.append(item{Key: key, Revision: s.revision, Deleted: true})
 }
 
+// append records a change. The caller must hold s.mu.
 func (s *Store) append(change item) {
 	s.history = append(s.history, change)
+	s.wake()
+}
+
+// wake lets all waiting watches look at the store again. The caller must hold s.mu.
+func (s *Store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -106,8 +111,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fault = fault
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wake()
 }
 
 // Calls returns the number of calls so far.
@@ -129,6 +133,7 @@
 	s.mu.Lock()
 	s.calls++
 	fault := s.fault
+	s.setEra(w)
 	s.mu.Unlock()
 	if !applyFault(fault, w, r) {
 		return
@@ -143,25 +148,16 @@
 	}
 }
 
-// applyFault fails the call according to fault. It reports whether the call is to be served.
-func applyFault(fault Fault, w http.ResponseWriter, r *http.Request) bool {
-	switch fault {
-	case FaultUnavailable:
-		w.WriteHeader(http.StatusServiceUnavailable)
-	case FaultReset:
-		panic(http.ErrAbortHandler)
-	case FaultHang:
-		<-r.Context().Done()
-	default:
-		return true
-	}
-	return false
+// setEra sets the header of a response with the store's era. The caller must hold s.mu.
+func (s *Store) setEra(w http.ResponseWriter) {
+	w.Header().Set(eraHeader, strconv.FormatInt(s.era, 10))
 }
 
 func (s *Store) serveRange(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	s.rangeCalls++
 	defer s.mu.Unlock()
+	s.rangeCalls++
+	s.setEra(w)
 	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
 	var found []item
 	for key, one := range s.items {
@@ -174,50 +170,6 @@
 	writeJSON(w, map[string]any{"items": found[:min(len(found), s.pageSize)], "morePages": more, "asOf": s.revision})
 }
 
-func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
-	query := r.URL.Query()
-	after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
-	wait, _ := strconv.ParseInt(query.Get("waitMs"), 10, 64)
-	limit := time.NewTimer(time.Duration(wait) * time.Millisecond)
-	defer limit.Stop()
-	for {
-		s.mu.Lock()
-		events, known, revision, changed, fault := s.changesSince(query.Get("prefix"), after), after >= s.compactedRevision, s.revision, s.changed, s.fault
-		s.mu.Unlock()
-		if !applyFault(fault, w, r) {
-			return
-		}
-		if !known {
-			w.WriteHeader(http.StatusGone)
-			return
-		}
-		if len(events) > 0 {
-			writeJSON(w, map[string]any{"events": events, "asOf": revision})
-			return
-		}
-		select {
-		case <-changed:
-		case <-limit.C:
-			writeJSON(w, map[string]any{"events": []item{}, "asOf": revision})
-			return
-		case <-r.Context().Done():
-			return
-		}
-	}
-}
-
-// changesSince returns the changes after a revision to keys with the given prefix. The caller
-// must hold s.mu.
-func (s *Store) changesSince(prefix string, after int64) []item {
-	var events []item
-	for _, change := range s.history {
-		if change.Revision > after && strings.HasPrefix(change.Key, prefix) {
-			events = append(events, change)
-		}
-	}
-	return events
-}
-
 func writeJSON(w http.ResponseWriter, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(body); err != nil {
