Keep the start of an endpoint in the stand-in unless it is told to restart

An entry that goes and comes back is the same start's: with a new start after each deletion TestLeavingWorkerGetsNoNewRequests was red, since the notice of leaving is the instance's.

--- a/internal/standin/hosted/configuration.go
+++ b/internal/standin/hosted/configuration.go
@@ -94,33 +94,52 @@
 	return s.put(configurationKey, raw)
 }
 
-// PutEndpoint writes the entry of an endpoint and returns its revision. The first entry of an
-// endpoint, or the first one after DeleteEndpoint, is that of a new start.
+// PutEndpoint writes the entry of an endpoint and returns its revision. All entries under an ID
+// are those of one start, except after RestartEndpoint.
 func (s *Store) PutEndpoint(id, service, address, state string) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	registered, ok := s.registrations[id]
 	if !ok {
-		registered.bornMS = s.newBirth()
+		registered = s.newRegistration()
 	}
-	registered.service, registered.address, registered.state = service, address, state
-	registered.sequence++
-	s.registrations[id] = registered
-	return s.put(endpointPrefix+id, registered.entry())
+	registered.service, registered.address, registered.state, registered.left = service, address, state, false
+	return s.register(id, registered)
+}
+
+// RestartEndpoint writes the entry of an endpoint that has started again under its ID, and
+// returns its revision.
+func (s *Store) RestartEndpoint(id string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before, restarted := s.registrations[id], s.newRegistration()
+	restarted.service, restarted.address, restarted.state = before.service, before.address, "ready"
+	return s.register(id, restarted)
 }
 
-// newBirth returns the Unix time in milliseconds of a start, which is later than that of the
-// start before. The caller must hold s.mu.
-func (s *Store) newBirth() int64 {
+// newRegistration returns the registration of an endpoint that starts now. No two endpoints
+// start at the same time. The caller must hold s.mu.
+func (s *Store) newRegistration() registration {
 	s.lastBirthMS = max(time.Now().UnixMilli(), s.lastBirthMS+1)
-	return s.lastBirthMS
+	return registration{bornMS: s.lastBirthMS}
+}
+
+// register writes the next entry of an endpoint and returns its revision. The caller must hold
+// s.mu.
+func (s *Store) register(id string, registered registration) int64 {
+	registered.sequence++
+	s.registrations[id] = registered
+	return s.put(endpointPrefix+id, registered.entry())
 }
 
 // DeleteEndpoint deletes the entry of an endpoint that has left.
 func (s *Store) DeleteEndpoint(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.registrations, id)
+	if registered, ok := s.registrations[id]; ok {
+		registered.left = true
+		s.registrations[id] = registered
+	}
 	s.remove(endpointPrefix + id)
 }
 
--- a/internal/standin/hosted/registration.go
+++ b/internal/standin/hosted/registration.go
@@ -2,7 +2,7 @@
 
 import "fmt"
 
-// registration is what a live endpoint says of itself in its entry.
+// registration is what an endpoint says of itself in its entry.
 type registration struct {
 	service string
 	address string
@@ -11,6 +11,8 @@
 	bornMS int64
 	// sequence counts the reports since the start.
 	sequence int64
+	// left reports whether the endpoint has left and writes nothing any more.
+	left bool
 }
 
 // entry returns the value that the endpoint writes under its key.
--- a/internal/standin/hosted/store.go
+++ b/internal/standin/hosted/store.go
@@ -27,7 +27,7 @@
 	// rangeCalls counts the range calls among calls.
 	rangeCalls int
 	// configuration is what the operator published last, nil before that. registrations are
-	// the live endpoints by ID. Restore leaves both: they belong to the writers.
+	// the endpoints by ID. Restore leaves both: they belong to the writers.
 	configuration []byte
 	registrations map[string]registration
 	// lastBirthMS is the time of the last start of an endpoint.
