Show what gateways do when the store comes back from a copy

Three gateways in one process, a store that loses 60 changes or more, then operator and endpoints write again.

--- /dev/null
+++ b/gateway/restored_store_test.go
@@ -0,0 +1,319 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/internal/standin/hosted"
+)
+
+const (
+	// lostChanges is the number of changes that a store loses besides those of a test. It is
+	// higher than the number of changes after its return.
+	lostChanges = 60
+	// storeAwayTime is for how long the store is away before it comes back from a copy.
+	storeAwayTime = 300 * time.Millisecond
+	// rewriteTime is the time from the return until operator and endpoints have written again.
+	rewriteTime = 500 * time.Millisecond
+	// silentTime is for how long an operator is silent after the return.
+	silentTime = 2 * time.Second
+)
+
+// loseStore lets the store be away for a moment and come back from a copy.
+func (f *testFleet) loseStore(contents hosted.StoreCopy) {
+	f.store.SetFault(hosted.FaultReset)
+	time.Sleep(storeAwayTime)
+	f.store.Restore(contents)
+	f.store.SetFault(hosted.FaultNone)
+}
+
+// restoreStore does the same as loseStore; then operator and endpoints write again.
+func (f *testFleet) restoreStore(contents hosted.StoreCopy) {
+	f.loseStore(contents)
+	time.Sleep(rewriteTime)
+	f.rewriteStore()
+}
+
+// rewriteStore lets operator and endpoints write again what the store has lost.
+func (f *testFleet) rewriteStore() {
+	f.store.RewriteConfiguration()
+	f.store.RewriteEndpoints()
+}
+
+// raiseRevision raises the store's revision by lostChanges.
+func (f *testFleet) raiseRevision() {
+	for range lostChanges {
+		f.store.Put("other/item", nil)
+	}
+}
+
+// publish publishes a version.
+func (f *testFleet) publish(version int64) {
+	configuration := hosted.DefaultConfiguration()
+	configuration.Version = version
+	f.store.Publish(configuration)
+}
+
+// awaitVersion waits until a version is in force on all VMs.
+func (f *testFleet) awaitVersion(version int64) {
+	f.t.Helper()
+	f.eventually("the version is in force on all VMs", func() bool {
+		for _, g := range f.gateways {
+			if g.configVersion() != version {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// awaitReadyOnAll waits until all VMs know count endpoints of the plain service as ready.
+func (f *testFleet) awaitReadyOnAll(count int) {
+	f.t.Helper()
+	f.eventually("all VMs know which endpoints are ready", func() bool {
+		for _, g := range f.gateways {
+			if len(g.tracker.Snapshot().Ready["plain"]) != count {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// awaitConfirmation waits until the knowledge of all VMs is confirmed after a time.
+func (f *testFleet) awaitConfirmation(after clock.Boot) {
+	f.t.Helper()
+	f.eventually("the knowledge of all VMs is confirmed after the return", func() bool {
+		for _, g := range f.gateways {
+			if at, ok := g.tracker.ConfirmedAt(); !ok || at < after {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// restart stops the VM with the given number and starts it again.
+func (f *testFleet) restart(number int) {
+	i := number - 1
+	f.stops[i]()
+	<-f.done[i]
+	f.done[i] <- nil // The cleanup function receives from it again.
+	f.start(number)
+	last := len(f.gateways) - 1
+	f.gateways[i], f.stops[i], f.done[i] = f.gateways[last], f.stops[last], f.done[last]
+	f.gateways, f.stops, f.done = f.gateways[:last], f.stops[:last], f.done[:last]
+}
+
+// expectUnused sends requests to all VMs: all must be served, none by the endpoint.
+func (f *testFleet) expectUnused(id string) {
+	f.t.Helper()
+	const requests = 20
+	before := f.requestCount(id)
+	for number := 1; number <= len(f.gateways); number++ {
+		for range requests {
+			if got := f.ask(context.Background(), number, query{path: "/lookup/1"}); got.status != http.StatusOK {
+				f.t.Errorf("VM %d: %+v", number, got)
+			}
+		}
+	}
+	if count := f.requestCount(id) - before; count > 0 {
+		f.t.Errorf("%s got %d requests", id, count)
+	}
+}
+
+// TestConfigurationsAreInForceAfterStoreIsRestored lets the store return from a copy twice, and publishes versions after each return.
+func TestConfigurationsAreInForceAfterStoreIsRestored(t *testing.T) {
+	f := newTestFleet(t, 3)
+	for _, version := range []int64{10, 20} {
+		f.publish(version)
+		f.awaitVersion(version)
+		contents := f.store.Copy()
+		f.raiseRevision()
+		f.publish(version + 1)
+		f.awaitVersion(version + 1)
+		f.restoreStore(contents)
+		for next := version + 2; next < version+5; next++ {
+			f.publish(next)
+			f.awaitVersion(next)
+		}
+	}
+}
+
+// TestUnreadVersionIsInForceAfterStoreIsRestored lets the store lose a version before any VM has read it.
+func TestUnreadVersionIsInForceAfterStoreIsRestored(t *testing.T) {
+	f := newTestFleet(t, 3)
+	contents := f.store.Copy()
+	f.raiseRevision()
+	f.publish(2)
+	f.awaitVersion(2)
+	f.store.SetFault(hosted.FaultReset)
+	f.publish(3)
+	f.restoreStore(contents)
+	f.awaitVersion(3)
+}
+
+// TestOldVersionOfRestoredStoreIsNotInForce has the operator silent for a while after the return: no VM may go back.
+func TestOldVersionOfRestoredStoreIsNotInForce(t *testing.T) {
+	f := newTestFleet(t, 3)
+	contents := f.store.Copy()
+	f.publish(2)
+	f.awaitVersion(2)
+	returned := clock.Now()
+	f.loseStore(contents)
+	for clock.Now().Sub(returned) < silentTime {
+		for i, g := range f.gateways {
+			if version := g.configVersion(); version != 2 {
+				t.Fatalf("VM %d has gone back to version %d", i+1, version)
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+	f.rewriteStore()
+	f.publish(3)
+	f.awaitVersion(3)
+}
+
+// TestRestartedVMDoesNotGoBackAfterStoreIsRestored restarts a VM before the operator has written again: it must learn the newer version from the others.
+func TestRestartedVMDoesNotGoBackAfterStoreIsRestored(t *testing.T) {
+	for number := 1; number <= 3; number++ {
+		f := newTestFleet(t, 3)
+		contents := f.store.Copy()
+		f.raiseRevision()
+		f.publish(2)
+		f.awaitVersion(2)
+		f.loseStore(contents)
+		f.restart(number)
+		f.awaitVersion(2)
+		f.rewriteStore()
+		f.publish(3)
+		f.awaitVersion(3)
+	}
+}
+
+// TestDrainingEndpointIsNoticedAfterStoreIsRestored lets an endpoint drain after the return, whose newest known entry was lost.
+func TestDrainingEndpointIsNoticedAfterStoreIsRestored(t *testing.T) {
+	f := newTestFleet(t, 3)
+	contents := f.store.Copy()
+	f.raiseRevision()
+	address := f.address(110, workerPort)
+	f.store.PutEndpoint("plain-1", "plain", address, "draining")
+	f.awaitReadyOnAll(1)
+	f.store.PutEndpoint("plain-1", "plain", address, "ready")
+	f.awaitReadyOnAll(2)
+	f.restoreStore(contents)
+	f.store.PutEndpoint("plain-1", "plain", address, "draining")
+	f.awaitReadyOnAll(1)
+	f.expectUnused("plain-1")
+}
+
+// TestLeavingEndpointIsNoticedAfterStoreIsRestored removes an entry after the return.
+func TestLeavingEndpointIsNoticedAfterStoreIsRestored(t *testing.T) {
+	f := newTestFleet(t, 3)
+	contents := f.store.Copy()
+	f.raiseRevision()
+	f.store.PutEndpoint("plain-1", "plain", f.address(110, workerPort), "ready")
+	f.publish(2)
+	f.awaitVersion(2)
+	f.restoreStore(contents)
+	f.store.DeleteEndpoint("plain-1")
+	f.awaitReadyOnAll(1)
+	f.expectUnused("plain-1")
+}
+
+// TestDrainingEndpointStaysOutOfUseAfterStoreIsRestored lets the copy have an endpoint as ready that is known to drain.
+func TestDrainingEndpointStaysOutOfUseAfterStoreIsRestored(t *testing.T) {
+	f := newTestFleet(t, 3)
+	contents := f.store.Copy()
+	f.store.PutEndpoint("plain-1", "plain", f.address(110, workerPort), "draining")
+	f.awaitReadyOnAll(1)
+	returned := clock.Now()
+	f.loseStore(contents)
+	time.Sleep(rewriteTime)
+	f.expectUnused("plain-1")
+	f.rewriteStore()
+	f.awaitConfirmation(returned.Add(storeAwayTime))
+	f.expectUnused("plain-1")
+}
+
+// TestRemovedEndpointStaysRemovedAfterStoreIsRestored lets the copy have an endpoint that has left: it must stay unused until its entry expires.
+func TestRemovedEndpointStaysRemovedAfterStoreIsRestored(t *testing.T) {
+	f := newTestFleet(t, 3)
+	contents := f.store.Copy()
+	f.store.DeleteEndpoint("plain-1")
+	f.awaitReadyOnAll(1)
+	f.restoreStore(contents)
+	f.expectUnused("plain-1")
+	returned := clock.Now()
+	f.publish(2)
+	f.awaitVersion(2)
+	f.awaitConfirmation(returned)
+	f.expectUnused("plain-1")
+	f.store.ExpireEndpoint("plain-1")
+	f.publish(3)
+	f.awaitVersion(3)
+	f.expectUnused("plain-1")
+}
+
+// TestRestartedEndpointIsUsedAfterStoreIsRestored restarts an endpoint under its ID after the return; its counts start anew.
+func TestRestartedEndpointIsUsedAfterStoreIsRestored(t *testing.T) {
+	f := newTestFleet(t, 3)
+	address := f.address(110, workerPort)
+	contents := f.store.Copy()
+	f.raiseRevision()
+	f.store.PutEndpoint("plain-1", "plain", address, "ready")
+	f.store.PutEndpoint("plain-1", "plain", address, "draining")
+	f.awaitReadyOnAll(1)
+	f.store.DeleteEndpoint("plain-1")
+	f.restoreStore(contents)
+	f.store.RestartEndpoint("plain-1")
+	f.awaitReadyOnAll(2)
+}
+
+// TestNewEndpointIsUsedAfterStoreIsRestored starts an endpoint after the return, which gets a lower revision than the known ones.
+func TestNewEndpointIsUsedAfterStoreIsRestored(t *testing.T) {
+	f := newTestFleet(t, 3)
+	contents := f.store.Copy()
+	f.raiseRevision()
+	f.publish(2)
+	f.awaitVersion(2)
+	f.restoreStore(contents)
+	f.addEndpoint("plain-3", "plain", 112)
+	f.awaitReadyOnAll(3)
+}
+
+// TestKeysAreServedAfterStoreIsRestored waits until knowledge from before the return would be too old for keys.
+func TestKeysAreServedAfterStoreIsRestored(t *testing.T) {
+	f := newTestFleet(t, 3)
+	contents := f.store.Copy()
+	f.raiseRevision()
+	f.publish(2)
+	f.awaitVersion(2)
+	f.restoreStore(contents)
+	returned := clock.Now()
+	f.awaitConfirmation(returned.Add(f.gateways[0].settings.Bounds.KeyLease))
+	for number := 1; number <= len(f.gateways); number++ {
+		if got := f.ask(context.Background(), number, query{path: "/lookup/1"}); got.status != http.StatusOK {
+			t.Errorf("VM %d: %+v", number, got)
+		}
+	}
+}
+
+// TestChangesUnderReusedRevisionsAreReadAfterStoreIsRestored gives out all lost revisions again before any VM reads, so that no watch gets 410.
+func TestChangesUnderReusedRevisionsAreReadAfterStoreIsRestored(t *testing.T) {
+	f := newTestFleet(t, 3)
+	contents := f.store.Copy()
+	f.publish(2)
+	f.awaitVersion(2)
+	f.store.SetFault(hosted.FaultReset)
+	time.Sleep(storeAwayTime)
+	f.store.Restore(contents)
+	f.addEndpoint("plain-3", "plain", 112)
+	f.rewriteStore()
+	f.raiseRevision()
+	f.store.SetFault(hosted.FaultNone)
+	f.awaitReadyOnAll(3)
+}
