Give a silent endpoint up only for one that accepts a connection

Callers: a resumable stream was cut in the middle although its endpoint was sound and only silent for a second, when the other endpoint refused connections: the silent one was given up first, and the other one was found to be gone after it.

The retry was reserved for an endpoint that was only chosen, not reached; one that is avoided for not answering counted as well.

The next endpoint must not be avoided itself, and must accept a connection, which is kept for the attempt.

What remains: an endpoint that accepts the connection and then refuses the request, or is silent itself.

--- a/gateway/choice/pick.go
+++ b/gateway/choice/pick.go
@@ -73,6 +73,8 @@
 	// PrefillWait is how long the endpoint may still be prefilling the shared parts for
 	// another request. A request sent before that would have them prefilled twice.
 	PrefillWait time.Duration
+	// Avoided reports whether the endpoint is being avoided for a while, as all others are too.
+	Avoided bool
 	// FetchFrom is an endpoint to copy shared parts from, nil if there is none.
 	FetchFrom *traffic.Endpoint
 }
@@ -134,6 +136,7 @@
 		BacklogTokens: o.backlogTokens,
 		DelayMS:       o.delayMS,
 		PrefillWait:   c.prefillWait(o),
+		Avoided:       o.avoided,
 		FetchFrom:     o.source,
 	}
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/gateway/choice"
 	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
 )
@@ -139,15 +140,29 @@
 	return c.retryReserved
 }
 
-// mayRetry reports whether the newest data allow another attempt while one is in progress. It
-// updates the grant.
+// mayRetry reports whether the newest data allow another attempt while one is in progress, at an
+// endpoint that is not avoided itself and accepts a connection. It updates the grant.
 func (c *call) mayRetry() bool {
 	snapshot := c.gateway.tracker.Snapshot()
 	if c.checkPermitted(snapshot) != nil || c.lastExecution() || c.attempts >= maxAttempts {
 		return false
 	}
-	_, ok := c.choose(snapshot, clock.Now())
-	return ok
+	pick, ok := c.choose(snapshot, clock.Now())
+	return ok && !pick.Avoided && c.isReachable(pick)
+}
+
+// isReachable reports whether the picked endpoint accepts a connection, and keeps the connection for
+// the attempt.
+func (c *call) isReachable(pick choice.Pick) bool {
+	conn, err := c.connect(pick)
+	if err == nil {
+		c.gateway.pool.Put(conn)
+		return true
+	}
+	if c.r.Context().Err() == nil {
+		c.gateway.table.RecordUnreachable(pick.Endpoint.ID, err.Error(), clock.Now())
+	}
+	return false
 }
 
 // serviceHash returns the hash that distributes requests over the services of a route. All
--- a/gateway/silent_endpoint_test.go
+++ b/gateway/silent_endpoint_test.go
@@ -116,3 +116,23 @@
 		})
 	}
 }
+
+// TestSilentStreamIsNotGivenUpForUnreachableEndpoint lets an engine pause in a stream while the only other one refuses connections.
+func TestSilentStreamIsNotGivenUpForUnreachableEndpoint(t *testing.T) {
+	f := newTestFleet(t, 1)
+	q := query{path: "/roster/1", promptParts: chatPromptParts}
+	serving, other := "engine-1", "engine-2"
+	if warm := f.ask(context.Background(), 1, q); f.workers[other].Runs(warm.id) > 0 {
+		serving, other = other, serving
+	}
+	f.workers[serving].Events, f.workers[serving].EventInterval = 3, 1500*time.Millisecond
+	unreachable := f.address(150, workerPort)
+	f.store.PutEndpoint(other, "engines", unreachable, "ready")
+	f.eventually("the move is known", func() bool {
+		return f.gateways[0].tracker.Snapshot().Endpoints[other].Address == unreachable
+	})
+	got := f.ask(context.Background(), 1, q)
+	if !got.complete || !strings.HasSuffix(got.body, "id: 3\ndata: piece 3\n\n") {
+		t.Errorf("%+v", got)
+	}
+}
