Judge prompt parts without the crashes that a quarantine explains

Callers: with four deadly parts at once, requests with a part that had crashed more than five engines went on reaching engines, and their callers and those beside them got 502.

Cause: the chance with which a part is at a crashed engine by accident was the share of all requests that ended in a crash. With several deadly parts most of these crashes come from parts that are already in quarantine, so each part that was left looked like an accident.

Change: once a quarantine is found, the crashes that it explains leave the record by which the rest is judged: the share counts as far as the recent crashes are unexplained, and explained ones are not simultaneous either. When the record is full it forgets the oldest crash, not the newest one.

--- a/gateway/quarantine/bounds.go
+++ b/gateway/quarantine/bounds.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
 )
 
@@ -58,6 +59,18 @@
 	delete(l.observations, oldest)
 }
 
+// dropOldestCrash forgets when the engine crashed that did so first. The caller holds l.mu.
+func (l *Ledger) dropOldestCrash() {
+	var oldest traffic.Instance
+	var first clock.Boot
+	for engine, at := range l.crashes {
+		if first == 0 || at < first || at == first && compareInstances(engine, oldest) < 0 {
+			oldest, first = engine, at
+		}
+	}
+	delete(l.crashes, oldest)
+}
+
 // supportsQuarantine reports whether a quarantine rests on an observation. The caller holds l.mu.
 func (l *Ledger) supportsQuarantine(o *Observation) bool {
 	return slices.ContainsFunc(l.quarantines, func(q Quarantine) bool { return slices.Contains(q.basis, o) })
--- /dev/null
+++ b/gateway/quarantine/crash_record_test.go
@@ -0,0 +1,26 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"cardamompoint.example/cardamompoint/gateway/traffic"
+	"cardamompoint.example/cardamompoint/internal/clock"
+)
+
+// TestExplainedCrashesAreNoBackground records three crashes of which a quarantine explains two.
+func TestExplainedCrashesAreNoBackground(t *testing.T) {
+	now := clock.Boot(time.Hour)
+	first, second, third := traffic.Instance{ID: "e1"}, traffic.Instance{ID: "e2"}, traffic.Instance{ID: "e3"}
+	r := newCrashRecord(map[traffic.Instance]clock.Boot{first: now, second: now, third: now})
+	if share := r.unexplainedShare(now); share != 1 {
+		t.Errorf("a share of %v is unexplained before a quarantine, want 1", share)
+	}
+	r.explain(map[traffic.Instance]bool{first: true, third: true})
+	if share := r.unexplainedShare(now); share < 0.33 || share > 0.34 {
+		t.Errorf("a share of %v is unexplained, want a third", share)
+	}
+	if count := r.simultaneous(now, map[traffic.Instance]bool{second: true}); count != 1 {
+		t.Errorf("%d unexplained crashes at once, want 1", count)
+	}
+}
--- a/gateway/quarantine/judge.go
+++ b/gateway/quarantine/judge.go
@@ -31,20 +31,22 @@
 // other parts are judged by the remaining ones.
 func judge(open []*evidence, crashes map[traffic.Instance]clock.Boot) []Quarantine {
 	slices.SortFunc(open, func(a, b *evidence) int { return compareObservations(a.Observation, b.Observation) })
+	record := newCrashRecord(crashes)
 	var verdicts []Quarantine
 	for {
-		worst := mostSuspected(open, crashes)
+		worst := mostSuspected(open, record)
 		if worst == nil {
 			return verdicts
 		}
 		verdicts = append(verdicts, worst.verdict())
 		open = unexplained(open, worst)
+		record.explain(worst.engines())
 	}
 }
 
 // mostSuspected returns the suspicion with the most crashes, nil if there is none. Among
 // equal ones it prefers that with more companions, which concerns fewer requests.
-func mostSuspected(open []*evidence, crashes map[traffic.Instance]clock.Boot) *suspicion {
+func mostSuspected(open []*evidence, crashes *crashRecord) *suspicion {
 	byPart := map[uint64]*suspicion{}
 	for _, e := range open {
 		for _, part := range e.suspects {
@@ -126,11 +128,11 @@
 
 // chance returns the probability that the requests of all independent observations ended in a crash
 // by chance.
-func (s *suspicion) chance(crashes map[traffic.Instance]clock.Boot) float64 {
+func (s *suspicion) chance(crashes *crashRecord) float64 {
 	seen := s.engines()
 	product := 1.0
 	for _, o := range s.independent {
-		product *= min(1, s.background(o.At)*float64(crashesAtOnce(o.At, crashes, seen)))
+		product *= min(1, s.background(o.At)*crashes.unexplainedShare(o.At)*float64(crashes.simultaneous(o.At, seen)))
 	}
 	return product
 }
@@ -147,30 +149,6 @@
 	return lowest
 }
 
-const (
-	// atOnce is the time within which crashes count as simultaneous.
-	atOnce = 50 * time.Millisecond
-	// coincidence is the number of simultaneous crashes that one part may cause.
-	coincidence = 3
-)
-
-// crashesAtOnce returns the number of simultaneous crashes around a time that the part does not
-// explain, at least 1: the more engines crash, the likelier a part is at one of them. Up to
-// coincidence crashes at which the part was observed count as one.
-func crashesAtOnce(at clock.Boot, crashes map[traffic.Instance]clock.Boot, seen map[traffic.Instance]bool) int {
-	with, others := 0, 0
-	for engine, crashed := range crashes {
-		switch {
-		case crashed.Sub(at).Abs() > atOnce:
-		case seen[engine]:
-			with++
-		default:
-			others++
-		}
-	}
-	return others + max(1, with-coincidence+1)
-}
-
 // commonSuspects returns the suspected parts that all observations share, sorted.
 func commonSuspects(observations []*evidence) []uint64 {
 	common := slices.Clone(observations[0].suspects)
--- a/gateway/quarantine/ledger.go
+++ b/gateway/quarantine/ledger.go
@@ -134,7 +134,7 @@
 func (l *Ledger) recordCrashTime(o *Observation) {
 	at, known := l.crashes[o.Engine]
 	if !known && len(l.crashes) >= maxCrashes {
-		return
+		l.dropOldestCrash()
 	}
 	if !known || o.At < at {
 		l.crashes[o.Engine] = o.At
--- a/gateway/quarantine/observation.go
+++ b/gateway/quarantine/observation.go
@@ -58,5 +58,10 @@
 
 // compareObservations orders observations by time, and those of one moment by what they are.
 func compareObservations(a, b *Observation) int {
-	return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Engine.ID, b.Engine.ID), cmp.Compare(a.Engine.StartedMS, b.Engine.StartedMS), slices.Compare(a.Parts, b.Parts))
+	return cmp.Or(cmp.Compare(a.At, b.At), compareInstances(a.Engine, b.Engine), slices.Compare(a.Parts, b.Parts))
+}
+
+// compareInstances orders instances by what they are.
+func compareInstances(a, b traffic.Instance) int {
+	return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.StartedMS, b.StartedMS))
 }
