Tell other VMs when engines ended, also under answered requests

Callers: when all engines of a service ended together several times, a fleet of 60 VMs refused up to one in 200 sound requests, those of one template, for some seconds.

Cause: a crash weighs less against a prompt the more engines end at the same moment, but a VM learnt that an engine had ended only from observations. An observation is dropped once its request is answered elsewhere, and reports put those of the most suspected part first.

Change: reports carry the times of crashes of the last 10 s that none of their observations tells, eight at a time, in turn. They need no new format: such a crash has no parts.

The new test of the reports failed before: no crash was known.

--- a/gateway/gossip/crashes.go
+++ b/gateway/gossip/crashes.go
@@ -8,9 +8,9 @@
 	// Endpoint and StartedMS identify the instance that crashed.
 	Endpoint  string
 	StartedMS int64
-	// Service is the name of the endpoint's service.
+	// Service is the name of the endpoint's service, empty if only the time of the crash is told.
 	Service string
-	// Parts are the IDs of all parts of the request's prompt but the last.
+	// Parts are the IDs of all parts of the request's prompt but the last, or none.
 	Parts []uint64
 	// AgeMS is the time since the crash, SentBeforeMS that from the request to the crash, and
 	// AnsweredBeforeMS that from the last answer of the endpoint's service to the crash, in
--- a/gateway/quarantine/crash_record_test.go
+++ b/gateway/quarantine/crash_record_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"cardamompoint.example/cardamompoint/gateway/gossip"
 	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
 )
@@ -24,3 +25,23 @@
 		t.Errorf("%d unexplained crashes at once, want 1", count)
 	}
 }
+
+// TestReportsTellOfCrashesUnderAnsweredRequests lets an engine crash under a request that is answered
+// elsewhere before the next report. Others must hear that the engine ended.
+func TestReportsTellOfCrashesUnderAnsweredRequests(t *testing.T) {
+	now := clock.Boot(time.Hour)
+	engine := traffic.Instance{ID: "e1", StartedMS: 1}
+	observer, other := NewLedger(), NewLedger()
+	observer.RecordCrash("assist", engine, []uint64{1, 2}, now.Add(-100*time.Millisecond), now)
+	observer.RecordAnswer([]uint64{1, 2}, now.Add(100*time.Millisecond))
+	now = now.Add(200 * time.Millisecond)
+	var report gossip.Report
+	observer.FillReport(&report, now)
+	other.ApplyReport(report, now)
+	if len(other.crashes) != 1 {
+		t.Errorf("%d crashes are known after the report, want 1", len(other.crashes))
+	}
+	if len(other.observations) != 0 {
+		t.Errorf("%d observations follow from an answered request, want 0", len(other.observations))
+	}
+}
--- a/gateway/quarantine/report.go
+++ b/gateway/quarantine/report.go
@@ -16,13 +16,17 @@
 const (
 	// maxReportedQuarantines bounds the quarantines in one report, maxReportedBasis the
 	// observations of each, maxReportedObservations other observations, and
-	// maxReportedAnswers the answers.
+	// maxReportedAnswers the answers. maxReportedTimes bounds the crashes of which only the
+	// time is reported.
 	maxReportedQuarantines  = 8
 	maxReportedBasis        = 5
 	maxReportedObservations = 16
 	maxReportedAnswers      = 32
+	maxReportedTimes        = 8
 	// reportTime is how long an observation that led to no quarantine is reported.
 	reportTime = time.Minute
+	// timeReportTime is how long the time of a crash is reported.
+	timeReportTime = 10 * time.Second
 )
 
 // FillReport adds to a report the observations on which quarantines rest, the newest other ones,
@@ -32,18 +36,20 @@
 	defer l.mu.Unlock()
 	l.current(now)
 	l.expire(now)
-	for _, o := range l.reported(now) {
+	observations := l.reported(now)
+	for _, o := range observations {
 		report.Crashes = append(report.Crashes, gossip.Crash{
 			Endpoint: o.Engine.ID, StartedMS: o.Engine.StartedMS, Service: o.Service, Parts: o.Parts, AgeMS: now.Sub(o.At).Milliseconds(),
 			SentBeforeMS: o.SentBefore.Milliseconds(), AnsweredBeforeMS: o.AnsweredBefore.Milliseconds(),
 			BackgroundPermille: permille(o.Background),
 		})
 	}
+	l.turn++
+	report.Crashes = append(report.Crashes, l.crashTimes(observations, now)...)
 	if len(l.observations) > 0 || len(l.clearances) > 0 {
 		own := l.outcomes.AsOf(now)
 		report.CrashedRequests, report.AnsweredRequests = gossip.ToUnits(own.Failed), gossip.ToUnits(own.Good)
 	}
-	l.turn++
 	for _, part := range inTurn(slices.Sorted(maps.Keys(l.clearances)), l.turn, maxReportedAnswers) {
 		if at, known := l.answers.last(part); known {
 			report.AnsweredParts = append(report.AnsweredParts, gossip.AnsweredPart{Part: part, AgeMS: now.Sub(at).Milliseconds()})
@@ -70,6 +76,28 @@
 	return append(chosen, others[:min(len(others), maxReportedObservations)]...)
 }
 
+// crashTimes returns recent crashes without the prompts at them, except those of the given
+// observations. Others need the times to tell engines that end together from crashes that one
+// request each causes, also when the requests at them were answered elsewhere. The caller holds
+// l.mu.
+func (l *Ledger) crashTimes(observations []*Observation, now clock.Boot) []gossip.Crash {
+	var engines []traffic.Instance
+	for engine, at := range l.crashes {
+		reported := slices.ContainsFunc(observations, func(o *Observation) bool { return o.Engine == engine })
+		if now.Sub(at) <= timeReportTime && !reported {
+			engines = append(engines, engine)
+		}
+	}
+	slices.SortFunc(engines, func(a, b traffic.Instance) int {
+		return cmp.Or(cmp.Compare(l.crashes[b], l.crashes[a]), compareInstances(a, b))
+	})
+	var times []gossip.Crash
+	for _, engine := range inTurn(engines, l.turn, maxReportedTimes) {
+		times = append(times, gossip.Crash{Endpoint: engine.ID, StartedMS: engine.StartedMS, AgeMS: now.Sub(l.crashes[engine]).Milliseconds()})
+	}
+	return times
+}
+
 // inTurn returns at most limit entries of a list: the next ones with each turn.
 func inTurn[T any](list []T, turn, limit int) []T {
 	if len(list) <= limit {
