Let the soak's store come back from copies

A copy is taken at the start of each round and now and then; the store goes away for 0 to 2 s (busy, reset, silent), comes back from it once or twice, and operator and live workers write again 0.1 to 1.5 s later, while other faults go on. In half of the calm times it does so last, and the stable time counts from its return. Others write items meanwhile, so that revisions fall back. All checks stay as they are; one more asks that undisturbed VMs know the paths which were published again, also where that was before they were in touch.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -20,7 +20,7 @@
 // injectFault injects one random fault, or ends one.
 func (s *soak) injectFault() {
 	faults := []func(){
-		s.kill, s.freeze, s.terminate, s.reload, s.cutLink, s.cutLink, s.resetLink, s.failStore, s.publishVersions, s.publishVersions, s.setNextBehaviors, s.changeState, s.replaceWorker, s.announceLeaving,
+		s.kill, s.freeze, s.terminate, s.reload, s.cutLink, s.cutLink, s.resetLink, s.failStore, s.publishVersions, s.publishVersions, s.setNextBehaviors, s.changeState, s.replaceWorker, s.announceLeaving, s.restoreStore,
 	}
 	faults[s.random.IntN(len(faults))]()
 }
@@ -194,11 +194,13 @@
 		s.store.DeleteEndpoint(old.ID)
 		s.record.setDraining(old.ID, true)
 	}
+	s.store.StopEndpoint(old.ID)
 	s.startWorker(slot)
 }
 
 // heal ends all faults, and deletes the entries of replaced workers.
 func (s *soak) heal() {
+	s.restores.Wait()
 	s.logFault("heal")
 	s.store.SetFault(hosted.FaultNone)
 	for _, proxy := range s.proxies {
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -42,6 +42,12 @@
 	endStoreFault func()
 	endLinkFault  map[int]func()
 
+	// storeCopy is the copy from which the store comes back next, restores are the losses in
+	// progress, lossCount is the number of losses so far.
+	storeCopy hosted.StoreCopy
+	restores  sync.WaitGroup
+	lossCount int
+
 	mu      sync.Mutex
 	history callHistory
 	// version is the last published version, keys are its keys.
@@ -92,7 +98,7 @@
 		program:      program,
 		random:       rand.New(rand.NewPCG(seed, 77)),
 		startedAt:    time.Now(),
-		record:       &faultRecord{published: map[string]time.Time{}},
+		record:       &faultRecord{published: map[string]time.Time{}, rewritten: map[string]time.Time{}},
 		endLinkFault: map[int]func(){},
 	}
 	s.history = callHistory{revoked: map[string]time.Time{}, removed: map[string]time.Time{}, record: s.record}
@@ -176,11 +182,14 @@
 	s.store.PutEndpoint(worker.ID, slot.service, slot.public, "ready")
 }
 
+// keptPaths is the number of versions that have the path of a version, its own included.
+const keptPaths = 3
+
 // publishVersion publishes the next version of the configuration. Each version adds a path
 // that the next two versions keep, and every other version adds a key and revokes the
 // oldest of more than two.
 func (s *soak) publishVersion() {
-	const keptPaths, keptKeys = 3, 2
+	const keptKeys = 2
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
--- a/internal/soak/history_red_test.go
+++ b/internal/soak/history_red_test.go
@@ -41,7 +41,8 @@
 		h.record.readiness = append(h.record.readiness, readinessSample{0, call.sent, false})
 	}
 	h.record.drainPeriods = []drainPeriod{{worker: "w1", from: start.Add(-time.Minute)}}
-	for _, name := range []string{"config in time", "drain in time", "readiness in time", "served in time"} {
+	h.record.rewritten = map[string]time.Time{"/version-1/": start}
+	for _, name := range []string{"config in time", "rewritten in time", "drain in time", "readiness in time", "served in time"} {
 		if violations := historyChecks[name](h); len(violations) > 0 {
 			t.Errorf("%s: %q", name, violations)
 		}
@@ -119,6 +120,15 @@
 			h.calls[2].sent = h.removed["/version-1/"].Add(maxConfigDelay + time.Millisecond)
 			h.calls[2].ended = h.calls[2].sent.Add(time.Second)
 		}},
+		"a path unknown after it was published again": {"rewritten in time", func(h *callHistory) {
+			call := h.calls[2]
+			call.id, call.status, call.body, call.gateway = "late", http.StatusNotFound, "", 1
+			call.sent = h.record.published[call.path].Add(stablePeriod + time.Millisecond)
+			call.ended = call.sent.Add(time.Second)
+			h.calls = append(h.calls, call)
+			h.record.rewritten = map[string]time.Time{call.path: call.sent.Add(-maxConfigDelay - time.Millisecond)}
+			h.record.vmFaults = []faultPeriod{{gateway: allVMs, from: h.calls[0].sent, to: call.sent.Add(-stablePeriod)}}
+		}},
 		"a draining worker": {"drain in time", func(h *callHistory) {
 			h.seen[0].Header = http.Header{"Cardamompoint-Expect-Instance": {"w1"}}
 			h.record.drainPeriods = []drainPeriod{{worker: "w1", from: h.calls[0].sent.Add(-maxConfigDelay - drainTime - time.Millisecond)}}
--- a/internal/soak/history_test.go
+++ b/internal/soak/history_test.go
@@ -87,6 +87,7 @@
 	"limits":   checkLimits,
 
 	"config in time":    checkConfigInTime,
+	"rewritten in time": checkRewrittenInTime,
 	"drain in time":     checkDrainInTime,
 	"readiness in time": checkReadyInTime,
 	"served in time":    checkServedInTime,
--- a/internal/soak/record_test.go
+++ b/internal/soak/record_test.go
@@ -21,6 +21,8 @@
 	drainPeriods []drainPeriod
 	// published is when a path was published.
 	published map[string]time.Time
+	// rewritten is when a path was last published again, after the store had lost it.
+	rewritten map[string]time.Time
 	// endOnHeal are the functions that heal calls to end fault periods.
 	endOnHeal []func()
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -77,19 +77,25 @@
 
 // injectFaults injects random faults for duration.
 func (s *soak) injectFaults(duration time.Duration) {
+	s.copyStore()
 	for end := time.Now().Add(duration); time.Now().Before(end); {
 		s.injectFault()
+		s.writeOtherItems()
 		time.Sleep(time.Duration(50+s.random.IntN(350)) * time.Millisecond)
 	}
 }
 
-// calmPhase ends all faults and waits until VMs count as undisturbed. Then one worker drains
-// and versions are published, so that the timing checks have something to check.
+// calmPhase ends all faults, sometimes with the store coming back from a copy last, and waits
+// until VMs count as undisturbed. Then one worker drains and versions are published, so that the
+// timing checks have something to check.
 func (s *soak) calmPhase() {
 	s.heal()
+	s.restoreStoreSometimes()
 	lift := s.nameLimit(s.randomSlot())
 	defer lift()
 	time.Sleep(stablePeriod)
+	s.restores.Wait()
+	s.expireReplaced()
 	slot := s.randomSlot()
 	s.logFault("worker at %s: drains in a calm phase", slot.public)
 	s.publishWorker(slot, "draining")
@@ -147,7 +153,7 @@
 			refused++
 		}
 	}
-	s.t.Logf("%d faults, %d versions, %d requests, %d served completely, %d rejected for a revoked key", len(s.injected), s.version, len(s.history.calls), served, refused)
+	s.t.Logf("%d faults, the store restored %d times, %d versions, %d requests, %d served completely, %d rejected for a revoked key", len(s.injected), s.lossCount, s.version, len(s.history.calls), served, refused)
 	if served == 0 {
 		s.t.Error("no request was served")
 	}
--- a/internal/standin/hosted/configuration.go
+++ b/internal/standin/hosted/configuration.go
@@ -136,11 +136,23 @@
 func (s *Store) DeleteEndpoint(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stop(id)
+	s.remove(endpointPrefix + id)
+}
+
+// StopEndpoint makes an endpoint write nothing any more. Its entry stays.
+func (s *Store) StopEndpoint(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stop(id)
+}
+
+// stop does the same as StopEndpoint. The caller must hold s.mu.
+func (s *Store) stop(id string) {
 	if registered, ok := s.registrations[id]; ok {
 		registered.left = true
 		s.registrations[id] = registered
 	}
-	s.remove(endpointPrefix + id)
 }
 
 // ExpireEndpoint deletes the entry of an endpoint that may still be alive.
--- a/internal/standin/hosted/store_copy_test.go
+++ b/internal/standin/hosted/store_copy_test.go
@@ -177,6 +177,8 @@
 	store.DeleteEndpoint("left")
 	store.PutEndpoint("draining", "plain", "a:3", "draining")
 	store.PutEndpoint("new", "plain", "a:4", "ready")
+	store.PutEndpoint("crashed", "plain", "a:5", "ready")
+	store.StopEndpoint("crashed")
 
 	store.Restore(contents)
 	store.RewriteConfiguration()
@@ -185,6 +187,9 @@
 	if err := json.Unmarshal(store.items[configurationKey].Value, &stored); err != nil || stored.Version != 2 {
 		t.Errorf("version %d, %v", stored.Version, err)
 	}
+	if _, ok := store.items[endpointPrefix+"crashed"]; ok {
+		t.Error("a crashed endpoint wrote its entry again")
+	}
 	states := map[string]string{}
 	sequences := map[string]int64{}
 	for _, id := range []string{"same", "left", "draining", "new"} {
