Make two cases of the silent endpoint test fail without the fix

The test keeps the engine in use now and counts executions; a longer gap target leaves 2.2 s for the change, so that a busy machine does not decide.

--- a/gateway/silent_endpoint_test.go
+++ b/gateway/silent_endpoint_test.go
@@ -14,22 +14,23 @@
 
 // TestSilentStreamIsNotCutWhenNoOtherEndpointMayTakeIt lets the only engine that may serve a
 // resumable stream pause for longer than the silence after which another one is tried: the caller
-// must get the whole stream, whatever forbids the next attempt.
+// must get the whole stream from that engine, whatever forbids the next attempt.
 func TestSilentStreamIsNotCutWhenNoOtherEndpointMayTakeIt(t *testing.T) {
 	for name, forbid := range map[string]func(f *testFleet){
-		"no other endpoint":  func(f *testFleet) { f.keepOnly("engine-1", "engines") },
+		"no other endpoint":  func(f *testFleet) { f.keepOnly(f.executing(silentID), "engines") },
 		"retry budget spent": (*testFleet).spendRetryBudget,
-		"route withdrawn":    func(f *testFleet) { f.publishChanged(withdrawRoster) },
-		"key withdrawn":      func(f *testFleet) { f.publishChanged(replaceKey) },
-		"fewer executions":   func(f *testFleet) { f.publishChanged(allowOneExecution) },
+		"route withdrawn":    func(f *testFleet) { f.publishChanged(3, allowLongGaps, withdrawRoster) },
+		"key withdrawn":      func(f *testFleet) { f.publishChanged(3, allowLongGaps, replaceKey) },
+		"fewer executions":   func(f *testFleet) { f.publishChanged(3, allowLongGaps, allowOneExecution) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newTestFleet(t, 1)
 			for _, id := range engineIDs {
-				f.workers[id].Events, f.workers[id].EventInterval = 3, 1500*time.Millisecond
+				f.workers[id].Events, f.workers[id].EventInterval = 2, 3*time.Second
 			}
-			request := f.newRequest(context.Background(), 1, "00000000000000c1", query{path: "/roster/1", promptParts: chatPromptParts})
+			f.publishChanged(2, allowLongGaps)
+			request := f.newRequest(context.Background(), 1, silentID, query{path: "/roster/1", promptParts: chatPromptParts})
 			response, err := http.DefaultClient.Do(request)
 			if err != nil {
 				t.Fatal(err)
@@ -41,13 +42,31 @@
 			}
 			forbid(f)
 			rest, err := io.ReadAll(reader)
-			if err != nil || !strings.HasSuffix(string(rest), "id: 3\ndata: piece 3\n\n") {
+			if err != nil || !strings.HasSuffix(string(rest), "id: 2\ndata: piece 2\n\n") {
 				t.Errorf("the rest of the stream is %q, %v", rest, err)
 			}
+			if runs := f.executions(silentID); runs != 1 {
+				t.Errorf("executed %d times", runs)
+			}
 		})
 	}
 }
 
+// silentID is the ID of a request whose endpoint is silent for a while.
+const silentID = "00000000000000c1"
+
+// executing returns the endpoint that has executed a request.
+func (f *testFleet) executing(id string) string {
+	f.t.Helper()
+	for name, worker := range f.workers {
+		if worker.Runs(id) > 0 {
+			return name
+		}
+	}
+	f.t.Fatalf("no endpoint has executed %s", id)
+	return ""
+}
+
 // keepOnly withdraws the endpoints of a service but one, and waits until the gateway knows it.
 func (f *testFleet) keepOnly(kept, service string) {
 	f.t.Helper()
@@ -68,13 +87,22 @@
 }
 
 // publishChanged publishes a changed configuration and waits until the gateway has it.
-func (f *testFleet) publishChanged(change func(*hosted.Configuration)) {
+func (f *testFleet) publishChanged(version int64, changes ...func(*hosted.Configuration)) {
 	f.t.Helper()
 	next := hosted.DefaultConfiguration()
-	next.Version = 2
-	change(&next)
+	next.Version = version
+	for _, change := range changes {
+		change(&next)
+	}
 	f.store.Publish(next)
-	f.eventually("the change is known", func() bool { return f.gateways[0].tracker.Snapshot().Configuration.Version == 2 })
+	f.eventually("the change is known", func() bool { return f.gateways[0].tracker.Snapshot().Configuration.Version == version })
+}
+
+// allowLongGaps leaves time to change something while an endpoint is silent.
+func allowLongGaps(c *hosted.Configuration) {
+	for i := range c.Routes {
+		c.Routes[i].GapTargetMS = 1000
+	}
 }
 
 func withdrawRoster(c *hosted.Configuration) {
