Refuse what a stopping VM may have to cut

Callers of a VM that was stopped in calm lost requests that may not be repeated: streams sent within the first second of the grace time were taken and cut at its end, a body that came late was passed on whenever it was complete, and so were further attempts. Requests on connections that had been opened and not used were read and closed without an answer. With less than 3.1 s of grace the process still took callers when it was to be killed.

Cause: nothing asked whether an answer can still be delivered once a request had been read; linger was fixed at 2.6 s and the margin at 0.5 s; http.Server.Shutdown closes a connection after it has read the first request on it.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -124,7 +124,7 @@
 
 // roundTrip sends the request and handles the response.
 func (x *exchange) roundTrip() outcome {
-	if err := x.checkLease(); err != nil {
+	if err := x.checkBeforeSend(); err != nil {
 		return outcome{result: resultNotExecuted, unsent: true, err: err}
 	}
 	if out, ok := x.send(); !ok {
@@ -142,6 +142,15 @@
 	return x.handleResponse()
 }
 
+// checkBeforeSend returns the reason why the request must not be sent any more, or nil: time has
+// passed since the endpoint was picked.
+func (c *call) checkBeforeSend() error {
+	if err := c.checkLease(); err != nil {
+		return err
+	}
+	return c.checkShutdown()
+}
+
 // recordFeedback records the load, the backoff, the limit and the shutdown that the endpoint
 // announces with its response. It ignores responses from another instance at the address, and
 // unsealed responses.
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -132,7 +132,7 @@
 	service string
 }
 
-// prepare decodes the request, authorizes it, reads its body and determines its timeout.
+// prepare decodes the request, authorizes it, determines its timeout and reads its body.
 func (c *call) prepare() error {
 	request, err := platform.DecodeRequest(c.r.Header)
 	c.request = request
@@ -146,14 +146,14 @@
 	if err := c.authorize(snapshot); err != nil {
 		return err
 	}
-	if err := c.readBody(snapshot.Configuration.Limits.BodyBytes); err != nil {
-		return err
-	}
 	c.timeout = c.grant.route.Timeout
 	if limit := request.Timeout; limit > 0 && (c.timeout <= 0 || limit < c.timeout) {
 		c.timeout = limit
 	}
-	return nil
+	if err := c.checkShutdown(); err != nil {
+		return err
+	}
+	return c.readBody(snapshot.Configuration.Limits.BodyBytes)
 }
 
 // authorize looks up the route and the workspace in the snapshot and stores them in c.grant. If
--- a/gateway/caller_limits.go
+++ b/gateway/caller_limits.go
@@ -78,6 +78,20 @@
 	}
 }
 
+// countSince returns the number of open connections that wait for a request since a time not before
+// earliest.
+func (i *idleCloser) countSince(earliest clock.Boot) int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	count := 0
+	for _, span := range i.spans {
+		if span.began >= earliest {
+			count++
+		}
+	}
+	return count
+}
+
 // expire closes a connection whose timer has fired, unless a request has begun since or the
 // limit has been raised.
 func (i *idleCloser) expire(conn net.Conn, span *idleSpan) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,9 +61,12 @@
 	started        clock.Boot
 	// startTimeouts bounds the waits of a VM that starts later than others.
 	startTimeouts startTimeouts
-	// linger is how long new connections are still accepted after SIGTERM.
-	linger   time.Duration
+	// linger is how long new connections are still accepted after SIGTERM, unless the grace
+	// period is too short.
+	linger time.Duration
+	// stopping reports whether this VM is stopping; shutdown is then set.
 	stopping atomic.Bool
+	shutdown atomic.Pointer[shutdownPlan]
 	// learned reports whether this VM knows the locations of prompt parts, so that peers can
 	// query it.
 	learned atomic.Bool
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -40,6 +40,9 @@
 	if err := c.authorize(snapshot); err != nil {
 		return choice.Pick{}, err
 	}
+	if err := c.checkShutdown(); err != nil {
+		return choice.Pick{}, err
+	}
 	if err := c.checkQuarantine(); err != nil {
 		return choice.Pick{}, err
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"log"
 	"net"
@@ -11,21 +10,11 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"k8s.io/klog/v2"
 
 	"cardamompoint.example/cardamompoint/internal/httpguard"
 )
 
 const (
-	// defaultLinger is how long new connections are still accepted after SIGTERM: the load
-	// balancer stops sending callers after the second readiness probe that does not return
-	// status 200.
-	defaultLinger = 2600 * time.Millisecond
-	// shutdownMargin is the time reserved before the end of the grace period, when the process
-	// is killed.
-	shutdownMargin = 500 * time.Millisecond
-	// defaultGracePeriod is the grace period if none is configured.
-	defaultGracePeriod = 8 * time.Second
 	// headerTimeout bounds the time to read a request header on all addresses but that for
 	// callers, idleTimeout the time between two requests.
 	headerTimeout = 5 * time.Second
@@ -40,6 +29,8 @@
 	name   string
 	net    net.Listener
 	server *http.Server
+	// conns are the connections of callers; only the listener for callers has them.
+	conns callerConns
 }
 
 // serve opens the listeners and serves them until stop ends or a server fails.
@@ -91,7 +82,7 @@
 			listeners = append(listeners, g.newCallerListener(l, at.handler))
 			continue
 		}
-		listeners = append(listeners, listener{at.name, l, newServer(at.handler)})
+		listeners = append(listeners, listener{name: at.name, net: l, server: newServer(at.handler)})
 	}
 	return listeners, nil
 }
@@ -107,7 +98,7 @@
 		ConnState:      conns.stateChanged,
 		ErrorLog:       log.New(io.Discard, "", 0),
 	}
-	return listener{frontName, guarded, server}
+	return listener{name: frontName, net: guarded, server: server, conns: conns}
 }
 
 // newServer returns a server for an address other than that for callers.
@@ -119,37 +110,3 @@
 		ErrorLog:          log.New(io.Discard, "", 0),
 	}
 }
-
-// shutDown stops accepting requests and waits until the requests in progress have finished,
-// within the grace period.
-func (g *Gateway) shutDown(listeners []listener) error {
-	g.stopping.Store(true)
-	began := time.Now()
-	klog.InfoS("gateway: stopping", "active", g.active.Load())
-	grace := g.bounds.Load().GracePeriod
-	if grace <= 0 {
-		grace = defaultGracePeriod
-	}
-	time.Sleep(g.linger)
-	ctx, cancel := context.WithTimeout(context.Background(), grace-shutdownMargin-time.Since(began))
-	defer cancel()
-	aborted := false
-	for _, l := range listeners {
-		if l.name != frontName {
-			continue
-		}
-		if err := l.server.Shutdown(ctx); errors.Is(err, context.DeadlineExceeded) {
-			aborted = true
-		}
-	}
-	klog.InfoS("gateway: stopped", "took_ms", time.Since(began).Milliseconds(), "cut", g.active.Load())
-	for _, l := range listeners {
-		if err := l.server.Close(); err != nil {
-			klog.V(1).InfoS("gateway: closing a server failed", "server", l.name, "reason", err.Error())
-		}
-	}
-	if aborted {
-		return errRequestsAborted
-	}
-	return nil
-}
--- /dev/null
+++ b/gateway/shutdown.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"cardamompoint.example/cardamompoint/internal/clock"
+)
+
+// shutDown stops accepting requests and waits until the requests in progress have finished,
+// within the grace period.
+func (g *Gateway) shutDown(listeners []listener) error {
+	began := clock.Now()
+	plan := planShutdown(began, g.bounds.Load().GracePeriod, g.linger)
+	g.shutdown.Store(plan)
+	g.stopping.Store(true)
+	klog.InfoS("gateway: stopping", "active", g.active.Load(), "linger_ms", plan.lingerEnd.Sub(began).Milliseconds(), "end_ms", plan.end.Sub(began).Milliseconds())
+	time.Sleep(plan.lingerEnd.Sub(clock.Now()))
+	aborted := false
+	for i := range listeners {
+		if listeners[i].name == frontName {
+			aborted = !g.finishRequests(&listeners[i], plan)
+		}
+	}
+	klog.InfoS("gateway: stopped", "took_ms", clock.Now().Sub(began).Milliseconds(), "cut", g.active.Load())
+	for _, l := range listeners {
+		if err := l.server.Close(); err != nil {
+			klog.V(1).InfoS("gateway: closing a server failed", "server", l.name, "reason", err.Error())
+		}
+	}
+	if aborted {
+		return errRequestsAborted
+	}
+	return nil
+}
+
+// finishRequests accepts no more connections and closes those of callers when their requests have
+// finished. It returns false if the plan ended before.
+func (g *Gateway) finishRequests(l *listener, plan *shutdownPlan) bool {
+	if err := l.net.Close(); err != nil {
+		klog.V(1).InfoS("gateway: closing a listener failed", "listener", l.name, "reason", err.Error())
+	}
+	l.server.SetKeepAlivesEnabled(false)
+	l.conns.awaitFirstRequests(plan)
+	ctx, cancel := context.WithTimeout(context.Background(), plan.end.Sub(clock.Now()))
+	defer cancel()
+	return !errors.Is(l.server.Shutdown(ctx), context.DeadlineExceeded)
+}
+
+const (
+	// firstRequestWait is how long a connection without a request is kept for its first one, as
+	// in http.Server.Shutdown.
+	firstRequestWait = 5 * time.Second
+	// firstRequestPoll is the interval between two checks.
+	firstRequestPoll = 20 * time.Millisecond
+)
+
+// awaitFirstRequests waits until no open connection waits for its first request, or the plan ends.
+// http.Server.Shutdown would close them without a response to a request that arrives then.
+func (c callerConns) awaitFirstRequests(plan *shutdownPlan) {
+	for clock.Now() < plan.end && c.idle.countSince(clock.Now().Add(-firstRequestWait)) > 0 {
+		time.Sleep(firstRequestPoll)
+	}
+}
--- /dev/null
+++ b/gateway/shutdown_plan.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"time"
+
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/gateway/gossip"
+	"cardamompoint.example/cardamompoint/internal/clock"
+)
+
+const (
+	// defaultLinger is how long new connections are still accepted after SIGTERM: the load
+	// balancer stops sending callers after the second readiness probe that does not return
+	// status 200.
+	defaultLinger = 2600 * time.Millisecond
+	// maxLingerShare is the largest share of the time until requests are aborted that linger
+	// takes up. Requests that arrive last need the rest.
+	maxLingerShare = 0.5
+	// shutdownMargin is the time reserved before the end of the grace period, when the process
+	// is killed, and maxMarginShare the largest share of the grace period that it takes up.
+	shutdownMargin = 500 * time.Millisecond
+	maxMarginShare = 1.0 / 8
+	// defaultGracePeriod is the grace period if none is configured.
+	defaultGracePeriod = 8 * time.Second
+	// startSlack is how long after linger a request may still be sent that has arrived before.
+	startSlack = 400 * time.Millisecond
+	// deliveryMargin is the time reserved between a request's timeout and the end of the
+	// requests in progress, for the delivery of the response.
+	deliveryMargin = 100 * time.Millisecond
+	// retryAfterElsewhere is the Retry-After value for callers that another VM can serve at once.
+	retryAfterElsewhere = 10 * time.Millisecond
+)
+
+// shutdownPlan divides the grace period of a VM that is stopping. It is immutable.
+type shutdownPlan struct {
+	// lingerEnd is when callers are no longer expected: the load balancer has noticed that
+	// the VM is not ready.
+	lingerEnd clock.Boot
+	// end is when requests in progress are aborted.
+	end clock.Boot
+}
+
+// planShutdown returns the plan for a stop that began at began.
+func planShutdown(began clock.Boot, grace, linger time.Duration) *shutdownPlan {
+	if grace <= 0 {
+		grace = defaultGracePeriod
+	}
+	span := grace - min(shutdownMargin, scale(grace, maxMarginShare))
+	linger = min(linger, scale(span, maxLingerShare))
+	return &shutdownPlan{lingerEnd: began.Add(linger), end: began.Add(span)}
+}
+
+// startingRequest is a request that is to be sent to an endpoint.
+type startingRequest struct {
+	// arrived is when the caller sent it.
+	arrived clock.Boot
+	// timeLeft is the rest of its timeout. bounded is false if it has none.
+	timeLeft time.Duration
+	bounded  bool
+	// repeatable reports whether the caller may send it again after it was aborted.
+	repeatable bool
+	// alone reports whether no other VM could serve it instead.
+	alone bool
+}
+
+// allows reports whether a request may be sent to an endpoint at now: if it ends in time, or if it
+// arrived before the load balancer's notice and may be sent again elsewhere after it was aborted.
+func (p *shutdownPlan) allows(request startingRequest, now clock.Boot) bool {
+	if request.bounded && now.Add(request.timeLeft+deliveryMargin) <= p.end {
+		return true
+	}
+	if request.arrived > p.lingerEnd || now > p.lingerEnd.Add(startSlack) {
+		return false
+	}
+	return request.repeatable || request.alone
+}
+
+// checkShutdown refuses the request if this VM is stopping and may abort it. A stream of which the
+// caller has a part goes on.
+func (c *call) checkShutdown() error {
+	plan := c.gateway.shutdown.Load()
+	if plan == nil || c.headerSent {
+		return nil
+	}
+	now := clock.Now()
+	left, bounded := c.timeLeft()
+	request := startingRequest{arrived: c.arrived, timeLeft: left, bounded: bounded, repeatable: c.grant.route.Retryable(), alone: c.gateway.isAlone(now)}
+	if plan.allows(request, now) {
+		return nil
+	}
+	after := retryAfterElsewhere
+	if request.alone {
+		after = retryAfterStale
+	}
+	return code.New(code.Draining, "the VM is stopping and could abort the request").After(after)
+}
+
+// isAlone reports whether no other VM is known to accept requests.
+func (g *Gateway) isAlone(now clock.Boot) bool {
+	alone := true
+	g.members.ForEachAlive(now, func(*gossip.Member) { alone = false })
+	return alone
+}
