Take early requests at a stopping VM that are expected to end in time

A request that came before the balancer's notice is taken if that fits before the end; later ones are taken only if their timeout fits, as before. What nothing is known of is refused. Tests of the stop are unchanged but for a column and three cases more.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,6 +67,8 @@
 	// stopping reports whether this VM is stopping; shutdown is then set.
 	stopping atomic.Bool
 	shutdown atomic.Pointer[shutdownPlan]
+	// longest holds how long answers take.
+	longest *longestTimes
 	// learned reports whether this VM knows the locations of prompt parts, so that peers can
 	// query it.
 	learned atomic.Bool
@@ -92,6 +94,7 @@
 		responseQuota:  newBodyQuota(settings.MemoryBytes, responseMemoryShare),
 		locationsKnown: make(chan struct{}),
 		shedders:       newShedders(),
+		longest:        newLongestTimes(),
 		crashes:        quarantine.NewLedger(),
 		table:          choice.NewTable(settings.FailureDomain, settings.Bounds.LoadMultiple),
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -82,6 +82,8 @@
 	switch out.result {
 	case resultDone:
 		c.recordStreamTime()
+		now := clock.Now()
+		c.gateway.longest.record(c.grant.service, now.Sub(c.attemptStarted), now)
 		c.result = code.OK
 		return true
 	case resultCallerGone:
--- a/gateway/shutdown_plan.go
+++ b/gateway/shutdown_plan.go
@@ -61,10 +61,13 @@
 	repeatable bool
 	// alone reports whether no other VM could serve it instead.
 	alone bool
+	// expected is how long it will take at most as far as is known; 0 if nothing is known.
+	expected time.Duration
 }
 
 // allows reports whether a request may be sent to an endpoint at now: if it ends in time, or if it
-// arrived before the load balancer's notice and may be sent again elsewhere after it was aborted.
+// arrived before the load balancer's notice and is expected to end in time, or may be sent again
+// elsewhere after it was aborted.
 func (p *shutdownPlan) allows(request startingRequest, now clock.Boot) bool {
 	if request.bounded && now.Add(request.timeLeft+deliveryMargin) <= p.end {
 		return true
@@ -72,7 +75,10 @@
 	if request.arrived > p.lingerEnd || now > p.lingerEnd.Add(startSlack) {
 		return false
 	}
-	return request.repeatable || request.alone
+	if request.repeatable || request.alone {
+		return true
+	}
+	return request.expected > 0 && now.Add(request.expected+deliveryMargin) <= p.end
 }
 
 // checkShutdown refuses the request if this VM is stopping and may abort it. A stream of which the
@@ -84,7 +90,14 @@
 	}
 	now := clock.Now()
 	left, bounded := c.timeLeft()
-	request := startingRequest{arrived: c.arrived, timeLeft: left, bounded: bounded, repeatable: c.grant.route.Retryable(), alone: c.gateway.isAlone(now)}
+	request := startingRequest{
+		arrived:    c.arrived,
+		timeLeft:   left,
+		bounded:    bounded,
+		repeatable: c.grant.route.Retryable(),
+		alone:      c.gateway.isAlone(now),
+		expected:   c.gateway.longest.expected(c.grant.service, now),
+	}
 	if plan.allows(request, now) {
 		return nil
 	}
--- a/gateway/shutdown_plan_test.go
+++ b/gateway/shutdown_plan_test.go
@@ -38,22 +38,26 @@
 		left           time.Duration
 		repeatable     bool
 		alone          bool
+		expected       time.Duration
 		want           bool
 	}{
-		{"ends in time", 0, 0, 2500 * time.Millisecond, false, false, true},
-		{"ends in time, late", 4800 * time.Millisecond, 4800 * time.Millisecond, 2500 * time.Millisecond, false, false, true},
-		{"ends too late", 5 * time.Second, 5 * time.Second, 2500 * time.Millisecond, false, false, false},
-		{"may end too late and can't be repeated", 0, 0, 15 * time.Second, false, false, false},
-		{"can't be repeated, but nobody else is there", 0, 0, 15 * time.Second, false, true, true},
-		{"may be resumed", 0, 0, 15 * time.Second, true, false, true},
-		{"may be resumed, last moment", defaultLinger, defaultLinger, 15 * time.Second, true, false, true},
-		{"may be resumed, waited", 2500 * time.Millisecond, 2900 * time.Millisecond, 15 * time.Second, true, false, true},
-		{"may be resumed, waited for long", 2500 * time.Millisecond, 3100 * time.Millisecond, 15 * time.Second, true, false, false},
-		{"may be resumed, late", 2700 * time.Millisecond, 2700 * time.Millisecond, 15 * time.Second, true, true, false},
-		{"has no timeout", 2700 * time.Millisecond, 2700 * time.Millisecond, 0, false, true, false},
-		{"arrived before the stop and waited", -time.Second, 100 * time.Millisecond, 14 * time.Second, false, false, false},
+		{"ends in time", 0, 0, 2500 * time.Millisecond, false, false, 0, true},
+		{"ends in time, late", 4800 * time.Millisecond, 4800 * time.Millisecond, 2500 * time.Millisecond, false, false, 0, true},
+		{"ends too late", 5 * time.Second, 5 * time.Second, 2500 * time.Millisecond, false, false, 0, false},
+		{"may end too late and can't be repeated", 0, 0, 15 * time.Second, false, false, 0, false},
+		{"can't be repeated, but nobody else is there", 0, 0, 15 * time.Second, false, true, 0, true},
+		{"may be resumed", 0, 0, 15 * time.Second, true, false, 0, true},
+		{"may be resumed, last moment", defaultLinger, defaultLinger, 15 * time.Second, true, false, 0, true},
+		{"may be resumed, waited", 2500 * time.Millisecond, 2900 * time.Millisecond, 15 * time.Second, true, false, 0, true},
+		{"may be resumed, waited for long", 2500 * time.Millisecond, 3100 * time.Millisecond, 15 * time.Second, true, false, 0, false},
+		{"may be resumed, late", 2700 * time.Millisecond, 2700 * time.Millisecond, 15 * time.Second, true, true, 0, false},
+		{"has no timeout", 2700 * time.Millisecond, 2700 * time.Millisecond, 0, false, true, 0, false},
+		{"arrived before the stop and waited", -time.Second, 100 * time.Millisecond, 14 * time.Second, false, false, 0, false},
+		{"can't be repeated, but is expected to end in time", 2 * time.Second, 2 * time.Second, 15 * time.Second, false, false, 3 * time.Second, true},
+		{"can't be repeated and is expected to end too late", 2 * time.Second, 2 * time.Second, 15 * time.Second, false, false, 6 * time.Second, false},
+		{"is expected to end in time, but came late", 2700 * time.Millisecond, 2700 * time.Millisecond, 15 * time.Second, false, false, time.Second, false},
 	} {
-		request := startingRequest{arrived: planBegan.Add(c.arrived), timeLeft: c.left, bounded: c.left > 0, repeatable: c.repeatable, alone: c.alone}
+		request := startingRequest{arrived: planBegan.Add(c.arrived), timeLeft: c.left, bounded: c.left > 0, repeatable: c.repeatable, alone: c.alone, expected: c.expected}
 		if got := plan.allows(request, planBegan.Add(c.after)); got != c.want {
 			t.Errorf("%s: %v", c.name, got)
 		}
