--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,9 +61,14 @@
 	started        clock.Boot
 	// startTimeouts bounds the waits of a VM that starts later than others.
 	startTimeouts startTimeouts
-	// linger is how long new connections are still accepted after SIGTERM.
-	linger   time.Duration
+	// linger is how long new connections are still accepted after SIGTERM, unless the grace
+	// period is too short.
+	linger time.Duration
+	// stopping reports whether this VM is stopping; shutdown is then set.
 	stopping atomic.Bool
+	shutdown atomic.Pointer[shutdownPlan]
+	// longest holds how long answers take.
+	longest *longestTimes
 	// learned reports whether this VM knows the locations of prompt parts, so that peers can
 	// query it.
 	learned atomic.Bool
@@ -89,6 +94,7 @@
 		responseQuota:  newBodyQuota(settings.MemoryBytes, responseMemoryShare),
 		locationsKnown: make(chan struct{}),
 		shedders:       newShedders(),
+		longest:        newLongestTimes(),
 		crashes:        quarantine.NewLedger(),
 		table:          choice.NewTable(settings.FailureDomain, settings.Bounds.LoadMultiple),
 	}
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -55,6 +55,9 @@
 	if err := c.authorize(snapshot); err != nil {
 		return err
 	}
+	if err := c.checkShutdown(); err != nil {
+		return err
+	}
 	if err := c.checkQuarantine(); err != nil {
 		return err
 	}
