--- a/gateway/shutdown_plan.go
+++ b/gateway/shutdown_plan.go
@@ -59,12 +59,13 @@
 	bounded  bool
 	// repeatable reports whether the caller may send it again after it was aborted.
 	repeatable bool
-	// alone reports whether no other VM could serve it instead.
-	alone bool
+	// elsewhere reports whether a caller that is refused most likely reaches a VM that takes it.
+	elsewhere bool
 }
 
 // allows reports whether a request may be sent to an endpoint at now: if it ends in time, or if it
-// arrived before the load balancer's notice and may be sent again elsewhere after it was aborted.
+// arrived before the load balancer's notice and either may be sent again after it was aborted or
+// would hardly be taken elsewhere.
 func (p *shutdownPlan) allows(request startingRequest, now clock.Boot) bool {
 	if request.bounded && now.Add(request.timeLeft+deliveryMargin) <= p.end {
 		return true
@@ -72,7 +73,7 @@
 	if request.arrived > p.lingerEnd || now > p.lingerEnd.Add(startSlack) {
 		return false
 	}
-	return request.repeatable || request.alone
+	return request.repeatable || !request.elsewhere
 }
 
 // checkShutdown refuses the request if this VM is stopping and may abort it. A stream of which the
@@ -84,20 +85,26 @@
 	}
 	now := clock.Now()
 	left, bounded := c.timeLeft()
-	request := startingRequest{arrived: c.arrived, timeLeft: left, bounded: bounded, repeatable: c.grant.route.Retryable(), alone: c.gateway.isAlone(now)}
+	request := startingRequest{arrived: c.arrived, timeLeft: left, bounded: bounded, repeatable: c.grant.route.Retryable(), elsewhere: c.gateway.isServedElsewhere(now)}
 	if plan.allows(request, now) {
 		return nil
 	}
-	after := retryAfterElsewhere
-	if request.alone {
-		after = retryAfterStale
+	after := retryAfterStale
+	if request.elsewhere {
+		after = retryAfterElsewhere
 	}
 	return code.New(code.Draining, "the VM is stopping and could abort the request").After(after)
 }
 
-// isAlone reports whether no other VM is known to accept requests.
-func (g *Gateway) isAlone(now clock.Boot) bool {
-	alone := true
-	g.members.ForEachAlive(now, func(*gossip.Member) { alone = false })
-	return alone
+// minServingShare is the share of all VMs that must accept requests for a refused caller to be
+// sent to another one.
+const minServingShare = 0.75
+
+// isServedElsewhere reports whether most VMs accept requests: refused callers of VMs that stop in
+// quick succession would come to the next VM that is stopping.
+func (g *Gateway) isServedElsewhere(now clock.Boot) bool {
+	serving := 0
+	g.members.ForEachAlive(now, func(*gossip.Member) { serving++ })
+	all, _ := g.members.CountAlive(now)
+	return float64(serving) >= minServingShare*float64(all)
 }
