Merge what stopping VMs take while many stop

Both rules hold: a request that can't be repeated is taken early if it is expected to end in time, or if it would hardly be taken elsewhere.

--- a/gateway/shutdown_plan.go
+++ b/gateway/shutdown_plan.go
@@ -59,15 +59,15 @@
 	bounded  bool
 	// repeatable reports whether the caller may send it again after it was aborted.
 	repeatable bool
-	// alone reports whether no other VM could serve it instead.
-	alone bool
+	// elsewhere reports whether a caller that is refused most likely reaches a VM that takes it.
+	elsewhere bool
 	// expected is how long it will take at most as far as is known; 0 if nothing is known.
 	expected time.Duration
 }
 
 // allows reports whether a request may be sent to an endpoint at now: if it ends in time, or if it
-// arrived before the load balancer's notice and is expected to end in time, or may be sent again
-// elsewhere after it was aborted.
+// arrived before the load balancer's notice and is expected to end in time, may be sent again after
+// it was aborted, or would hardly be taken elsewhere.
 func (p *shutdownPlan) allows(request startingRequest, now clock.Boot) bool {
 	if request.bounded && now.Add(request.timeLeft+deliveryMargin) <= p.end {
 		return true
@@ -75,7 +75,7 @@
 	if request.arrived > p.lingerEnd || now > p.lingerEnd.Add(startSlack) {
 		return false
 	}
-	if request.repeatable || request.alone {
+	if request.repeatable || !request.elsewhere {
 		return true
 	}
 	return request.expected > 0 && now.Add(request.expected+deliveryMargin) <= p.end
@@ -95,22 +95,28 @@
 		timeLeft:   left,
 		bounded:    bounded,
 		repeatable: c.grant.route.Retryable(),
-		alone:      c.gateway.isAlone(now),
+		elsewhere:  c.gateway.isServedElsewhere(now),
 		expected:   c.gateway.longest.expected(c.grant.service, now),
 	}
 	if plan.allows(request, now) {
 		return nil
 	}
-	after := retryAfterElsewhere
-	if request.alone {
-		after = retryAfterStale
+	after := retryAfterStale
+	if request.elsewhere {
+		after = retryAfterElsewhere
 	}
 	return code.New(code.Draining, "the VM is stopping and could abort the request").After(after)
 }
 
-// isAlone reports whether no other VM is known to accept requests.
-func (g *Gateway) isAlone(now clock.Boot) bool {
-	alone := true
-	g.members.ForEachAlive(now, func(*gossip.Member) { alone = false })
-	return alone
+// minServingShare is the share of all VMs that must accept requests for a refused caller to be
+// sent to another one.
+const minServingShare = 0.75
+
+// isServedElsewhere reports whether most VMs accept requests: refused callers of VMs that stop in
+// quick succession would come to the next VM that is stopping.
+func (g *Gateway) isServedElsewhere(now clock.Boot) bool {
+	serving := 0
+	g.members.ForEachAlive(now, func(*gossip.Member) { serving++ })
+	all, _ := g.members.CountAlive(now)
+	return float64(serving) >= minServingShare*float64(all)
 }
