Let a restored copy confirm what is known only after the operator has had time to write

Callers: with strict revocation, a VM that had missed the last changes before the store was lost accepted a revoked key from the moment at which it read the copy, though its lease had run out, until the operator wrote again or another VM told it.

Cause: a full read of a later era counted as confirmation of everything, also of what the copy lacks. Found by the reviewer; the test TestCopyDoesNotConfirmWhatItMayLack is theirs and failed before.

Data that a VM reads from the store within 1 s of the begin of an era count as confirmed only after that second; data from other VMs have that behind them.

--- a/gateway/knowledge/era_test.go
+++ b/gateway/knowledge/era_test.go
@@ -81,6 +81,7 @@
 	tracker := restoredTracker()
 	update := copyUpdate()
 	tracker.Apply(update, update.ConfirmedAt)
+	tracker.Expire(update.ConfirmedAt.Add(rewriteTime))
 	if at, _ := tracker.ConfirmedAt(); at != update.ConfirmedAt {
 		t.Errorf("the data was confirmed %v before the answer", update.ConfirmedAt.Sub(at))
 	}
@@ -153,3 +154,14 @@
 		t.Errorf("version %d with %d endpoints, want 9 with 3", snapshot.Configuration.Version, len(snapshot.Endpoints))
 	}
 }
+
+// TestCopyDoesNotConfirmWhatItMayLack lets a VM that missed the store's last changes read a copy from before them.
+func TestCopyDoesNotConfirmWhatItMayLack(t *testing.T) {
+	tracker := NewTracker(nil)
+	tracker.Apply(Update{Full: true, Era: 1, Revision: 10, ConfirmedAt: testStart, Items: []platform.Item{inEra(1, configurationItem(5, 1))}}, testStart)
+	read := testStart.Add(6 * time.Second)
+	tracker.Apply(Update{Full: true, Era: 2, Revision: 10, ConfirmedAt: read, Items: []platform.Item{inEra(2, configurationItem(5, 1))}}, read)
+	if at, _ := tracker.ConfirmedAt(); at > testStart {
+		t.Errorf("a key that version 6 revoked %v before would be accepted", read.Sub(testStart))
+	}
+}
--- a/gateway/knowledge/tracker.go
+++ b/gateway/knowledge/tracker.go
@@ -35,6 +35,10 @@
 	entries *entries
 	// position is the position in the store's history that the data is complete up to.
 	position traffic.Position
+	// confirmAfter is when the data of a restored copy may count as confirmed, unconfirmed the
+	// time that it was read until then; 0 if there is none.
+	confirmAfter clock.Boot
+	unconfirmed  clock.Boot
 	// updated is closed and replaced with each update.
 	updated  chan struct{}
 	onChange func(*Snapshot)
@@ -97,7 +101,7 @@
 	changed := t.applyConfiguration(&update)
 	if t.followsOn(&update, now) {
 		changed = t.applyEntries(&update, now) || changed
-		t.confirm(&update)
+		t.confirm(&update, now)
 	}
 	if changed || t.snapshot.Load().Position.IsZero() {
 		t.publish()
@@ -117,11 +121,19 @@
 	}
 	klog.InfoS("config: an era of the store begins", "era", update.Era, "revision", update.Revision,
 		"known_era", t.position.Era, "known_revision", t.position.Revision)
+	if !t.position.IsZero() && !update.DeletionsFinal {
+		t.confirmAfter, t.unconfirmed = now.Add(rewriteTime), 0
+	}
 	t.entries.beginEra(update.Era, now)
 	t.position = traffic.Position{Era: update.Era}
 	return true
 }
 
+// rewriteTime is how long after its return a restored store may lack what the operator had written
+// before. Until then, data read from the store does not count as confirmed: the copy may lack a
+// change that this VM has missed, too.
+const rewriteTime = time.Second
+
 // applyEntries applies the entries of an update. It reports whether an endpoint changed. The caller
 // holds the lock.
 func (t *Tracker) applyEntries(update *Update, now clock.Boot) bool {
@@ -139,14 +151,23 @@
 
 // confirm takes in up to which position an update is complete, and when that was so. The caller
 // holds the lock.
-func (t *Tracker) confirm(update *Update) {
+func (t *Tracker) confirm(update *Update, now clock.Boot) {
 	t.entries.recordPosition(update.Newest)
 	if t.position.After(update.Position()) {
 		return
 	}
 	t.position = update.Position()
-	if int64(update.ConfirmedAt) > t.confirmed.Load() {
-		t.confirmed.Store(int64(update.ConfirmedAt))
+	if now < t.confirmAfter && !update.DeletionsFinal {
+		t.unconfirmed = max(t.unconfirmed, update.ConfirmedAt)
+		return
+	}
+	t.raiseConfirmed(update.ConfirmedAt)
+}
+
+// raiseConfirmed raises confirmed. The caller holds the lock.
+func (t *Tracker) raiseConfirmed(at clock.Boot) {
+	if int64(at) > t.confirmed.Load() {
+		t.confirmed.Store(int64(at))
 	}
 }
 
@@ -230,11 +251,16 @@
 }
 
 // Expire removes the held endpoints that did not renew their entries by the end of
-// HoldAfterRecovery, and accepts doubted entries that still stand. It must be called every few
-// hundred milliseconds.
+// HoldAfterRecovery, accepts doubted entries that still stand, and confirms the data of a restored
+// copy. It must be called every few hundred milliseconds.
 func (t *Tracker) Expire(now clock.Boot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.unconfirmed != 0 && now >= t.confirmAfter {
+		t.raiseConfirmed(t.unconfirmed)
+		t.unconfirmed = 0
+		t.announce()
+	}
 	if t.entries.expire(now) {
 		t.publish()
 		t.announce()
