--- a/router/callers.go
+++ b/router/callers.go
@@ -29,8 +29,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		r.inProgress.Add(1)
 		defer r.inProgress.Add(-1)
-		if r.closing.Load() {
-			jsonhttp.WriteError(w, withRunUnknown(request, code.New(code.Draining, "the router is shutting down").After(busyRetryAfter)))
+		if err := r.checkClosing(); err != nil {
+			w.Header().Set("Connection", "close")
+			jsonhttp.WriteError(w, withRunUnknown(request, err))
 			return
 		}
 		if !r.synced.Load() {
@@ -40,3 +41,12 @@
 		next.ServeHTTP(w, request)
 	})
 }
+
+// checkClosing refuses a request that begins after the linger time of a shutdown. It must be called
+// again after the body was read, which takes as long as the caller likes.
+func (r *Router) checkClosing() error {
+	if !r.closing.Load() {
+		return nil
+	}
+	return code.New(code.Draining, "the router is shutting down").After(busyRetryAfter)
+}
