Quarantine requests that crash engines themselves, not only shared parts

Callers: a request that crashes each engine which begins to answer it ended with 502, its caller repeated it, and each repeat ended one more engine, with the answers in progress there.

Cause: quarantines knew only the parts of a prompt that requests share. If the request as a whole is deadly, sound requests with the same shared parts are answered, which clears them, and nothing was left that the repeats had in common. It was not a matter of retries or of their budget.

Change: the last part counts as a part. A shared part that explains as many crashes goes before it and is refused with any last part, so that repeats of a request with a deadly shared part do not narrow its quarantine. Observations that suspect nothing else are reported last and dropped first.

Evidence: TestRepeatedRequestThatCrashesEnginesIsStopped failed before: 10 of 10 repeats reached engines. Emulated requests have a last part of their own now.

--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -73,7 +73,7 @@
 	arrived clock.Boot
 
 	request traffic.Request
-	// promptParts are the IDs of the parts of the prompt that other requests may share.
+	// promptParts are the IDs of the parts of the prompt.
 	promptParts []uint64
 	body        []byte
 	// bodyBytes is the quota reserved for the request body.
@@ -139,7 +139,7 @@
 	if err != nil {
 		return err
 	}
-	c.promptParts = request.Prompt.SharedPartIDs()
+	c.promptParts = request.Prompt.PartIDs()
 	c.lastEventID = []byte(request.LastEventID)
 	c.awaitConfiguration()
 	snapshot := c.gateway.tracker.Snapshot()
--- a/gateway/crashing_prompt_test.go
+++ b/gateway/crashing_prompt_test.go
@@ -148,3 +148,34 @@
 		t.Errorf("%d of %d requests reached engines after %d crashes", got, serials, f.crashCount())
 	}
 }
+
+// TestRepeatedRequestThatCrashesEnginesIsStopped lets a caller repeat one request that crashes engines, at
+// all VMs. All its parts but the last are those of sound requests, which go on.
+func TestRepeatedRequestThatCrashesEnginesIsStopped(t *testing.T) {
+	const gateways, engines, maxCrashes, maxArrivals, repeats, soundEach = 3, 10, 3, 3, 10, 15
+	f := newCrashFleet(t, gateways, engines)
+	repeat := func(at int) result {
+		return f.ask(context.Background(), 1+at%gateways, query{path: "/roster/1", promptParts: fmt.Sprintf("a:500,b:400,%s:100", crashPart)})
+	}
+	serial := 0
+	for ; f.crashCount() < 2*maxCrashes && serial < 2*repeats; serial++ {
+		repeat(serial)
+		for range soundEach {
+			f.askSound(1+serial%gateways, serial)
+		}
+		time.Sleep(requestPause)
+	}
+	time.Sleep(time.Second)
+	var ids []string
+	for range repeats {
+		serial++
+		ids = append(ids, repeat(serial).id)
+		sound := f.askSound(1+serial%gateways, serial)
+		if sound.status != http.StatusOK || !sound.complete {
+			t.Errorf("a sound request ended with status %d, %v", sound.status, sound.err)
+		}
+	}
+	if got := f.arrivals(ids); got > maxArrivals {
+		t.Errorf("%d of %d repeats reached engines after %d crashes", got, repeats, f.crashCount())
+	}
+}
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -62,7 +62,7 @@
 		Version:        snapshot.Configuration.Version,
 		KnowledgeAgeMS: g.knowledgeAge(),
 		Service:        service,
-		Quarantine:     g.quarantineOf(request.Prompt.SharedPartIDs(), now),
+		Quarantine:     g.quarantineOf(request.Prompt.PartIDs(), now),
 		Limits:         g.limits.Status(snapshot.Ready[service], now),
 		Candidates:     candidates,
 	}, nil
--- a/gateway/gossip/crashes.go
+++ b/gateway/gossip/crashes.go
@@ -10,7 +10,7 @@
 	StartedMS int64
 	// Service is the name of the endpoint's service, empty if only the time of the crash is told.
 	Service string
-	// Parts are the IDs of all parts of the request's prompt but the last, or none.
+	// Parts are the IDs of all parts of the request's prompt, or none.
 	Parts []uint64
 	// AgeMS is the time since the crash, SentBeforeMS that from the request to the crash, and
 	// AnsweredBeforeMS that from the last answer of the endpoint's service to the crash, in
--- a/gateway/quarantine/bounds.go
+++ b/gateway/quarantine/bounds.go
@@ -47,16 +47,23 @@
 	}
 }
 
-// dropOldest drops the oldest observation on which no quarantine rests. The caller holds l.mu.
+// dropOldest drops the oldest observation on which no quarantine rests, if possible one that
+// suspects only the request's own part. The caller holds l.mu.
 func (l *Ledger) dropOldest() {
-	var oldest observationKey
-	var at clock.Boot
-	for key, o := range l.observations {
-		if (at == 0 || o.At < at) && !l.supportsQuarantine(o) {
-			oldest, at = key, o.At
+	var oldest *Observation
+	oldestShared := false
+	for _, o := range l.observations {
+		if l.supportsQuarantine(o) {
+			continue
 		}
+		shared := l.suspectsShared(o)
+		if oldest == nil || oldestShared && !shared || shared == oldestShared && compareObservations(o, oldest) < 0 {
+			oldest, oldestShared = o, shared
+		}
+	}
+	if oldest != nil {
+		delete(l.observations, oldest.key())
 	}
-	delete(l.observations, oldest)
 }
 
 // dropOldestCrash forgets when the engine crashed that did so first. The caller holds l.mu.
--- a/gateway/quarantine/emulated_fleet_test.go
+++ b/gateway/quarantine/emulated_fleet_test.go
@@ -43,7 +43,9 @@
 	engines []*emulatedEngine
 	service string
 	flights []*flight
-	network *reportnet.Network
+	// requests is the number of requests so far, without attempts after the first.
+	requests uint64
+	network  *reportnet.Network
 	// crashes are the times at which engines crashed under each deadly part.
 	crashes map[uint64][]clock.Boot
 	// lateArrivals counts requests with a deadly part that reached engines, sent by VMs in
@@ -88,6 +90,7 @@
 	firstTemplate = uint64(1000)
 	firstDocument = uint64(10_000)
 	firstDeadly   = uint64(100_000)
+	firstOwn      = uint64(1_000_000)
 )
 
 func newEmulatedFleet(options fleetOptions) *emulatedFleet {
@@ -137,12 +140,14 @@
 
 func (f *emulatedFleet) randomVM() *emulatedVM { return f.vms[f.random.IntN(len(f.vms))] }
 
+// soundParts returns the parts of a sound prompt. The last one is its own.
 func (f *emulatedFleet) soundParts() []uint64 {
 	document := f.random.IntN(f.documents)
-	return []uint64{firstTemplate + uint64(document%f.templates), firstDocument + uint64(document)}
+	f.requests++
+	return []uint64{firstTemplate + uint64(document%f.templates), firstDocument + uint64(document), firstOwn + f.requests}
 }
 
-// deadlyPrompt returns the parts of a sound prompt with a deadly part at a random place.
+// deadlyPrompt returns the parts of a sound prompt with a deadly part at a random place before the last.
 func (f *emulatedFleet) deadlyPrompt() []uint64 {
 	deadly := firstDeadly + f.random.Uint64N(uint64(f.deadlyParts))
 	return slices.Insert(f.soundParts(), f.random.IntN(3), deadly)
@@ -150,7 +155,7 @@
 
 // deadlyPart returns the deadly part of a prompt.
 func deadlyPart(parts []uint64) (uint64, bool) {
-	at := slices.IndexFunc(parts, func(part uint64) bool { return part >= firstDeadly })
+	at := slices.IndexFunc(parts, func(part uint64) bool { return part >= firstDeadly && part < firstOwn })
 	if at < 0 {
 		return 0, false
 	}
--- a/gateway/quarantine/judge.go
+++ b/gateway/quarantine/judge.go
@@ -45,7 +45,8 @@
 }
 
 // mostSuspected returns the suspicion with the most crashes, nil if there is none. Among
-// equal ones it prefers that with more companions, which concerns fewer requests.
+// equal ones it prefers a part that requests share, since it may explain further crashes, and then
+// that with more companions, which concerns fewer requests.
 func mostSuspected(open []*evidence, crashes *crashRecord) *suspicion {
 	byPart := map[uint64]*suspicion{}
 	for _, e := range open {
@@ -64,7 +65,7 @@
 		if len(s.independent) < minCrashes || s.chance(crashes) > maxChance {
 			continue
 		}
-		s.companions = commonSuspects(s.observations)
+		s.companions = s.commonSuspects()
 		if worst == nil || s.compare(worst) > 0 {
 			worst = s
 		}
@@ -93,7 +94,20 @@
 
 // compare returns a positive number if s is to be judged before other, and a negative one if after.
 func (s *suspicion) compare(other *suspicion) int {
-	return cmp.Or(cmp.Compare(len(s.independent), len(other.independent)), cmp.Compare(len(s.companions), len(other.companions)), cmp.Compare(other.part, s.part))
+	return cmp.Or(
+		cmp.Compare(len(s.independent), len(other.independent)),
+		cmp.Compare(s.sharedRank(), other.sharedRank()),
+		cmp.Compare(len(s.companions), len(other.companions)),
+		cmp.Compare(other.part, s.part),
+	)
+}
+
+// sharedRank returns 0 if the part is a request's own, and 1 if other requests share it.
+func (s *suspicion) sharedRank() int {
+	if s.observations[0].ownPart() == s.part {
+		return 0
+	}
+	return 1
 }
 
 const (
@@ -149,10 +163,12 @@
 	return lowest
 }
 
-// commonSuspects returns the suspected parts that all observations share, sorted.
-func commonSuspects(observations []*evidence) []uint64 {
-	common := slices.Clone(observations[0].suspects)
-	for _, o := range observations[1:] {
+// commonSuspects returns the suspected parts that all observations share, sorted. A request's own
+// part is none beside a shared one, which may crash engines under other requests.
+func (s *suspicion) commonSuspects() []uint64 {
+	own := s.observations[0].ownPart()
+	common := slices.DeleteFunc(slices.Clone(s.observations[0].suspects), func(part uint64) bool { return part == own && part != s.part })
+	for _, o := range s.observations[1:] {
 		common = slices.DeleteFunc(common, func(part uint64) bool { return !slices.Contains(o.suspects, part) })
 	}
 	slices.Sort(common)
--- a/gateway/quarantine/ledger.go
+++ b/gateway/quarantine/ledger.go
@@ -75,7 +75,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	o := Observation{
-		Engine: engine, Service: service, Parts: parts[:min(len(parts), maxObservedParts)],
+		Engine: engine, Service: service, Parts: observedParts(parts),
 		At: crashedAt, SentBefore: crashedAt.Sub(sentAt), AnsweredBefore: observationTTL,
 		Background: l.crashShare(crashedAt),
 	}
@@ -188,6 +188,12 @@
 	return open
 }
 
+// suspectsShared reports whether an observation suspects a part that other requests share. The
+// caller holds l.mu.
+func (l *Ledger) suspectsShared(o *Observation) bool {
+	return slices.ContainsFunc(l.suspects(o), func(part uint64) bool { return part != o.ownPart() })
+}
+
 // current returns the quarantines, judged anew if anything has changed. Quarantines that have
 // ended are among them. The caller holds l.mu.
 func (l *Ledger) current(now clock.Boot) []Quarantine {
--- a/gateway/quarantine/observation.go
+++ b/gateway/quarantine/observation.go
@@ -18,7 +18,8 @@
 	Engine traffic.Instance
 	// Service is the name of the engine's service.
 	Service string
-	// Parts are the IDs of all parts of the request's prompt but the last.
+	// Parts are the IDs of the parts of the request's prompt. The last one is the request's own:
+	// only its repeats share it.
 	Parts []uint64
 	// At is when the connection broke.
 	At clock.Boot
@@ -34,6 +35,22 @@
 // maxObservedParts bounds the parts of an Observation.
 const maxObservedParts = 64
 
+// observedParts returns the parts of a prompt that an observation names: the last one, and as many
+// of the first ones as fit.
+func observedParts(parts []uint64) []uint64 {
+	if len(parts) <= maxObservedParts {
+		return parts
+	}
+	observed := slices.Clone(parts[:maxObservedParts])
+	observed[maxObservedParts-1] = parts[len(parts)-1]
+	return observed
+}
+
+// ownPart returns the part that only repeats of the request share.
+func (o *Observation) ownPart() uint64 {
+	return o.Parts[len(o.Parts)-1]
+}
+
 // observationKey identifies an observation on all VMs.
 type observationKey struct {
 	engine traffic.Instance
--- a/gateway/quarantine/report.go
+++ b/gateway/quarantine/report.go
@@ -58,7 +58,8 @@
 }
 
 // reported returns the observations for a report. Of those on which no quarantine rests, the ones
-// with parts that were observed at the most engines come first. The caller holds l.mu.
+// with parts that were observed at the most engines come first, and after those that suspect a
+// shared part the ones that suspect the request's own part. The caller holds l.mu.
 func (l *Ledger) reported(now clock.Boot) []*Observation {
 	var chosen, others []*Observation
 	for _, q := range l.quarantines[:min(len(l.quarantines), maxReportedQuarantines)] {
@@ -70,8 +71,14 @@
 		}
 	}
 	engines := l.enginesByPart(others)
+	shared := map[*Observation]int{}
+	for _, o := range others {
+		if l.suspectsShared(o) {
+			shared[o] = 1
+		}
+	}
 	slices.SortFunc(others, func(a, b *Observation) int {
-		return cmp.Or(cmp.Compare(mostEngines(engines, b), mostEngines(engines, a)), compareObservations(b, a))
+		return cmp.Or(cmp.Compare(mostEngines(engines, b), mostEngines(engines, a)), cmp.Compare(shared[b], shared[a]), compareObservations(b, a))
 	})
 	return append(chosen, others[:min(len(others), maxReportedObservations)]...)
 }
--- a/gateway/traffic/request.go
+++ b/gateway/traffic/request.go
@@ -38,14 +38,13 @@
 	return p.Parts[:max(0, len(p.Parts)-1)]
 }
 
-// SharedPartIDs returns the IDs of all parts but the last one.
-func (p *Prompt) SharedPartIDs() []uint64 {
-	shared := p.SharedParts()
-	if len(shared) == 0 {
+// PartIDs returns the IDs of all parts.
+func (p *Prompt) PartIDs() []uint64 {
+	if len(p.Parts) == 0 {
 		return nil
 	}
-	ids := make([]uint64, len(shared))
-	for i, part := range shared {
+	ids := make([]uint64, len(p.Parts))
+	for i, part := range p.Parts {
 		ids[i] = part.ID
 	}
 	return ids
--- a/internal/standin/hosted/part_crash.go
+++ b/internal/standin/hosted/part_crash.go
@@ -11,8 +11,8 @@
 	run  func()
 }
 
-// ArmCrash makes the endpoint crash when it begins to answer a prompt with the given part ID, other
-// than as its last part. run must then close its listener and all connections.
+// ArmCrash makes the endpoint crash when it begins to answer a prompt with the given part ID. run must
+// then close its listener and all connections.
 func (w *Worker) ArmCrash(part string, run func()) {
 	w.crash.Store(&partCrash{part, run})
 }
@@ -20,5 +20,5 @@
 // matches reports whether a prompt causes the crash.
 func (c *partCrash) matches(prefix string) bool {
 	parts := strings.Split(prefix, ",")
-	return slices.ContainsFunc(parts[:len(parts)-1], func(part string) bool { return strings.HasPrefix(part, c.part+":") })
+	return slices.ContainsFunc(parts, func(part string) bool { return strings.HasPrefix(part, c.part+":") })
 }
