--- a/gateway/knowledge/snapshot.go
+++ b/gateway/knowledge/snapshot.go
@@ -1,6 +1,10 @@
 package knowledge
 
-import "cardamompoint.example/cardamompoint/gateway/traffic"
+import (
+	"sort"
+
+	"cardamompoint.example/cardamompoint/gateway/traffic"
+)
 
 // Snapshot is the state of a Tracker at one moment. It is immutable.
 type Snapshot struct {
@@ -14,3 +18,24 @@
 	// Position is the position in the store's history that the snapshot is complete up to.
 	Position traffic.Position
 }
+
+// publish stores a new snapshot and passes it to onChange. The caller holds the lock.
+func (t *Tracker) publish() {
+	next := &Snapshot{
+		Configuration: t.configuration,
+		Endpoints:     make(map[string]*traffic.Endpoint, len(t.entries.endpoints)),
+		Ready:         map[string][]*traffic.Endpoint{},
+		Position:      t.position,
+	}
+	for _, endpoint := range t.entries.endpoints {
+		next.Endpoints[endpoint.ID] = endpoint
+		if !endpoint.Draining {
+			next.Ready[endpoint.Service] = append(next.Ready[endpoint.Service], endpoint)
+		}
+	}
+	for _, ready := range next.Ready {
+		sort.Slice(ready, func(i, j int) bool { return ready[i].ID < ready[j].ID })
+	}
+	t.snapshot.Store(next)
+	t.onChange(next)
+}
--- a/gateway/knowledge/sync.go
+++ b/gateway/knowledge/sync.go
@@ -7,12 +7,9 @@
 	"io"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/internal/compress"
 	"cardamompoint.example/cardamompoint/platform"
 )
 
@@ -57,14 +54,6 @@
 	return SyncRequest{Position: t.position, ConfigurationVersion: t.version(), Newest: t.Newest()}
 }
 
-// version returns the version of the configuration, 0 if there is none. The caller holds the lock.
-func (t *Tracker) version() int64 {
-	if t.configuration == nil {
-		return 0
-	}
-	return t.configuration.Version
-}
-
 // WaitForChange waits until this Tracker has applied a change that the requester lacks, the data is
 // confirmed anew, or ctx ends.
 func (t *Tracker) WaitForChange(ctx context.Context, request SyncRequest) {
@@ -103,22 +92,6 @@
 	return response
 }
 
-// compressConfiguration returns the compressed configuration, nil if there was an error. It
-// keeps the result since many VMs request the same large configuration at once. The caller
-// holds the lock.
-func (t *Tracker) compressConfiguration() []byte {
-	if t.compressedConfiguration != nil {
-		return t.compressedConfiguration
-	}
-	var buffer bytes.Buffer
-	if err := compress.Write(&buffer, t.configurationItem.Value); err != nil {
-		klog.ErrorS(err, "config: compressing the configuration failed")
-		return nil
-	}
-	t.compressedConfiguration = buffer.Bytes()
-	return t.compressedConfiguration
-}
-
 // maxConfigurationBytes bounds a decompressed configuration.
 const maxConfigurationBytes = 16 << 20
 
--- a/gateway/knowledge/tombstone.go
+++ b/gateway/knowledge/tombstone.go
@@ -5,6 +5,7 @@
 
 	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/platform"
 )
 
 const (
@@ -22,3 +23,22 @@
 	// startedMS is the start of the endpoint that the entry described; 0 if it is not known.
 	startedMS int64
 }
+
+// addTombstone records a deletion, so that an older entry can't restore the key and that other VMs
+// receive the deletion.
+func (e *entries) addTombstone(deletion platform.Item, startedMS int64, now clock.Boot) {
+	for old, entry := range e.tombstones {
+		if now.Sub(entry.appliedAt) > tombstoneTTL || len(e.tombstones) >= maxTombstones {
+			delete(e.tombstones, old)
+			e.deletionsKnownAfter(entry.position)
+		}
+	}
+	e.tombstones[deletion.Key] = tombstone{deletion.Position(), now, startedMS}
+}
+
+// deletionsKnownAfter raises deletionsSince.
+func (e *entries) deletionsKnownAfter(position traffic.Position) {
+	if position.After(e.deletionsSince) {
+		e.deletionsSince = position
+	}
+}
--- a/gateway/knowledge/tracker.go
+++ b/gateway/knowledge/tracker.go
@@ -1,7 +1,6 @@
 package knowledge
 
 import (
-	"sort"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -170,49 +169,6 @@
 	return *t.newest.Load()
 }
 
-// applyConfiguration applies the configuration of an update, if it has one. It reports whether that
-// changed anything. The caller holds the lock.
-func (t *Tracker) applyConfiguration(update *Update) bool {
-	changed := false
-	for _, item := range update.Items {
-		if item.Key == platform.ConfigurationKey && !item.Deleted {
-			changed = t.acceptConfiguration(item) || changed
-		}
-	}
-	return changed
-}
-
-// acceptConfiguration puts a configuration into force if it is valid and its version is newer than
-// the known one. Versions, other than revisions, never go back. It reports whether it did. The
-// caller holds the lock.
-func (t *Tracker) acceptConfiguration(item platform.Item) bool {
-	if item.Position() == t.configurationItem.Position() {
-		return false
-	}
-	configuration, err := platform.DecodeConfiguration(item.Value)
-	if err != nil {
-		klog.ErrorS(err, "config: ignored an invalid configuration", "revision", item.Revision, "era", item.Era)
-		return false
-	}
-	if t.configuration != nil && configuration.Version <= t.configuration.Version {
-		t.logOldConfiguration(configuration.Version, item)
-		return false
-	}
-	t.configuration = configuration
-	t.configurationItem, t.compressedConfiguration = item, nil
-	t.entries.recordPosition(item.Position())
-	klog.InfoS("config: configuration applied", "version", configuration.Version, "revision", item.Revision, "era", item.Era, "routes", len(configuration.Routes))
-	return true
-}
-
-// logOldConfiguration logs a configuration that a restored copy has and that is older than the one in
-// force.
-func (t *Tracker) logOldConfiguration(version int64, item platform.Item) {
-	if version < t.configuration.Version {
-		klog.InfoS("config: ignored an older configuration", "version", version, "revision", item.Revision, "era", item.Era, "in_force", t.configuration.Version)
-	}
-}
-
 // MarkStoreLost records that an outage of the store began: from now on endpoints whose
 // entries expire are held.
 func (t *Tracker) MarkStoreLost() {
@@ -240,24 +196,3 @@
 		t.announce()
 	}
 }
-
-// publish stores a new snapshot and passes it to onChange. The caller holds the lock.
-func (t *Tracker) publish() {
-	next := &Snapshot{
-		Configuration: t.configuration,
-		Endpoints:     make(map[string]*traffic.Endpoint, len(t.entries.endpoints)),
-		Ready:         map[string][]*traffic.Endpoint{},
-		Position:      t.position,
-	}
-	for _, endpoint := range t.entries.endpoints {
-		next.Endpoints[endpoint.ID] = endpoint
-		if !endpoint.Draining {
-			next.Ready[endpoint.Service] = append(next.Ready[endpoint.Service], endpoint)
-		}
-	}
-	for _, ready := range next.Ready {
-		sort.Slice(ready, func(i, j int) bool { return ready[i].ID < ready[j].ID })
-	}
-	t.snapshot.Store(next)
-	t.onChange(next)
-}
