--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -13,6 +13,14 @@
 // forwarded.
 const maxBufferedBytes = 256 << 10
 
+// bufferedResponse is a complete response of an endpoint, held until the gateway decides
+// whether to deliver it to the caller or to retry.
+type bufferedResponse struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
 // forwardBuffered reads the complete response before it delivers it to the caller, so that a
 // failed response can be replaced by a retry.
 func (x *exchange) forwardBuffered() outcome {
--- /dev/null
+++ b/gateway/exchange.go
@@ -0,0 +1,142 @@
+package gateway
+
+import (
+	"net/http"
+
+	"cardamompoint.example/cardamompoint/gateway/choice"
+	"cardamompoint.example/cardamompoint/gateway/upstream"
+	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/platform"
+)
+
+// exchange is one attempt at one endpoint.
+type exchange struct {
+	*call
+	pick     choice.Pick
+	work     *choice.Work
+	conn     *upstream.Conn
+	response *http.Response
+	info     platform.ResponseInfo
+	// writeDone receives the result of a concurrent write, nil if the request was written
+	// before the response was read.
+	writeDone chan error
+	// answering reports whether the endpoint has sent the first event of a stream.
+	answering bool
+	// unreadBody reports whether a part of the response body was not read.
+	unreadBody bool
+	// answerBegan is when the endpoint sent the first bytes of an answer's body. proved reports
+	// whether the prompt is recorded as one that does not crash the endpoint.
+	answerBegan clock.Boot
+	proved      bool
+}
+
+// asyncWriteBytes is the request size from which the request is written concurrently with
+// reading the response: an endpoint may respond before it has read a long body.
+const asyncWriteBytes = 16 << 10
+
+// headerCapacity is the initial buffer capacity, in bytes, for a request line and header. Most
+// of them fit into it.
+const headerCapacity = 2 << 10
+
+// roundTrip sends the request and handles the response.
+func (x *exchange) roundTrip() outcome {
+	if err := x.checkBeforeSend(); err != nil {
+		return outcome{result: resultNotExecuted, unsent: true, err: err}
+	}
+	if out, ok := x.send(); !ok {
+		return out
+	}
+	x.conn.OnReadTimeout(x.waitLonger)
+	x.setReadDeadline(x.progressTimeout())
+	sentAt := clock.Now()
+	response, info, err := x.conn.ReadResponse(x.r.Method, x.request.ID)
+	if err != nil {
+		return x.classifyError(err)
+	}
+	x.response, x.info = response, info
+	x.gateway.metrics.ObserveFirstByte(clock.Now().Sub(sentAt))
+	x.recordFeedback()
+	return x.handleResponse()
+}
+
+// checkBeforeSend returns the reason why the request must not be sent any more, or nil: time has
+// passed since the endpoint was picked.
+func (c *call) checkBeforeSend() error {
+	if err := c.checkLease(); err != nil {
+		return err
+	}
+	return c.checkShutdown()
+}
+
+// send writes the request. ok is false if the write failed; out is then the outcome.
+func (x *exchange) send() (out outcome, ok bool) {
+	left, bounded := x.timeLeft()
+	if bounded && left <= 0 {
+		return outcome{result: resultTimedOut}, false
+	}
+	message := platform.EndpointRequest{
+		Method:      x.r.Method,
+		Target:      x.r.RequestURI,
+		Host:        x.r.Host,
+		Header:      x.r.Header,
+		BodyBytes:   len(x.body),
+		HasBody:     x.body != nil || x.r.ContentLength == 0 && x.r.Method != http.MethodGet,
+		Instance:    x.pick.Endpoint.ID,
+		Timeout:     left,
+		Priority:    x.priority(),
+		LastEventID: string(x.lastEventID),
+	}
+	if x.pick.FetchFrom != nil {
+		message.FetchAddress = x.pick.FetchFrom.Address
+	}
+	if x.grant.workspace != nil {
+		message.Workspace = x.grant.workspace.Name
+	}
+	head := message.AppendHead(make([]byte, 0, headerCapacity))
+	x.setDeadline()
+	if len(head)+len(x.body) > asyncWriteBytes {
+		x.writeDone = make(chan error, 1)
+		go func(conn *upstream.Conn) {
+			_, err := conn.Send(head, x.body)
+			x.writeDone <- err
+		}(x.conn)
+		return outcome{}, true
+	}
+	sent, err := x.conn.Send(head, x.body)
+	if err == nil {
+		return outcome{}, true
+	}
+	if !sent {
+		return x.checkCaller(outcome{result: resultNotExecuted, unsent: true, err: err}), false
+	}
+	return x.classifyError(err), false
+}
+
+// requestWritten reports whether the complete request was written.
+func (x *exchange) requestWritten() bool {
+	if x.writeDone == nil {
+		return true
+	}
+	select {
+	case err := <-x.writeDone:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// fullyRead reports whether the complete response was read, so that no bytes are left on the
+// connection.
+func (x *exchange) fullyRead(out outcome) bool {
+	if x.response == nil || x.unreadBody {
+		return false // The request was not sent, or its response was not read to the end.
+	}
+	switch out.result {
+	case resultDone, resultNotExecuted:
+		return true
+	case resultFailed:
+		return out.status != 0
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/gateway/exchange_deadline.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"time"
+
+	"cardamompoint.example/cardamompoint/internal/clock"
+)
+
+// setDeadline sets the deadline for reads and writes to the end of the caller's time.
+func (x *exchange) setDeadline() {
+	if err := x.conn.SetDeadline(x.deadlineAfter(0)); err != nil {
+		x.detail = connClosed
+	}
+}
+
+// setReadDeadline sets the deadline for the next reads: after progressTimeout, but at the latest
+// when the caller's time is up. A progressTimeout of 0 means that only the caller's time counts.
+func (x *exchange) setReadDeadline(progressTimeout time.Duration) {
+	if err := x.conn.SetReadDeadline(x.deadlineAfter(progressTimeout)); err != nil {
+		x.detail = connClosed
+	}
+}
+
+// connClosed is the detail of a request whose connection to the endpoint was closed before.
+const connClosed = "the connection was already closed"
+
+// deadlineAfter returns the time after wait, or the end of the caller's time if that is earlier. A
+// wait of 0 has no end.
+func (x *exchange) deadlineAfter(wait time.Duration) time.Time {
+	left, bounded := x.timeLeft()
+	if bounded && (wait <= 0 || left < wait) {
+		wait = max(left, time.Millisecond)
+	}
+	if wait <= 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(wait)
+}
+
+// lateReadTime is the time to read bytes that arrived in time but were not read in time.
+const lateReadTime = 10 * time.Millisecond
+
+// waitLonger returns until when to wait on for an endpoint that has been silent for the progress
+// timeout, or the zero time if the request is to be sent to another endpoint instead. An endpoint
+// is given up only for another one that may be tried.
+func (x *exchange) waitLonger(arrived bool) time.Time {
+	if left, bounded := x.timeLeft(); bounded && left <= 0 || x.r.Context().Err() != nil {
+		return time.Time{}
+	}
+	if arrived {
+		return time.Now().Add(lateReadTime)
+	}
+	if x.reserveRetry() {
+		return time.Time{}
+	}
+	x.silences++
+	x.gateway.table.RecordUnreachable(x.pick.Endpoint.ID, "silent, and no other endpoint may be tried", clock.Now())
+	return x.deadlineAfter(x.progressTimeout())
+}
