Give the settling of entries and the configuration types of their own

They are the types settling and configuration now, which know nothing of the rest; entries asks settling what is due. Held deletions are kept as items instead of being built again from their positions. What is published, and when, stays as it was.

Test: go test -race ./gateway/knowledge

--- a/gateway/knowledge/entries.go
+++ b/gateway/knowledge/entries.go
@@ -1,8 +1,6 @@
 package knowledge
 
 import (
-	"time"
-
 	"k8s.io/klog/v2"
 
 	"cardamompoint.example/cardamompoint/gateway/traffic"
@@ -12,10 +10,6 @@
 
 // entries holds the entries of endpoints in the store, in the order in which they were
 // written. It is not safe for concurrent use.
-//
-// A store that came back from a copy lists entries that are older than the known ones, and
-// entries of endpoints that are gone. Such an entry is doubted: the endpoint writes a newer one,
-// or the entry expires; if neither happens in time, it holds.
 type entries struct {
 	// items are the newest items by key, endpoints the valid ones decoded. Invalid items have no
 	// value.
@@ -25,21 +19,10 @@
 	tombstones map[string]tombstone
 	// deletionsSince is the position after which all deletions are in tombstones.
 	deletionsSince traffic.Position
-	// held are the keys of the endpoints whose entries may only have expired, with the
-	// positions of the deletions.
-	held map[string]traffic.Position
-	// doubted are the doubted items by key.
-	doubted map[string]platform.Item
+	// settling holds the items that are not applied yet.
+	settling settling
 	// newest is the position of the newest change that was applied.
 	newest traffic.Position
-	// storeLost reports whether the store is unavailable. holdUntil is the end of
-	// HoldAfterRecovery after the last outage, doubtUntil the time at which doubted items are
-	// applied.
-	storeLost  bool
-	holdUntil  clock.Boot
-	doubtUntil clock.Boot
-	// lifetime is how long the entry of an endpoint that has stopped stays in the store.
-	lifetime time.Duration
 }
 
 func newEntries() *entries {
@@ -47,12 +30,17 @@
 		items:      map[string]platform.Item{},
 		endpoints:  map[string]*traffic.Endpoint{},
 		tombstones: map[string]tombstone{},
-		held:       map[string]traffic.Position{},
-		doubted:    map[string]platform.Item{},
-		lifetime:   defaultEntryLifetime,
+		settling:   newSettling(),
 	}
 }
 
+// beginEra prepares for the items of a later era of the store. Endpoints that registered after
+// the copy was made get the time to write their entries again.
+func (e *entries) beginEra(era int64, now clock.Boot) {
+	e.settling.beginEra(len(e.items) > 0, now)
+	e.newest = traffic.Position{Era: era}
+}
+
 // recordPosition raises newest to the position of an applied item.
 func (e *entries) recordPosition(position traffic.Position) {
 	if position.After(e.newest) {
@@ -63,7 +51,7 @@
 // knownPosition returns the newest known position of a key, also of a deleted or doubted one.
 func (e *entries) knownPosition(key string) traffic.Position {
 	known := e.tombstones[key].position
-	for _, item := range []platform.Item{e.items[key], e.doubted[key]} {
+	for _, item := range []platform.Item{e.items[key], e.settling.doubted[key]} {
 		if item.Position().After(known) {
 			known = item.Position()
 		}
@@ -83,7 +71,7 @@
 	}
 	endpoint, err := platform.DecodeEndpoint(item)
 	if err == nil && item.Era > known.Era && e.isOutdated(endpoint, item.Key) {
-		e.doubt(item)
+		e.settling.doubt(item)
 		return false
 	}
 	return e.accept(item, endpoint, err)
@@ -92,8 +80,7 @@
 // accept stores an item as the newest one of its key. endpoint and err are the result of decoding
 // it. It reports whether the endpoints changed.
 func (e *entries) accept(item platform.Item, endpoint *traffic.Endpoint, err error) bool {
-	delete(e.held, item.Key)
-	delete(e.doubted, item.Key)
+	e.settling.forget(item.Key)
 	delete(e.tombstones, item.Key)
 	e.items[item.Key] = item
 	e.recordPosition(item.Position())
@@ -109,6 +96,15 @@
 	return true
 }
 
+// isOutdated reports whether an entry of a later era is older than what is known of its key.
+func (e *entries) isOutdated(listed *traffic.Endpoint, key string) bool {
+	if deletion, ok := e.tombstones[key]; ok {
+		return deletion.startedMS == 0 || listed.StartedMS <= deletion.startedMS
+	}
+	known, ok := e.endpoints[key]
+	return ok && listed.WrittenBefore(known)
+}
+
 // logEndpoint logs an endpoint that is new, was restarted or moved, or started or stopped
 // draining. before is nil for a new one.
 func logEndpoint(before, after *traffic.Endpoint) {
@@ -122,14 +118,13 @@
 // HoldAfterRecovery after it, it holds the endpoint instead, unless the deletion is final: its
 // entry may only have expired. It reports whether an endpoint was removed.
 func (e *entries) applyDeletion(item platform.Item, final bool, now clock.Boot) bool {
-	delete(e.doubted, item.Key)
+	delete(e.settling.doubted, item.Key)
 	if _, ok := e.items[item.Key]; !ok {
 		e.addTombstone(item, e.tombstones[item.Key].startedMS, now)
 		return false
 	}
-	if !final && (e.storeLost || now < e.holdUntil) {
-		e.held[item.Key] = item.Position()
-		klog.InfoS("config: expired endpoint is held", "key", item.Key, "revision", item.Revision, "era", item.Era)
+	if !final && e.settling.holdsDeletions(now) {
+		e.settling.hold(item)
 		return false
 	}
 	e.remove(item, now)
@@ -142,7 +137,7 @@
 	if endpoint, ok := e.endpoints[deletion.Key]; ok {
 		startedMS = endpoint.StartedMS
 	}
-	delete(e.held, deletion.Key)
+	delete(e.settling.held, deletion.Key)
 	delete(e.items, deletion.Key)
 	delete(e.endpoints, deletion.Key)
 	e.addTombstone(deletion, startedMS, now)
@@ -154,12 +149,7 @@
 // is of an earlier era may have registered after the copy was made, so it can be held in any case.
 // It reports whether any was removed.
 func (e *entries) removeUnlisted(update *Update, now clock.Boot) bool {
-	listed := make(map[string]bool, len(update.Items))
-	for i := range update.Items {
-		if !update.Items[i].Deleted {
-			listed[update.Items[i].Key] = true
-		}
-	}
+	listed := update.listedKeys()
 	changed := false
 	for key, item := range e.items {
 		if listed[key] || item.Position().After(update.Position()) {
@@ -170,14 +160,27 @@
 		changed = e.applyDeletion(deletion, final, now) || changed
 	}
 	e.deletionsKnownAfter(update.Position())
-	for key, item := range e.doubted {
-		if !listed[key] && !item.Position().After(update.Position()) {
-			delete(e.doubted, key)
-		}
-	}
+	e.settling.forgetUnlisted(listed, update.Position())
 	return changed
 }
 
+// settle removes the held endpoints that did not renew their entries in time, and accepts the
+// doubted entries that still stand. It reports whether there was any.
+func (e *entries) settle(now clock.Boot) bool {
+	settled := false
+	for _, deletion := range e.settling.dueDeletions(now) {
+		e.remove(deletion, now)
+		settled = true
+	}
+	for key, item := range e.settling.dueEntries(now) {
+		klog.InfoS("config: doubted entry is accepted", "key", key, "revision", item.Revision, "era", item.Era)
+		endpoint, err := platform.DecodeEndpoint(item)
+		e.accept(item, endpoint, err)
+		settled = true
+	}
+	return settled
+}
+
 // since returns the items after a position, or all of them. It includes all tombstones, since the
 // deletion of a held entry has a lower position than the requester's when it becomes final, and all
 // doubted items, since a requester without them would not accept them in time.
@@ -191,7 +194,7 @@
 			items = append(items, item)
 		}
 	}
-	for _, item := range e.doubted {
+	for _, item := range e.settling.doubted {
 		items = append(items, item)
 	}
 	return items
--- a/gateway/knowledge/settling.go
+++ b/gateway/knowledge/settling.go
@@ -15,83 +15,109 @@
 	// of the store are kept after it: they could not renew their entries meanwhile.
 	HoldAfterRecovery = 1900 * time.Millisecond
 	// defaultEntryLifetime is how long the entry of an endpoint that has stopped stays in the
-	// store if the settings do not tell.
+	// store if the settings do not specify it.
 	defaultEntryLifetime = 4 * time.Second
 )
 
-// beginEra prepares for the items of a later era of the store. Endpoints that registered after
-// the copy was made get the time to write their entries again.
-func (e *entries) beginEra(era int64, now clock.Boot) {
-	if len(e.items) > 0 {
-		e.storeLost = false
-		e.holdUntil = now.Add(HoldAfterRecovery)
-	}
-	e.doubtUntil = now.Add(HoldAfterRecovery + e.lifetime)
-	e.doubted = map[string]platform.Item{}
-	e.newest = traffic.Position{Era: era}
+// settling holds the items that are not applied yet, because it is open whether they still stand,
+// and decides when they are applied. It is not safe for concurrent use.
+//
+// The entry of an endpoint may expire during an outage of the store although the endpoint is alive:
+// its deletion is held until the endpoint had time to write its entry again. A store that came back
+// from a copy lists entries that are older than the known ones, and entries of endpoints that are
+// gone. Such an entry is doubted: the endpoint writes a newer one, or the entry expires; if neither
+// happens in time, it is applied.
+type settling struct {
+	// held are the held deletions by key, doubted the doubted entries.
+	held    map[string]platform.Item
+	doubted map[string]platform.Item
+	// storeLost reports whether the store is unavailable. holdUntil is the end of
+	// HoldAfterRecovery after the last outage, doubtUntil the time at which doubted entries are
+	// applied.
+	storeLost  bool
+	holdUntil  clock.Boot
+	doubtUntil clock.Boot
+	// entryLifetime is how long the entry of an endpoint that has stopped stays in the store.
+	entryLifetime time.Duration
 }
 
-// isOutdated reports whether an entry of a later era is older than what is known of its key.
-func (e *entries) isOutdated(listed *traffic.Endpoint, key string) bool {
-	if deletion, ok := e.tombstones[key]; ok {
-		return deletion.startedMS == 0 || listed.StartedMS <= deletion.startedMS
+func newSettling() settling {
+	return settling{
+		held:          map[string]platform.Item{},
+		doubted:       map[string]platform.Item{},
+		entryLifetime: defaultEntryLifetime,
 	}
-	known, ok := e.endpoints[key]
-	return ok && listed.WrittenBefore(known)
 }
 
-// doubt sets an item aside. The known endpoint, if any, stays as it is.
-func (e *entries) doubt(item platform.Item) {
-	delete(e.held, item.Key)
-	e.doubted[item.Key] = item
-	klog.InfoS("config: entry of a restored copy is doubted", "key", item.Key, "revision", item.Revision, "era", item.Era)
+// beginEra begins a later era of the store and drops the doubted entries of the one before. If any
+// entry is known, it also ends an outage and begins HoldAfterRecovery.
+func (s *settling) beginEra(hasEntries bool, now clock.Boot) {
+	if hasEntries {
+		s.storeLost = false
+		s.holdUntil = now.Add(HoldAfterRecovery)
+	}
+	s.doubtUntil = now.Add(HoldAfterRecovery + s.entryLifetime)
+	s.doubted = map[string]platform.Item{}
 }
 
 // markStoreLost begins an outage of the store.
-func (e *entries) markStoreLost() {
-	e.storeLost = true
+func (s *settling) markStoreLost() {
+	s.storeLost = true
 }
 
 // markStoreRestored ends an outage of the store, if there is one.
-func (e *entries) markStoreRestored(now clock.Boot) {
-	if e.storeLost {
-		e.storeLost = false
-		e.holdUntil = now.Add(HoldAfterRecovery)
+func (s *settling) markStoreRestored(now clock.Boot) {
+	if s.storeLost {
+		s.storeLost = false
+		s.holdUntil = now.Add(HoldAfterRecovery)
 	}
 }
 
-// expire removes the held endpoints that did not renew their entries in time, and accepts the
-// doubted items that still stand. It reports whether it changed anything.
-func (e *entries) expire(now clock.Boot) bool {
-	if e.storeLost {
-		return false
-	}
-	changed := false
-	if now >= e.holdUntil {
-		changed = e.removeHeld(now)
-	}
-	if now >= e.doubtUntil {
-		changed = e.acceptDoubted() || changed
+// holdsDeletions reports whether deletions that are not final are held at now.
+func (s *settling) holdsDeletions(now clock.Boot) bool {
+	return s.storeLost || now < s.holdUntil
+}
+
+// hold holds a deletion. The known endpoint stays in use.
+func (s *settling) hold(deletion platform.Item) {
+	s.held[deletion.Key] = deletion
+	klog.InfoS("config: expired endpoint is held", "key", deletion.Key, "revision", deletion.Revision, "era", deletion.Era)
+}
+
+// doubt sets an entry aside. The known endpoint, if any, stays as it is.
+func (s *settling) doubt(item platform.Item) {
+	delete(s.held, item.Key)
+	s.doubted[item.Key] = item
+	klog.InfoS("config: entry of a restored copy is doubted", "key", item.Key, "revision", item.Revision, "era", item.Era)
+}
+
+// forget drops what is held or doubted of a key.
+func (s *settling) forget(key string) {
+	delete(s.held, key)
+	delete(s.doubted, key)
+}
+
+// forgetUnlisted drops the doubted entries that a full list up to a position does not have.
+func (s *settling) forgetUnlisted(listed map[string]bool, position traffic.Position) {
+	for key, item := range s.doubted {
+		if !listed[key] && !item.Position().After(position) {
+			delete(s.doubted, key)
+		}
 	}
-	return changed
 }
 
-// removeHeld removes all held endpoints. It reports whether there was any.
-func (e *entries) removeHeld(now clock.Boot) bool {
-	found := len(e.held) > 0
-	for key, position := range e.held {
-		e.remove(platform.Item{Key: key, Era: position.Era, Revision: position.Revision, Deleted: true}, now)
+// dueDeletions returns the held deletions if they are to be applied at now.
+func (s *settling) dueDeletions(now clock.Boot) map[string]platform.Item {
+	if s.holdsDeletions(now) {
+		return nil
 	}
-	return found
+	return s.held
 }
 
-// acceptDoubted accepts all doubted items. It reports whether there was any.
-func (e *entries) acceptDoubted() bool {
-	found := len(e.doubted) > 0
-	for key, item := range e.doubted {
-		klog.InfoS("config: doubted entry is accepted", "key", key, "revision", item.Revision, "era", item.Era)
-		endpoint, err := platform.DecodeEndpoint(item)
-		e.accept(item, endpoint, err)
+// dueEntries returns the doubted entries if they are to be applied at now.
+func (s *settling) dueEntries(now clock.Boot) map[string]platform.Item {
+	if s.storeLost || now < s.doubtUntil {
+		return nil
 	}
-	return found
+	return s.doubted
 }
--- a/gateway/knowledge/snapshot.go
+++ b/gateway/knowledge/snapshot.go
@@ -19,23 +19,22 @@
 	Position traffic.Position
 }
 
-// publish stores a new snapshot and passes it to onChange. The caller holds the lock.
-func (t *Tracker) publish() {
-	next := &Snapshot{
-		Configuration: t.configuration,
-		Endpoints:     make(map[string]*traffic.Endpoint, len(t.entries.endpoints)),
+// newSnapshot returns a snapshot of a configuration, which may be nil, and the endpoints by key.
+func newSnapshot(configuration *traffic.Configuration, endpoints map[string]*traffic.Endpoint, position traffic.Position) *Snapshot {
+	snapshot := &Snapshot{
+		Configuration: configuration,
+		Endpoints:     make(map[string]*traffic.Endpoint, len(endpoints)),
 		Ready:         map[string][]*traffic.Endpoint{},
-		Position:      t.position,
+		Position:      position,
 	}
-	for _, endpoint := range t.entries.endpoints {
-		next.Endpoints[endpoint.ID] = endpoint
+	for _, endpoint := range endpoints {
+		snapshot.Endpoints[endpoint.ID] = endpoint
 		if !endpoint.Draining {
-			next.Ready[endpoint.Service] = append(next.Ready[endpoint.Service], endpoint)
+			snapshot.Ready[endpoint.Service] = append(snapshot.Ready[endpoint.Service], endpoint)
 		}
 	}
-	for _, ready := range next.Ready {
+	for _, ready := range snapshot.Ready {
 		sort.Slice(ready, func(i, j int) bool { return ready[i].ID < ready[j].ID })
 	}
-	t.snapshot.Store(next)
-	t.onChange(next)
+	return snapshot
 }
--- a/gateway/knowledge/sync.go
+++ b/gateway/knowledge/sync.go
@@ -51,7 +51,7 @@
 func (t *Tracker) SyncRequest() SyncRequest {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return SyncRequest{Position: t.position, ConfigurationVersion: t.version(), Newest: t.Newest()}
+	return SyncRequest{Position: t.position, ConfigurationVersion: t.configuration.version(), Newest: t.Newest()}
 }
 
 // WaitForChange waits until this Tracker has applied a change that the requester lacks, the data is
@@ -60,7 +60,7 @@
 	confirmed := t.confirmed.Load()
 	for {
 		t.mu.Lock()
-		updated, version := t.updated, t.version()
+		updated, version := t.updated, t.configuration.version()
 		t.mu.Unlock()
 		if t.Newest().After(request.Newest) || version > request.ConfigurationVersion || t.confirmed.Load() != confirmed {
 			return
@@ -82,8 +82,8 @@
 	if at, ok := t.ConfirmedAt(); ok {
 		response.AgeMS = now.Sub(at).Milliseconds() + 1
 	}
-	if t.version() > request.ConfigurationVersion {
-		response.Configuration, response.ConfigurationPosition = t.compressConfiguration(), t.configurationItem.Position()
+	if t.configuration.version() > request.ConfigurationVersion {
+		response.Configuration, response.ConfigurationPosition = t.configuration.compress(), t.configuration.item.Position()
 	}
 	if request.Position.Era <= t.position.Era {
 		response.Full = request.Position.IsZero() || t.entries.deletionsSince.After(request.Position)
--- a/gateway/knowledge/tracker.go
+++ b/gateway/knowledge/tracker.go
@@ -24,14 +24,9 @@
 	newest atomic.Pointer[traffic.Position]
 
 	mu sync.Mutex
-	// configuration is the decoded configurationItem.
-	configuration     *traffic.Configuration
-	configurationItem platform.Item
-	// compressedConfiguration is the compressed value of configurationItem, nil until
-	// it is needed.
-	compressedConfiguration []byte
-	// entries are the entries of the endpoints.
-	entries *entries
+	// configuration is the configuration in force, entries are the entries of the endpoints.
+	configuration configuration
+	entries       *entries
 	// position is the position in the store's history that the data is complete up to.
 	position traffic.Position
 	// updated is closed and replaced with each update.
@@ -62,7 +57,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if lifetime > 0 {
-		t.entries.lifetime = lifetime
+		t.entries.settling.entryLifetime = lifetime
 	}
 }
 
@@ -149,6 +144,19 @@
 	}
 }
 
+// applyConfiguration applies the configuration of an update, if it has one. It reports whether that
+// changed anything. The caller holds the lock.
+func (t *Tracker) applyConfiguration(update *Update) bool {
+	changed := false
+	for _, item := range update.Items {
+		if item.Key == platform.ConfigurationKey && !item.Deleted && t.configuration.accept(item) {
+			t.entries.recordPosition(item.Position())
+			changed = true
+		}
+	}
+	return changed
+}
+
 // announce makes newest known and wakes up who waits for a change. The caller holds the lock.
 func (t *Tracker) announce() {
 	newest := t.entries.newest
@@ -174,7 +182,7 @@
 func (t *Tracker) MarkStoreLost() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.entries.markStoreLost()
+	t.entries.settling.markStoreLost()
 }
 
 // MarkStoreRestored records that the outage is over. Held endpoints are kept for
@@ -182,7 +190,7 @@
 func (t *Tracker) MarkStoreRestored(now clock.Boot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.entries.markStoreRestored(now)
+	t.entries.settling.markStoreRestored(now)
 }
 
 // Expire removes the held endpoints that did not renew their entries by the end of
@@ -191,8 +199,15 @@
 func (t *Tracker) Expire(now clock.Boot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.entries.expire(now) {
+	if t.entries.settle(now) {
 		t.publish()
 		t.announce()
 	}
 }
+
+// publish stores a new snapshot and passes it to onChange. The caller holds the lock.
+func (t *Tracker) publish() {
+	next := newSnapshot(t.configuration.decoded, t.entries.endpoints, t.position)
+	t.snapshot.Store(next)
+	t.onChange(next)
+}
--- a/gateway/knowledge/unsettled.go
+++ b/gateway/knowledge/unsettled.go
@@ -34,10 +34,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var unsettled []UnsettledEntry
-	for key, position := range t.entries.held {
-		unsettled = append(unsettled, UnsettledEntry{strings.TrimPrefix(key, platform.EndpointPrefix), ReasonHeld, position})
+	for key, deletion := range t.entries.settling.held {
+		unsettled = append(unsettled, UnsettledEntry{strings.TrimPrefix(key, platform.EndpointPrefix), ReasonHeld, deletion.Position()})
 	}
-	for key, item := range t.entries.doubted {
+	for key, item := range t.entries.settling.doubted {
 		unsettled = append(unsettled, UnsettledEntry{strings.TrimPrefix(key, platform.EndpointPrefix), ReasonDoubted, item.Position()})
 	}
 	sort.Slice(unsettled, func(i, j int) bool { return unsettled[i].Endpoint < unsettled[j].Endpoint })
--- a/gateway/knowledge/update.go
+++ b/gateway/knowledge/update.go
@@ -29,3 +29,14 @@
 func (u *Update) Position() traffic.Position {
 	return traffic.Position{Era: u.Era, Revision: u.Revision}
 }
+
+// listedKeys returns the keys of the items that exist.
+func (u *Update) listedKeys() map[string]bool {
+	listed := make(map[string]bool, len(u.Items))
+	for i := range u.Items {
+		if !u.Items[i].Deleted {
+			listed[u.Items[i].Key] = true
+		}
+	}
+	return listed
+}
