--- a/router/source/client_test.go
+++ b/router/source/client_test.go
@@ -4,24 +4,18 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
-	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/internal/fleettest"
 )
 
 // answeringPlatform returns a client of a platform that answers each call with body.
 func answeringPlatform(t *testing.T, body string) *Client {
 	t.Helper()
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		io.WriteString(w, body) // An error means that the client has read enough.
-	}))
-	t.Cleanup(server.Close)
-	return NewClient(strings.TrimPrefix(server.URL, "http://"), nil)
+	return NewClient(fleettest.ServeBody(t, body), nil)
 }
 
 // nested returns an array of the given depth.
