Say the common beginning of the restored store tests once

Four of the tests began with the same five steps: a fleet, a copy, lost changes, version 2, wait for it. They are newCopiedFleet now, and the requests that all VMs must serve are expectServedByAll. Steps, order, counts and expectations are the same.

Test: go test -race ./gateway -run Restored

--- a/gateway/restored_fleet_test.go
+++ b/gateway/restored_fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"testing"
 	"time"
 
 	"cardamompoint.example/cardamompoint/internal/clock"
@@ -21,6 +22,18 @@
 	silentTime = 2 * time.Second
 )
 
+// newCopiedFleet starts a fleet of three VMs and returns a copy of its store from before version 2 and
+// lostChanges other changes, which all VMs know.
+func newCopiedFleet(t *testing.T) (*testFleet, hosted.StoreCopy) {
+	t.Helper()
+	f := newTestFleet(t, 3)
+	contents := f.store.Copy()
+	f.raiseRevision()
+	f.publish(2)
+	f.awaitVersion(2)
+	return f, contents
+}
+
 // loseStore lets the store be away for a moment and come back from a copy.
 func (f *testFleet) loseStore(contents hosted.StoreCopy) {
 	f.store.SetFault(hosted.FaultReset)
@@ -112,6 +125,15 @@
 	f.t.Helper()
 	const requests = 20
 	before := f.requestCount(id)
+	f.expectServedByAll(requests)
+	if count := f.requestCount(id) - before; count > 0 {
+		f.t.Errorf("%s got %d requests", id, count)
+	}
+}
+
+// expectServedByAll sends requests to each VM: all must be served.
+func (f *testFleet) expectServedByAll(requests int) {
+	f.t.Helper()
 	for number := 1; number <= len(f.gateways); number++ {
 		for range requests {
 			if got := f.ask(context.Background(), number, query{path: "/lookup/1"}); got.status != http.StatusOK {
@@ -119,7 +141,4 @@
 			}
 		}
 	}
-	if count := f.requestCount(id) - before; count > 0 {
-		f.t.Errorf("%s got %d requests", id, count)
-	}
 }
--- a/gateway/restored_store_test.go
+++ b/gateway/restored_store_test.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"context"
-	"net/http"
 	"testing"
 	"time"
 
@@ -30,11 +28,7 @@
 
 // TestUnreadVersionIsInForceAfterStoreIsRestored lets the store lose a version before any VM has read it.
 func TestUnreadVersionIsInForceAfterStoreIsRestored(t *testing.T) {
-	f := newTestFleet(t, 3)
-	contents := f.store.Copy()
-	f.raiseRevision()
-	f.publish(2)
-	f.awaitVersion(2)
+	f, contents := newCopiedFleet(t)
 	f.store.SetFault(hosted.FaultReset)
 	f.publish(3)
 	f.restoreStore(contents)
@@ -65,11 +59,7 @@
 // TestRestartedVMDoesNotGoBackAfterStoreIsRestored restarts a VM before the operator has written again: it must learn the newer version from the others.
 func TestRestartedVMDoesNotGoBackAfterStoreIsRestored(t *testing.T) {
 	for number := 1; number <= 3; number++ {
-		f := newTestFleet(t, 3)
-		contents := f.store.Copy()
-		f.raiseRevision()
-		f.publish(2)
-		f.awaitVersion(2)
+		f, contents := newCopiedFleet(t)
 		f.loseStore(contents)
 		f.restart(number)
 		f.awaitVersion(2)
@@ -160,11 +150,7 @@
 
 // TestNewEndpointIsUsedAfterStoreIsRestored starts an endpoint after the return, which gets a lower revision than the known ones.
 func TestNewEndpointIsUsedAfterStoreIsRestored(t *testing.T) {
-	f := newTestFleet(t, 3)
-	contents := f.store.Copy()
-	f.raiseRevision()
-	f.publish(2)
-	f.awaitVersion(2)
+	f, contents := newCopiedFleet(t)
 	f.restoreStore(contents)
 	f.addEndpoint("plain-3", "plain", 112)
 	f.awaitReadyOnAll(3)
@@ -172,19 +158,11 @@
 
 // TestKeysAreServedAfterStoreIsRestored waits until knowledge from before the return would be too old for keys.
 func TestKeysAreServedAfterStoreIsRestored(t *testing.T) {
-	f := newTestFleet(t, 3)
-	contents := f.store.Copy()
-	f.raiseRevision()
-	f.publish(2)
-	f.awaitVersion(2)
+	f, contents := newCopiedFleet(t)
 	f.restoreStore(contents)
 	returned := clock.Now()
 	f.awaitConfirmation(returned.Add(f.gateways[0].settings.Bounds.KeyLease))
-	for number := 1; number <= len(f.gateways); number++ {
-		if got := f.ask(context.Background(), number, query{path: "/lookup/1"}); got.status != http.StatusOK {
-			t.Errorf("VM %d: %+v", number, got)
-		}
-	}
+	f.expectServedByAll(1)
 }
 
 // TestChangesUnderReusedRevisionsAreReadAfterStoreIsRestored gives out all lost revisions again before any VM reads, so that no watch gets 410.
