Put comments and help texts into plain terms

Comments and help texts of metrics that spoke of endpoints, VMs and callers as people who tell, hear and know now name what is sent, recorded or returned.

Test: go test -race ./metrics ./code ./router/settings ./router/member ./internal/logsink ./internal/jsonhttp ./platform, go vet ./...

--- a/cmd/cardamompoint/status.go
+++ b/cmd/cardamompoint/status.go
@@ -79,7 +79,7 @@
 	}
 }
 
-// printUnsettled prints the entries of which it is open whether they still stand.
+// printUnsettled prints the held and doubted entries.
 func printUnsettled(w io.Writer, entries []knowledge.UnsettledEntry) {
 	for _, entry := range entries {
 		fmt.Fprintf(w, "  unsettled %s %s era=%d revision=%d\n", entry.Endpoint, entry.Reason, entry.Position.Era, entry.Position.Revision)
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -162,8 +162,8 @@
 }
 
 // authorize looks up the route and the workspace in the snapshot and stores them in c.grant. If
-// the route or the key is unknown and the data is not fresh, it tells the caller to retry, as
-// newer data may have them.
+// the route or the key is unknown and the data is not fresh, the caller gets a retryable
+// refusal, since newer data may have them.
 func (c *call) authorize(snapshot *knowledge.Snapshot) error {
 	configuration := snapshot.Configuration
 	if configuration == nil {
@@ -191,8 +191,7 @@
 	return c.checkLease()
 }
 
-// definitive returns err if the data of this VM is fresh, and otherwise a refusal that tells
-// the caller to retry.
+// definitive returns err if the data of this VM is fresh, and otherwise a retryable refusal.
 func (c *call) definitive(err *code.Error) error {
 	maxDelay := c.gateway.bounds.Load().MaxConfigDelay
 	if age := c.gateway.tracker.Age(clock.Now()); maxDelay > 0 && age > maxDelay+maxDelay/2 {
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -33,7 +33,7 @@
 	Limits []limit.Status `json:"limits,omitempty"`
 	// Candidates holds the endpoints in order of preference.
 	Candidates []choice.Candidate `json:"candidates"`
-	// Unsettled holds the entries of which it is open whether they still stand.
+	// Unsettled holds the held and doubted entries.
 	Unsettled []knowledge.UnsettledEntry `json:"unsettled,omitempty"`
 }
 
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -145,8 +145,8 @@
 	}
 }
 
-// repeatLabel returns the log value that tells whether the request may be executed again, never
-// or maybe. Under load the log sink drops lines with maybe first.
+// repeatLabel returns the log value for whether the request may be executed again: never or
+// maybe. Under load the log sink drops lines with maybe first.
 func (c *call) repeatLabel() string {
 	if c.grant.route != nil && !c.grant.route.Retryable() && !c.grant.route.Stream {
 		return "never"
--- a/gateway/first_configuration_test.go
+++ b/gateway/first_configuration_test.go
@@ -21,7 +21,7 @@
 		t.Fatal(err)
 	}
 	synctest.Test(t, func(t *testing.T) {
-		// The boot-time clock is not virtual, so the start is put where a wait can't end by itself.
+		// The boot-time clock is not virtual: a start in the future keeps waits from timing out.
 		g := &Gateway{tracker: knowledge.NewTracker(func(*knowledge.Snapshot) {}), started: clock.Now().Add(time.Hour)}
 		c := &call{gateway: g, r: httptest.NewRequest("GET", "/", nil)}
 		go func() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -205,7 +205,7 @@
 	g.limits.FillReport(report, now)
 }
 
-// applyReport takes in a report of another VM.
+// applyReport applies a report of another VM.
 func (g *Gateway) applyReport(report gossip.Report, now clock.Boot) {
 	g.table.ApplyReport(report, now)
 	g.crashes.ApplyReport(report, now)
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -25,13 +25,13 @@
 		{"cardamompoint.gateway_config_version", "Version of the configuration in force, 0 if there is none.", g.configVersion},
 		{"cardamompoint.gateway_knowledge_age", "Time since the knowledge was confirmed, in milliseconds.", g.knowledgeAge},
 		{"cardamompoint.gateway_store_era", "Era of the store, which rises when the store comes back from a copy.", g.storeEra},
-		{"cardamompoint.gateway_unsettled_entries", "Entries of endpoints of which it is open whether they still stand.", g.unsettledCount},
+		{"cardamompoint.gateway_unsettled_entries", "Endpoint entries that are held or doubted.", g.unsettledCount},
 		{"cardamompoint.gateway_members", "VMs that count as alive, this one included.", g.memberCount},
-		{"cardamompoint.gateway_endpoints", "Published endpoints that take new work.", g.endpointCount},
+		{"cardamompoint.gateway_endpoints", "Published endpoints that accept new requests.", g.endpointCount},
 		{"cardamompoint.gateway_idle_connections", "Idle connections to endpoints.", func() int64 { return int64(g.pool.Idle()) }},
 		{"cardamompoint.gateway_retry_budget", "Retries that are still allowed now, the minimum over all services.", g.minRetryBudget},
-		{"cardamompoint.gateway_limited_endpoints", "Endpoints that have named a limit on their requests.", g.limits.InForce},
-		{"cardamompoint.gateway_quarantines", "Prompt parts that are refused since engines crash on them.", g.quarantineCount},
+		{"cardamompoint.gateway_limited_endpoints", "Endpoints with a limit on their requests.", g.limits.InForce},
+		{"cardamompoint.gateway_quarantines", "Prompt parts that are refused because engines crash on them.", g.quarantineCount},
 		{"cardamompoint.gateway_log_lines_dropped", "Log lines that were dropped.", func() int64 { return g.droppedLines() }},
 	}
 	for _, gauge := range gauges {
--- a/gateway/gossip/crashes.go
+++ b/gateway/gossip/crashes.go
@@ -8,7 +8,7 @@
 	// Endpoint and StartedMS identify the instance that crashed.
 	Endpoint  string
 	StartedMS int64
-	// Service is the name of the endpoint's service, empty if only the time of the crash is told.
+	// Service is the name of the endpoint's service, empty if the sender reports only the time of the crash.
 	Service string
 	// Parts are the IDs of all parts of the request's prompt but the last, or none.
 	Parts []uint64
--- a/gateway/gossip/limits.go
+++ b/gateway/gossip/limits.go
@@ -12,7 +12,7 @@
 	// PerThousandSeconds is the number of requests in 1,000 seconds, 0 if the endpoint has
 	// lifted its limit.
 	PerThousandSeconds int
-	// AgeMS is the time since the endpoint said so, in milliseconds.
+	// AgeMS is the time since the endpoint named or lifted the limit, in milliseconds.
 	AgeMS int64
 }
 
--- a/gateway/gossip/query_coordinator.go
+++ b/gateway/gossip/query_coordinator.go
@@ -66,7 +66,7 @@
 type QueryCoordinator struct {
 	table *Table
 	// waitingSince is when the wait for a stable number of alive VMs began: at the start,
-	// and again when the first other VM was found.
+	// and again when the first other VM was discovered.
 	waitingSince clock.Boot
 	// lastAlive is the number of other VMs that were alive at the last Update.
 	lastAlive int
--- a/gateway/gossip/report.go
+++ b/gateway/gossip/report.go
@@ -61,7 +61,7 @@
 	Demands []ServiceDemand
 }
 
-// Heartbeat tells when a VM was last heard of, directly or relayed by others.
+// Heartbeat reports when a VM was last heard from, directly or through other VMs.
 type Heartbeat struct {
 	Address     string
 	Incarnation int64
@@ -96,7 +96,7 @@
 	PrefillTokens int
 }
 
-// PartLocation tells that an endpoint holds a prompt part in its cache.
+// PartLocation reports that an endpoint holds a prompt part in its cache.
 type PartLocation struct {
 	// Hash identifies the prompt part.
 	Hash     uint64 `json:"p"`
--- a/gateway/knowledge/reader.go
+++ b/gateway/knowledge/reader.go
@@ -51,8 +51,8 @@
 	othersProbe func() bool
 	// position is the position after which the next watch starts; zero means a full read.
 	position traffic.Position
-	// lostAt is when the calls to the store began to fail, 0 if they succeed. lost tells
-	// the same to StoreLost.
+	// lostAt is when the calls to the store began to fail, 0 if they succeed. lost
+	// reports whether lostAt is set, for StoreLost.
 	lostAt clock.Boot
 	lost   atomic.Bool
 	// backoff is the pause after the last failed call.
--- a/gateway/knowledge/settling.go
+++ b/gateway/knowledge/settling.go
@@ -19,8 +19,8 @@
 	defaultEntryLifetime = 4 * time.Second
 )
 
-// settling holds the items that are not applied yet, because it is open whether they still stand,
-// and decides when they are applied. It is not safe for concurrent use.
+// settling holds the items that are not applied yet because they may be superseded, and decides when
+// they are applied. It is not safe for concurrent use.
 //
 // The entry of an endpoint may expire during an outage of the store although the endpoint is alive:
 // its deletion is held until the endpoint had time to write its entry again. A store that came back
--- a/gateway/knowledge/tracker.go
+++ b/gateway/knowledge/tracker.go
@@ -131,8 +131,8 @@
 	return changed
 }
 
-// confirm takes in up to which position an update is complete, and when that was so. The caller
-// holds the lock.
+// confirm records the position that an update is complete up to, and the time of its confirmation.
+// The caller holds the lock.
 func (t *Tracker) confirm(update *Update) {
 	t.entries.recordPosition(update.Newest)
 	if t.position.After(update.Position()) {
@@ -157,7 +157,8 @@
 	return changed
 }
 
-// announce makes newest known and wakes up who waits for a change. The caller holds the lock.
+// announce publishes the newest position and wakes up the waiters for a change. The caller holds the
+// lock.
 func (t *Tracker) announce() {
 	newest := t.entries.newest
 	t.newest.Store(&newest)
--- a/gateway/knowledge/unsettled.go
+++ b/gateway/knowledge/unsettled.go
@@ -8,7 +8,7 @@
 	"cardamompoint.example/cardamompoint/platform"
 )
 
-// UnsettledReason is why it is open whether an entry still stands.
+// UnsettledReason is why an entry is unsettled: the store does not show yet whether it is valid.
 type UnsettledReason string
 
 // Values of UnsettledReason.
@@ -17,11 +17,11 @@
 	// endpoint is used.
 	ReasonHeld UnsettledReason = "held"
 	// ReasonDoubted means that the store came back from a copy and lists an entry that is older
-	// than what is known. What is known holds.
+	// than the known one, which stays in use.
 	ReasonDoubted UnsettledReason = "doubted"
 )
 
-// UnsettledEntry is an entry of which it is open whether it still stands.
+// UnsettledEntry is an entry that is held or doubted.
 type UnsettledEntry struct {
 	Endpoint string          `json:"endpoint"`
 	Reason   UnsettledReason `json:"reason"`
--- a/gateway/limit/limiter.go
+++ b/gateway/limit/limiter.go
@@ -50,7 +50,7 @@
 	peers map[string]map[string]demand
 	// shares are this VM's parts of the demand, by service.
 	shares map[string]cachedShare
-	// promised is the latest time at which a refused caller of a service was told to retry.
+	// promised is the latest retry time given to a refused caller, by service.
 	promised map[string]clock.Boot
 }
 
--- a/gateway/limit/report.go
+++ b/gateway/limit/report.go
@@ -64,7 +64,7 @@
 	}
 }
 
-// ApplyReport takes in the limits and the demand that another VM reports.
+// ApplyReport records the limits and the demand that another VM reports.
 func (l *Limiter) ApplyReport(report gossip.Report, now clock.Boot) {
 	if len(report.Limits) == 0 && len(report.Demands) == 0 {
 		return
--- a/gateway/longest.go
+++ b/gateway/longest.go
@@ -27,7 +27,7 @@
 	return &longestTimes{byService: map[string]*longestSpan{}}
 }
 
-// record takes in how long a complete answer of a service took.
+// record records the duration of a complete answer of a service.
 func (l *longestTimes) record(service string, took time.Duration, now clock.Boot) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/gateway/malformed_request_test.go
+++ b/gateway/malformed_request_test.go
@@ -38,8 +38,8 @@
 	}
 }
 
-// TestRequestForTheServerItselfGetsNoSuccess sends a request for no path, which net/http would answer
-// by itself: no success may come from the gateway.
+// TestRequestForTheServerItselfGetsNoSuccess sends a request without a path, which net/http would
+// answer without calling the handler: the gateway must not report success.
 func TestRequestForTheServerItselfGetsNoSuccess(t *testing.T) {
 	f := newTestFleet(t, 1)
 	if status := f.sendRaw(1, "OPTIONS * HTTP/1.1\r\nHost: desk.example\r\nCardamompoint-Attempt-Id: a1\r\n\r\n"); !strings.Contains(status, " 404 ") {
--- a/gateway/silent_endpoint_test.go
+++ b/gateway/silent_endpoint_test.go
@@ -67,7 +67,7 @@
 	return ""
 }
 
-// keepOnly withdraws the endpoints of a service but one, and waits until the gateway knows it.
+// keepOnly withdraws all but one endpoint of a service and waits until the gateway has applied that.
 func (f *testFleet) keepOnly(kept, service string) {
 	f.t.Helper()
 	g := f.gateways[0]
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -29,7 +29,7 @@
 	StoreLost bool   `json:"store_lost"`
 	// Position is the position in the store's history that this VM's data is complete up to.
 	Position traffic.Position `json:"position"`
-	// Unsettled holds the entries of which it is open whether they still stand.
+	// Unsettled holds the held and doubted entries.
 	Unsettled  []knowledge.UnsettledEntry `json:"unsettled,omitempty"`
 	InProgress int64                      `json:"in_progress"`
 	Members    []MemberStatus             `json:"members"`
--- a/gateway/upstream/patient_reader_test.go
+++ b/gateway/upstream/patient_reader_test.go
@@ -30,8 +30,8 @@
 
 const shortResponse = "HTTP/1.1 200 OK\r\nCardamompoint-Attempt-Id: a1\r\nContent-Length: 5\r\n\r\nright"
 
-// TestResponseThatArrivedInTimeIsReadLate lets the deadline pass while nobody reads the response
-// that has arrived: it must be read all the same.
+// TestResponseThatArrivedInTimeIsReadLate lets the deadline pass before the response that has
+// arrived is read: the response must still be returned.
 func TestResponseThatArrivedInTimeIsReadLate(t *testing.T) {
 	near, far := dialPair(t)
 	if _, err := io.WriteString(far, shortResponse); err != nil {
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -136,8 +136,8 @@
 }
 
 // TestCallersReturnWhenThereIsRoom plays a burst of four seconds, after which engines have room
-// for all: more of the callers that return when they are told to must be served than if they
-// returned at once, at hardly any cost to those that are served in time.
+// for all: more callers must be served if they return at the time given in the refusal than if
+// they returned at once, at hardly any cost to those that are served in time.
 func TestCallersReturnWhenThereIsRoom(t *testing.T) {
 	const seeds = 10
 	told, atOnce, value, earlyValue := 0.0, 0.0, 0.0, 0.0
--- a/internal/emulator/gateway_policy.go
+++ b/internal/emulator/gateway_policy.go
@@ -26,12 +26,12 @@
 	maxSends = 5
 )
 
-// GatewayPolicy places requests as the gateway does: each VM chooses by itself, with
+// GatewayPolicy places requests as the gateway does: each VM chooses on its own, with
 // packages choice and shed, and VMs exchange reports.
 type GatewayPolicy struct {
 	// NoShedding disables load shedding, so that only full engines reject requests.
 	NoShedding bool
-	// ReturnAtOnce lets refused callers return after a short time whatever they are told.
+	// ReturnAtOnce lets refused callers ignore the time given in a refusal and return soon.
 	ReturnAtOnce bool
 
 	sim *Simulation
@@ -163,7 +163,7 @@
 	p.tables[vm].RecordLoad(e.endpoint.ID, load, p.sim.now)
 }
 
-// PrefillDone tells the VM that the prompt is prefilled.
+// PrefillDone records at the VM that the prompt is prefilled.
 func (p *GatewayPolicy) PrefillDone(r *Request) {
 	if work := p.work[r]; work != nil {
 		work.PrefillDone()
--- a/internal/emulator/simulation.go
+++ b/internal/emulator/simulation.go
@@ -76,7 +76,7 @@
 }
 
 // Refuse refuses an attempt. Unless it has no retry left, the caller retries at a random VM
-// after the time that it is told, or after callerRetryDelay or more if that is 0. It waits for
+// after retryAfter, or after callerRetryDelay or more if that is 0. It waits for
 // at most a third of the time that it has left.
 func (sim *Simulation) Refuse(r *Request, retryAfter time.Duration) {
 	sim.result.Refusals++
--- a/internal/jsonhttp/client.go
+++ b/internal/jsonhttp/client.go
@@ -48,7 +48,7 @@
 }
 
 // NewPost returns a POST request with in as its JSON body. The request has no GetBody, so
-// that a transport never retries it by itself.
+// that a transport never retries it on its own.
 func NewPost(ctx context.Context, url string, in any) (*http.Request, error) {
 	raw, err := json.Marshal(in)
 	if err != nil {
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -72,7 +72,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	request := hosted.NewRequest(s.ip(call.gateway)+":7001", call.path, call.id).WithContext(ctx)
-	request.GetBody = nil // Keeps net/http from resending a request by itself.
+	request.GetBody = nil // Keeps net/http from resending the request.
 	request.Header.Set("Authorization", "Bearer "+call.key)
 	if isStream(call.path) {
 		part := call.promptPart
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -52,10 +52,10 @@
 	}{
 		{&g.requests, "cardamompoint.gateway_requests", "Requests of callers by result code and kind."},
 		{&g.sends, "cardamompoint.gateway_sends", "Requests sent to endpoints by attempt and outcome."},
-		{&g.connections, "cardamompoint.gateway_connections", "Connections to endpoints by what became of them."},
-		{&g.promptRead, "cardamompoint.gateway_prompt_read", "Shared prompt tokens that an endpoint had to read."},
-		{&g.promptHeld, "cardamompoint.gateway_prompt_held", "Shared prompt tokens that were expected to be held."},
-		{&g.events, "cardamompoint.gateway_events", "Pieces of streams passed on."},
+		{&g.connections, "cardamompoint.gateway_connections", "Connections to endpoints by event."},
+		{&g.promptRead, "cardamompoint.gateway_prompt_read", "Shared prompt tokens that an endpoint had to prefill."},
+		{&g.promptHeld, "cardamompoint.gateway_prompt_held", "Shared prompt tokens expected in the endpoint's cache."},
+		{&g.events, "cardamompoint.gateway_events", "Pieces of streams forwarded to callers."},
 	}
 	for _, counter := range counters {
 		instrument, err := g.meter.Int64Counter(counter.name, metric.WithDescription(counter.help))
@@ -74,7 +74,7 @@
 	}{
 		{&g.choice, "cardamompoint.gateway_choice", "Time to choose an endpoint."},
 		{&g.connect, "cardamompoint.gateway_connect", "Time to get a connection to an endpoint."},
-		{&g.firstByte, "cardamompoint.gateway_first_byte", "Time from sending to an endpoint to its answer's header."},
+		{&g.firstByte, "cardamompoint.gateway_first_byte", "Time from sending a request to an endpoint to the header of its answer."},
 		{&g.firstEvent, "cardamompoint.gateway_first_event", "Time from a request to the first event of its stream."},
 		{&g.pause, "cardamompoint.gateway_pause", "Longest pause between events of a stream."},
 		{&g.total, "cardamompoint.gateway_total", "Time from a request to the end of its answer."},
--- a/router/affinity/lookup_mode.go
+++ b/router/affinity/lookup_mode.go
@@ -1,6 +1,6 @@
 package affinity
 
-// LookupMode tells a home how to use its Index for a request.
+// LookupMode specifies how a home uses its Index for a request.
 type LookupMode string
 
 // The lookup modes.
--- a/router/member/exchange.go
+++ b/router/member/exchange.go
@@ -179,7 +179,7 @@
 	status.suspectedSince = time.Time{}
 }
 
-// suspectPeer starts the suspicion of a peer, which is to be told of it.
+// suspectPeer starts the suspicion of a peer. The next heartbeat to the peer reports it.
 func (t *Table) suspectPeer(status *Status, now time.Time) {
 	status.suspectedSince = now
 	status.notifySuspicion = true
@@ -207,7 +207,7 @@
 	t.updates.add(Update{Address: address, Counter: status.counter, Claim: ClaimSuspect})
 }
 
-// Leave marks this router as leaving and returns the update that tells its peers.
+// Leave marks this router as leaving and returns the update that announces it to its peers.
 func (t *Table) Leave() Update {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/router/once/clearance.go
+++ b/router/once/clearance.go
@@ -20,7 +20,7 @@
 	Reason string `json:"reason,omitempty"`
 }
 
-// ReleaseRequest tells a router that an attempt was abandoned and will never run
+// ReleaseRequest notifies a router that an attempt was abandoned and will never run
 // the key's work.
 type ReleaseRequest struct {
 	// Key is the key.
--- a/router/peer/client.go
+++ b/router/peer/client.go
@@ -76,7 +76,7 @@
 }
 
 // NewRequest returns a signed POST request. GetBody is nil, so that a transport
-// never repeats the request by itself. Default headers that routers don't read are
+// never repeats the request. Default headers that routers don't read are
 // suppressed.
 func (c *Client) NewRequest(ctx context.Context, address, path string, in any) (*http.Request, error) {
 	raw, err := json.Marshal(in)
