--- /dev/null
+++ b/gateway/knowledge/settling.go
@@ -0,0 +1,123 @@
+package knowledge
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"cardamompoint.example/cardamompoint/gateway/traffic"
+	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/platform"
+)
+
+const (
+	// HoldAfterRecovery is how long endpoints whose entries expired during an outage
+	// of the store are kept after it: they could not renew their entries meanwhile.
+	HoldAfterRecovery = 1900 * time.Millisecond
+	// defaultEntryLifetime is how long the entry of an endpoint that has stopped stays in the
+	// store if the settings do not specify it.
+	defaultEntryLifetime = 4 * time.Second
+)
+
+// settling holds the items that are not applied yet because they may be superseded, and decides when
+// they are applied. It is not safe for concurrent use.
+//
+// The entry of an endpoint may expire during an outage of the store although the endpoint is alive:
+// its deletion is held until the endpoint had time to write its entry again. A store that came back
+// from a copy lists entries that are older than the known ones, and entries of endpoints that are
+// gone. Such an entry is doubted: the endpoint writes a newer one, or the entry expires; if neither
+// happens in time, it is applied.
+type settling struct {
+	// held are the held deletions by key, doubted the doubted entries.
+	held    map[string]platform.Item
+	doubted map[string]platform.Item
+	// storeLost reports whether the store is unavailable. holdUntil is the end of
+	// HoldAfterRecovery after the last outage, doubtUntil the time at which doubted entries are
+	// applied.
+	storeLost  bool
+	holdUntil  clock.Boot
+	doubtUntil clock.Boot
+	// entryLifetime is how long the entry of an endpoint that has stopped stays in the store.
+	entryLifetime time.Duration
+}
+
+func newSettling() settling {
+	return settling{
+		held:          map[string]platform.Item{},
+		doubted:       map[string]platform.Item{},
+		entryLifetime: defaultEntryLifetime,
+	}
+}
+
+// beginEra begins a later era of the store and drops the doubted entries of the one before. If any
+// entry is known, it also ends an outage and begins HoldAfterRecovery.
+func (s *settling) beginEra(hasEntries bool, now clock.Boot) {
+	if hasEntries {
+		s.storeLost = false
+		s.holdUntil = now.Add(HoldAfterRecovery)
+	}
+	s.doubtUntil = now.Add(HoldAfterRecovery + s.entryLifetime)
+	s.doubted = map[string]platform.Item{}
+}
+
+// markStoreLost begins an outage of the store.
+func (s *settling) markStoreLost() {
+	s.storeLost = true
+}
+
+// markStoreRestored ends an outage of the store, if there is one.
+func (s *settling) markStoreRestored(now clock.Boot) {
+	if s.storeLost {
+		s.storeLost = false
+		s.holdUntil = now.Add(HoldAfterRecovery)
+	}
+}
+
+// holdsDeletions reports whether deletions that are not final are held at now.
+func (s *settling) holdsDeletions(now clock.Boot) bool {
+	return s.storeLost || now < s.holdUntil
+}
+
+// hold holds a deletion. The known endpoint stays in use.
+func (s *settling) hold(deletion platform.Item) {
+	s.held[deletion.Key] = deletion
+	klog.InfoS("config: expired endpoint is held", "key", deletion.Key, "revision", deletion.Revision, "era", deletion.Era)
+}
+
+// doubt sets an entry aside. The known endpoint, if any, stays as it is.
+func (s *settling) doubt(item platform.Item) {
+	delete(s.held, item.Key)
+	s.doubted[item.Key] = item
+	klog.InfoS("config: entry of a restored copy is doubted", "key", item.Key, "revision", item.Revision, "era", item.Era)
+}
+
+// forget drops what is held or doubted of a key.
+func (s *settling) forget(key string) {
+	delete(s.held, key)
+	delete(s.doubted, key)
+}
+
+// forgetUnlisted drops the doubted entries that a full list up to a position does not have.
+func (s *settling) forgetUnlisted(listed map[string]bool, position traffic.Position) {
+	for key, item := range s.doubted {
+		if !listed[key] && !item.Position().After(position) {
+			delete(s.doubted, key)
+		}
+	}
+}
+
+// dueDeletions returns the held deletions if they are to be applied at now.
+func (s *settling) dueDeletions(now clock.Boot) map[string]platform.Item {
+	if s.holdsDeletions(now) {
+		return nil
+	}
+	return s.held
+}
+
+// dueEntries returns the doubted entries if they are to be applied at now.
+func (s *settling) dueEntries(now clock.Boot) map[string]platform.Item {
+	if s.storeLost || now < s.doubtUntil {
+		return nil
+	}
+	return s.doubted
+}
--- a/gateway/knowledge/snapshot.go
+++ b/gateway/knowledge/snapshot.go
@@ -1,6 +1,10 @@
 package knowledge
 
-import "cardamompoint.example/cardamompoint/gateway/traffic"
+import (
+	"sort"
+
+	"cardamompoint.example/cardamompoint/gateway/traffic"
+)
 
 // Snapshot is the state of a Tracker at one moment. It is immutable.
 type Snapshot struct {
@@ -14,3 +18,23 @@
 	// Position is the position in the store's history that the snapshot is complete up to.
 	Position traffic.Position
 }
+
+// newSnapshot returns a snapshot of a configuration, which may be nil, and the endpoints by key.
+func newSnapshot(configuration *traffic.Configuration, endpoints map[string]*traffic.Endpoint, position traffic.Position) *Snapshot {
+	snapshot := &Snapshot{
+		Configuration: configuration,
+		Endpoints:     make(map[string]*traffic.Endpoint, len(endpoints)),
+		Ready:         map[string][]*traffic.Endpoint{},
+		Position:      position,
+	}
+	for _, endpoint := range endpoints {
+		snapshot.Endpoints[endpoint.ID] = endpoint
+		if !endpoint.Draining {
+			snapshot.Ready[endpoint.Service] = append(snapshot.Ready[endpoint.Service], endpoint)
+		}
+	}
+	for _, ready := range snapshot.Ready {
+		sort.Slice(ready, func(i, j int) bool { return ready[i].ID < ready[j].ID })
+	}
+	return snapshot
+}
--- a/gateway/knowledge/sync.go
+++ b/gateway/knowledge/sync.go
@@ -7,12 +7,9 @@
 	"io"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
-	"cardamompoint.example/cardamompoint/internal/compress"
 	"cardamompoint.example/cardamompoint/platform"
 )
 
@@ -54,15 +51,7 @@
 func (t *Tracker) SyncRequest() SyncRequest {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return SyncRequest{Position: t.position, ConfigurationVersion: t.version(), Newest: t.Newest()}
-}
-
-// version returns the version of the configuration, 0 if there is none. The caller holds the lock.
-func (t *Tracker) version() int64 {
-	if t.configuration == nil {
-		return 0
-	}
-	return t.configuration.Version
+	return SyncRequest{Position: t.position, ConfigurationVersion: t.configuration.version(), Newest: t.Newest()}
 }
 
 // WaitForChange waits until this Tracker has applied a change that the requester lacks, the data is
@@ -71,7 +60,7 @@
 	confirmed := t.confirmed.Load()
 	for {
 		t.mu.Lock()
-		updated, version := t.updated, t.version()
+		updated, version := t.updated, t.configuration.version()
 		t.mu.Unlock()
 		if t.Newest().After(request.Newest) || version > request.ConfigurationVersion || t.confirmed.Load() != confirmed {
 			return
@@ -93,8 +82,8 @@
 	if at, ok := t.ConfirmedAt(); ok {
 		response.AgeMS = now.Sub(at).Milliseconds() + 1
 	}
-	if t.version() > request.ConfigurationVersion {
-		response.Configuration, response.ConfigurationPosition = t.compressConfiguration(), t.configurationItem.Position()
+	if t.configuration.version() > request.ConfigurationVersion {
+		response.Configuration, response.ConfigurationPosition = t.configuration.compress(), t.configuration.item.Position()
 	}
 	if request.Position.Era <= t.position.Era {
 		response.Full = request.Position.IsZero() || t.entries.deletionsSince.After(request.Position)
@@ -103,22 +92,6 @@
 	return response
 }
 
-// compressConfiguration returns the compressed configuration, nil if there was an error. It
-// keeps the result since many VMs request the same large configuration at once. The caller
-// holds the lock.
-func (t *Tracker) compressConfiguration() []byte {
-	if t.compressedConfiguration != nil {
-		return t.compressedConfiguration
-	}
-	var buffer bytes.Buffer
-	if err := compress.Write(&buffer, t.configurationItem.Value); err != nil {
-		klog.ErrorS(err, "config: compressing the configuration failed")
-		return nil
-	}
-	t.compressedConfiguration = buffer.Bytes()
-	return t.compressedConfiguration
-}
-
 // maxConfigurationBytes bounds a decompressed configuration.
 const maxConfigurationBytes = 16 << 20
 
--- a/gateway/knowledge/tracker.go
+++ b/gateway/knowledge/tracker.go
@@ -1,7 +1,6 @@
 package knowledge
 
 import (
-	"sort"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -25,14 +24,9 @@
 	newest atomic.Pointer[traffic.Position]
 
 	mu sync.Mutex
-	// configuration is the decoded configurationItem.
-	configuration     *traffic.Configuration
-	configurationItem platform.Item
-	// compressedConfiguration is the compressed value of configurationItem, nil until
-	// it is needed.
-	compressedConfiguration []byte
-	// entries are the entries of the endpoints.
-	entries *entries
+	// configuration is the configuration in force, entries are the entries of the endpoints.
+	configuration configuration
+	entries       *entries
 	// position is the position in the store's history that the data is complete up to.
 	position traffic.Position
 	// confirmAfter is when the data of a restored copy may count as confirmed, unconfirmed the
@@ -67,7 +61,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if lifetime > 0 {
-		t.entries.lifetime = lifetime
+		t.entries.settling.entryLifetime = lifetime
 	}
 }
 
@@ -149,8 +143,8 @@
 	return changed
 }
 
-// confirm takes in up to which position an update is complete, and when that was so. The caller
-// holds the lock.
+// confirm records the position that an update is complete up to, and the time of its confirmation.
+// The caller holds the lock.
 func (t *Tracker) confirm(update *Update, now clock.Boot) {
 	t.entries.recordPosition(update.Newest)
 	if t.position.After(update.Position()) {
@@ -171,7 +165,21 @@
 	}
 }
 
-// announce makes newest known and wakes up who waits for a change. The caller holds the lock.
+// applyConfiguration applies the configuration of an update, if it has one. It reports whether that
+// changed anything. The caller holds the lock.
+func (t *Tracker) applyConfiguration(update *Update) bool {
+	changed := false
+	for _, item := range update.Items {
+		if item.Key == platform.ConfigurationKey && !item.Deleted && t.configuration.accept(item) {
+			t.entries.recordPosition(item.Position())
+			changed = true
+		}
+	}
+	return changed
+}
+
+// announce publishes the newest position and wakes up the waiters for a change. The caller holds the
+// lock.
 func (t *Tracker) announce() {
 	newest := t.entries.newest
 	t.newest.Store(&newest)
@@ -191,55 +199,12 @@
 	return *t.newest.Load()
 }
 
-// applyConfiguration applies the configuration of an update, if it has one. It reports whether that
-// changed anything. The caller holds the lock.
-func (t *Tracker) applyConfiguration(update *Update) bool {
-	changed := false
-	for _, item := range update.Items {
-		if item.Key == platform.ConfigurationKey && !item.Deleted {
-			changed = t.acceptConfiguration(item) || changed
-		}
-	}
-	return changed
-}
-
-// acceptConfiguration puts a configuration into force if it is valid and its version is newer than
-// the known one. Versions, other than revisions, never go back. It reports whether it did. The
-// caller holds the lock.
-func (t *Tracker) acceptConfiguration(item platform.Item) bool {
-	if item.Position() == t.configurationItem.Position() {
-		return false
-	}
-	configuration, err := platform.DecodeConfiguration(item.Value)
-	if err != nil {
-		klog.ErrorS(err, "config: ignored an invalid configuration", "revision", item.Revision, "era", item.Era)
-		return false
-	}
-	if t.configuration != nil && configuration.Version <= t.configuration.Version {
-		t.logOldConfiguration(configuration.Version, item)
-		return false
-	}
-	t.configuration = configuration
-	t.configurationItem, t.compressedConfiguration = item, nil
-	t.entries.recordPosition(item.Position())
-	klog.InfoS("config: configuration applied", "version", configuration.Version, "revision", item.Revision, "era", item.Era, "routes", len(configuration.Routes))
-	return true
-}
-
-// logOldConfiguration logs a configuration that a restored copy has and that is older than the one in
-// force.
-func (t *Tracker) logOldConfiguration(version int64, item platform.Item) {
-	if version < t.configuration.Version {
-		klog.InfoS("config: ignored an older configuration", "version", version, "revision", item.Revision, "era", item.Era, "in_force", t.configuration.Version)
-	}
-}
-
 // MarkStoreLost records that an outage of the store began: from now on endpoints whose
 // entries expire are held.
 func (t *Tracker) MarkStoreLost() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.entries.markStoreLost()
+	t.entries.settling.markStoreLost()
 }
 
 // MarkStoreRestored records that the outage is over. Held endpoints are kept for
@@ -247,7 +212,7 @@
 func (t *Tracker) MarkStoreRestored(now clock.Boot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.entries.markStoreRestored(now)
+	t.entries.settling.markStoreRestored(now)
 }
 
 // Expire removes the held endpoints that did not renew their entries by the end of
@@ -261,7 +226,7 @@
 		t.unconfirmed = 0
 		t.announce()
 	}
-	if t.entries.expire(now) {
+	if t.entries.settle(now) {
 		t.publish()
 		t.announce()
 	}
@@ -269,21 +234,7 @@
 
 // publish stores a new snapshot and passes it to onChange. The caller holds the lock.
 func (t *Tracker) publish() {
-	next := &Snapshot{
-		Configuration: t.configuration,
-		Endpoints:     make(map[string]*traffic.Endpoint, len(t.entries.endpoints)),
-		Ready:         map[string][]*traffic.Endpoint{},
-		Position:      t.position,
-	}
-	for _, endpoint := range t.entries.endpoints {
-		next.Endpoints[endpoint.ID] = endpoint
-		if !endpoint.Draining {
-			next.Ready[endpoint.Service] = append(next.Ready[endpoint.Service], endpoint)
-		}
-	}
-	for _, ready := range next.Ready {
-		sort.Slice(ready, func(i, j int) bool { return ready[i].ID < ready[j].ID })
-	}
+	next := newSnapshot(t.configuration.decoded, t.entries.endpoints, t.position)
 	t.snapshot.Store(next)
 	t.onChange(next)
 }
