Hold what expired in an outage in which another VM told of a later era

Callers: a VM that could not reach the store heard of a later era from another VM. When it reached the store again, it removed all endpoints whose entries had expired meanwhile at once, instead of giving them the time to write again.

Cause: the begin of an era ends the outage in the data, while the reader is still without the store; the end that the reader tells then found no outage to end. The reader tells only ends of its own outages, so each one begins that time now.

The new test fails on the code before and passes now; so do all tests of ./gateway/knowledge with the race detector.

--- a/gateway/knowledge/held_test.go
+++ b/gateway/knowledge/held_test.go
@@ -59,3 +59,17 @@
 	}
 	to.Apply(update, testStart)
 }
+
+// TestEndpointsAreHeldAfterOutageThatPeersEndTheEraIn lets a VM without the store hear of a later era: what expires until it reaches the store must be held.
+func TestEndpointsAreHeldAfterOutageThatPeersEndTheEraIn(t *testing.T) {
+	tracker := NewTracker(nil)
+	tracker.Apply(Update{Full: true, Era: 1, Revision: 10, Items: twoEndpoints(1)}, testStart)
+	tracker.MarkStoreLost()
+	tracker.Apply(Update{Full: true, Era: 2, Revision: 10, Items: twoEndpoints(2), DeletionsFinal: true}, testStart)
+	now := testStart.Add(10 * time.Second)
+	tracker.MarkStoreRestored(now)
+	tracker.Apply(Update{Full: true, Era: 2, Revision: 11, Items: twoEndpoints(2)[:1]}, now)
+	if ready := tracker.Snapshot().Ready["s"]; len(ready) != 2 {
+		t.Errorf("%d endpoints are ready at once, want 2", len(ready))
+	}
+}
--- a/gateway/knowledge/settling.go
+++ b/gateway/knowledge/settling.go
@@ -67,12 +67,10 @@
 	s.storeLost = true
 }
 
-// markStoreRestored ends an outage of the store, if there is one.
+// markStoreRestored ends an outage of the store, also one in which another VM told of a later era.
 func (s *settling) markStoreRestored(now clock.Boot) {
-	if s.storeLost {
-		s.storeLost = false
-		s.holdUntil = now.Add(HoldAfterRecovery)
-	}
+	s.storeLost = false
+	s.extendHold(now)
 }
 
 // holdsDeletions reports whether deletions that are not final are held at now.
