Hold deletions without the value that a store may send with them

Held deletions were kept as positions before they became items; a value of a malformed deletion is dropped again, as it was then.

Test: go test -race ./gateway/knowledge

--- a/gateway/knowledge/settling.go
+++ b/gateway/knowledge/settling.go
@@ -78,8 +78,10 @@
 	return s.storeLost || now < s.holdUntil
 }
 
-// hold holds a deletion. The known endpoint stays in use.
+// hold holds a deletion, without a value that the store may have sent with it. The known endpoint stays
+// in use.
 func (s *settling) hold(deletion platform.Item) {
+	deletion.Value = nil
 	s.held[deletion.Key] = deletion
 	klog.InfoS("config: expired endpoint is held", "key", deletion.Key, "revision", deletion.Revision, "era", deletion.Era)
 }
