Split the check command into its steps

checkCommand had 43 lines with an action inside; runCheck and checkPublished are functions of their own now. Output and exit codes are the same.

Test: go test -race ./cmd/cardamompoint -run Script/check

--- a/cmd/cardamompoint/check.go
+++ b/cmd/cardamompoint/check.go
@@ -26,36 +26,50 @@
 			&cli.StringSliceFlag{Name: "configuration", Usage: "a stored gateway configuration as a `FILE`; may be given several times"},
 			&cli.StringFlag{Name: "published", Usage: "a `DIR` with workspaces/NAME/template.json, workspaces/NAME/parameters.json, models/NAME.json and vms.json"},
 		},
-		Action: func(_ context.Context, c *cli.Command) error {
-			if !c.IsSet("settings") && !c.IsSet("platform") && !c.IsSet("configuration") && !c.IsSet("published") {
-				return code.New(code.InvalidSettings, "nothing to check: give --settings, --platform, --configuration or --published")
-			}
-			faults := checkSettings(c, c.StringSlice("settings"))
-			faults += checkFiles(c, c.StringSlice("platform"), func(raw []byte) error {
-				_, err := platform.ParseSettings(raw)
-				return err
-			})
-			faults += checkFiles(c, c.StringSlice("configuration"), func(raw []byte) error {
-				_, err := platform.DecodeConfiguration(raw)
-				return err
-			})
-			if dir := c.String("published"); dir != "" {
-				found, err := published.Check(dir)
-				if err != nil {
-					return err
-				}
-				for _, fault := range found {
-					fmt.Fprintf(c.Root().Writer, "%s: %v\n", fault.File, fault.Error)
-				}
-				faults += len(found)
-			}
-			if faults > 0 {
-				return code.New(code.InvalidDocument, "%d faults were found", faults)
-			}
-			fmt.Fprintln(c.Root().Writer, "no fault was found")
-			return nil
-		},
+		Action: func(_ context.Context, c *cli.Command) error { return runCheck(c) },
+	}
+}
+
+// runCheck checks what the flags name. Faults that it found have the code code.InvalidDocument.
+func runCheck(c *cli.Command) error {
+	if !c.IsSet("settings") && !c.IsSet("platform") && !c.IsSet("configuration") && !c.IsSet("published") {
+		return code.New(code.InvalidSettings, "nothing to check: give --settings, --platform, --configuration or --published")
+	}
+	faults := checkSettings(c, c.StringSlice("settings"))
+	faults += checkFiles(c, c.StringSlice("platform"), func(raw []byte) error {
+		_, err := platform.ParseSettings(raw)
+		return err
+	})
+	faults += checkFiles(c, c.StringSlice("configuration"), func(raw []byte) error {
+		_, err := platform.DecodeConfiguration(raw)
+		return err
+	})
+	found, err := checkPublished(c, c.String("published"))
+	if err != nil {
+		return err
+	}
+	faults += found
+	if faults > 0 {
+		return code.New(code.InvalidDocument, "%d faults were found", faults)
+	}
+	fmt.Fprintln(c.Root().Writer, "no fault was found")
+	return nil
+}
+
+// checkPublished prints the faults of the published documents in a directory, "" for none, and returns
+// their number.
+func checkPublished(c *cli.Command, dir string) (int, error) {
+	if dir == "" {
+		return 0, nil
+	}
+	found, err := published.Check(dir)
+	if err != nil {
+		return 0, err
+	}
+	for _, fault := range found {
+		fmt.Fprintf(c.Root().Writer, "%s: %v\n", fault.File, fault.Error)
 	}
+	return len(found), nil
 }
 
 // checkFiles prints the faults that check finds in files and returns their number.
