--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"cardamompoint.example/cardamompoint/gateway/choice"
 	"cardamompoint.example/cardamompoint/gateway/upstream"
@@ -74,6 +75,34 @@
 	if bounded && left <= 0 {
 		return outcome{result: resultTimedOut}, false
 	}
+	message := x.newEndpointRequest(left)
+	head := message.AppendHead(make([]byte, 0, headerCapacity))
+	x.setDeadline()
+	if len(head)+len(x.body) > asyncWriteBytes {
+		x.sendAsync(head)
+		return outcome{}, true
+	}
+	sent, err := x.conn.Send(head, x.body)
+	if err == nil {
+		return outcome{}, true
+	}
+	if !sent {
+		return x.checkCaller(outcome{result: resultNotExecuted, unsent: true, err: err}), false
+	}
+	return x.classifyError(err), false
+}
+
+// sendAsync writes the request concurrently. writeDone receives the result.
+func (x *exchange) sendAsync(head []byte) {
+	x.writeDone = make(chan error, 1)
+	go func(conn *upstream.Conn) {
+		_, err := conn.Send(head, x.body)
+		x.writeDone <- err
+	}(x.conn)
+}
+
+// newEndpointRequest returns the request to send. left is the time that the caller has left.
+func (x *exchange) newEndpointRequest(left time.Duration) platform.EndpointRequest {
 	message := platform.EndpointRequest{
 		Method:      x.r.Method,
 		Target:      x.r.RequestURI,
@@ -92,24 +121,7 @@
 	if x.grant.workspace != nil {
 		message.Workspace = x.grant.workspace.Name
 	}
-	head := message.AppendHead(make([]byte, 0, headerCapacity))
-	x.setDeadline()
-	if len(head)+len(x.body) > asyncWriteBytes {
-		x.writeDone = make(chan error, 1)
-		go func(conn *upstream.Conn) {
-			_, err := conn.Send(head, x.body)
-			x.writeDone <- err
-		}(x.conn)
-		return outcome{}, true
-	}
-	sent, err := x.conn.Send(head, x.body)
-	if err == nil {
-		return outcome{}, true
-	}
-	if !sent {
-		return x.checkCaller(outcome{result: resultNotExecuted, unsent: true, err: err}), false
-	}
-	return x.classifyError(err), false
+	return message
 }
 
 // requestWritten reports whether the complete request was written.
