Release loopback networks only once nothing listens there

Developers saw "address already in use" in a test that follows one whose processes or listeners end late, or that runs after a test binary whose processes outlived it.

Cause: a network was free again as soon as its guard was closed, whoever still listened on it, and each harness had to remember by itself to await the end of what it starts.

--- a/cmd/cardamompoint/capacity_bench_test.go
+++ b/cmd/cardamompoint/capacity_bench_test.go
@@ -30,7 +30,7 @@
 	f.t.Helper()
 	var sum usage
 	for n := range f.settings {
-		pid := strconv.Itoa(f.processes[fmt.Sprintf("router-%d", n+1)].Process.Pid)
+		pid := strconv.Itoa(f.processes[fmt.Sprintf("router-%d", n+1)].command.Process.Pid)
 		raw, err := os.ReadFile(filepath.Join("/proc", pid, "stat"))
 		f.must(err)
 		fields := strings.Fields(string(raw[strings.LastIndexByte(string(raw), ')')+2:]))
--- a/cmd/cardamompoint/fleet_test.go
+++ b/cmd/cardamompoint/fleet_test.go
@@ -48,21 +48,28 @@
 	logDir string
 	config fleetConfig
 
-	processes map[string]*exec.Cmd
+	processes map[string]*testProcess
 	settings  []*settings.Router
 	vms       []source.VM
 	relays    []*relay
 }
 
+// testProcess is a process of a fleet.
+type testProcess struct {
+	command *exec.Cmd
+	// wait waits until the process has exited.
+	wait func() error
+}
+
 // startFleet starts a deployment on a loopback network of its own and waits until its routers
 // are ready.
 func startFleet(t testing.TB, config fleetConfig) *testFleet {
 	t.Helper()
-	f := &testFleet{t: t, dir: t.TempDir(), config: config, processes: map[string]*exec.Cmd{}}
+	f := &testFleet{t: t, dir: t.TempDir(), config: config, processes: map[string]*testProcess{}}
 	f.logDir = filepath.Join(f.dir, "logs")
 	f.net = fleettest.ReserveNetwork(t)
 	f.unpack()
-	t.Cleanup(f.killAll)
+	t.Cleanup(f.dumpLogs)
 	f.startPlatform()
 	f.startEndpoints()
 	for i := range f.settings {
@@ -197,14 +204,13 @@
 	defer log.Close()
 	command := exec.Command("cardamompoint", args...)
 	command.Stdout, command.Stderr = log, log
-	f.must(command.Start())
-	f.processes[name] = command
+	f.processes[name] = &testProcess{command: command, wait: fleettest.StartProcess(f.t, command)}
 }
 
 // signal sends a signal to a process.
 func (f *testFleet) signal(name string, signal syscall.Signal) {
 	f.t.Helper()
-	f.must(f.processes[name].Process.Signal(signal))
+	f.must(f.processes[name].command.Process.Signal(signal))
 }
 
 // kill kills a process and waits until it has exited.
@@ -216,27 +222,18 @@
 
 // wait waits until a process exits and returns its exit code.
 func (f *testFleet) wait(name string) int {
-	command := f.processes[name]
+	process := f.processes[name]
 	delete(f.processes, name)
-	command.Wait()
-	return command.ProcessState.ExitCode()
-}
-
-func (f *testFleet) killAll() {
-	for _, command := range f.processes {
-		command.Process.Kill()
-	}
-	for _, command := range f.processes {
-		command.Wait()
-	}
-	if f.t.Failed() {
-		f.dumpLogs()
-	}
+	_ = process.wait() // The exit code tells the same.
+	return process.command.ProcessState.ExitCode()
 }
 
-// dumpLogs prints the end of each router's log.
+// dumpLogs prints the end of each router's log if the test has failed.
 func (f *testFleet) dumpLogs() {
 	const tail = 1500
+	if !f.t.Failed() {
+		return
+	}
 	files, _ := filepath.Glob(filepath.Join(f.logDir, "router-*.log"))
 	for _, file := range files {
 		raw, _ := os.ReadFile(file)
--- a/cmd/cardamompoint/gateway_process_test.go
+++ b/cmd/cardamompoint/gateway_process_test.go
@@ -20,12 +20,14 @@
 
 // hostedFleet is an emulated platform with one gateway as a separate process.
 type hostedFleet struct {
-	t            *testing.T
-	net          string
-	dir          string
-	store        *hosted.Store
-	engine       *hosted.Worker
-	process      *exec.Cmd
+	t       *testing.T
+	net     string
+	dir     string
+	store   *hosted.Store
+	engine  *hosted.Worker
+	process *exec.Cmd
+	// wait waits until the gateway has exited and returns how.
+	wait         func() error
 	settingsPath string
 }
 
@@ -70,14 +72,7 @@
 	f.process = exec.Command("cardamompoint", "gateway")
 	f.process.Env = append(os.Environ(), platform.SettingsVariable+"="+f.settingsPath)
 	f.process.Stdout, f.process.Stderr = log, log
-	if err := f.process.Start(); err != nil {
-		f.t.Fatal(err)
-	}
-	f.t.Cleanup(func() {
-		// The next fleet may reserve the same network once the process is gone.
-		_ = f.process.Process.Kill()
-		_ = f.process.Wait()
-	})
+	f.wait = fleettest.StartProcess(f.t, f.process)
 	f.eventually("the gateway is ready", func() bool { return f.readiness() == http.StatusOK })
 }
 
@@ -157,7 +152,7 @@
 	if err != nil || !strings.HasSuffix(string(body), fmt.Sprintf("data: piece %d\n\n", f.engine.Events)) {
 		t.Errorf("the stream ended after %d bytes with %v", len(body), err)
 	}
-	if err := f.process.Wait(); err != nil {
+	if err := f.wait(); err != nil {
 		t.Errorf("the process exited with %v; the log:\n%s", err, f.logs())
 	}
 }
--- a/internal/loopback/network.go
+++ b/internal/loopback/network.go
@@ -24,14 +24,21 @@
 	lock net.Listener
 }
 
-// Reserve reserves a network that no other process has reserved. Close releases it.
+// Reserve reserves a network that no other process has reserved and on which nothing listens:
+// processes that outlive the one that reserved their network keep its addresses. Close releases
+// it.
 func Reserve() (*Network, error) {
 	for i := range networkCount {
 		prefix := fmt.Sprintf("127.%d", firstNetwork+(os.Getpid()+i)%networkCount)
 		guard, err := net.Listen("tcp", prefix+".255.1:7999")
-		if err == nil {
-			return &Network{Prefix: prefix, lock: guard}, nil
+		if err != nil {
+			continue
 		}
+		network := &Network{Prefix: prefix, lock: guard}
+		if bound, err := network.Bound(); err == nil && len(bound) == 0 {
+			return network, nil
+		}
+		_ = guard.Close()
 	}
 	return nil, eris.New("no loopback network is free")
 }
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -109,11 +109,11 @@
 		s.addSlot("engines", number)
 		s.addSlot("plain", number)
 	}
+	t.Cleanup(s.stopAll)
 	for i := range *soakGateways {
 		s.gateways = append(s.gateways, &gatewayVM{number: i})
 		s.start(s.gateways[i])
 	}
-	t.Cleanup(s.stopAll)
 	s.eventually("all gateways are ready", s.allReady)
 	return s
 }
@@ -248,12 +248,13 @@
 		s.t.Fatal(err)
 	}
 	defer log.Close()
-	g.command = exec.Command(s.program, "gateway")
-	g.command.Env = append(os.Environ(), platform.SettingsVariable+"="+path)
-	g.command.Stdout, g.command.Stderr = log, log
-	if err := g.command.Start(); err != nil {
+	command := exec.Command(s.program, "gateway")
+	command.Env = append(os.Environ(), platform.SettingsVariable+"="+path)
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
 		s.t.Fatal(err)
 	}
+	g.command = command
 	g.boot.Add(1)
 	g.exitExpected.Store(false)
 	g.started, g.exited = time.Now(), make(chan struct{})
@@ -288,9 +289,12 @@
 	}
 }
 
+// stopAll kills the processes of all VMs that have started.
 func (s *soak) stopAll() {
 	for _, g := range s.gateways {
-		s.stop(g, syscall.SIGKILL, 1)
+		if g.command != nil {
+			s.stop(g, syscall.SIGKILL, 1)
+		}
 	}
 }
 
