End the discovery of a first start in tests once all VMs know each other

TestFirstStartReadsTheStoreFewTimes failed once on a busy machine (load 70 and more, four busy loops beside it): 12 range calls, 6 allowed.

Cause: the VMs of the test had 1.5 s of real time to hear of each other and 3 s to wait for the reader. On a slow machine both passed first, so each VM read for itself, as the design asks for. The harness now holds the VMs in their discovery until all know each other, and then ends it. The bound of the test and the product's times are unchanged; the times are a field, so that a test can set them.

--- a/gateway/first_start.go
+++ b/gateway/first_start.go
@@ -7,12 +7,15 @@
 	"cardamompoint.example/cardamompoint/internal/clock"
 )
 
-const (
-	// discoveryTime is how long VMs that all start for the first time exchange reports before
-	// one of them reads the store. firstReadTimeout bounds how long the others wait for it.
-	discoveryTime    = 1500 * time.Millisecond
-	firstReadTimeout = 3 * time.Second
-)
+// firstStartTimes bounds the waits of VMs that all start for the first time.
+type firstStartTimes struct {
+	// discovery is how long they exchange reports before one of them reads the store.
+	discovery time.Duration
+	// read bounds how long the others wait for it.
+	read time.Duration
+}
+
+var defaultFirstStartTimes = firstStartTimes{discovery: 1500 * time.Millisecond, read: 3 * time.Second}
 
 // startState is the state of a VM that has no configuration yet since its start.
 type startState struct {
@@ -21,12 +24,13 @@
 	firstStart bool
 	// betterReader reports whether a live VM has precedence for reading the store.
 	betterReader bool
+	times        firstStartTimes
 }
 
 // shouldWait reports whether the VM waits for other VMs instead of reading the store. Only the
 // first start of the fleet has time for that.
 func (s startState) shouldWait() bool {
-	return s.firstStart && (s.elapsed < discoveryTime || (s.betterReader && s.elapsed < firstReadTimeout))
+	return s.firstStart && (s.elapsed < s.times.discovery || (s.betterReader && s.elapsed < s.times.read))
 }
 
 // awaitsFirstRead reports whether this VM, in the first start of the fleet, has received
@@ -35,8 +39,8 @@
 	if _, known := g.tracker.ConfirmedAt(); known || !g.settings.FirstStart {
 		return false
 	}
-	elapsed := now.Sub(g.started)
-	return elapsed >= discoveryTime/2 && elapsed < firstReadTimeout
+	elapsed, times := now.Sub(g.started), g.firstStartTimes.Load()
+	return elapsed >= times.discovery/2 && elapsed < times.read
 }
 
 // waitsAtStart reports whether this VM must not read the store yet because others may read it
@@ -50,6 +54,7 @@
 		elapsed:      now.Sub(g.started),
 		firstStart:   g.settings.FirstStart,
 		betterReader: g.hasBetterReader(),
+		times:        *g.firstStartTimes.Load(),
 	}.shouldWait()
 }
 
--- a/gateway/first_start_test.go
+++ b/gateway/first_start_test.go
@@ -8,16 +8,18 @@
 // TestWhichVMsWaitAtTheirStart checks which VMs wait before they read the store: in a first start
 // of the whole fleet and in a later start of a single VM.
 func TestWhichVMsWaitAtTheirStart(t *testing.T) {
+	times := defaultFirstStartTimes
 	for name, test := range map[string]struct {
 		start startState
 		waits bool
 	}{
 		"a later start":                  {startState{elapsed: time.Millisecond, betterReader: true}, false},
-		"first start, hearing":           {startState{elapsed: discoveryTime / 2, firstStart: true}, true},
-		"first start, first of all":      {startState{elapsed: discoveryTime, firstStart: true}, false},
-		"first start, another one reads": {startState{elapsed: discoveryTime, firstStart: true, betterReader: true}, true},
-		"first start, it does not":       {startState{elapsed: firstReadTimeout, firstStart: true, betterReader: true}, false},
+		"first start, hearing":           {startState{elapsed: times.discovery / 2, firstStart: true}, true},
+		"first start, first of all":      {startState{elapsed: times.discovery, firstStart: true}, false},
+		"first start, another one reads": {startState{elapsed: times.discovery, firstStart: true, betterReader: true}, true},
+		"first start, it does not":       {startState{elapsed: times.read, firstStart: true, betterReader: true}, false},
 	} {
+		test.start.times = times
 		if shouldWait := test.start.shouldWait(); shouldWait != test.waits {
 			t.Errorf("%s: shouldWait is %v", name, shouldWait)
 		}
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -7,11 +7,13 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/internal/fleettest"
 	"cardamompoint.example/cardamompoint/internal/standin/hosted"
 	"cardamompoint.example/cardamompoint/platform"
@@ -70,6 +72,9 @@
 	for i := range count {
 		f.start(i + 1)
 	}
+	if firstStart {
+		f.endDiscovery()
+	}
 	f.eventually("all gateways are ready", func() bool {
 		for i := range f.gateways {
 			if f.ready(i+1) != http.StatusOK || len(f.gateways[i].tracker.Snapshot().Endpoints) < len(f.workers) {
@@ -81,6 +86,21 @@
 	return f
 }
 
+// endlessFirstStart keeps VMs in the discovery of their first start.
+var endlessFirstStart = firstStartTimes{discovery: time.Hour, read: time.Hour}
+
+// endDiscovery ends the discovery of a first start once all VMs know each other, however long
+// that takes on a slow machine.
+func (f *testFleet) endDiscovery() {
+	f.t.Helper()
+	f.eventually("all gateways know each other", func() bool {
+		return !slices.ContainsFunc(f.gateways, func(g *Gateway) bool { return len(g.members.Alive(clock.Now())) < len(f.gateways)-1 })
+	})
+	for _, g := range f.gateways {
+		g.firstStartTimes.Store(&firstStartTimes{read: endlessFirstStart.read})
+	}
+}
+
 func (f *testFleet) address(host, port int) string {
 	return fmt.Sprintf("%s.0.%d:%d", f.network, host, port)
 }
@@ -124,6 +144,9 @@
 		f.t.Fatal(err)
 	}
 	g.linger = 0 // There is no load balancer that has to notice the shutdown.
+	if f.firstStart {
+		g.firstStartTimes.Store(&endlessFirstStart)
+	}
 	if f.startTimeouts != (startTimeouts{}) {
 		g.startTimeouts = f.startTimeouts
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,6 +61,8 @@
 	started        clock.Boot
 	// startTimeouts bounds the waits of a VM that starts later than others.
 	startTimeouts startTimeouts
+	// firstStartTimes bounds the waits in the first start of the whole fleet.
+	firstStartTimes atomic.Pointer[firstStartTimes]
 	// linger is how long new connections are still accepted after SIGTERM, unless the grace
 	// period is too short.
 	linger time.Duration
@@ -99,6 +101,7 @@
 		table:          choice.NewTable(settings.FailureDomain, settings.Bounds.LoadMultiple),
 	}
 	g.setBounds(settings.Bounds)
+	g.firstStartTimes.Store(&defaultFirstStartTimes)
 	g.markLocationsKnown = sync.OnceFunc(func() { close(g.locationsKnown) })
 	instruments, err := metrics.NewGateway()
 	if err != nil {
