Give tests of faulty answers a route timeout that a slow machine keeps

TestTruncatedHeadIsNoAnswer failed once beside busy loops at a load of 70 and more: the caller got 504 in place of 502.

Cause: the stand-in's plain routes end after 1.5 s, which a request on such a machine may need. The two tests on plain routes publish 15 s first. A gateway that waited out the timeout at a truncated head would still fail the test.

Evidence: passed with -race three times beside six busy loops at a load of 28 to 37, and with the whole package.

--- a/gateway/faulty_answers_test.go
+++ b/gateway/faulty_answers_test.go
@@ -57,6 +57,7 @@
 // and be sent nowhere else.
 func TestRepeatedRefusalDoesNotAnswerTheNextRequest(t *testing.T) {
 	f := newTestFleet(t, 1)
+	f.publishChanged(2, allowSlowMachine)
 	e := f.replaceByScripted("plain", plainWorkers, refusal, refusal, refusal+wholeBody)
 	if got := f.ask(context.Background(), 1, query{path: "/deposit/1", body: "work"}); got.status != http.StatusServiceUnavailable {
 		t.Fatalf("a refused request got status %d", got.status)
@@ -78,6 +79,7 @@
 	for end := 1; end < len(head); end++ {
 		answers = append(answers, head[:end]+closeMark)
 	}
+	f.publishChanged(2, allowSlowMachine)
 	f.replaceByScripted("plain", plainWorkers, answers...)
 	for range answers {
 		if got := f.ask(context.Background(), 1, query{path: "/deposit/1", body: "work"}); got.status != http.StatusBadGateway {
--- a/gateway/silent_endpoint_test.go
+++ b/gateway/silent_endpoint_test.go
@@ -105,6 +105,14 @@
 	}
 }
 
+// allowSlowMachine lets requests take as long as a slow machine needs for them.
+func allowSlowMachine(c *hosted.Configuration) {
+	const slowTimeoutMS = 15000
+	for i := range c.Routes {
+		c.Routes[i].TimeoutMS = slowTimeoutMS
+	}
+}
+
 func withdrawRoster(c *hosted.Configuration) {
 	for i := range c.Routes {
 		if c.Routes[i].Name == "roster" {
