Count an engine that crashed under a chat as failed, not as one that refused

Callers of the product's own interface saw nothing but a 503; operators lost engine after engine: one chat on which engines crash before its first token was sent to every candidate, up to 24 engines.

Cause: the home that lost the connection asks the engine to resume the stream. The engine has ended and refuses the connection, and that error guarantees "not run". It replaced the first one, so the entry took the crash for a refusal: it asked the next engine without counting a failure (four are allowed) and without the retry budget. Work that had begun was called not run.

A resume that is refused, for whatever reason, now says nothing of whether the stream had begun.

Evidence: TestChatDoesNotCrashEngineAfterEngine failed before, "one chat crashed 12 of 12 engines"; four now. Package router passed with -race (558 s on a busy machine).

--- a/router/home.go
+++ b/router/home.go
@@ -45,7 +45,7 @@
 		sink = releaseTokens(s.reservation, sink)
 	}
 	return r.relay(ctx, s, order.Offset, sink, func(ctx context.Context, sink endpoint.Sink) error {
-		return r.engine.Resume(ctx, key.Engine, key.RequestID, key.StreamID, order.Offset, sink)
+		return r.resumeAtEngine(ctx, key, order.Offset, sink)
 	})
 }
 
--- a/router/relay.go
+++ b/router/relay.go
@@ -22,7 +22,7 @@
 	for tries := 0; tries < maxReconnects && p.mayReconnect(reading, err); tries++ {
 		klog.Infof("place: stream %s at %s is requested again from token %d: %v.", s.StreamID, s.Engine, p.next, err)
 		before := p.next
-		err = r.engine.Resume(reading, s.Engine, s.RequestID, s.StreamID, p.next, p.handleLine)
+		err = r.resumeAtEngine(reading, s.streamKey, p.next, p.handleLine)
 		if p.next > before {
 			tries = -1
 		}
@@ -30,6 +30,17 @@
 	return r.settleStream(ctx, s, reader, p, err)
 }
 
+// resumeAtEngine relays the rest of a stream that its engine may have started. An engine that
+// refuses to continue it, or accepts no connection since it has ended, does not guarantee that
+// it had not started the stream.
+func (r *Router) resumeAtEngine(ctx context.Context, key streamKey, offset int, sink endpoint.Sink) error {
+	err := r.engine.Resume(ctx, key.Engine, key.RequestID, key.StreamID, offset, sink)
+	if err != nil && notAdmitted(err) {
+		return code.New(code.EndpointFault, "the engine does not continue the stream: %v", err)
+	}
+	return err
+}
+
 // settleStream decides what happens to a stream whose relay ended with err: it is
 // removed, held for its reader to resume it, or canceled.
 func (r *Router) settleStream(ctx context.Context, s *homeStream, reader int, p *relayProgress, err error) error {
