--- a/gateway/caller_limits_test.go
+++ b/gateway/caller_limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -15,12 +16,7 @@
 
 // publishLimits publishes a configuration with the given limits and waits until it is in force.
 func (f *testFleet) publishLimits(limits map[string]any) {
-	configuration := hosted.DefaultConfiguration()
-	configuration.Version = 2
-	for name, value := range limits {
-		configuration.Limits[name] = value
-	}
-	f.store.Publish(configuration)
+	f.publish(2, func(c *hosted.Configuration) { maps.Copy(c.Limits, limits) })
 	f.eventually("the limits are in force", func() bool { return f.gateways[0].configVersion() == 2 })
 }
 
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -108,6 +108,16 @@
 	return worker
 }
 
+// publish publishes a version of the default configuration with changes.
+func (f *testFleet) publish(version int64, changes ...func(*hosted.Configuration)) {
+	configuration := hosted.DefaultConfiguration()
+	configuration.Version = version
+	for _, change := range changes {
+		change(&configuration)
+	}
+	f.store.Publish(configuration)
+}
+
 // start runs a gateway on the VM with the given number.
 func (f *testFleet) start(number int) {
 	f.t.Helper()
--- a/gateway/knowledge_test.go
+++ b/gateway/knowledge_test.go
@@ -95,9 +95,7 @@
 		}
 	}
 	time.Sleep(defaultLinger + time.Second)
-	configuration := hosted.DefaultConfiguration()
-	configuration.Version = 9
-	f.store.Publish(configuration)
+	f.publish(9)
 	f.eventually("the others have the version", func() bool {
 		for _, g := range f.gateways {
 			if g.settings.IP != leader && g.configVersion() != 9 {
--- a/gateway/restored_fleet_test.go
+++ b/gateway/restored_fleet_test.go
@@ -62,13 +62,6 @@
 	}
 }
 
-// publish publishes a version.
-func (f *testFleet) publish(version int64) {
-	configuration := hosted.DefaultConfiguration()
-	configuration.Version = version
-	f.store.Publish(configuration)
-}
-
 // awaitVersion waits until a version is in force on all VMs.
 func (f *testFleet) awaitVersion(version int64) {
 	f.t.Helper()
--- a/gateway/silent_endpoint_test.go
+++ b/gateway/silent_endpoint_test.go
@@ -89,12 +89,7 @@
 // publishChanged publishes a changed configuration and waits until the gateway has it.
 func (f *testFleet) publishChanged(version int64, changes ...func(*hosted.Configuration)) {
 	f.t.Helper()
-	next := hosted.DefaultConfiguration()
-	next.Version = version
-	for _, change := range changes {
-		change(&next)
-	}
-	f.store.Publish(next)
+	f.publish(version, changes...)
 	f.eventually("the change is known", func() bool { return f.gateways[0].tracker.Snapshot().Configuration.Version == version })
 }
 
