Tell an answer when it clears a part, and only then

Callers: when engines ended one after the other without a deadly part, more sound requests were refused since the request's own part counts as one.

Cause: an observation whose shared parts are all answered used to be dropped, and its answers told to others when it was heard. Now its own part stays suspected, so a VM that knew the answer before it heard of the crash did not tell it. And as the observation stays for 10 minutes, each later answer to its parts was told again though it cleared nothing, 32 at a time in turn, so that others were told later.

Evidence: TestAnswerKnownBeforeTheCrashIsHeardIsTold and TestAnswersThatClearNothingAreNotTold failed before (no answer told; one told after 20 s). All tests of the package pass; in the fleet tests one sound request was refused and one request with a deadly part came late in all, as before.

--- a/gateway/quarantine/ledger.go
+++ b/gateway/quarantine/ledger.go
@@ -113,8 +113,8 @@
 		return false
 	}
 	l.recordCrashTime(&o)
+	l.announceAnswered(&o, now)
 	if !l.suspectsAny(&o) {
-		l.announceClearances(o.Parts, now)
 		return false
 	}
 	if len(l.observations.byKey) >= maxObservations {
@@ -161,11 +161,11 @@
 	if !l.answers.record(part, answeredAt) || !l.observations.repeated(part, 1) {
 		return
 	}
-	l.announceClearances([]uint64{part}, now)
 	for _, o := range slices.Clone(l.observations.byPart[part]) {
 		if answeredAt < o.At || answered && before >= o.At {
 			continue
 		}
+		l.clearances[part] = now.Add(clearanceTTL)
 		l.stale = true
 		if !l.suspectsAny(o) {
 			l.observations.remove(o.key())
@@ -173,10 +173,13 @@
 	}
 }
 
-// announceClearances adds the answers to parts to the next reports. The caller holds l.mu.
-func (l *Ledger) announceClearances(parts []uint64, now clock.Boot) {
-	for _, part := range parts {
-		l.clearances[part] = now.Add(clearanceTTL)
+// announceAnswered adds the answers to parts of an observation to the next reports. The caller
+// holds l.mu.
+func (l *Ledger) announceAnswered(o *Observation, now clock.Boot) {
+	for _, part := range o.Parts {
+		if !l.suspectsPart(o, part) {
+			l.clearances[part] = now.Add(clearanceTTL)
+		}
 	}
 }
 
