Wait in tests until a stopped process has stopped

Cause: SIGSTOP takes effect some time after it was sent. A router that the script had stopped still took the next request and granted itself the key, before it stood still; the others then rightly answered that the key's holder can't be reached (301). The harness now waits until all threads of the process have stopped.

--- a/cmd/cardamompoint/fleet_test.go
+++ b/cmd/cardamompoint/fleet_test.go
@@ -207,9 +207,13 @@
 	f.processes[name] = &testProcess{command: command, wait: fleettest.StartProcess(f.t, command)}
 }
 
-// signal sends a signal to a process.
+// signal sends a signal to a process. A process that is stopped does nothing more afterwards.
 func (f *testFleet) signal(name string, signal syscall.Signal) {
 	f.t.Helper()
+	if signal == syscall.SIGSTOP {
+		fleettest.StopProcess(f.t, f.processes[name].command.Process)
+		return
+	}
 	f.must(f.processes[name].command.Process.Signal(signal))
 }
 
--- a/internal/fleettest/fleettest_test.go
+++ b/internal/fleettest/fleettest_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -69,3 +70,23 @@
 		t.Error("the exit was not awaited")
 	}
 }
+
+// TestStoppedProcessDoesNothingMore guards against processes that still answer after their test has stopped them.
+func TestStoppedProcessDoesNothingMore(t *testing.T) {
+	const stops = 200
+	command := exec.Command("sh", "-c", "while :; do :; done")
+	StartProcess(t, command)
+	running := 0
+	for range stops {
+		StopProcess(t, command.Process)
+		if !hasStopped(command.Process.Pid) {
+			running++
+		}
+		if err := command.Process.Signal(syscall.SIGCONT); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if running > 0 {
+		t.Errorf("the process still ran after %d of %d stops", running, stops)
+	}
+}
