Refuse a chat under which three engines crashed

Operators of the product's own interface lost further engines each time the caller of a deadly chat asked again: up to four for each request.

Cause: nobody kept under which chat an engine had crashed. The home of the engine does now, for 10 minutes: it refuses the chat at that engine with 311, the request goes on in the chat's order, and ends with 311 after three engines. All entries ask the same homes, so this holds for the fleet without a message between routers. A token clears the chat. A single crash where no other engine can be tried stays 205 with a second to wait.

Sound chats are served beside it, after two crashes, and after the term.

Left: chats that share a deadly text are not recognized (design/streams.md).

--- a/internal/standin/pipe_net.go
+++ b/internal/standin/pipe_net.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 )
 
-var errRefused = errors.New("connection refused")
-
 // PipeNet is a network of unbuffered in-memory connections, for tests in virtual time. It is
 // safe for concurrent use.
 type PipeNet struct {
@@ -57,7 +55,7 @@
 	l := n.listeners[address]
 	n.mu.Unlock()
 	if l == nil {
-		return nil, &net.OpError{Op: "dial", Net: "pipe", Err: errRefused}
+		return nil, &net.OpError{Op: "dial", Net: "pipe", Err: syscall.ECONNREFUSED}
 	}
 	client, server := net.Pipe()
 	select {
@@ -65,7 +63,7 @@
 		n.Dials.Add(1)
 		return client, nil
 	case <-l.closed:
-		return nil, &net.OpError{Op: "dial", Net: "pipe", Err: errRefused}
+		return nil, &net.OpError{Op: "dial", Net: "pipe", Err: syscall.ECONNREFUSED}
 	case <-ctx.Done():
 		return nil, &net.OpError{Op: "dial", Net: "pipe", Err: ctx.Err()}
 	}
--- a/router/candidate_order.go
+++ b/router/candidate_order.go
@@ -14,7 +14,8 @@
 	search    *affinity.Search
 	// current is the candidate that next returned last.
 	current candidate
-	// fullCandidates are the candidates whose engines were at the load multiple.
+	// fullCandidates are the candidates whose engines were at the load multiple or crashed
+	// under the chat before.
 	fullCandidates []candidate
 	// refusals counts the candidates that refused for other reasons than the chat's
 	// context.
@@ -86,7 +87,7 @@
 		return
 	}
 	o.refusals++
-	if code.Is(err, code.EndpointFull) {
+	if code.Is(err, code.EndpointFull) || code.Is(err, code.CrashingPrompt) {
 		o.fullCandidates = append(o.fullCandidates, o.current)
 	}
 }
--- a/router/crashing_prompt_test.go
+++ b/router/crashing_prompt_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
 	"cardamompoint.example/cardamompoint/internal/standin"
 	"cardamompoint.example/cardamompoint/router/api"
@@ -25,9 +26,15 @@
 	crashWord = "deadly"
 )
 
-// crashFleet is a router and engines that crash on some prompts, on an in-memory network.
+// crashCallers are the addresses of the two routers for callers.
+var crashCallers = [2]string{"10.9.0.8:7000", "10.9.0.9:7000"}
+
+// crashFleet is two routers, each the home of some engines, and engines that crash on some
+// prompts, on an in-memory network.
 type crashFleet struct {
 	*streamPair
+	// asked counts the requests, which go to the two routers in turn.
+	asked int
 
 	mu      sync.Mutex
 	crashes int
@@ -42,42 +49,56 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := &crashFleet{streamPair: &streamPair{t: t, net: standin.NewPipeNet()}, stop: map[string]func(){}, crashLimit: 1000}
-		f.entry = f.router("10.9.0.1:7001")
+		f.entry, f.home = f.router("10.9.0.1:7001"), f.router("10.9.0.2:7001")
 		f.introduceEngines()
-		f.stops = append(f.stops, f.net.Serve(pairCallers, f.entry.callersMux()))
+		for i, r := range []*Router{f.entry, f.home} {
+			f.stops = append(f.stops, f.net.Serve(crashCallers[i], r.callersMux()), f.net.Serve(r.members.Self().Address, r.peersMux()))
+		}
 		f.caller = &http.Client{Transport: f.transport()}
 		ctx, cancel := context.WithCancel(t.Context())
-		f.awaitHome(ctx)
+		f.awaitHomes(ctx)
 		test(f)
 		cancel()
 		f.close()
 	})
 }
 
-// introduceEngines starts the engines and gives the router the list and one workspace.
+// introduceEngines starts the engines and gives the routers the list and one workspace.
 func (f *crashFleet) introduceEngines() {
-	vms := []source.VM{{Address: f.entry.members.Self().Address, Role: source.RoleRouter, State: source.StateLive}}
+	var vms []source.VM
+	for _, r := range []*Router{f.entry, f.home} {
+		vms = append(vms, source.VM{Address: r.members.Self().Address, Role: source.RoleRouter, State: source.StateLive})
+	}
 	for i := range crashEngines {
 		address := fmt.Sprintf("10.9.1.%d:7200", i+1)
 		vms = append(vms, source.VM{Address: address, Role: source.RoleEngine, Group: "g", State: source.StateLive})
 		f.startEngine(address)
 	}
-	f.entry.members.SetList(source.VMList{Version: 1, VMs: vms}, time.Now())
-	f.entry.store.Apply([]source.Document{
-		{Key: "models/m", Version: 1, Data: json.RawMessage(`{"group": "g", "version": "1"}`)},
-		{Key: "workspaces/w/template", Version: 2, Data: json.RawMessage(`{"completion": {"models": [{"model": "m"}], "max_tokens": 4000}}`)},
-	}, 2)
+	for _, r := range []*Router{f.entry, f.home} {
+		r.members.SetList(source.VMList{Version: 1, VMs: vms}, time.Now())
+		r.store.Apply([]source.Document{
+			{Key: "models/m", Version: 1, Data: json.RawMessage(`{"group": "g", "version": "1"}`)},
+			{Key: "workspaces/w/template", Version: 2, Data: json.RawMessage(`{"completion": {"models": [{"model": "m"}], "max_tokens": 4000}}`)},
+		}, 2)
+	}
+	f.exchangeHeartbeats()
 }
 
-// awaitHome waits until the router admits work to the engines.
-func (f *crashFleet) awaitHome(ctx context.Context) {
-	go f.entry.freezeDetector.run(ctx)
-	for engine := range f.stop {
-		f.entry.assignment(engine, time.Now())
+// awaitHomes waits until the routers admit work to the engines.
+func (f *crashFleet) awaitHomes(ctx context.Context) {
+	routers := []*Router{f.entry, f.home}
+	for _, r := range routers {
+		go r.freezeDetector.run(ctx)
+		for engine := range f.stop {
+			r.assignment(engine, time.Now())
+		}
 	}
 	time.Sleep(2 * milliseconds(pairSuspectMS))
-	go f.entry.pollLoads(ctx)
-	go f.entry.renewLeases(ctx)
+	f.exchangeHeartbeats()
+	for _, r := range routers {
+		go r.pollLoads(ctx)
+		go r.renewLeases(ctx)
+	}
 	time.Sleep(time.Second)
 }
 
@@ -119,6 +140,13 @@
 	return true
 }
 
+// setCrashLimit sets the number of crashes after which engines answer every prompt.
+func (f *crashFleet) setCrashLimit(limit int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crashLimit = limit
+}
+
 // crashCount returns the number of crashes so far.
 func (f *crashFleet) crashCount() int {
 	f.mu.Lock()
@@ -146,7 +174,8 @@
 // askWhole sends a chat and returns the status and the body of the answer.
 func (f *crashFleet) askWhole(chat, prompt string) (int, string) {
 	f.t.Helper()
-	request, err := jsonhttp.NewPost(f.t.Context(), "http://"+pairCallers+"/v1/chat/completions", api.CompletionRequest{
+	f.asked++
+	request, err := jsonhttp.NewPost(f.t.Context(), "http://"+crashCallers[f.asked%len(crashCallers)]+"/v1/chat/completions", api.CompletionRequest{
 		Workspace: "w", Chat: chat, MaxTokens: 3, Messages: []api.Message{{Role: "user", Content: prompt}},
 	})
 	if err != nil {
@@ -176,3 +205,85 @@
 		}
 	})
 }
+
+// TestChatThatCrashesEnginesIsRefused guards against chats that crash further engines each time their callers ask again, at any entry.
+func TestChatThatCrashesEnginesIsRefused(t *testing.T) {
+	runCrashFleet(t, func(f *crashFleet) {
+		chats := []string{"c", "d", "e", "f"}
+		for range 5 {
+			for _, chat := range chats {
+				if status, body := f.askWhole(chat, crashWord); status != http.StatusServiceUnavailable {
+					t.Errorf("a deadly chat got %d: %s", status, body)
+				}
+				time.Sleep(2 * crashRestartTime)
+			}
+			f.asked++ // Each chat comes at the other router next.
+		}
+		if crashes, limit := f.crashCount(), maxCrashedEngines*len(chats); crashes != limit {
+			t.Errorf("%d chats crashed %d engines, want %d", len(chats), crashes, limit)
+		}
+		if status, body := f.askWhole("sound", "hello"); status != http.StatusOK {
+			t.Errorf("a sound chat got %d: %s", status, body)
+		}
+		if status, body := f.askWhole("c", crashWord); !strings.Contains(body, `"code":311`) {
+			t.Errorf("the deadly chat got %d: %s", status, body)
+		}
+	})
+}
+
+// TestChatIsServedAfterTheCrashOfItsEngine guards against a sound chat that is refused since engines ended while it waited.
+func TestChatIsServedAfterTheCrashOfItsEngine(t *testing.T) {
+	runCrashFleet(t, func(f *crashFleet) {
+		f.setCrashLimit(maxCrashedEngines - 1)
+		for range 3 {
+			if status, body := f.askWhole("c", crashWord); status != http.StatusOK {
+				t.Errorf("the chat got %d: %s", status, body)
+			}
+			time.Sleep(2 * crashRestartTime)
+		}
+		f.setCrashLimit(2 * maxCrashedEngines)
+		f.askWhole("other", crashWord)
+		time.Sleep(crashTerm + time.Minute)
+		f.setCrashLimit(0)
+		if status, body := f.askWhole("other", crashWord); status != http.StatusOK {
+			t.Errorf("the chat got %d after the term: %s", status, body)
+		}
+	})
+}
+
+// TestCrashesOfTheOnlyEngineRefuseTheChatInTheEnd guards against a chat that is refused after one crash, or never, where there is one engine.
+func TestCrashesOfTheOnlyEngineRefuseTheChatInTheEnd(t *testing.T) {
+	chats, now := newCrashedChats(), time.Now()
+	key := crashedChat{engine: pairEngine, chat: 1}
+	for crash := range maxCrashedEngines {
+		if err := chats.check(key, true, now); err != nil {
+			t.Errorf("refused after %d crashes: %v", crash, err)
+		}
+		if err := chats.check(key, false, now); (err != nil) != (crash > 0) {
+			t.Errorf("asked before others after %d crashes: %v", crash, err)
+		}
+		chats.record(key, now)
+	}
+	if chats.check(key, true, now) == nil {
+		t.Error("not refused")
+	}
+	for chat := range uint64(3 * maxCrashedChats) {
+		chats.record(crashedChat{engine: pairEngine, chat: chat + 2}, now)
+	}
+	if kept := len(chats.current) + len(chats.previous); kept > 2*maxCrashedChats {
+		t.Errorf("%d entries are kept", kept)
+	}
+}
+
+// TestOneCrashDoesNotCondemnTheChat guards against a caller that is told to change its prompt after a single crash, where no other engine could be tried.
+func TestOneCrashDoesNotCondemnTheChat(t *testing.T) {
+	crash := crashingPrompt("crashed").WithRun(code.RunPartial)
+	j := &job{crashedEngines: map[string]bool{pairEngine: true}, failedEngines: map[string]bool{pairEngine: true}}
+	if got := code.Of(j.finalError(t.Context(), crash)); got.Code != code.RetryBudget || got.RetryAfterMS != busyRetryAfter.Milliseconds() {
+		t.Errorf("got %v", got)
+	}
+	j = &job{crashedEngines: map[string]bool{pairEngine: true}}
+	if got := code.Of(j.finalError(t.Context(), crashingPrompt("refused"))); got.Code != code.CrashingPrompt || got.Run != code.RunNo {
+		t.Errorf("refused by all that are left: got %v", got)
+	}
+}
--- a/router/home.go
+++ b/router/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -18,6 +19,10 @@
 	if err := r.sleepGuard.Await(ctx.Done()); err != nil {
 		return err
 	}
+	if err := r.crashedChats.check(order.crashedChat(), order.LastResort, time.Now()); err != nil {
+		klog.Infof("place: request %s is not admitted to %s: %v.", order.Work.RequestID, order.Engine, err)
+		return err
+	}
 	reservation, err := r.admitChatWork(order)
 	if err != nil {
 		klog.Infof("place: request %s is not admitted to %s: %v.", order.Work.RequestID, order.Engine, err)
@@ -26,9 +31,33 @@
 	klog.Infof("place: request %s is admitted to %s.", order.Work.RequestID, order.Engine)
 	s := r.streams.open(order.key(), reservation)
 	sink = r.recordLength(order.Work, releaseTokens(reservation, sink))
-	return r.relay(ctx, s, len(order.Work.Prefix), sink, func(ctx context.Context, sink endpoint.Sink) error {
+	answered := false
+	err = r.relay(ctx, s, len(order.Work.Prefix), onFirstToken(&answered, sink), func(ctx context.Context, sink endpoint.Sink) error {
 		return r.generate(ctx, reservation, order, sink)
 	})
+	return r.recordCrash(order, answered, err)
+}
+
+// onFirstToken returns a sink that sets answered at the first token.
+func onFirstToken(answered *bool, sink endpoint.Sink) endpoint.Sink {
+	return func(line endpoint.Line) error {
+		*answered = *answered || line.Text != ""
+		return sink(line)
+	}
+}
+
+// recordCrash records whether the engine crashed before it answered a chat. It returns err, or
+// for a crash an error with code.CrashingPrompt.
+func (r *Router) recordCrash(order workOrder, answered bool, err error) error {
+	if answered {
+		r.crashedChats.clear(order.crashedChat())
+		return err
+	}
+	if !errors.Is(err, errEngineEnded) {
+		return err
+	}
+	r.crashedChats.record(order.crashedChat(), time.Now())
+	return crashingPrompt("the engine %s crashed before it answered", order.Engine).WithRun(code.RunPartial)
 }
 
 // resumeAtHome relays the rest of a stream to sink. A stream that this router does
--- a/router/job.go
+++ b/router/job.go
@@ -42,6 +42,8 @@
 	// failedEngines are the engines at which an attempt failed that may have
 	// started.
 	failedEngines map[string]bool
+	// crashedEngines are the engines that crashed under the chat, now or before.
+	crashedEngines map[string]bool
 	// lostHomes are the homes that were lost during the request.
 	lostHomes map[string]bool
 	// attempts counts the streams that were started.
@@ -62,6 +64,7 @@
 // far.
 func (j *job) run(ctx context.Context) error {
 	j.failedEngines = map[string]bool{}
+	j.crashedEngines = map[string]bool{}
 	j.lostHomes = map[string]bool{}
 	j.lastTokenAt = time.Now()
 	j.router.retryBudget.recordRequest()
@@ -106,7 +109,7 @@
 	order := newCandidateOrder(j)
 	for c, ok := order.next(); ok; c, ok = order.next() {
 		err := j.tryCandidate(ctx, c)
-		if err == nil || !notAdmitted(err) {
+		if err == nil || !notAdmitted(err) || j.crashesEngines() {
 			return err
 		}
 		order.recordRefusal(err)
@@ -115,7 +118,7 @@
 	if last == nil {
 		return code.New(code.NoEndpoint, "all candidate engines have failed").After(noEndpointRetryAfter)
 	}
-	if code.Is(last, code.WorkspaceShare) {
+	if code.Is(last, code.WorkspaceShare) || code.Is(last, code.CrashingPrompt) {
 		return last
 	}
 	return code.New(code.Overloaded, "%d engines did not admit the request, last error: %v", order.refusals, last).After(busyRetryAfter)
@@ -133,6 +136,9 @@
 		return nil
 	}
 	klog.Infof("route: request %s is not served by engine %s: %v.", j.work.RequestID, at.engine, err)
+	if code.Is(err, code.CrashingPrompt) {
+		j.crashedEngines[at.engine] = true
+	}
 	if notAdmitted(err) {
 		j.router.metrics.CountDecision("passed_over")
 		return err
@@ -247,6 +253,12 @@
 	j.router.metrics.ObserveFirstToken(wait)
 }
 
+// crashesEngines reports whether so many engines crashed under the chat that no other one may
+// get it.
+func (j *job) crashesEngines() bool {
+	return len(j.crashedEngines) >= maxCrashedEngines
+}
+
 // notAdmitted reports whether err guarantees that the engine did not start the
 // work.
 func notAdmitted(err error) bool {
@@ -260,7 +272,7 @@
 	if ctx.Err() != nil || j.receiverErr != nil || code.Is(err, code.Canceled) {
 		return false
 	}
-	if len(j.failedEngines) >= maxFailedEngines || len(j.failedEngines) == len(j.candidates) {
+	if j.crashesEngines() || len(j.failedEngines) >= maxFailedEngines || len(j.failedEngines) == len(j.candidates) {
 		return false
 	}
 	if j.started {
@@ -281,6 +293,9 @@
 	if code.Is(err, code.Canceled) {
 		return err
 	}
+	if code.Is(err, code.CrashingPrompt) && !j.started && (j.crashesEngines() || notAdmitted(err)) {
+		return j.crashError()
+	}
 	if notAdmitted(err) && !j.started {
 		return err
 	}
@@ -290,6 +305,15 @@
 	return code.New(code.RetryBudget, "no engine finished the request: %v", err).After(busyRetryAfter).WithRun(code.RunPartial)
 }
 
+// crashError returns the error for a chat under which engines crash.
+func (j *job) crashError() error {
+	err := crashingPrompt("%d engines crashed before they answered the chat", len(j.crashedEngines))
+	if len(j.failedEngines) > 0 {
+		return err.WithRun(code.RunPartial)
+	}
+	return err
+}
+
 // timeLeft returns the time until the deadline of ctx; one hour if it has none.
 func timeLeft(ctx context.Context) time.Duration {
 	deadline, ok := ctx.Deadline()
--- a/router/relay.go
+++ b/router/relay.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"syscall"
 
 	"k8s.io/klog/v2"
 
@@ -12,6 +14,9 @@
 // maxReconnects bounds the consecutive reconnects to an engine that bring no token.
 const maxReconnects = 2
 
+// errEngineEnded reports that an engine refuses connections after work was sent to it.
+var errEngineEnded = errors.New("the engine has ended")
+
 // relay relays a stream from its engine to sink and then settles the stream. first
 // reads the lines from offset on; after a lost connection, the engine is asked to
 // resume.
@@ -35,10 +40,14 @@
 // it had not started the stream.
 func (r *Router) resumeAtEngine(ctx context.Context, key streamKey, offset int, sink endpoint.Sink) error {
 	err := r.engine.Resume(ctx, key.Engine, key.RequestID, key.StreamID, offset, sink)
-	if err != nil && notAdmitted(err) {
-		return code.New(code.EndpointFault, "the engine does not continue the stream: %v", err)
+	if err == nil || !notAdmitted(err) {
+		return err
 	}
-	return err
+	klog.Infof("place: stream %s at %s is not continued: %v.", key.StreamID, key.Engine, err)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return code.Wrap(errEngineEnded, code.EndpointFault, "the stream is not continued")
+	}
+	return code.New(code.EndpointFault, "the engine does not continue the stream: %v", err)
 }
 
 // settleStream decides what happens to a stream whose relay ended with err: it is
--- a/router/router.go
+++ b/router/router.go
@@ -36,6 +36,7 @@
 	members           *member.Table
 	loadTracker       *balance.LoadTracker
 	chatContexts      *affinity.Index
+	crashedChats      *crashedChats
 	modelPools        *modelPools
 	records           *once.Table
 	keyClock          *once.Clock
@@ -103,6 +104,7 @@
 		metrics:      meters,
 		store:        config.NewStore(),
 		chatContexts: affinity.NewIndex(maxChatContexts, chatContextTTL),
+		crashedChats: newCrashedChats(),
 		modelPools:   newModelPools(),
 		records:      once.NewTable(s.Limits.Records),
 		retryBudget:  newRetryBudget(s.Limits.RetryRatio),
