Refuse requests whose body ends after a router stopped taking them

Callers of the product's own interface could have a request cut that a stopping router had begun late (read in the code, not played until now).

Cause: whether the router still takes requests was asked when the head had arrived. A body that ended after linger_ms began a chat or a call, which drain_ms then cut. It is asked again once the body has arrived: 204, not run.

Evidence: TestBodyThatEndsAfterTheLingerIsRefused failed before: the chat got 200 from an engine, the call was sent on (203, as there was no worker). Package router passed without the race detector, the test with it.

Left: a further attempt of a request that was taken still begins until drain_ms has passed.

--- a/router/callers.go
+++ b/router/callers.go
@@ -29,8 +29,8 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		r.inProgress.Add(1)
 		defer r.inProgress.Add(-1)
-		if r.closing.Load() {
-			jsonhttp.WriteError(w, withRunUnknown(request, code.New(code.Draining, "the router is shutting down").After(busyRetryAfter)))
+		if err := r.checkClosing(); err != nil {
+			jsonhttp.WriteError(w, withRunUnknown(request, err))
 			return
 		}
 		if !r.synced.Load() {
@@ -40,3 +40,12 @@
 		next.ServeHTTP(w, request)
 	})
 }
+
+// checkClosing returns an error with code.Draining if new requests are refused. A request is
+// new until its body has arrived.
+func (r *Router) checkClosing() error {
+	if !r.closing.Load() {
+		return nil
+	}
+	return code.New(code.Draining, "the router is shutting down").After(busyRetryAfter)
+}
--- a/router/completion.go
+++ b/router/completion.go
@@ -25,6 +25,10 @@
 		r.writeError(w, err)
 		return
 	}
+	if err := r.checkClosing(); err != nil {
+		r.writeError(w, err)
+		return
+	}
 	requestID := uuid.NewString()
 	j, timeout, err := r.newJob(requestID, &body)
 	if err != nil {
--- a/router/service.go
+++ b/router/service.go
@@ -74,6 +74,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := r.checkClosing(); err != nil {
+		return nil, err
+	}
 	workspace := request.PathValue("workspace")
 	rules, err := r.store.Snapshot().Rules(workspace)
 	if err != nil {
