Run two fleets of deposits at a time in tests, not four

TestDepositsRunAtMostOnce failed once with the race detector beside busy loops, at a load of 70 to 117: the routers of one fleet were not ready in 60 s. The test starts four fleets of eight routers at once there, and every process is built with the race detector; the next run, at a load of 45, passed. Two fleets at a time halve what the harness itself adds. What the test asks for is unchanged. Passed once with the race detector at a load of 24; a run at 100 was not made again.

--- a/cmd/cardamompoint/once_test.go
+++ b/cmd/cardamompoint/once_test.go
@@ -77,15 +77,21 @@
 // faultPeriod is the time between two faults.
 const faultPeriod = 150 * time.Millisecond
 
+// parallelFleets is the number of fleets, of eight routers each, that run at the same time.
+const parallelFleets = 2
+
 func TestDepositsRunAtMostOnce(t *testing.T) {
 	const count = 48
 	faults := map[string]fault{"paused": pauseRouter, "replaced": replaceRouter, "cut": pauseHalf, "none": nil}
 	seeds := map[string]uint64{"none": 1, "paused": 2, "replaced": 3, "cut": 4}
+	running := make(chan struct{}, parallelFleets)
 	for _, worker := range []string{"--fencing=false", "--fencing"} {
 		t.Run(worker, func(t *testing.T) {
 			for name, fail := range faults {
 				t.Run(name, func(t *testing.T) {
 					t.Parallel()
+					running <- struct{}{}
+					t.Cleanup(func() { <-running })
 					f := startDepositFleet(t, shortSuspectMS, worker)
 					counts := f.countRuns(f.sendDeposits(count, rand.New(rand.NewPCG(seeds[name], 0)), fail))
 					t.Logf("routers %s, workers %s, seed %d: %s", name, worker, seeds[name], counts)
