Compare the slowness of endpoints with the median of their service

Callers: twelve answers that took six times as long showed a slowness of 3.7 only, so a slow endpoint kept requests longer than asked.

Cause: the ratio of an answer's time to the expected one also grows with load, at all endpoints alike. To keep that from moving prompts, ten expected answers stood against the ratios, and so against those of endpoints that are really slow.

Change: an endpoint's slowness counts as a multiple of the median of the candidates', so that a load that most share counts against none. Eight expected answers stand against the ratios now.

TestSharedSlownessCountsAgainstNone failed before (1.37 to 1.41).

--- a/gateway/choice/chooser.go
+++ b/gateway/choice/chooser.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -54,6 +55,9 @@
 	// lowestFailure is the lowest failure probability of the usable candidates. Failures
 	// common to all endpoints of a service don't count against one.
 	lowestFailure float64
+	// commonSlowness is the median slowness of the candidates, at least 1. Slowness common to most
+	// endpoints of a service comes from its load, and does not count against one.
+	commonSlowness float64
 }
 
 // evaluate fills c.options with the load, health and estimated delay of each candidate.
@@ -87,6 +91,7 @@
 		c.options = append(c.options, o)
 	}
 	c.estimateFailures()
+	c.estimateSlowness()
 	if c.sharedTokens > 0 && !c.lastPartKnown {
 		c.rankOptions()
 	}
@@ -109,6 +114,20 @@
 	}
 }
 
+// estimateSlowness sets the slowness that the candidates have in common.
+func (c *chooser) estimateSlowness() {
+	all := c.table.slownessScratch[:0]
+	for i := range c.options {
+		all = append(all, c.options[i].outcomes.Slowness())
+	}
+	slices.Sort(all)
+	c.table.slownessScratch = all
+	c.commonSlowness = 1
+	if len(all) > 0 {
+		c.commonSlowness = max(1, all[(len(all)-1)/2])
+	}
+}
+
 // markHolders sets missingTokens of the endpoints that hold shared parts and collects
 // the copy sources. An endpoint that holds a part holds all parts before it.
 func (c *chooser) markHolders() {
@@ -198,7 +217,7 @@
 // endpoints take without a backlog. An endpoint that is faster than others is not preferred:
 // its ratio says as much about its load.
 func (c *chooser) estimate(o *option) {
-	o.slowness = max(1, o.outcomes.Slowness())
+	o.slowness = max(1, o.outcomes.Slowness()/c.commonSlowness)
 	if len(c.prompt.Parts) == 0 {
 		o.delayMS = o.slowness * c.delays.ExpectMS(0)
 		return
--- a/gateway/choice/option.go
+++ b/gateway/choice/option.go
@@ -25,7 +25,7 @@
 	prefillTokens int
 	backlogTokens int
 	delayMS       float64
-	// slowness is how long the endpoint takes as a multiple of what is expected, at least 1.
+	// slowness is how long the endpoint takes as a multiple of what most candidates take, at least 1.
 	slowness float64
 	// score is the rendezvous score for the last shared part.
 	score uint64
--- a/gateway/choice/slow_test.go
+++ b/gateway/choice/slow_test.go
@@ -121,3 +121,25 @@
 		}
 	}
 }
+
+// TestSharedSlownessCountsAgainstNone lets all endpoints of a service turn slow alike, as a burst of
+// requests does: none must count as slower than the others.
+func TestSharedSlownessCountsAgainstNone(t *testing.T) {
+	endpoints := testEndpoints(9)
+	table, now := newTestTable(endpoints), clock.Boot(time.Hour)
+	for i := range 180 {
+		took := 20 * time.Millisecond
+		if i >= 90 {
+			took = 60 * time.Millisecond
+		}
+		work := table.Begin(Pick{Endpoint: endpoints[i%9]}, &traffic.Prompt{}, now.Add(-took))
+		work.RecordDelay(now)
+		work.End()
+		table.RecordOutcome(endpoints[i%9].ID, false, now)
+	}
+	for _, candidate := range table.Explain(endpoints, Request{Prompt: &traffic.Prompt{}}, now) {
+		if candidate.Slowness > 1.1 {
+			t.Errorf("%s counts as %.2f times as slow as the others", candidate.Endpoint, candidate.Slowness)
+		}
+	}
+}
--- a/gateway/choice/table.go
+++ b/gateway/choice/table.go
@@ -42,6 +42,8 @@
 	// choice, which the next one reuses.
 	choiceSerial uint64
 	scratch      []option
+	// slownessScratch is the same for the slowness of the candidates.
+	slownessScratch []float64
 }
 
 // maxAnnouncements bounds the locations that wait for the next report.
--- a/gateway/estimate/outcomes.go
+++ b/gateway/estimate/outcomes.go
@@ -78,7 +78,7 @@
 const (
 	// expectedAnswers is how many answers as fast as expected an endpoint counts as having
 	// given, so that a few slow ones say little.
-	expectedAnswers = 10.0
+	expectedAnswers = 8.0
 	// maxRatio bounds the ratio of one answer's delay to the expected one.
 	maxRatio = 10.0
 )
