Wait for the operator also where a peer told of the new era

Cause, from its logs: a VM heard of era 10 from another VM at 52.586 and read the store itself at 53.051. The wait for the operator began only where a VM found the era by its own read, so this read confirmed the keys at once, and a request was served at 53.110; the operator's version came at 53.676. And one second is less than the two in which entries may come back.

The wait begins with the era now, however a VM learns of it, and is as long as for entries, 1.9 s. Confirmations of other VMs, which have waited themselves, count as before. TestCopyHeardOfFromPeersDoesNotConfirm fails without the first half.

--- a/gateway/knowledge/era_test.go
+++ b/gateway/knowledge/era_test.go
@@ -165,3 +165,21 @@
 		t.Errorf("a key that version 6 revoked %v before would be accepted", read.Sub(testStart))
 	}
 }
+
+// TestCopyHeardOfFromPeersDoesNotConfirm lets a VM that missed the store's last changes hear of the new era before it reads the copy itself.
+func TestCopyHeardOfFromPeersDoesNotConfirm(t *testing.T) {
+	tracker := NewTracker(nil)
+	items := func(era int64) []platform.Item { return []platform.Item{inEra(era, configurationItem(5, 1))} }
+	tracker.Apply(Update{Full: true, Era: 1, Revision: 10, ConfirmedAt: testStart, Items: items(1)}, testStart)
+	heard := testStart.Add(6 * time.Second)
+	tracker.Apply(Update{Full: true, Era: 2, Revision: 10, ConfirmedAt: testStart, DeletionsFinal: true, Items: items(2)}, heard)
+	read := heard.Add(500 * time.Millisecond)
+	tracker.Apply(Update{Full: true, Era: 2, Revision: 10, ConfirmedAt: read, Items: items(2)}, read)
+	if at, _ := tracker.ConfirmedAt(); at > testStart {
+		t.Errorf("a key that version 6 revoked %v before would be accepted", read.Sub(testStart))
+	}
+	tracker.Expire(heard.Add(rewriteTime))
+	if at, _ := tracker.ConfirmedAt(); at != read {
+		t.Errorf("confirmed at %v, want %v", at, read)
+	}
+}
--- a/gateway/knowledge/tracker.go
+++ b/gateway/knowledge/tracker.go
@@ -115,7 +115,7 @@
 	}
 	klog.InfoS("config: an era of the store begins", "era", update.Era, "revision", update.Revision,
 		"known_era", t.position.Era, "known_revision", t.position.Revision)
-	if !t.position.IsZero() && !update.DeletionsFinal {
+	if !t.position.IsZero() {
 		t.confirmAfter, t.unconfirmed = now.Add(rewriteTime), 0
 	}
 	t.entries.beginEra(update.Era, now)
@@ -126,7 +126,7 @@
 // rewriteTime is how long after its return a restored store may lack what the operator had written
 // before. Until then, data read from the store does not count as confirmed: the copy may lack a
 // change that this VM has missed, too.
-const rewriteTime = time.Second
+const rewriteTime = HoldAfterRecovery
 
 // applyEntries applies the entries of an update. It reports whether an endpoint changed. The caller
 // holds the lock.
