Wait 1.5 s for the operator, so that VMs serve again within the stable time

The operator of the soak writes again within 1.5 s of the return; VMs notice it 0.8 to 1.4 s late at most (a watch, a pause after a failed call).

--- a/gateway/knowledge/tracker.go
+++ b/gateway/knowledge/tracker.go
@@ -126,7 +126,7 @@
 // rewriteTime is how long after its return a restored store may lack what the operator had written
 // before. Until then, data read from the store does not count as confirmed: the copy may lack a
 // change that this VM has missed, too.
-const rewriteTime = HoldAfterRecovery
+const rewriteTime = 1500 * time.Millisecond
 
 // applyEntries applies the entries of an update. It reports whether an endpoint changed. The caller
 // holds the lock.
