--- a/gateway/knowledge/settling.go
+++ b/gateway/knowledge/settling.go
@@ -67,7 +67,8 @@
 	s.storeLost = true
 }
 
-// markStoreRestored ends an outage of the store, also one in which another VM told of a later era.
+// markStoreRestored ends an outage of the store and begins HoldAfterRecovery. It does so even if an
+// update of another VM has begun a later era during the outage.
 func (s *settling) markStoreRestored(now clock.Boot) {
 	s.storeLost = false
 	s.extendHold(now)
--- a/gateway/knowledge/tracker.go
+++ b/gateway/knowledge/tracker.go
@@ -123,7 +123,7 @@
 	return true
 }
 
-// rewriteTime is how long after its return a restored store may lack what the operator had written
+// rewriteTime is how long after the begin of an era the store may lack what the operator had written
 // before. Until then, data read from the store does not count as confirmed: the copy may lack a
 // change that this VM has missed, too.
 const rewriteTime = 1500 * time.Millisecond
--- a/router/crashing_prompt_test.go
+++ b/router/crashing_prompt_test.go
@@ -275,7 +275,7 @@
 	}
 }
 
-// TestOneCrashDoesNotCondemnTheChat guards against a caller that is told to change its prompt after a single crash, where no other engine could be tried.
+// TestOneCrashDoesNotCondemnTheChat guards against a chat that is refused as crashing after one crash of the only engine.
 func TestOneCrashDoesNotCondemnTheChat(t *testing.T) {
 	crash := crashingPrompt("crashed").WithRun(code.RunPartial)
 	j := &job{crashedEngines: map[string]bool{pairEngine: true}, failedEngines: map[string]bool{pairEngine: true}}
