Let package clock follow virtual time in tests

Cause: the test sleeps in virtual time, but clock.Now read the boot-time clock of the machine, which hardly moves meanwhile. A lost call made a VM read the store itself for 1 s of real time, that is until the end of the test, so after a few virtual seconds no VM followed its leader any more (printed state: LeaderFailed stays set, 0 calls in 25 of 30 runs). The count compared was that of VMs that had not lost a call yet, and the hold, doubt and rewrite times of a restored store never passed. So the test showed less than it said.

clock.SetSource and clocktest.UseVirtualTime let clock.Now follow the bubble's time; the fleet, restore and reader tests of package knowledge and the test of the first configuration use it (that one no longer has to set the start an hour ahead). Each emulated VM draws from a source of its own, and reports are looked through in order, so that the order in which goroutines run does not change what is lost. Calls are counted over 10 s instead of 2 s, which holds many turns of each VM; the bound stays twice the calls before.

--- a/gateway/first_configuration_test.go
+++ b/gateway/first_configuration_test.go
@@ -9,6 +9,7 @@
 
 	"cardamompoint.example/cardamompoint/gateway/knowledge"
 	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/internal/clock/clocktest"
 	"cardamompoint.example/cardamompoint/internal/standin/hosted"
 	"cardamompoint.example/cardamompoint/platform"
 )
@@ -21,8 +22,8 @@
 		t.Fatal(err)
 	}
 	synctest.Test(t, func(t *testing.T) {
-		// The boot-time clock is not virtual: a start in the future keeps waits from timing out.
-		g := &Gateway{tracker: knowledge.NewTracker(func(*knowledge.Snapshot) {}), started: clock.Now().Add(time.Hour)}
+		clocktest.UseVirtualTime(t)
+		g := &Gateway{tracker: knowledge.NewTracker(func(*knowledge.Snapshot) {}), started: clock.Now()}
 		c := &call{gateway: g, r: httptest.NewRequest("GET", "/", nil)}
 		go func() {
 			time.Sleep(firstConfigurationWait / 4)
--- a/gateway/knowledge/emulated_fleet_test.go
+++ b/gateway/knowledge/emulated_fleet_test.go
@@ -12,6 +12,7 @@
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/internal/clock/clocktest"
 	"cardamompoint.example/cardamompoint/platform"
 )
 
@@ -23,6 +24,8 @@
 	lostShare = 0.1
 	// peerDelay is the time of a call between VMs.
 	peerDelay = 2 * time.Millisecond
+	// countedSpan is the span in which calls between VMs are counted: many turns of each VM.
+	countedSpan = 10 * time.Second
 )
 
 // emulatedFleet is a fleet of readers and peer readers in virtual time, before one store. The first
@@ -31,7 +34,6 @@
 	store   *cuttableStore
 	domains int
 	mu      sync.Mutex
-	random  *rand.Rand
 	vms     []*emulatedVM
 	// fetches counts the calls between VMs.
 	fetches int
@@ -89,12 +91,16 @@
 	reader  *Reader
 	peers   *PeerReader
 	stop    context.CancelFunc
+	// mu protects random, which each VM has for itself, so that the order in which VMs draw does not
+	// matter.
+	mu     sync.Mutex
+	random *rand.Rand
 	// heard are the last reports that it heard of others, by number.
 	heard map[int]SyncRequest
 }
 
 func newEmulatedFleet(ctx context.Context, size, domains int, store *modelStore) *emulatedFleet {
-	f := &emulatedFleet{store: &cuttableStore{modelStore: store}, domains: domains, random: rand.New(rand.NewPCG(7, uint64(size)))}
+	f := &emulatedFleet{store: &cuttableStore{modelStore: store}, domains: domains}
 	for number := range size {
 		f.vms = append(f.vms, nil)
 		f.start(ctx, number)
@@ -105,7 +111,8 @@
 // start starts a VM that knows nothing, in place of the one with that number.
 func (f *emulatedFleet) start(ctx context.Context, number int) {
 	ctx, stop := context.WithCancel(ctx)
-	vm := &emulatedVM{fleet: f, number: number, tracker: NewTracker(nil), stop: stop, heard: map[int]SyncRequest{}}
+	vm := &emulatedVM{fleet: f, number: number, tracker: NewTracker(nil), stop: stop, heard: map[int]SyncRequest{},
+		random: rand.New(rand.NewPCG(uint64(number), uint64(clock.Now())))}
 	vm.peers = NewPeerReader(vm, vm.tracker)
 	vm.reader = NewReader(f.store, vm.tracker, vm.shouldRead, never)
 	f.mu.Lock()
@@ -120,11 +127,11 @@
 	go vm.hearReports(ctx)
 }
 
-// draw returns a number below n, and whether a message is lost.
-func (f *emulatedFleet) draw(n int) (number int, lost bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.random.IntN(n), f.random.Float64() < lostShare
+// draw returns the number of a VM, and whether a message is lost.
+func (vm *emulatedVM) draw() (number int, lost bool) {
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	return vm.random.IntN(len(vm.fleet.vms)), vm.random.Float64() < lostShare
 }
 
 func (f *emulatedFleet) vm(number int) *emulatedVM {
@@ -138,7 +145,7 @@
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, reportPeriod)
 		for range heardPeers {
-			number, lost := vm.fleet.draw(len(vm.fleet.vms))
+			number, lost := vm.draw()
 			if lost || number == vm.number {
 				continue
 			}
@@ -167,7 +174,8 @@
 func (vm *emulatedVM) NewerPeer(request SyncRequest) (address string, ok bool) {
 	vm.fleet.mu.Lock()
 	defer vm.fleet.mu.Unlock()
-	for number, report := range vm.heard {
+	for number := range vm.fleet.vms {
+		report := vm.heard[number]
 		if report.Newest.After(request.Newest) || report.ConfigurationVersion > request.ConfigurationVersion {
 			return fmt.Sprint(number), true
 		}
@@ -188,7 +196,7 @@
 	vm.fleet.fetches++
 	vm.fleet.mu.Unlock()
 	clock.Sleep(ctx, peerDelay)
-	if _, lost := vm.fleet.draw(1); lost {
+	if _, lost := vm.draw(); lost {
 		<-ctx.Done()
 		return SyncResponse{}, code.New(code.PlatformSilent, "lost")
 	}
@@ -237,13 +245,14 @@
 		maxDelay      time.Duration
 	}{{7, 3, 2 * time.Second}, {74, 4, 3 * time.Second}, {300, 9, 7 * time.Second}} {
 		synctest.Test(t, func(t *testing.T) {
+			clocktest.UseVirtualTime(t)
 			ctx, cancel := context.WithCancel(t.Context())
 			store := newModelStore()
 			store.write(configurationItem(1, 0))
 			store.write(entryItem("a", traffic.Position{}, 1, 1, "ready"))
 			f := newEmulatedFleet(ctx, fleet.size, fleet.domains, store)
 			time.Sleep(5 * time.Second)
-			calm := f.fetchesIn(2 * time.Second)
+			calm := f.fetchesIn(countedSpan)
 			copied := store.copy()
 			store.write(configurationItem(2, 0))
 			store.write(configurationItem(3, 0))
@@ -257,8 +266,8 @@
 				t.Errorf("%d of %d VMs are behind after %v", count, fleet.size, fleet.maxDelay)
 			}
 			time.Sleep(10 * time.Second)
-			if after := f.fetchesIn(2 * time.Second); after > 2*calm {
-				t.Errorf("%d VMs: %d calls between VMs in 2 s after the restores, %d before", fleet.size, after, calm)
+			if after := f.fetchesIn(countedSpan); after > 2*calm {
+				t.Errorf("%d VMs: %d calls between VMs in %v after the restores, %d before", fleet.size, after, countedSpan, calm)
 			}
 			cancel()
 			synctest.Wait()
--- a/gateway/knowledge/reader_test.go
+++ b/gateway/knowledge/reader_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/internal/clock/clocktest"
 	"cardamompoint.example/cardamompoint/platform"
 )
 
@@ -21,6 +22,7 @@
 // and the full read after the store has compacted its history.
 func TestReaderFollowsTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		clocktest.UseVirtualTime(t)
 		store := &fakeStore{items: []item{configurationItem(1, 1), endpointItem("a", 2)}, revision: 2}
 		tracker := NewTracker(nil)
 		ctx, cancel := context.WithCancel(t.Context())
@@ -51,6 +53,7 @@
 // TestInactiveReaderMakesNoCalls checks that a Reader that should not read makes no calls.
 func TestInactiveReaderMakesNoCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		clocktest.UseVirtualTime(t)
 		store := &fakeStore{items: []item{configurationItem(1, 1)}, revision: 1}
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
@@ -82,6 +85,7 @@
 func callsToLostStore(t *testing.T, others bool) int {
 	calls := 0
 	synctest.Test(t, func(t *testing.T) {
+		clocktest.UseVirtualTime(t)
 		store := &fakeStore{fail: code.New(code.PlatformRejected, "busy")}
 		reader := NewReader(store, NewTracker(nil), always, func() bool { return others })
 		ctx, cancel := context.WithCancel(t.Context())
--- a/gateway/knowledge/restore_test.go
+++ b/gateway/knowledge/restore_test.go
@@ -11,6 +11,7 @@
 
 	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/internal/clock/clocktest"
 	"cardamompoint.example/cardamompoint/platform"
 )
 
@@ -19,6 +20,7 @@
 func TestReaderMissesNoChangeAcrossRestore(t *testing.T) {
 	for passed := range 4 {
 		synctest.Test(t, func(t *testing.T) {
+			clocktest.UseVirtualTime(t)
 			store, tracker := newModelStore(), NewTracker(nil)
 			store.write(configurationItem(1, 0))
 			copied := store.copy()
--- a/internal/clock/boot.go
+++ b/internal/clock/boot.go
@@ -1,23 +1,17 @@
 package clock
 
-import (
-	"time"
-
-	"golang.org/x/sys/unix"
-)
+import "time"
 
 // Boot is a time on the boot-time clock: the time since the VM booted, including the time
 // for which it was suspended. Setting the wall clock does not change it.
 type Boot time.Duration
 
-// Now reads the boot-time clock.
+// Now reads the boot-time clock, or the clock of SetSource.
 func Now() Boot {
-	var now unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
-		// All supported kernels have this clock.
-		panic(err)
+	if now := source.Load(); now != nil {
+		return (*now)()
 	}
-	return Boot(now.Nano())
+	return readBoot()
 }
 
 // Sub returns the time from earlier to b.
