Ask for the retry budget before connecting to another endpoint

While the retry budget is spent, each stream that was silent opened, or took, a connection to another endpoint for nothing: callers saw events of the silent endpoint up to 400 ms late if the other one did not accept connections, and engines got new connections just when all are slow.

Cause: mayRetry connects, and only afterwards reserveRetry asked the budget. Now mayRetry asks first, without counting; reserveRetry counts as before.

--- a/gateway/budget/budget.go
+++ b/gateway/budget/budget.go
@@ -69,6 +69,11 @@
 	return true
 }
 
+// Allows reports whether a request may be retried now, without counting a retry.
+func (b *Budget) Allows(service string, now clock.Boot) bool {
+	return b.Remaining(service, now) >= 1
+}
+
 // Remaining returns how many retries are allowed now. It may be negative.
 func (b *Budget) Remaining(service string, now clock.Boot) float64 {
 	allowed := b.allowance()
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -145,11 +145,14 @@
 // mayRetry reports whether the newest data allow another attempt while one is in progress, at an
 // endpoint that is not avoided itself and accepts a connection. It updates the grant.
 func (c *call) mayRetry() bool {
-	snapshot := c.gateway.tracker.Snapshot()
+	snapshot, now := c.gateway.tracker.Snapshot(), clock.Now()
 	if c.checkPermitted(snapshot) != nil || c.lastExecution() || c.attempts >= maxAttempts {
 		return false
 	}
-	pick, ok := c.choose(snapshot, clock.Now())
+	if !c.gateway.budget.Allows(c.grant.service, now) {
+		return false
+	}
+	pick, ok := c.choose(snapshot, now)
 	return ok && !pick.Avoided && c.isReachable(pick)
 }
 
