Repeat a request only as the newest configuration allows

A caller's request was run a second time although the configuration in force allowed one execution, or had made its route one that may not be repeated. Rules: at most once, and the bound on executions.

Cause: retryError asked the route of the grant, which is that of the attempt before; nextEndpoint then renewed the grant by the newest configuration and nobody asked again. Silent endpoints were in the right order already (mayRetry).

checkRepeat is the one place that says whether the grant's route allows another execution. checkPermitted calls it behind authorize, so each attempt and each reserved retry asks it of the newest configuration; retryError calls it for the attempt that has just failed.

--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -49,12 +49,18 @@
 	return pick, nil
 }
 
+// errOlderGrant is the cause of a refused retry that the configuration of the attempt before allowed.
+var errOlderGrant = code.New(code.OutcomeUnknown, "the configuration has changed since the last attempt")
+
 // checkPermitted returns the reason why the request may not be sent to any endpoint, or nil. It
 // updates the grant.
 func (c *call) checkPermitted(snapshot *knowledge.Snapshot) error {
 	if err := c.authorize(snapshot); err != nil {
 		return err
 	}
+	if err := c.checkRepeat(errOlderGrant); err != nil {
+		return err
+	}
 	if err := c.checkShutdown(); err != nil {
 		return err
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -110,14 +110,13 @@
 		c.retryReserved = false
 		return nil
 	}
-	route := c.grant.route
-	if out.result != resultNotExecuted && !route.Retryable() {
-		return code.Wrap(out.err, code.OutcomeUnknown, "the request may have run")
+	if err := c.checkRepeat(out.err); err != nil {
+		return err
 	}
 	if c.partlyAnswered() {
 		return code.Wrap(out.err, code.AnswerIncomplete, "no other endpoint can complete the response")
 	}
-	if c.executions >= route.MaxExecutions || c.attempts >= maxAttempts {
+	if c.attempts >= maxAttempts {
 		return code.Wrap(out.err, code.EndpointFault, "no further attempt is allowed")
 	}
 	if !out.unsent && !c.gateway.budget.Take(c.grant.service, clock.Now()) {
@@ -126,6 +125,21 @@
 	return nil
 }
 
+// checkRepeat returns the reason why the route of the grant allows no further execution, or nil. cause is
+// why the last attempt failed.
+func (c *call) checkRepeat(cause error) error {
+	switch route := c.grant.route; {
+	case c.executions == 0:
+		return nil
+	case !route.Retryable():
+		return code.Wrap(cause, code.OutcomeUnknown, "the request may have run")
+	case c.executions >= route.MaxExecutions:
+		return code.Wrap(cause, code.EndpointFault, "no further execution is allowed")
+	default:
+		return nil
+	}
+}
+
 // errCallerGone returns the error of a request whose caller has disconnected.
 func errCallerGone() error {
 	return code.New(code.Canceled, "the caller has disconnected")
