Accept the entry of an endpoint that registers again after a restore

Callers saw fewer endpoints than there are for up to 6 s after the store came back from a copy: the entry of a live endpoint had expired before the loss, and its new one was doubted, "older than the deletion", because it has the same start.

Cause: a tombstone kept only the start of the removed endpoint, so an entry of the same start always counted as one of the copy. It now keeps the last known entry; one with a higher sequence was written after it, which no entry of the copy was.

Before: "ready are [late ready], want [gone late ready]". A copy that lists the removed entry itself is doubted as before (TestRestoredCopyBringsNoEndpointBack).

--- a/gateway/knowledge/entries.go
+++ b/gateway/knowledge/entries.go
@@ -99,7 +99,7 @@
 // isOutdated reports whether an entry of a later era is older than what is known of its key.
 func (e *entries) isOutdated(listed *traffic.Endpoint, key string) bool {
 	if deletion, ok := e.tombstones[key]; ok {
-		return deletion.startedMS == 0 || listed.StartedMS <= deletion.startedMS
+		return deletion.last == nil || !deletion.last.WrittenBefore(listed)
 	}
 	known, ok := e.endpoints[key]
 	return ok && listed.WrittenBefore(known)
@@ -120,7 +120,7 @@
 func (e *entries) applyDeletion(item platform.Item, final bool, now clock.Boot) bool {
 	delete(e.settling.doubted, item.Key)
 	if _, ok := e.items[item.Key]; !ok {
-		e.addTombstone(item, e.tombstones[item.Key].startedMS, now)
+		e.addTombstone(item, e.tombstones[item.Key].last, now)
 		return false
 	}
 	if !final && e.settling.holdsDeletions(now) {
@@ -147,14 +147,11 @@
 
 // remove removes an endpoint and records its tombstone.
 func (e *entries) remove(deletion platform.Item, now clock.Boot) {
-	startedMS := int64(0)
-	if endpoint, ok := e.endpoints[deletion.Key]; ok {
-		startedMS = endpoint.StartedMS
-	}
+	last := e.endpoints[deletion.Key]
 	delete(e.settling.held, deletion.Key)
 	delete(e.items, deletion.Key)
 	delete(e.endpoints, deletion.Key)
-	e.addTombstone(deletion, startedMS, now)
+	e.addTombstone(deletion, last, now)
 	e.recordPosition(deletion.Position())
 	klog.InfoS("config: endpoint removed", "key", deletion.Key, "revision", deletion.Revision, "era", deletion.Era)
 }
--- a/gateway/knowledge/era_test.go
+++ b/gateway/knowledge/era_test.go
@@ -116,6 +116,17 @@
 	}
 }
 
+// TestExpiredEndpointThatRegistersAgainAfterRestoreIsUsed lets the entry of a live endpoint expire before the restore from a copy without it.
+func TestExpiredEndpointThatRegistersAgainAfterRestoreIsUsed(t *testing.T) {
+	tracker := restoredTracker()
+	now := testStart.Add(time.Second)
+	lacking := copyUpdate()
+	lacking.Items = lacking.Items[:3]
+	tracker.Apply(lacking, now)
+	tracker.Apply(Update{Era: 2, Revision: 11, Items: []platform.Item{entryItem("gone", traffic.Position{Era: 2, Revision: 11}, 7, 2, "ready")}}, now)
+	wantReady(t, tracker, "gone", "late", "ready")
+}
+
 // TestDoubtedEntryThatStandsIsAccepted keeps an old entry in the store: its endpoint is alive and has
 // nothing new to write.
 func TestDoubtedEntryThatStandsIsAccepted(t *testing.T) {
--- a/gateway/knowledge/tombstone.go
+++ b/gateway/knowledge/tombstone.go
@@ -20,20 +20,20 @@
 type tombstone struct {
 	position  traffic.Position
 	appliedAt clock.Boot
-	// startedMS is the start of the endpoint that the entry described; 0 if it is not known.
-	startedMS int64
+	// last is the last known entry, nil if there is none.
+	last *traffic.Endpoint
 }
 
 // addTombstone records a deletion, so that an older entry can't restore the key and that other VMs
 // receive the deletion.
-func (e *entries) addTombstone(deletion platform.Item, startedMS int64, now clock.Boot) {
+func (e *entries) addTombstone(deletion platform.Item, last *traffic.Endpoint, now clock.Boot) {
 	for old, entry := range e.tombstones {
 		if now.Sub(entry.appliedAt) > tombstoneTTL || len(e.tombstones) >= maxTombstones {
 			delete(e.tombstones, old)
 			e.deletionsKnownAfter(entry.position)
 		}
 	}
-	e.tombstones[deletion.Key] = tombstone{deletion.Position(), now, startedMS}
+	e.tombstones[deletion.Key] = tombstone{deletion.Position(), now, last}
 }
 
 // deletionsKnownAfter raises deletionsSince.
