Tell a VM that starts which entry of an ended endpoint was the last one

A VM that started between the end of an endpoint and the loss of the store doubted the endpoint's entry when it started again under its ID: up to 6 s without that endpoint.

Cause: it had heard of the deletion only, without what the entry had been, and an unknown entry counts as the latest. Full answers between VMs now name the last known write (start and sequence) of each deleted entry. Only full answers do: VMs that follow another one know the entry themselves. traffic.Write takes the place of Endpoint.WrittenBefore.

Before: TestRestartedEndpointIsUsedByVMThatOnlyHeardOfItsDeletion, "ready are [late ready], want [gone late ready]". What remains: a VM that first read the store and then hears of an older deletion does not learn the write, and doubts such an entry for the documented time.

--- a/gateway/knowledge/entries.go
+++ b/gateway/knowledge/entries.go
@@ -61,16 +61,18 @@
 
 // apply applies an endpoint's entry, or its deletion, if it is newer than the known one. An
 // invalid entry removes the endpoint. It reports whether the endpoints changed.
-func (e *entries) apply(item platform.Item, deletionFinal bool, now clock.Boot) bool {
+func (e *entries) apply(item platform.Item, update *Update, now clock.Boot) bool {
 	known := e.knownPosition(item.Key)
 	if !item.Position().After(known) {
 		return false
 	}
 	if item.Deleted {
-		return e.applyDeletion(item, deletionFinal, now)
+		changed := e.applyDeletion(item, update.DeletionsFinal, now)
+		e.recordLastWrite(item.Key, update.LastWrites[item.Key])
+		return changed
 	}
 	endpoint, err := platform.DecodeEndpoint(item)
-	if err == nil && item.Era > known.Era && e.isOutdated(endpoint, item.Key) {
+	if err == nil && item.Era > known.Era && e.isOutdated(endpoint.Write(), item.Key) {
 		e.settling.doubt(item)
 		return false
 	}
@@ -97,12 +99,12 @@
 }
 
 // isOutdated reports whether an entry of a later era is older than what is known of its key.
-func (e *entries) isOutdated(listed *traffic.Endpoint, key string) bool {
+func (e *entries) isOutdated(listed traffic.Write, key string) bool {
 	if deletion, ok := e.tombstones[key]; ok {
-		return deletion.last == nil || !deletion.last.WrittenBefore(listed)
+		return deletion.last == traffic.Write{} || !deletion.last.Before(listed)
 	}
 	known, ok := e.endpoints[key]
-	return ok && listed.WrittenBefore(known)
+	return ok && listed.Before(known.Write())
 }
 
 // logEndpoint logs an endpoint that is new, was restarted or moved, or started or stopped
@@ -147,7 +149,10 @@
 
 // remove removes an endpoint and records its tombstone.
 func (e *entries) remove(deletion platform.Item, now clock.Boot) {
-	last := e.endpoints[deletion.Key]
+	last := traffic.Write{}
+	if endpoint, ok := e.endpoints[deletion.Key]; ok {
+		last = endpoint.Write()
+	}
 	delete(e.settling.held, deletion.Key)
 	delete(e.items, deletion.Key)
 	delete(e.endpoints, deletion.Key)
--- a/gateway/knowledge/era_test.go
+++ b/gateway/knowledge/era_test.go
@@ -127,6 +127,18 @@
 	wantReady(t, tracker, "gone", "late", "ready")
 }
 
+// TestRestartedEndpointIsUsedByVMThatOnlyHeardOfItsDeletion lets a VM start between the end of an endpoint and the restore, in which the endpoint starts again.
+func TestRestartedEndpointIsUsedByVMThatOnlyHeardOfItsDeletion(t *testing.T) {
+	started := NewTracker(nil)
+	learn(t, started, restoredTracker())
+	now := testStart.Add(time.Second)
+	update := copyUpdate()
+	update.Revision = 11
+	update.Items[3] = entryItem("gone", traffic.Position{Era: 2, Revision: 11}, 8, 1, "ready")
+	started.Apply(update, now)
+	wantReady(t, started, "gone", "late", "ready")
+}
+
 // TestDoubtedEntryThatStandsIsAccepted keeps an old entry in the store: its endpoint is alive and has
 // nothing new to write.
 func TestDoubtedEntryThatStandsIsAccepted(t *testing.T) {
--- a/gateway/knowledge/sync.go
+++ b/gateway/knowledge/sync.go
@@ -23,6 +23,8 @@
 	ConfigurationPosition traffic.Position `json:"configuration_position,omitzero"`
 	// Entries are entries of endpoints, and deletions.
 	Entries []platform.Item `json:"entries,omitempty"`
+	// LastWrites are the last known writes of deleted entries by key, in full responses.
+	LastWrites map[string]traffic.Write `json:"last_writes,omitempty"`
 	// Held are the deletions that the responder holds.
 	Held []platform.Item `json:"held,omitempty"`
 	// Position is the position that the responder's data is complete up to.
@@ -90,6 +92,9 @@
 	if request.Position.Era <= t.position.Era {
 		response.Full = request.Position.IsZero() || t.entries.deletionsSince.After(request.Position)
 		response.Entries = t.entries.since(request.Position, response.Full)
+		if response.Full {
+			response.LastWrites = t.entries.lastWrites()
+		}
 		response.Held = t.entries.settling.heldDeletions()
 	}
 	return response
@@ -114,7 +119,7 @@
 
 // update converts a response to an Update. requestedAt is when the request was sent.
 func (s *SyncResponse) update(requestedAt clock.Boot) (Update, error) {
-	update := Update{Items: s.Entries, Held: s.Held, Full: s.Full, Era: s.Position.Era, Revision: s.Position.Revision, Newest: s.Newest, DeletionsFinal: true}
+	update := Update{Items: s.Entries, Held: s.Held, LastWrites: s.LastWrites, Full: s.Full, Era: s.Position.Era, Revision: s.Position.Revision, Newest: s.Newest, DeletionsFinal: true}
 	if len(s.Configuration) > 0 {
 		value, err := decompress(s.Configuration)
 		if err != nil {
--- a/gateway/knowledge/tombstone.go
+++ b/gateway/knowledge/tombstone.go
@@ -20,13 +20,13 @@
 type tombstone struct {
 	position  traffic.Position
 	appliedAt clock.Boot
-	// last is the last known entry, nil if there is none.
-	last *traffic.Endpoint
+	// last is the last known write of the entry, zero if none is.
+	last traffic.Write
 }
 
 // addTombstone records a deletion, so that an older entry can't restore the key and that other VMs
 // receive the deletion.
-func (e *entries) addTombstone(deletion platform.Item, last *traffic.Endpoint, now clock.Boot) {
+func (e *entries) addTombstone(deletion platform.Item, last traffic.Write, now clock.Boot) {
 	for old, entry := range e.tombstones {
 		if now.Sub(entry.appliedAt) > tombstoneTTL || len(e.tombstones) >= maxTombstones {
 			delete(e.tombstones, old)
@@ -36,6 +36,25 @@
 	e.tombstones[deletion.Key] = tombstone{deletion.Position(), now, last}
 }
 
+// recordLastWrite raises the last known write of a deleted entry.
+func (e *entries) recordLastWrite(key string, last traffic.Write) {
+	if deletion, ok := e.tombstones[key]; ok && deletion.last.Before(last) {
+		deletion.last = last
+		e.tombstones[key] = deletion
+	}
+}
+
+// lastWrites returns the last known writes of the deleted entries by key.
+func (e *entries) lastWrites() map[string]traffic.Write {
+	writes := map[string]traffic.Write{}
+	for key, deletion := range e.tombstones {
+		if deletion.last != (traffic.Write{}) {
+			writes[key] = deletion.last
+		}
+	}
+	return writes
+}
+
 // deletionsKnownAfter raises deletionsSince.
 func (e *entries) deletionsKnownAfter(position traffic.Position) {
 	if position.After(e.deletionsSince) {
--- a/gateway/knowledge/tracker.go
+++ b/gateway/knowledge/tracker.go
@@ -134,7 +134,7 @@
 	changed := false
 	for _, item := range update.Items {
 		if strings.HasPrefix(item.Key, platform.EndpointPrefix) {
-			changed = t.entries.apply(item, update.DeletionsFinal, now) || changed
+			changed = t.entries.apply(item, update, now) || changed
 		}
 	}
 	if update.Full {
--- a/gateway/knowledge/update.go
+++ b/gateway/knowledge/update.go
@@ -12,6 +12,8 @@
 	// Held are the deletions that the sender of Items holds: of endpoints whose entries may only
 	// have expired.
 	Held []platform.Item
+	// LastWrites are the last known writes of deleted entries by key.
+	LastWrites map[string]traffic.Write
 	// Full reports whether Items are all items that exist, not only the changed ones.
 	Full bool
 	// Era and Revision are the position that Items are complete up to.
--- a/gateway/traffic/endpoint.go
+++ b/gateway/traffic/endpoint.go
@@ -1,9 +1,6 @@
 package traffic
 
-import (
-	"cmp"
-	"time"
-)
+import "time"
 
 // Endpoint is a published instance of a service. It is immutable.
 type Endpoint struct {
@@ -30,9 +27,9 @@
 	Position Position
 }
 
-// WrittenBefore reports whether the endpoint wrote this entry before the other one.
-func (e *Endpoint) WrittenBefore(other *Endpoint) bool {
-	return cmp.Or(cmp.Compare(e.StartedMS, other.StartedMS), cmp.Compare(e.Sequence, other.Sequence)) < 0
+// Write returns the write of this entry.
+func (e *Endpoint) Write() Write {
+	return Write{e.StartedMS, e.Sequence}
 }
 
 // Instance identifies one incarnation of an endpoint: one that restarts may keep its ID.
