Do not tell a chat as not run after an engine failed it

Callers of the product's own interface saw a chat that an engine had been given, and that had failed there, end with 201 `overloaded` and "not run" when the other engines refused it afterwards.

Cause: job.finalError passed on the refusal of the last round with its own statement about execution, which covers that round alone. Only the refusal because of crashes (311) looked at the failed engines.

TestChatThatFailedAtAnEngineIsNotToldAsNotRun (one engine fails, the others are full) failed before: 23 engines had the chat, which got 503: ... {"error":{"code":201,"name":"overloaded","run":"not run", ... It passes now: each refusal says "partly run" if an engine may have started the work. Found while testing late attempts; ruled out: the executor of keyed calls, whose outcomes are told by the first send.

--- a/router/job.go
+++ b/router/job.go
@@ -297,7 +297,7 @@
 		return j.crashError()
 	}
 	if notAdmitted(err) && !j.started {
-		return err
+		return j.withFailedAttempts(err)
 	}
 	if j.started {
 		return code.New(code.AnswerIncomplete, "the answer failed after %d tokens: %v", len(j.delivered), err).After(busyRetryAfter)
@@ -307,11 +307,17 @@
 
 // crashError returns the error for a chat under which engines crash.
 func (j *job) crashError() error {
-	err := crashingPrompt("%d engines crashed before they answered the chat", len(j.crashedEngines))
+	return j.withFailedAttempts(crashingPrompt("%d engines crashed before they answered the chat", len(j.crashedEngines)))
+}
+
+// withFailedAttempts returns a copy of err that does not say code.RunNo if an engine may have
+// started the work.
+func (j *job) withFailedAttempts(err error) error {
+	coded := *code.Of(err)
 	if len(j.failedEngines) > 0 {
-		return err.WithRun(code.RunPartial)
+		coded.Run = code.RunPartial
 	}
-	return err
+	return &coded
 }
 
 // timeLeft returns the time until the deadline of ctx; one hour if it has none.
