Send no work late in a router's shutdown that would be cut

Callers of the product's own interface could see a call or a chat cut at the end of a planned stop although it had not been sent when linger_ms passed: a further attempt began until drain_ms had passed, and so did work under a ticket or a caller's key that another router handed over. Such an outcome is told as unknown, and the router that could answer for it has gone.

Cause: the router asked whether it may begin something when a request arrived, but not before each send.

Now checkLateStart is asked before each send to a worker or an engine: after linger_ms only work is sent whose deadline lies before the end of the drain time, less 100 ms for the delivery. Refused tickets are recorded as never sent; a refused caller key is dropped before it asks for its clearance, and the entry asks the next executor of the key's group. A chat of which the caller has a token goes on. As in the gateway's plan a sure end is what counts, not the chance of one. Not taken over: refusals from SIGTERM on, since executors that leave get no new keys, and callers still come until linger_ms.

--- a/router/caller_key.go
+++ b/router/caller_key.go
@@ -54,6 +54,10 @@
 	for _, executor := range r.executors(order.Key) {
 		klog.Infof("exec: key %s goes to executor %s.", order.Key.ID, executor)
 		outcome, err := r.sendCallerKeyExecution(ctx, executor, order)
+		if outcome.Error != nil && outcome.Error.Code == code.Draining {
+			last = outcome.Error
+			continue
+		}
 		if err != nil && deliveryUncertain(err) && ctx.Err() == nil {
 			klog.Infof("exec: key %s is not executed by router %s: %v.", order.Key.ID, executor, err)
 			last = err
@@ -147,10 +151,13 @@
 func (r *Router) runCallerKey(record *once.Record, order callerKeyExecution) {
 	ctx, cancel := context.WithTimeout(context.Background(), milliseconds(r.settings.Timing.RequestMS))
 	defer cancel()
+	if err := r.checkLateStart(ctx); err != nil && !order.Revoke {
+		r.abandonKey(record, err, nil)
+		return
+	}
 	holder, err := r.obtainClearance(ctx, order.Key)
 	if err != nil {
-		r.records.Drop(record)
-		record.Finish(once.Outcome{Error: code.Of(err), Holder: holder})
+		r.abandonKey(record, err, holder)
 		return
 	}
 	record.MarkCleared()
@@ -160,3 +167,11 @@
 	}
 	record.Finish(r.runCall(ctx, order.Service, order.Call, func() error { return r.checkCallerKey(order.Key) }))
 }
+
+// abandonKey drops a record whose key was not cleared, so that the key can be tried again here or at
+// another router. holder is the process that has the key, or nil.
+func (r *Router) abandonKey(record *once.Record, err error, holder *once.Holder) {
+	r.records.Drop(record)
+	abandoned := *code.Of(err)
+	record.Finish(once.Outcome{Error: abandoned.WithRun(code.RunUnknown), Holder: holder})
+}
--- a/router/callers.go
+++ b/router/callers.go
@@ -41,12 +41,3 @@
 		next.ServeHTTP(w, request)
 	})
 }
-
-// checkClosing refuses a request that begins after the linger time of a shutdown. It must be called
-// again after the body was read, which takes as long as the caller likes.
-func (r *Router) checkClosing() error {
-	if !r.closing.Load() {
-		return nil
-	}
-	return code.New(code.Draining, "the router is shutting down").After(busyRetryAfter)
-}
--- a/router/execute.go
+++ b/router/execute.go
@@ -114,8 +114,8 @@
 
 // runCall sends the call to one worker. It tries the next worker only if it is
 // certain that no byte was sent. check runs immediately before each send, since the
-// process may have been suspended since the last check; if it fails, the work is
-// not sent and never runs.
+// process may have been suspended since the last check; if it fails, or a shutdown
+// could interrupt the call, the work is not sent and never runs.
 func (r *Router) runCall(ctx context.Context, service string, call endpoint.Call, check func() error) once.Outcome {
 	call.Fence = time.Now().UnixMilli()
 	last := noWorker(service)
@@ -123,6 +123,9 @@
 		if err := check(); err != nil {
 			return notRunOutcome("it is too late to send the call: %v", err)
 		}
+		if err := r.checkLateStart(ctx); err != nil {
+			return notRunOutcome("it is too late to send the call: %v", err)
+		}
 		klog.Infof("exec: request %s %s %s is sent to worker %s.", call.RequestID, call.Method, call.Path, worker)
 		answer, err := r.callWorker(ctx, worker, call)
 		if err == nil {
--- a/router/job.go
+++ b/router/job.go
@@ -109,7 +109,7 @@
 	order := newCandidateOrder(j)
 	for c, ok := order.next(); ok; c, ok = order.next() {
 		err := j.tryCandidate(ctx, c)
-		if err == nil || !notAdmitted(err) || j.crashesEngines() {
+		if err == nil || !notAdmitted(err) || j.crashesEngines() || j.checkLateStart(ctx) != nil {
 			return err
 		}
 		order.recordRefusal(err)
@@ -148,8 +148,19 @@
 	return err
 }
 
+// checkLateStart refuses to begin the answer late in a shutdown. An answer that has started goes on.
+func (j *job) checkLateStart(ctx context.Context) error {
+	if j.started {
+		return nil
+	}
+	return j.router.checkLateStart(ctx)
+}
+
 // dispatch starts a stream at one engine for the rest of the answer.
 func (j *job) dispatch(ctx context.Context, c candidate) (attempt, error) {
+	if err := j.checkLateStart(ctx); err != nil {
+		return attempt{engine: c.vm.Address}, err
+	}
 	j.attempts++
 	at := attempt{
 		engine:   c.vm.Address,
--- a/router/router.go
+++ b/router/router.go
@@ -78,8 +78,10 @@
 	synced atomic.Bool
 	// draining is set when the shutdown starts, closing when new requests are
 	// refused.
-	draining   atomic.Bool
-	closing    atomic.Bool
+	draining atomic.Bool
+	closing  atomic.Bool
+	// drainEnd is when the shutdown interrupts requests in progress; nil before closing is set.
+	drainEnd   atomic.Pointer[time.Time]
 	inProgress atomic.Int64
 	// peerWork counts requests of peers in progress.
 	peerWork atomic.Int64
--- a/router/run.go
+++ b/router/run.go
@@ -99,8 +99,7 @@
 	r.releaseLease(ctx)
 	r.spreadLeaving(ctx)
 	clock.Sleep(ctx, milliseconds(r.settings.Timing.LingerMS))
-	r.closing.Store(true)
-	deadline := time.Now().Add(milliseconds(r.settings.Timing.DrainMS))
+	deadline := r.beginClosing()
 	for r.unfinished() > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
 		clock.Sleep(ctx, drainPollPeriod)
 	}
--- a/router/service.go
+++ b/router/service.go
@@ -107,6 +107,9 @@
 	r.retryBudget.recordRequest()
 	var last error
 	for i, worker := range r.workers(r.members.View(), route.Service, call.RequestID) {
+		if err := r.checkLateStart(ctx); err != nil {
+			return nil, withRunOf(last, err)
+		}
 		if i > 0 && !r.retryBudget.takeRetry() {
 			break
 		}
@@ -127,6 +130,16 @@
 	return nil, code.New(code.RetryBudget, "no worker answered: %v", last).After(busyRetryAfter).WithRun(code.Of(last).Run)
 }
 
+// withRunOf returns the error of a further attempt that is refused. It says what the last one, nil if
+// there was none, left of the work.
+func withRunOf(last, refusal error) error {
+	if last == nil {
+		return refusal
+	}
+	refused := *code.Of(refusal)
+	return refused.WithRun(code.Of(last).Run)
+}
+
 // noWorker returns the error for a service without live workers.
 func noWorker(service string) error {
 	return code.New(code.NoEndpoint, "the service %q has no live worker", service).After(noEndpointRetryAfter)
