--- a/router/source/vm.go
+++ b/router/source/vm.go
@@ -1,9 +1,8 @@
 package source
 
 import (
-	"net/netip"
-
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/internal/hostaddr"
 )
 
 // Role is the function of a VM.
@@ -64,8 +63,8 @@
 // Check returns the reason why the entry names no VM to use, or nil. Errors carry
 // code.InvalidDocument and the path of the invalid field.
 func (v *VM) Check() error {
-	if address, err := netip.ParseAddrPort(v.Address); err != nil || address.Port() == 0 {
-		return code.New(code.InvalidDocument, "%.50q is not an IP address with a port", v.Address).At("$.address")
+	if !hostaddr.IsValid(v.Address) {
+		return code.New(code.InvalidDocument, "%.50q is not the address of one host", v.Address).At("$.address")
 	}
 	if v.Role != RoleRouter && v.Role != RoleEngine && v.Role != RoleService {
 		return code.New(code.InvalidDocument, "the role %.50q is not known", v.Role).At("$.role")
