Keep a listed VM beside an odd entry with its address

A VM of the list was lost when the same answer had a second, odd entry for its address: the odd one counted as a removal, applied after the sound one.

An odd entry still removes a VM that was listed before, as its newest word, but not one that the same answer names in a sound entry. TestOddEntryDoesNotRemoveAListedVM failed before ("the list is [], <nil>") in both orders.

--- a/router/source/client_test.go
+++ b/router/source/client_test.go
@@ -31,6 +31,11 @@
 		strings.Replace(sound, "10.0.0.7:80", "10.0.0.7:99999", 1),
 		strings.Replace(sound, "10.0.0.7:80", "10.0.0.7:0", 1),
 		strings.Replace(sound, "10.0.0.7:80", "worker.example:80", 1),
+		strings.Replace(sound, "10.0.0.7:80", "0.0.0.0:80", 1),
+		strings.Replace(sound, "10.0.0.7:80", "[::]:80", 1),
+		strings.Replace(sound, "10.0.0.7:80", "[fe80::1%eth0]:80", 1),
+		strings.Replace(sound, "10.0.0.7:80", "255.255.255.255:80", 1),
+		strings.Replace(sound, "10.0.0.7:80", "224.0.0.1:80", 1),
 		strings.Replace(sound, `"10.0.0.7:80"`, `7`, 1),
 		strings.Replace(sound, `"10.0.0.7:80"`, deep, 1),
 		strings.Replace(sound, `"live"`, `"asleep"`, 1),
@@ -55,6 +60,20 @@
 	}
 }
 
+// TestOddEntryDoesNotRemoveAListedVM guards against the loss of a VM whose address a second, odd entry of the list has, too.
+func TestOddEntryDoesNotRemoveAListedVM(t *testing.T) {
+	const sound = `{"address":"10.0.0.7:80","role":"engine","group":"g","failure_domain":"d","state":"live"}`
+	odd := strings.Replace(sound, `"live"`, `"asleep"`, 1)
+	for _, entries := range []string{sound + "," + odd, odd + "," + sound} {
+		list, err := answeringPlatform(t, fmt.Sprintf(`{"version":9,"after":8,"vms":[%s]}`, entries)).List(context.Background(), 8)
+		applied := NewVersionedList()
+		applied.Apply(VMList{Version: 8})
+		if err != nil || !applied.Apply(list) || len(applied.Full().VMs) != 1 {
+			t.Errorf("the list is %v, %v", applied.Full().VMs, err)
+		}
+	}
+}
+
 // TestOddDocumentLeavesTheOthersReadable guards against a configuration that can't be followed while one document is odd.
 func TestOddDocumentLeavesTheOthersReadable(t *testing.T) {
 	for _, odd := range []string{
--- a/router/source/decode.go
+++ b/router/source/decode.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 
 	"k8s.io/klog/v2"
 
@@ -41,7 +42,7 @@
 }
 
 // decodeList decodes the answer to a read of the list of VMs. An entry that names no VM to use is
-// left out, and removes the VM that was listed at its address.
+// left out, and removes the VM that was listed at its address, unless another entry names it.
 func decodeList(raw []byte) (VMList, error) {
 	var answer struct {
 		Version int64             `json:"version"`
@@ -53,6 +54,7 @@
 		return VMList{}, err
 	}
 	list := VMList{Version: answer.Version, After: answer.After, Removed: answer.Removed}
+	var odd []string
 	for _, entry := range answer.VMs {
 		vm, err := decodeVM(entry)
 		if err == nil {
@@ -61,12 +63,22 @@
 		}
 		klog.Warningf("member: ignored an invalid entry of the list of VMs with the address %q: %v.", vm.Address, err)
 		if vm.Address != "" {
-			list.Removed = append(list.Removed, vm.Address)
+			odd = append(odd, vm.Address)
 		}
 	}
+	list.Removed = append(list.Removed, unlisted(odd, list.VMs)...)
 	return list, nil
 }
 
+// unlisted returns the addresses at which none of vms is.
+func unlisted(addresses []string, vms []VM) []string {
+	listed := make(map[string]bool, len(vms))
+	for _, vm := range vms {
+		listed[vm.Address] = true
+	}
+	return slices.DeleteFunc(addresses, func(address string) bool { return listed[address] })
+}
+
 // decodeVM decodes an entry of the list of VMs. Beside an error, the VM has the entry's address if
 // that can be read.
 func decodeVM(raw []byte) (VM, error) {
