--- a/gateway/knowledge/entries.go
+++ b/gateway/knowledge/entries.go
@@ -61,16 +61,18 @@
 
 // apply applies an endpoint's entry, or its deletion, if it is newer than the known one. An
 // invalid entry removes the endpoint. It reports whether the endpoints changed.
-func (e *entries) apply(item platform.Item, deletionFinal bool, now clock.Boot) bool {
+func (e *entries) apply(item platform.Item, update *Update, now clock.Boot) bool {
 	known := e.knownPosition(item.Key)
 	if !item.Position().After(known) {
 		return false
 	}
 	if item.Deleted {
-		return e.applyDeletion(item, deletionFinal, now)
+		changed := e.applyDeletion(item, update.DeletionsFinal, now)
+		e.recordLastWrite(item.Key, update.LastWrites[item.Key])
+		return changed
 	}
 	endpoint, err := platform.DecodeEndpoint(item)
-	if err == nil && item.Era > known.Era && e.isOutdated(endpoint, item.Key) {
+	if err == nil && item.Era > known.Era && e.isOutdated(endpoint.Write(), item.Key) {
 		e.settling.doubt(item)
 		return false
 	}
@@ -97,12 +99,12 @@
 }
 
 // isOutdated reports whether an entry of a later era is older than what is known of its key.
-func (e *entries) isOutdated(listed *traffic.Endpoint, key string) bool {
+func (e *entries) isOutdated(listed traffic.Write, key string) bool {
 	if deletion, ok := e.tombstones[key]; ok {
-		return deletion.startedMS == 0 || listed.StartedMS <= deletion.startedMS
+		return deletion.last == traffic.Write{} || !deletion.last.Before(listed)
 	}
 	known, ok := e.endpoints[key]
-	return ok && listed.WrittenBefore(known)
+	return ok && listed.Before(known.Write())
 }
 
 // logEndpoint logs an endpoint that is new, was restarted or moved, or started or stopped
@@ -120,7 +122,7 @@
 func (e *entries) applyDeletion(item platform.Item, final bool, now clock.Boot) bool {
 	delete(e.settling.doubted, item.Key)
 	if _, ok := e.items[item.Key]; !ok {
-		e.addTombstone(item, e.tombstones[item.Key].startedMS, now)
+		e.addTombstone(item, e.tombstones[item.Key].last, now)
 		return false
 	}
 	if !final && e.settling.holdsDeletions(now) {
@@ -147,14 +149,14 @@
 
 // remove removes an endpoint and records its tombstone.
 func (e *entries) remove(deletion platform.Item, now clock.Boot) {
-	startedMS := int64(0)
+	last := traffic.Write{}
 	if endpoint, ok := e.endpoints[deletion.Key]; ok {
-		startedMS = endpoint.StartedMS
+		last = endpoint.Write()
 	}
 	delete(e.settling.held, deletion.Key)
 	delete(e.items, deletion.Key)
 	delete(e.endpoints, deletion.Key)
-	e.addTombstone(deletion, startedMS, now)
+	e.addTombstone(deletion, last, now)
 	e.recordPosition(deletion.Position())
 	klog.InfoS("config: endpoint removed", "key", deletion.Key, "revision", deletion.Revision, "era", deletion.Era)
 }
--- a/gateway/knowledge/era_test.go
+++ b/gateway/knowledge/era_test.go
@@ -116,6 +116,29 @@
 	}
 }
 
+// TestExpiredEndpointThatRegistersAgainAfterRestoreIsUsed lets the entry of a live endpoint expire before the restore from a copy without it.
+func TestExpiredEndpointThatRegistersAgainAfterRestoreIsUsed(t *testing.T) {
+	tracker := restoredTracker()
+	now := testStart.Add(time.Second)
+	lacking := copyUpdate()
+	lacking.Items = lacking.Items[:3]
+	tracker.Apply(lacking, now)
+	tracker.Apply(Update{Era: 2, Revision: 11, Items: []platform.Item{entryItem("gone", traffic.Position{Era: 2, Revision: 11}, 7, 2, "ready")}}, now)
+	wantReady(t, tracker, "gone", "late", "ready")
+}
+
+// TestRestartedEndpointIsUsedByVMThatOnlyHeardOfItsDeletion lets a VM start between the end of an endpoint and the restore, in which the endpoint starts again.
+func TestRestartedEndpointIsUsedByVMThatOnlyHeardOfItsDeletion(t *testing.T) {
+	started := NewTracker(nil)
+	learn(t, started, restoredTracker())
+	now := testStart.Add(time.Second)
+	update := copyUpdate()
+	update.Revision = 11
+	update.Items[3] = entryItem("gone", traffic.Position{Era: 2, Revision: 11}, 8, 1, "ready")
+	started.Apply(update, now)
+	wantReady(t, started, "gone", "late", "ready")
+}
+
 // TestDoubtedEntryThatStandsIsAccepted keeps an old entry in the store: its endpoint is alive and has
 // nothing new to write.
 func TestDoubtedEntryThatStandsIsAccepted(t *testing.T) {
--- a/gateway/knowledge/tombstone.go
+++ b/gateway/knowledge/tombstone.go
@@ -20,20 +20,39 @@
 type tombstone struct {
 	position  traffic.Position
 	appliedAt clock.Boot
-	// startedMS is the start of the endpoint that the entry described; 0 if it is not known.
-	startedMS int64
+	// last is the last known write of the entry, zero if none is.
+	last traffic.Write
 }
 
 // addTombstone records a deletion, so that an older entry can't restore the key and that other VMs
 // receive the deletion.
-func (e *entries) addTombstone(deletion platform.Item, startedMS int64, now clock.Boot) {
+func (e *entries) addTombstone(deletion platform.Item, last traffic.Write, now clock.Boot) {
 	for old, entry := range e.tombstones {
 		if now.Sub(entry.appliedAt) > tombstoneTTL || len(e.tombstones) >= maxTombstones {
 			delete(e.tombstones, old)
 			e.deletionsKnownAfter(entry.position)
 		}
 	}
-	e.tombstones[deletion.Key] = tombstone{deletion.Position(), now, startedMS}
+	e.tombstones[deletion.Key] = tombstone{deletion.Position(), now, last}
+}
+
+// recordLastWrite raises the last known write of a deleted entry.
+func (e *entries) recordLastWrite(key string, last traffic.Write) {
+	if deletion, ok := e.tombstones[key]; ok && deletion.last.Before(last) {
+		deletion.last = last
+		e.tombstones[key] = deletion
+	}
+}
+
+// lastWrites returns the last known writes of the deleted entries by key.
+func (e *entries) lastWrites() map[string]traffic.Write {
+	writes := map[string]traffic.Write{}
+	for key, deletion := range e.tombstones {
+		if deletion.last != (traffic.Write{}) {
+			writes[key] = deletion.last
+		}
+	}
+	return writes
 }
 
 // deletionsKnownAfter raises deletionsSince.
--- a/router/job.go
+++ b/router/job.go
@@ -109,7 +109,7 @@
 	order := newCandidateOrder(j)
 	for c, ok := order.next(); ok; c, ok = order.next() {
 		err := j.tryCandidate(ctx, c)
-		if err == nil || !notAdmitted(err) || j.crashesEngines() {
+		if err == nil || !notAdmitted(err) || j.crashesEngines() || j.checkLateStart(ctx) != nil {
 			return err
 		}
 		order.recordRefusal(err)
@@ -148,8 +148,19 @@
 	return err
 }
 
+// checkLateStart refuses to begin the answer late in a shutdown. An answer that has started goes on.
+func (j *job) checkLateStart(ctx context.Context) error {
+	if j.started {
+		return nil
+	}
+	return j.router.checkLateStart(ctx)
+}
+
 // dispatch starts a stream at one engine for the rest of the answer.
 func (j *job) dispatch(ctx context.Context, c candidate) (attempt, error) {
+	if err := j.checkLateStart(ctx); err != nil {
+		return attempt{engine: c.vm.Address}, err
+	}
 	j.attempts++
 	at := attempt{
 		engine:   c.vm.Address,
@@ -297,7 +308,7 @@
 		return j.crashError()
 	}
 	if notAdmitted(err) && !j.started {
-		return err
+		return j.withFailedAttempts(err)
 	}
 	if j.started {
 		return code.New(code.AnswerIncomplete, "the answer failed after %d tokens: %v", len(j.delivered), err).After(busyRetryAfter)
@@ -307,11 +318,17 @@
 
 // crashError returns the error for a chat under which engines crash.
 func (j *job) crashError() error {
-	err := crashingPrompt("%d engines crashed before they answered the chat", len(j.crashedEngines))
+	return j.withFailedAttempts(crashingPrompt("%d engines crashed before they answered the chat", len(j.crashedEngines)))
+}
+
+// withFailedAttempts returns a copy of err that does not say code.RunNo if an engine may have
+// started the work.
+func (j *job) withFailedAttempts(err error) error {
+	coded := *code.Of(err)
 	if len(j.failedEngines) > 0 {
-		return err.WithRun(code.RunPartial)
+		coded.Run = code.RunPartial
 	}
-	return err
+	return &coded
 }
 
 // timeLeft returns the time until the deadline of ctx; one hour if it has none.
