Keep an idle connection on which a request has arrived unread

Callers may get no answer to a request that reached a VM in time: the timer of an idle connection closed it although a request, or the beginning of one, waited on it. A process that had no processor time while a request arrived runs its timers before it reads, and net/http takes a connection for idle until the whole head is there; a limit that a configuration lowers makes such moments frequent.

The timer now looks whether bytes have arrived, read or unread. If so the limit for heads bounds the rest. Evidence: TestIdleTimerSparesRequestThatHasArrived failed before in both cases ("the connection was closed, read: false" and "read: true").

--- a/gateway/caller_conns_test.go
+++ b/gateway/caller_conns_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/internal/httpguard"
+	"cardamompoint.example/cardamompoint/internal/socket"
 )
 
 // pipeConns returns both ends of a connection in memory, the server's end guarded.
@@ -68,6 +69,61 @@
 	}
 }
 
+// socketConns returns both ends of a TCP connection, the server's end also guarded.
+func socketConns(t *testing.T) (server *httpguard.Conn, near, caller net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	caller, err = net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	near, err = listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { near.Close(); caller.Close() })
+	return httpguard.NewConn(near, func() httpguard.Limits { return httpguard.Limits{HeadBytes: 1 << 10} }), near, caller
+}
+
+// await waits until a condition holds.
+func await(t *testing.T, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the condition never held")
+		}
+	}
+}
+
+// TestIdleTimerSparesRequestThatHasArrived lets the idle limit of a connection pass after a request, or
+// the beginning of one, has arrived that the process was too busy to handle.
+func TestIdleTimerSparesRequestThatHasArrived(t *testing.T) {
+	for _, read := range []bool{false, true} {
+		var limit atomic.Int64
+		limit.Store(int64(time.Hour))
+		closer := newIdleCloser(func() time.Duration { return time.Duration(limit.Load()) })
+		server, near, caller := socketConns(t)
+		closer.stateChanged(server, http.StateIdle)
+		if _, err := io.WriteString(caller, "GET / HTTP/1.1\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		await(t, func() bool { return !socket.IsSilent(near) })
+		if read {
+			go server.Read(make([]byte, 1))
+			await(t, func() bool { return socket.IsSilent(near) && !server.IsQuiet() })
+		}
+		limit.Store(0)
+		closer.expire(server, closer.spans[net.Conn(server)])
+		if !isOpen(t, caller) {
+			t.Errorf("the connection was closed, read: %v", read)
+		}
+	}
+}
+
 // TestRequestOnAClosedConnectionIsNotPassedOn closes a connection as idle after its next request
 // was read: the request must not reach the handler.
 func TestRequestOnAClosedConnectionIsNotPassedOn(t *testing.T) {
--- a/gateway/caller_limits.go
+++ b/gateway/caller_limits.go
@@ -92,8 +92,8 @@
 	return count
 }
 
-// expire closes a connection whose timer has fired, unless a request has begun since or the
-// limit has been raised.
+// expire closes a connection whose timer has fired, unless a request has begun or arrived since or
+// the limit has been raised.
 func (i *idleCloser) expire(conn net.Conn, span *idleSpan) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -104,6 +104,9 @@
 		span.timer.Reset(left)
 		return
 	}
+	if !conn.(*httpguard.Conn).IsQuiet() {
+		return // The limit for heads holds now.
+	}
 	delete(i.spans, conn)
 	_ = conn.Close() // The caller may have closed it too.
 }
--- a/gateway/upstream/patient_reader.go
+++ b/gateway/upstream/patient_reader.go
@@ -4,10 +4,9 @@
 	"errors"
 	"net"
 	"os"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"cardamompoint.example/cardamompoint/internal/socket"
 )
 
 // patientReader reads from a connection, and lets onTimeout decide whether a read goes on after its
@@ -29,28 +28,9 @@
 		if count > 0 || r.onTimeout == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return count, err
 		}
-		next := r.onTimeout(!isSilent(r.conn))
+		next := r.onTimeout(!socket.IsSilent(r.conn))
 		if next.IsZero() || r.conn.SetReadDeadline(next) != nil {
 			return count, err
 		}
 	}
 }
-
-// isSilent reports whether a connection is open and has no unread bytes, whatever its deadline.
-func isSilent(conn net.Conn) bool {
-	system, ok := conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := system.SyscallConn()
-	if err != nil {
-		return false
-	}
-	silent := false
-	err = raw.Control(func(fd uintptr) {
-		var one [1]byte
-		_, _, failed := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		silent = failed == unix.EAGAIN
-	})
-	return err == nil && silent
-}
--- a/gateway/upstream/patient_reader_test.go
+++ b/gateway/upstream/patient_reader_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"cardamompoint.example/cardamompoint/internal/socket"
 )
 
 // dialPair returns both ends of a connection over the loopback interface.
@@ -37,7 +39,7 @@
 	if _, err := io.WriteString(far, shortResponse); err != nil {
 		t.Fatal(err)
 	}
-	for isSilent(near) {
+	for socket.IsSilent(near) {
 		time.Sleep(time.Millisecond)
 	}
 	conn := newConn("a", near)
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sys/unix"
 
 	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/internal/socket"
 )
 
 const (
@@ -68,7 +69,7 @@
 		if conn == nil {
 			return p.Dial(ctx, key, address)
 		}
-		if now < conn.idleDeadline && isSilent(conn.raw) {
+		if now < conn.idleDeadline && socket.IsSilent(conn.raw) {
 			return conn, nil
 		}
 		conn.Close()
--- a/internal/httpguard/claim.go
+++ b/internal/httpguard/claim.go
@@ -39,6 +39,7 @@
 		return
 	}
 	c.claim.held = false
+	c.receiving.Store(len(c.pending)+len(c.ready) > 0)
 	if c.claim.closed {
 		_ = c.Conn.Close() // Nobody is left to handle the error.
 	}
--- a/internal/httpguard/conn.go
+++ b/internal/httpguard/conn.go
@@ -7,7 +7,10 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"cardamompoint.example/cardamompoint/internal/socket"
 )
 
 // ErrMalformedBody is returned by Conn.Read if a chunked body is malformed.
@@ -43,6 +46,8 @@
 	headTimer *time.Timer
 	// claim keeps the connection open while a request is served.
 	claim claim
+	// receiving reports whether bytes were read since the last response.
+	receiving atomic.Bool
 
 	// pending are bytes that were read and not validated yet, ready those that may be
 	// passed on.
@@ -106,11 +111,17 @@
 	count, err := c.Conn.Read(buffer[:])
 	c.pending = append(c.pending, buffer[:count]...)
 	if count > 0 {
+		c.receiving.Store(true)
 		return nil
 	}
 	return err
 }
 
+// IsQuiet reports whether no byte of the next request has arrived, read or unread.
+func (c *Conn) IsQuiet() bool {
+	return !c.receiving.Load() && socket.IsSilent(c.Conn)
+}
+
 // check moves validated bytes from pending to ready.
 func (c *Conn) check() {
 	if len(c.pending) == 0 {
--- /dev/null
+++ b/internal/socket/doc.go
@@ -0,0 +1,2 @@
+// Package socket looks at TCP connections without reading from them.
+package socket
