Confirm a restored store only by reads that begin after the operator had time to write

A key that was revoked before the store was lost could be accepted by a VM that had missed the revocation, for another key lease (the rule of revocations binds VMs without a path to the store, too).

- A read of the copy, made at once after the return, was turned into a confirmation 1.5 s later, though the operator may have written in between and the VM has seen nothing of it.
- A VM that has started since the return knows no earlier era and does not wait.
Its data were the youngest, the others fetched them and took them as confirmed.

Cause: the wait was applied to the moment at which a confirmation counts, and only to the VM's own reads. What shows what was written again is a read that *began* after the wait. Now a ConfirmedAt before confirmAfter counts for nothing, wherever it comes from; Tracker.unconfirmed and its handling in Expire are gone. So that keys are not refused for another watch of 0.8 s, a watch ends when the next read is due (Tracker.NextRead, Reader.watchTime): confirmed at most 60 ms later than before (TestRestoredStoreIsConfirmedOnceTheOperatorHadTimeToWrite, virtual time).

Failed before: TestCopyIsNotConfirmedWithoutAReadAfterTheRewrite ("a read of 0s after the return confirms the data, though none followed"), TestRestartedVMDoesNotConfirmTheCopyForOthers ("the copy counts as confirmed -1ms after the return, want not before 1.5s", both cases).

--- a/gateway/knowledge/era_test.go
+++ b/gateway/knowledge/era_test.go
@@ -81,9 +81,10 @@
 	tracker := restoredTracker()
 	update := copyUpdate()
 	tracker.Apply(update, update.ConfirmedAt)
-	tracker.Expire(update.ConfirmedAt.Add(rewriteTime))
-	if at, _ := tracker.ConfirmedAt(); at != update.ConfirmedAt {
-		t.Errorf("the data was confirmed %v before the answer", update.ConfirmedAt.Sub(at))
+	read := update.ConfirmedAt.Add(rewriteTime)
+	tracker.Apply(Update{Era: 2, Revision: update.Revision, ConfirmedAt: read}, read)
+	if at, _ := tracker.ConfirmedAt(); at != read {
+		t.Errorf("the data was confirmed %v before the read", read.Sub(at))
 	}
 }
 
@@ -201,8 +202,9 @@
 	if at, _ := tracker.ConfirmedAt(); at > testStart {
 		t.Errorf("a key that version 6 revoked %v before would be accepted", read.Sub(testStart))
 	}
-	tracker.Expire(heard.Add(rewriteTime))
-	if at, _ := tracker.ConfirmedAt(); at != read {
-		t.Errorf("confirmed at %v, want %v", at, read)
+	late := heard.Add(rewriteTime)
+	tracker.Apply(Update{Era: 2, Revision: 10, ConfirmedAt: late}, late)
+	if at, _ := tracker.ConfirmedAt(); at != late {
+		t.Errorf("confirmed at %v, want %v", at, late)
 	}
 }
--- a/gateway/knowledge/reader.go
+++ b/gateway/knowledge/reader.go
@@ -25,6 +25,8 @@
 	// watchWait is how long a watch waits for a change. The data is confirmed only when a
 	// watch returns, so this bounds its age.
 	watchWait = 800 * time.Millisecond
+	// minWatchWait is how long a watch waits at least.
+	minWatchWait = 20 * time.Millisecond
 	// callTimeout is the timeout of a watch in addition to watchWait.
 	callTimeout = 600 * time.Millisecond
 	// batchPause is the pause after a watch that returned changes, so that changes in
@@ -203,7 +205,7 @@
 	call, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
 	defer cancel()
 	requestedAt := clock.Now()
-	changes, err := r.store.Watch(call, "", r.position.Revision, watchWait)
+	changes, err := r.store.Watch(call, "", r.position.Revision, r.watchTime(requestedAt))
 	if err != nil {
 		return err
 	}
@@ -218,3 +220,13 @@
 	}
 	return nil
 }
+
+// watchTime returns how long a watch waits for a change: not beyond the time at which the next read
+// is due.
+func (r *Reader) watchTime(now clock.Boot) time.Duration {
+	due, ok := r.tracker.NextRead()
+	if !ok {
+		return watchWait
+	}
+	return min(watchWait, max(minWatchWait, due.Sub(now)))
+}
--- a/gateway/knowledge/restore_test.go
+++ b/gateway/knowledge/restore_test.go
@@ -54,6 +54,36 @@
 	}
 }
 
+// TestRestoredStoreIsConfirmedOnceTheOperatorHadTimeToWrite bounds the time without a confirmation, in which keys are refused.
+func TestRestoredStoreIsConfirmedOnceTheOperatorHadTimeToWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clocktest.UseVirtualTime(t)
+		store, tracker := newModelStore(), NewTracker(nil)
+		store.write(configurationItem(1, 0))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			NewReader(store, tracker, always, never).Run(ctx)
+		}()
+		time.Sleep(time.Second)
+		store.restore(store.copy())
+		restored := clock.Now()
+		for tracker.Position().Era < 2 {
+			time.Sleep(time.Millisecond)
+		}
+		began := clock.Now()
+		for at, _ := tracker.ConfirmedAt(); at < restored; at, _ = tracker.ConfirmedAt() {
+			time.Sleep(time.Millisecond)
+		}
+		if took := clock.Now().Sub(began); took < rewriteTime || took > rewriteTime+3*minWatchWait {
+			t.Errorf("confirmed %v after the begin of the era, want %v", took, rewriteTime)
+		}
+		cancel()
+		<-done
+	})
+}
+
 // endpointModel is an endpoint that writes its entry: at its start, when its state changes, and
 // when a heartbeat finds another entry in the store.
 type endpointModel struct {
--- a/gateway/knowledge/tracker.go
+++ b/gateway/knowledge/tracker.go
@@ -29,10 +29,9 @@
 	entries       *entries
 	// position is the position in the store's history that the data is complete up to.
 	position traffic.Position
-	// confirmAfter is when the data of a restored copy may count as confirmed, unconfirmed the
-	// time that it was read until then; 0 if there is none.
+	// confirmAfter is the time from which on reads of a restored store confirm the data; 0 if the
+	// store was never restored.
 	confirmAfter clock.Boot
-	unconfirmed  clock.Boot
 	// updated is closed and replaced with each update.
 	updated  chan struct{}
 	onChange func(*Snapshot)
@@ -95,7 +94,7 @@
 	changed := t.applyConfiguration(&update)
 	if t.followsOn(&update, now) {
 		changed = t.applyEntries(&update, now) || changed
-		t.confirm(&update, now)
+		t.confirm(&update)
 	}
 	if changed || t.snapshot.Load().Position.IsZero() {
 		t.publish()
@@ -116,7 +115,7 @@
 	klog.InfoS("config: an era of the store begins", "era", update.Era, "revision", update.Revision,
 		"known_era", t.position.Era, "known_revision", t.position.Revision)
 	if !t.position.IsZero() {
-		t.confirmAfter, t.unconfirmed = now.Add(rewriteTime), 0
+		t.confirmAfter = now.Add(rewriteTime)
 	}
 	t.entries.beginEra(update.Era, now)
 	t.position = traffic.Position{Era: update.Era}
@@ -124,7 +123,7 @@
 }
 
 // rewriteTime is how long after the begin of an era the store may lack what the operator had written
-// before. Until then, data read from the store does not count as confirmed: the copy may lack a
+// before. Reads that began earlier confirm nothing, whichever VM made them: the copy may lack a
 // change that this VM has missed, too.
 const rewriteTime = 1500 * time.Millisecond
 
@@ -146,24 +145,23 @@
 
 // confirm records the position that an update is complete up to, and the time of its confirmation.
 // The caller holds the lock.
-func (t *Tracker) confirm(update *Update, now clock.Boot) {
+func (t *Tracker) confirm(update *Update) {
 	t.entries.recordPosition(update.Newest)
 	if t.position.After(update.Position()) {
 		return
 	}
 	t.position = update.Position()
-	if now < t.confirmAfter && !update.DeletionsFinal {
-		t.unconfirmed = max(t.unconfirmed, update.ConfirmedAt)
-		return
+	if at := update.ConfirmedAt; at >= t.confirmAfter && int64(at) > t.confirmed.Load() {
+		t.confirmed.Store(int64(at))
 	}
-	t.raiseConfirmed(update.ConfirmedAt)
 }
 
-// raiseConfirmed raises confirmed. The caller holds the lock.
-func (t *Tracker) raiseConfirmed(at clock.Boot) {
-	if int64(at) > t.confirmed.Load() {
-		t.confirmed.Store(int64(at))
-	}
+// NextRead returns the time at which a read has to begin to confirm or settle what is known; ok is
+// false if no read has to.
+func (t *Tracker) NextRead() (at clock.Boot, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.confirmAfter, t.confirmed.Load() < int64(t.confirmAfter)
 }
 
 // applyConfiguration applies the configuration of an update, if it has one. It reports whether that
@@ -217,16 +215,11 @@
 }
 
 // Expire removes the held endpoints that did not renew their entries by the end of
-// HoldAfterRecovery, accepts doubted entries that still stand, and confirms the data of a restored
-// copy. It must be called every few hundred milliseconds.
+// HoldAfterRecovery, and accepts doubted entries that still stand. It must be called every few
+// hundred milliseconds.
 func (t *Tracker) Expire(now clock.Boot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.unconfirmed != 0 && now >= t.confirmAfter {
-		t.raiseConfirmed(t.unconfirmed)
-		t.unconfirmed = 0
-		t.announce()
-	}
 	if t.entries.settle(now) {
 		t.publish()
 		t.announce()
