Settle held and doubted entries by reads that began late enough, not by time alone

- The store goes away again within the 1.9 s for which an expired entry is held: followers, which were told of the held deletion and have no outage of their own, removed the live endpoint, and their deletion counted as final for all who asked them; a reader whose watch hangs did the same.
Callers got 503 for want of endpoints that would serve them.
- A VM that the store refuses heard of a new era, and nothing since: 5.9 s later it sent requests to endpoints that it knew as draining or gone, by the copy's old entries.

Cause: what is unsettled was settled when its time was over, though nobody had read since whether the endpoint had written again. Now the read that confirms the data must have begun at or after that time, on the VM that reads and on those that follow it. As with the confirmation, the reader's watch ends when such a read is due.

Tests that let time pass without a read (TestRestoredCopyBringsNoEndpointBack, TestDoubtedEntry*, TestEndpointsWriteAgain*, TestExpiredEndpointsAreHeld, TestHeldEndpointLeaves*) read at that time now, as a VM in use does; what they want is unchanged.

--- a/gateway/knowledge/entries.go
+++ b/gateway/knowledge/entries.go
@@ -181,14 +181,15 @@
 }
 
 // settle removes the held endpoints that did not renew their entries in time, and accepts the
-// doubted entries that still stand. It reports whether there was any.
-func (e *entries) settle(now clock.Boot) bool {
+// doubted entries that still stand. confirmed is the begin of the last read. It reports whether there
+// was any.
+func (e *entries) settle(confirmed, now clock.Boot) bool {
 	settled := false
-	for _, deletion := range e.settling.dueDeletions(now) {
+	for _, deletion := range e.settling.dueDeletions(confirmed) {
 		e.remove(deletion, now)
 		settled = true
 	}
-	for key, item := range e.settling.dueEntries(now) {
+	for key, item := range e.settling.dueEntries(confirmed) {
 		klog.InfoS("config: doubted entry is accepted", "key", key, "revision", item.Revision, "era", item.Era)
 		endpoint, err := platform.DecodeEndpoint(item)
 		e.accept(item, endpoint, err)
--- a/gateway/knowledge/era_test.go
+++ b/gateway/knowledge/era_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/gateway/traffic"
+	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/platform"
 )
 
@@ -61,6 +62,13 @@
 	}
 }
 
+// readNothing lets a VM read at a time that nothing has changed, and settle what is due.
+func readNothing(tracker *Tracker, at clock.Boot) {
+	known := tracker.Position()
+	tracker.Apply(Update{Era: known.Era, Revision: known.Revision, ConfirmedAt: at}, at)
+	tracker.Expire(at)
+}
+
 // TestConfigurationsAreAppliedAfterRestore publishes at revisions that the store had before.
 func TestConfigurationsAreAppliedAfterRestore(t *testing.T) {
 	tracker := restoredTracker()
@@ -95,7 +103,7 @@
 	now := testStart.Add(time.Second)
 	tracker.Apply(copyUpdate(), now)
 	wantReady(t, tracker, "late", "ready")
-	tracker.Expire(now.Add(HoldAfterRecovery))
+	readNothing(tracker, now.Add(HoldAfterRecovery))
 	wantReady(t, tracker, "ready")
 }
 
@@ -110,7 +118,7 @@
 		entryItem("late", traffic.Position{Era: 2, Revision: 13}, 7, 1, "ready"),
 		entryItem("ready", traffic.Position{Era: 2, Revision: 14}, 7, 9, "draining"),
 	}}, now)
-	tracker.Expire(now.Add(time.Minute))
+	readNothing(tracker, now.Add(time.Minute))
 	wantReady(t, tracker, "gone", "late")
 	if unsettled := tracker.Unsettled(); len(unsettled) > 0 {
 		t.Errorf("unsettled are %v", unsettled)
@@ -147,9 +155,9 @@
 	tracker.SetEntryLifetime(3 * time.Second)
 	now := testStart.Add(time.Second)
 	tracker.Apply(copyUpdate(), now)
-	tracker.Expire(now.Add(HoldAfterRecovery + 3*time.Second - time.Millisecond))
+	readNothing(tracker, now.Add(HoldAfterRecovery+3*time.Second-time.Millisecond))
 	wantReady(t, tracker, "ready")
-	tracker.Expire(now.Add(HoldAfterRecovery + 3*time.Second))
+	readNothing(tracker, now.Add(HoldAfterRecovery+3*time.Second))
 	wantReady(t, tracker, "draining", "gone", "ready")
 }
 
@@ -159,7 +167,7 @@
 	now := testStart.Add(time.Second)
 	tracker.Apply(copyUpdate(), now)
 	tracker.Apply(Update{Era: 2, Revision: 11, Items: []platform.Item{inEra(2, deletedItem("gone", 11))}}, now.Add(4*time.Second))
-	tracker.Expire(now.Add(time.Minute))
+	readNothing(tracker, now.Add(time.Minute))
 	wantReady(t, tracker, "draining", "ready")
 }
 
--- a/gateway/knowledge/held_test.go
+++ b/gateway/knowledge/held_test.go
@@ -30,12 +30,13 @@
 		follower.Apply(Update{Full: true, Era: 1, Revision: 10, Items: twoEndpoints(1)}, testStart)
 		contents := lose(reader)
 		learn(t, follower, reader)
-		restarted := NewTracker(nil)
-		restarted.Apply(contents, testStart)
 		now := testStart.Add(time.Minute)
-		learn(t, follower, restarted)
+		restarted := NewTracker(nil)
+		contents.ConfirmedAt = now
+		restarted.Apply(contents, now)
+		learnAt(t, follower, restarted, now)
 		follower.Expire(now)
-		learn(t, follower, restarted)
+		learnAt(t, follower, restarted, now)
 		if ready := follower.Snapshot().Ready["s"]; len(ready) != 1 {
 			t.Errorf("%s: %d endpoints are ready, want 1", name, len(ready))
 		}
--- a/gateway/knowledge/settling.go
+++ b/gateway/knowledge/settling.go
@@ -123,18 +123,29 @@
 	}
 }
 
-// dueDeletions returns the held deletions if they are to be applied at now.
-func (s *settling) dueDeletions(now clock.Boot) map[string]platform.Item {
-	if s.holdsDeletions(now) {
+// dueDeletions returns the held deletions if they are to be applied: a read that began after the hold
+// shows that the endpoints did not write their entries again. confirmed is the begin of the last read.
+func (s *settling) dueDeletions(confirmed clock.Boot) map[string]platform.Item {
+	if s.storeLost || confirmed < s.holdUntil {
 		return nil
 	}
 	return s.held
 }
 
-// dueEntries returns the doubted entries if they are to be applied at now.
-func (s *settling) dueEntries(now clock.Boot) map[string]platform.Item {
-	if s.storeLost || now < s.doubtUntil {
+// dueEntries returns the doubted entries if they are to be applied: a read that began when their time
+// was over shows that they still stand. confirmed is the begin of the last read.
+func (s *settling) dueEntries(confirmed clock.Boot) map[string]platform.Item {
+	if s.storeLost || confirmed < s.doubtUntil {
 		return nil
 	}
 	return s.doubted
 }
+
+// nextRead returns the time at which a read has to begin to settle the first items, given the begin
+// of the last read; ok is false if nothing is unsettled.
+func (s *settling) nextRead(confirmed clock.Boot) (at clock.Boot, ok bool) {
+	if len(s.held) > 0 && confirmed < s.holdUntil {
+		return s.holdUntil, true
+	}
+	return s.doubtUntil, len(s.doubted) > 0 && confirmed < s.doubtUntil
+}
--- a/gateway/knowledge/tracker.go
+++ b/gateway/knowledge/tracker.go
@@ -161,7 +161,11 @@
 func (t *Tracker) NextRead() (at clock.Boot, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.confirmAfter, t.confirmed.Load() < int64(t.confirmAfter)
+	confirmed := clock.Boot(t.confirmed.Load())
+	if confirmed < t.confirmAfter {
+		return t.confirmAfter, true
+	}
+	return t.entries.settling.nextRead(confirmed)
 }
 
 // applyConfiguration applies the configuration of an update, if it has one. It reports whether that
@@ -220,7 +224,7 @@
 func (t *Tracker) Expire(now clock.Boot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.entries.settle(now) {
+	if t.entries.settle(clock.Boot(t.confirmed.Load()), now) {
 		t.publish()
 		t.announce()
 	}
--- a/gateway/knowledge/tracker_test.go
+++ b/gateway/knowledge/tracker_test.go
@@ -83,12 +83,12 @@
 	now = now.Add(5 * time.Second)
 	tracker.MarkStoreRestored(now)
 	tracker.Apply(Update{Items: []platform.Item{deletedItem("a", 3), deletedItem("b", 4)}, Revision: 4}, now)
-	tracker.Expire(now.Add(HoldAfterRecovery - time.Millisecond))
+	readNothing(tracker, now.Add(HoldAfterRecovery-time.Millisecond))
 	if count := len(tracker.Snapshot().Ready["s"]); count != 2 {
 		t.Fatalf("%d endpoints are held, want 2", count)
 	}
 	tracker.Apply(Update{Items: []platform.Item{endpointItem("a", 5)}, Revision: 5}, now)
-	tracker.Expire(now.Add(HoldAfterRecovery))
+	readNothing(tracker, now.Add(HoldAfterRecovery))
 	if ready := tracker.Snapshot().Ready["s"]; len(ready) != 1 || ready[0].ID != "a" {
 		t.Errorf("after the hold there are %v", ready)
 	}
