Create the table of emulated VMs before the first one starts

The race detector reported the append to emulatedFleet.vms beside a running VM's draw, since each VM draws for itself (seen by the reviewer, go test -race ./gateway/knowledge).

--- a/gateway/knowledge/emulated_fleet_test.go
+++ b/gateway/knowledge/emulated_fleet_test.go
@@ -100,9 +100,8 @@
 }
 
 func newEmulatedFleet(ctx context.Context, size, domains int, store *modelStore) *emulatedFleet {
-	f := &emulatedFleet{store: &cuttableStore{modelStore: store}, domains: domains}
+	f := &emulatedFleet{store: &cuttableStore{modelStore: store}, domains: domains, vms: make([]*emulatedVM, size)}
 	for number := range size {
-		f.vms = append(f.vms, nil)
 		f.start(ctx, number)
 	}
 	return f
