Doubt an entry of a restored copy that can't be read

An endpoint whose entry another writer had overwritten, and that had written again, went out of use on all VMs at once when the store came back from a copy with the odd entry, until it wrote once more; callers got 503 if it was the last one of its service. Found by the reviewer by reading; no play of odd entries beside a restore has been made.

Cause: only entries that can be read were compared with what is known. An odd one says nothing of when it was written, so it is set aside like an older one while the endpoint is known, and accepted if it still stands when the time of doubted entries is over.

TestOddEntryOfTheCopyDoesNotRemoveAnEndpoint failed before: "ready are [], want [a]".

--- a/gateway/knowledge/entries.go
+++ b/gateway/knowledge/entries.go
@@ -72,13 +72,22 @@
 		return changed
 	}
 	endpoint, err := platform.DecodeEndpoint(item)
-	if err == nil && item.Era > known.Era && e.isOutdated(endpoint.Write(), item.Key) {
+	if item.Era > known.Era && e.isDoubtful(item.Key, endpoint, err) {
 		e.settling.doubt(item)
 		return false
 	}
 	return e.accept(item, endpoint, err)
 }
 
+// isDoubtful reports whether an entry of a later era may be one of the copy that the endpoint has
+// written over since. endpoint and err are the result of decoding it.
+func (e *entries) isDoubtful(key string, endpoint *traffic.Endpoint, err error) bool {
+	if err != nil {
+		return e.endpoints[key] != nil
+	}
+	return e.isOutdated(endpoint.Write(), key)
+}
+
 // accept stores an item as the newest one of its key. endpoint and err are the result of decoding
 // it. It reports whether the endpoints changed.
 func (e *entries) accept(item platform.Item, endpoint *traffic.Endpoint, err error) bool {
