Drop tombstones by time, and tell other VMs of deletions for 30 s only

Tombstones were dropped only when another one was added: after the last deletion up to 4,096 of them went into each answer to each VM, about once a second, for hours, where the design says 60 s. Callers see nothing; it costs processor time and bytes between failure domains.

Expire drops them now. A VM that has dropped one must not learn of it again from one that learned of it later, which would go round for good: VMs are told of a deletion for half of the time for which it is kept. A VM that is further behind gets all entries (deletionsSince).

--- a/gateway/knowledge/entries.go
+++ b/gateway/knowledge/entries.go
@@ -213,12 +213,15 @@
 	return settled
 }
 
-// since returns the items after a position, or all of them. It includes all tombstones, since the
+// since returns the items after a position, or all of them. It includes all recent tombstones, since the
 // deletion of a held entry has a lower position than the requester's when it becomes final, and all
 // doubted items, since a requester without them would not accept them in time.
-func (e *entries) since(position traffic.Position, all bool) []platform.Item {
+func (e *entries) since(position traffic.Position, all bool, now clock.Boot) []platform.Item {
 	var items []platform.Item
 	for key, deletion := range e.tombstones {
+		if !deletion.isTold(now) {
+			continue
+		}
 		items = append(items, platform.Item{Key: key, Era: deletion.position.Era, Revision: deletion.position.Revision, Deleted: true})
 	}
 	for _, item := range e.items {
--- a/gateway/knowledge/sync.go
+++ b/gateway/knowledge/sync.go
@@ -91,7 +91,7 @@
 	}
 	if request.Position.Era <= t.position.Era {
 		response.Full = request.Position.IsZero() || t.entries.deletionsSince.After(request.Position)
-		response.Entries = t.entries.since(request.Position, response.Full)
+		response.Entries = t.entries.since(request.Position, response.Full, now)
 		if response.Full {
 			response.LastWrites = t.entries.lastWrites()
 		}
--- a/gateway/knowledge/tombstone.go
+++ b/gateway/knowledge/tombstone.go
@@ -12,6 +12,9 @@
 	// tombstoneTTL is how long tombstones are kept. No source of updates that is still
 	// in use lags that far behind.
 	tombstoneTTL = 60 * time.Second
+	// tombstoneToldFor is how long other VMs are told of a deletion: so much shorter than
+	// tombstoneTTL that none learns of it again from one that has learned of it late.
+	tombstoneToldFor = 30 * time.Second
 	// maxTombstones bounds the tombstones.
 	maxTombstones = 4096
 )
@@ -27,13 +30,37 @@
 // addTombstone records a deletion, so that an older entry can't restore the key and that other VMs
 // receive the deletion.
 func (e *entries) addTombstone(deletion platform.Item, last traffic.Write, now clock.Boot) {
-	for old, entry := range e.tombstones {
-		if now.Sub(entry.appliedAt) > tombstoneTTL || len(e.tombstones) >= maxTombstones {
-			delete(e.tombstones, old)
+	if len(e.tombstones) >= maxTombstones {
+		e.dropAnyTombstone()
+	}
+	e.tombstones[deletion.Key] = tombstone{deletion.Position(), now, last}
+}
+
+// dropAnyTombstone drops one tombstone.
+func (e *entries) dropAnyTombstone() {
+	for key, entry := range e.tombstones {
+		delete(e.tombstones, key)
+		e.deletionsKnownAfter(entry.position)
+		return
+	}
+}
+
+// expireTombstones drops the tombstones that are older than tombstoneTTL. VMs that lack a deletion that
+// is told no more get all entries instead.
+func (e *entries) expireTombstones(now clock.Boot) {
+	for key, entry := range e.tombstones {
+		if !entry.isTold(now) {
 			e.deletionsKnownAfter(entry.position)
 		}
+		if now.Sub(entry.appliedAt) > tombstoneTTL {
+			delete(e.tombstones, key)
+		}
 	}
-	e.tombstones[deletion.Key] = tombstone{deletion.Position(), now, last}
+}
+
+// isTold reports whether other VMs are told of the deletion.
+func (t tombstone) isTold(now clock.Boot) bool {
+	return now.Sub(t.appliedAt) <= tombstoneToldFor
 }
 
 // recordLastWrite raises the last known write of a deleted entry.
--- a/gateway/knowledge/tracker.go
+++ b/gateway/knowledge/tracker.go
@@ -219,11 +219,12 @@
 }
 
 // Expire removes the held endpoints that did not renew their entries by the end of
-// HoldAfterRecovery, and accepts doubted entries that still stand. It must be called every few
-// hundred milliseconds.
+// HoldAfterRecovery, accepts doubted entries that still stand, and drops old tombstones. It must be
+// called every few hundred milliseconds.
 func (t *Tracker) Expire(now clock.Boot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.entries.expireTombstones(now)
 	if t.entries.settle(clock.Boot(t.confirmed.Load()), now) {
 		t.publish()
 		t.announce()
