Begin an era of the store before recording its configuration's position

A VM that had started, or read a later era first, reported a newest change below its own configuration, counted other VMs as newer and asked one of them for nothing once, at each start and era. Callers see nothing.

Cause: Apply recorded the configuration's position and then began the era, which resets newest.

TestFirstReadOfAnEraRecordsTheConfigurationAsNewest failed before: "the newest applied change is {1 10}, want {1 21}".

--- a/gateway/knowledge/tracker.go
+++ b/gateway/knowledge/tracker.go
@@ -91,8 +91,9 @@
 func (t *Tracker) Apply(update Update, now clock.Boot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	goesOn := t.followsOn(&update, now)
 	changed := t.applyConfiguration(&update)
-	if t.followsOn(&update, now) {
+	if goesOn {
 		changed = t.applyEntries(&update, now) || changed
 		t.confirm(&update)
 	}
