--- a/router/balance/fleet_test.go
+++ b/router/balance/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,35 +41,6 @@
 	duration    time.Duration
 }
 
-// fleetResult holds the counts and the skew measured in a run.
-type fleetResult struct {
-	// requests and refused count all and the refused requests, attempts the
-	// candidates that were asked; each by workspace.
-	requests, refused, attempts [fleetWorkspaces]int
-	// tags and tagsRefused count the tags of all workspaces except the first.
-	tags, tagsRefused int
-	// maxSkew and sumSkew are the maximum and the sum of the skews of all samples,
-	// sumMean is the sum of their mean loads in tokens.
-	maxSkew, sumSkew, sumMean float64
-	samples                   int
-	// peak is the maximum number of requests at one engine.
-	peak int
-	// starts counts the admitted requests by engine.
-	starts [fleetEngines]int
-}
-
-// others returns the fraction of refused requests and the mean number of
-// attempts per request of all workspaces except the first.
-func (r *fleetResult) others() (refused, attempts float64) {
-	asked, refusals, tries := 0, 0, 0
-	for w := 1; w < fleetWorkspaces; w++ {
-		asked += r.requests[w]
-		refusals += r.refused[w]
-		tries += r.attempts[w]
-	}
-	return float64(refusals) / float64(asked), float64(tries) / float64(asked)
-}
-
 // runningRequest is a request in progress at an engine.
 type runningRequest struct {
 	reservation     *Reservation
@@ -287,101 +257,3 @@
 	}
 	return sum
 }
-
-// add adds the counts and sums of other and keeps the larger maxSkew and peak.
-func (r *fleetResult) add(other *fleetResult) {
-	for w := range fleetWorkspaces {
-		r.requests[w] += other.requests[w]
-		r.refused[w] += other.refused[w]
-		r.attempts[w] += other.attempts[w]
-	}
-	for e := range fleetEngines {
-		r.starts[e] += other.starts[e]
-	}
-	r.tags += other.tags
-	r.tagsRefused += other.tagsRefused
-	r.samples += other.samples
-	r.sumSkew += other.sumSkew
-	r.sumMean += other.sumMean
-	r.maxSkew = max(r.maxSkew, other.maxSkew)
-	r.peak = max(r.peak, other.peak)
-}
-
-// TestFloodLeavesOthersAlone guards against one workspace degrading the service
-// of the others. It compares runs with and without one workspace sending 50
-// times its load, from a light load to slightly above the fleet's capacity.
-func TestFloodLeavesOthersAlone(t *testing.T) {
-	for _, rate := range []float64{2, 6, 8} {
-		t.Run(fmt.Sprint(rate), func(t *testing.T) {
-			t.Parallel()
-			baseline := runSeeds(t, fleetLoad{rate: rate, duration: time.Minute})
-			flood := runSeeds(t, fleetLoad{rate: rate, floodFactor: 50, duration: time.Minute})
-			baseline.log(t, "calm")
-			flood.log(t, "flood")
-			compareFlood(t, &baseline, &flood)
-			checkEngines(t, &flood)
-		})
-	}
-}
-
-// compareFlood checks that the other workspaces' refusals, attempts and refused
-// tags are at most 1.2 times those of the run without the flood.
-func compareFlood(t *testing.T, baseline, flood *fleetResult) {
-	const maxIncrease = 1.2
-	baselineRefused, baselineAttempts := baseline.others()
-	floodRefused, floodAttempts := flood.others()
-	if floodRefused > maxIncrease*baselineRefused {
-		t.Errorf("the others' refusals rise from %.4f to %.4f", baselineRefused, floodRefused)
-	}
-	if floodAttempts > maxIncrease*baselineAttempts {
-		t.Errorf("the others' attempts rise from %.3f to %.3f", baselineAttempts, floodAttempts)
-	}
-	if float64(flood.tagsRefused) > maxIncrease*float64(baseline.tagsRefused) {
-		t.Errorf("the others' refused tags rise from %d to %d", baseline.tagsRefused, flood.tagsRefused)
-	}
-}
-
-// checkEngines checks that no engine exceeds its cap of requests, that all
-// engines get a share of the requests and that the average skew is within the
-// load multiple.
-func checkEngines(t *testing.T, r *fleetResult) {
-	if r.peak > fleetLimits.EngineRequests {
-		t.Errorf("%d requests at one engine, the cap is %d", r.peak, fleetLimits.EngineRequests)
-	}
-	if least := slices.Min(r.starts[:]); least*fleetEngines < r.admitted()/2 {
-		t.Errorf("the engine with the fewest requests got %d of %d", least, r.admitted())
-	}
-	if skew := r.sumSkew / float64(r.samples); skew > fleetLimits.LoadMultiple {
-		t.Errorf("the average of max/mean is %.3f", skew)
-	}
-}
-
-// TestSurgeFromIdleIsNotRefused guards against refusals while capacity is free:
-// an idle fleet whose load surges within one second knows its peers' loads only
-// with a delay, so the known mean is too low.
-func TestSurgeFromIdleIsNotRefused(t *testing.T) {
-	surge := runFleet(t, 4, fleetLoad{rate: 20, duration: time.Second})
-	surge.log(t, "surge")
-	for w, refused := range surge.refused {
-		if refused > 0 {
-			t.Errorf("workspace %d: %d of %d are refused", w, refused, surge.requests[w])
-		}
-	}
-}
-
-// admitted returns the number of requests admitted to engines.
-func (r *fleetResult) admitted() int {
-	sum := 0
-	for _, starts := range r.starts {
-		sum += starts
-	}
-	return sum
-}
-
-func (r *fleetResult) log(t *testing.T, name string) {
-	refused, attempts := r.others()
-	samples := float64(max(1, r.samples))
-	t.Logf("%s: others refused %.4f, attempts %.3f; flooding workspace refused %d of %d; tags refused %d of %d; "+
-		"max/mean average %.3f, largest %.3f; mean %.0f tokens; most requests %d", name, refused, attempts,
-		r.refused[0], r.requests[0], r.tagsRefused, r.tags, r.sumSkew/samples, r.maxSkew, r.sumMean/samples, r.peak)
-}
