Send no requests to entries with a VM's or the store's address

With an entry of the right form that has the address of a VM, callers got 401 "the key is unknown": their request was sent to the VM's own port for callers, without the caller's key, and its refusal was passed on as an endpoint's answer. With the store's address they waited for their deadline.

Cause: an entry is checked by itself. Whether its address can be an endpoint's depends on what else listens there, which the VM knows: its own settings, the seeds, the VMs that have reported and the store.

Ruled out: refusing requests with the expected instance at the port for callers, because callers may send that header and are served; refusing failures without a seal, because endpoints' own failures are returned unchanged.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -112,6 +112,7 @@
 	g.tracker = knowledge.NewTracker(g.table.Update)
 	g.tracker.SetEntryLifetime(settings.EntryLifetime)
 	g.members = gossip.NewTable(settings.IP, seedIPs(settings.Seeds))
+	g.tracker.SetReserved(newOwnAddresses(settings, g.members).contains)
 	g.budget = budget.New(g.retryLimits, g.countMembers)
 	g.limits = limit.New(g.vmCount, g.rankTieBreaker^uint64(g.incarnation))
 	g.peers = newPeerClient(settings.FirstPeerPort)
--- a/gateway/gossip/liveness.go
+++ b/gateway/gossip/liveness.go
@@ -82,6 +82,14 @@
 	}
 }
 
+// Knows reports whether a VM with the given IP address is known, alive or not.
+func (t *Table) Knows(address string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, known := t.members[address]
+	return known
+}
+
 // Alive returns copies of the members that ForEachAlive visits, sorted by address.
 func (t *Table) Alive(now clock.Boot) []Member {
 	var alive []Member
--- a/gateway/knowledge/snapshot.go
+++ b/gateway/knowledge/snapshot.go
@@ -19,8 +19,9 @@
 	Position traffic.Position
 }
 
-// newSnapshot returns a snapshot of a configuration, which may be nil, and the endpoints by key.
-func newSnapshot(configuration *traffic.Configuration, endpoints map[string]*traffic.Endpoint, position traffic.Position) *Snapshot {
+// newSnapshot returns a snapshot of a configuration, which may be nil, and the endpoints by key. It
+// leaves out endpoints whose addresses are reserved; reserved may be nil.
+func newSnapshot(configuration *traffic.Configuration, endpoints map[string]*traffic.Endpoint, position traffic.Position, reserved func(string) bool) *Snapshot {
 	snapshot := &Snapshot{
 		Configuration: configuration,
 		Endpoints:     make(map[string]*traffic.Endpoint, len(endpoints)),
@@ -28,6 +29,9 @@
 		Position:      position,
 	}
 	for _, endpoint := range endpoints {
+		if reserved != nil && reserved(endpoint.Address) {
+			continue
+		}
 		snapshot.Endpoints[endpoint.ID] = endpoint
 		if !endpoint.Draining {
 			snapshot.Ready[endpoint.Service] = append(snapshot.Ready[endpoint.Service], endpoint)
--- a/gateway/knowledge/tracker.go
+++ b/gateway/knowledge/tracker.go
@@ -36,6 +36,8 @@
 	// updated is closed and replaced with each update.
 	updated  chan struct{}
 	onChange func(*Snapshot)
+	// reserved reports whether an address can't be that of an endpoint; nil means that each can.
+	reserved func(address string) bool
 }
 
 // NewTracker returns an empty Tracker. onChange, which may be nil, is called with each new
@@ -65,6 +67,14 @@
 	}
 }
 
+// SetReserved sets the function that reports whether an address can't be that of an endpoint. It is
+// called with the Tracker's lock held, for each endpoint whenever one changes, and must not block.
+func (t *Tracker) SetReserved(reserved func(address string) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reserved = reserved
+}
+
 // Snapshot returns the newest snapshot.
 func (t *Tracker) Snapshot() *Snapshot {
 	return t.snapshot.Load()
@@ -235,7 +245,7 @@
 
 // publish stores a new snapshot and passes it to onChange. The caller holds the lock.
 func (t *Tracker) publish() {
-	next := newSnapshot(t.configuration.decoded, t.entries.endpoints, t.position)
+	next := newSnapshot(t.configuration.decoded, t.entries.endpoints, t.position, t.reserved)
 	t.snapshot.Store(next)
 	t.onChange(next)
 }
