Answer a request that is arriving on a kept connection when a VM stops

Callers: at the end of the time in which a stopping VM still accepts connections, all kept connections on which net/http has not read a whole head were closed, also those on which a request was arriving or waited unread. Its caller got no answer, although the VM would have taken the request, or refused it with a Retry-After.

The stop now closes the idle connections itself and waits, until the end of its plan at most, for those on which bytes have arrived. Evidence: TestStopAnswersRequestThatIsArriving failed before ("unexpected EOF"). The same cause as in the idle timer: net/http takes a connection for idle until it has the head.

--- a/gateway/caller_limits.go
+++ b/gateway/caller_limits.go
@@ -56,6 +56,8 @@
 type idleSpan struct {
 	began clock.Boot
 	timer *time.Timer
+	// first reports whether it waits for its first one.
+	first bool
 }
 
 func newIdleCloser(limit func() time.Duration) *idleCloser {
@@ -72,7 +74,7 @@
 		delete(i.spans, conn)
 	}
 	if state == http.StateNew || state == http.StateIdle {
-		span := &idleSpan{began: clock.Now()}
+		span := &idleSpan{began: clock.Now(), first: state == http.StateNew}
 		span.timer = time.AfterFunc(i.limit(), func() { i.expire(conn, span) })
 		i.spans[conn] = span
 	}
@@ -92,6 +94,25 @@
 	return count
 }
 
+// closeQuiet closes the connections that have served a request and on which no next one is arriving. It
+// returns the number of those on which one is.
+func (i *idleCloser) closeQuiet() (arriving int) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for conn, span := range i.spans {
+		switch {
+		case span.first:
+		case conn.(*httpguard.Conn).IsQuiet():
+			span.timer.Stop()
+			delete(i.spans, conn)
+			_ = conn.Close() // The caller may have closed it too.
+		default:
+			arriving++
+		}
+	}
+	return arriving
+}
+
 // expire closes a connection whose timer has fired, unless a request has begun or arrived since or
 // the limit has been raised.
 func (i *idleCloser) expire(conn net.Conn, span *idleSpan) {
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -43,6 +43,7 @@
 	if err := l.net.Close(); err != nil {
 		klog.V(1).InfoS("gateway: closing a listener failed", "listener", l.name, "reason", err.Error())
 	}
+	l.conns.awaitArrivingRequests(plan)
 	l.server.SetKeepAlivesEnabled(false)
 	l.conns.awaitFirstRequests(plan)
 	ctx, cancel := context.WithTimeout(context.Background(), plan.end.Sub(clock.Now()))
@@ -54,14 +55,22 @@
 	// firstRequestWait is how long a connection without a request is kept for its first one, as
 	// in http.Server.Shutdown.
 	firstRequestWait = 5 * time.Second
-	// firstRequestPoll is the interval between two checks.
-	firstRequestPoll = 20 * time.Millisecond
+	// requestPoll is the interval between two checks for requests that are to arrive.
+	requestPoll = 20 * time.Millisecond
 )
 
+// awaitArrivingRequests closes the idle connections and waits until none is left on which a request is
+// arriving, or the plan ends. http.Server.SetKeepAlivesEnabled would close those too.
+func (c callerConns) awaitArrivingRequests(plan *shutdownPlan) {
+	for c.idle.closeQuiet() > 0 && clock.Now() < plan.end {
+		time.Sleep(requestPoll)
+	}
+}
+
 // awaitFirstRequests waits until no open connection waits for its first request, or the plan ends.
 // http.Server.Shutdown would close them without a response to a request that arrives then.
 func (c callerConns) awaitFirstRequests(plan *shutdownPlan) {
 	for clock.Now() < plan.end && c.idle.countSince(clock.Now().Add(-firstRequestWait)) > 0 {
-		time.Sleep(firstRequestPoll)
+		time.Sleep(requestPoll)
 	}
 }
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -238,6 +239,31 @@
 	}
 }
 
+// TestStopAnswersRequestThatIsArriving guards against a stop that closes a kept connection while the head of a request arrives on it.
+func TestStopAnswersRequestThatIsArriving(t *testing.T) {
+	f := newTestFleet(t, stopFleetSize)
+	c := &lateCaller{path: "/lookup/1", open: "served", result: result{id: "00000000000000e2"}}
+	c.connect(f)
+	defer c.conn.Close()
+	var whole bytes.Buffer
+	request := f.newRequest(context.Background(), 1, c.id, query{path: c.path})
+	if err := request.Write(&whole); err != nil {
+		t.Fatal(err)
+	}
+	f.beginStop(testGrace, testLinger)
+	io.WriteString(c.conn, whole.String()[:30])
+	time.Sleep(testLinger + 300*time.Millisecond)
+	io.WriteString(c.conn, whole.String()[30:])
+	response, err := http.ReadResponse(bufio.NewReader(c.conn), request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusInternalServerError && response.StatusCode != http.StatusServiceUnavailable || !response.Close {
+		t.Errorf("got %s, close: %v", response.Status, response.Close)
+	}
+}
+
 // TestRetryDoesNotBeginLate guards against another attempt whose answer the end of the process would cut.
 func TestRetryDoesNotBeginLate(t *testing.T) {
 	f := newTestFleet(t, stopFleetSize)
