Do not accept withdrawn keys on a VM that starts after a restore

Cause: data of a restored store count as confirmed only rewriteTime after a VM has noticed the new era. A VM that knows nothing, or what a VM of the same era told it, notices none, so its first read confirmed the copy, also for those that follow it. Now it waits as well, unless the era is the first one, in which there was no restore. A VM that starts beside others loses nothing: what they tell is confirmed by their own reads.

Before: TestVMThatStartsAfterRestoreDoesNotAcceptWithdrawnKeys fails alone and beside another VM. A store that counts from 0 takes its first restore for the first era: VMs that start right after that one trust the copy as before.

--- a/gateway/knowledge/era_test.go
+++ b/gateway/knowledge/era_test.go
@@ -206,3 +206,18 @@
 		t.Errorf("confirmed at %v, want %v", at, read)
 	}
 }
+
+// TestVMThatStartsAfterRestoreDoesNotAcceptWithdrawnKeys lets a VM that knows nothing, or what a VM of the same era told it, read the copy.
+func TestVMThatStartsAfterRestoreDoesNotAcceptWithdrawnKeys(t *testing.T) {
+	for name, running := range map[string]*Tracker{"alone": NewTracker(nil), "beside another": restoredTracker()} {
+		started := NewTracker(nil)
+		running.Apply(copyUpdate(), testStart)
+		if name != "alone" {
+			learn(t, started, running)
+		}
+		started.Apply(copyUpdate(), copyUpdate().ConfirmedAt)
+		if at, _ := started.ConfirmedAt(); at > testStart {
+			t.Errorf("%s: a key that was withdrawn before the loss would be accepted", name)
+		}
+	}
+}
--- a/gateway/knowledge/tracker.go
+++ b/gateway/knowledge/tracker.go
@@ -115,7 +115,7 @@
 	}
 	klog.InfoS("config: an era of the store begins", "era", update.Era, "revision", update.Revision,
 		"known_era", t.position.Era, "known_revision", t.position.Revision)
-	if !t.position.IsZero() {
+	if !t.position.IsZero() || update.Era > firstEra {
 		t.confirmAfter, t.unconfirmed = now.Add(rewriteTime), 0
 	}
 	t.entries.beginEra(update.Era, now)
@@ -123,6 +123,10 @@
 	return true
 }
 
+// firstEra is the era of a store that has not come back from a copy yet. A VM that starts in a later
+// one can't tell how long ago the store came back.
+const firstEra = 1
+
 // rewriteTime is how long after the begin of an era the store may lack what the operator had written
 // before. Until then, data read from the store does not count as confirmed: the copy may lack a
 // change that this VM has missed, too.
