Doubt entries of a restored copy longer if the store is away meanwhile

A VM that knew an endpoint as draining or gone sent it requests again (DRAIN) if the store was away once more within the 5.9 s for which entries of a copy are doubted.

Cause: the doubt ends when the entry of a silent endpoint must have expired. Leases may not run out while the store is down, so the end of an outage begins that time anew, as it does for held deletions. VMs that follow another one see no outage themselves; responses now tell how long the responder still doubts (never more, counted from the request, so that VMs which ask each other do not prolong it).

Before: "ready are [draining gone ready], want [ready]" at the reading VM and at its follower. What was ruled out: the copy being accepted by a VM that knew nothing; the VM had noticed the leaving.

--- a/gateway/knowledge/era_test.go
+++ b/gateway/knowledge/era_test.go
@@ -152,6 +152,24 @@
 	wantReady(t, tracker, "draining", "gone", "ready")
 }
 
+// TestDoubtedEntryIsNotAcceptedWhileAnOutageKeepsItFromExpiring lets the store be away again before the entries of endpoints that are gone have expired.
+func TestDoubtedEntryIsNotAcceptedWhileAnOutageKeepsItFromExpiring(t *testing.T) {
+	reader, follower := restoredTracker(), restoredTracker()
+	reader.Apply(copyUpdate(), testStart)
+	learn(t, follower, reader)
+	reader.MarkStoreLost()
+	back := testStart.Add(4 * time.Second)
+	reader.MarkStoreRestored(back)
+	learnAt(t, follower, reader, back)
+	now := back.Add(HoldAfterRecovery + defaultEntryLifetime - time.Millisecond)
+	reader.Expire(now)
+	follower.Expire(now)
+	wantReady(t, reader, "ready")
+	wantReady(t, follower, "ready")
+	reader.Expire(now.Add(time.Millisecond))
+	wantReady(t, reader, "draining", "gone", "ready")
+}
+
 // TestDoubtedEntryThatExpiresIsForgotten lets the store remove the entry of an endpoint that is gone.
 func TestDoubtedEntryThatExpiresIsForgotten(t *testing.T) {
 	tracker := restoredTracker()
--- a/gateway/knowledge/held_test.go
+++ b/gateway/knowledge/held_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/gateway/traffic"
+	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/platform"
 )
 
@@ -52,12 +53,18 @@
 // learn lets one VM learn from another.
 func learn(t *testing.T, to, from *Tracker) {
 	t.Helper()
-	response := from.SyncResponse(to.SyncRequest(), testStart)
-	update, err := response.update(testStart)
+	learnAt(t, to, from, testStart)
+}
+
+// learnAt lets one VM learn from another at a time.
+func learnAt(t *testing.T, to, from *Tracker, now clock.Boot) {
+	t.Helper()
+	response := from.SyncResponse(to.SyncRequest(), now)
+	update, err := response.update(now)
 	if err != nil {
 		t.Fatal(err)
 	}
-	to.Apply(update, testStart)
+	to.Apply(update, now)
 }
 
 // TestEndpointsAreHeldAfterOutageThatPeersEndTheEraIn lets a VM without the store hear of a later era: what expires until it reaches the store must be held.
--- a/gateway/knowledge/settling.go
+++ b/gateway/knowledge/settling.go
@@ -58,7 +58,7 @@
 		s.storeLost = false
 		s.holdUntil = now.Add(HoldAfterRecovery)
 	}
-	s.doubtUntil = now.Add(HoldAfterRecovery + s.entryLifetime)
+	s.doubtUntil = now.Add(s.doubtTime())
 	s.doubted = map[string]platform.Item{}
 }
 
@@ -72,6 +72,7 @@
 func (s *settling) markStoreRestored(now clock.Boot) {
 	s.storeLost = false
 	s.extendHold(now)
+	s.extendDoubt(now.Add(s.doubtTime()))
 }
 
 // holdsDeletions reports whether deletions that are not final are held at now.
@@ -101,6 +102,33 @@
 	return slices.Collect(maps.Values(s.held))
 }
 
+// doubtTime is the time from the return of the store until the entry of an endpoint that is gone has
+// expired.
+func (s *settling) doubtTime() time.Duration {
+	return HoldAfterRecovery + s.entryLifetime
+}
+
+// extendDoubt lets doubted entries stay doubted at least until a time. During an outage, entries may
+// not expire.
+func (s *settling) extendDoubt(until clock.Boot) {
+	if len(s.doubted) > 0 {
+		s.doubtUntil = max(s.doubtUntil, until)
+	}
+}
+
+// doubtLeft returns how long entries stay doubted at least: the whole time during an outage, 0 if there
+// are none.
+func (s *settling) doubtLeft(now clock.Boot) time.Duration {
+	switch {
+	case len(s.doubted) == 0:
+		return 0
+	case s.storeLost:
+		return s.doubtTime()
+	default:
+		return max(s.doubtUntil.Sub(now), 0)
+	}
+}
+
 // doubt sets an entry aside. The known endpoint, if any, stays as it is.
 func (s *settling) doubt(item platform.Item) {
 	delete(s.held, item.Key)
--- a/gateway/knowledge/sync.go
+++ b/gateway/knowledge/sync.go
@@ -27,6 +27,8 @@
 	LastWrites map[string]traffic.Write `json:"last_writes,omitempty"`
 	// Held are the deletions that the responder holds.
 	Held []platform.Item `json:"held,omitempty"`
+	// DoubtMS is how long the responder still doubts entries, in milliseconds.
+	DoubtMS int64 `json:"doubt_ms,omitempty"`
 	// Position is the position that the responder's data is complete up to.
 	Position traffic.Position `json:"position"`
 	// Newest is the position of the newest change that the responder has applied.
@@ -95,6 +97,7 @@
 		if response.Full {
 			response.LastWrites = t.entries.lastWrites()
 		}
+		response.DoubtMS = t.entries.settling.doubtLeft(now).Milliseconds()
 		response.Held = t.entries.settling.heldDeletions()
 	}
 	return response
@@ -128,6 +131,9 @@
 		at := s.ConfigurationPosition
 		update.Items = append(update.Items, platform.Item{Key: platform.ConfigurationKey, Value: value, Era: at.Era, Revision: at.Revision})
 	}
+	if s.DoubtMS > 0 {
+		update.DoubtUntil = requestedAt.Add(time.Duration(s.WaitedMS+s.DoubtMS) * time.Millisecond)
+	}
 	if s.AgeMS >= 0 {
 		// The responder received the request after requestedAt and measured AgeMS at least
 		// WaitedMS later, so this is never later than the true time.
--- a/gateway/knowledge/tracker.go
+++ b/gateway/knowledge/tracker.go
@@ -145,6 +145,7 @@
 		changed = t.entries.removeUnlisted(update, now) || changed
 	}
 	t.entries.hold(update.Held, now)
+	t.entries.settling.extendDoubt(update.DoubtUntil)
 	return changed
 }
 
