--- a/gateway/knowledge/era_test.go
+++ b/gateway/knowledge/era_test.go
@@ -161,6 +161,24 @@
 	wantReady(t, tracker, "draining", "gone", "ready")
 }
 
+// TestDoubtedEntryIsNotAcceptedWhileAnOutageKeepsItFromExpiring lets the store be away again before the entries of endpoints that are gone have expired.
+func TestDoubtedEntryIsNotAcceptedWhileAnOutageKeepsItFromExpiring(t *testing.T) {
+	reader, follower := restoredTracker(), restoredTracker()
+	reader.Apply(copyUpdate(), testStart)
+	learn(t, follower, reader)
+	reader.MarkStoreLost()
+	back := testStart.Add(4 * time.Second)
+	reader.MarkStoreRestored(back)
+	learnAt(t, follower, reader, back)
+	now := back.Add(HoldAfterRecovery + defaultEntryLifetime - time.Millisecond)
+	readNothing(reader, now)
+	readNothing(follower, now)
+	wantReady(t, reader, "ready")
+	wantReady(t, follower, "ready")
+	readNothing(reader, now.Add(time.Millisecond))
+	wantReady(t, reader, "draining", "gone", "ready")
+}
+
 // TestDoubtedEntryThatExpiresIsForgotten lets the store remove the entry of an endpoint that is gone.
 func TestDoubtedEntryThatExpiresIsForgotten(t *testing.T) {
 	tracker := restoredTracker()
@@ -216,3 +234,18 @@
 		t.Errorf("confirmed at %v, want %v", at, late)
 	}
 }
+
+// TestVMThatStartsAfterRestoreDoesNotAcceptWithdrawnKeys lets a VM that knows nothing, or what a VM of the same era told it, read the copy.
+func TestVMThatStartsAfterRestoreDoesNotAcceptWithdrawnKeys(t *testing.T) {
+	for name, running := range map[string]*Tracker{"alone": NewTracker(nil), "beside another": restoredTracker()} {
+		started := NewTracker(nil)
+		running.Apply(copyUpdate(), testStart)
+		if name != "alone" {
+			learn(t, started, running)
+		}
+		started.Apply(copyUpdate(), copyUpdate().ConfirmedAt)
+		if at, _ := started.ConfirmedAt(); at > testStart {
+			t.Errorf("%s: a key that was withdrawn before the loss would be accepted", name)
+		}
+	}
+}
--- a/gateway/knowledge/restarted_vm_test.go
+++ b/gateway/knowledge/restarted_vm_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 	"time"
-
-	"cardamompoint.example/cardamompoint/internal/clock"
 )
 
 // TestRestartedVMDoesNotConfirmTheCopyForOthers guards against a revoked key that is accepted because a VM without an earlier era reads the copy.
@@ -29,14 +27,3 @@
 		}
 	}
 }
-
-// learnAt lets one VM learn from another at a time.
-func learnAt(t *testing.T, to, from *Tracker, now clock.Boot) {
-	t.Helper()
-	response := from.SyncResponse(to.SyncRequest(), now)
-	update, err := response.update(now)
-	if err != nil {
-		t.Fatal(err)
-	}
-	to.Apply(update, now)
-}
--- a/gateway/knowledge/tracker.go
+++ b/gateway/knowledge/tracker.go
@@ -30,8 +30,10 @@
 	// position is the position in the store's history that the data is complete up to.
 	position traffic.Position
 	// confirmAfter is the time from which on reads of a restored store confirm the data; 0 if the
-	// store was never restored.
+	// store was never restored. startedInEra reports whether this VM has known no earlier era: other
+	// VMs of this one have waited for themselves, so that what they confirmed counts at once.
 	confirmAfter clock.Boot
+	startedInEra bool
 	// updated is closed and replaced with each update.
 	updated  chan struct{}
 	onChange func(*Snapshot)
@@ -125,7 +127,8 @@
 	}
 	klog.InfoS("config: an era of the store begins", "era", update.Era, "revision", update.Revision,
 		"known_era", t.position.Era, "known_revision", t.position.Revision)
-	if !t.position.IsZero() {
+	t.startedInEra = t.position.IsZero()
+	if !t.startedInEra || update.Era > firstEra {
 		t.confirmAfter = now.Add(rewriteTime)
 	}
 	t.entries.beginEra(update.Era, now)
@@ -133,9 +136,13 @@
 	return true
 }
 
+// firstEra is the era of a store that has not come back from a copy yet. A VM that starts in a later
+// one can't tell how long ago the store came back.
+const firstEra = 1
+
 // rewriteTime is how long after the begin of an era the store may lack what the operator had written
-// before. Reads that began earlier confirm nothing, whichever VM made them: the copy may lack a
-// change that this VM has missed, too.
+// before. Reads that began earlier confirm nothing: the copy may lack a change that this VM has
+// missed, too.
 const rewriteTime = 1500 * time.Millisecond
 
 // applyEntries applies the entries of an update. It reports whether an endpoint changed. The caller
@@ -151,6 +158,7 @@
 		changed = t.entries.removeUnlisted(update, now) || changed
 	}
 	t.entries.hold(update.Held, now)
+	t.entries.settling.extendDoubt(update.DoubtUntil)
 	return changed
 }
 
@@ -162,8 +170,9 @@
 		return
 	}
 	t.position = update.Position()
-	if at := update.ConfirmedAt; at >= t.confirmAfter && int64(at) > t.confirmed.Load() {
-		t.confirmed.Store(int64(at))
+	trusted := update.ConfirmedAt >= t.confirmAfter || update.DeletionsFinal && t.startedInEra
+	if trusted && int64(update.ConfirmedAt) > t.confirmed.Load() {
+		t.confirmed.Store(int64(update.ConfirmedAt))
 	}
 }
 
