--- a/gateway/retry_policy_change_test.go
+++ b/gateway/retry_policy_change_test.go
@@ -35,13 +35,6 @@
 	}
 }
 
-// allowSlowAnswers lets answers that are no streams take long before another endpoint is tried.
-func allowSlowAnswers(c *hosted.Configuration) {
-	for i := range c.Routes {
-		c.Routes[i].LatencyGoalMS = 10000
-	}
-}
-
 // forbidRepeats withdraws the permission to repeat lookups.
 func forbidRepeats(c *hosted.Configuration) {
 	for i := range c.Routes {
