Bound what endpoints that have just started get

Cause: it is idle, so it is the cheapest of its service, while its entry says that it is still slow; nothing read that (`WarmUpLeft`).

While it warms up, all VMs together send it a sixth of its slots a second: each VM has a token bucket with an equal part by the number of VMs that report, without a message. An empty bucket is a penalty, not an exclusion, so that a service whose endpoints have all just started goes on.

--- a/gateway/choice/chooser.go
+++ b/gateway/choice/chooser.go
@@ -76,6 +76,7 @@
 			missingTokens: c.missingTokens(st),
 			rank:          lowestRank,
 			avoided:       c.now < st.avoidUntil,
+			warmingUp:     st.warmUp.full(endpoint, len(c.table.reports)+1, c.now),
 			leaving:       st.notice.leavingAt != 0,
 			excluded:      excluded(endpoint.ID) || st.notice.blocks(c.now, c.table.leavingGrace),
 			outcomes:      st.outcomes.AsOf(c.now),
--- a/gateway/choice/cost.go
+++ b/gateway/choice/cost.go
@@ -4,8 +4,9 @@
 	// These penalties put a candidate behind all that have none. They are steps of ten,
 	// so a larger one outweighs all smaller ones.
 	overBoundPenaltyMS = 1e6
-	leavingPenaltyMS   = 1e7
-	avoidedPenaltyMS   = 1e8
+	warmUpPenaltyMS    = 1e7
+	leavingPenaltyMS   = 1e8
+	avoidedPenaltyMS   = 1e9
 )
 
 // Weights of the cost function. Costs are in milliseconds of delay.
@@ -47,6 +48,9 @@
 	if o.leaving {
 		cost += leavingPenaltyMS
 	}
+	if o.warmingUp {
+		cost += warmUpPenaltyMS
+	}
 	if float64(o.load) > bound {
 		cost += overBoundPenaltyMS + float64(o.load)*plainRequestMS
 	}
--- a/gateway/choice/option.go
+++ b/gateway/choice/option.go
@@ -34,6 +34,8 @@
 	avoided  bool
 	leaving  bool
 	excluded bool
+	// warmingUp reports whether the endpoint has just started and got what it can take for now.
+	warmingUp bool
 	// outcomes are the recent outcomes of all VMs' requests, failure the estimated
 	// probability that the next one fails, and failureError its standard error.
 	outcomes     estimate.Outcomes
--- a/gateway/choice/pick.go
+++ b/gateway/choice/pick.go
@@ -44,7 +44,7 @@
 	ReasonSpill Reason = "spill"
 	// ReasonLoad means that the request has no prompt parts, so the load decided.
 	ReasonLoad Reason = "load"
-	// ReasonLast means that the endpoint is avoided, leaving or above the load bound, and
+	// ReasonLast means that the endpoint is avoided, leaving, warming up or above the load bound, and
 	// no better one was left.
 	ReasonLast Reason = "last"
 )
@@ -158,7 +158,7 @@
 // reason returns the reason for picking an option.
 func (c *chooser) reason(o *option, bound float64) Reason {
 	switch {
-	case o.avoided || o.leaving || float64(o.load) > bound:
+	case o.avoided || o.leaving || o.warmingUp || float64(o.load) > bound:
 		return ReasonLast
 	case len(c.prompt.Parts) == 0:
 		return ReasonLoad
--- a/gateway/choice/state.go
+++ b/gateway/choice/state.go
@@ -42,6 +42,8 @@
 	avoidUntil clock.Boot
 	// notice is what the endpoint's instance has announced.
 	notice notice
+	// warmUp is the endpoint's phase after its start.
+	warmUp warmUp
 	// lostAt is when the endpoint stopped answering, failingAt when it began to fail most
 	// requests; 0 if it answers or serves most requests.
 	lostAt    clock.Boot
--- a/gateway/choice/table.go
+++ b/gateway/choice/table.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -37,6 +38,8 @@
 	notices map[traffic.Instance]notice
 	// leavingGrace is how long leaving endpoints still get requests.
 	leavingGrace time.Duration
+	// random spreads the first requests of VMs to an endpoint that warms up.
+	random *rand.Rand
 
 	// choiceSerial numbers the choices. scratch is the slice of options of the last
 	// choice, which the next one reuses.
@@ -64,6 +67,7 @@
 		reports:      map[string]*peerReport{},
 		statesByList: map[**traffic.Endpoint][]*state{},
 		notices:      map[traffic.Instance]notice{},
+		random:       rand.New(rand.NewPCG(rand.Uint64(), 0)),
 		delays:       map[string]*estimate.DelayModel{},
 	}
 }
@@ -72,6 +76,11 @@
 // that restarted or moved, and drops the states of endpoints that are gone and have no work
 // in progress.
 func (t *Table) Update(snapshot *knowledge.Snapshot) {
+	t.update(snapshot, clock.Now())
+}
+
+// update implements Update.
+func (t *Table) update(snapshot *knowledge.Snapshot, now clock.Boot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	clear(t.statesByList)
@@ -79,10 +88,12 @@
 		st, ok := t.states[id]
 		if ok && st.endpoint != nil && st.endpoint.SameInstance(endpoint) {
 			st.endpoint = endpoint
+			st.warmUp.report(endpoint.WarmUpLeft, t.random, now)
 			continue
 		}
 		next := newState(id)
 		next.endpoint = endpoint
+		next.warmUp.report(endpoint.WarmUpLeft, t.random, now)
 		next.notice = t.notices[endpoint.Instance()]
 		if ok {
 			next.ownRequests, next.peerRequests = st.ownRequests, st.peerRequests
--- a/gateway/choice/work.go
+++ b/gateway/choice/work.go
@@ -33,6 +33,7 @@
 	st := t.state(id)
 	st.ownRequests++
 	st.sentSinceReport++
+	st.warmUp.take(now)
 	st.prefillTokens += pick.PrefillTokens
 	shared := max(1, len(prompt.Parts)-1)
 	for i, part := range prompt.Parts {
