--- a/router/late_start_test.go
+++ b/router/late_start_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/internal/clock/clocktest"
 	"cardamompoint.example/cardamompoint/router/endpoint"
 	"cardamompoint.example/cardamompoint/router/once"
 	"cardamompoint.example/cardamompoint/router/template"
@@ -28,6 +29,7 @@
 		calls   int
 	}{{2 * time.Minute, 0}, {20 * time.Second, 1}} {
 		synctest.Test(t, func(t *testing.T) {
+			clocktest.UseVirtualTime(t)
 			service := &delayedService{sleep: 10 * time.Second}
 			r := newExecutorRouter(t, service)
 			go r.drain(t.Context())
@@ -45,6 +47,7 @@
 // TestWorkForPeersDoesNotBeginLate guards against work under a ticket or a key that a peer hands over late in a shutdown and that is cut.
 func TestWorkForPeersDoesNotBeginLate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		clocktest.UseVirtualTime(t)
 		service := &delayedService{}
 		r := newExecutorRouter(t, service)
 		drainPastLinger(t, r)
