Suspect a silent endpoint early and give it up late

Callers of resumable streams: a sound endpoint that was silent for 0.9 s in the middle of a stream was given up.

After 2.2 times the route's longest pause other requests still avoid the endpoint, but the stream stays until the silence has lasted for 1.8 s, or for half of the time that the caller has left; only then another endpoint may continue it.

Evidence: TestStreamStaysAtEndpointThatIsSilentForASecond/1.3s failed before ("after 2 executions, want 1"); a silence of 3 s is still continued elsewhere.

Not tried: waiting as long before the first event, where moving loses no event.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -23,6 +23,9 @@
 	writeDone chan error
 	// answering reports whether the endpoint has sent the first event of a stream.
 	answering bool
+	// suspected reports whether the endpoint has been silent for the progress timeout since its
+	// last event.
+	suspected bool
 	// unreadBody reports whether a part of the response body was not read.
 	unreadBody bool
 	// answerBegan is when the endpoint sent the first bytes of an answer's body. proved reports
--- a/gateway/exchange_deadline.go
+++ b/gateway/exchange_deadline.go
@@ -41,8 +41,9 @@
 const lateReadTime = 10 * time.Millisecond
 
 // waitLonger returns until when to wait on for an endpoint that has been silent for the progress
-// timeout, or the zero time if the request is to be sent to another endpoint instead. An endpoint
-// is given up only for another one that may be tried.
+// timeout, or the zero time if the request is to be sent to another endpoint instead. Other requests
+// avoid the endpoint at once. This one stays for a while longer, and then leaves only for an endpoint
+// that may be tried.
 func (x *exchange) waitLonger(arrived bool) time.Time {
 	if left, bounded := x.timeLeft(); bounded && left <= 0 || x.r.Context().Err() != nil {
 		return time.Time{}
@@ -50,6 +51,11 @@
 	if arrived {
 		return time.Now().Add(lateReadTime)
 	}
+	if wait := x.patience(); wait > 0 && !x.suspected {
+		x.suspected = true
+		x.gateway.table.RecordUnreachable(x.pick.Endpoint.ID, "silent in the middle of a stream", clock.Now())
+		return x.deadlineAfter(wait)
+	}
 	if x.reserveRetry() {
 		return time.Time{}
 	}
@@ -57,3 +63,26 @@
 	x.gateway.table.RecordUnreachable(x.pick.Endpoint.ID, "silent, and no other endpoint may be tried", clock.Now())
 	return x.deadlineAfter(x.progressTimeout())
 }
+
+const (
+	// minGiveUpTime is how long an endpoint may be silent between two events before another one
+	// continues the stream.
+	minGiveUpTime = 1800 * time.Millisecond
+	// patienceShare is the largest share of the caller's remaining time that is spent waiting for
+	// a suspected endpoint. Another one needs the rest.
+	patienceShare = 0.5
+)
+
+// patience returns how long a request stays at an endpoint that has been silent for the progress
+// timeout.
+func (x *exchange) patience() time.Duration {
+	suspectedAfter := x.progressTimeout()
+	if suspectedAfter == 0 || !x.grant.route.Stream || !x.headerSent {
+		return 0
+	}
+	wait := minGiveUpTime - suspectedAfter
+	if left, bounded := x.timeLeft(); bounded {
+		wait = min(wait, scale(left, patienceShare))
+	}
+	return max(0, wait)
+}
--- a/gateway/silent_endpoint_test.go
+++ b/gateway/silent_endpoint_test.go
@@ -167,3 +167,23 @@
 		t.Errorf("%+v", got)
 	}
 }
+
+// TestStreamStaysAtEndpointThatIsSilentForASecond guards against a stream that leaves a sound endpoint, and may then end at one that refuses.
+func TestStreamStaysAtEndpointThatIsSilentForASecond(t *testing.T) {
+	for pause, wanted := range map[time.Duration]int{1300 * time.Millisecond: 1, 3 * time.Second: 2} {
+		t.Run(pause.String(), func(t *testing.T) {
+			t.Parallel()
+			f := newTestFleet(t, 1)
+			q := query{path: "/roster/1", promptParts: chatPromptParts}
+			serving := "engine-1"
+			if warm := f.ask(context.Background(), 1, q); f.workers["engine-2"].Runs(warm.id) > 0 {
+				serving = "engine-2"
+			}
+			f.workers[serving].Events, f.workers[serving].EventInterval = 2, pause
+			got := f.ask(context.Background(), 1, q)
+			if !got.complete || f.executions(got.id) != wanted {
+				t.Errorf("%+v after %d executions, want %d", got, f.executions(got.id), wanted)
+			}
+		})
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -18,6 +18,7 @@
 	control := http.NewResponseController(x.w)
 	events := stream.NewEventReader(x.response.Body)
 	for {
+		x.suspected = false
 		x.setReadDeadline(x.progressTimeout())
 		piece, lastID, err := events.Next()
 		if errors.Is(err, io.EOF) && !x.answering && upstream.EndsWithConnection(x.response) {
