Ask routers and gateways for their state through one function

The explain and status commands had the address, the timeout and the call written out four times.

go test ./cmd/cardamompoint -run 'TestGateway|TestStatus|TestExplain|TestOperator|Script' passes; it runs status and explain against gateways.

--- a/cmd/cardamompoint/explain.go
+++ b/cmd/cardamompoint/explain.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"net/url"
 
 	"github.com/urfave/cli/v3"
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/gateway"
-	"cardamompoint.example/cardamompoint/internal/jsonhttp"
 	"cardamompoint.example/cardamompoint/router/api"
 )
 
@@ -31,15 +29,12 @@
 			if err := checkExplainFlags(c); err != nil {
 				return err
 			}
-			ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
-			defer cancel()
 			if c.IsSet("gateway") {
 				return explainGateway(ctx, c)
 			}
 			query := url.Values{"workspace": {c.String("workspace")}, "chat": {c.String("chat")}}
 			var explanation api.Explanation
-			target := "http://" + c.String("router") + "/explain?" + query.Encode()
-			if err := jsonhttp.Get(ctx, http.DefaultClient, target, &explanation); err != nil {
+			if err := getFromOperator(ctx, c.String("router"), "/explain?"+query.Encode(), &explanation); err != nil {
 				return err
 			}
 			printExplanation(c, &explanation)
@@ -85,8 +80,7 @@
 func explainGateway(ctx context.Context, c *cli.Command) error {
 	query := url.Values{"host": {c.String("host")}, "path": {c.String("path")}, "prompt": {c.String("prompt")}}
 	var explanation gateway.Explanation
-	target := "http://" + c.String("gateway") + gateway.ExplainPath + "?" + query.Encode()
-	if err := jsonhttp.Get(ctx, http.DefaultClient, target, &explanation); err != nil {
+	if err := getFromOperator(ctx, c.String("gateway"), gateway.ExplainPath+"?"+query.Encode(), &explanation); err != nil {
 		return err
 	}
 	w := c.Root().Writer
--- a/cmd/cardamompoint/status.go
+++ b/cmd/cardamompoint/status.go
@@ -4,20 +4,15 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
-	"time"
 
 	"github.com/urfave/cli/v3"
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/gateway"
 	"cardamompoint.example/cardamompoint/gateway/knowledge"
-	"cardamompoint.example/cardamompoint/internal/jsonhttp"
 	"cardamompoint.example/cardamompoint/router/api"
 )
 
-const operatorTimeout = 5 * time.Second
-
 func statusCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "status",
@@ -49,11 +44,8 @@
 // printGateways prints the status of each gateway. It returns the last error.
 func printGateways(ctx context.Context, c *cli.Command) (lastErr error) {
 	for _, address := range c.StringSlice("gateway") {
-		ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 		var status gateway.Status
-		err := jsonhttp.Get(ctx, http.DefaultClient, "http://"+address+gateway.StatusPath, &status)
-		cancel()
-		if err != nil {
+		if err := getFromOperator(ctx, address, gateway.StatusPath, &status); err != nil {
 			fmt.Fprintf(c.Root().Writer, "%s: %v\n", address, err)
 			lastErr = err
 			continue
@@ -87,10 +79,8 @@
 }
 
 func fetchStatus(ctx context.Context, address string) (*api.Status, error) {
-	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
-	defer cancel()
 	var status api.Status
-	err := jsonhttp.Get(ctx, http.DefaultClient, "http://"+address+"/status", &status)
+	err := getFromOperator(ctx, address, "/status", &status)
 	return &status, err
 }
 
