Write and read the lists of reports on crashes and limits by one function

crashes.go and limits.go each wrote the loop over a list and its count out four times; every entry type now has its own writer and reader.

--- a/gateway/gossip/crashes.go
+++ b/gateway/gossip/crashes.go
@@ -46,51 +46,54 @@
 
 // crashes writes the fields on crashes.
 func (w *wireWriter) crashes(report *Report) {
-	w.count(len(report.Crashes))
-	for i := range report.Crashes {
-		crash := &report.Crashes[i]
-		w.name(crash.Endpoint)
-		w.number(crash.StartedMS)
-		w.name(crash.Service)
-		w.count(len(crash.Parts))
-		for _, part := range crash.Parts {
-			w.hash(part)
-		}
-		w.number(crash.AgeMS)
-		w.number(crash.SentBeforeMS)
-		w.number(crash.AnsweredBeforeMS)
-		w.count(crash.BackgroundPermille)
-	}
-	w.count(len(report.AnsweredParts))
-	for _, answer := range report.AnsweredParts {
-		w.hash(answer.Part)
-		w.number(answer.AgeMS)
-	}
+	writeList(w, report.Crashes, (*wireWriter).crash)
+	writeList(w, report.AnsweredParts, (*wireWriter).answeredPart)
 	w.count(report.CrashedRequests)
 	w.count(report.AnsweredRequests)
 }
 
+func (w *wireWriter) crash(crash *Crash) {
+	w.name(crash.Endpoint)
+	w.number(crash.StartedMS)
+	w.name(crash.Service)
+	w.count(len(crash.Parts))
+	for _, part := range crash.Parts {
+		w.hash(part)
+	}
+	w.number(crash.AgeMS)
+	w.number(crash.SentBeforeMS)
+	w.number(crash.AnsweredBeforeMS)
+	w.count(crash.BackgroundPermille)
+}
+
+func (w *wireWriter) answeredPart(answer *AnsweredPart) {
+	w.hash(answer.Part)
+	w.number(answer.AgeMS)
+}
+
 // crashes reads the fields on crashes.
 func (r *wireReader) crashes(report *Report) {
-	report.Crashes = makeSlice[Crash](r.entryCount(maxCrashes))
-	for i := range report.Crashes {
-		crash := &report.Crashes[i]
-		crash.Endpoint = r.name()
-		crash.StartedMS = r.number()
-		crash.Service = r.name()
-		crash.Parts = makeSlice[uint64](r.entryCount(maxCrashParts))
-		for at := range crash.Parts {
-			crash.Parts[at] = r.hash()
-		}
-		crash.AgeMS = r.numberInRange(0, maxCrashAgeMS)
-		crash.SentBeforeMS = r.numberInRange(0, maxCrashAgeMS)
-		crash.AnsweredBeforeMS = r.numberInRange(0, maxCrashAgeMS)
-		crash.BackgroundPermille = r.count(maxPermille)
-	}
-	report.AnsweredParts = makeSlice[AnsweredPart](r.entryCount(maxAnsweredParts))
-	for i := range report.AnsweredParts {
-		report.AnsweredParts[i] = AnsweredPart{Part: r.hash(), AgeMS: r.numberInRange(0, maxCrashAgeMS)}
-	}
+	report.Crashes = readList(r, maxCrashes, (*wireReader).crash)
+	report.AnsweredParts = readList(r, maxAnsweredParts, (*wireReader).answeredPart)
 	report.CrashedRequests = r.count(maxRequests)
 	report.AnsweredRequests = r.count(maxRequests)
 }
+
+func (r *wireReader) crash(crash *Crash) {
+	crash.Endpoint = r.name()
+	crash.StartedMS = r.number()
+	crash.Service = r.name()
+	crash.Parts = makeSlice[uint64](r.entryCount(maxCrashParts))
+	for at := range crash.Parts {
+		crash.Parts[at] = r.hash()
+	}
+	crash.AgeMS = r.numberInRange(0, maxCrashAgeMS)
+	crash.SentBeforeMS = r.numberInRange(0, maxCrashAgeMS)
+	crash.AnsweredBeforeMS = r.numberInRange(0, maxCrashAgeMS)
+	crash.BackgroundPermille = r.count(maxPermille)
+}
+
+func (r *wireReader) answeredPart(answer *AnsweredPart) {
+	answer.Part = r.hash()
+	answer.AgeMS = r.numberInRange(0, maxCrashAgeMS)
+}
--- a/gateway/gossip/limits.go
+++ b/gateway/gossip/limits.go
@@ -43,32 +43,38 @@
 
 // limits writes the fields on limits.
 func (w *wireWriter) limits(report *Report) {
-	w.count(len(report.Limits))
-	for _, limit := range report.Limits {
-		w.name(limit.Endpoint)
-		w.number(limit.StartedMS)
-		w.name(limit.Service)
-		w.count(limit.PerThousandSeconds)
-		w.number(limit.AgeMS)
-	}
-	w.count(len(report.Demands))
-	for _, demand := range report.Demands {
-		w.name(demand.Service)
-		w.count(demand.Requests)
-	}
+	writeList(w, report.Limits, (*wireWriter).endpointLimit)
+	writeList(w, report.Demands, (*wireWriter).serviceDemand)
+}
+
+func (w *wireWriter) endpointLimit(limit *EndpointLimit) {
+	w.name(limit.Endpoint)
+	w.number(limit.StartedMS)
+	w.name(limit.Service)
+	w.count(limit.PerThousandSeconds)
+	w.number(limit.AgeMS)
+}
+
+func (w *wireWriter) serviceDemand(demand *ServiceDemand) {
+	w.name(demand.Service)
+	w.count(demand.Requests)
 }
 
 // limits reads the fields on limits.
 func (r *wireReader) limits(report *Report) {
-	report.Limits = makeSlice[EndpointLimit](r.entryCount(maxLimits))
-	for i := range report.Limits {
-		report.Limits[i] = EndpointLimit{
-			Endpoint: r.name(), StartedMS: r.number(), Service: r.name(),
-			PerThousandSeconds: r.count(maxPerThousandSeconds), AgeMS: r.numberInRange(0, maxLimitAgeMS),
-		}
-	}
-	report.Demands = makeSlice[ServiceDemand](r.entryCount(maxDemands))
-	for i := range report.Demands {
-		report.Demands[i] = ServiceDemand{Service: r.name(), Requests: r.count(maxRequests)}
-	}
+	report.Limits = readList(r, maxLimits, (*wireReader).endpointLimit)
+	report.Demands = readList(r, maxDemands, (*wireReader).serviceDemand)
+}
+
+func (r *wireReader) endpointLimit(limit *EndpointLimit) {
+	limit.Endpoint = r.name()
+	limit.StartedMS = r.number()
+	limit.Service = r.name()
+	limit.PerThousandSeconds = r.count(maxPerThousandSeconds)
+	limit.AgeMS = r.numberInRange(0, maxLimitAgeMS)
+}
+
+func (r *wireReader) serviceDemand(demand *ServiceDemand) {
+	demand.Service = r.name()
+	demand.Requests = r.count(maxRequests)
 }
