Check in one place that callers notice no loss and streams start once

They ask the same: as many streams started as chats, and no stream resumed or started again.

go test ./cmd/cardamompoint -run 'TestEngineKilledInMidAnswer|TestConnectionsToEngineGoSilent|TestHomeKilledInMidAnswer| TestEngineLeavesInMidAnswer' passes; the other tests of the file were not run after the change.

--- a/cmd/cardamompoint/stream_load_test.go
+++ b/cmd/cardamompoint/stream_load_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"testing"
 	"time"
 
 	"cardamompoint.example/cardamompoint/code"
@@ -171,6 +172,22 @@
 	}
 }
 
+// checkStartedOnce checks that each chat's stream was started at one engine only.
+func (l *streamLoad) checkStartedOnce() {
+	l.fleet.t.Helper()
+	if _, starts := l.fleet.engineLoads(); starts != l.chats {
+		l.fleet.t.Errorf("%d streams were started for %d requests", starts, l.chats)
+	}
+}
+
+// checkUnnoticed checks that no caller had to resume or restart a stream.
+func (c streamCounts) checkUnnoticed(t testing.TB, fault string) {
+	t.Helper()
+	if c.resumed+c.restarted != 0 {
+		t.Errorf("callers noticed %s", fault)
+	}
+}
+
 // engineLoads returns the number of streams that run at the engines, and the number of
 // streams started there so far. It skips killed engines.
 func (f *testFleet) engineLoads() (running, starts int) {
--- a/cmd/cardamompoint/streams_test.go
+++ b/cmd/cardamompoint/streams_test.go
@@ -18,9 +18,7 @@
 	f.kill(f.busiestEngine())
 	counts := load.wait()
 	load.checkComplete(counts)
-	if counts.resumed+counts.restarted != 0 {
-		t.Error("callers noticed the loss of an engine")
-	}
+	counts.checkUnnoticed(t, "the loss of an engine")
 	f.checkNoneRunning()
 }
 
@@ -33,9 +31,7 @@
 	counts := load.wait()
 	f.signal(frozen, syscall.SIGCONT)
 	load.checkComplete(counts)
-	if counts.resumed+counts.restarted != 0 {
-		t.Error("callers noticed a frozen engine")
-	}
+	counts.checkUnnoticed(t, "a frozen engine")
 	f.checkNoneRunning()
 }
 
@@ -51,9 +47,7 @@
 			fault.inject(f.relays[0])
 			load.checkComplete(load.wait())
 			f.checkNoneRunning()
-			if _, starts := f.engineLoads(); starts != load.chats {
-				t.Errorf("%d streams were started for %d requests", starts, load.chats)
-			}
+			load.checkStartedOnce()
 		})
 	}
 }
@@ -66,13 +60,9 @@
 	f.kill(home)
 	counts := load.wait()
 	load.checkComplete(counts)
-	if counts.resumed+counts.restarted != 0 {
-		t.Error("callers noticed the loss of a home")
-	}
+	counts.checkUnnoticed(t, "the loss of a home")
 	f.checkNoneRunning()
-	if _, starts := f.engineLoads(); starts != load.chats {
-		t.Errorf("%d streams were started for %d requests", starts, load.chats)
-	}
+	load.checkStartedOnce()
 }
 
 func TestHomeFrozenInMidAnswer(t *testing.T) {
@@ -86,9 +76,7 @@
 	counts := load.wait()
 	load.checkComplete(counts)
 	f.checkNoneRunning()
-	if _, starts := f.engineLoads(); starts != load.chats {
-		t.Errorf("%d streams were started for %d requests", starts, load.chats)
-	}
+	load.checkStartedOnce()
 }
 
 func TestEntryKilledInMidAnswer(t *testing.T) {
@@ -102,9 +90,7 @@
 		t.Error("a stream was lost although its engine runs")
 	}
 	f.checkNoneRunning()
-	if _, starts := f.engineLoads(); starts != load.chats {
-		t.Errorf("%d streams were started for %d requests", starts, load.chats)
-	}
+	load.checkStartedOnce()
 }
 
 func TestHomeAndEngineKilledTogether(t *testing.T) {
@@ -170,15 +156,11 @@
 	f.signal(home, syscall.SIGTERM)
 	counts := load.wait()
 	load.checkComplete(counts)
-	if counts.resumed+counts.restarted != 0 {
-		t.Error("callers noticed the shutdown of a home")
-	}
+	counts.checkUnnoticed(t, "the shutdown of a home")
 	if exit := f.wait(home); exit != exitOK {
 		t.Errorf("the router exited with %d", exit)
 	}
-	if _, starts := f.engineLoads(); starts != load.chats {
-		t.Errorf("%d streams were started for %d requests", starts, load.chats)
-	}
+	load.checkStartedOnce()
 }
 
 func TestSecondSignalEndsAtOnce(t *testing.T) {
@@ -208,8 +190,6 @@
 	f.listLeaving(f.engineAddress(1))
 	counts := before.wait()
 	before.checkComplete(counts)
-	if counts.resumed+counts.restarted != 0 {
-		t.Error("callers noticed that an engine is leaving")
-	}
+	counts.checkUnnoticed(t, "that an engine is leaving")
 	f.checkNoneRunning()
 }
