--- a/gateway/knowledge/era_test.go
+++ b/gateway/knowledge/era_test.go
@@ -17,7 +17,7 @@
 
 // entryItem returns the entry that an endpoint of a start time writes as its sequence-th one.
 func entryItem(id string, at traffic.Position, startedMS, sequence int64, state string) platform.Item {
-	value := fmt.Sprintf(`{"service":"s","address":"10.0.0.1:80","zone":"a","slots":4,"state":%q,"born":%d,"sequence":%d}`, state, startedMS, sequence)
+	value := fmt.Sprintf(`{"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","coldLeftMs":0,"slots":4,"state":%q,"born":%d,"sequence":%d}`, state, startedMS, sequence)
 	return platform.Item{Key: platform.EndpointPrefix + id, Value: []byte(value), Era: at.Era, Revision: at.Revision}
 }
 
--- a/gateway/knowledge/tracker_test.go
+++ b/gateway/knowledge/tracker_test.go
@@ -19,7 +19,7 @@
 }
 
 func endpointItem(id string, revision int64) platform.Item {
-	value := fmt.Sprintf(`{"service":"s","address":"10.0.0.1:80","zone":"a","slots":4,"state":"ready","sequence":%d}`, revision)
+	value := fmt.Sprintf(`{"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","coldLeftMs":0,"slots":4,"state":"ready","sequence":%d}`, revision)
 	return platform.Item{Key: platform.EndpointPrefix + id, Value: []byte(value), Revision: revision}
 }
 
