Move who is an engine's home and its backup into a package of its own

router/homes holds the set of routers of a published list and the history of such sets, which says from when on a router may act as home or backup. Package router keeps their use.

go test ./router ./router/homes ./internal/layout pass, go test ./cmd/cardamompoint -run TestHomeKilledInMidAnswer too.

--- a/router/set_history.go
+++ b/router/homes/history.go
@@ -1,4 +1,4 @@
-package router
+package homes
 
 import (
 	"sync"
@@ -8,12 +8,12 @@
 	"cardamompoint.example/cardamompoint/router/member"
 )
 
-// maxTerms bounds the terms that a setHistory keeps.
+// maxTerms bounds the terms that a History keeps.
 const maxTerms = 16
 
 // term is the period in which this router uses one set of routers.
 type term struct {
-	set     *routerSet
+	set     *Set
 	version int64
 	// since is when the term started.
 	since time.Time
@@ -21,10 +21,10 @@
 	spreadAt time.Time
 }
 
-// setHistory holds the terms of recent lists, newest first. With it, a router that
+// History holds the terms of recent lists, newest first. With it, a router that
 // becomes an engine's home waits until the home according to an older list has
 // stopped. It is safe for concurrent use.
-type setHistory struct {
+type History struct {
 	// staleListWait is how long routers may act on an older list.
 	staleListWait time.Duration
 	// lease is the duration of a lease.
@@ -38,21 +38,21 @@
 	settled bool
 }
 
-// newSetHistory returns an empty setHistory.
-func newSetHistory(staleListWait, lease time.Duration) *setHistory {
-	return &setHistory{staleListWait: staleListWait, lease: lease}
+// NewHistory returns an empty History.
+func NewHistory(staleListWait, lease time.Duration) *History {
+	return &History{staleListWait: staleListWait, lease: lease}
 }
 
-// update applies the list of view and returns the set of routers of the newest
+// Update applies the list of view and returns the set of routers of the newest
 // list.
-func (h *setHistory) update(view *member.View, now time.Time) *routerSet {
+func (h *History) Update(view *member.View, now time.Time) *Set {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if len(h.terms) > 0 && view.List.Version <= h.version {
 		return h.terms[0].set
 	}
 	h.version = view.List.Version
-	set := newRouterSet(view)
+	set := NewSet(view)
 	if len(h.terms) > 0 && h.terms[0].set.equal(set) {
 		return h.terms[0].set
 	}
@@ -62,7 +62,7 @@
 }
 
 // prune drops the terms that ended before any wait could still depend on them.
-func (h *setHistory) prune(now time.Time) {
+func (h *History) prune(now time.Time) {
 	for i := 1; i < len(h.terms); i++ {
 		if i == maxTerms || now.Sub(h.terms[i-1].since) > h.staleListWait+h.lease {
 			h.terms = h.terms[:i]
@@ -74,7 +74,7 @@
 // heldSince returns the start of the oldest term since which holds has been true
 // without interruption, and when the list of that term or of a newer one had
 // reached all routers. It reports false if holds is not true for the newest term.
-func (h *setHistory) heldSince(holds func(*routerSet) bool) (from, spread time.Time, ok bool) {
+func (h *History) heldSince(holds func(*Set) bool) (from, spread time.Time, ok bool) {
 	for _, term := range h.terms {
 		if !holds(term.set) {
 			break
@@ -87,12 +87,12 @@
 	return from, spread, ok
 }
 
-// homeSince returns the time from which self may act as home of engine; zero if it
+// HomeSince returns the time from which self may act as home of engine; zero if it
 // is not the home.
-func (h *setHistory) homeSince(self, engine string) time.Time {
+func (h *History) HomeSince(self, engine string) time.Time {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	from, spread, ok := h.heldSince(func(set *routerSet) bool { return set.homeOf(engine) == self })
+	from, spread, ok := h.heldSince(func(set *Set) bool { return set.HomeOf(engine) == self })
 	if !ok {
 		return time.Time{}
 	}
@@ -103,21 +103,21 @@
 	return waitEnd
 }
 
-// backupSince returns the time from which self may act as backup of home; zero if
+// BackupSince returns the time from which self may act as backup of home; zero if
 // it is not the backup. By then, leases granted by an earlier backup have expired.
-func (h *setHistory) backupSince(self, home string) time.Time {
+func (h *History) BackupSince(self, home string) time.Time {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	from, _, ok := h.heldSince(func(set *routerSet) bool { return set.backupOf(home) == self })
+	from, _, ok := h.heldSince(func(set *Set) bool { return set.BackupOf(home) == self })
 	if !ok {
 		return time.Time{}
 	}
 	return from.Add(h.staleListWait + h.lease)
 }
 
-// recordSpread records that all listed routers have the newest list, which ends the
+// RecordSpread records that all listed routers have the newest list, which ends the
 // wait of the newest term.
-func (h *setHistory) recordSpread(version int64, now time.Time) {
+func (h *History) RecordSpread(version int64, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if len(h.terms) > 0 && h.version == version && h.terms[0].spreadAt.IsZero() {
@@ -125,9 +125,9 @@
 	}
 }
 
-// pendingSpread returns the list version of the newest term, and whether the wait
+// PendingSpread returns the list version of the newest term, and whether the wait
 // for all listed routers to have it is still running.
-func (h *setHistory) pendingSpread(now time.Time) (int64, bool) {
+func (h *History) PendingSpread(now time.Time) (int64, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if len(h.terms) == 0 {
@@ -137,27 +137,27 @@
 	return newest.version, newest.spreadAt.IsZero() && now.Before(newest.since.Add(h.staleListWait))
 }
 
-// ready reports whether the first wait since the start of the process has ended.
+// Ready reports whether the first wait since the start of the process has ended.
 // Later waits have no influence.
-func (h *setHistory) ready(now time.Time) bool {
-	_, pending := h.pendingSpread(now)
+func (h *History) Ready(now time.Time) bool {
+	_, pending := h.PendingSpread(now)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.settled = h.settled || (len(h.terms) > 0 && !pending)
 	return h.settled
 }
 
-// assignment returns the role of self for engine and the time from which it may act
+// Assignment returns the role of self for engine and the time from which it may act
 // in it.
-func (h *setHistory) assignment(set *routerSet, self, engine string) balance.Assignment {
-	role, home := set.roleOf(self, engine)
+func (h *History) Assignment(set *Set, self, engine string) balance.Assignment {
+	role, home := set.RoleOf(self, engine)
 	assignment := balance.Assignment{Role: role, Home: home}
 	switch role {
 	case balance.RoleHome:
-		assignment.Since = h.homeSince(self, engine)
-		assignment.SoleRouter = set.backupOf(home) == ""
+		assignment.Since = h.HomeSince(self, engine)
+		assignment.SoleRouter = set.BackupOf(home) == ""
 	case balance.RoleBackup:
-		assignment.Since = h.backupSince(self, home)
+		assignment.Since = h.BackupSince(self, home)
 	}
 	return assignment
 }
--- a/router/router_set.go
+++ b/router/homes/set.go
@@ -1,4 +1,4 @@
-package router
+package homes
 
 import (
 	"slices"
@@ -9,16 +9,16 @@
 	"cardamompoint.example/cardamompoint/router/source"
 )
 
-// routerSet is the set of live routers of one published list. It is immutable.
-type routerSet struct {
+// Set is the set of live routers of one published list. It is immutable.
+type Set struct {
 	addresses []string
 	ranked    *rank.Set
 }
 
-// newRouterSet returns the live routers of view's list. Unlisted routers, including
+// NewSet returns the live routers of view's list. Unlisted routers, including
 // this one, are not part of it.
-func newRouterSet(view *member.View) *routerSet {
-	set := &routerSet{}
+func NewSet(view *member.View) *Set {
+	set := &Set{}
 	var nodes []rank.Node
 	for _, vm := range view.List.VMs {
 		if vm.Role == source.RoleRouter && vm.State == source.StateLive {
@@ -31,13 +31,13 @@
 }
 
 // equal reports whether both sets have the same routers in the same order.
-func (s *routerSet) equal(other *routerSet) bool {
+func (s *Set) equal(other *Set) bool {
 	return slices.Equal(s.addresses, other.addresses)
 }
 
-// homeOf returns the home of engine, the highest-ranked router for it, or an empty
+// HomeOf returns the home of engine, the highest-ranked router for it, or an empty
 // string if there is no router.
-func (s *routerSet) homeOf(engine string) string {
+func (s *Set) HomeOf(engine string) string {
 	var buffer [1]int
 	order := s.ranked.AppendTop(buffer[:0], rank.Key("home", engine), 1)
 	if len(order) == 0 {
@@ -46,9 +46,9 @@
 	return s.addresses[order[0]]
 }
 
-// backupOf returns the backup of a home, the highest-ranked other router for it, or
+// BackupOf returns the backup of a home, the highest-ranked other router for it, or
 // an empty string if there is none.
-func (s *routerSet) backupOf(home string) string {
+func (s *Set) BackupOf(home string) string {
 	var buffer [2]int
 	for _, index := range s.ranked.AppendTop(buffer[:0], rank.Key("backup", home), 2) {
 		if s.addresses[index] != home {
@@ -58,14 +58,14 @@
 	return ""
 }
 
-// roleOf returns the role of the router at address for engine, and the engine's
+// RoleOf returns the role of the router at address for engine, and the engine's
 // home.
-func (s *routerSet) roleOf(address, engine string) (role balance.Role, home string) {
-	home = s.homeOf(engine)
+func (s *Set) RoleOf(address, engine string) (role balance.Role, home string) {
+	home = s.HomeOf(engine)
 	if home == address {
 		return balance.RoleHome, home
 	}
-	if home != "" && s.backupOf(home) == address {
+	if home != "" && s.BackupOf(home) == address {
 		return balance.RoleBackup, home
 	}
 	return balance.RoleNone, home
--- a/router/job_attempt.go
+++ b/router/job_attempt.go
@@ -61,7 +61,7 @@
 	if !j.lostHomes[home] && (home != self || !r.draining.Load()) {
 		return home
 	}
-	if backup := r.setHistory.update(view, time.Now()).backupOf(home); backup != "" {
+	if backup := r.setHistory.Update(view, time.Now()).BackupOf(home); backup != "" {
 		return backup
 	}
 	return self
--- a/router/lease.go
+++ b/router/lease.go
@@ -72,7 +72,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	self := r.members.Self()
-	backup := r.setHistory.update(r.members.View(), time.Now()).backupOf(self.Address)
+	backup := r.setHistory.Update(r.members.View(), time.Now()).BackupOf(self.Address)
 	if backup == "" {
 		return
 	}
@@ -105,7 +105,7 @@
 	defer cancel()
 	self := r.members.Self()
 	r.admission.DropLease()
-	backup := r.setHistory.update(r.members.View(), time.Now()).backupOf(self.Address)
+	backup := r.setHistory.Update(r.members.View(), time.Now()).BackupOf(self.Address)
 	if backup == "" {
 		return
 	}
@@ -119,16 +119,16 @@
 // serveLease answers a home whose backup is this router.
 func (r *Router) serveLease(_ context.Context, request leaseRequest) (leaseAnswer, error) {
 	now, home := time.Now(), request.From.Address
-	set := r.setHistory.update(r.members.View(), now)
-	if set.backupOf(home) != r.members.Self().Address {
-		return leaseAnswer{}, code.New(code.NotHome, "the backup of %s is %s", home, set.backupOf(home))
+	set := r.setHistory.Update(r.members.View(), now)
+	if set.BackupOf(home) != r.members.Self().Address {
+		return leaseAnswer{}, code.New(code.NotHome, "the backup of %s is %s", home, set.BackupOf(home))
 	}
 	if request.Release {
 		r.admission.LeaseReleased(home, now)
 		klog.Infof("place: home %s admits no more work.", home)
 		return leaseAnswer{}, nil
 	}
-	manages := func(engine string) bool { return set.homeOf(engine) == home }
+	manages := func(engine string) bool { return set.HomeOf(engine) == home }
 	return leaseAnswer{Granted: r.admission.GrantLease(home, manages, now)}, nil
 }
 
@@ -139,7 +139,7 @@
 	r.recordListSpread(now)
 	view := r.members.View()
 	self := r.members.Self().Address
-	assignment := r.setHistory.assignment(r.setHistory.update(view, now), self, engine)
+	assignment := r.setHistory.Assignment(r.setHistory.Update(view, now), self, engine)
 	woken := r.freezeDetector.check(now)
 	r.admission.DropLeaseBefore(woken)
 	if r.draining.Load() || !r.listConfirmedSince(view, woken, now) {
@@ -171,8 +171,8 @@
 	if view.List.Version == 0 {
 		return
 	}
-	r.setHistory.update(view, now)
-	version, pending := r.setHistory.pendingSpread(now)
+	r.setHistory.Update(view, now)
+	version, pending := r.setHistory.PendingSpread(now)
 	if !pending {
 		return
 	}
@@ -185,7 +185,7 @@
 			return
 		}
 	}
-	r.setHistory.recordSpread(view.List.Version, now)
+	r.setHistory.RecordSpread(view.List.Version, now)
 }
 
 // homeOf returns the router that admits work to engine: its home, or the home's
@@ -193,15 +193,15 @@
 // listed router it returns this one.
 func (r *Router) homeOf(view *member.View, engine string) string {
 	now := time.Now()
-	set := r.setHistory.update(view, now)
-	home := set.homeOf(engine)
+	set := r.setHistory.Update(view, now)
+	home := set.HomeOf(engine)
 	if home == "" {
 		return r.members.Self().Address
 	}
 	if r.members.Health(home, now) == member.HealthAlive {
 		return home
 	}
-	if backup := set.backupOf(home); backup != "" && r.members.Health(backup, now) == member.HealthAlive {
+	if backup := set.BackupOf(home); backup != "" && r.members.Health(backup, now) == member.HealthAlive {
 		return backup
 	}
 	return home
--- a/router/loads.go
+++ b/router/loads.go
@@ -87,7 +87,7 @@
 	if view.List.Version == p.version {
 		return
 	}
-	set, self := r.setHistory.update(view, now), r.members.Self().Address
+	set, self := r.setHistory.Update(view, now), r.members.Self().Address
 	listed, first := map[string]bool{}, p.version == 0
 	p.engines = nil
 	for _, vm := range view.List.VMs {
@@ -95,7 +95,7 @@
 			continue
 		}
 		listed[vm.Address] = true
-		role, home := set.roleOf(self, vm.Address)
+		role, home := set.RoleOf(self, vm.Address)
 		if !first && !p.listed[vm.Address] && role != balance.RoleNone {
 			klog.Infof("place: engine %s is new and gets a slow start.", vm.Address)
 			r.loadTracker.EngineAdded(vm.Address, now)
--- a/router/route_test.go
+++ b/router/route_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/router/config"
+	"cardamompoint.example/cardamompoint/router/homes"
 	"cardamompoint.example/cardamompoint/router/member"
 	"cardamompoint.example/cardamompoint/router/placement"
 	"cardamompoint.example/cardamompoint/router/settings"
@@ -60,7 +61,7 @@
 		members:    members,
 		modelPools: newModelPools(),
 		placer:     &placer{scaler: placement.NewScaler(1000)},
-		setHistory: newSetHistory(time.Second, time.Second),
+		setHistory: homes.NewHistory(time.Second, time.Second),
 	}
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -14,6 +14,7 @@
 	"cardamompoint.example/cardamompoint/router/balance"
 	"cardamompoint.example/cardamompoint/router/config"
 	"cardamompoint.example/cardamompoint/router/endpoint"
+	"cardamompoint.example/cardamompoint/router/homes"
 	"cardamompoint.example/cardamompoint/router/member"
 	"cardamompoint.example/cardamompoint/router/once"
 	"cardamompoint.example/cardamompoint/router/peer"
@@ -47,7 +48,7 @@
 
 	admission      *balance.Admission
 	estimator      *balance.Estimator
-	setHistory     *setHistory
+	setHistory     *homes.History
 	freezeDetector *freezeDetector
 	loadPolls      singleflight.Group
 
@@ -145,7 +146,7 @@
 	r.loadTracker = balance.NewLoadTracker(r.settings.Limits, lease-margin)
 	r.admission = balance.NewAdmission(r.loadTracker, lease, margin, now)
 	r.estimator = balance.NewEstimator()
-	r.setHistory = newSetHistory(staleListWait(suspect, milliseconds(timing.HeartbeatMS)), lease)
+	r.setHistory = homes.NewHistory(staleListWait(suspect, milliseconds(timing.HeartbeatMS)), lease)
 	r.freezeDetector = newFreezeDetector(now)
 }
 
@@ -202,5 +203,5 @@
 	}
 	now := time.Now()
 	r.recordListSpread(now)
-	return r.setHistory.ready(now)
+	return r.setHistory.Ready(now)
 }
--- a/router/split_test.go
+++ b/router/split_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"cardamompoint.example/cardamompoint/router/homes"
 	"cardamompoint.example/cardamompoint/router/member"
 	"cardamompoint.example/cardamompoint/router/settings"
 )
@@ -104,9 +106,9 @@
 	f := newSplitFleet(t)
 	r := f.routers[0]
 	now := time.Now()
-	r.setHistory.update(r.members.View(), now)
-	r.setHistory.recordSpread(1, now)
-	engine := engineOf(t, newRouterSet(r.members.View()), routerAddress(0))
+	r.setHistory.Update(r.members.View(), now)
+	r.setHistory.RecordSpread(1, now)
+	engine := engineOf(t, homes.NewSet(r.members.View()), routerAddress(0))
 	r.admission.LeaseGranted(routerAddress(1), now, now)
 	if r.assignment(engine, now).Since.IsZero() {
 		t.Fatal("the home may not act")
@@ -124,3 +126,15 @@
 		t.Error("the home may not act although a peer has confirmed its list")
 	}
 }
+
+// engineOf returns an engine whose home is the given router.
+func engineOf(t *testing.T, set *homes.Set, home string) string {
+	t.Helper()
+	for i := range 1000 {
+		if engine := fmt.Sprint("engine-", i); set.HomeOf(engine) == home {
+			return engine
+		}
+	}
+	t.Fatal("the router is home of no engine")
+	return ""
+}
