--- a/router/job.go
+++ b/router/job.go
@@ -45,7 +45,7 @@
 	lostHomes map[string]bool
 	// attempts counts the streams that were started.
 	attempts int
-	// current is the attempt that the receiver was last told of.
+	// current is the attempt that sent the last line to the receiver.
 	current attempt
 	// lastTokenAt is when the last token arrived; before the first one, when the
 	// request started.
--- a/router/router.go
+++ b/router/router.go
@@ -177,10 +177,10 @@
 	}{
 		{"cardamompoint.in_progress", "Requests of callers in progress.", r.inProgress.Load},
 		{"cardamompoint.peer_work", "Requests of other routers in progress.", r.peerWork.Load},
-		{"cardamompoint.home_streams", "Streams that the router counts, held ones included.", func() int64 { return int64(r.streams.len()) }},
+		{"cardamompoint.home_streams", "Streams that this router accounts for as home, including those held for the caller to resume.", func() int64 { return int64(r.streams.len()) }},
 		{"cardamompoint.control_bytes", "Bytes of control traffic since the start.", r.controlBytes.Total},
 		{"cardamompoint.records", "Outcomes kept for repeated keys.", func() int64 { return int64(r.records.Len()) }},
-		{"cardamompoint.yields", "Callers' own keys that this router yielded to a process.", func() int64 { return int64(r.clearanceGranter.Len()) }},
+		{"cardamompoint.yields", "Caller keys that this router has granted to a process.", func() int64 { return int64(r.clearanceGranter.Len()) }},
 		{"cardamompoint.config_revision", "Configuration revision in force.", func() int64 { return r.store.Snapshot().Revision }},
 		{"cardamompoint.list_version", "Version of the list of VMs.", func() int64 { return r.members.View().List.Version }},
 	}
