Do not doubt an entry that the last copy of the store lacks

An endpoint that was gone got requests again 5.9 s after the second of two losses of the store, and until the next full read (failed connections; DRAIN if it still served).

Cause: a VM that started in the era before had taken that copy's entry for true and told it to others. They knew of the deletion and doubted the entry, but as one of an earlier era: the store of the new era does not list it, so no deletion of it ever came, and at the end of the doubt it was accepted. Only entries of the current era are doubted now; the others are dropped.

Before: TestEntryOfEarlierCopyIsNotDoubtedUntilItCounts, "ready are [gone ready], want [ready]". What was ruled out: an older entry that undoes a held deletion (the deletion was known as a tombstone, of era 4).

--- a/gateway/knowledge/entries.go
+++ b/gateway/knowledge/entries.go
@@ -37,7 +37,7 @@
 // beginEra prepares for the items of a later era of the store. Endpoints that registered after
 // the copy was made get the time to write their entries again.
 func (e *entries) beginEra(era int64, now clock.Boot) {
-	e.settling.beginEra(len(e.items) > 0, now)
+	e.settling.beginEra(era, len(e.items) > 0, now)
 	e.newest = traffic.Position{Era: era}
 }
 
--- a/gateway/knowledge/era_test.go
+++ b/gateway/knowledge/era_test.go
@@ -239,3 +239,18 @@
 		}
 	}
 }
+
+// TestEntryOfEarlierCopyIsNotDoubtedUntilItCounts lets a VM that took over an entry of a copy tell it after the next restore, whose copy lacks it.
+func TestEntryOfEarlierCopyIsNotDoubtedUntilItCounts(t *testing.T) {
+	tracker := restoredTracker()
+	now := testStart.Add(time.Second)
+	tracker.Apply(Update{Full: true, Era: 3, Revision: 10, Items: []platform.Item{
+		entryItem("ready", traffic.Position{Era: 3, Revision: 2}, 7, 1, "ready"),
+	}}, now)
+	gone := entryItem("gone", traffic.Position{Era: 2, Revision: 4}, 7, 1, "ready")
+	tracker.Apply(Update{Era: 3, Revision: 10, Items: []platform.Item{gone}, DeletionsFinal: true}, now)
+	later := now.Add(time.Minute)
+	tracker.Apply(Update{Era: 3, Revision: 11, ConfirmedAt: later}, later)
+	tracker.Expire(later)
+	wantReady(t, tracker, "ready")
+}
--- a/gateway/knowledge/settling.go
+++ b/gateway/knowledge/settling.go
@@ -30,6 +30,8 @@
 // gone. Such an entry is doubted: the endpoint writes a newer one, or the entry expires; if neither
 // happens in time, it is applied.
 type settling struct {
+	// era is the era of the store that the entries are complete for.
+	era int64
 	// held are the held deletions by key, doubted the doubted entries.
 	held    map[string]platform.Item
 	doubted map[string]platform.Item
@@ -53,7 +55,8 @@
 
 // beginEra begins a later era of the store and drops the doubted entries of the one before. If any
 // entry is known, it also ends an outage and begins HoldAfterRecovery.
-func (s *settling) beginEra(hasEntries bool, now clock.Boot) {
+func (s *settling) beginEra(era int64, hasEntries bool, now clock.Boot) {
+	s.era = era
 	if hasEntries {
 		s.storeLost = false
 		s.holdUntil = now.Add(HoldAfterRecovery)
@@ -129,8 +132,12 @@
 	}
 }
 
-// doubt sets an entry aside. The known endpoint, if any, stays as it is.
+// doubt sets an entry aside. The known endpoint, if any, stays as it is. An entry of an earlier era is
+// dropped: the copy that the era began with lacks it.
 func (s *settling) doubt(item platform.Item) {
+	if item.Era < s.era {
+		return
+	}
 	delete(s.held, item.Key)
 	s.doubted[item.Key] = item
 	klog.InfoS("config: entry of a restored copy is doubted", "key", item.Key, "revision", item.Revision, "era", item.Era)
