Doubt the copy's later entry of an endpoint whose removal a VM has noticed

A VM that had removed an endpoint used it again after the store came back from a copy (DRAIN binds a VM by a leaving that it has noticed).

A VM may have known only an older entry and then found the endpoint missing; the copy can hold one in between.

Before: TestCopyBringsNoEndpointBackThatThisVMKnewByAnOlderEntry, "ready are [gone late ready], want [late ready]".

--- a/gateway/knowledge/entries.go
+++ b/gateway/knowledge/entries.go
@@ -19,6 +19,9 @@
 	tombstones map[string]tombstone
 	// deletionsSince is the position after which all deletions are in tombstones.
 	deletionsSince traffic.Position
+	// began is the position at which this VM took over the store's era: later entries are not of
+	// the copy.
+	began traffic.Position
 	// settling holds the items that are not applied yet.
 	settling settling
 	// newest is the position of the newest change that was applied.
@@ -36,7 +39,9 @@
 
 // beginEra prepares for the items of a later era of the store. Endpoints that registered after
 // the copy was made get the time to write their entries again.
-func (e *entries) beginEra(era int64, now clock.Boot) {
+func (e *entries) beginEra(began traffic.Position, now clock.Boot) {
+	era := began.Era
+	e.began = began
 	e.settling.beginEra(era, len(e.items) > 0, now)
 	e.newest = traffic.Position{Era: era}
 }
@@ -62,6 +67,7 @@
 // apply applies an endpoint's entry, or its deletion, if it is newer than the known one. An
 // invalid entry removes the endpoint. It reports whether the endpoints changed.
 func (e *entries) apply(item platform.Item, update *Update, now clock.Boot) bool {
+	e.dropSuperseded(item)
 	known := e.knownPosition(item.Key)
 	if !item.Position().After(known) {
 		return false
@@ -101,7 +107,7 @@
 // isOutdated reports whether an entry of a later era is older than what is known of its key.
 func (e *entries) isOutdated(listed traffic.Write, key string) bool {
 	if deletion, ok := e.tombstones[key]; ok {
-		return deletion.last == traffic.Write{} || !deletion.last.Before(listed)
+		return deletion.last.StartedMS == 0 || listed.StartedMS <= deletion.last.StartedMS
 	}
 	known, ok := e.endpoints[key]
 	return ok && listed.Before(known.Write())
--- a/gateway/knowledge/era_test.go
+++ b/gateway/knowledge/era_test.go
@@ -254,3 +254,12 @@
 	tracker.Expire(later)
 	wantReady(t, tracker, "ready")
 }
+
+// TestCopyBringsNoEndpointBackThatThisVMKnewByAnOlderEntry lets the copy hold a later entry of a removed endpoint than the VM knew.
+func TestCopyBringsNoEndpointBackThatThisVMKnewByAnOlderEntry(t *testing.T) {
+	tracker := restoredTracker()
+	update := copyUpdate()
+	update.Items[3] = entryItem("gone", traffic.Position{Era: 2, Revision: 4}, 7, 3, "ready")
+	tracker.Apply(update, testStart.Add(time.Second))
+	wantReady(t, tracker, "late", "ready")
+}
--- a/gateway/knowledge/tracker.go
+++ b/gateway/knowledge/tracker.go
@@ -118,7 +118,7 @@
 	if !t.position.IsZero() || update.Era > firstEra {
 		t.confirmAfter, t.unconfirmed = now.Add(rewriteTime), 0
 	}
-	t.entries.beginEra(update.Era, now)
+	t.entries.beginEra(update.Position(), now)
 	t.position = traffic.Position{Era: update.Era}
 	return true
 }
