--- a/gateway/knowledge/tombstone.go
+++ b/gateway/knowledge/tombstone.go
@@ -36,14 +36,6 @@
 	e.tombstones[deletion.Key] = tombstone{deletion.Position(), now, last}
 }
 
-// dropSuperseded drops the tombstone of an earlier era if an item was written since this one began.
-func (e *entries) dropSuperseded(item platform.Item) {
-	deletion, ok := e.tombstones[item.Key]
-	if ok && !item.Deleted && deletion.position.Era < e.began.Era && item.Era == e.began.Era && item.Position().After(e.began) {
-		delete(e.tombstones, item.Key)
-	}
-}
-
 // recordLastWrite raises the last known write of a deleted entry.
 func (e *entries) recordLastWrite(key string, last traffic.Write) {
 	if deletion, ok := e.tombstones[key]; ok && deletion.last.Before(last) {
@@ -69,3 +61,11 @@
 		e.deletionsSince = position
 	}
 }
+
+// dropSuperseded drops the tombstone of an earlier era if an item was written since this one began.
+func (e *entries) dropSuperseded(item platform.Item) {
+	deletion, ok := e.tombstones[item.Key]
+	if ok && !item.Deleted && deletion.position.Era < e.began.Era && item.Era == e.began.Era && item.Position().After(e.began) {
+		delete(e.tombstones, item.Key)
+	}
+}
