--- a/gateway/knowledge/era_test.go
+++ b/gateway/knowledge/era_test.go
@@ -249,3 +249,27 @@
 		}
 	}
 }
+
+// TestEntryOfEarlierCopyIsNotDoubtedUntilItCounts lets a VM that took over an entry of a copy tell it after the next restore, whose copy lacks it.
+func TestEntryOfEarlierCopyIsNotDoubtedUntilItCounts(t *testing.T) {
+	tracker := restoredTracker()
+	now := testStart.Add(time.Second)
+	tracker.Apply(Update{Full: true, Era: 3, Revision: 10, Items: []platform.Item{
+		entryItem("ready", traffic.Position{Era: 3, Revision: 2}, 7, 1, "ready"),
+	}}, now)
+	gone := entryItem("gone", traffic.Position{Era: 2, Revision: 4}, 7, 1, "ready")
+	tracker.Apply(Update{Era: 3, Revision: 10, Items: []platform.Item{gone}, DeletionsFinal: true}, now)
+	later := now.Add(time.Minute)
+	tracker.Apply(Update{Era: 3, Revision: 11, ConfirmedAt: later}, later)
+	tracker.Expire(later)
+	wantReady(t, tracker, "ready")
+}
+
+// TestCopyBringsNoEndpointBackThatThisVMKnewByAnOlderEntry lets the copy hold a later entry of a removed endpoint than the VM knew.
+func TestCopyBringsNoEndpointBackThatThisVMKnewByAnOlderEntry(t *testing.T) {
+	tracker := restoredTracker()
+	update := copyUpdate()
+	update.Items[3] = entryItem("gone", traffic.Position{Era: 2, Revision: 4}, 7, 3, "ready")
+	tracker.Apply(update, testStart.Add(time.Second))
+	wantReady(t, tracker, "late", "ready")
+}
--- a/gateway/knowledge/tombstone.go
+++ b/gateway/knowledge/tombstone.go
@@ -88,3 +88,11 @@
 		e.deletionsSince = position
 	}
 }
+
+// dropSuperseded drops the tombstone of an earlier era if an item was written since this one began.
+func (e *entries) dropSuperseded(item platform.Item) {
+	deletion, ok := e.tombstones[item.Key]
+	if ok && !item.Deleted && deletion.position.Era < e.began.Era && item.Era == e.began.Era && item.Position().After(e.began) {
+		delete(e.tombstones, item.Key)
+	}
+}
--- a/gateway/knowledge/tracker.go
+++ b/gateway/knowledge/tracker.go
@@ -131,7 +131,7 @@
 	if !t.startedInEra || update.Era > firstEra {
 		t.confirmAfter = now.Add(rewriteTime)
 	}
-	t.entries.beginEra(update.Era, now)
+	t.entries.beginEra(update.Position(), now)
 	t.position = traffic.Position{Era: update.Era}
 	return true
 }
