Hold an expired endpoint no longer than the VM that tells of it

A VM used an endpoint for more than drainMs after the store, stable by then, had acknowledged its removal (DRAIN).

Cause: a VM that heard of a held deletion from another one began the whole hold anew. Passed on from VM to VM, the hold went on through the fleet long after the recovery, and deletions that these VMs read from the store meanwhile were held as well. Responses now tell how long the responder still holds, counted from the request, so that it is never longer than at its source.

Before: TestHeldEndpointIsHeldNoLongerByVMsThatHearOfIt, "ready are [a b], want [a]" at both VMs that heard of it.

--- a/gateway/knowledge/entries.go
+++ b/gateway/knowledge/entries.go
@@ -139,9 +139,9 @@
 	return true
 }
 
-// hold holds the endpoints that another VM holds. That VM may end before it removes them, and
+// hold holds the endpoints that another VM holds, for as long as that one does. That VM may end before it removes them, and
 // no other one tells their deletions to a VM that is past their positions.
-func (e *entries) hold(deletions []platform.Item, now clock.Boot) {
+func (e *entries) hold(deletions []platform.Item, until clock.Boot) {
 	for _, deletion := range deletions {
 		_, held := e.settling.held[deletion.Key]
 		if _, known := e.items[deletion.Key]; held || !known || !deletion.Position().After(e.knownPosition(deletion.Key)) {
@@ -149,7 +149,7 @@
 		}
 		delete(e.settling.doubted, deletion.Key)
 		e.settling.hold(deletion)
-		e.settling.extendHold(now)
+		e.settling.extendHold(until)
 	}
 }
 
--- a/gateway/knowledge/held_test.go
+++ b/gateway/knowledge/held_test.go
@@ -80,3 +80,24 @@
 		t.Errorf("%d endpoints are ready at once, want 2", len(ready))
 	}
 }
+
+// TestHeldEndpointIsHeldNoLongerByVMsThatHearOfIt passes a held deletion from VM to VM, each shortly before the end of the hold.
+func TestHeldEndpointIsHeldNoLongerByVMsThatHearOfIt(t *testing.T) {
+	var vms []*Tracker
+	for range 3 {
+		vm := NewTracker(nil)
+		vm.Apply(Update{Full: true, Era: 1, Revision: 10, Items: twoEndpoints(1)}, testStart)
+		vms = append(vms, vm)
+	}
+	vms[0].MarkStoreLost()
+	vms[0].MarkStoreRestored(testStart)
+	vms[0].Apply(Update{Era: 1, Revision: 11, Items: []platform.Item{inEra(1, deletedItem("b", 11))}}, testStart)
+	learnAt(t, vms[1], vms[0], testStart.Add(HoldAfterRecovery-200*time.Millisecond))
+	learnAt(t, vms[2], vms[1], testStart.Add(HoldAfterRecovery-100*time.Millisecond))
+	for _, vm := range vms[1:] {
+		end := testStart.Add(HoldAfterRecovery)
+		vm.Apply(Update{Era: 1, Revision: 11, ConfirmedAt: end}, end)
+		vm.Expire(end)
+		wantReady(t, vm, "a")
+	}
+}
--- a/gateway/knowledge/settling.go
+++ b/gateway/knowledge/settling.go
@@ -74,7 +74,7 @@
 // update of another VM has begun a later era during the outage.
 func (s *settling) markStoreRestored(now clock.Boot) {
 	s.storeLost = false
-	s.extendHold(now)
+	s.extendHold(now.Add(HoldAfterRecovery))
 	s.extendDoubt(now.Add(s.doubtTime()))
 }
 
@@ -91,9 +91,17 @@
 	klog.InfoS("config: expired endpoint is held", "key", deletion.Key, "revision", deletion.Revision, "era", deletion.Era)
 }
 
-// extendHold holds deletions for HoldAfterRecovery from now at least.
-func (s *settling) extendHold(now clock.Boot) {
-	s.holdUntil = max(s.holdUntil, now.Add(HoldAfterRecovery))
+// extendHold holds deletions at least until a time.
+func (s *settling) extendHold(until clock.Boot) {
+	s.holdUntil = max(s.holdUntil, until)
+}
+
+// holdLeft returns how long deletions are held at least, 0 if none is.
+func (s *settling) holdLeft(now clock.Boot) time.Duration {
+	if len(s.held) == 0 || s.storeLost {
+		return 0
+	}
+	return max(s.holdUntil.Sub(now), 0)
 }
 
 // heldDeletions returns the held deletions for other VMs: none during an outage of the store, the end
--- a/gateway/knowledge/sync.go
+++ b/gateway/knowledge/sync.go
@@ -27,6 +27,8 @@
 	LastWrites map[string]traffic.Write `json:"last_writes,omitempty"`
 	// Held are the deletions that the responder holds.
 	Held []platform.Item `json:"held,omitempty"`
+	// HoldMS is how long the responder still holds Held, in milliseconds.
+	HoldMS int64 `json:"hold_ms,omitempty"`
 	// DoubtMS is how long the responder still doubts entries, in milliseconds.
 	DoubtMS int64 `json:"doubt_ms,omitempty"`
 	// Position is the position that the responder's data is complete up to.
@@ -97,6 +99,7 @@
 		if response.Full {
 			response.LastWrites = t.entries.lastWrites()
 		}
+		response.HoldMS = t.entries.settling.holdLeft(now).Milliseconds()
 		response.DoubtMS = t.entries.settling.doubtLeft(now).Milliseconds()
 		response.Held = t.entries.settling.heldDeletions()
 	}
@@ -131,6 +134,7 @@
 		at := s.ConfigurationPosition
 		update.Items = append(update.Items, platform.Item{Key: platform.ConfigurationKey, Value: value, Era: at.Era, Revision: at.Revision})
 	}
+	update.HoldUntil = requestedAt.Add(time.Duration(s.WaitedMS+s.HoldMS) * time.Millisecond)
 	if s.DoubtMS > 0 {
 		update.DoubtUntil = requestedAt.Add(time.Duration(s.WaitedMS+s.DoubtMS) * time.Millisecond)
 	}
--- a/gateway/knowledge/tracker.go
+++ b/gateway/knowledge/tracker.go
@@ -144,7 +144,7 @@
 	if update.Full {
 		changed = t.entries.removeUnlisted(update, now) || changed
 	}
-	t.entries.hold(update.Held, now)
+	t.entries.hold(update.Held, update.HoldUntil)
 	t.entries.settling.extendDoubt(update.DoubtUntil)
 	return changed
 }
--- a/gateway/knowledge/update.go
+++ b/gateway/knowledge/update.go
@@ -14,6 +14,8 @@
 	Held []platform.Item
 	// LastWrites are the last known writes of deleted entries by key.
 	LastWrites map[string]traffic.Write
+	// HoldUntil is a time until which the sender of Items holds Held.
+	HoldUntil clock.Boot
 	// DoubtUntil is a time until which the sender of Items doubts entries, 0 if it doubts none.
 	DoubtUntil clock.Boot
 	// Full reports whether Items are all items that exist, not only the changed ones.
