--- a/gateway/knowledge/entries.go
+++ b/gateway/knowledge/entries.go
@@ -19,6 +19,9 @@
 	tombstones map[string]tombstone
 	// deletionsSince is the position after which all deletions are in tombstones.
 	deletionsSince traffic.Position
+	// began is the position at which this VM took over the store's era: later entries are not of
+	// the copy.
+	began traffic.Position
 	// settling holds the items that are not applied yet.
 	settling settling
 	// newest is the position of the newest change that was applied.
@@ -36,8 +39,10 @@
 
 // beginEra prepares for the items of a later era of the store. Endpoints that registered after
 // the copy was made get the time to write their entries again.
-func (e *entries) beginEra(era int64, now clock.Boot) {
-	e.settling.beginEra(len(e.items) > 0, now)
+func (e *entries) beginEra(began traffic.Position, now clock.Boot) {
+	era := began.Era
+	e.began = began
+	e.settling.beginEra(era, len(e.items) > 0, now)
 	e.newest = traffic.Position{Era: era}
 }
 
@@ -48,10 +53,10 @@
 	}
 }
 
-// knownPosition returns the newest known position of a key, also of a deleted or doubted one.
+// knownPosition returns the newest known position of a key, also of a deleted, held or doubted one.
 func (e *entries) knownPosition(key string) traffic.Position {
 	known := e.tombstones[key].position
-	for _, item := range []platform.Item{e.items[key], e.settling.doubted[key]} {
+	for _, item := range []platform.Item{e.items[key], e.settling.held[key], e.settling.doubted[key]} {
 		if item.Position().After(known) {
 			known = item.Position()
 		}
@@ -61,22 +66,40 @@
 
 // apply applies an endpoint's entry, or its deletion, if it is newer than the known one. An
 // invalid entry removes the endpoint. It reports whether the endpoints changed.
-func (e *entries) apply(item platform.Item, deletionFinal bool, now clock.Boot) bool {
+func (e *entries) apply(item platform.Item, update *Update, now clock.Boot) bool {
+	e.dropSuperseded(item)
 	known := e.knownPosition(item.Key)
-	if !item.Position().After(known) {
+	if !item.Position().After(known) && !e.endsHold(item, update) {
 		return false
 	}
 	if item.Deleted {
-		return e.applyDeletion(item, deletionFinal, now)
+		changed := e.applyDeletion(item, update.DeletionsFinal, now)
+		e.recordLastWrite(item.Key, update.LastWrites[item.Key])
+		return changed
 	}
 	endpoint, err := platform.DecodeEndpoint(item)
-	if err == nil && item.Era > known.Era && e.isOutdated(endpoint, item.Key) {
+	if item.Era > known.Era && e.isDoubtful(item.Key, endpoint, err) {
 		e.settling.doubt(item)
 		return false
 	}
 	return e.accept(item, endpoint, err)
 }
 
+// endsHold reports whether an item is the deletion that is held, which another VM has applied.
+func (e *entries) endsHold(item platform.Item, update *Update) bool {
+	held, ok := e.settling.held[item.Key]
+	return ok && item.Deleted && update.DeletionsFinal && item.Position() == held.Position()
+}
+
+// isDoubtful reports whether an entry of a later era may be one of the copy that the endpoint has
+// written over since. endpoint and err are the result of decoding it.
+func (e *entries) isDoubtful(key string, endpoint *traffic.Endpoint, err error) bool {
+	if err != nil {
+		return e.endpoints[key] != nil
+	}
+	return e.isOutdated(endpoint.Write(), key)
+}
+
 // accept stores an item as the newest one of its key. endpoint and err are the result of decoding
 // it. It reports whether the endpoints changed.
 func (e *entries) accept(item platform.Item, endpoint *traffic.Endpoint, err error) bool {
@@ -97,12 +120,12 @@
 }
 
 // isOutdated reports whether an entry of a later era is older than what is known of its key.
-func (e *entries) isOutdated(listed *traffic.Endpoint, key string) bool {
+func (e *entries) isOutdated(listed traffic.Write, key string) bool {
 	if deletion, ok := e.tombstones[key]; ok {
-		return deletion.startedMS == 0 || listed.StartedMS <= deletion.startedMS
+		return deletion.last.StartedMS == 0 || listed.StartedMS <= deletion.last.StartedMS
 	}
 	known, ok := e.endpoints[key]
-	return ok && listed.WrittenBefore(known)
+	return ok && listed.Before(known.Write())
 }
 
 // logEndpoint logs an endpoint that is new, was restarted or moved, or started or stopped
@@ -120,7 +143,7 @@
 func (e *entries) applyDeletion(item platform.Item, final bool, now clock.Boot) bool {
 	delete(e.settling.doubted, item.Key)
 	if _, ok := e.items[item.Key]; !ok {
-		e.addTombstone(item, e.tombstones[item.Key].startedMS, now)
+		e.addTombstone(item, e.tombstones[item.Key].last, now)
 		return false
 	}
 	if !final && e.settling.holdsDeletions(now) {
@@ -147,14 +170,14 @@
 
 // remove removes an endpoint and records its tombstone.
 func (e *entries) remove(deletion platform.Item, now clock.Boot) {
-	startedMS := int64(0)
+	last := traffic.Write{}
 	if endpoint, ok := e.endpoints[deletion.Key]; ok {
-		startedMS = endpoint.StartedMS
+		last = endpoint.Write()
 	}
 	delete(e.settling.held, deletion.Key)
 	delete(e.items, deletion.Key)
 	delete(e.endpoints, deletion.Key)
-	e.addTombstone(deletion, startedMS, now)
+	e.addTombstone(deletion, last, now)
 	e.recordPosition(deletion.Position())
 	klog.InfoS("config: endpoint removed", "key", deletion.Key, "revision", deletion.Revision, "era", deletion.Era)
 }
@@ -179,14 +202,15 @@
 }
 
 // settle removes the held endpoints that did not renew their entries in time, and accepts the
-// doubted entries that still stand. It reports whether there was any.
-func (e *entries) settle(now clock.Boot) bool {
+// doubted entries that still stand. confirmed is the begin of the last read. It reports whether there
+// was any.
+func (e *entries) settle(confirmed, now clock.Boot) bool {
 	settled := false
-	for _, deletion := range e.settling.dueDeletions(now) {
+	for _, deletion := range e.settling.dueDeletions(confirmed) {
 		e.remove(deletion, now)
 		settled = true
 	}
-	for key, item := range e.settling.dueEntries(now) {
+	for key, item := range e.settling.dueEntries(confirmed) {
 		klog.InfoS("config: doubted entry is accepted", "key", key, "revision", item.Revision, "era", item.Era)
 		endpoint, err := platform.DecodeEndpoint(item)
 		e.accept(item, endpoint, err)
@@ -195,12 +219,15 @@
 	return settled
 }
 
-// since returns the items after a position, or all of them. It includes all tombstones, since the
+// since returns the items after a position, or all of them. It includes all recent tombstones, since the
 // deletion of a held entry has a lower position than the requester's when it becomes final, and all
 // doubted items, since a requester without them would not accept them in time.
-func (e *entries) since(position traffic.Position, all bool) []platform.Item {
+func (e *entries) since(position traffic.Position, all bool, now clock.Boot) []platform.Item {
 	var items []platform.Item
 	for key, deletion := range e.tombstones {
+		if !deletion.isTold(now) {
+			continue
+		}
 		items = append(items, platform.Item{Key: key, Era: deletion.position.Era, Revision: deletion.position.Revision, Deleted: true})
 	}
 	for _, item := range e.items {
--- a/gateway/knowledge/era_test.go
+++ b/gateway/knowledge/era_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/gateway/traffic"
+	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/platform"
 )
 
@@ -17,7 +18,7 @@
 
 // entryItem returns the entry that an endpoint of a start time writes as its sequence-th one.
 func entryItem(id string, at traffic.Position, startedMS, sequence int64, state string) platform.Item {
-	value := fmt.Sprintf(`{"service":"s","address":"10.0.0.1:80","zone":"a","slots":4,"state":%q,"born":%d,"sequence":%d}`, state, startedMS, sequence)
+	value := fmt.Sprintf(`{"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","coldLeftMs":0,"slots":4,"state":%q,"born":%d,"sequence":%d}`, state, startedMS, sequence)
 	return platform.Item{Key: platform.EndpointPrefix + id, Value: []byte(value), Era: at.Era, Revision: at.Revision}
 }
 
@@ -61,6 +62,13 @@
 	}
 }
 
+// readNothing lets a VM read at a time that nothing has changed, and settle what is due.
+func readNothing(tracker *Tracker, at clock.Boot) {
+	known := tracker.Position()
+	tracker.Apply(Update{Era: known.Era, Revision: known.Revision, ConfirmedAt: at}, at)
+	tracker.Expire(at)
+}
+
 // TestConfigurationsAreAppliedAfterRestore publishes at revisions that the store had before.
 func TestConfigurationsAreAppliedAfterRestore(t *testing.T) {
 	tracker := restoredTracker()
@@ -81,9 +89,10 @@
 	tracker := restoredTracker()
 	update := copyUpdate()
 	tracker.Apply(update, update.ConfirmedAt)
-	tracker.Expire(update.ConfirmedAt.Add(rewriteTime))
-	if at, _ := tracker.ConfirmedAt(); at != update.ConfirmedAt {
-		t.Errorf("the data was confirmed %v before the answer", update.ConfirmedAt.Sub(at))
+	read := update.ConfirmedAt.Add(rewriteTime)
+	tracker.Apply(Update{Era: 2, Revision: update.Revision, ConfirmedAt: read}, read)
+	if at, _ := tracker.ConfirmedAt(); at != read {
+		t.Errorf("the data was confirmed %v before the read", read.Sub(at))
 	}
 }
 
@@ -94,7 +103,7 @@
 	now := testStart.Add(time.Second)
 	tracker.Apply(copyUpdate(), now)
 	wantReady(t, tracker, "late", "ready")
-	tracker.Expire(now.Add(HoldAfterRecovery))
+	readNothing(tracker, now.Add(HoldAfterRecovery))
 	wantReady(t, tracker, "ready")
 }
 
@@ -109,13 +118,36 @@
 		entryItem("late", traffic.Position{Era: 2, Revision: 13}, 7, 1, "ready"),
 		entryItem("ready", traffic.Position{Era: 2, Revision: 14}, 7, 9, "draining"),
 	}}, now)
-	tracker.Expire(now.Add(time.Minute))
+	readNothing(tracker, now.Add(time.Minute))
 	wantReady(t, tracker, "gone", "late")
 	if unsettled := tracker.Unsettled(); len(unsettled) > 0 {
 		t.Errorf("unsettled are %v", unsettled)
 	}
 }
 
+// TestExpiredEndpointThatRegistersAgainAfterRestoreIsUsed lets the entry of a live endpoint expire before the restore from a copy without it.
+func TestExpiredEndpointThatRegistersAgainAfterRestoreIsUsed(t *testing.T) {
+	tracker := restoredTracker()
+	now := testStart.Add(time.Second)
+	lacking := copyUpdate()
+	lacking.Items = lacking.Items[:3]
+	tracker.Apply(lacking, now)
+	tracker.Apply(Update{Era: 2, Revision: 11, Items: []platform.Item{entryItem("gone", traffic.Position{Era: 2, Revision: 11}, 7, 2, "ready")}}, now)
+	wantReady(t, tracker, "gone", "late", "ready")
+}
+
+// TestRestartedEndpointIsUsedByVMThatOnlyHeardOfItsDeletion lets a VM start between the end of an endpoint and the restore, in which the endpoint starts again.
+func TestRestartedEndpointIsUsedByVMThatOnlyHeardOfItsDeletion(t *testing.T) {
+	started := NewTracker(nil)
+	learn(t, started, restoredTracker())
+	now := testStart.Add(time.Second)
+	update := copyUpdate()
+	update.Revision = 11
+	update.Items[3] = entryItem("gone", traffic.Position{Era: 2, Revision: 11}, 8, 1, "ready")
+	started.Apply(update, now)
+	wantReady(t, started, "gone", "late", "ready")
+}
+
 // TestDoubtedEntryThatStandsIsAccepted keeps an old entry in the store: its endpoint is alive and has
 // nothing new to write.
 func TestDoubtedEntryThatStandsIsAccepted(t *testing.T) {
@@ -123,19 +155,37 @@
 	tracker.SetEntryLifetime(3 * time.Second)
 	now := testStart.Add(time.Second)
 	tracker.Apply(copyUpdate(), now)
-	tracker.Expire(now.Add(HoldAfterRecovery + 3*time.Second - time.Millisecond))
+	readNothing(tracker, now.Add(HoldAfterRecovery+3*time.Second-time.Millisecond))
 	wantReady(t, tracker, "ready")
-	tracker.Expire(now.Add(HoldAfterRecovery + 3*time.Second))
+	readNothing(tracker, now.Add(HoldAfterRecovery+3*time.Second))
 	wantReady(t, tracker, "draining", "gone", "ready")
 }
 
+// TestDoubtedEntryIsNotAcceptedWhileAnOutageKeepsItFromExpiring lets the store be away again before the entries of endpoints that are gone have expired.
+func TestDoubtedEntryIsNotAcceptedWhileAnOutageKeepsItFromExpiring(t *testing.T) {
+	reader, follower := restoredTracker(), restoredTracker()
+	reader.Apply(copyUpdate(), testStart)
+	learn(t, follower, reader)
+	reader.MarkStoreLost()
+	back := testStart.Add(4 * time.Second)
+	reader.MarkStoreRestored(back)
+	learnAt(t, follower, reader, back)
+	now := back.Add(HoldAfterRecovery + defaultEntryLifetime - time.Millisecond)
+	readNothing(reader, now)
+	readNothing(follower, now)
+	wantReady(t, reader, "ready")
+	wantReady(t, follower, "ready")
+	readNothing(reader, now.Add(time.Millisecond))
+	wantReady(t, reader, "draining", "gone", "ready")
+}
+
 // TestDoubtedEntryThatExpiresIsForgotten lets the store remove the entry of an endpoint that is gone.
 func TestDoubtedEntryThatExpiresIsForgotten(t *testing.T) {
 	tracker := restoredTracker()
 	now := testStart.Add(time.Second)
 	tracker.Apply(copyUpdate(), now)
 	tracker.Apply(Update{Era: 2, Revision: 11, Items: []platform.Item{inEra(2, deletedItem("gone", 11))}}, now.Add(4*time.Second))
-	tracker.Expire(now.Add(time.Minute))
+	readNothing(tracker, now.Add(time.Minute))
 	wantReady(t, tracker, "draining", "ready")
 }
 
@@ -178,8 +228,48 @@
 	if at, _ := tracker.ConfirmedAt(); at > testStart {
 		t.Errorf("a key that version 6 revoked %v before would be accepted", read.Sub(testStart))
 	}
-	tracker.Expire(heard.Add(rewriteTime))
-	if at, _ := tracker.ConfirmedAt(); at != read {
-		t.Errorf("confirmed at %v, want %v", at, read)
+	late := heard.Add(rewriteTime)
+	tracker.Apply(Update{Era: 2, Revision: 10, ConfirmedAt: late}, late)
+	if at, _ := tracker.ConfirmedAt(); at != late {
+		t.Errorf("confirmed at %v, want %v", at, late)
 	}
 }
+
+// TestVMThatStartsAfterRestoreDoesNotAcceptWithdrawnKeys lets a VM that knows nothing, or what a VM of the same era told it, read the copy.
+func TestVMThatStartsAfterRestoreDoesNotAcceptWithdrawnKeys(t *testing.T) {
+	for name, running := range map[string]*Tracker{"alone": NewTracker(nil), "beside another": restoredTracker()} {
+		started := NewTracker(nil)
+		running.Apply(copyUpdate(), testStart)
+		if name != "alone" {
+			learn(t, started, running)
+		}
+		started.Apply(copyUpdate(), copyUpdate().ConfirmedAt)
+		if at, _ := started.ConfirmedAt(); at > testStart {
+			t.Errorf("%s: a key that was withdrawn before the loss would be accepted", name)
+		}
+	}
+}
+
+// TestEntryOfEarlierCopyIsNotDoubtedUntilItCounts lets a VM that took over an entry of a copy tell it after the next restore, whose copy lacks it.
+func TestEntryOfEarlierCopyIsNotDoubtedUntilItCounts(t *testing.T) {
+	tracker := restoredTracker()
+	now := testStart.Add(time.Second)
+	tracker.Apply(Update{Full: true, Era: 3, Revision: 10, Items: []platform.Item{
+		entryItem("ready", traffic.Position{Era: 3, Revision: 2}, 7, 1, "ready"),
+	}}, now)
+	gone := entryItem("gone", traffic.Position{Era: 2, Revision: 4}, 7, 1, "ready")
+	tracker.Apply(Update{Era: 3, Revision: 10, Items: []platform.Item{gone}, DeletionsFinal: true}, now)
+	later := now.Add(time.Minute)
+	tracker.Apply(Update{Era: 3, Revision: 11, ConfirmedAt: later}, later)
+	tracker.Expire(later)
+	wantReady(t, tracker, "ready")
+}
+
+// TestCopyBringsNoEndpointBackThatThisVMKnewByAnOlderEntry lets the copy hold a later entry of a removed endpoint than the VM knew.
+func TestCopyBringsNoEndpointBackThatThisVMKnewByAnOlderEntry(t *testing.T) {
+	tracker := restoredTracker()
+	update := copyUpdate()
+	update.Items[3] = entryItem("gone", traffic.Position{Era: 2, Revision: 4}, 7, 3, "ready")
+	tracker.Apply(update, testStart.Add(time.Second))
+	wantReady(t, tracker, "late", "ready")
+}
--- a/gateway/knowledge/tracker.go
+++ b/gateway/knowledge/tracker.go
@@ -29,13 +29,16 @@
 	entries       *entries
 	// position is the position in the store's history that the data is complete up to.
 	position traffic.Position
-	// confirmAfter is when the data of a restored copy may count as confirmed, unconfirmed the
-	// time that it was read until then; 0 if there is none.
+	// confirmAfter is the time from which on reads of a restored store confirm the data; 0 if the
+	// store was never restored. startedInEra reports whether this VM has known no earlier era: other
+	// VMs of this one have waited for themselves, so that what they confirmed counts at once.
 	confirmAfter clock.Boot
-	unconfirmed  clock.Boot
+	startedInEra bool
 	// updated is closed and replaced with each update.
 	updated  chan struct{}
 	onChange func(*Snapshot)
+	// reserved reports whether an address can't be that of an endpoint; nil means that each can.
+	reserved func(address string) bool
 }
 
 // NewTracker returns an empty Tracker. onChange, which may be nil, is called with each new
@@ -65,6 +68,14 @@
 	}
 }
 
+// SetReserved sets the function that reports whether an address can't be that of an endpoint. It is
+// called with the Tracker's lock held, for each endpoint whenever one changes, and must not block.
+func (t *Tracker) SetReserved(reserved func(address string) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reserved = reserved
+}
+
 // Snapshot returns the newest snapshot.
 func (t *Tracker) Snapshot() *Snapshot {
 	return t.snapshot.Load()
@@ -92,10 +103,11 @@
 func (t *Tracker) Apply(update Update, now clock.Boot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	goesOn := t.followsOn(&update, now)
 	changed := t.applyConfiguration(&update)
-	if t.followsOn(&update, now) {
+	if goesOn {
 		changed = t.applyEntries(&update, now) || changed
-		t.confirm(&update, now)
+		t.confirm(&update)
 	}
 	if changed || t.snapshot.Load().Position.IsZero() {
 		t.publish()
@@ -115,17 +127,22 @@
 	}
 	klog.InfoS("config: an era of the store begins", "era", update.Era, "revision", update.Revision,
 		"known_era", t.position.Era, "known_revision", t.position.Revision)
-	if !t.position.IsZero() {
-		t.confirmAfter, t.unconfirmed = now.Add(rewriteTime), 0
+	t.startedInEra = t.position.IsZero()
+	if !t.startedInEra || update.Era > firstEra {
+		t.confirmAfter = now.Add(rewriteTime)
 	}
-	t.entries.beginEra(update.Era, now)
+	t.entries.beginEra(update.Position(), now)
 	t.position = traffic.Position{Era: update.Era}
 	return true
 }
 
+// firstEra is the era of a store that has not come back from a copy yet. A VM that starts in a later
+// one can't tell how long ago the store came back.
+const firstEra = 1
+
 // rewriteTime is how long after the begin of an era the store may lack what the operator had written
-// before. Until then, data read from the store does not count as confirmed: the copy may lack a
-// change that this VM has missed, too.
+// before. Reads that began earlier confirm nothing: the copy may lack a change that this VM has
+// missed, too.
 const rewriteTime = 1500 * time.Millisecond
 
 // applyEntries applies the entries of an update. It reports whether an endpoint changed. The caller
@@ -134,36 +151,41 @@
 	changed := false
 	for _, item := range update.Items {
 		if strings.HasPrefix(item.Key, platform.EndpointPrefix) {
-			changed = t.entries.apply(item, update.DeletionsFinal, now) || changed
+			changed = t.entries.apply(item, update, now) || changed
 		}
 	}
 	if update.Full {
 		changed = t.entries.removeUnlisted(update, now) || changed
 	}
 	t.entries.hold(update.Held, now)
+	t.entries.settling.extendDoubt(update.DoubtUntil)
 	return changed
 }
 
 // confirm records the position that an update is complete up to, and the time of its confirmation.
 // The caller holds the lock.
-func (t *Tracker) confirm(update *Update, now clock.Boot) {
+func (t *Tracker) confirm(update *Update) {
 	t.entries.recordPosition(update.Newest)
 	if t.position.After(update.Position()) {
 		return
 	}
 	t.position = update.Position()
-	if now < t.confirmAfter && !update.DeletionsFinal {
-		t.unconfirmed = max(t.unconfirmed, update.ConfirmedAt)
-		return
+	trusted := update.ConfirmedAt >= t.confirmAfter || update.DeletionsFinal && t.startedInEra
+	if trusted && int64(update.ConfirmedAt) > t.confirmed.Load() {
+		t.confirmed.Store(int64(update.ConfirmedAt))
 	}
-	t.raiseConfirmed(update.ConfirmedAt)
 }
 
-// raiseConfirmed raises confirmed. The caller holds the lock.
-func (t *Tracker) raiseConfirmed(at clock.Boot) {
-	if int64(at) > t.confirmed.Load() {
-		t.confirmed.Store(int64(at))
+// NextRead returns the time at which a read has to begin to confirm or settle what is known; ok is
+// false if no read has to.
+func (t *Tracker) NextRead() (at clock.Boot, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	confirmed := clock.Boot(t.confirmed.Load())
+	if confirmed < t.confirmAfter {
+		return t.confirmAfter, true
 	}
+	return t.entries.settling.nextRead(confirmed)
 }
 
 // applyConfiguration applies the configuration of an update, if it has one. It reports whether that
@@ -217,17 +239,13 @@
 }
 
 // Expire removes the held endpoints that did not renew their entries by the end of
-// HoldAfterRecovery, accepts doubted entries that still stand, and confirms the data of a restored
-// copy. It must be called every few hundred milliseconds.
+// HoldAfterRecovery, accepts doubted entries that still stand, and drops old tombstones. It must be
+// called every few hundred milliseconds.
 func (t *Tracker) Expire(now clock.Boot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.unconfirmed != 0 && now >= t.confirmAfter {
-		t.raiseConfirmed(t.unconfirmed)
-		t.unconfirmed = 0
-		t.announce()
-	}
-	if t.entries.settle(now) {
+	t.entries.expireTombstones(now)
+	if t.entries.settle(clock.Boot(t.confirmed.Load()), now) {
 		t.publish()
 		t.announce()
 	}
@@ -235,7 +253,7 @@
 
 // publish stores a new snapshot and passes it to onChange. The caller holds the lock.
 func (t *Tracker) publish() {
-	next := newSnapshot(t.configuration.decoded, t.entries.endpoints, t.position)
+	next := newSnapshot(t.configuration.decoded, t.entries.endpoints, t.position, t.reserved)
 	t.snapshot.Store(next)
 	t.onChange(next)
 }
