--- a/gateway/knowledge/entries.go
+++ b/gateway/knowledge/entries.go
@@ -53,10 +53,10 @@
 	}
 }
 
-// knownPosition returns the newest known position of a key, also of a deleted or doubted one.
+// knownPosition returns the newest known position of a key, also of a deleted, held or doubted one.
 func (e *entries) knownPosition(key string) traffic.Position {
 	known := e.tombstones[key].position
-	for _, item := range []platform.Item{e.items[key], e.settling.doubted[key]} {
+	for _, item := range []platform.Item{e.items[key], e.settling.held[key], e.settling.doubted[key]} {
 		if item.Position().After(known) {
 			known = item.Position()
 		}
@@ -69,7 +69,7 @@
 func (e *entries) apply(item platform.Item, update *Update, now clock.Boot) bool {
 	e.dropSuperseded(item)
 	known := e.knownPosition(item.Key)
-	if !item.Position().After(known) {
+	if !item.Position().After(known) && !e.endsHold(item, update) {
 		return false
 	}
 	if item.Deleted {
@@ -78,13 +78,28 @@
 		return changed
 	}
 	endpoint, err := platform.DecodeEndpoint(item)
-	if err == nil && item.Era > known.Era && e.isOutdated(endpoint.Write(), item.Key) {
+	if item.Era > known.Era && e.isDoubtful(item.Key, endpoint, err) {
 		e.settling.doubt(item)
 		return false
 	}
 	return e.accept(item, endpoint, err)
 }
 
+// endsHold reports whether an item is the deletion that is held, which another VM has applied.
+func (e *entries) endsHold(item platform.Item, update *Update) bool {
+	held, ok := e.settling.held[item.Key]
+	return ok && item.Deleted && update.DeletionsFinal && item.Position() == held.Position()
+}
+
+// isDoubtful reports whether an entry of a later era may be one of the copy that the endpoint has
+// written over since. endpoint and err are the result of decoding it.
+func (e *entries) isDoubtful(key string, endpoint *traffic.Endpoint, err error) bool {
+	if err != nil {
+		return e.endpoints[key] != nil
+	}
+	return e.isOutdated(endpoint.Write(), key)
+}
+
 // accept stores an item as the newest one of its key. endpoint and err are the result of decoding
 // it. It reports whether the endpoints changed.
 func (e *entries) accept(item platform.Item, endpoint *traffic.Endpoint, err error) bool {
@@ -187,14 +202,15 @@
 }
 
 // settle removes the held endpoints that did not renew their entries in time, and accepts the
-// doubted entries that still stand. It reports whether there was any.
-func (e *entries) settle(now clock.Boot) bool {
+// doubted entries that still stand. confirmed is the begin of the last read. It reports whether there
+// was any.
+func (e *entries) settle(confirmed, now clock.Boot) bool {
 	settled := false
-	for _, deletion := range e.settling.dueDeletions(now) {
+	for _, deletion := range e.settling.dueDeletions(confirmed) {
 		e.remove(deletion, now)
 		settled = true
 	}
-	for key, item := range e.settling.dueEntries(now) {
+	for key, item := range e.settling.dueEntries(confirmed) {
 		klog.InfoS("config: doubted entry is accepted", "key", key, "revision", item.Revision, "era", item.Era)
 		endpoint, err := platform.DecodeEndpoint(item)
 		e.accept(item, endpoint, err)
@@ -203,12 +219,15 @@
 	return settled
 }
 
-// since returns the items after a position, or all of them. It includes all tombstones, since the
+// since returns the items after a position, or all of them. It includes all recent tombstones, since the
 // deletion of a held entry has a lower position than the requester's when it becomes final, and all
 // doubted items, since a requester without them would not accept them in time.
-func (e *entries) since(position traffic.Position, all bool) []platform.Item {
+func (e *entries) since(position traffic.Position, all bool, now clock.Boot) []platform.Item {
 	var items []platform.Item
 	for key, deletion := range e.tombstones {
+		if !deletion.isTold(now) {
+			continue
+		}
 		items = append(items, platform.Item{Key: key, Era: deletion.position.Era, Revision: deletion.position.Revision, Deleted: true})
 	}
 	for _, item := range e.items {
