--- a/gateway/knowledge/held_test.go
+++ b/gateway/knowledge/held_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/gateway/traffic"
+	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/platform"
 )
 
@@ -30,12 +31,14 @@
 		follower.Apply(Update{Full: true, Era: 1, Revision: 10, Items: twoEndpoints(1)}, testStart)
 		contents := lose(reader)
 		learn(t, follower, reader)
-		restarted := NewTracker(nil)
-		restarted.Apply(contents, testStart)
 		now := testStart.Add(time.Minute)
-		learn(t, follower, restarted)
+		restarted := NewTracker(nil)
+		restarted.Apply(contents, now)
+		now = now.Add(rewriteTime)
+		readNothing(restarted, now)
+		learnAt(t, follower, restarted, now)
 		follower.Expire(now)
-		learn(t, follower, restarted)
+		learnAt(t, follower, restarted, now)
 		if ready := follower.Snapshot().Ready["s"]; len(ready) != 1 {
 			t.Errorf("%s: %d endpoints are ready, want 1", name, len(ready))
 		}
@@ -52,12 +55,18 @@
 // learn lets one VM learn from another.
 func learn(t *testing.T, to, from *Tracker) {
 	t.Helper()
-	response := from.SyncResponse(to.SyncRequest(), testStart)
-	update, err := response.update(testStart)
+	learnAt(t, to, from, testStart)
+}
+
+// learnAt lets one VM learn from another at a time.
+func learnAt(t *testing.T, to, from *Tracker, now clock.Boot) {
+	t.Helper()
+	response := from.SyncResponse(to.SyncRequest(), now)
+	update, err := response.update(now)
 	if err != nil {
 		t.Fatal(err)
 	}
-	to.Apply(update, testStart)
+	to.Apply(update, now)
 }
 
 // TestEndpointsAreHeldAfterOutageThatPeersEndTheEraIn lets a VM without the store hear of a later era: what expires until it reaches the store must be held.
@@ -73,3 +82,24 @@
 		t.Errorf("%d endpoints are ready at once, want 2", len(ready))
 	}
 }
+
+// TestHeldEndpointIsHeldNoLongerByVMsThatHearOfIt passes a held deletion from VM to VM, each shortly before the end of the hold.
+func TestHeldEndpointIsHeldNoLongerByVMsThatHearOfIt(t *testing.T) {
+	var vms []*Tracker
+	for range 3 {
+		vm := NewTracker(nil)
+		vm.Apply(Update{Full: true, Era: 1, Revision: 10, Items: twoEndpoints(1)}, testStart)
+		vms = append(vms, vm)
+	}
+	vms[0].MarkStoreLost()
+	vms[0].MarkStoreRestored(testStart)
+	vms[0].Apply(Update{Era: 1, Revision: 11, Items: []platform.Item{inEra(1, deletedItem("b", 11))}}, testStart)
+	learnAt(t, vms[1], vms[0], testStart.Add(HoldAfterRecovery-200*time.Millisecond))
+	learnAt(t, vms[2], vms[1], testStart.Add(HoldAfterRecovery-100*time.Millisecond))
+	for _, vm := range vms[1:] {
+		end := testStart.Add(HoldAfterRecovery)
+		vm.Apply(Update{Era: 1, Revision: 11, ConfirmedAt: end}, end)
+		vm.Expire(end)
+		wantReady(t, vm, "a")
+	}
+}
--- a/gateway/knowledge/settling.go
+++ b/gateway/knowledge/settling.go
@@ -30,6 +30,8 @@
 // gone. Such an entry is doubted: the endpoint writes a newer one, or the entry expires; if neither
 // happens in time, it is applied.
 type settling struct {
+	// era is the era of the store that the entries are complete for.
+	era int64
 	// held are the held deletions by key, doubted the doubted entries.
 	held    map[string]platform.Item
 	doubted map[string]platform.Item
@@ -53,12 +55,13 @@
 
 // beginEra begins a later era of the store and drops the doubted entries of the one before. If any
 // entry is known, it also ends an outage and begins HoldAfterRecovery.
-func (s *settling) beginEra(hasEntries bool, now clock.Boot) {
+func (s *settling) beginEra(era int64, hasEntries bool, now clock.Boot) {
+	s.era = era
 	if hasEntries {
 		s.storeLost = false
 		s.holdUntil = now.Add(HoldAfterRecovery)
 	}
-	s.doubtUntil = now.Add(HoldAfterRecovery + s.entryLifetime)
+	s.doubtUntil = now.Add(s.doubtTime())
 	s.doubted = map[string]platform.Item{}
 }
 
@@ -71,7 +74,8 @@
 // update of another VM has begun a later era during the outage.
 func (s *settling) markStoreRestored(now clock.Boot) {
 	s.storeLost = false
-	s.extendHold(now)
+	s.extendHold(now.Add(HoldAfterRecovery))
+	s.extendDoubt(now.Add(s.doubtTime()))
 }
 
 // holdsDeletions reports whether deletions that are not final are held at now.
@@ -87,9 +91,17 @@
 	klog.InfoS("config: expired endpoint is held", "key", deletion.Key, "revision", deletion.Revision, "era", deletion.Era)
 }
 
-// extendHold holds deletions for HoldAfterRecovery from now at least.
-func (s *settling) extendHold(now clock.Boot) {
-	s.holdUntil = max(s.holdUntil, now.Add(HoldAfterRecovery))
+// extendHold holds deletions at least until a time.
+func (s *settling) extendHold(until clock.Boot) {
+	s.holdUntil = max(s.holdUntil, until)
+}
+
+// holdLeft returns how long deletions are held at least, 0 if none is.
+func (s *settling) holdLeft(now clock.Boot) time.Duration {
+	if len(s.held) == 0 || s.storeLost {
+		return 0
+	}
+	return max(s.holdUntil.Sub(now), 0)
 }
 
 // heldDeletions returns the held deletions for other VMs: none during an outage of the store, the end
@@ -101,8 +113,39 @@
 	return slices.Collect(maps.Values(s.held))
 }
 
-// doubt sets an entry aside. The known endpoint, if any, stays as it is.
+// doubtTime is the time from the return of the store until the entry of an endpoint that is gone has
+// expired.
+func (s *settling) doubtTime() time.Duration {
+	return HoldAfterRecovery + s.entryLifetime
+}
+
+// extendDoubt lets doubted entries stay doubted at least until a time. During an outage, entries may
+// not expire.
+func (s *settling) extendDoubt(until clock.Boot) {
+	if len(s.doubted) > 0 {
+		s.doubtUntil = max(s.doubtUntil, until)
+	}
+}
+
+// doubtLeft returns how long entries stay doubted at least: the whole time during an outage, 0 if there
+// are none.
+func (s *settling) doubtLeft(now clock.Boot) time.Duration {
+	switch {
+	case len(s.doubted) == 0:
+		return 0
+	case s.storeLost:
+		return s.doubtTime()
+	default:
+		return max(s.doubtUntil.Sub(now), 0)
+	}
+}
+
+// doubt sets an entry aside. The known endpoint, if any, stays as it is. An entry of an earlier era is
+// dropped: the copy that the era began with lacks it.
 func (s *settling) doubt(item platform.Item) {
+	if item.Era < s.era {
+		return
+	}
 	delete(s.held, item.Key)
 	s.doubted[item.Key] = item
 	klog.InfoS("config: entry of a restored copy is doubted", "key", item.Key, "revision", item.Revision, "era", item.Era)
@@ -123,18 +166,29 @@
 	}
 }
 
-// dueDeletions returns the held deletions if they are to be applied at now.
-func (s *settling) dueDeletions(now clock.Boot) map[string]platform.Item {
-	if s.holdsDeletions(now) {
+// dueDeletions returns the held deletions if they are to be applied: a read that began after the hold
+// shows that the endpoints did not write their entries again. confirmed is the begin of the last read.
+func (s *settling) dueDeletions(confirmed clock.Boot) map[string]platform.Item {
+	if s.storeLost || confirmed < s.holdUntil {
 		return nil
 	}
 	return s.held
 }
 
-// dueEntries returns the doubted entries if they are to be applied at now.
-func (s *settling) dueEntries(now clock.Boot) map[string]platform.Item {
-	if s.storeLost || now < s.doubtUntil {
+// dueEntries returns the doubted entries if they are to be applied: a read that began when their time
+// was over shows that they still stand. confirmed is the begin of the last read.
+func (s *settling) dueEntries(confirmed clock.Boot) map[string]platform.Item {
+	if s.storeLost || confirmed < s.doubtUntil {
 		return nil
 	}
 	return s.doubted
 }
+
+// nextRead returns the time at which a read has to begin to settle the first items, given the begin
+// of the last read; ok is false if nothing is unsettled.
+func (s *settling) nextRead(confirmed clock.Boot) (at clock.Boot, ok bool) {
+	if len(s.held) > 0 && confirmed < s.holdUntil {
+		return s.holdUntil, true
+	}
+	return s.doubtUntil, len(s.doubted) > 0 && confirmed < s.doubtUntil
+}
--- a/router/router.go
+++ b/router/router.go
@@ -14,6 +14,7 @@
 	"cardamompoint.example/cardamompoint/router/balance"
 	"cardamompoint.example/cardamompoint/router/config"
 	"cardamompoint.example/cardamompoint/router/endpoint"
+	"cardamompoint.example/cardamompoint/router/homes"
 	"cardamompoint.example/cardamompoint/router/member"
 	"cardamompoint.example/cardamompoint/router/once"
 	"cardamompoint.example/cardamompoint/router/peer"
@@ -47,7 +48,7 @@
 
 	admission      *balance.Admission
 	estimator      *balance.Estimator
-	setHistory     *setHistory
+	setHistory     *homes.History
 	freezeDetector *freezeDetector
 	loadPolls      singleflight.Group
 
@@ -147,7 +148,7 @@
 	r.loadTracker = balance.NewLoadTracker(r.settings.Limits, lease-margin)
 	r.admission = balance.NewAdmission(r.loadTracker, lease, margin, now)
 	r.estimator = balance.NewEstimator()
-	r.setHistory = newSetHistory(staleListWait(suspect, milliseconds(timing.HeartbeatMS)), lease)
+	r.setHistory = homes.NewHistory(staleListWait(suspect, milliseconds(timing.HeartbeatMS)), lease)
 	r.freezeDetector = newFreezeDetector(now)
 }
 
@@ -178,10 +179,10 @@
 	}{
 		{"cardamompoint.in_progress", "Requests of callers in progress.", r.inProgress.Load},
 		{"cardamompoint.peer_work", "Requests of other routers in progress.", r.peerWork.Load},
-		{"cardamompoint.home_streams", "Streams that the router counts, held ones included.", func() int64 { return int64(r.streams.len()) }},
+		{"cardamompoint.home_streams", "Streams that this router accounts for as home, including those held for the caller to resume.", func() int64 { return int64(r.streams.len()) }},
 		{"cardamompoint.control_bytes", "Bytes of control traffic since the start.", r.controlBytes.Total},
 		{"cardamompoint.records", "Outcomes kept for repeated keys.", func() int64 { return int64(r.records.Len()) }},
-		{"cardamompoint.yields", "Callers' own keys that this router yielded to a process.", func() int64 { return int64(r.clearanceGranter.Len()) }},
+		{"cardamompoint.yields", "Caller keys that this router has granted to a process.", func() int64 { return int64(r.clearanceGranter.Len()) }},
 		{"cardamompoint.config_revision", "Configuration revision in force.", func() int64 { return r.store.Snapshot().Revision }},
 		{"cardamompoint.list_version", "Version of the list of VMs.", func() int64 { return r.members.View().List.Version }},
 	}
@@ -204,5 +205,5 @@
 	}
 	now := time.Now()
 	r.recordListSpread(now)
-	return r.setHistory.ready(now)
+	return r.setHistory.Ready(now)
 }
