--- a/gateway/knowledge/sync.go
+++ b/gateway/knowledge/sync.go
@@ -23,8 +23,12 @@
 	ConfigurationPosition traffic.Position `json:"configuration_position,omitzero"`
 	// Entries are entries of endpoints, and deletions.
 	Entries []platform.Item `json:"entries,omitempty"`
+	// LastWrites are the last known writes of deleted entries by key, in full responses.
+	LastWrites map[string]traffic.Write `json:"last_writes,omitempty"`
 	// Held are the deletions that the responder holds.
 	Held []platform.Item `json:"held,omitempty"`
+	// DoubtMS is how long the responder still doubts entries, in milliseconds.
+	DoubtMS int64 `json:"doubt_ms,omitempty"`
 	// Position is the position that the responder's data is complete up to.
 	Position traffic.Position `json:"position"`
 	// Newest is the position of the newest change that the responder has applied.
@@ -89,7 +93,11 @@
 	}
 	if request.Position.Era <= t.position.Era {
 		response.Full = request.Position.IsZero() || t.entries.deletionsSince.After(request.Position)
-		response.Entries = t.entries.since(request.Position, response.Full)
+		response.Entries = t.entries.since(request.Position, response.Full, now)
+		if response.Full {
+			response.LastWrites = t.entries.lastWrites()
+		}
+		response.DoubtMS = t.entries.settling.doubtLeft(now).Milliseconds()
 		response.Held = t.entries.settling.heldDeletions()
 	}
 	return response
@@ -114,7 +122,7 @@
 
 // update converts a response to an Update. requestedAt is when the request was sent.
 func (s *SyncResponse) update(requestedAt clock.Boot) (Update, error) {
-	update := Update{Items: s.Entries, Held: s.Held, Full: s.Full, Era: s.Position.Era, Revision: s.Position.Revision, Newest: s.Newest, DeletionsFinal: true}
+	update := Update{Items: s.Entries, Held: s.Held, LastWrites: s.LastWrites, Full: s.Full, Era: s.Position.Era, Revision: s.Position.Revision, Newest: s.Newest, DeletionsFinal: true}
 	if len(s.Configuration) > 0 {
 		value, err := decompress(s.Configuration)
 		if err != nil {
@@ -123,6 +131,9 @@
 		at := s.ConfigurationPosition
 		update.Items = append(update.Items, platform.Item{Key: platform.ConfigurationKey, Value: value, Era: at.Era, Revision: at.Revision})
 	}
+	if s.DoubtMS > 0 {
+		update.DoubtUntil = requestedAt.Add(time.Duration(s.WaitedMS+s.DoubtMS) * time.Millisecond)
+	}
 	if s.AgeMS >= 0 {
 		// The responder received the request after requestedAt and measured AgeMS at least
 		// WaitedMS later, so this is never later than the true time.
--- a/gateway/knowledge/tombstone.go
+++ b/gateway/knowledge/tombstone.go
@@ -12,6 +12,9 @@
 	// tombstoneTTL is how long tombstones are kept. No source of updates that is still
 	// in use lags that far behind.
 	tombstoneTTL = 60 * time.Second
+	// tombstoneToldFor is how long other VMs are told of a deletion: so much shorter than
+	// tombstoneTTL that none learns of it again from one that has learned of it late.
+	tombstoneToldFor = 30 * time.Second
 	// maxTombstones bounds the tombstones.
 	maxTombstones = 4096
 )
@@ -20,20 +23,63 @@
 type tombstone struct {
 	position  traffic.Position
 	appliedAt clock.Boot
-	// startedMS is the start of the endpoint that the entry described; 0 if it is not known.
-	startedMS int64
+	// last is the last known write of the entry, zero if none is.
+	last traffic.Write
 }
 
 // addTombstone records a deletion, so that an older entry can't restore the key and that other VMs
 // receive the deletion.
-func (e *entries) addTombstone(deletion platform.Item, startedMS int64, now clock.Boot) {
-	for old, entry := range e.tombstones {
-		if now.Sub(entry.appliedAt) > tombstoneTTL || len(e.tombstones) >= maxTombstones {
-			delete(e.tombstones, old)
+func (e *entries) addTombstone(deletion platform.Item, last traffic.Write, now clock.Boot) {
+	if len(e.tombstones) >= maxTombstones {
+		e.dropAnyTombstone()
+	}
+	e.tombstones[deletion.Key] = tombstone{deletion.Position(), now, last}
+}
+
+// dropAnyTombstone drops one tombstone.
+func (e *entries) dropAnyTombstone() {
+	for key, entry := range e.tombstones {
+		delete(e.tombstones, key)
+		e.deletionsKnownAfter(entry.position)
+		return
+	}
+}
+
+// expireTombstones drops the tombstones that are older than tombstoneTTL. VMs that lack a deletion that
+// is told no more get all entries instead.
+func (e *entries) expireTombstones(now clock.Boot) {
+	for key, entry := range e.tombstones {
+		if !entry.isTold(now) {
 			e.deletionsKnownAfter(entry.position)
 		}
+		if now.Sub(entry.appliedAt) > tombstoneTTL {
+			delete(e.tombstones, key)
+		}
 	}
-	e.tombstones[deletion.Key] = tombstone{deletion.Position(), now, startedMS}
+}
+
+// isTold reports whether other VMs are told of the deletion.
+func (t tombstone) isTold(now clock.Boot) bool {
+	return now.Sub(t.appliedAt) <= tombstoneToldFor
+}
+
+// recordLastWrite raises the last known write of a deleted entry.
+func (e *entries) recordLastWrite(key string, last traffic.Write) {
+	if deletion, ok := e.tombstones[key]; ok && deletion.last.Before(last) {
+		deletion.last = last
+		e.tombstones[key] = deletion
+	}
+}
+
+// lastWrites returns the last known writes of the deleted entries by key.
+func (e *entries) lastWrites() map[string]traffic.Write {
+	writes := map[string]traffic.Write{}
+	for key, deletion := range e.tombstones {
+		if deletion.last != (traffic.Write{}) {
+			writes[key] = deletion.last
+		}
+	}
+	return writes
 }
 
 // deletionsKnownAfter raises deletionsSince.
@@ -42,3 +88,11 @@
 		e.deletionsSince = position
 	}
 }
+
+// dropSuperseded drops the tombstone of an earlier era if an item was written since this one began.
+func (e *entries) dropSuperseded(item platform.Item) {
+	deletion, ok := e.tombstones[item.Key]
+	if ok && !item.Deleted && deletion.position.Era < e.began.Era && item.Era == e.began.Era && item.Position().After(e.began) {
+		delete(e.tombstones, item.Key)
+	}
+}
--- a/router/job.go
+++ b/router/job.go
@@ -106,7 +106,7 @@
 	order := newCandidateOrder(j)
 	for c, ok := order.next(); ok; c, ok = order.next() {
 		err := j.tryCandidate(ctx, c)
-		if err == nil || !notAdmitted(err) || j.crashesEngines() {
+		if err == nil || !notAdmitted(err) || j.crashesEngines() || j.checkLateStart(ctx) != nil {
 			return err
 		}
 		order.recordRefusal(err)
