--- a/gateway/knowledge/entries.go
+++ b/gateway/knowledge/entries.go
@@ -154,8 +154,8 @@
 	return true
 }
 
-// hold holds the endpoints that another VM holds, for as long as that one does. That VM may end before it removes them, and
-// no other one tells their deletions to a VM that is past their positions.
+// hold holds the endpoints that another VM holds, for as long as that one does. That VM may end before
+// it removes them, and no other one tells their deletions to a VM that is past their positions.
 func (e *entries) hold(deletions []platform.Item, until clock.Boot) {
 	for _, deletion := range deletions {
 		_, held := e.settling.held[deletion.Key]
