--- a/gateway/caller_limits.go
+++ b/gateway/caller_limits.go
@@ -35,7 +35,7 @@
 
 // idleCloseFactor is how long an idle connection is kept, as a multiple of the idle timeout. A request
 // that a caller sends around the timeout itself must not cross the close.
-const idleCloseFactor = 4.0 / 3
+const idleCloseFactor = 1.5
 
 // callerIdleTimeout returns after which idle time a caller's connection is currently closed.
 func (g *Gateway) callerIdleTimeout() time.Duration {
