--- a/gateway/knowledge/entries.go
+++ b/gateway/knowledge/entries.go
@@ -225,7 +225,7 @@
 func (e *entries) since(position traffic.Position, all bool, now clock.Boot) []platform.Item {
 	var items []platform.Item
 	for key, deletion := range e.tombstones {
-		if !deletion.isTold(now) {
+		if !deletion.isShared(now) {
 			continue
 		}
 		items = append(items, platform.Item{Key: key, Era: deletion.position.Era, Revision: deletion.position.Revision, Deleted: true})
--- a/gateway/knowledge/reader_test.go
+++ b/gateway/knowledge/reader_test.go
@@ -18,6 +18,20 @@
 
 func never() bool { return false }
 
+// startReader runs a Reader. stop ends it and waits until it has ended.
+func startReader(t *testing.T, reader *Reader) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		reader.Run(ctx)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
 // TestReaderFollowsTheStore checks the full read at the start, a watch that returns a change,
 // and the full read after the store has compacted its history.
 func TestReaderFollowsTheStore(t *testing.T) {
@@ -25,12 +39,7 @@
 		clocktest.UseVirtualTime(t)
 		store := &fakeStore{items: []item{configurationItem(1, 1), endpointItem("a", 2)}, revision: 2}
 		tracker := NewTracker(nil)
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			NewReader(store, tracker, always, never).Run(ctx)
-		}()
+		stop := startReader(t, NewReader(store, tracker, always, never))
 		time.Sleep(time.Second)
 		store.put(endpointItem("b", 3))
 		time.Sleep(2 * time.Second)
@@ -45,8 +54,7 @@
 		if reads, _ := store.calls(); reads == before {
 			t.Error("nothing was read anew")
 		}
-		cancel()
-		<-done
+		stop()
 	})
 }
 
@@ -55,18 +63,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		clocktest.UseVirtualTime(t)
 		store := &fakeStore{items: []item{configurationItem(1, 1)}, revision: 1}
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			NewReader(store, NewTracker(nil), never, never).Run(ctx)
-		}()
+		stop := startReader(t, NewReader(store, NewTracker(nil), never, never))
 		time.Sleep(10 * time.Second)
 		if reads, watches := store.calls(); reads+watches > 0 {
 			t.Errorf("%d reads and %d watches", reads, watches)
 		}
-		cancel()
-		<-done
+		stop()
 	})
 }
 
@@ -88,20 +90,14 @@
 		clocktest.UseVirtualTime(t)
 		store := &fakeStore{fail: code.New(code.PlatformRejected, "busy")}
 		reader := NewReader(store, NewTracker(nil), always, func() bool { return others })
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			reader.Run(ctx)
-		}()
+		stop := startReader(t, reader)
 		time.Sleep(10 * time.Second)
 		if !reader.StoreLost() {
 			t.Error("the store does not count as lost")
 		}
 		reads, watches := store.calls()
 		calls = reads + watches
-		cancel()
-		<-done
+		stop()
 	})
 	return calls
 }
--- a/gateway/knowledge/restore_test.go
+++ b/gateway/knowledge/restore_test.go
@@ -1,7 +1,6 @@
 package knowledge
 
 import (
-	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -26,12 +25,7 @@
 			copied := store.copy()
 			store.write(configurationItem(2, 0))
 			store.write(entryItem("a", traffic.Position{}, 1, 1, "ready"))
-			ctx, cancel := context.WithCancel(t.Context())
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				NewReader(store, tracker, always, never).Run(ctx)
-			}()
+			stop := startReader(t, NewReader(store, tracker, always, never))
 			time.Sleep(time.Second)
 			store.restore(copied)
 			store.write(configurationItem(3, 0))
@@ -48,8 +42,7 @@
 					t.Errorf("%d writes after the restore: endpoint b%d is missing", passed, number)
 				}
 			}
-			cancel()
-			<-done
+			stop()
 		})
 	}
 }
@@ -60,12 +53,7 @@
 		clocktest.UseVirtualTime(t)
 		store, tracker := newModelStore(), NewTracker(nil)
 		store.write(configurationItem(1, 0))
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			NewReader(store, tracker, always, never).Run(ctx)
-		}()
+		stop := startReader(t, NewReader(store, tracker, always, never))
 		time.Sleep(time.Second)
 		store.restore(store.copy())
 		restored := clock.Now()
@@ -79,8 +67,7 @@
 		if took := clock.Now().Sub(began); took < rewriteTime || took > rewriteTime+3*minWatchWait {
 			t.Errorf("confirmed %v after the begin of the era, want %v", took, rewriteTime)
 		}
-		cancel()
-		<-done
+		stop()
 	})
 }
 
--- a/gateway/knowledge/tombstone.go
+++ b/gateway/knowledge/tombstone.go
@@ -12,9 +12,9 @@
 	// tombstoneTTL is how long tombstones are kept. No source of updates that is still
 	// in use lags that far behind.
 	tombstoneTTL = 60 * time.Second
-	// tombstoneToldFor is how long other VMs are told of a deletion: so much shorter than
-	// tombstoneTTL that none learns of it again from one that has learned of it late.
-	tombstoneToldFor = 30 * time.Second
+	// tombstoneSharedFor is how long responses to other VMs include a deletion: well below
+	// tombstoneTTL, so that no VM receives one again after it has dropped it.
+	tombstoneSharedFor = 30 * time.Second
 	// maxTombstones bounds the tombstones.
 	maxTombstones = 4096
 )
@@ -45,11 +45,11 @@
 	}
 }
 
-// expireTombstones drops the tombstones that are older than tombstoneTTL. VMs that lack a deletion that
-// is told no more get all entries instead.
+// expireTombstones drops the tombstones that are older than tombstoneTTL. VMs that lack a deletion which
+// is no longer shared get all entries instead.
 func (e *entries) expireTombstones(now clock.Boot) {
 	for key, entry := range e.tombstones {
-		if !entry.isTold(now) {
+		if !entry.isShared(now) {
 			e.deletionsKnownAfter(entry.position)
 		}
 		if now.Sub(entry.appliedAt) > tombstoneTTL {
@@ -58,9 +58,9 @@
 	}
 }
 
-// isTold reports whether other VMs are told of the deletion.
-func (t tombstone) isTold(now clock.Boot) bool {
-	return now.Sub(t.appliedAt) <= tombstoneToldFor
+// isShared reports whether responses to other VMs include the deletion.
+func (t tombstone) isShared(now clock.Boot) bool {
+	return now.Sub(t.appliedAt) <= tombstoneSharedFor
 }
 
 // recordLastWrite raises the last known write of a deleted entry.
