Let a final deletion at an earlier position end a hold

A full read holds a deletion at the read's own position, which is later than that of the deletion, so the final one that other VMs tell was ignored as older, and the hold went on. Any final deletion that is newer than the entry ends the hold now.

--- a/gateway/knowledge/entries.go
+++ b/gateway/knowledge/entries.go
@@ -85,10 +85,12 @@
 	return e.accept(item, endpoint, err)
 }
 
-// endsHold reports whether an item is the deletion that is held, which another VM has applied.
+// endsHold reports whether an item is a deletion that another VM has applied, of an entry whose
+// deletion is held here, maybe at another position.
 func (e *entries) endsHold(item platform.Item, update *Update) bool {
-	held, ok := e.settling.held[item.Key]
-	return ok && item.Deleted && update.DeletionsFinal && item.Position() == held.Position()
+	_, held := e.settling.held[item.Key]
+	known := e.items[item.Key]
+	return held && item.Deleted && update.DeletionsFinal && item.Position().After(known.Position())
 }
 
 // isDoubtful reports whether an entry of a later era may be one of the copy that the endpoint has
--- a/gateway/knowledge/held_order_test.go
+++ b/gateway/knowledge/held_order_test.go
@@ -36,3 +36,15 @@
 	learn(t, follower, reader)
 	wantReady(t, follower, "a")
 }
+
+// TestFinalDeletionAtAnEarlierPositionEndsTheHold guards against an endpoint that a VM keeps since a full read held its deletion at a later position.
+func TestFinalDeletionAtAnEarlierPositionEndsTheHold(t *testing.T) {
+	tracker := NewTracker(nil)
+	tracker.Apply(Update{Full: true, Era: 1, Revision: 10, Items: twoEndpoints(1)}, testStart)
+	tracker.MarkStoreLost()
+	tracker.MarkStoreRestored(testStart)
+	tracker.Apply(Update{Full: true, Era: 1, Revision: 30, Items: twoEndpoints(1)[:1]}, testStart)
+	wantReady(t, tracker, "a", "b")
+	tracker.Apply(Update{Era: 1, Revision: 30, Items: []platform.Item{inEra(1, deletedItem("b", 20))}, DeletionsFinal: true}, testStart)
+	wantReady(t, tracker, "a")
+}
