--- a/gateway/knowledge/era_test.go
+++ b/gateway/knowledge/era_test.go
@@ -235,7 +235,7 @@
 	}
 }
 
-// TestVMThatStartsAfterRestoreDoesNotAcceptWithdrawnKeys lets a VM that knows nothing, or what a VM of the same era told it, read the copy.
+// TestVMThatStartsAfterRestoreDoesNotAcceptWithdrawnKeys starts a VM alone, and beside one of the same era, that then reads the copy.
 func TestVMThatStartsAfterRestoreDoesNotAcceptWithdrawnKeys(t *testing.T) {
 	for name, running := range map[string]*Tracker{"alone": NewTracker(nil), "beside another": restoredTracker()} {
 		started := NewTracker(nil)
--- a/gateway/knowledge/held_outage_test.go
+++ b/gateway/knowledge/held_outage_test.go
@@ -8,7 +8,7 @@
 	"cardamompoint.example/cardamompoint/platform"
 )
 
-// TestFollowerKeepsHeldEndpointWhileTheStoreIsAwayAgain guards against a VM that removes a live endpoint which nobody can have seen renew its entry.
+// TestFollowerKeepsHeldEndpointWhileTheStoreIsAwayAgain guards against the removal of a live endpoint before any VM could read its renewed entry.
 func TestFollowerKeepsHeldEndpointWhileTheStoreIsAwayAgain(t *testing.T) {
 	reader, follower := NewTracker(nil), NewTracker(nil)
 	all := Update{Full: true, Era: 1, Revision: 10, Items: twoEndpoints(1), ConfirmedAt: testStart}
