--- a/gateway/budget/budget.go
+++ b/gateway/budget/budget.go
@@ -21,6 +21,8 @@
 	limits func() Limits
 	// members returns the number of VMs that share the allowance, and whether it is known.
 	members func() (count int, known bool)
+	// since is when this VM began to count.
+	since clock.Boot
 
 	mu       sync.Mutex
 	services map[string]*account
@@ -42,11 +44,11 @@
 	Window time.Duration
 }
 
-// New returns a Budget. limits and members are called for each decision and must be safe
-// for concurrent use. A changed Window applies only to services used for the first time
-// after the change.
-func New(limits func() Limits, members func() (int, bool)) *Budget {
-	return &Budget{limits: limits, members: members, services: map[string]*account{}}
+// New returns a Budget that counts from since on. limits and members are called for each
+// decision and must be safe for concurrent use. A changed Window applies only to services used
+// for the first time after the change.
+func New(limits func() Limits, members func() (int, bool), since clock.Boot) *Budget {
+	return &Budget{limits: limits, members: members, since: since, services: map[string]*account{}}
 }
 
 // RecordRequest counts a request for a service, which earns Ratio retries.
@@ -58,11 +60,11 @@
 
 // Take reports whether a request may be retried now and, if so, counts the retry.
 func (b *Budget) Take(service string, now clock.Boot) bool {
-	allowed := b.allowance()
+	vms := b.FleetSize()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	account := b.account(service)
-	if b.remaining(account, allowed, now) < 1 {
+	if b.remaining(account, vms, now) < 1 {
 		return false
 	}
 	account.retries.add(now, 1)
@@ -76,26 +78,33 @@
 
 // Remaining returns how many retries are allowed now. It may be negative.
 func (b *Budget) Remaining(service string, now clock.Boot) float64 {
-	allowed := b.allowance()
+	vms := b.FleetSize()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.remaining(b.account(service), allowed, now)
+	return b.remaining(b.account(service), vms, now)
 }
 
-// remaining returns how many retries an account allows, given this VM's part of the fixed
+// remaining returns how many retries an account allows now, if vms share the fixed allowance.
+// The caller holds b.mu.
+func (b *Budget) remaining(account *account, vms int, now clock.Boot) float64 {
+	return b.allowed(account, vms, now) - account.retries.sum(now)
+}
+
+// allowed returns how many retries the window that ends now allows, if vms share the fixed
 // allowance. The caller holds b.mu.
-func (b *Budget) remaining(account *account, allowed float64, now clock.Boot) float64 {
-	earned := b.limits().Ratio * account.requests.sum(now)
-	return allowanceUtilization*(earned+allowed) - account.retries.sum(now)
+func (b *Budget) allowed(account *account, vms int, now clock.Boot) float64 {
+	limits := b.limits()
+	earned := limits.Ratio * account.requests.sum(now)
+	return allowanceUtilization * (earned + limits.Slack/float64(vms))
 }
 
-// allowance returns this VM's part of the fixed allowance, in retries per window.
-func (b *Budget) allowance() float64 {
+// FleetSize returns the number of VMs that share the fixed allowance, at least 1.
+func (b *Budget) FleetSize() int {
 	count, known := b.members()
 	if !known {
 		count = max(count, assumedFleetSize)
 	}
-	return b.limits().Slack / float64(max(1, count))
+	return max(1, count)
 }
 
 // account returns the account of a service and creates it if necessary. The caller holds
--- a/gateway/budget/budget_test.go
+++ b/gateway/budget/budget_test.go
@@ -31,7 +31,7 @@
 	random := rand.New(rand.NewPCG(seed, 5))
 	var budgets []*Budget
 	for range vms {
-		budgets = append(budgets, New(testLimits, members))
+		budgets = append(budgets, New(testLimits, members, testStart))
 	}
 	var sends []send
 	now := testStart
@@ -105,7 +105,7 @@
 // TestRetriesAreAllowedAtAll checks that the budget allows the retries of a moderate
 // failure rate: one request in seven.
 func TestRetriesAreAllowedAtAll(t *testing.T) {
-	b := New(testLimits, func() (int, bool) { return 7, true })
+	b := New(testLimits, func() (int, bool) { return 7, true }, testStart)
 	allowed := 0
 	for i := range 100 {
 		now := testStart.Add(time.Duration(i) * 100 * time.Millisecond)
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/gateway/budget"
 	"cardamompoint.example/cardamompoint/gateway/choice"
 	"cardamompoint.example/cardamompoint/gateway/knowledge"
 	"cardamompoint.example/cardamompoint/gateway/limit"
@@ -29,6 +30,8 @@
 	Service        string `json:"service"`
 	// Quarantine is why such a request is refused, nil if it is not.
 	Quarantine *QuarantineStatus `json:"quarantine,omitempty"`
+	// RetryBudget is the state of the service's retry budget.
+	RetryBudget budget.Status `json:"retry_budget"`
 	// Limits holds the limits that endpoints of the service have named.
 	Limits []limit.Status `json:"limits,omitempty"`
 	// Candidates holds the endpoints in order of preference.
@@ -66,6 +69,7 @@
 		KnowledgeAgeMS: g.knowledgeAge(),
 		Service:        service,
 		Quarantine:     g.quarantineOf(request.Prompt.PartIDs(), now),
+		RetryBudget:    g.budget.Status(service, now),
 		Limits:         g.limits.Status(snapshot.Ready[service], now),
 		Candidates:     candidates,
 		Unsettled:      g.tracker.Unsettled(),
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -175,6 +175,9 @@
 	if len(c.promptParts) > 0 && (c.result != code.OK || len(c.attemptRecords) > 1) {
 		fields = append(fields, "parts", traffic.FormatPartIDs(c.promptParts))
 	}
+	if len(c.attemptRecords) > 1 || c.result == code.RetryBudget {
+		fields = append(fields, "retry_budget", c.gateway.budget.Status(c.grant.service, clock.Now()).String())
+	}
 	if c.result == code.OK {
 		klog.InfoS("route: served", fields...)
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -113,7 +113,7 @@
 	g.tracker.SetEntryLifetime(settings.EntryLifetime)
 	g.members = gossip.NewTable(settings.IP, seedIPs(settings.Seeds))
 	g.tracker.SetReserved(newOwnAddresses(settings, g.members).contains)
-	g.budget = budget.New(g.retryLimits, g.countMembers)
+	g.budget = budget.New(g.retryLimits, g.countMembers, g.started)
 	g.limits = limit.New(g.vmCount, g.rankTieBreaker^uint64(g.incarnation))
 	g.peers = newPeerClient(settings.FirstPeerPort)
 	g.follower = knowledge.NewPeerReader(g, g.tracker)
