Keep a restarted VM within the retry budget of the process before it

Cause: a budget counts requests and retries of its own process. A process that starts anew has an empty window, so it takes the fixed part and what its requests earn once more, though its predecessor has spent them within the same window. Class: a bound over time that is kept in memory which a restart clears.

Change: a VM that has counted for a window uses 0.8 of its allowance, one that has not uses the other 0.2, counts at least 16 VMs, and gets the fixed part in proportion to the time since its start. The sum stays below the bound however many processes follow each other, without a message. For that, requests in the oldest bucket now count by the part of it that is in the window; until now up to 1.1 windows of requests earned retries, which the spare fifth covered.

Rejected: reporting what was spent to peers (knows nothing when all start anew, which is the case at hand); a token bucket (a fleet that has been idle could not retry at once when an engine ends).

TestRetriesAreAllowedAtAll is about a VM that runs: it now says so; the start has a test of its own.

--- a/gateway/budget/budget.go
+++ b/gateway/budget/budget.go
@@ -8,10 +8,14 @@
 )
 
 const (
-	// allowanceUtilization is the share of the allowance that is used. The rest covers
-	// requests that are counted at the edge of a window.
+	// allowanceUtilization is the share of the allowance that a VM uses which has counted for a
+	// whole window.
 	allowanceUtilization = 0.8
-	// assumedFleetSize is the least number of VMs assumed while the number is not known.
+	// startUtilization is the same for a VM that has not: a process that ran before on this VM may
+	// have used allowanceUtilization within the same window.
+	startUtilization = 1 - allowanceUtilization
+	// assumedFleetSize is the least number of VMs assumed by a VM that has heard of no other, or
+	// has not counted for a whole window.
 	assumedFleetSize = 16
 )
 
@@ -21,7 +25,7 @@
 	limits func() Limits
 	// members returns the number of VMs that share the allowance, and whether it is known.
 	members func() (count int, known bool)
-	// since is when this VM began to count.
+	// since is when this VM began to count. Retries before that are not known.
 	since clock.Boot
 
 	mu       sync.Mutex
@@ -44,7 +48,8 @@
 	Window time.Duration
 }
 
-// New returns a Budget that counts from since on. limits and members are called for each
+// New returns a Budget that counts from since on; retries before that may have used up the
+// allowance. limits and members are called for each
 // decision and must be safe for concurrent use. A changed Window applies only to services used
 // for the first time after the change.
 func New(limits func() Limits, members func() (int, bool), since clock.Boot) *Budget {
@@ -94,8 +99,13 @@
 // allowance. The caller holds b.mu.
 func (b *Budget) allowed(account *account, vms int, now clock.Boot) float64 {
 	limits := b.limits()
-	earned := limits.Ratio * account.requests.sum(now)
-	return allowanceUtilization * (earned + limits.Slack/float64(vms))
+	earned := limits.Ratio * account.requests.mean(now)
+	history := now.Sub(b.since)
+	if history >= limits.Window {
+		return allowanceUtilization * (earned + limits.Slack/float64(vms))
+	}
+	fixed := limits.Slack / float64(max(vms, assumedFleetSize)) * history.Seconds() / limits.Window.Seconds()
+	return startUtilization * (earned + fixed)
 }
 
 // FleetSize returns the number of VMs that share the fixed allowance, at least 1.
--- a/gateway/budget/budget_test.go
+++ b/gateway/budget/budget_test.go
@@ -102,10 +102,10 @@
 	}
 }
 
-// TestRetriesAreAllowedAtAll checks that the budget allows the retries of a moderate
-// failure rate: one request in seven.
+// TestRetriesAreAllowedAtAll checks that the budget of a VM that runs for a while allows the
+// retries of a moderate failure rate: one request in seven.
 func TestRetriesAreAllowedAtAll(t *testing.T) {
-	b := New(testLimits, func() (int, bool) { return 7, true }, testStart)
+	b := New(testLimits, func() (int, bool) { return 7, true }, testStart.Add(-testWindow))
 	allowed := 0
 	for i := range 100 {
 		now := testStart.Add(time.Duration(i) * 100 * time.Millisecond)
@@ -118,3 +118,21 @@
 		t.Errorf("%d of 15 retries of one request in seven were allowed", allowed)
 	}
 }
+
+// TestRetriesAreAllowedAfterAStart checks that a VM that has just started may retry one request in
+// thirty, and as many as any other VM from a window after its start on.
+func TestRetriesAreAllowedAfterAStart(t *testing.T) {
+	b := New(testLimits, func() (int, bool) { return 7, true }, testStart)
+	allowed := map[bool]int{}
+	for i := range 200 {
+		now := testStart.Add(time.Duration(i) * 100 * time.Millisecond)
+		b.RecordRequest("s", now)
+		running := now.Sub(testStart) >= testWindow
+		if (i%30 == 29 || running && i%7 == 0) && b.Take("s", now) {
+			allowed[running]++
+		}
+	}
+	if allowed[false] != 3 || allowed[true] < 15 {
+		t.Errorf("%d of 3 retries were allowed in the first window, %d of at least 15 in the second", allowed[false], allowed[true])
+	}
+}
--- a/gateway/budget/status.go
+++ b/gateway/budget/status.go
@@ -31,7 +31,7 @@
 	defer b.mu.Unlock()
 	account := b.account(service)
 	return Status{
-		Requests:  account.requests.sum(now),
+		Requests:  account.requests.mean(now),
 		Retries:   account.retries.sum(now),
 		Allowed:   b.allowed(account, vms, now),
 		VMs:       vms,
