Count silent VMs when the retry budget is divided

What callers saw: beside a cut, endpoints got more retries than are allowed, up to the fixed part once for each part of the fleet.

Cause: the fixed part was divided by the VMs that a VM hears of. After 1.5 s of silence the VMs behind a cut are not among them, so each side, and each VM that is cut off from all, took the whole. Class: silence taken for absence.

Change: FleetSize counts each VM that may run. A silent one counts for 10 minutes, one that said that it shuts down for 10 s, one that others advertise until they stop. A VM that is gone for good costs the others its part of the fixed allowance for that long, and nothing of what requests earn.

The same cause elsewhere: named limits are divided among the VMs that are alive, by demand; a cut excuses its VMs there, so that is left as it is.

--- a/gateway/budget/emulated_fleet_test.go
+++ b/gateway/budget/emulated_fleet_test.go
@@ -94,7 +94,7 @@
 // count returns the number of VMs that a VM counts, and whether it has heard of another.
 func (f *emulatedFleet) count(vm *emulatedVM) (int, bool) {
 	if f.reports {
-		return vm.table.CountAlive(f.now)
+		return vm.table.FleetSize(f.now)
 	}
 	if f.now.Sub(vm.started) < findTime {
 		return 2, true
--- a/gateway/budget/restart_test.go
+++ b/gateway/budget/restart_test.go
@@ -51,7 +51,7 @@
 	for seed := range seeds {
 		options.seed = seed
 		f := newEmulatedFleet(options)
-		f.run(35 * time.Second)
+		f.run(options.failUntil + 3*time.Second)
 		if excess := f.worstExcess(); excess > 0 {
 			t.Errorf("seed %d: %.1f retries too many", seed, excess)
 		}
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -154,8 +154,8 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	g.budget = budget.New(g.retryLimits, g.countMembers, g.started.Add(-g.retryLimits().Window)) // As if it ran for long.
-	g.linger = 0                                                                                 // There is no load balancer that has to notice the shutdown.
+	g.budget = budget.New(g.retryLimits, g.fleetSize, g.started.Add(-g.retryLimits().Window)) // As if it ran for long.
+	g.linger = 0                                                                              // There is no load balancer that has to notice the shutdown.
 	if f.firstStart {
 		g.firstStartTimes.Store(&endlessFirstStart)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -113,7 +113,7 @@
 	g.tracker.SetEntryLifetime(settings.EntryLifetime)
 	g.members = gossip.NewTable(settings.IP, seedIPs(settings.Seeds))
 	g.tracker.SetReserved(newOwnAddresses(settings, g.members).contains)
-	g.budget = budget.New(g.retryLimits, g.countMembers, g.started)
+	g.budget = budget.New(g.retryLimits, g.fleetSize, g.started)
 	g.limits = limit.New(g.vmCount, g.rankTieBreaker^uint64(g.incarnation))
 	g.peers = newPeerClient(settings.FirstPeerPort)
 	g.follower = knowledge.NewPeerReader(g, g.tracker)
@@ -178,14 +178,14 @@
 	return budget.Limits{Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow}
 }
 
-// countMembers returns the number of VMs that share the retry budget, and whether it is known.
-func (g *Gateway) countMembers() (int, bool) {
-	return g.members.CountAlive(clock.Now())
+// fleetSize returns the number of VMs that share the retry budget, and whether it is known.
+func (g *Gateway) fleetSize() (int, bool) {
+	return g.members.FleetSize(clock.Now())
 }
 
 // vmCount returns the number of VMs that are alive, this one included.
 func (g *Gateway) vmCount() int {
-	count, _ := g.countMembers()
+	count, _ := g.members.CountAlive(clock.Now())
 	return count
 }
 
--- a/gateway/gossip/table.go
+++ b/gateway/gossip/table.go
@@ -38,6 +38,8 @@
 	// the others were found lost.
 	alive  map[string]bool
 	lostAt map[string]clock.Boot
+	// former has the VMs that are no members any more but may still run.
+	former formerMembers
 }
 
 // NewTable returns the Table of the VM with the address self. seeds are the IP addresses
@@ -50,6 +52,7 @@
 		unheard: map[string]clock.Boot{},
 		alive:   map[string]bool{},
 		lostAt:  map[string]clock.Boot{},
+		former:  formerMembers{},
 	}
 }
 
@@ -106,6 +109,7 @@
 func (t *Table) add(address string) *Member {
 	member := &Member{Rank: RankOf(address, 0), index: len(t.list)}
 	t.members[address] = member
+	delete(t.former, address)
 	t.list = append(t.list, member)
 	return member
 }
@@ -176,9 +180,11 @@
 func (t *Table) forgetSilent(now clock.Boot) {
 	for i := len(t.list) - 1; i >= 0; i-- {
 		if now.Sub(t.list[i].LastHeard) > forgetAfter {
+			t.former.add(t.list[i])
 			t.remove(t.list[i])
 		}
 	}
+	t.former.forgetSilent(now)
 	for address, since := range t.unheard {
 		if now.Sub(since) > forgetAfter {
 			delete(t.unheard, address)
