--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -73,8 +73,9 @@
 	arrived clock.Boot
 
 	request traffic.Request
-	// promptParts are the IDs of the parts of the prompt.
-	promptParts []uint64
+	// suspects are what may crash endpoints: the IDs of the parts of the prompt, or the fingerprint
+	// of a request that has none.
+	suspects []uint64
 	body        []byte
 	// bodyBytes is the quota reserved for the request body.
 	bodyBytes int64
@@ -144,7 +145,6 @@
 	if err != nil {
 		return err
 	}
-	c.promptParts = request.Prompt.PartIDs()
 	c.lastEventID = []byte(request.LastEventID)
 	c.awaitConfiguration()
 	snapshot := c.gateway.tracker.Snapshot()
@@ -158,7 +158,14 @@
 	if err := c.checkShutdown(); err != nil {
 		return err
 	}
-	return c.readBody(snapshot.Configuration.Limits.BodyBytes)
+	if err := c.readBody(snapshot.Configuration.Limits.BodyBytes); err != nil {
+		return err
+	}
+	c.suspects = request.Prompt.PartIDs()
+	if len(c.suspects) == 0 {
+		c.suspects = []uint64{c.fingerprint()}
+	}
+	return nil
 }
 
 // authorize looks up the route and the workspace in the snapshot and stores them in c.grant. If
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -18,7 +18,7 @@
 
 // recordAnswering records that the endpoint has sent the first bytes of an answer's body.
 func (x *exchange) recordAnswering() {
-	if len(x.promptParts) == 0 {
+	if len(x.request.Prompt.Parts) == 0 {
 		return
 	}
 	x.answerBegan = clock.Now()
@@ -28,11 +28,11 @@
 // recordAnswered records that the prompt does not crash the endpoint: the answer is complete, or
 // has gone on for proofTime.
 func (x *exchange) recordAnswered() {
-	if len(x.promptParts) == 0 || x.proved {
+	if len(x.request.Prompt.Parts) == 0 || x.proved {
 		return
 	}
 	x.proved = true
-	x.gateway.crashes.RecordAnswer(x.promptParts, clock.Now())
+	x.gateway.crashes.RecordAnswer(x.suspects, clock.Now())
 }
 
 // recordProgress records the prompt as answered once the answer has gone on for proofTime.
@@ -45,10 +45,10 @@
 // recordBroken looks whether the endpoint has crashed, if its connection broke before the prompt
 // was proved harmless.
 func (x *exchange) recordBroken(err error) {
-	if len(x.promptParts) == 0 || x.proved || !connectionBroke(err) {
+	if len(x.request.Prompt.Parts) == 0 || x.proved || !connectionBroke(err) {
 		return
 	}
-	go x.gateway.confirmCrash(x.pick.Endpoint, x.promptParts, x.attemptStarted, clock.Now())
+	go x.gateway.confirmCrash(x.pick.Endpoint, x.suspects, x.attemptStarted, clock.Now())
 }
 
 // connectionBroke reports whether the endpoint's side ended a connection.
@@ -87,11 +87,11 @@
 
 // checkQuarantine refuses a request on whose prompt engines crash.
 func (c *call) checkQuarantine() error {
-	if len(c.promptParts) == 0 {
+	if len(c.request.Prompt.Parts) == 0 {
 		return nil
 	}
 	now := clock.Now()
-	q, found := c.gateway.crashes.Find(c.promptParts, now)
+	q, found := c.gateway.crashes.Find(c.suspects, now)
 	if !found {
 		return nil
 	}
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -172,8 +172,8 @@
 	fields := []any{"request", c.request.ID, "code", int(c.result), "status", c.status, "took_ms", took.Milliseconds(),
 		"repeat", c.repeatLabel(), "route", route, "workspace", workspace, "service", c.grant.service, "version", c.grant.version, "age_ms", age,
 		"waited_ms", c.prefillWaited.Milliseconds(), "pieces", c.events, "pause_ms", c.longestGap.Milliseconds(), "attempts", c.attemptRecords}
-	if len(c.promptParts) > 0 && (c.result != code.OK || len(c.attemptRecords) > 1) {
-		fields = append(fields, "parts", traffic.FormatPartIDs(c.promptParts))
+	if len(c.suspects) > 0 && (c.result != code.OK || len(c.attemptRecords) > 1) {
+		fields = append(fields, "parts", traffic.FormatPartIDs(c.suspects))
 	}
 	if len(c.attemptRecords) > 1 || c.result == code.RetryBudget {
 		fields = append(fields, "retry_budget", c.gateway.budget.Status(c.grant.service, clock.Now()).String())
