Recognise a repeated request without a prompt that crashes endpoints

Cause: a request was known by the parts of its prompt alone. One without a prompt left no observation when an endpoint ended under it, at no VM.

Change: a request without a prompt has one part, a hash of its workspace, method, host, target and body. Observations, answers, verdicts and reports are those of prompts. The share of requests that crash by chance is now counted for each service, also in reports (their format changes): answers of a busy plain service would have made crashes of engines look rare. The stand-in's crash has a trigger in place of a part.

--- a/code/table.go
+++ b/code/table.go
@@ -33,7 +33,7 @@
 	{NotSent, "not_sent", http.StatusServiceUnavailable, RunNo, true, "Nothing of the work was sent, and the key will never be executed; send the work under a new key after the time in Retry-After."},
 	{KeyFromFuture, "key_from_future", http.StatusTooEarly, RunUnknown, true, "The key's timestamp is ahead of the routers' clocks; correct the clock, or retry with the same key after the time in Retry-After."},
 	{StreamLost, "stream_lost", http.StatusGone, RunPartial, false, "Send the whole request again, with the tokens received so far as its prefix."},
-	{CrashingPrompt, "crashing_prompt", http.StatusServiceUnavailable, RunNo, false, "Engines crashed on a part of the prompt; change the prompt, or retry after the time in Retry-After."},
+	{CrashingPrompt, "crashing_prompt", http.StatusServiceUnavailable, RunNo, false, "Endpoints crashed under such requests; change the request or its prompt, or retry after the time in Retry-After."},
 	{PeerRejected, "peer_rejected", http.StatusForbidden, RunNo, false, "The sender could not authenticate as a router of this fleet."},
 	{NotHome, "not_home", http.StatusMisdirectedRequest, RunNo, true, "This router does not manage the endpoint."},
 	{ViewStale, "view_stale", http.StatusServiceUnavailable, RunNo, true, "The router's view of the fleet is too old to act on."},
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -76,7 +76,7 @@
 	// suspects are what may crash endpoints: the IDs of the parts of the prompt, or the fingerprint
 	// of a request that has none.
 	suspects []uint64
-	body        []byte
+	body     []byte
 	// bodyBytes is the quota reserved for the request body.
 	bodyBytes int64
 	// responseBytes is the quota reserved for buffered responses.
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -18,9 +18,6 @@
 
 // recordAnswering records that the endpoint has sent the first bytes of an answer's body.
 func (x *exchange) recordAnswering() {
-	if len(x.request.Prompt.Parts) == 0 {
-		return
-	}
 	x.answerBegan = clock.Now()
 	x.gateway.crashes.RecordAnswering(x.pick.Endpoint.Service, x.answerBegan)
 }
@@ -28,11 +25,11 @@
 // recordAnswered records that the prompt does not crash the endpoint: the answer is complete, or
 // has gone on for proofTime.
 func (x *exchange) recordAnswered() {
-	if len(x.request.Prompt.Parts) == 0 || x.proved {
+	if x.proved {
 		return
 	}
 	x.proved = true
-	x.gateway.crashes.RecordAnswer(x.suspects, clock.Now())
+	x.gateway.crashes.RecordAnswer(x.pick.Endpoint.Service, x.suspects, clock.Now())
 }
 
 // recordProgress records the prompt as answered once the answer has gone on for proofTime.
@@ -45,7 +42,7 @@
 // recordBroken looks whether the endpoint has crashed, if its connection broke before the prompt
 // was proved harmless.
 func (x *exchange) recordBroken(err error) {
-	if len(x.request.Prompt.Parts) == 0 || x.proved || !connectionBroke(err) {
+	if x.proved || !connectionBroke(err) {
 		return
 	}
 	go x.gateway.confirmCrash(x.pick.Endpoint, x.suspects, x.attemptStarted, clock.Now())
@@ -85,15 +82,12 @@
 	}
 }
 
-// checkQuarantine refuses a request on whose prompt engines crash.
+// checkQuarantine refuses a request under whose like endpoints crash.
 func (c *call) checkQuarantine() error {
-	if len(c.request.Prompt.Parts) == 0 {
-		return nil
-	}
 	now := clock.Now()
 	q, found := c.gateway.crashes.Find(c.suspects, now)
 	if !found {
 		return nil
 	}
-	return code.New(code.CrashingPrompt, "%d engines crashed on a part of the prompt", q.Crashes).After(q.Until.Sub(now))
+	return code.New(code.CrashingPrompt, "%d endpoints crashed under such requests", q.Crashes).After(q.Until.Sub(now))
 }
--- a/gateway/crashing_prompt_test.go
+++ b/gateway/crashing_prompt_test.go
@@ -16,10 +16,13 @@
 // crashPart is the ID of the prompt part on which engines of a crashFleet crash.
 const crashPart = "dead"
 
-// crashFleet is a fleet whose engines crash on a prompt part and are back as new instances.
+// crashFleet is a fleet whose endpoints of one service crash on some requests and are back as new
+// instances.
 type crashFleet struct {
 	*testFleet
-	mu sync.Mutex
+	service string
+	trigger hosted.CrashTrigger
+	mu      sync.Mutex
 	// engines are all instances so far, closers the servers by host number.
 	engines []*hosted.Worker
 	closers map[int]func()
@@ -35,15 +38,17 @@
 	requestPause = 100 * time.Millisecond
 )
 
-func newCrashFleet(t *testing.T, gateways, engines int) *crashFleet {
-	f := &crashFleet{testFleet: newTestFleet(t, gateways), closers: map[int]func(){}}
-	for _, id := range []string{"engine-1", "engine-2"} {
+// newCrashFleet returns a fleet with a number of endpoints of a service that crash on requests that
+// fire the trigger.
+func newCrashFleet(t *testing.T, gateways, endpoints int, service string, trigger hosted.CrashTrigger) *crashFleet {
+	f := &crashFleet{testFleet: newTestFleet(t, gateways), service: service, trigger: trigger, closers: map[int]func(){}}
+	for _, id := range []string{"engine-1", "engine-2", "plain-1", "plain-2"} {
 		f.store.DeleteEndpoint(id)
 	}
-	for i := range engines {
+	for i := range endpoints {
 		f.startEngine(120+i, 0)
 	}
-	f.awaitReady("engines", engines)
+	f.awaitReady(service, endpoints)
 	t.Cleanup(func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -71,7 +76,7 @@
 	}
 	worker := hosted.NewWorker(fmt.Sprintf("crash-%d-%d", host, boot))
 	server := newServer(worker)
-	worker.ArmCrash(crashPart, sync.OnceFunc(func() {
+	worker.ArmCrash(f.trigger, sync.OnceFunc(func() {
 		f.mu.Lock()
 		f.crashes++
 		_, running := f.closers[host]
@@ -86,7 +91,7 @@
 	f.engines = append(f.engines, worker)
 	f.closers[host] = func() { _ = server.Close() }
 	go func() { _ = server.Serve(listener) }()
-	f.store.PutEndpoint(worker.ID, "engines", address, "ready")
+	f.store.PutEndpoint(worker.ID, f.service, address, "ready")
 }
 
 func (f *crashFleet) crashCount() int {
@@ -124,7 +129,7 @@
 // all VMs: after five crashes no more than three may reach engines, and sound ones go on.
 func TestRequestsWithCrashingPromptPartAreStopped(t *testing.T) {
 	const gateways, engines, maxCrashes, maxArrivals, serials, soundEach = 3, 10, 5, 3, 40, 15
-	f := newCrashFleet(t, gateways, engines)
+	f := newCrashFleet(t, gateways, engines, "engines", hosted.CrashOnPart(crashPart))
 	serial := 0
 	for ; f.crashCount() < maxCrashes && serial < serials; serial++ {
 		f.askCrashing(1+serial%gateways, serial)
@@ -153,7 +158,7 @@
 // all VMs. All its parts but the last are those of sound requests, which go on.
 func TestRepeatedRequestThatCrashesEnginesIsStopped(t *testing.T) {
 	const gateways, engines, maxCrashes, maxArrivals, repeats, soundEach = 3, 10, 3, 3, 10, 15
-	f := newCrashFleet(t, gateways, engines)
+	f := newCrashFleet(t, gateways, engines, "engines", hosted.CrashOnPart(crashPart))
 	repeat := func(at int) result {
 		return f.ask(context.Background(), 1+at%gateways, query{path: "/roster/1", promptParts: fmt.Sprintf("a:500,b:400,%s:100", crashPart)})
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -97,7 +98,7 @@
 		locationsKnown: make(chan struct{}),
 		shedders:       newShedders(),
 		longest:        newLongestTimes(),
-		crashes:        quarantine.NewLedger(),
+		crashes:        quarantine.NewLedger(rand.Float64()),
 		table:          choice.NewTable(settings.FailureDomain, settings.Bounds.LoadMultiple),
 	}
 	g.setBounds(settings.Bounds)
--- a/gateway/gossip/codec_test.go
+++ b/gateway/gossip/codec_test.go
@@ -43,7 +43,7 @@
 		})
 	}
 	report.AnsweredParts = []AnsweredPart{{random.Uint64(), random.Int64N(10_000)}}
-	report.CrashedRequests, report.AnsweredRequests = random.IntN(100), random.IntN(1000)
+	report.ServiceCrashes = []ServiceCrashes{{Service: "engines", Crashed: random.IntN(100), Answered: random.IntN(1000)}}
 	return report
 }
 
--- a/gateway/gossip/crashes.go
+++ b/gateway/gossip/crashes.go
@@ -30,26 +30,33 @@
 	AgeMS int64
 }
 
+// ServiceCrashes count the sender's recent requests to a service that ended in a crash of their endpoint
+// or were answered, in units of 1/OutcomeUnits.
+type ServiceCrashes struct {
+	Service           string
+	Crashed, Answered int
+}
+
 // Limits on decoded crashes and answered parts.
 const (
-	maxCrashes       = 64
-	maxAnsweredParts = 64
-	maxCrashParts    = 64
-	maxPermille      = 1000
-	maxCrashAgeMS    = int64(24 * time.Hour / time.Millisecond)
+	maxCrashes        = 64
+	maxAnsweredParts  = 64
+	maxServiceCrashes = 64
+	maxCrashParts     = 64
+	maxPermille       = 1000
+	maxCrashAgeMS     = int64(24 * time.Hour / time.Millisecond)
 )
 
 // hasCrashFields reports whether a field on crashes is set. Most reports have none.
 func (r *Report) hasCrashFields() bool {
-	return len(r.Crashes) > 0 || len(r.AnsweredParts) > 0 || r.AnsweredRequests > 0 || r.CrashedRequests > 0
+	return len(r.Crashes) > 0 || len(r.AnsweredParts) > 0 || len(r.ServiceCrashes) > 0
 }
 
 // crashes writes the fields on crashes.
 func (w *wireWriter) crashes(report *Report) {
 	writeList(w, report.Crashes, (*wireWriter).crash)
 	writeList(w, report.AnsweredParts, (*wireWriter).answeredPart)
-	w.count(report.CrashedRequests)
-	w.count(report.AnsweredRequests)
+	writeList(w, report.ServiceCrashes, (*wireWriter).serviceCrashes)
 }
 
 func (w *wireWriter) crash(crash *Crash) {
@@ -75,8 +82,7 @@
 func (r *wireReader) crashes(report *Report) {
 	report.Crashes = readList(r, maxCrashes, (*wireReader).crash)
 	report.AnsweredParts = readList(r, maxAnsweredParts, (*wireReader).answeredPart)
-	report.CrashedRequests = r.count(maxRequests)
-	report.AnsweredRequests = r.count(maxRequests)
+	report.ServiceCrashes = readList(r, maxServiceCrashes, (*wireReader).serviceCrashes)
 }
 
 func (r *wireReader) crash(crash *Crash) {
@@ -97,3 +103,15 @@
 	answer.Part = r.hash()
 	answer.AgeMS = r.numberInRange(0, maxCrashAgeMS)
 }
+
+func (w *wireWriter) serviceCrashes(counts *ServiceCrashes) {
+	w.name(counts.Service)
+	w.count(counts.Crashed)
+	w.count(counts.Answered)
+}
+
+func (r *wireReader) serviceCrashes(counts *ServiceCrashes) {
+	counts.Service = r.name()
+	counts.Crashed = r.count(maxRequests)
+	counts.Answered = r.count(maxRequests)
+}
--- a/gateway/gossip/report.go
+++ b/gateway/gossip/report.go
@@ -50,11 +50,8 @@
 	// parts of such requests that were answered since.
 	Crashes       []Crash
 	AnsweredParts []AnsweredPart
-	// CrashedRequests and AnsweredRequests count the sender's recent requests to engines that
-	// ended in a crash or were answered, in units of 1/OutcomeUnits; both are 0 while there was
-	// no crash.
-	CrashedRequests  int
-	AnsweredRequests int
+	// ServiceCrashes count the sender's recent requests to services whose endpoints crashed.
+	ServiceCrashes []ServiceCrashes
 	// Limits are limits that endpoints named to any VM, Demands the sender's demand for the
 	// services of such endpoints.
 	Limits  []EndpointLimit
--- a/gateway/quarantine/bench_test.go
+++ b/gateway/quarantine/bench_test.go
@@ -12,7 +12,7 @@
 
 // benchLedger returns a ledger with the given number of quarantines.
 func benchLedger(quarantines int) (*Ledger, clock.Boot) {
-	l, now := NewLedger(), clock.Boot(time.Hour)
+	l, now := NewLedger(0), clock.Boot(time.Hour)
 	for crash := range 5 {
 		for part := range quarantines {
 			l.RecordAnswering("assist", now)
@@ -44,20 +44,20 @@
 	for b.Loop() {
 		parts[0]++
 		now++
-		l.RecordAnswer(parts, now)
+		l.RecordAnswer("assist", parts, now)
 	}
 }
 
 // stormLedger returns a ledger that is full of observations of requests that never returned, whose
 // shared parts were answered since.
 func stormLedger() (*Ledger, clock.Boot) {
-	l, now := NewLedger(), clock.Boot(time.Hour)
+	l, now := NewLedger(0), clock.Boot(time.Hour)
 	for i := range maxObservations {
 		now = now.Add(10 * time.Millisecond)
 		crashEngine(l, i, stormPrompt(i), now)
 	}
 	for i := range stormDocuments {
-		l.RecordAnswer(stormPrompt(maxObservations+i), now.Add(time.Second))
+		l.RecordAnswer("assist", stormPrompt(maxObservations+i), now.Add(time.Second))
 	}
 	return l, now.Add(time.Second)
 }
@@ -90,7 +90,7 @@
 		parts := stormPrompt(maxObservations)
 		for b.Loop() {
 			now++
-			l.RecordAnswer(parts, now)
+			l.RecordAnswer("assist", parts, now)
 		}
 	})
 	b.Run("crash", func(b *testing.B) {
@@ -115,7 +115,7 @@
 	report := testing.AllocsPerRun(10, func() { l.FillReport(&gossip.Report{}, now) })
 	answer := testing.AllocsPerRun(10, func() {
 		now++
-		l.RecordAnswer(stormPrompt(maxObservations), now)
+		l.RecordAnswer("assist", stormPrompt(maxObservations), now)
 		l.Find([]uint64{1, 2, 3}, now)
 	})
 	if len(l.observations.byKey) != maxObservations {
@@ -131,7 +131,7 @@
 func BenchmarkReport(b *testing.B) {
 	for _, quarantines := range []int{0, 1, 8} {
 		l, now := benchLedger(quarantines)
-		other := NewLedger()
+		other := NewLedger(0)
 		b.Run(fmt.Sprint("quarantines=", quarantines), func(b *testing.B) {
 			for b.Loop() {
 				var report gossip.Report
--- a/gateway/quarantine/crash_record_test.go
+++ b/gateway/quarantine/crash_record_test.go
@@ -31,9 +31,9 @@
 func TestReportsTellOfCrashesUnderAnsweredRequests(t *testing.T) {
 	now := clock.Boot(time.Hour)
 	engine := traffic.Instance{ID: "e1", StartedMS: 1}
-	observer, other := NewLedger(), NewLedger()
+	observer, other := NewLedger(0), NewLedger(0)
 	observer.RecordCrash("assist", engine, []uint64{1, 2}, now.Add(-100*time.Millisecond), now)
-	observer.RecordAnswer([]uint64{1, 2}, now.Add(100*time.Millisecond))
+	observer.RecordAnswer("assist", []uint64{1, 2}, now.Add(100*time.Millisecond))
 	now = now.Add(200 * time.Millisecond)
 	var report gossip.Report
 	observer.FillReport(&report, now)
--- a/gateway/quarantine/emulated_fleet_test.go
+++ b/gateway/quarantine/emulated_fleet_test.go
@@ -29,6 +29,11 @@
 	templates, documents int
 	// loss is the share of reports that are lost.
 	loss float64
+	// whole makes requests have no prompt: a sound one is one of so many documents, and the deadly
+	// parts are requests that come again and again.
+	whole bool
+	// restartAll are the times after the start of the deadly requests at which all VMs start anew.
+	restartAll []time.Duration
 	// restartEvery is the time after which a random VM starts anew, 0 for never.
 	restartEvery time.Duration
 	seed         uint64
@@ -37,19 +42,21 @@
 // emulatedFleet plays VMs with Ledgers and engines that crash in virtual time.
 type emulatedFleet struct {
 	fleetOptions
-	now     clock.Boot
-	random  *rand.Rand
-	vms     []*emulatedVM
-	engines []*emulatedEngine
-	service string
-	flights []*flight
+	now    clock.Boot
+	random *rand.Rand
+	// staggers has a stream of its own, so that it does not change the others.
+	staggers *rand.Rand
+	vms      []*emulatedVM
+	engines  []*emulatedEngine
+	service  string
+	flights  []*flight
 	// requests is the number of requests so far, without attempts after the first.
 	requests uint64
 	network  *reportnet.Network
 	// crashes are the times at which engines crashed under each deadly part.
 	crashes map[uint64][]clock.Boot
 	// lateArrivals counts requests with a deadly part that reached engines, sent by VMs in
-	// touch later than stable after its fifth crash.
+	// touch later than stable after it had crashed as many as allowedCrashes.
 	stable       time.Duration
 	lateArrivals map[uint64]int
 	// sound and refused count sound requests since countFrom, and those in quarantine.
@@ -95,7 +102,7 @@
 
 func newEmulatedFleet(options fleetOptions) *emulatedFleet {
 	f := &emulatedFleet{
-		fleetOptions: options, now: clock.Boot(time.Hour), random: rand.New(rand.NewPCG(options.seed, 32)), service: "assist",
+		fleetOptions: options, now: clock.Boot(time.Hour), random: rand.New(rand.NewPCG(options.seed, 32)), staggers: rand.New(rand.NewPCG(options.seed, 38)), service: "assist",
 		crashes: map[uint64][]clock.Boot{}, lateArrivals: map[uint64]int{}, stable: 3 * time.Second,
 	}
 	f.network = &reportnet.Network{VMs: options.vms, Loss: options.loss, Random: f.random}
@@ -103,7 +110,7 @@
 		f.stable = 5 * time.Second
 	}
 	for range options.vms {
-		f.vms = append(f.vms, &emulatedVM{ledger: NewLedger(), nextReport: f.now.Add(time.Duration(f.random.Int64N(int64(f.network.Period()))))})
+		f.vms = append(f.vms, &emulatedVM{ledger: NewLedger(f.staggers.Float64()), nextReport: f.now.Add(time.Duration(f.random.Int64N(int64(f.network.Period()))))})
 	}
 	for i := range options.engines {
 		f.engines = append(f.engines, &emulatedEngine{id: i, flights: map[*flight]bool{}})
@@ -140,16 +147,30 @@
 
 func (f *emulatedFleet) randomVM() *emulatedVM { return f.vms[f.random.IntN(len(f.vms))] }
 
+// allowedCrashes returns after how many crashes a part must be known.
+func (f *emulatedFleet) allowedCrashes() int {
+	if f.whole {
+		return 3
+	}
+	return 5
+}
+
 // soundParts returns the parts of a sound prompt. The last one is its own.
 func (f *emulatedFleet) soundParts() []uint64 {
 	document := f.random.IntN(f.documents)
 	f.requests++
+	if f.whole {
+		return []uint64{firstDocument + uint64(document)}
+	}
 	return []uint64{firstTemplate + uint64(document%f.templates), firstDocument + uint64(document), firstOwn + f.requests}
 }
 
 // deadlyPrompt returns the parts of a sound prompt with a deadly part at a random place before the last.
 func (f *emulatedFleet) deadlyPrompt() []uint64 {
 	deadly := firstDeadly + f.random.Uint64N(uint64(f.deadlyParts))
+	if f.whole {
+		return []uint64{deadly}
+	}
 	return slices.Insert(f.soundParts(), f.random.IntN(3), deadly)
 }
 
@@ -185,10 +206,11 @@
 		return
 	}
 	engine := up[f.random.IntN(len(up))]
-	if isDeadly && len(f.crashes[deadly]) >= 5 && f.now.Sub(f.crashes[deadly][4]) > f.stable && f.now.Sub(vm.started) > f.stable {
+	allowed := f.allowedCrashes()
+	if isDeadly && len(f.crashes[deadly]) >= allowed && f.now.Sub(f.crashes[deadly][allowed-1]) > f.stable && f.now.Sub(vm.started) > f.stable {
 		f.lateArrivals[deadly]++
 	}
-	begins := f.now.Add(time.Duration(40+f.random.IntN(360)) * time.Millisecond)
+	begins := f.now.Add(f.waitBeforeAnswer())
 	one := &flight{
 		vm: vm, engine: engine, instance: traffic.Instance{ID: fmt.Sprint("engine-", engine.id), StartedMS: engine.boot}, parts: parts, attempts: attempts,
 		sentAt: f.now, beginsAt: begins, endsAt: begins.Add(time.Duration(50+f.random.IntN(3000)) * time.Millisecond),
@@ -197,6 +219,14 @@
 	f.flights = append(f.flights, one)
 }
 
+// waitBeforeAnswer returns how long an engine takes until it begins an answer.
+func (f *emulatedFleet) waitBeforeAnswer() time.Duration {
+	if f.whole {
+		return time.Duration(20+f.random.IntN(60)) * time.Millisecond
+	}
+	return time.Duration(40+f.random.IntN(360)) * time.Millisecond
+}
+
 // progress begins and ends answers, and crashes engines.
 func (f *emulatedFleet) progress() {
 	for _, one := range slices.Clone(f.flights) {
@@ -212,7 +242,7 @@
 			one.vm.ledger.RecordAnswering(f.service, f.now)
 		case one.began && !one.proved && (f.now.Sub(one.beginsAt) >= emulatedProof || one.endsAt <= f.now):
 			one.proved = true
-			one.vm.ledger.RecordAnswer(one.parts, f.now)
+			one.vm.ledger.RecordAnswer("assist", one.parts, f.now)
 		}
 		if one.began && one.endsAt <= f.now {
 			delete(one.engine.flights, one)
@@ -275,5 +305,12 @@
 		return
 	}
 	vm := f.randomVM()
-	vm.ledger, vm.started = NewLedger(), f.now
+	vm.ledger, vm.started = NewLedger(f.staggers.Float64()), f.now
+}
+
+// restartAllVMs replaces the state of all VMs.
+func (f *emulatedFleet) restartAllVMs() {
+	for _, vm := range f.vms {
+		vm.ledger, vm.started = NewLedger(f.staggers.Float64()), f.now
+	}
 }
--- a/gateway/quarantine/fleet_test.go
+++ b/gateway/quarantine/fleet_test.go
@@ -58,6 +58,10 @@
 		f.run(3 * time.Second)
 		f.deadlyRate = rate
 		f.countFrom = f.now.Add(10 * time.Second)
+		for _, at := range options.restartAll {
+			f.run(at)
+			f.restartAllVMs()
+		}
 		f.run(30 * time.Second)
 		f.check(t)
 	}
--- a/gateway/quarantine/ledger.go
+++ b/gateway/quarantine/ledger.go
@@ -21,12 +21,14 @@
 	crashes map[traffic.Instance]clock.Boot
 	// answering holds when each service began answers to this VM.
 	answering map[string]*serviceAnswers
-	// outcomes counts this VM's recent requests to engines: those that were answered are good,
+	// outcomes counts this VM's recent requests to each service: those that were answered are good,
 	// those that ended in a crash have failed. peers has what other VMs reported, by address.
-	outcomes estimate.Outcomes
+	outcomes map[string]estimate.Outcomes
 	peers    map[string]peerOutcomes
 	// clearances holds the answered parts to report, and until when.
 	clearances map[uint64]clock.Boot
+	// stagger is how much longer this VM holds requests back than it has to, as a share of that.
+	stagger float64
 	// turn counts the reports. Entries that do not fit into one report are reported in turn.
 	turn int
 	// quarantines follow from observations and answers, unless stale is set.
@@ -34,11 +36,13 @@
 	stale       bool
 }
 
-// NewLedger returns an empty Ledger.
-func NewLedger() *Ledger {
+// NewLedger returns an empty Ledger. stagger, from 0 to 1, should differ from VM to VM.
+func NewLedger(stagger float64) *Ledger {
 	return &Ledger{
+		stagger:      stagger,
 		observations: newObservationSet(),
 		answers:      newAnswers(),
+		outcomes:     map[string]estimate.Outcomes{},
 		answering:    map[string]*serviceAnswers{},
 		clearances:   map[uint64]clock.Boot{},
 		peers:        map[string]peerOutcomes{},
@@ -58,12 +62,12 @@
 	times.record(now)
 }
 
-// RecordAnswer records that a request with the given parts was answered, without the engine
-// crashing.
-func (l *Ledger) RecordAnswer(parts []uint64, now clock.Boot) {
+// RecordAnswer records that a request with the given parts was answered by an endpoint of the
+// service, without the endpoint crashing.
+func (l *Ledger) RecordAnswer(service string, parts []uint64, now clock.Boot) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.outcomes.Record(false, now)
+	l.recordOutcome(service, false, now)
 	for _, part := range parts {
 		l.clear(part, now, now)
 	}
@@ -77,9 +81,9 @@
 	o := Observation{
 		Engine: engine, Service: service, Parts: observedParts(parts),
 		At: crashedAt, SentBefore: crashedAt.Sub(sentAt), AnsweredBefore: observationTTL,
-		Background: l.crashShare(crashedAt),
+		Background: l.crashShare(service, crashedAt),
 	}
-	l.outcomes.Record(true, crashedAt)
+	l.recordOutcome(service, true, crashedAt)
 	if l.add(o, crashedAt) {
 		klog.InfoS("crash: an engine ended under a request", "endpoint", engine.ID, "parts", traffic.FormatPartIDs(o.Parts), "waited_ms", o.SentBefore.Milliseconds())
 	}
@@ -89,8 +93,8 @@
 func (l *Ledger) Find(parts []uint64, now clock.Boot) (Quarantine, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, q := range l.current(now) {
-		if now < q.Until && q.covers(parts) {
+	for _, q := range l.inForce(now) {
+		if q.covers(parts) {
 			return q, true
 		}
 	}
@@ -101,7 +105,13 @@
 func (l *Ledger) Quarantines(now clock.Boot) []Quarantine {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(l.current(now)), func(q Quarantine) bool { return now >= q.Until })
+	return l.inForce(now)
+}
+
+// inForce returns the quarantines that have not ended. The caller holds l.mu.
+func (l *Ledger) inForce(now clock.Boot) []Quarantine {
+	all := slices.Clone(l.current(now))
+	return slices.DeleteFunc(all, func(q Quarantine) bool { return now >= q.Until })
 }
 
 // add adds an observation whose parts are not all answered since. It reports whether it was new.
--- a/gateway/quarantine/merge_test.go
+++ b/gateway/quarantine/merge_test.go
@@ -46,7 +46,7 @@
 		reports := append(crashes, rapid.SliceOfN(answer, 0, 3).Draw(t, "answers")...)
 		shuffled := rapid.Permutation(reports).Draw(t, "order")
 		repeated := append(slices.Clone(shuffled), shuffled[:len(shuffled)/2]...)
-		one, other := NewLedger(), NewLedger()
+		one, other := NewLedger(0), NewLedger(0)
 		for _, report := range reports {
 			one.ApplyReport(report, now)
 		}
--- a/gateway/quarantine/repeat_test.go
+++ b/gateway/quarantine/repeat_test.go
@@ -26,10 +26,10 @@
 // TestRepeatedRequestIsQuarantinedAlone repeats a request that crashes engines while its other part is
 // answered: only the request itself is refused.
 func TestRepeatedRequestIsQuarantinedAlone(t *testing.T) {
-	l, now := NewLedger(), clock.Boot(time.Hour)
+	l, now := NewLedger(0), clock.Boot(time.Hour)
 	for i := range minCrashes {
 		crashEngine(l, i, []uint64{sharedPart, ownPart}, now)
-		l.RecordAnswer([]uint64{sharedPart, ownPart + 1}, now.Add(300*time.Millisecond))
+		l.RecordAnswer("assist", []uint64{sharedPart, ownPart + 1}, now.Add(300*time.Millisecond))
 		now = now.Add(time.Second)
 	}
 	if _, found := l.Find([]uint64{sharedPart, ownPart}, now); !found {
@@ -43,7 +43,7 @@
 // TestSharedPartIsSuspectedBeforeRepeats repeats a request of which no part is answered: the part that other
 // requests share is refused with any of them.
 func TestSharedPartIsSuspectedBeforeRepeats(t *testing.T) {
-	l, now := NewLedger(), clock.Boot(time.Hour)
+	l, now := NewLedger(0), clock.Boot(time.Hour)
 	for i := range minCrashes {
 		crashEngine(l, i, []uint64{sharedPart, ownPart}, now)
 		now = now.Add(time.Second)
--- a/gateway/quarantine/report.go
+++ b/gateway/quarantine/report.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"cardamompoint.example/cardamompoint/gateway/estimate"
 	"cardamompoint.example/cardamompoint/gateway/gossip"
 	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
@@ -23,6 +22,8 @@
 	maxReportedObservations = 16
 	maxReportedAnswers      = 32
 	maxReportedTimes        = 8
+	// maxReportedServices bounds the services whose requests are counted.
+	maxReportedServices = 16
 	// reportTime is how long an observation that led to no quarantine is reported.
 	reportTime = time.Minute
 	// timeReportTime is how long the time of a crash is reported.
@@ -47,8 +48,7 @@
 	l.turn++
 	report.Crashes = append(report.Crashes, l.crashTimes(observations, now)...)
 	if len(l.observations.byKey) > 0 || len(l.clearances) > 0 {
-		own := l.outcomes.AsOf(now)
-		report.CrashedRequests, report.AnsweredRequests = gossip.ToUnits(own.Failed), gossip.ToUnits(own.Good)
+		report.ServiceCrashes = l.serviceCrashes(now)
 	}
 	for _, part := range inTurn(slices.Sorted(maps.Keys(l.clearances)), l.turn, maxReportedAnswers) {
 		if at, known := l.answers.last(part); known {
@@ -184,13 +184,12 @@
 
 // ApplyReport takes in the observations and answers of another VM's report.
 func (l *Ledger) ApplyReport(report gossip.Report, now clock.Boot) {
-	if len(report.Crashes) == 0 && len(report.AnsweredParts) == 0 && report.AnsweredRequests == 0 {
+	if len(report.Crashes) == 0 && len(report.AnsweredParts) == 0 && len(report.ServiceCrashes) == 0 {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	outcomes := estimate.NewOutcomes(gossip.FromUnits(report.AnsweredRequests), gossip.FromUnits(report.CrashedRequests), 1, now)
-	l.peers[report.Address] = peerOutcomes{outcomes, now}
+	l.peers[report.Address] = newPeerOutcomes(report.ServiceCrashes, now)
 	for _, answer := range report.AnsweredParts {
 		l.clear(answer.Part, now.Add(-milliseconds(answer.AgeMS)), now)
 	}
--- a/internal/soak/crashing_prompt_test.go
+++ b/internal/soak/crashing_prompt_test.go
@@ -53,7 +53,7 @@
 func (s *soak) askCrashing(crashed *atomic.Int64) (status int) {
 	for _, slot := range s.slots {
 		worker, proxy := slot.worker.Load(), slot.proxy
-		worker.ArmCrash(crashPart, func() {
+		worker.ArmCrash(hosted.CrashOnPart(crashPart), func() {
 			crashed.Add(1)
 			proxy.down()
 		})
--- a/internal/standin/hosted/worker.go
+++ b/internal/standin/hosted/worker.go
@@ -24,7 +24,7 @@
 	// Header is added to each response.
 	Header http.Header
 	// crash is the crash that a prompt part causes, nil for none.
-	crash atomic.Pointer[partCrash]
+	crash atomic.Pointer[crash]
 	// limit is the Server-Limit that the endpoint names, nil for none.
 	limit atomic.Pointer[string]
 
--- a/internal/standin/hosted/worker_response.go
+++ b/internal/standin/hosted/worker_response.go
@@ -52,7 +52,7 @@
 
 // serve responds with a success, complete or truncated, or crashes.
 func (w *Worker) serve(out http.ResponseWriter, r *http.Request, id string, behavior Behavior) {
-	if crash := w.crash.Load(); crash != nil && crash.matches(r.Header.Get("Cardamompoint-Prompt-Prefix")) {
+	if crash := w.crash.Load(); crash != nil && crash.trigger(r) {
 		crash.run()
 		panic(http.ErrAbortHandler)
 	}
