Hold back whole requests under which endpoints crash one after the other

What callers saw: at a service of three endpoints a repeated request ended up to 14 of them before it was known, beside restarts or a large share.

Cause: a verdict asks for three crashes that are independent (the service answered in between) and unlikely by chance. Where one of three endpoints ends, other requests wait there, the next two end within a fraction of a second under the retry and the caller's repeat, and nobody answers: the evidence does not count. A retry also went out before the crash of the attempt before was confirmed.

A request that was at a crash is retried once the last one is confirmed, 100 ms later at most.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -45,7 +45,25 @@
 	if x.proved || !connectionBroke(err) {
 		return
 	}
-	go x.gateway.confirmCrash(x.pick.Endpoint, x.suspects, x.attemptStarted, clock.Now())
+	confirmed := make(chan struct{})
+	go func() {
+		defer close(confirmed)
+		x.gateway.confirmCrash(x.pick.Endpoint, x.suspects, x.attemptStarted, clock.Now())
+	}()
+	if x.gateway.crashes.SuspectsRequest(x.suspects) {
+		x.awaitConfirmation(confirmed)
+	}
+}
+
+// awaitConfirmation waits until the crash of an endpoint is confirmed, so that a retry knows of it.
+func (x *exchange) awaitConfirmation(confirmed <-chan struct{}) {
+	timer := time.NewTimer(maxConfirmWait)
+	defer timer.Stop()
+	select {
+	case <-confirmed:
+	case <-timer.C:
+	case <-x.r.Context().Done():
+	}
 }
 
 // connectionBroke reports whether the endpoint's side ended a connection.
@@ -64,6 +82,8 @@
 	// that.
 	confirmDelay   = 20 * time.Millisecond
 	confirmTimeout = time.Second
+	// maxConfirmWait bounds how long the retry of a request that is suspected already waits for that.
+	maxConfirmWait = 100 * time.Millisecond
 )
 
 // confirmCrash records a crash of an endpoint under a request unless it still accepts
--- a/gateway/quarantine/fleet_test.go
+++ b/gateway/quarantine/fleet_test.go
@@ -37,6 +37,32 @@
 	}
 }
 
+// TestFleetStopsDeadlyRequestsWithoutPrompt plays requests that come again and again, whole, to a service
+// of few endpoints.
+func TestFleetStopsDeadlyRequestsWithoutPrompt(t *testing.T) {
+	base := fleetOptions{whole: true, vms: 7, engines: 3, soundRate: 38, deadlyRate: 0.5, deadlyParts: 1, documents: 2000}
+	cases := map[string]func(*fleetOptions){
+		"small fleet":      func(*fleetOptions) {},
+		"large share":      func(o *fleetOptions) { o.deadlyRate = 4 },
+		"two requests":     func(o *fleetOptions) { o.deadlyParts, o.deadlyRate = 2, 1.5 },
+		"repeated sound":   func(o *fleetOptions) { o.documents = 20 },
+		"all VMs start":    func(o *fleetOptions) { o.restartAll = []time.Duration{6 * time.Second} },
+		"VMs start, lossy": func(o *fleetOptions) { o.loss, o.restartEvery = 0.3, 2*time.Second },
+		"60 VMs":           func(o *fleetOptions) { o.vms, o.engines, o.soundRate, o.deadlyRate = 60, 12, 200, 2 },
+		"300 VMs":          func(o *fleetOptions) { o.vms, o.engines, o.soundRate, o.deadlyRate = 300, 40, 900, 8 },
+		"300 VMs, a third starts": func(o *fleetOptions) {
+			o.vms, o.engines, o.soundRate, o.deadlyRate, o.restartEvery = 300, 40, 900, 8, 100*time.Millisecond
+		},
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			options := base
+			change(&options)
+			playDeadlyParts(t, options)
+		})
+	}
+}
+
 // TestFourDeadlyPartsAtOnceAreStopped plays four parts that crash a third of all engines each
 // second.
 func TestFourDeadlyPartsAtOnceAreStopped(t *testing.T) {
--- a/gateway/quarantine/ledger.go
+++ b/gateway/quarantine/ledger.go
@@ -33,7 +33,9 @@
 	turn int
 	// quarantines follow from observations and answers, unless stale is set.
 	quarantines []Quarantine
-	stale       bool
+	// held are the requests that are held back, in the form of quarantines. They follow from the same.
+	held  []Quarantine
+	stale bool
 }
 
 // NewLedger returns an empty Ledger. stagger, from 0 to 1, should differ from VM to VM.
@@ -81,7 +83,7 @@
 	o := Observation{
 		Engine: engine, Service: service, Parts: observedParts(parts),
 		At: crashedAt, SentBefore: crashedAt.Sub(sentAt), AnsweredBefore: observationTTL,
-		Background: l.crashShare(service, crashedAt),
+		Background: l.crashShare(service, crashedAt), local: true,
 	}
 	l.recordOutcome(service, true, crashedAt)
 	if l.add(o, crashedAt) {
@@ -101,16 +103,26 @@
 	return Quarantine{}, false
 }
 
-// Quarantines returns the quarantines in force.
+// SuspectsRequest reports whether a request with the given parts was at an engine that crashed, and was not
+// answered since.
+func (l *Ledger) SuspectsRequest(parts []uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	own := parts[len(parts)-1]
+	return slices.ContainsFunc(l.observations.byPart[own], func(o *Observation) bool { return o.ownPart() == own && l.suspectsPart(o, own) })
+}
+
+// Quarantines returns the quarantines in force, those of requests that are held back included.
 func (l *Ledger) Quarantines(now clock.Boot) []Quarantine {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.inForce(now)
 }
 
-// inForce returns the quarantines that have not ended. The caller holds l.mu.
+// inForce returns the quarantines that have not ended, and then the requests that are held back. The
+// caller holds l.mu.
 func (l *Ledger) inForce(now clock.Boot) []Quarantine {
-	all := slices.Clone(l.current(now))
+	all := slices.Concat(l.current(now), l.held)
 	return slices.DeleteFunc(all, func(q Quarantine) bool { return now >= q.Until })
 }
 
@@ -242,5 +254,8 @@
 	before := l.quarantines
 	l.quarantines = judge(open, l.crashes)
 	logChanges(before, l.quarantines, now)
+	held := l.held
+	l.held = l.holds()
+	logHeld(held, l.held, now)
 	return l.quarantines
 }
--- a/gateway/quarantine/log.go
+++ b/gateway/quarantine/log.go
@@ -27,3 +27,13 @@
 func containsParts(list []Quarantine, parts []uint64) bool {
 	return slices.ContainsFunc(list, func(q Quarantine) bool { return slices.Equal(q.Parts, parts) })
 }
+
+// logHeld writes one line for each request that is held back anew or for longer.
+func logHeld(before, after []Quarantine, now clock.Boot) {
+	for _, q := range after {
+		known := slices.ContainsFunc(before, func(old Quarantine) bool { return slices.Equal(old.Parts, q.Parts) && old.Crashes >= q.Crashes })
+		if !known && now < q.Until {
+			klog.InfoS("crash: a request is held back", "parts", traffic.FormatPartIDs(q.Parts), "crashes", q.Crashes, "for_ms", q.Until.Sub(now).Milliseconds())
+		}
+	}
+}
--- a/gateway/quarantine/observation.go
+++ b/gateway/quarantine/observation.go
@@ -30,6 +30,9 @@
 	// Background is the share of the recent requests of all VMs that ended in a crash, as of
 	// At: the probability that this crash has nothing to do with the prompt.
 	Background float64
+
+	// local reports whether this VM made the observation, so that its times are exact.
+	local bool
 }
 
 // maxObservedParts bounds the parts of an Observation.
