--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -22,7 +22,7 @@
 	x.gateway.crashes.RecordAnswering(x.pick.Endpoint.Service, x.answerBegan)
 }
 
-// recordAnswered records that the prompt does not crash the endpoint: the answer is complete, or
+// recordAnswered records that the request does not crash the endpoint: the answer is complete, or
 // has gone on for proofTime.
 func (x *exchange) recordAnswered() {
 	if x.proved {
@@ -39,8 +39,8 @@
 	}
 }
 
-// recordBroken looks whether the endpoint has crashed, if its connection broke before the prompt
-// was proved harmless.
+// recordBroken looks whether the endpoint has crashed, if its connection broke before the request
+// was proved harmless. It waits for the result if the request was at a crash before.
 func (x *exchange) recordBroken(err error) {
 	if x.proved || !connectionBroke(err) {
 		return
--- a/gateway/fingerprint.go
+++ b/gateway/fingerprint.go
@@ -14,11 +14,18 @@
 	if c.grant.workspace != nil {
 		workspace = c.grant.workspace.Name
 	}
-	for _, field := range []string{workspace, c.r.Method, c.r.Host, c.r.RequestURI, string(c.body)} {
-		var size [8]byte
-		binary.LittleEndian.PutUint64(size[:], uint64(len(field)))
-		_, _ = digest.Write(size[:]) // A digest returns no error.
-		_, _ = digest.WriteString(field)
+	for _, field := range []string{workspace, c.r.Method, c.r.Host, c.r.RequestURI} {
+		writeSize(digest, len(field))
+		_, _ = digest.WriteString(field) // A digest returns no error.
 	}
+	writeSize(digest, len(c.body))
+	_, _ = digest.Write(c.body)
 	return max(1, digest.Sum64())
 }
+
+// writeSize adds the size of the next field, so that fields can't run into each other.
+func writeSize(digest *xxhash.Digest, size int) {
+	var raw [8]byte
+	binary.LittleEndian.PutUint64(raw[:], uint64(size))
+	_, _ = digest.Write(raw[:])
+}
--- a/gateway/gossip/table.go
+++ b/gateway/gossip/table.go
@@ -38,7 +38,7 @@
 	// the others were found lost.
 	alive  map[string]bool
 	lostAt map[string]clock.Boot
-	// former has the VMs that are no members any more but may still run.
+	// former has the VMs that are no longer members but may still run.
 	former formerMembers
 }
 
