Take the time of a broken attempt before its crash is confirmed

The race detector reports it in TestRequestsWithCrashingPromptPartAreStopped; a crash could be recorded with the time of the next attempt, and so look independent of the one before or not. The times are now taken before the goroutine starts, as they were before.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -45,10 +45,11 @@
 	if x.proved || !connectionBroke(err) {
 		return
 	}
+	sentAt, brokeAt := x.attemptStarted, clock.Now()
 	confirmed := make(chan struct{})
 	go func() {
 		defer close(confirmed)
-		x.gateway.confirmCrash(x.pick.Endpoint, x.suspects, x.attemptStarted, clock.Now())
+		x.gateway.confirmCrash(x.pick.Endpoint, x.suspects, sentAt, brokeAt)
 	}()
 	if x.gateway.crashes.SuspectsRequest(x.suspects) {
 		x.awaitConfirmation(confirmed)
