Let the first start of the fleet have its whole retry budget

Where the whole fleet starts for the first time no process ran before, so no retry is unknown: such a VM has its whole budget at once.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -114,7 +114,7 @@
 	g.tracker.SetEntryLifetime(settings.EntryLifetime)
 	g.members = gossip.NewTable(settings.IP, seedIPs(settings.Seeds))
 	g.tracker.SetReserved(newOwnAddresses(settings, g.members).contains)
-	g.budget = budget.New(g.retryLimits, g.fleetSize, g.started)
+	g.budget = budget.New(g.retryLimits, g.fleetSize, g.retriesKnownSince())
 	g.limits = limit.New(g.vmCount, g.rankTieBreaker^uint64(g.incarnation))
 	g.peers = newPeerClient(settings.FirstPeerPort)
 	g.follower = knowledge.NewPeerReader(g, g.tracker)
@@ -179,6 +179,15 @@
 	return budget.Limits{Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow}
 }
 
+// retriesKnownSince returns the time from which on the retries of this VM are known. In the first
+// start of the fleet no process ran before this one, so none is unknown.
+func (g *Gateway) retriesKnownSince() clock.Boot {
+	if g.settings.FirstStart {
+		return g.started.Add(-g.retryLimits().Window)
+	}
+	return g.started
+}
+
 // fleetSize returns the number of VMs that share the retry budget, and whether it is known.
 func (g *Gateway) fleetSize() (int, bool) {
 	return g.members.FleetSize(clock.Now())
