Bring holds up to date before they are read

inForce passed l.current(now), which renews l.held, and l.held itself as two arguments of one call. The language does not say which is read first, so a hold could take effect, or end, one question late.

--- a/gateway/quarantine/ledger.go
+++ b/gateway/quarantine/ledger.go
@@ -122,8 +122,8 @@
 // inForce returns the quarantines that have not ended, and then the requests that are held back. The
 // caller holds l.mu.
 func (l *Ledger) inForce(now clock.Boot) []Quarantine {
-	all := slices.Concat(l.current(now), l.held)
-	return slices.DeleteFunc(all, func(q Quarantine) bool { return now >= q.Until })
+	quarantines := l.current(now) // It also brings l.held up to date.
+	return slices.DeleteFunc(slices.Concat(quarantines, l.held), func(q Quarantine) bool { return now >= q.Until })
 }
 
 // add adds an observation whose parts are not all answered since. It reports whether it was new.
