Move streams that are held for their callers to router/hold

Streams whose readers come and go, their reservations and timers have no part in choosing, sending or knowing, and met the rest through nine functions.

Moved and exported only: no behaviour changed; go test ./router/hold ./internal/layout and the tests of streams, homes and shutdown in ./router pass.

--- a/router/attempt.go
+++ b/router/attempt.go
@@ -1,5 +1,7 @@
 package router
 
+import "cardamompoint.example/cardamompoint/router/hold"
+
 import "cardamompoint.example/cardamompoint/stream"
 
 // attempt identifies where one attempt of a request runs.
@@ -26,6 +28,6 @@
 }
 
 // key returns the stream's key.
-func (a attempt) key(j *job) streamKey {
-	return streamKey{Engine: a.engine, RequestID: j.work.RequestID, StreamID: a.streamID}
+func (a attempt) key(j *job) hold.Key {
+	return hold.Key{Engine: a.engine, RequestID: j.work.RequestID, StreamID: a.streamID}
 }
--- a/router/cancel.go
+++ b/router/cancel.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+	"cardamompoint.example/cardamompoint/router/hold"
 	"cardamompoint.example/cardamompoint/stream"
 )
 
@@ -35,7 +36,7 @@
 
 // requestCancel cancels a stream through its home, or directly at the engine if the
 // home can't be reached.
-func (r *Router) requestCancel(ctx context.Context, home string, key streamKey) error {
+func (r *Router) requestCancel(ctx context.Context, home string, key hold.Key) error {
 	if home == r.members.Self().Address || !r.reachable(home) {
 		return r.cancelAtHome(ctx, key)
 	}
@@ -51,7 +52,7 @@
 
 // cancelStream cancels a stream whose answer nobody waits for. It retries, since a
 // frozen engine may resume its work later.
-func (r *Router) cancelStream(key streamKey) {
+func (r *Router) cancelStream(key hold.Key) {
 	for attempt := range maxCancelAttempts {
 		if attempt > 0 {
 			time.Sleep(cancelRetryDelay)
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/router/endpoint"
+	"cardamompoint.example/cardamompoint/router/hold"
 	"cardamompoint.example/cardamompoint/router/member"
 )
 
@@ -29,7 +30,7 @@
 // forwardToHome sends order to another router and relays the lines of its answer,
 // starting at token offset. Since the home sends empty lines while the engine is
 // silent, a ConnectionError means that the home is lost.
-func (r *Router) forwardToHome(ctx context.Context, home, path string, order any, key streamKey, offset int, sink endpoint.Sink) error {
+func (r *Router) forwardToHome(ctx context.Context, home, path string, order any, key hold.Key, offset int, sink endpoint.Sink) error {
 	request, err := r.work.NewRequest(ctx, home, path, order)
 	if err != nil {
 		return err
--- a/router/home_stream.go
+++ b/router/hold/stream.go
@@ -1,4 +1,4 @@
-package router
+package hold
 
 import (
 	"context"
@@ -7,10 +7,10 @@
 	"cardamompoint.example/cardamompoint/router/balance"
 )
 
-// homeStream is a stream at an engine that this router accounts for. Its fields are
-// guarded by the mutex of its homeStreams.
-type homeStream struct {
-	streamKey
+// Stream is a stream at an engine that a router accounts for. Its fields are guarded by the
+// mutex of its Table.
+type Stream struct {
+	Key
 
 	// reservation is the capacity reserved at the engine; nil if there is none.
 	reservation *balance.Reservation
@@ -23,12 +23,8 @@
 	holdTimer *time.Timer
 }
 
-// streamKey identifies a stream at an engine.
-type streamKey struct {
-	// Engine is the engine's address.
-	Engine string `json:"engine"`
-	// RequestID is the ID of the request that the stream answers.
-	RequestID string `json:"request_id"`
-	// StreamID is the stream's ID at the engine.
-	StreamID string `json:"stream_id"`
+// Reservation returns the capacity reserved at the engine, nil if there is none. It never
+// changes.
+func (s *Stream) Reservation() *balance.Reservation {
+	return s.reservation
 }
--- a/router/home_streams_test.go
+++ b/router/hold/table_test.go
@@ -1,4 +1,4 @@
-package router
+package hold
 
 import (
 	"fmt"
@@ -11,22 +11,22 @@
 	"cardamompoint.example/cardamompoint/router/balance"
 )
 
-// TestHomeStreamsEndOnce attaches, detaches, expires and ends readers in random
+// TestStreamsEndOnce attaches, detaches, expires and ends readers in random
 // order: no stream may be canceled at its engine twice, and none that has a reader.
-func TestHomeStreamsEndOnce(t *testing.T) {
+func TestStreamsEndOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		canceled := map[string]int{}
-		h := newHomeStreams(time.Hour, func(key streamKey) { canceled[key.StreamID]++ })
+		h := NewTable(time.Hour, func(key Key) { canceled[key.StreamID]++ })
 		readers := map[string]int{}
 		for range rapid.IntRange(0, 80).Draw(t, "steps") {
 			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "stream")
-			s := h.open(streamKey{StreamID: id}, (*balance.Reservation)(nil))
+			s := h.Open(Key{StreamID: id}, (*balance.Reservation)(nil))
 			reader := rapid.IntRange(0, readers[id]).Draw(t, "reader")
 			switch rapid.SampledFrom([]string{"attach", "leave", "expire", "end"}).Draw(t, "step") {
 			case "attach":
-				_, readers[id] = h.attach(t.Context(), s)
+				_, readers[id] = h.Attach(t.Context(), s)
 			case "leave":
-				h.detach(s, reader)
+				h.Detach(s, reader)
 			case "expire":
 				held, before := s.holdTimer != nil && s.readerID == reader, canceled[id]
 				h.expire(s, reader)
@@ -37,10 +37,10 @@
 					readers[id] = 0
 				}
 			case "end":
-				h.end(s)
+				h.End(s)
 				readers[id] = 0
 			}
-			for _, left := range h.heldStreams() {
+			for _, left := range h.Held() {
 				if left.stopReader != nil {
 					t.Fatalf("stream %s is held and read", left.StreamID)
 				}
@@ -54,16 +54,16 @@
 func BenchmarkHeldStream(b *testing.B) {
 	const streams = 10_000
 	for b.Loop() {
-		h := newHomeStreams(time.Hour, func(streamKey) {})
+		h := NewTable(time.Hour, func(Key) {})
 		before := heapBytes()
 		for i := range streams {
-			s := h.open(streamKey{Engine: "10.0.0.1:7200", RequestID: fmt.Sprint(i), StreamID: fmt.Sprint(i, ".1")}, nil)
-			_, reader := h.attach(b.Context(), s)
-			h.detach(s, reader)
+			s := h.Open(Key{Engine: "10.0.0.1:7200", RequestID: fmt.Sprint(i), StreamID: fmt.Sprint(i, ".1")}, nil)
+			_, reader := h.Attach(b.Context(), s)
+			h.Detach(s, reader)
 		}
 		b.ReportMetric(float64(heapBytes()-before)/streams, "bytes/stream")
-		for _, s := range h.heldStreams() {
-			h.end(s)
+		for _, s := range h.Held() {
+			h.End(s)
 		}
 	}
 }
--- a/router/home.go
+++ b/router/home.go
@@ -11,6 +11,7 @@
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/router/balance"
 	"cardamompoint.example/cardamompoint/router/endpoint"
+	"cardamompoint.example/cardamompoint/router/hold"
 )
 
 // runAtHome admits work to an engine that this router manages and relays its answer
@@ -29,7 +30,7 @@
 		return err
 	}
 	klog.Infof("place: request %s is admitted to %s.", order.Work.RequestID, order.Engine)
-	s := r.streams.open(order.key(), reservation)
+	s := r.streams.Open(order.key(), reservation)
 	sink = r.recordLength(order.Work, releaseTokens(reservation, sink))
 	answered := false
 	err = r.relay(ctx, s, len(order.Work.Prefix), onFirstToken(&answered, sink), func(ctx context.Context, sink endpoint.Sink) error {
@@ -65,13 +66,13 @@
 // runs it.
 func (r *Router) resumeAtHome(ctx context.Context, order resumeOrder, sink endpoint.Sink) error {
 	key := keyOf(order.Stream)
-	s := r.streams.find(key.StreamID)
+	s := r.streams.Find(key.StreamID)
 	if s == nil {
-		s = r.streams.open(key, r.adoptStream(order))
+		s = r.streams.Open(key, r.adoptStream(order))
 	}
 	klog.Infof("place: stream %s at %s is resumed at token %d.", key.StreamID, key.Engine, order.Offset)
-	if s.reservation != nil {
-		sink = releaseTokens(s.reservation, sink)
+	if reservation := s.Reservation(); reservation != nil {
+		sink = releaseTokens(reservation, sink)
 	}
 	return r.relay(ctx, s, order.Offset, sink, func(ctx context.Context, sink endpoint.Sink) error {
 		return r.resumeAtEngine(ctx, key, order.Offset, sink)
@@ -104,7 +105,7 @@
 func (r *Router) serveResumeOrder(w http.ResponseWriter, request *http.Request, order resumeOrder) {
 	key := keyOf(order.Stream)
 	r.streamLines(w, request, key, order.DeadlineMS, func(ctx context.Context, sink endpoint.Sink) error {
-		if r.closing.Load() && r.streams.find(key.StreamID) == nil {
+		if r.closing.Load() && r.streams.Find(key.StreamID) == nil {
 			return code.New(code.Draining, "the router %s is shutting down", r.settings.Name)
 		}
 		return r.resumeAtHome(ctx, order, sink)
@@ -112,15 +113,15 @@
 }
 
 // serveCancelOrder cancels a stream on behalf of a peer.
-func (r *Router) serveCancelOrder(ctx context.Context, key streamKey) (struct{}, error) {
+func (r *Router) serveCancelOrder(ctx context.Context, key hold.Key) (struct{}, error) {
 	return struct{}{}, r.cancelAtHome(ctx, key)
 }
 
 // cancelAtHome cancels a stream at its engine and releases its reservation. If the
 // engine does not answer, it returns the error and retries in the background.
-func (r *Router) cancelAtHome(ctx context.Context, key streamKey) error {
-	if s := r.streams.find(key.StreamID); s != nil {
-		r.streams.end(s)
+func (r *Router) cancelAtHome(ctx context.Context, key hold.Key) error {
+	if s := r.streams.Find(key.StreamID); s != nil {
+		r.streams.End(s)
 	}
 	klog.Infof("place: stream %s at %s is canceled by its caller.", key.StreamID, key.Engine)
 	err := r.engine.Cancel(ctx, key.Engine, key.StreamID)
@@ -136,7 +137,7 @@
 
 // streamLines answers a peer with the lines that run passes to its sink, and with
 // empty lines while there are none.
-func (r *Router) streamLines(w http.ResponseWriter, request *http.Request, key streamKey, deadlineMS int64, run func(context.Context, endpoint.Sink) error) {
+func (r *Router) streamLines(w http.ResponseWriter, request *http.Request, key hold.Key, deadlineMS int64, run func(context.Context, endpoint.Sink) error) {
 	ctx, cancel := context.WithTimeout(request.Context(), time.Duration(deadlineMS)*time.Millisecond)
 	defer cancel()
 	r.peerWork.Add(1)
--- a/router/line_writer.go
+++ b/router/line_writer.go
@@ -9,6 +9,7 @@
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
 	"cardamompoint.example/cardamompoint/router/endpoint"
+	"cardamompoint.example/cardamompoint/router/hold"
 )
 
 // lineWriter writes the lines of an answer to another router, and an empty line
@@ -97,7 +98,7 @@
 
 // fail ends the answer with err: as an HTTP error if nothing was written yet,
 // otherwise as the last line.
-func (l *lineWriter) fail(key streamKey, err error) {
+func (l *lineWriter) fail(key hold.Key, err error) {
 	l.mu.Lock()
 	started := l.started
 	l.mu.Unlock()
--- a/router/relay.go
+++ b/router/relay.go
@@ -9,6 +9,7 @@
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/router/endpoint"
+	"cardamompoint.example/cardamompoint/router/hold"
 )
 
 // maxReconnects bounds the consecutive reconnects to an engine that bring no token.
@@ -20,14 +21,14 @@
 // relay relays a stream from its engine to sink and then settles the stream. first
 // reads the lines from offset on; after a lost connection, the engine is asked to
 // resume.
-func (r *Router) relay(ctx context.Context, s *homeStream, offset int, sink endpoint.Sink, first func(context.Context, endpoint.Sink) error) error {
-	reading, reader := r.streams.attach(ctx, s)
+func (r *Router) relay(ctx context.Context, s *hold.Stream, offset int, sink endpoint.Sink, first func(context.Context, endpoint.Sink) error) error {
+	reading, reader := r.streams.Attach(ctx, s)
 	p := &relayProgress{next: offset, sink: sink}
 	err := first(reading, p.handleLine)
 	for tries := 0; tries < maxReconnects && p.mayReconnect(reading, err); tries++ {
 		klog.Infof("place: stream %s at %s is requested again from token %d: %v.", s.StreamID, s.Engine, p.next, err)
 		before := p.next
-		err = r.resumeAtEngine(reading, s.streamKey, p.next, p.handleLine)
+		err = r.resumeAtEngine(reading, s.Key, p.next, p.handleLine)
 		if p.next > before {
 			tries = -1
 		}
@@ -38,7 +39,7 @@
 // resumeAtEngine relays the rest of a stream that its engine may have started. An engine that
 // refuses to continue it, or accepts no connection since it has ended, does not guarantee that
 // it had not started the stream.
-func (r *Router) resumeAtEngine(ctx context.Context, key streamKey, offset int, sink endpoint.Sink) error {
+func (r *Router) resumeAtEngine(ctx context.Context, key hold.Key, offset int, sink endpoint.Sink) error {
 	err := r.engine.Resume(ctx, key.Engine, key.RequestID, key.StreamID, offset, sink)
 	if err == nil || !notAdmitted(err) {
 		return err
@@ -52,21 +53,21 @@
 
 // settleStream decides what happens to a stream whose relay ended with err: it is
 // removed, held for its reader to resume it, or canceled.
-func (r *Router) settleStream(ctx context.Context, s *homeStream, reader int, p *relayProgress, err error) error {
+func (r *Router) settleStream(ctx context.Context, s *hold.Stream, reader int, p *relayProgress, err error) error {
 	if err == nil {
-		r.streams.end(s)
+		r.streams.End(s)
 		return nil
 	}
-	if !r.streams.isCurrent(s, reader) {
+	if !r.streams.IsCurrent(s, reader) {
 		return code.New(code.Canceled, "the stream was canceled or is read by another connection")
 	}
 	if p.sinkErr != nil || ctx.Err() == context.Canceled {
-		r.streams.detach(s, reader)
+		r.streams.Detach(s, reader)
 		return err
 	}
-	r.streams.end(s)
+	r.streams.End(s)
 	if !notAdmitted(err) {
-		r.tasks.Go(func() { r.cancelStream(s.streamKey) })
+		r.tasks.Go(func() { r.cancelStream(s.Key) })
 	}
 	if code.Is(err, code.Canceled) {
 		return code.New(code.EndpointFault, "the engine aborted the stream: %v", err)
--- a/router/resume_order.go
+++ b/router/resume_order.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cardamompoint.example/cardamompoint/router/hold"
 	"cardamompoint.example/cardamompoint/stream"
 )
 
@@ -17,6 +18,6 @@
 }
 
 // keyOf returns the key of the stream with the given ID.
-func keyOf(id stream.ID) streamKey {
-	return streamKey{Engine: id.Engine, RequestID: id.RequestID, StreamID: id.StreamID}
+func keyOf(id stream.ID) hold.Key {
+	return hold.Key{Engine: id.Engine, RequestID: id.RequestID, StreamID: id.StreamID}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -14,6 +14,7 @@
 	"cardamompoint.example/cardamompoint/router/balance"
 	"cardamompoint.example/cardamompoint/router/config"
 	"cardamompoint.example/cardamompoint/router/endpoint"
+	"cardamompoint.example/cardamompoint/router/hold"
 	"cardamompoint.example/cardamompoint/router/homes"
 	"cardamompoint.example/cardamompoint/router/member"
 	"cardamompoint.example/cardamompoint/router/once"
@@ -54,7 +55,7 @@
 
 	workerCounts *workerCounts
 	placer       *placer
-	streams      *homeStreams
+	streams      *hold.Table
 
 	// control and work are the clients for other routers. Only the traffic of
 	// control is counted.
@@ -126,7 +127,7 @@
 	r.network = options.Network
 	r.control = peer.NewClient(s.Secret, peer.NewTransportWith(&r.controlBytes, r.dial()))
 	r.work = peer.NewClient(s.Secret, peer.NewTransportWith(nil, r.dial()))
-	r.streams = newHomeStreams(milliseconds(s.Timing.ResumeMS), r.cancelStream)
+	r.streams = hold.NewTable(milliseconds(s.Timing.ResumeMS), r.cancelStream)
 	r.initClearance()
 	r.initClients()
 	return r, r.registerGauges()
@@ -179,7 +180,7 @@
 	}{
 		{"cardamompoint.in_progress", "Requests of callers in progress.", r.inProgress.Load},
 		{"cardamompoint.peer_work", "Requests of other routers in progress.", r.peerWork.Load},
-		{"cardamompoint.home_streams", "Streams that this router accounts for as home, including those held for the caller to resume.", func() int64 { return int64(r.streams.len()) }},
+		{"cardamompoint.home_streams", "Streams that this router accounts for as home, including those held for the caller to resume.", func() int64 { return int64(r.streams.Len()) }},
 		{"cardamompoint.control_bytes", "Bytes of control traffic since the start.", r.controlBytes.Total},
 		{"cardamompoint.records", "Outcomes kept for repeated keys.", func() int64 { return int64(r.records.Len()) }},
 		{"cardamompoint.yields", "Caller keys that this router has granted to a process.", func() int64 { return int64(r.clearanceGranter.Len()) }},
--- a/router/run.go
+++ b/router/run.go
@@ -108,7 +108,7 @@
 // unfinished returns the number of requests and streams that a shutdown would
 // interrupt now.
 func (r *Router) unfinished() int64 {
-	return r.inProgress.Load() + r.peerWork.Load() + int64(len(r.streams.heldStreams()))
+	return r.inProgress.Load() + r.peerWork.Load() + int64(len(r.streams.Held()))
 }
 
 // close stops the servers and cancels held streams. Unfinished requests are
@@ -138,8 +138,8 @@
 // cancelHeld cancels the streams without a reader.
 func (r *Router) cancelHeld(ctx context.Context) {
 	var cancels sync.WaitGroup
-	for _, s := range r.streams.heldStreams() {
-		r.streams.end(s)
+	for _, s := range r.streams.Held() {
+		r.streams.End(s)
 		cancels.Go(func() { _ = r.engine.Cancel(ctx, s.Engine, s.StreamID) })
 	}
 	cancels.Wait()
--- a/router/streams_test.go
+++ b/router/streams_test.go
@@ -72,9 +72,9 @@
 			p.t.Errorf("within the resume time %d are counted and %d run", p.requestsAtHome(), engine.Load().Requests)
 		}
 		time.Sleep(2 * time.Second)
-		if p.requestsAtHome() != 0 || engine.Load().Requests != 0 || p.home.streams.len() != 0 {
+		if p.requestsAtHome() != 0 || engine.Load().Requests != 0 || p.home.streams.Len() != 0 {
 			p.t.Errorf("after the resume time %d are counted, %d run and %d are kept",
-				p.requestsAtHome(), engine.Load().Requests, p.home.streams.len())
+				p.requestsAtHome(), engine.Load().Requests, p.home.streams.Len())
 		}
 	})
 }
@@ -95,8 +95,8 @@
 			p.t.Errorf("%d tokens, %v", len(answer.Tokens), err)
 		}
 		synctest.Wait()
-		if p.requestsAtHome() != 0 || p.home.streams.len() != 0 {
-			p.t.Errorf("%d requests are counted and %d streams kept", p.requestsAtHome(), p.home.streams.len())
+		if p.requestsAtHome() != 0 || p.home.streams.Len() != 0 {
+			p.t.Errorf("%d requests are counted and %d streams kept", p.requestsAtHome(), p.home.streams.Len())
 		}
 	})
 }
--- a/router/take_over.go
+++ b/router/take_over.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"cardamompoint.example/cardamompoint/router/hold"
 )
 
 const takenPath = "/peer/v1/taken"
@@ -12,7 +14,7 @@
 // takeOver tells a router that seemed lost that this router now accounts for its
 // stream. It returns at once. A router that was frozen gets the message when it
 // wakes up, before the stream's resume timeout has passed.
-func (r *Router) takeOver(home string, key streamKey) {
+func (r *Router) takeOver(home string, key hold.Key) {
 	if home == r.members.Self().Address {
 		return
 	}
@@ -20,7 +22,7 @@
 }
 
 // notifyTaken sends the message, with retries.
-func (r *Router) notifyTaken(home string, key streamKey) {
+func (r *Router) notifyTaken(home string, key hold.Key) {
 	for attempt := range maxCancelAttempts {
 		if attempt > 0 {
 			time.Sleep(cancelRetryDelay)
@@ -36,10 +38,10 @@
 }
 
 // serveTaken removes a stream that another router accounts for now.
-func (r *Router) serveTaken(_ context.Context, key streamKey) (struct{}, error) {
-	if s := r.streams.find(key.StreamID); s != nil {
+func (r *Router) serveTaken(_ context.Context, key hold.Key) (struct{}, error) {
+	if s := r.streams.Find(key.StreamID); s != nil {
 		klog.Infof("place: stream %s at %s was taken over by another router.", key.StreamID, key.Engine)
-		r.streams.end(s)
+		r.streams.End(s)
 	}
 	return struct{}{}, nil
 }
--- a/router/work_order.go
+++ b/router/work_order.go
@@ -3,6 +3,7 @@
 import (
 	"cardamompoint.example/cardamompoint/router/affinity"
 	"cardamompoint.example/cardamompoint/router/endpoint"
+	"cardamompoint.example/cardamompoint/router/hold"
 )
 
 const workPath = "/peer/v1/work"
@@ -23,6 +24,6 @@
 }
 
 // key returns the key of the stream that the order starts.
-func (o workOrder) key() streamKey {
-	return streamKey{Engine: o.Engine, RequestID: o.Work.RequestID, StreamID: o.Work.StreamID}
+func (o workOrder) key() hold.Key {
+	return hold.Key{Engine: o.Engine, RequestID: o.Work.RequestID, StreamID: o.Work.StreamID}
 }
