Keep one model of an engine's prefix cache

The stand-in engine and the simulation of routers each had an LRU cache of contexts with the same code but for its key. Both use internal/contextcache now, with a test of its own. go test ./internal/contextcache ./internal/standin/... ./internal/routebench passes.

--- /dev/null
+++ b/internal/contextcache/doc.go
@@ -0,0 +1,2 @@
+// Package contextcache models the prefix cache of an engine for stand-ins and simulations.
+package contextcache
--- a/internal/routebench/fleet.go
+++ b/internal/routebench/fleet.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"cardamompoint.example/cardamompoint/internal/contextcache"
 	"cardamompoint.example/cardamompoint/router/member"
 	"cardamompoint.example/cardamompoint/router/settings"
 	"cardamompoint.example/cardamompoint/router/source"
@@ -55,7 +56,7 @@
 func (f *Fleet) addEngine() {
 	number := len(f.engines)
 	address := fmt.Sprintf("10.2.%d.%d:8000", number/250, number%250+1)
-	f.engines = append(f.engines, &engine{address: address, live: true, cache: newCache(cacheTokens)})
+	f.engines = append(f.engines, &engine{address: address, live: true, cache: contextcache.New[int](cacheTokens)})
 	f.byAddress[address] = number
 	f.live++
 }
--- a/internal/routebench/perfect_strategy.go
+++ b/internal/routebench/perfect_strategy.go
@@ -40,7 +40,7 @@
 	served := s.served[r.Chat]
 	for i := len(served) - 1; i >= 0; i-- {
 		e := s.fleet.engines[served[i]]
-		if e.live && e.cache.holds(r.Chat) {
+		if e.live && e.cache.Holds(r.Chat) {
 			wanted = append(wanted, served[i])
 		}
 	}
--- a/internal/routebench/run.go
+++ b/internal/routebench/run.go
@@ -138,7 +138,7 @@
 		return
 	}
 	e := r.fleet.engines[placement.Engine]
-	e.cache.use(request.Chat, request.PromptTokens+request.AnswerTokens)
+	e.cache.Use(request.Chat, request.PromptTokens+request.AnswerTokens)
 	r.lastEngine[request.Chat] = placement.Engine
 	r.fleet.add(placement.Engine, request, 1)
 	heap.Push(&r.completions, completion{request.At + request.serviceTime(), request, placement})
@@ -151,7 +151,7 @@
 
 // holder returns hint if that engine is live and holds the chat's context.
 func (r *run) holder(request *Request, hint int) int {
-	if hint == noEngine || !r.fleet.engines[hint].live || !r.fleet.engines[hint].cache.holds(request.Chat) {
+	if hint == noEngine || !r.fleet.engines[hint].live || !r.fleet.engines[hint].cache.Holds(request.Chat) {
 		return noEngine
 	}
 	return hint
@@ -171,7 +171,7 @@
 		return
 	}
 	result.Returning++
-	if p.Engine != noEngine && r.fleet.engines[p.Engine].cache.holds(request.Chat) {
+	if p.Engine != noEngine && r.fleet.engines[p.Engine].cache.Holds(request.Chat) {
 		result.Reused++
 	}
 	if holder == noEngine || p.HintFull {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/internal/contextcache"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
 	"cardamompoint.example/cardamompoint/router/endpoint"
 )
@@ -38,18 +39,24 @@
 
 	mu      sync.Mutex
 	streams map[string]*engineStream
-	cache   *contextCache
+	cache   *contextcache.Cache[chatKey]
 	leaving bool
 	runs    map[string]int
 }
 
+// chatKey identifies a chat of a workspace.
+type chatKey struct {
+	workspace string
+	chat      string
+}
+
 // NewEngine returns an Engine with the given options.
 func NewEngine(options EngineOptions) *Engine {
 	return &Engine{
 		options: options,
 		orders:  NewOrders(options.CheckFence),
 		streams: map[string]*engineStream{},
-		cache:   newContextCache(options.CacheTokens),
+		cache:   contextcache.New[chatKey](options.CacheTokens),
 		runs:    map[string]int{},
 	}
 }
@@ -130,7 +137,9 @@
 		return nil, code.New(code.BadRequest, "the stream %q already exists", work.StreamID)
 	}
 	prompt := PromptTokens(work.Prompt)
-	s := newEngineStream(work, prompt, e.cache.use(work.Workspace, work.Chat, prompt+work.MaxTokens, prompt))
+	chat := chatKey{workspace: work.Workspace, chat: work.Chat}
+	s := newEngineStream(work, prompt, min(prompt, e.cache.Tokens(chat)))
+	e.cache.Use(chat, prompt+work.MaxTokens)
 	e.streams[work.StreamID] = s
 	e.runs[work.RequestID]++
 	go e.generate(s)
