--- a/router/place.go
+++ b/router/place.go
@@ -133,3 +133,14 @@
 	}
 	klog.Infof("place: engine %s is ordered to load %v with fencing token %d, had %v: %v.", engine, models, fence, state.Models, err)
 }
+
+// poolOf returns the engines that should have the model loaded, as far as this
+// router knows its load. Before the first placement plan, these are all engines
+// that may have it.
+func (r *Router) poolOf(view *member.View, model config.Model) *member.Pool {
+	replicas, known := r.placer.scaler.CurrentReplicas(model.Name)
+	if !known {
+		replicas = model.Max
+	}
+	return r.modelPools.Find(view, model, replicas)
+}
--- a/router/route_test.go
+++ b/router/route_test.go
@@ -59,7 +59,7 @@
 	return &Router{
 		settings:   &settings.Router{},
 		members:    members,
-		modelPools: newModelPools(),
+		modelPools: placement.NewPools(),
 		placer:     &placer{scaler: placement.NewScaler(1000)},
 		setHistory: homes.NewHistory(time.Second, time.Second),
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -19,6 +19,7 @@
 	"cardamompoint.example/cardamompoint/router/member"
 	"cardamompoint.example/cardamompoint/router/once"
 	"cardamompoint.example/cardamompoint/router/peer"
+	"cardamompoint.example/cardamompoint/router/placement"
 	"cardamompoint.example/cardamompoint/router/settings"
 	"cardamompoint.example/cardamompoint/router/source"
 )
@@ -39,7 +40,7 @@
 	loadTracker       *balance.LoadTracker
 	chatContexts      *affinity.Index
 	crashedChats      *crashedChats
-	modelPools        *modelPools
+	modelPools        *placement.Pools
 	records           *once.Table
 	keyClock          *once.Clock
 	keyWindow         once.KeyWindow
@@ -109,7 +110,7 @@
 		store:        config.NewStore(),
 		chatContexts: affinity.NewIndex(maxChatContexts, chatContextTTL),
 		crashedChats: newCrashedChats(),
-		modelPools:   newModelPools(),
+		modelPools:   placement.NewPools(),
 		records:      once.NewTable(s.Limits.Records),
 		retryBudget:  newRetryBudget(s.Limits.RetryRatio),
 
