Draw each loop of a random series from a source of its own

A seed of TestFleetKeepsItsBoundsInRandomSeries did not name a play: all loops drew from one source, and the goroutines that cut off, refuse or restart VMs drew from it as well, so that the order in which goroutines ran at one virtual moment changed everything that came later.

Now each loop has a source of its own, and what a goroutine needs is drawn before it starts. What is left to chance: the order of VMs at one moment and of map entries.

No bound, share or check is changed, and as many plays are made; the plays of a seed are others than before.

--- a/gateway/knowledge/series_checks_test.go
+++ b/gateway/knowledge/series_checks_test.go
@@ -29,9 +29,9 @@
 )
 
 // keepChecking checks all VMs until the series ends.
-func (s *series) keepChecking() {
+func (s *series) keepChecking(script) {
 	used := map[*runningVM]map[traffic.Instance]usage{}
-	for s.pause(tick, tick) {
+	for s.pause(tick) {
 		s.mu.Lock()
 		now := clock.Now()
 		if s.impaired > 0 {
@@ -155,9 +155,9 @@
 }
 
 // keepCounting checks the numbers of calls of each second.
-func (s *series) keepCounting() {
+func (s *series) keepCounting(script) {
 	reads, fetches := 0, int64(0)
-	for s.pause(time.Second, time.Second) {
+	for s.pause(time.Second) {
 		s.store.mu.Lock()
 		newReads := s.store.calls - reads
 		reads = s.store.calls
--- a/gateway/knowledge/series_fleet_test.go
+++ b/gateway/knowledge/series_fleet_test.go
@@ -46,8 +46,8 @@
 	reports := newReports(t)
 	s := newSeries(ctx, size, domains, seed, reports.add)
 	time.Sleep(2 * time.Second)
-	for _, keep := range []func(){s.keepPublishing, s.keepEndpoints, s.changeEndpoints, s.keepCopies, s.disturbVMs, s.disturbStore, s.keepChecking, s.keepCounting} {
-		go keep()
+	for _, keep := range []func(script){s.keepPublishing, s.keepEndpoints, s.changeEndpoints, s.keepCopies, s.disturbVMs, s.disturbStore, s.keepChecking, s.keepCounting} {
+		go keep(s.newScript())
 	}
 	time.Sleep(duration)
 	cancel()
--- a/gateway/knowledge/series_test.go
+++ b/gateway/knowledge/series_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -16,6 +15,8 @@
 	entryLifetime   = 3 * heartbeatPeriod
 	// tick is the time between two looks at what is due.
 	tick = 50 * time.Millisecond
+	// copyPeriod is the time between two copies of the store.
+	copyPeriod = 400 * time.Millisecond
 	// maxCopyAge is the age of the oldest copy that the store comes back from.
 	maxCopyAge = 12 * time.Second
 	// servedAfterLeaving bounds how long an endpoint runs after it left.
@@ -35,8 +36,9 @@
 	store    *impairedStore
 	operator *operator
 
-	mu     sync.Mutex
-	random *rand.Rand
+	mu sync.Mutex
+	// seed is the seed of the series, loops the number of loops that draw.
+	seed, loops uint64
 	// troubledAt is the last time at which the store was impaired for all VMs.
 	troubledAt clock.Boot
 	// impaired is the number of impairments of the store for all VMs that go on.
@@ -55,10 +57,10 @@
 }
 
 func newSeries(ctx context.Context, size, domains int, seed uint64, failed func(string, ...any)) *series {
-	s := &series{ctx: ctx, store: newImpairedStore(), random: rand.New(rand.NewPCG(seed, 35)),
+	s := &series{ctx: ctx, store: newImpairedStore(), seed: seed,
 		listedAt: map[traffic.Instance]clock.Boot{}, listedSince: map[traffic.Instance]clock.Boot{}, listed: map[string]traffic.Position{}}
 	s.operator = newOperator(s.store)
-	s.publish()
+	s.publish(s.newScript())
 	for range 12 {
 		s.register()
 	}
@@ -66,40 +68,25 @@
 	return s
 }
 
-// between draws a duration.
-func (s *series) between(from, to time.Duration) time.Duration {
-	return from + time.Duration(s.random.Float64()*float64(to-from))
-}
-
-// pause sleeps for a random duration. It reports whether the series goes on.
-func (s *series) pause(from, to time.Duration) bool {
-	s.mu.Lock()
-	duration := s.between(from, to)
-	s.mu.Unlock()
+// pause sleeps. It reports whether the series goes on.
+func (s *series) pause(duration time.Duration) bool {
 	clock.Sleep(s.ctx, duration)
 	return s.ctx.Err() == nil
 }
 
-// draw draws a number below n.
-func (s *series) draw(n int) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.random.IntN(n)
-}
-
 // keepPublishing publishes configurations until the series ends.
-func (s *series) keepPublishing() {
-	for s.pause(100*time.Millisecond, 1500*time.Millisecond) {
+func (s *series) keepPublishing(script script) {
+	for s.pause(script.between(100*time.Millisecond, 1500*time.Millisecond)) {
 		s.mu.Lock()
-		s.publish()
+		s.publish(script)
 		s.mu.Unlock()
 	}
 }
 
 // publish adds or withdraws a key. The caller holds the lock.
-func (s *series) publish() {
-	if len(s.liveKeys) > 3 && s.random.IntN(2) == 0 {
-		at := s.random.IntN(len(s.liveKeys))
+func (s *series) publish(script script) {
+	if len(s.liveKeys) > 3 && script.IntN(2) == 0 {
+		at := script.IntN(len(s.liveKeys))
 		if s.operator.publish("", s.liveKeys[at]) {
 			s.liveKeys = append(s.liveKeys[:at], s.liveKeys[at+1:]...)
 		}
@@ -125,8 +112,8 @@
 }
 
 // keepEndpoints lets endpoints renew their entries and lets the store expire those that do not.
-func (s *series) keepEndpoints() {
-	for s.pause(tick, tick) {
+func (s *series) keepEndpoints(script) {
+	for s.pause(tick) {
 		s.mu.Lock()
 		now := clock.Now()
 		for _, endpoint := range s.endpoints {
@@ -158,15 +145,16 @@
 }
 
 // changeEndpoints changes random endpoints until the series ends.
-func (s *series) changeEndpoints() {
-	for s.pause(200*time.Millisecond, 1200*time.Millisecond) {
+func (s *series) changeEndpoints(script script) {
+	for s.pause(script.between(200*time.Millisecond, 1200*time.Millisecond)) {
 		s.mu.Lock()
-		endpoint := s.endpoints[s.random.IntN(len(s.endpoints))]
-		switch s.random.IntN(8) {
+		endpoint := s.endpoints[script.IntN(len(s.endpoints))]
+		served, cut := script.between(minServedAfterLeaving, maxServedAfterLeaving), script.between(time.Second, 6*time.Second)
+		switch script.IntN(8) {
 		case 0, 1:
-			s.leave(endpoint, stateDraining)
+			s.leave(endpoint, stateDraining, served)
 		case 2:
-			s.leave(endpoint, stateUnlisted)
+			s.leave(endpoint, stateUnlisted, served)
 		case 3:
 			if endpoint.state == stateReady {
 				endpoint.state = stateEnded
@@ -174,7 +162,7 @@
 		case 4:
 			s.restart(endpoint)
 		case 5:
-			s.cutEndpoint(endpoint)
+			s.cutEndpoint(endpoint, cut)
 		default:
 			s.register()
 		}
@@ -184,7 +172,7 @@
 
 // leave lets a ready endpoint drain, or removes its entry; it ends some time later. The caller holds the
 // lock.
-func (s *series) leave(endpoint *publishedEndpoint, state publishedState) {
+func (s *series) leave(endpoint *publishedEndpoint, state publishedState, served time.Duration) {
 	if endpoint.state != stateReady || endpoint.cut || s.store.away() {
 		return
 	}
@@ -197,7 +185,7 @@
 	if s.impaired == 0 && now.Sub(s.troubledAt) >= stableTime {
 		endpoint.leftAt = now
 	}
-	time.AfterFunc(s.between(minServedAfterLeaving, maxServedAfterLeaving), func() { s.endLeft(endpoint) })
+	time.AfterFunc(served, func() { s.endLeft(endpoint) })
 }
 
 // endLeft ends an endpoint that left.
@@ -220,9 +208,9 @@
 }
 
 // cutEndpoint cuts an endpoint off from the store for a while. The caller holds the lock.
-func (s *series) cutEndpoint(endpoint *publishedEndpoint) {
+func (s *series) cutEndpoint(endpoint *publishedEndpoint, duration time.Duration) {
 	endpoint.cut = true
-	time.AfterFunc(s.between(time.Second, 6*time.Second), func() {
+	time.AfterFunc(duration, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		endpoint.cut = false
@@ -230,63 +218,62 @@
 }
 
 // disturbVMs lets VMs start anew, cuts them off and lets the store refuse them.
-func (s *series) disturbVMs() {
-	for s.pause(300*time.Millisecond, 3*time.Second) {
-		for range 1 + s.draw(1+len(s.fleet.vms)/6) {
-			vm := s.fleet.vms[s.draw(len(s.fleet.vms))]
-			switch s.draw(4) {
+func (s *series) disturbVMs(script script) {
+	for s.pause(script.between(300*time.Millisecond, 3*time.Second)) {
+		for range 1 + script.IntN(1+len(s.fleet.vms)/6) {
+			vm := s.fleet.vms[script.IntN(len(s.fleet.vms))]
+			switch script.IntN(4) {
 			case 0:
-				go s.cutVM(vm)
+				go s.cutVM(vm, script.between(500*time.Millisecond, 4*time.Second))
 			case 1:
-				go s.refuseVM(vm)
+				go s.refuseVM(vm, script.fault(), script.between(500*time.Millisecond, 5*time.Second))
 			default:
-				go s.restartVM(vm)
+				go s.restartVM(vm, script.between(50*time.Millisecond, time.Second))
 			}
 		}
 	}
 }
 
-func (s *series) cutVM(vm *impairedVM) {
+func (s *series) cutVM(vm *impairedVM, duration time.Duration) {
 	vm.cut.Store(true)
-	s.pause(500*time.Millisecond, 4*time.Second)
+	s.pause(duration)
 	vm.cut.Store(false)
 }
 
-func (s *series) refuseVM(vm *impairedVM) {
-	fault := storeFault(1 + s.draw(2))
+func (s *series) refuseVM(vm *impairedVM, fault storeFault, duration time.Duration) {
 	s.store.set(func(store *impairedStore) { store.refused[vm.number] = fault })
-	s.pause(500*time.Millisecond, 5*time.Second)
+	s.pause(duration)
 	s.store.set(func(store *impairedStore) { delete(store.refused, vm.number) })
 }
 
-func (s *series) restartVM(vm *impairedVM) {
+func (s *series) restartVM(vm *impairedVM, away time.Duration) {
 	if vm.running.Load() == nil {
 		return
 	}
 	vm.end()
-	if s.pause(50*time.Millisecond, time.Second) && vm.running.Load() == nil {
+	if s.pause(away) && vm.running.Load() == nil {
 		vm.start(s.ctx)
 	}
 }
 
 // disturbStore impairs the store until the series ends.
-func (s *series) disturbStore() {
-	for s.pause(200*time.Millisecond, 8*time.Second) {
-		switch s.draw(8) {
+func (s *series) disturbStore(script script) {
+	for s.pause(script.between(200*time.Millisecond, 8*time.Second)) {
+		switch script.IntN(8) {
 		case 0:
-			s.impair(func() { s.slowStore(50*time.Millisecond, 400*time.Millisecond) })
+			s.impair(func() { s.slowStore(script) })
 		case 1:
-			s.impair(s.loseAnswers)
+			s.impair(func() { s.loseAnswers(script) })
 		case 2:
 			s.impair(s.dropHistory)
 		case 3:
-			s.impair(func() { s.storeAway(false) })
+			s.impair(func() { s.storeAway(false, script) })
 		case 4:
-			s.loseStore()
-			s.pause(0, 2*time.Second)
-			s.loseStore()
+			s.loseStore(script)
+			s.pause(script.between(0, 2*time.Second))
+			s.loseStore(script)
 		default:
-			s.loseStore()
+			s.loseStore(script)
 		}
 	}
 }
@@ -303,43 +290,44 @@
 	s.mu.Unlock()
 }
 
-func (s *series) slowStore(from, to time.Duration) {
-	s.store.set(func(store *impairedStore) { store.minDelay, store.maxDelay = from, to })
-	s.pause(500*time.Millisecond, 4*time.Second)
+func (s *series) slowStore(script script) {
+	s.store.set(func(store *impairedStore) { store.minDelay, store.maxDelay = 50*time.Millisecond, 400*time.Millisecond })
+	s.pause(script.between(500*time.Millisecond, 4*time.Second))
 	s.store.set(func(store *impairedStore) { store.minDelay, store.maxDelay = 0, 0 })
 }
 
-func (s *series) loseAnswers() {
+func (s *series) loseAnswers(script script) {
 	s.store.set(func(store *impairedStore) { store.lostAnswers = 0.3 })
-	s.pause(500*time.Millisecond, 4*time.Second)
+	s.pause(script.between(500*time.Millisecond, 4*time.Second))
 	s.store.set(func(store *impairedStore) { store.lostAnswers = 0 })
 }
 
 func (s *series) dropHistory() {
 	s.store.dropHistory()
-	s.pause(time.Second, time.Second)
+	s.pause(time.Second)
 }
 
 // loseStore lets the store come back from a copy. The operator and some endpoints write again at once,
 // the other endpoints with their next heartbeat.
-func (s *series) loseStore() {
-	s.impair(func() { s.storeAway(true) })
+func (s *series) loseStore(script script) {
+	s.impair(func() { s.storeAway(true, script) })
+	untilWritten := script.between(100*time.Millisecond, 1500*time.Millisecond)
 	go func() {
-		if s.pause(100*time.Millisecond, 1500*time.Millisecond) {
+		if s.pause(untilWritten) {
 			s.operator.writeAgain()
 		}
 	}()
 }
 
 // storeAway lets the store be away, and come back from a copy if it is lost.
-func (s *series) storeAway(lost bool) {
+func (s *series) storeAway(lost bool, script script) {
+	fault, age, duration := script.fault(), script.between(0, maxCopyAge), script.between(500*time.Millisecond, 4*time.Second)
 	s.mu.Lock()
-	fault := storeFault(1 + s.random.IntN(2))
-	copied := s.copyOfAge(s.between(0, maxCopyAge))
-	s.leaseLapses = s.random.IntN(2) == 0
+	copied := s.copyOfAge(age)
+	s.leaseLapses = script.IntN(2) == 0
 	s.mu.Unlock()
 	s.store.set(func(store *impairedStore) { store.fault = fault })
-	s.pause(500*time.Millisecond, 4*time.Second)
+	s.pause(duration)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.leaseLapses {
@@ -359,8 +347,8 @@
 }
 
 // keepCopies takes a copy of the store now and then.
-func (s *series) keepCopies() {
-	for s.pause(400*time.Millisecond, 400*time.Millisecond) {
+func (s *series) keepCopies(script) {
+	for s.pause(copyPeriod) {
 		if s.store.away() {
 			continue
 		}
