Let a hold begin with the return of the store, not with a VM's own first call

Cause: a VM that reached the store seconds after the others began HoldAfterRecovery at that moment. It held deletions that were acknowledged meanwhile and that the others had applied, and told them to VMs that had not heard of them yet.

Ruled out: a data race (the detector reported none); the harness alone (the cause has a deterministic test).

Answers between VMs now tell in which span the store was available to some VM, as ages. Spans that overlap are one. A VM that reaches the store again begins its hold and the doubt anew with the begin of the span, if others have reached the store since this VM lost it and within one heartbeat; otherwise with its own call, as before. Errors of the conversion only make a span shorter, and a failed call, a change of era or a pause of reading ends it, so that it covers no outage. VMs of the version before tell no span and change nothing.

MarkStoreLost takes its time and update() the time of arrival, so calls in tests name them; no check changed.

--- a/gateway/knowledge/copy_confirmation_test.go
+++ b/gateway/knowledge/copy_confirmation_test.go
@@ -10,7 +10,7 @@
 	before, _ := tracker.ConfirmedAt()
 	update := copyUpdate()
 	tracker.Apply(update, update.ConfirmedAt)
-	tracker.MarkStoreLost()
+	tracker.MarkStoreLost(testStart)
 	tracker.Expire(update.ConfirmedAt.Add(2 * rewriteTime))
 	if at, _ := tracker.ConfirmedAt(); at != before {
 		t.Errorf("a read of %v after the return confirms the data, though none followed", at.Sub(update.ConfirmedAt))
--- a/gateway/knowledge/doubted_outage_test.go
+++ b/gateway/knowledge/doubted_outage_test.go
@@ -8,7 +8,7 @@
 // TestDoubtedEntryIsNotAcceptedWithoutTheStore guards against requests to a draining endpoint after a VM without the store heard of a new era and nothing since.
 func TestDoubtedEntryIsNotAcceptedWithoutTheStore(t *testing.T) {
 	tracker := restoredTracker()
-	tracker.MarkStoreLost()
+	tracker.MarkStoreLost(testStart)
 	update := copyUpdate()
 	update.DeletionsFinal = true
 	tracker.Apply(update, update.ConfirmedAt)
--- a/gateway/knowledge/era_test.go
+++ b/gateway/knowledge/era_test.go
@@ -166,7 +166,7 @@
 	reader, follower := restoredTracker(), restoredTracker()
 	reader.Apply(copyUpdate(), testStart)
 	learn(t, follower, reader)
-	reader.MarkStoreLost()
+	reader.MarkStoreLost(testStart)
 	back := testStart.Add(4 * time.Second)
 	reader.MarkStoreRestored(back)
 	learnAt(t, follower, reader, back)
@@ -195,7 +195,7 @@
 	started := NewTracker(nil)
 	started.Apply(copyUpdate(), testStart)
 	response := restoredTracker().SyncResponse(started.SyncRequest(), testStart)
-	update, err := response.update(testStart)
+	update, err := response.update(testStart, testStart)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/gateway/knowledge/held_order_test.go
+++ b/gateway/knowledge/held_order_test.go
@@ -12,7 +12,7 @@
 func TestOlderEntryDoesNotUndoAHeldDeletion(t *testing.T) {
 	tracker := NewTracker(nil)
 	tracker.Apply(Update{Full: true, Era: 1, Revision: 10, Items: twoEndpoints(1)}, testStart)
-	tracker.MarkStoreLost()
+	tracker.MarkStoreLost(testStart)
 	tracker.MarkStoreRestored(testStart)
 	tracker.Apply(Update{Full: true, Era: 1, Revision: 30, Items: twoEndpoints(1)[:1]}, testStart)
 	lagging := Update{Era: 1, Revision: 20, DeletionsFinal: true}
@@ -27,7 +27,7 @@
 	reader, follower := NewTracker(nil), NewTracker(nil)
 	reader.Apply(Update{Full: true, Era: 1, Revision: 10, Items: twoEndpoints(1)}, testStart)
 	learn(t, follower, reader)
-	reader.MarkStoreLost()
+	reader.MarkStoreLost(testStart)
 	reader.MarkStoreRestored(testStart)
 	reader.Apply(Update{Era: 1, Revision: 11, Items: []platform.Item{inEra(1, deletedItem("b", 11))}}, testStart)
 	learn(t, follower, reader)
@@ -41,7 +41,7 @@
 func TestFinalDeletionAtAnEarlierPositionEndsTheHold(t *testing.T) {
 	tracker := NewTracker(nil)
 	tracker.Apply(Update{Full: true, Era: 1, Revision: 10, Items: twoEndpoints(1)}, testStart)
-	tracker.MarkStoreLost()
+	tracker.MarkStoreLost(testStart)
 	tracker.MarkStoreRestored(testStart)
 	tracker.Apply(Update{Full: true, Era: 1, Revision: 30, Items: twoEndpoints(1)[:1]}, testStart)
 	wantReady(t, tracker, "a", "b")
--- a/gateway/knowledge/held_test.go
+++ b/gateway/knowledge/held_test.go
@@ -14,7 +14,7 @@
 	for name, lose := range map[string]func(reader *Tracker) Update{
 		"outage": func(reader *Tracker) Update {
 			reader.Apply(Update{Full: true, Era: 1, Revision: 10, Items: twoEndpoints(1)}, testStart)
-			reader.MarkStoreLost()
+			reader.MarkStoreLost(testStart)
 			reader.MarkStoreRestored(testStart)
 			deletion := inEra(1, deletedItem("b", 11))
 			reader.Apply(Update{Era: 1, Revision: 11, Items: []platform.Item{deletion}}, testStart)
@@ -62,7 +62,7 @@
 func learnAt(t *testing.T, to, from *Tracker, now clock.Boot) {
 	t.Helper()
 	response := from.SyncResponse(to.SyncRequest(), now)
-	update, err := response.update(now)
+	update, err := response.update(now, now)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -73,7 +73,7 @@
 func TestEndpointsAreHeldAfterOutageThatPeersEndTheEraIn(t *testing.T) {
 	tracker := NewTracker(nil)
 	tracker.Apply(Update{Full: true, Era: 1, Revision: 10, Items: twoEndpoints(1)}, testStart)
-	tracker.MarkStoreLost()
+	tracker.MarkStoreLost(testStart)
 	tracker.Apply(Update{Full: true, Era: 2, Revision: 10, Items: twoEndpoints(2), DeletionsFinal: true}, testStart)
 	now := testStart.Add(10 * time.Second)
 	tracker.MarkStoreRestored(now)
@@ -91,7 +91,7 @@
 		vm.Apply(Update{Full: true, Era: 1, Revision: 10, Items: twoEndpoints(1)}, testStart)
 		vms = append(vms, vm)
 	}
-	vms[0].MarkStoreLost()
+	vms[0].MarkStoreLost(testStart)
 	vms[0].MarkStoreRestored(testStart)
 	vms[0].Apply(Update{Era: 1, Revision: 11, Items: []platform.Item{inEra(1, deletedItem("b", 11))}}, testStart)
 	learnAt(t, vms[1], vms[0], testStart.Add(HoldAfterRecovery-200*time.Millisecond))
--- a/gateway/knowledge/odd_entries_test.go
+++ b/gateway/knowledge/odd_entries_test.go
@@ -26,7 +26,7 @@
 	if len(raw) > 64<<10 {
 		t.Errorf("a sync takes %d bytes", len(raw))
 	}
-	received, err := response.update(testStart)
+	received, err := response.update(testStart, testStart)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/gateway/knowledge/peer_reader.go
+++ b/gateway/knowledge/peer_reader.go
@@ -189,11 +189,12 @@
 	if err != nil {
 		return err
 	}
-	update, err := response.update(requestedAt)
+	receivedAt := clock.Now()
+	update, err := response.update(requestedAt, receivedAt)
 	if err != nil {
 		return err
 	}
-	p.tracker.Apply(update, clock.Now())
+	p.tracker.Apply(update, receivedAt)
 	return nil
 }
 
--- a/gateway/knowledge/reader.go
+++ b/gateway/knowledge/reader.go
@@ -57,6 +57,9 @@
 	// reports whether lostAt is set, for StoreLost.
 	lostAt clock.Boot
 	lost   atomic.Bool
+	// availableSince is the end of the first of the last reads in a row that succeeded, 0 if the last
+	// one failed.
+	availableSince clock.Boot
 	// backoff is the pause after the last failed call.
 	backoff time.Duration
 }
@@ -75,6 +78,7 @@
 			// A watch does not show which held endpoints other VMs have removed, so
 			// the next turn starts with a full read.
 			r.position = traffic.Position{}
+			r.availableSince = 0
 			clock.Sleep(ctx, idlePause)
 			continue
 		}
@@ -112,10 +116,11 @@
 		return
 	}
 	now := clock.Now()
-	klog.InfoS("config: store is available again", "lost_ms", now.Sub(r.lostAt).Milliseconds())
+	returnedAt := r.tracker.MarkStoreRestored(now)
+	klog.InfoS("config: store is available again", "lost_ms", now.Sub(r.lostAt).Milliseconds(),
+		"known_to_others_ms", now.Sub(returnedAt).Milliseconds())
 	r.lostAt = 0
 	r.lost.Store(false)
-	r.tracker.MarkStoreRestored(now)
 }
 
 // markFailed sets the backoff after a failed call. If the store no longer has the history after
@@ -123,6 +128,7 @@
 // store.
 func (r *Reader) markFailed(err error) {
 	r.backoff = min(max(minRetryPause, 2*r.backoff), maxRetryPause)
+	r.availableSince = 0
 	if code.Is(err, code.SnapshotTooOld) {
 		klog.InfoS("config: history is gone, starting a full read", "revision", r.position.Revision, "era", r.position.Era, "reason", err.Error())
 		if !r.position.IsZero() {
@@ -139,7 +145,7 @@
 		return
 	}
 	r.lostAt = clock.Now()
-	r.tracker.MarkStoreLost()
+	r.tracker.MarkStoreLost(r.lostAt)
 	r.lost.Store(true)
 	klog.InfoS("config: store is unavailable", "reason", err.Error(), "age_ms", r.tracker.Age(r.lostAt).Milliseconds())
 }
@@ -161,12 +167,21 @@
 	}
 	r.markRestored()
 	items = append(items, endpoints...)
-	r.tracker.Apply(Update{Items: items, Full: true, Era: first.Era, Revision: first.Revision, ConfirmedAt: requestedAt}, clock.Now())
+	now := clock.Now()
+	r.tracker.Apply(Update{Items: items, Full: true, Era: first.Era, Revision: first.Revision, ConfirmedAt: requestedAt, Available: r.available(now)}, now)
 	r.position = first
 	klog.InfoS("config: full read complete", "revision", first.Revision, "era", first.Era, "items", len(items))
 	return nil
 }
 
+// available returns the span of the reads that succeeded in a row, up to one that has just ended.
+func (r *Reader) available(now clock.Boot) Availability {
+	if r.availableSince == 0 {
+		r.availableSince = now
+	}
+	return Availability{Since: r.availableSince, Until: now}
+}
+
 // errEraChanged reports that the store came back from a copy, so that the known position means
 // nothing any more.
 var errEraChanged = code.New(code.SnapshotTooOld, "the store came back from a copy")
@@ -213,7 +228,8 @@
 		return errEraChanged
 	}
 	r.markRestored()
-	r.tracker.Apply(Update{Items: changes.Items, Era: changes.Era, Revision: changes.Revision, ConfirmedAt: requestedAt}, clock.Now())
+	now := clock.Now()
+	r.tracker.Apply(Update{Items: changes.Items, Era: changes.Era, Revision: changes.Revision, ConfirmedAt: requestedAt, Available: r.available(now)}, now)
 	r.position.Revision = max(r.position.Revision, changes.Revision)
 	if len(changes.Items) > 0 {
 		clock.Sleep(ctx, batchPause)
--- a/gateway/knowledge/reader_test.go
+++ b/gateway/knowledge/reader_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/internal/clock/clocktest"
 	"cardamompoint.example/cardamompoint/platform"
 )
@@ -101,3 +102,24 @@
 	})
 	return calls
 }
+
+// TestFailedCallEndsTheSpanOfTheStore guards against a VM that tells others of a span with an outage in it.
+func TestFailedCallEndsTheSpanOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clocktest.UseVirtualTime(t)
+		store := &fakeStore{items: []item{configurationItem(1, 1)}, revision: 1}
+		tracker := NewTracker(nil)
+		stop := startReader(t, NewReader(store, tracker, always, never))
+		time.Sleep(10 * time.Second)
+		store.setFail(code.New(code.PlatformRejected, "busy"))
+		time.Sleep(2 * time.Second)
+		failing := clock.Now()
+		store.setFail(nil)
+		time.Sleep(4 * time.Second)
+		response := tracker.SyncResponse(SyncRequest{}, clock.Now())
+		if known := response.available(clock.Now(), clock.Now()); known.Since <= failing || known.Until <= known.Since {
+			t.Errorf("the span begins %v after the outage and is %v long", known.Since.Sub(failing), known.Until.Sub(known.Since))
+		}
+		stop()
+	})
+}
--- a/gateway/knowledge/settling.go
+++ b/gateway/knowledge/settling.go
@@ -41,6 +41,10 @@
 	storeLost  bool
 	holdUntil  clock.Boot
 	doubtUntil clock.Boot
+	// lostAt is when the last outage began, available the last known span in which the store was
+	// available to some VM.
+	lostAt    clock.Boot
+	available Availability
 	// entryLifetime is how long the entry of an endpoint that has stopped stays in the store.
 	entryLifetime time.Duration
 }
@@ -66,16 +70,31 @@
 }
 
 // markStoreLost begins an outage of the store.
-func (s *settling) markStoreLost() {
+func (s *settling) markStoreLost(now clock.Boot) {
 	s.storeLost = true
+	s.lostAt = now
 }
 
-// markStoreRestored ends an outage of the store and begins HoldAfterRecovery. It does so even if an
-// update of another VM has begun a later era during the outage.
-func (s *settling) markStoreRestored(now clock.Boot) {
+// markStoreRestored ends an outage of the store and lets HoldAfterRecovery begin with the return of the
+// store, which it returns. It does so even if an update of another VM has begun a later era during the
+// outage.
+func (s *settling) markStoreRestored(now clock.Boot) (returnedAt clock.Boot) {
 	s.storeLost = false
-	s.extendHold(now.Add(HoldAfterRecovery))
-	s.extendDoubt(now.Add(s.doubtTime()))
+	returnedAt = s.returnedAt(now)
+	s.extendHold(returnedAt.Add(HoldAfterRecovery))
+	s.extendDoubt(returnedAt.Add(s.doubtTime()))
+	return returnedAt
+}
+
+// returnedAt returns when the store returned for a VM that reaches it at now: the begin of the known span,
+// if others have reached the store since this VM lost it and so lately that no entry has expired in a
+// further outage since: endpoints renew their entries three times in the lifetime of an entry.
+func (s *settling) returnedAt(now clock.Boot) clock.Boot {
+	known := s.available
+	if known.Until <= s.lostAt || now.Sub(known.Until) > s.entryLifetime/3 {
+		return now
+	}
+	return min(known.Since, now)
 }
 
 // holdsDeletions reports whether deletions that are not final are held at now.
--- a/gateway/knowledge/sync.go
+++ b/gateway/knowledge/sync.go
@@ -31,6 +31,10 @@
 	HoldMS int64 `json:"hold_ms,omitempty"`
 	// DoubtMS is how long the responder still doubts entries, in milliseconds.
 	DoubtMS int64 `json:"doubt_ms,omitempty"`
+	// AvailableMS and AvailableUntilMS are how long ago the last span began and ended in which the
+	// store was available as far as the responder knows, in milliseconds; 0 if it knows of none.
+	AvailableMS      int64 `json:"available_ms,omitempty"`
+	AvailableUntilMS int64 `json:"available_until_ms,omitempty"`
 	// Position is the position that the responder's data is complete up to.
 	Position traffic.Position `json:"position"`
 	// Newest is the position of the newest change that the responder has applied.
@@ -90,6 +94,7 @@
 	if at, ok := t.ConfirmedAt(); ok {
 		response.AgeMS = now.Sub(at).Milliseconds() + 1
 	}
+	response.setAvailable(t.entries.settling.available, now)
 	if t.configuration.version() > request.ConfigurationVersion {
 		response.Configuration, response.ConfigurationPosition = t.configuration.compress(), t.configuration.item.Position()
 	}
@@ -123,8 +128,9 @@
 	return value, nil
 }
 
-// update converts a response to an Update. requestedAt is when the request was sent.
-func (s *SyncResponse) update(requestedAt clock.Boot) (Update, error) {
+// update converts a response to an Update. requestedAt is when the request was sent, receivedAt when the
+// response had arrived.
+func (s *SyncResponse) update(requestedAt, receivedAt clock.Boot) (Update, error) {
 	update := Update{Items: s.Entries, Held: s.Held, LastWrites: s.LastWrites, Full: s.Full, Era: s.Position.Era, Revision: s.Position.Revision, Newest: s.Newest, DeletionsFinal: true}
 	if len(s.Configuration) > 0 {
 		value, err := decompress(s.Configuration)
@@ -134,6 +140,7 @@
 		at := s.ConfigurationPosition
 		update.Items = append(update.Items, platform.Item{Key: platform.ConfigurationKey, Value: value, Era: at.Era, Revision: at.Revision})
 	}
+	update.Available = s.available(requestedAt, receivedAt)
 	update.HoldUntil = requestedAt.Add(time.Duration(s.WaitedMS+s.HoldMS) * time.Millisecond)
 	if s.DoubtMS > 0 {
 		update.DoubtUntil = requestedAt.Add(time.Duration(s.WaitedMS+s.DoubtMS) * time.Millisecond)
--- a/gateway/knowledge/tracker.go
+++ b/gateway/knowledge/tracker.go
@@ -159,6 +159,7 @@
 	}
 	t.entries.hold(update.Held, update.HoldUntil)
 	t.entries.settling.extendDoubt(update.DoubtUntil)
+	t.entries.settling.available.add(update.Available)
 	return changed
 }
 
@@ -224,18 +225,28 @@
 
 // MarkStoreLost records that an outage of the store began: from now on endpoints whose
 // entries expire are held.
-func (t *Tracker) MarkStoreLost() {
+func (t *Tracker) MarkStoreLost(now clock.Boot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.entries.settling.markStoreLost()
+	t.entries.settling.markStoreLost(now)
 }
 
-// MarkStoreRestored records that the outage is over. Held endpoints are kept for
-// HoldAfterRecovery.
-func (t *Tracker) MarkStoreRestored(now clock.Boot) {
+// MarkStoreRestored records that the outage is over for this VM. Held endpoints are kept for
+// HoldAfterRecovery from the return of the store, which it returns: other VMs may have reached the store
+// before.
+func (t *Tracker) MarkStoreRestored(now clock.Boot) (returnedAt clock.Boot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.entries.settling.markStoreRestored(now)
+	return t.entries.settling.markStoreRestored(now)
+}
+
+// StoreAvailable returns the length of the last known span in which the store was available to some VM, 0
+// if none is known.
+func (t *Tracker) StoreAvailable() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.entries.settling.available
+	return known.Until.Sub(known.Since)
 }
 
 // Expire removes the held endpoints that did not renew their entries by the end of
--- a/gateway/knowledge/tracker_test.go
+++ b/gateway/knowledge/tracker_test.go
@@ -79,7 +79,7 @@
 	tracker := NewTracker(nil)
 	now := testStart
 	tracker.Apply(Update{Items: []platform.Item{endpointItem("a", 1), endpointItem("b", 2)}, Full: true, Revision: 2}, now)
-	tracker.MarkStoreLost()
+	tracker.MarkStoreLost(testStart)
 	now = now.Add(5 * time.Second)
 	tracker.MarkStoreRestored(now)
 	tracker.Apply(Update{Items: []platform.Item{deletedItem("a", 3), deletedItem("b", 4)}, Revision: 4}, now)
@@ -141,7 +141,7 @@
 			response.WaitedMS = now.Sub(receivedAt).Milliseconds()
 			now = now.Add(randomDelay("answer"))
 			next := NewTracker(nil)
-			update, err := response.update(requestedAt)
+			update, err := response.update(requestedAt, now)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -172,7 +172,7 @@
 				item = configurationItem(revision, revision)
 			}
 			if rapid.IntRange(0, 5).Draw(t, "outage") == 0 {
-				source.MarkStoreLost()
+				source.MarkStoreLost(testStart)
 				source.MarkStoreRestored(now)
 			}
 			source.Apply(Update{Items: []platform.Item{item}, Revision: revision, ConfirmedAt: now}, now)
@@ -207,7 +207,7 @@
 	follower.Apply(before, testStart)
 	restarted.Apply(after, testStart)
 	response := restarted.SyncResponse(follower.SyncRequest(), testStart)
-	update, err := response.update(testStart)
+	update, err := response.update(testStart, testStart)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -220,7 +220,7 @@
 // syncFrom fetches and applies what this Tracker lacks from another VM's.
 func (t *Tracker) syncFrom(test *rapid.T, source *Tracker, now clock.Boot) {
 	response := source.SyncResponse(t.SyncRequest(), now)
-	update, err := response.update(now)
+	update, err := response.update(now, now)
 	if err != nil {
 		test.Fatal(err)
 	}
--- a/gateway/knowledge/update.go
+++ b/gateway/knowledge/update.go
@@ -29,6 +29,8 @@
 	// ConfirmedAt is a time such that all changes made before it are in Items or were
 	// known already. 0 if there is none.
 	ConfirmedAt clock.Boot
+	// Available is a span in which the store was available, unknown if it is zero.
+	Available Availability
 	// DeletionsFinal reports whether deletions apply at once because another VM has
 	// already decided whether and how long to hold the endpoints.
 	DeletionsFinal bool
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -27,6 +27,9 @@
 	// itself.
 	Leader    string `json:"leader,omitempty"`
 	StoreLost bool   `json:"store_lost"`
+	// StoreAvailableMS is the length of the last known span in which the store was available to some
+	// VM, in milliseconds; 0 if none is known.
+	StoreAvailableMS int64 `json:"store_available_ms"`
 	// Position is the position in the store's history that this VM's data is complete up to.
 	Position traffic.Position `json:"position"`
 	// Unsettled holds the held and doubted entries.
@@ -56,17 +59,18 @@
 		leader = ""
 	}
 	status := Status{
-		Node:           g.settings.NodeName,
-		Ready:          g.ready(),
-		Stopping:       g.stopping.Load(),
-		Version:        g.configVersion(),
-		KnowledgeAgeMS: g.knowledgeAge(),
-		Leader:         leader,
-		StoreLost:      g.reader.StoreLost(),
-		Position:       g.tracker.Position(),
-		Unsettled:      g.tracker.Unsettled(),
-		InProgress:     g.active.Load(),
-		Endpoints:      g.table.Status(now),
+		Node:             g.settings.NodeName,
+		Ready:            g.ready(),
+		Stopping:         g.stopping.Load(),
+		Version:          g.configVersion(),
+		KnowledgeAgeMS:   g.knowledgeAge(),
+		Leader:           leader,
+		StoreLost:        g.reader.StoreLost(),
+		StoreAvailableMS: g.tracker.StoreAvailable().Milliseconds(),
+		Position:         g.tracker.Position(),
+		Unsettled:        g.tracker.Unsettled(),
+		InProgress:       g.active.Load(),
+		Endpoints:        g.table.Status(now),
 	}
 	for _, q := range g.crashes.Quarantines(now) {
 		status.Quarantines = append(status.Quarantines, quarantineStatus(q, now))
