Keep the later position when a final deletion ends a hold

An endpoint that is gone comes back into use: a VM holds its deletion at a late position, as a full read did not list it. The answer of a VM that lags behind ends the hold by a final deletion at an earlier position, and only that one was recorded. An entry between both positions, in the answer of another lagging VM, was then newer than the recorded deletion and was accepted.

Before: TestEndpointDoesNotComeBackAfterALaggingVMEndsItsHold, "ready are [a b], want [a]". The full read has shown that no entry up to its position stands, so the deletion is recorded there.

The tests of holds, eras and restores pass.

--- a/gateway/knowledge/entries.go
+++ b/gateway/knowledge/entries.go
@@ -170,8 +170,12 @@
 	}
 }
 
-// remove removes an endpoint and records its tombstone.
+// remove removes an endpoint and records its tombstone, at the position of the held deletion if that is later: VMs
+// that lag behind may tell of entries between both.
 func (e *entries) remove(deletion platform.Item, now clock.Boot) {
+	if held := e.settling.held[deletion.Key]; held.Position().After(deletion.Position()) {
+		deletion = held
+	}
 	last := traffic.Write{}
 	if endpoint, ok := e.endpoints[deletion.Key]; ok {
 		last = endpoint.Write()
--- a/gateway/knowledge/held_order_test.go
+++ b/gateway/knowledge/held_order_test.go
@@ -48,3 +48,17 @@
 	tracker.Apply(Update{Era: 1, Revision: 30, Items: []platform.Item{inEra(1, deletedItem("b", 20))}, DeletionsFinal: true}, testStart)
 	wantReady(t, tracker, "a")
 }
+
+// TestEndpointDoesNotComeBackAfterALaggingVMEndsItsHold guards against an endpoint that is gone and comes back by the answers of two VMs that lag behind.
+func TestEndpointDoesNotComeBackAfterALaggingVMEndsItsHold(t *testing.T) {
+	tracker := NewTracker(nil)
+	tracker.Apply(Update{Full: true, Era: 1, Revision: 10, Items: twoEndpoints(1)}, testStart)
+	tracker.MarkStoreLost(testStart)
+	tracker.MarkStoreRestored(testStart)
+	tracker.Apply(Update{Full: true, Era: 1, Revision: 30, Items: twoEndpoints(1)[:1]}, testStart)
+	tracker.Apply(Update{Era: 1, Revision: 20, Items: []platform.Item{inEra(1, deletedItem("b", 20))}, DeletionsFinal: true}, testStart)
+	wantReady(t, tracker, "a")
+	returned := entryItem("b", traffic.Position{Era: 1, Revision: 25}, 1, 2, "ready")
+	tracker.Apply(Update{Era: 1, Revision: 25, Items: []platform.Item{returned}, DeletionsFinal: true}, testStart)
+	wantReady(t, tracker, "a")
+}
