Say of each attempt whether it went on an idle connection, and for how long that had waited

Endpoints that reset kept connections could be told from endpoints that fail under a request only by the time that an attempt took. The record of an attempt now has idle, idle_ms and stale (the idle connection ended before a byte of the answer), trace prints it, and cardamompoint.gateway_connections counts stale ones.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -26,6 +26,7 @@
 	x.conn = conn
 	abandon := context.AfterFunc(c.r.Context(), conn.Close)
 	out := x.roundTrip()
+	x.recordConnection(&out)
 	if abandon() && x.fullyRead(out) && x.requestWritten() && conn.PrepareReuse(x.response, x.info) {
 		c.gateway.pool.Put(conn)
 		c.gateway.metrics.CountConnection("kept")
@@ -36,6 +37,15 @@
 	return out
 }
 
+// recordConnection adds to the outcome what the connection says of it.
+func (x *exchange) recordConnection(out *outcome) {
+	out.wasIdle, out.idleFor = x.conn.WasIdle(), x.conn.IdleFor()
+	out.stale = x.r.Context().Err() == nil && x.conn.Stale(out.err)
+	if out.stale {
+		x.gateway.metrics.CountConnection("stale")
+	}
+}
+
 // connect returns a connection to the picked endpoint.
 func (c *call) connect(pick choice.Pick) (*upstream.Conn, error) {
 	began := clock.Now()
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"syscall"
 	"time"
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/gateway/traffic"
+	"cardamompoint.example/cardamompoint/gateway/upstream"
 	"cardamompoint.example/cardamompoint/internal/clock"
 )
 
@@ -42,7 +42,7 @@
 // recordBroken looks whether the endpoint has crashed, if its connection broke before the request
 // was proved harmless. It waits for the result if the request was at a crash before.
 func (x *exchange) recordBroken(err error) {
-	if x.proved || !connectionBroke(err) {
+	if x.proved || !upstream.Broke(err) {
 		return
 	}
 	sentAt, brokeAt := x.attemptStarted, clock.Now()
@@ -67,16 +67,6 @@
 	}
 }
 
-// connectionBroke reports whether the endpoint's side ended a connection.
-func connectionBroke(err error) bool {
-	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
-		if errors.Is(err, end) {
-			return true
-		}
-	}
-	return false
-}
-
 const (
 	// confirmDelay is how long after a connection broke the endpoint is asked for another
 	// one: by then a process that has crashed accepts none. confirmTimeout bounds the time for
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -96,6 +96,11 @@
 	BeganMS int64 `json:"began_ms"`
 	FirstMS int64 `json:"first_ms,omitempty"`
 	TookMS  int64 `json:"took_ms"`
+	// Idle reports whether the connection was an idle one, IdleMS for how long, in milliseconds, and
+	// Stale whether it ended before a byte of a response came.
+	Idle   bool  `json:"idle,omitempty"`
+	IdleMS int64 `json:"idle_ms,omitempty"`
+	Stale  bool  `json:"stale,omitempty"`
 	// Silences counts the progress timeouts after which the attempt went on, as no other one
 	// was possible.
 	Silences int    `json:"silences,omitempty"`
@@ -116,6 +121,9 @@
 		BeganMS:       c.attemptStarted.Sub(c.arrived).Milliseconds(),
 		TookMS:        took.Milliseconds(),
 		Silences:      c.silences,
+		Idle:          out.wasIdle,
+		IdleMS:        out.idleFor.Milliseconds(),
+		Stale:         out.stale,
 	}
 	if c.firstEventAt >= c.attemptStarted {
 		record.FirstMS = c.firstEventAt.Sub(c.arrived).Milliseconds()
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"time"
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/clock"
@@ -16,6 +17,11 @@
 	// status is the status of the endpoint's response, 0 if there was none.
 	status int
 	err    error
+	// wasIdle reports whether the connection waited in the pool, idleFor for how long, and stale
+	// whether the endpoint seems to have given it up.
+	wasIdle bool
+	idleFor time.Duration
+	stale   bool
 }
 
 // classifyError returns the outcome of a failed exchange in which the request may have been
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -2,8 +2,11 @@
 
 import (
 	"bufio"
+	"errors"
+	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"cardamompoint.example/cardamompoint/code"
@@ -28,6 +31,12 @@
 	reader  *bufio.Reader
 	// reused reports whether the connection has served a request before.
 	reused bool
+	// idleSince is when the connection was last used or opened.
+	idleSince clock.Boot
+	// wasIdle reports whether the connection waited in the pool before the current request, and
+	// idleFor for how long.
+	wasIdle bool
+	idleFor time.Duration
 	// idleDeadline is when the idle connection may no longer be reused, as the endpoint may
 	// close it.
 	idleDeadline clock.Boot
@@ -36,9 +45,10 @@
 func newConn(key string, raw net.Conn) *Conn {
 	reads := &patientReader{conn: raw}
 	limiter := &headerLimiter{source: reads}
+	now := clock.Now()
 	return &Conn{
 		key: key, raw: raw, reads: reads, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes),
-		idleDeadline: clock.Now().Add(defaultIdleTimeout),
+		idleSince: now, idleDeadline: now.Add(defaultIdleTimeout),
 	}
 }
 
@@ -47,6 +57,32 @@
 	return c.reused
 }
 
+// WasIdle reports whether the connection waited in the pool before the current request.
+func (c *Conn) WasIdle() bool {
+	return c.wasIdle
+}
+
+// IdleFor returns how long the connection waited in the pool before the current request.
+func (c *Conn) IdleFor() time.Duration {
+	return c.idleFor
+}
+
+// Stale reports whether the endpoint seems to have given up the idle connection before the current
+// request: it ended with err before a byte of a response came.
+func (c *Conn) Stale(err error) bool {
+	return c.wasIdle && !c.reads.received && Broke(err)
+}
+
+// Broke reports whether the endpoint's side ended a connection.
+func Broke(err error) bool {
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	return false
+}
+
 // Close closes the connection and thereby abandons a request in progress.
 func (c *Conn) Close() {
 	if err := c.raw.Close(); err != nil {
@@ -110,6 +146,12 @@
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
 
+// beginRequest prepares an idle connection for the next request.
+func (c *Conn) beginRequest(now clock.Boot) {
+	c.reads.received = false
+	c.wasIdle, c.idleFor = true, now.Sub(c.idleSince)
+}
+
 // PrepareReuse must be called after a complete response was read. It reports whether the
 // connection may be reused, and prepares it for that.
 func (c *Conn) PrepareReuse(response *http.Response, info platform.ResponseInfo) bool {
@@ -124,7 +166,7 @@
 	if info.IdleTimeout > 0 {
 		keep = info.IdleTimeout - idleTimeoutMargin
 	}
-	c.reused = true
-	c.idleDeadline = clock.Now().Add(keep)
+	c.reused, c.idleSince = true, clock.Now()
+	c.idleDeadline = c.idleSince.Add(keep)
 	return keep > 0
 }
--- a/gateway/upstream/patient_reader.go
+++ b/gateway/upstream/patient_reader.go
@@ -14,6 +14,8 @@
 type patientReader struct {
 	conn      net.Conn
 	onTimeout TimeoutFunc
+	// received reports whether a byte was read since it was last set to false.
+	received bool
 }
 
 // TimeoutFunc is called when a read has reached its deadline without a byte. It returns the next
@@ -25,6 +27,7 @@
 func (r *patientReader) Read(p []byte) (int, error) {
 	for {
 		count, err := r.conn.Read(p)
+		r.received = r.received || count > 0
 		if count > 0 || r.onTimeout == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return count, err
 		}
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -70,6 +70,7 @@
 			return p.Dial(ctx, key, address)
 		}
 		if now < conn.idleDeadline && socket.IsSilent(conn.raw) {
+			conn.beginRequest(now)
 			return conn, nil
 		}
 		conn.Close()
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -39,6 +39,9 @@
 	BeganMS  int64   `json:"began_ms"`
 	FirstMS  int64   `json:"first_ms"`
 	TookMS   int64   `json:"took_ms"`
+	Idle     bool    `json:"idle"`
+	IdleMS   int64   `json:"idle_ms"`
+	Stale    bool    `json:"stale"`
 	Fault    string  `json:"fault"`
 }
 
@@ -97,6 +100,9 @@
 	if a.Status > 0 {
 		fmt.Fprintf(w, ", status %d", a.Status)
 	}
+	if a.Stale {
+		fmt.Fprintf(w, ", idle connection (%d ms) ended before an answer", a.IdleMS)
+	}
 	if a.Fault != "" {
 		fmt.Fprintf(w, ", %s", a.Fault)
 	}
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -104,7 +104,7 @@
 }
 
 // CountConnection counts a connection to an endpoint. outcome is "opened", "reused", "kept",
-// "closed" or "failed".
+// "closed", "failed" or "stale".
 func (g *Gateway) CountConnection(outcome string) {
 	g.connections.Add(context.Background(), 1, metric.WithAttributes(attribute.String("became", outcome)))
 }
