Keep requests that may run once off connections that endpoints forget

Callers saw 502 within 5 ms on routes with one execution: an endpoint, or something on the way to it, had forgotten an idle connection without notice and reset it with the next request. That request may have run, so it can't be sent again.

Package gateway/reuse now keeps for 5 s which endpoints have reset connections that were idle, and for how long these had been. A reset counts if no byte of an answer came, if it came within 100 ms of the request on a connection that was idle for 100 ms or more, and if the endpoint accepts a new connection afterwards, so that a crash does not count. Connections to that endpoint that were idle for longer are closed at once, and none that was idle for over half of that time is used. Once two endpoints of a service, and one in 25, are known, requests to all of it that fail with their connection (those that may run once, in their last execution, or without retry budget) leave such connections alone and open a new one; others go on using them, and so find out whether the endpoints still forget. Reports carry the resets to the other VMs, 16 at most, and none while no reset is known: a VM that meets one request a second at each of 140 endpoints would learn too late by itself.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"time"
 
 	"cardamompoint.example/cardamompoint/gateway/choice"
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/gateway/upstream"
 	"cardamompoint.example/cardamompoint/internal/clock"
 )
@@ -43,13 +45,14 @@
 	out.stale = x.r.Context().Err() == nil && x.conn.Stale(out.err)
 	if out.stale {
 		x.gateway.metrics.CountConnection("stale")
+		x.gateway.pool.CloseIdle(x.pick.Endpoint.ID, out.idleFor)
 	}
 }
 
 // connect returns a connection to the picked endpoint.
 func (c *call) connect(pick choice.Pick) (*upstream.Conn, error) {
 	began := clock.Now()
-	conn, err := c.gateway.pool.Get(c.r.Context(), pick.Endpoint.ID, pick.Endpoint.Address)
+	conn, err := c.gateway.pool.Get(c.r.Context(), pick.Endpoint.ID, pick.Endpoint.Address, c.maxIdle(pick.Endpoint))
 	c.gateway.metrics.ObserveConnect(clock.Now().Sub(began))
 	switch {
 	case err != nil:
@@ -61,3 +64,12 @@
 	}
 	return conn, err
 }
+
+// maxIdle returns for how long a connection to an endpoint may have been idle before the request goes on
+// it. A request that can't be sent once more is more careful.
+func (c *call) maxIdle(endpoint *traffic.Endpoint) time.Duration {
+	now := clock.Now()
+	final := c.lastExecution() || !c.gateway.budget.Allows(c.grant.service, now)
+	endpoints := len(c.gateway.tracker.Snapshot().Ready[endpoint.Service])
+	return c.gateway.idleResets.MaxIdle(endpoint, endpoints, final, now)
+}
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -46,10 +46,14 @@
 		return
 	}
 	sentAt, brokeAt := x.attemptStarted, clock.Now()
+	stale, idle := x.conn.Stale(err) && brokeAt.Sub(sentAt) <= maxResetDelay, x.conn.IdleFor()
 	confirmed := make(chan struct{})
 	go func() {
 		defer close(confirmed)
-		x.gateway.confirmCrash(x.pick.Endpoint, x.suspects, sentAt, brokeAt)
+		alive := x.gateway.confirmCrash(x.pick.Endpoint, x.suspects, sentAt, brokeAt)
+		if alive && stale {
+			x.gateway.idleResets.Record(x.pick.Endpoint, idle, clock.Now())
+		}
 	}()
 	if x.gateway.crashes.SuspectsRequest(x.suspects) {
 		x.awaitConfirmation(confirmed)
@@ -75,22 +79,26 @@
 	confirmTimeout = time.Second
 	// maxConfirmWait bounds how long the retry of a request that is suspected already waits for that.
 	maxConfirmWait = 100 * time.Millisecond
+	// maxResetDelay is how soon after a request an endpoint that has given up its connection resets
+	// it, the longest round trip included.
+	maxResetDelay = 100 * time.Millisecond
 )
 
 // confirmCrash records a crash of an endpoint under a request unless it still accepts
-// connections.
-func (g *Gateway) confirmCrash(endpoint *traffic.Endpoint, parts []uint64, sentAt, brokeAt clock.Boot) {
+// connections. It reports whether it does.
+func (g *Gateway) confirmCrash(endpoint *traffic.Endpoint, parts []uint64, sentAt, brokeAt clock.Boot) (alive bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 	defer cancel()
 	clock.Sleep(ctx, confirmDelay)
 	conn, err := g.pool.Dial(ctx, endpoint.ID, endpoint.Address)
 	if err == nil {
 		g.pool.Put(conn)
-		return
+		return true
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
 		g.crashes.RecordCrash(endpoint.Service, endpoint.Instance(), parts, sentAt, brokeAt)
 	}
+	return false
 }
 
 // checkQuarantine refuses a request under whose like endpoints crash.
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -8,6 +8,7 @@
 	"cardamompoint.example/cardamompoint/gateway/choice"
 	"cardamompoint.example/cardamompoint/gateway/knowledge"
 	"cardamompoint.example/cardamompoint/gateway/limit"
+	"cardamompoint.example/cardamompoint/gateway/reuse"
 	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
@@ -34,6 +35,8 @@
 	RetryBudget budget.Status `json:"retry_budget"`
 	// Limits holds the limits that endpoints of the service have named.
 	Limits []limit.Status `json:"limits,omitempty"`
+	// IdleResets holds the endpoints of the service that reset idle connections lately.
+	IdleResets []reuse.Status `json:"idle_resets,omitempty"`
 	// Candidates holds the endpoints in order of preference.
 	Candidates []choice.Candidate `json:"candidates"`
 	// Unsettled holds the held and doubted entries.
@@ -71,6 +74,7 @@
 		Quarantine:     g.quarantineOf(request.Prompt.PartIDs(), now),
 		RetryBudget:    g.budget.Status(service, now),
 		Limits:         g.limits.Status(snapshot.Ready[service], now),
+		IdleResets:     g.idleResets.Status(service, now),
 		Candidates:     candidates,
 		Unsettled:      g.tracker.Unsettled(),
 	}, nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"cardamompoint.example/cardamompoint/gateway/knowledge"
 	"cardamompoint.example/cardamompoint/gateway/limit"
 	"cardamompoint.example/cardamompoint/gateway/quarantine"
+	"cardamompoint.example/cardamompoint/gateway/reuse"
 	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/gateway/upstream"
 	"cardamompoint.example/cardamompoint/internal/clock"
@@ -37,6 +38,8 @@
 	members *gossip.Table
 	// limits keeps the requests to endpoints below the limits that they name.
 	limits *limit.Limiter
+	// idleResets keeps the endpoints that reset idle connections.
+	idleResets *reuse.Resets
 	// crashes finds prompt parts on which engines crash.
 	crashes       *quarantine.Ledger
 	budget        *budget.Budget
@@ -115,6 +118,7 @@
 	g.members = gossip.NewTable(settings.IP, seedIPs(settings.Seeds))
 	g.tracker.SetReserved(newOwnAddresses(settings, g.members).contains)
 	g.budget = budget.New(g.retryLimits, g.fleetSize, g.retriesKnownSince())
+	g.idleResets = reuse.New()
 	g.limits = limit.New(g.vmCount, g.rankTieBreaker^uint64(g.incarnation))
 	g.peers = newPeerClient(settings.FirstPeerPort)
 	g.follower = knowledge.NewPeerReader(g, g.tracker)
@@ -217,6 +221,7 @@
 	g.table.FillReport(report, now)
 	g.crashes.FillReport(report, now)
 	g.limits.FillReport(report, now)
+	g.idleResets.FillReport(report, now)
 }
 
 // applyReport applies a report of another VM.
@@ -224,6 +229,7 @@
 	g.table.ApplyReport(report, now)
 	g.crashes.ApplyReport(report, now)
 	g.limits.ApplyReport(report, now)
+	g.idleResets.ApplyReport(report, now)
 }
 
 // Run serves until stop ends and the requests in progress have finished, or the grace period
@@ -245,7 +251,11 @@
 // poolPruneInterval is the interval at which idle connections are checked.
 const poolPruneInterval = 500 * time.Millisecond
 
-// pruneConnections closes idle connections to endpoints that are no longer published.
+// noIdle is the longest idle time of connections that may not be kept at all.
+const noIdle = time.Duration(-1)
+
+// pruneConnections closes idle connections to endpoints that are no longer published, and those that
+// endpoints seem to have given up.
 func (g *Gateway) pruneConnections(ctx context.Context) {
 	ticker := time.NewTicker(poolPruneInterval)
 	defer ticker.Stop()
@@ -256,9 +266,13 @@
 			return
 		}
 		snapshot := g.tracker.Snapshot()
-		g.pool.Prune(func(key string) bool {
-			_, listed := snapshot.Endpoints[key]
-			return listed
+		now := clock.Now()
+		g.pool.Prune(func(key string) time.Duration {
+			endpoint, listed := snapshot.Endpoints[key]
+			if !listed {
+				return noIdle
+			}
+			return g.idleResets.MaxIdle(endpoint, 0, false, now)
 		})
 	}
 }
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -29,6 +29,7 @@
 		{"cardamompoint.gateway_members", "VMs that count as alive, this one included.", g.memberCount},
 		{"cardamompoint.gateway_endpoints", "Published endpoints that accept new requests.", g.endpointCount},
 		{"cardamompoint.gateway_idle_connections", "Idle connections to endpoints.", func() int64 { return int64(g.pool.Idle()) }},
+		{"cardamompoint.gateway_idle_resets", "Endpoints that reset idle connections lately.", func() int64 { return g.idleResets.InForce(clock.Now()) }},
 		{"cardamompoint.gateway_retry_budget", "Retries that are still allowed now, the minimum over all services.", g.minRetryBudget},
 		{"cardamompoint.gateway_retry_budget_vms", "VMs that share the fixed part of the retry budget.", func() int64 { return int64(g.budget.FleetSize()) }},
 		{"cardamompoint.gateway_limited_endpoints", "Endpoints with a limit on their requests.", g.limits.InForce},
--- a/gateway/gossip/codec.go
+++ b/gateway/gossip/codec.go
@@ -40,7 +40,7 @@
 	w.name(report.FailureDomain)
 	w.number(int64(report.Capacity))
 	w.number(int64(report.KnownVMs))
-	w.flags(report.Leaving, report.HasPartLocations, report.MembershipOnly, report.StoreLost, report.hasCrashFields(), report.hasLimitFields())
+	w.flags(report.Leaving, report.HasPartLocations, report.MembershipOnly, report.StoreLost, report.hasCrashFields(), report.hasLimitFields(), len(report.IdleResets) > 0)
 	w.number(report.ConfigVersion)
 	w.number(report.Newest.Era)
 	w.number(report.Newest.Revision)
@@ -96,6 +96,9 @@
 	if report.hasLimitFields() {
 		w.limits(report)
 	}
+	if len(report.IdleResets) > 0 {
+		w.idleResets(report)
+	}
 }
 
 // decoder decodes reports. It is not safe for concurrent use.
@@ -116,14 +119,14 @@
 	r := &d.reader
 	r.reset(datagram[1:])
 	var report Report
-	var hasCrashFields, hasLimitFields bool
+	var hasCrashFields, hasLimitFields, hasIdleResets bool
 	report.Address = r.name()
 	report.Incarnation = r.number()
 	report.Sequence = r.numberInRange(0, math.MaxInt64)
 	report.FailureDomain = r.name()
 	report.Capacity = int(r.numberInRange(0, maxRequests))
 	report.KnownVMs = int(r.numberInRange(0, maxKnownVMs))
-	r.flags(&report.Leaving, &report.HasPartLocations, &report.MembershipOnly, &report.StoreLost, &hasCrashFields, &hasLimitFields)
+	r.flags(&report.Leaving, &report.HasPartLocations, &report.MembershipOnly, &report.StoreLost, &hasCrashFields, &hasLimitFields, &hasIdleResets)
 	report.ConfigVersion = r.numberInRange(0, math.MaxInt64)
 	report.Newest.Era = r.numberInRange(0, math.MaxInt64)
 	report.Newest.Revision = r.numberInRange(0, math.MaxInt64)
@@ -136,6 +139,9 @@
 	if hasLimitFields {
 		r.limits(&report)
 	}
+	if hasIdleResets {
+		r.idleResets(&report)
+	}
 	if err := r.end(); err != nil {
 		return Report{}, err
 	}
--- a/gateway/gossip/codec_test.go
+++ b/gateway/gossip/codec_test.go
@@ -60,6 +60,18 @@
 	return report
 }
 
+// resetReport returns a typical report together with the resets of 16 endpoints.
+func resetReport(random *rand.Rand) *Report {
+	report := typicalReport(random)
+	for range 16 {
+		report.IdleResets = append(report.IdleResets, IdleReset{
+			Endpoint: fmt.Sprintf("i-%010x", random.Int64N(1<<40)), StartedMS: 1767778491000 + random.Int64N(1e9), Service: "assist",
+			IdleMS: 100 + random.Int64N(5000), AgeMS: random.Int64N(5000),
+		})
+	}
+	return report
+}
+
 // TestReportsSurviveEncoding encodes and decodes empty and full reports in turn with one
 // encoder and one decoder: neither may keep state of an earlier report.
 func TestReportsSurviveEncoding(t *testing.T) {
@@ -67,7 +79,7 @@
 	dec := newDecoder()
 	random := rand.New(rand.NewPCG(4, 4))
 	for range 50 {
-		for _, report := range []*Report{{Address: "a"}, typicalReport(random), crashReport(random), limitReport(random)} {
+		for _, report := range []*Report{{Address: "a"}, typicalReport(random), crashReport(random), limitReport(random), resetReport(random)} {
 			raw := enc.encode(report)
 			if got, err := dec.decode(raw); err != nil || !reflect.DeepEqual(got, *report) {
 				t.Fatalf("%+v was decoded as %+v, %v", report, got, err)
@@ -87,6 +99,7 @@
 	}
 	t.Logf("%d bytes", len(raw))
 	t.Logf("%d bytes with 48 limits", len(enc.encode(limitReport(rand.New(rand.NewPCG(1, 1))))))
+	t.Logf("%d bytes with 16 resets", len(enc.encode(resetReport(rand.New(rand.NewPCG(1, 1))))))
 	t.Logf("%d bytes with two quarantines", len(enc.encode(crashReport(rand.New(rand.NewPCG(1, 1))))))
 }
 
@@ -100,6 +113,7 @@
 	f.Add(valid[:len(valid)/2])
 	f.Add(append([]byte(nil), enc.encode(limitReport(rand.New(rand.NewPCG(1, 2))))...))
 	f.Add(append([]byte(nil), enc.encode(crashReport(rand.New(rand.NewPCG(1, 2))))...))
+	f.Add(append([]byte(nil), enc.encode(resetReport(rand.New(rand.NewPCG(1, 2))))...))
 	f.Add([]byte(`{"a":"x"}`))
 	f.Fuzz(func(t *testing.T, datagram []byte) {
 		dec := newDecoder()
--- a/gateway/gossip/report.go
+++ b/gateway/gossip/report.go
@@ -56,6 +56,8 @@
 	// services of such endpoints.
 	Limits  []EndpointLimit
 	Demands []ServiceDemand
+	// IdleResets are resets of idle connections by endpoints, as any VM saw them.
+	IdleResets []IdleReset
 }
 
 // Heartbeat reports when a VM was last heard from, directly or through other VMs.
--- /dev/null
+++ b/gateway/reuse/resets_test.go
@@ -0,0 +1,126 @@
+package reuse
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cardamompoint.example/cardamompoint/gateway/gossip"
+	"cardamompoint.example/cardamompoint/gateway/traffic"
+	"cardamompoint.example/cardamompoint/internal/clock"
+)
+
+func endpoint(number int) *traffic.Endpoint {
+	return &traffic.Endpoint{ID: fmt.Sprint("e-", number), StartedMS: 1, Service: "s"}
+}
+
+const (
+	idle  = 800 * time.Millisecond
+	start = clock.Boot(time.Hour)
+)
+
+// TestResetsOfSeveralEndpointsConcernTheService records resets at one endpoint after the other of
+// services of different sizes: requests that must not fail avoid old connections to the others once
+// enough endpoints reset theirs.
+func TestResetsOfSeveralEndpointsConcernTheService(t *testing.T) {
+	for _, c := range []struct{ endpoints, enough int }{{2, 2}, {18, 2}, {50, 2}, {140, 6}, {1000, 40}} {
+		r := New()
+		other := endpoint(0)
+		for i := 1; i <= c.enough; i++ {
+			if got := r.MaxIdle(other, c.endpoints, true, start); got != Unlimited {
+				t.Errorf("%d endpoints: %v after resets of %d", c.endpoints, got, i-1)
+			}
+			r.Record(endpoint(i), idle, start)
+		}
+		if got := r.MaxIdle(other, c.endpoints, true, start); got >= idle {
+			t.Errorf("%d endpoints: %v after resets of %d", c.endpoints, got, c.enough)
+		}
+		if got := r.MaxIdle(other, c.endpoints, false, start); got != Unlimited {
+			t.Errorf("%d endpoints: %v for a request that may be sent once more", c.endpoints, got)
+		}
+		elsewhere := &traffic.Endpoint{ID: "x", Service: "another"}
+		if got := r.MaxIdle(elsewhere, c.endpoints, true, start); got != Unlimited {
+			t.Errorf("%d endpoints: %v at another service", c.endpoints, got)
+		}
+	}
+}
+
+// TestResetConcernsItsEndpointForAWhile records one reset: it counts for the endpoint alone, for all
+// requests, until it is too old, and not for the endpoint's next start.
+func TestResetConcernsItsEndpointForAWhile(t *testing.T) {
+	r := New()
+	r.Record(endpoint(1), idle, start)
+	restarted := endpoint(1)
+	restarted.StartedMS++
+	end := start.Add(memory)
+	for name, c := range map[string]struct {
+		endpoint *traffic.Endpoint
+		at       clock.Boot
+		limited  bool
+	}{
+		"at once":        {endpoint(1), start, true},
+		"later":          {endpoint(1), end, true},
+		"other endpoint": {endpoint(2), start, false},
+		"next start":     {restarted, start, false},
+	} {
+		for _, final := range []bool{true, false} {
+			if got := r.MaxIdle(c.endpoint, 2, final, c.at); (got < idle) != c.limited {
+				t.Errorf("%s, final %v: %v", name, final, got)
+			}
+		}
+	}
+	if got := r.MaxIdle(endpoint(1), 2, true, end.Add(1)); got != Unlimited || r.InForce(end.Add(1)) != 0 {
+		t.Errorf("%v after it is too old", got)
+	}
+}
+
+// TestResetOfAConnectionInUseDoesNotCount records the reset of a connection that was hardly idle.
+func TestResetOfAConnectionInUseDoesNotCount(t *testing.T) {
+	r := New()
+	r.Record(endpoint(1), minIdle-1, start)
+	if r.InForce(start) != 0 {
+		t.Error("it counts")
+	}
+}
+
+// TestResetsFadeWhileVMsRelayThem lets two VMs tell each other of a reset for as long as they do: it must
+// be forgotten when it is too old.
+func TestResetsFadeWhileVMsRelayThem(t *testing.T) {
+	const period = 200 * time.Millisecond
+	vms := []*Resets{New(), New()}
+	vms[0].Record(endpoint(1), idle, start)
+	now := start
+	for ; now <= start.Add(2*memory); now = now.Add(period) {
+		for i, vm := range vms {
+			var report gossip.Report
+			vm.FillReport(&report, now)
+			vms[1-i].ApplyReport(report, now)
+		}
+		if got, want := vms[1].InForce(now) == 1, now <= start.Add(memory); got != want {
+			t.Fatalf("known %v after %v", got, now.Sub(start))
+		}
+	}
+}
+
+// TestReportOfManyResetsIsBounded fills reports with the resets of many endpoints: none may be too long,
+// and all together tell of each endpoint.
+func TestReportOfManyResetsIsBounded(t *testing.T) {
+	const endpoints, reports = 60, 200
+	r, told := New(), map[string]bool{}
+	for i := range endpoints {
+		r.Record(endpoint(i), idle, start)
+	}
+	for range reports {
+		var report gossip.Report
+		r.FillReport(&report, start)
+		if len(report.IdleResets) != maxReported {
+			t.Fatalf("%d resets in a report", len(report.IdleResets))
+		}
+		for _, reset := range report.IdleResets {
+			told[reset.Endpoint] = true
+		}
+	}
+	if len(told) != endpoints {
+		t.Errorf("told of %d of %d endpoints", len(told), endpoints)
+	}
+}
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -60,12 +60,12 @@
 	}
 }
 
-// Get returns an idle connection to the endpoint with the given key, or a new connection to
-// address. An error means that no byte was sent.
-func (p *Pool) Get(ctx context.Context, key, address string) (*Conn, error) {
+// Get returns a connection to the endpoint with the given key that was idle for at most maxIdle, or a
+// new connection to address. An error means that no byte was sent.
+func (p *Pool) Get(ctx context.Context, key, address string, maxIdle time.Duration) (*Conn, error) {
 	now := clock.Now()
 	for {
-		conn := p.takeIdle(key)
+		conn := p.takeIdle(key, maxIdle, now)
 		if conn == nil {
 			return p.Dial(ctx, key, address)
 		}
@@ -86,8 +86,9 @@
 	return newConn(key, raw), nil
 }
 
-// takeIdle removes and returns the idle connection that was used last, nil if there is none.
-func (p *Pool) takeIdle(key string) *Conn {
+// takeIdle removes and returns the idle connection that was used last, nil if there is none that was
+// idle for at most maxIdle.
+func (p *Pool) takeIdle(key string, maxIdle time.Duration, now clock.Boot) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.idle[key]
@@ -96,6 +97,9 @@
 	}
 	last := len(idle) - 1
 	conn := idle[last]
+	if now.Sub(conn.idleSince) > maxIdle {
+		return nil
+	}
 	idle[last] = nil
 	p.idle[key] = idle[:last]
 	return conn
@@ -114,26 +118,14 @@
 	}
 }
 
-// Prune closes idle connections that have expired and those to endpoints for which keep returns
-// false.
-func (p *Pool) Prune(keep func(key string) bool) {
+// Prune closes idle connections that have expired and those that were idle for longer than maxIdle
+// returns for the key of their endpoint.
+func (p *Pool) Prune(maxIdle func(key string) time.Duration) {
 	now := clock.Now()
 	var closing []*Conn
 	p.mu.Lock()
-	for key, idle := range p.idle {
-		listed := keep(key)
-		kept := idle[:0]
-		for _, conn := range idle {
-			if listed && now < conn.idleDeadline {
-				kept = append(kept, conn)
-				continue
-			}
-			closing = append(closing, conn)
-		}
-		p.idle[key] = kept
-		if len(kept) == 0 {
-			delete(p.idle, key)
-		}
+	for key := range p.idle {
+		closing = append(closing, p.removeIdle(key, maxIdle(key), now)...)
 	}
 	p.mu.Unlock()
 	for _, conn := range closing {
@@ -141,6 +133,36 @@
 	}
 }
 
+// CloseIdle closes the connections to an endpoint that were idle for at least the given time.
+func (p *Pool) CloseIdle(key string, idle time.Duration) {
+	p.mu.Lock()
+	closing := p.removeIdle(key, idle-1, clock.Now())
+	p.mu.Unlock()
+	for _, conn := range closing {
+		conn.Close()
+	}
+}
+
+// removeIdle removes and returns the connections to an endpoint that have expired or were idle for
+// longer than maxIdle. The caller holds p.mu.
+func (p *Pool) removeIdle(key string, maxIdle time.Duration, now clock.Boot) (removed []*Conn) {
+	idle := p.idle[key]
+	kept := idle[:0]
+	for _, conn := range idle {
+		if now < conn.idleDeadline && now.Sub(conn.idleSince) <= maxIdle {
+			kept = append(kept, conn)
+			continue
+		}
+		removed = append(removed, conn)
+	}
+	clear(idle[len(kept):])
+	p.idle[key] = kept
+	if len(kept) == 0 {
+		delete(p.idle, key)
+	}
+	return removed
+}
+
 // Idle returns the number of idle connections.
 func (p *Pool) Idle() int {
 	p.mu.Lock()
--- a/gateway/upstream/stale_test.go
+++ b/gateway/upstream/stale_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // TestIdleConnectionThatEndsWithARequestIsStale ends connections with the second request: with no byte
@@ -25,7 +26,7 @@
 			address := listenScript(t, c.answers)
 			pool := NewPool()
 			for range len(c.answers) - 1 {
-				conn, err := pool.Get(context.Background(), "e", address)
+				conn, err := pool.Get(context.Background(), "e", address, time.Hour)
 				if err != nil {
 					t.Fatal(err)
 				}
@@ -33,7 +34,7 @@
 					t.Fatal(err)
 				}
 			}
-			conn, err := pool.Get(context.Background(), "e", address)
+			conn, err := pool.Get(context.Background(), "e", address, time.Hour)
 			if err != nil {
 				t.Fatal(err)
 			}
