--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"time"
 
 	"cardamompoint.example/cardamompoint/gateway/choice"
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/gateway/upstream"
 	"cardamompoint.example/cardamompoint/internal/clock"
 )
@@ -26,6 +28,7 @@
 	x.conn = conn
 	abandon := context.AfterFunc(c.r.Context(), conn.Close)
 	out := x.roundTrip()
+	x.recordConnection(&out)
 	if abandon() && x.fullyRead(out) && x.requestWritten() && conn.PrepareReuse(x.response, x.info) {
 		c.gateway.pool.Put(conn)
 		c.gateway.metrics.CountConnection("kept")
@@ -36,10 +39,20 @@
 	return out
 }
 
+// recordConnection adds to the outcome what the connection says of it.
+func (x *exchange) recordConnection(out *outcome) {
+	out.wasIdle, out.idleFor = x.conn.WasIdle(), x.conn.IdleFor()
+	out.stale = x.r.Context().Err() == nil && x.conn.Stale(out.err)
+	if out.stale {
+		x.gateway.metrics.CountConnection("stale")
+		x.gateway.pool.CloseIdle(x.pick.Endpoint.ID, out.idleFor)
+	}
+}
+
 // connect returns a connection to the picked endpoint.
 func (c *call) connect(pick choice.Pick) (*upstream.Conn, error) {
 	began := clock.Now()
-	conn, err := c.gateway.pool.Get(c.r.Context(), pick.Endpoint.ID, pick.Endpoint.Address)
+	conn, err := c.gateway.pool.Get(c.r.Context(), pick.Endpoint.ID, pick.Endpoint.Address, c.maxIdle(pick.Endpoint))
 	c.gateway.metrics.ObserveConnect(clock.Now().Sub(began))
 	switch {
 	case err != nil:
@@ -51,3 +64,12 @@
 	}
 	return conn, err
 }
+
+// maxIdle returns for how long a connection to an endpoint may have been idle before the request goes on
+// it. A request that can't be sent once more is more careful.
+func (c *call) maxIdle(endpoint *traffic.Endpoint) time.Duration {
+	now := clock.Now()
+	final := c.lastExecution() || !c.gateway.budget.Allows(c.grant.service, now)
+	endpoints := len(c.gateway.tracker.Snapshot().Ready[endpoint.Service])
+	return c.gateway.idleResets.MaxIdle(endpoint, endpoints, final, now)
+}
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"syscall"
 	"time"
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/gateway/traffic"
+	"cardamompoint.example/cardamompoint/gateway/upstream"
 	"cardamompoint.example/cardamompoint/internal/clock"
 )
 
@@ -42,14 +42,18 @@
 // recordBroken looks whether the endpoint has crashed, if its connection broke before the request
 // was proved harmless. It waits for the result if the request was at a crash before.
 func (x *exchange) recordBroken(err error) {
-	if x.proved || !connectionBroke(err) {
+	if x.proved || !upstream.Broke(err) {
 		return
 	}
 	sentAt, brokeAt := x.attemptStarted, clock.Now()
+	stale, idle := x.conn.Stale(err) && brokeAt.Sub(sentAt) <= maxResetDelay, x.conn.IdleFor()
 	confirmed := make(chan struct{})
 	go func() {
 		defer close(confirmed)
-		x.gateway.confirmCrash(x.pick.Endpoint, x.suspects, sentAt, brokeAt)
+		alive := x.gateway.confirmCrash(x.pick.Endpoint, x.suspects, sentAt, brokeAt)
+		if alive && stale {
+			x.gateway.idleResets.Record(x.pick.Endpoint, idle, clock.Now())
+		}
 	}()
 	if x.gateway.crashes.SuspectsRequest(x.suspects) {
 		x.awaitConfirmation(confirmed)
@@ -67,16 +71,6 @@
 	}
 }
 
-// connectionBroke reports whether the endpoint's side ended a connection.
-func connectionBroke(err error) bool {
-	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
-		if errors.Is(err, end) {
-			return true
-		}
-	}
-	return false
-}
-
 const (
 	// confirmDelay is how long after a connection broke the endpoint is asked for another
 	// one: by then a process that has crashed accepts none. confirmTimeout bounds the time for
@@ -85,22 +79,26 @@
 	confirmTimeout = time.Second
 	// maxConfirmWait bounds how long the retry of a request that is suspected already waits for that.
 	maxConfirmWait = 100 * time.Millisecond
+	// maxResetDelay is how soon after a request an endpoint that has given up its connection resets
+	// it, the longest round trip included.
+	maxResetDelay = 100 * time.Millisecond
 )
 
 // confirmCrash records a crash of an endpoint under a request unless it still accepts
-// connections.
-func (g *Gateway) confirmCrash(endpoint *traffic.Endpoint, parts []uint64, sentAt, brokeAt clock.Boot) {
+// connections. It reports whether it does.
+func (g *Gateway) confirmCrash(endpoint *traffic.Endpoint, parts []uint64, sentAt, brokeAt clock.Boot) (alive bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 	defer cancel()
 	clock.Sleep(ctx, confirmDelay)
 	conn, err := g.pool.Dial(ctx, endpoint.ID, endpoint.Address)
 	if err == nil {
 		g.pool.Put(conn)
-		return
+		return true
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
 		g.crashes.RecordCrash(endpoint.Service, endpoint.Instance(), parts, sentAt, brokeAt)
 	}
+	return false
 }
 
 // checkQuarantine refuses a request under whose like endpoints crash.
