Say of each closed connection of a caller whether bytes got no answer

A guarded connection now keeps the reason of its close and tells it, together with whether bytes came after the last response, read or unread. So a request is either answered or noticed: reading and closing no longer race. Bytes that crossed the close stay unread, since a caller may send again what was not read.

A line for each connection with unanswered bytes, gateway_caller_connections by reason, open, closed and unanswered connections in status and in "gateway: stopped".

TestEachGatewayInstrumentIsInTheDocs counts one more instrument.

--- a/cmd/cardamompoint/status.go
+++ b/cmd/cardamompoint/status.go
@@ -56,8 +56,9 @@
 }
 
 func printGateway(w io.Writer, status *gateway.Status) {
-	fmt.Fprintf(w, "%s ready=%t stopping=%t version=%d age_ms=%d leader=%s store_lost=%t era=%d revision=%d in_progress=%d\n",
-		status.Node, status.Ready, status.Stopping, status.Version, status.KnowledgeAgeMS, status.Leader, status.StoreLost, status.Position.Era, status.Position.Revision, status.InProgress)
+	fmt.Fprintf(w, "%s ready=%t stopping=%t version=%d age_ms=%d leader=%s store_lost=%t era=%d revision=%d in_progress=%d open=%d closed=%d unanswered=%d\n",
+		status.Node, status.Ready, status.Stopping, status.Version, status.KnowledgeAgeMS, status.Leader, status.StoreLost, status.Position.Era, status.Position.Revision, status.InProgress,
+		status.Callers.Open, status.Callers.Closed, status.Callers.Unanswered)
 	printUnsettled(w, status.Unsettled)
 	for _, member := range status.Members {
 		fmt.Fprintf(w, "  peer %s %s heard_ms=%d version=%d\n", member.Address, member.FailureDomain, member.HeardMS, member.Version)
--- a/gateway/caller_conns.go
+++ b/gateway/caller_conns.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -15,6 +16,13 @@
 // those that are idle for too long.
 type callerConns struct {
 	idle *idleCloser
+	open *openConns
+}
+
+// newCallerConns returns the connections of a listener. idleLimit returns how long one may be idle at
+// present.
+func newCallerConns(idleLimit func() time.Duration) callerConns {
+	return callerConns{idle: newIdleCloser(idleLimit), open: &openConns{conns: map[net.Conn]struct{}{}}}
 }
 
 // connKey is the key of the caller's connection in a request's context.
@@ -31,6 +39,7 @@
 		conn.(*httpguard.Conn).Release()
 	}
 	c.idle.stateChanged(conn, state)
+	c.open.stateChanged(conn, state)
 }
 
 // claim returns a handler that passes a request on to next if its connection is still open, and
--- a/gateway/caller_conns_test.go
+++ b/gateway/caller_conns_test.go
@@ -129,7 +129,7 @@
 func TestRequestOnAClosedConnectionIsNotPassedOn(t *testing.T) {
 	near, far := net.Pipe()
 	guarded := httpguard.NewConn(near, func() httpguard.Limits { return httpguard.Limits{HeadBytes: 1 << 10} })
-	conns := callerConns{idle: newIdleCloser(func() time.Duration { return time.Hour })}
+	conns := newCallerConns(func() time.Duration { return time.Hour })
 	handled := make(chan struct{}, 1)
 	server := &http.Server{
 		Handler:     conns.claim(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled <- struct{}{} })),
@@ -162,7 +162,7 @@
 func TestClosedConnectionOfARequestDeliversTheAnswer(t *testing.T) {
 	near, far := net.Pipe()
 	guarded := httpguard.NewConn(near, func() httpguard.Limits { return httpguard.Limits{HeadBytes: 1 << 10} })
-	conns := callerConns{idle: newIdleCloser(func() time.Duration { return time.Hour })}
+	conns := newCallerConns(func() time.Duration { return time.Hour })
 	server := &http.Server{
 		Handler: conns.claim(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			guarded.Close()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -81,6 +81,10 @@
 	markLocationsKnown func()
 	// active is the number of callers' requests in progress.
 	active atomic.Int64
+	// callerConns are the connections of callers, nil until the VM listens for them. closures counts
+	// those that were closed.
+	callerConns atomic.Pointer[callerConns]
+	closures    callerClosures
 }
 
 // New returns a Gateway that has opened its port for reports but does not run yet.
@@ -109,6 +113,7 @@
 		return nil, err
 	}
 	g.metrics = instruments
+	g.closures.metrics = instruments
 	g.droppedLines = func() int64 { return 0 }
 	g.tracker = knowledge.NewTracker(g.table.Update)
 	g.tracker.SetEntryLifetime(settings.EntryLifetime)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -91,8 +91,9 @@
 
 // newCallerListener returns the listener for callers. Its limits follow the configuration.
 func (g *Gateway) newCallerListener(l net.Listener, handler http.Handler) listener {
-	guarded := &httpguard.Listener{Listener: l, Limits: g.headerLimits}
-	conns := callerConns{idle: newIdleCloser(g.callerIdleTimeout)}
+	guarded := &httpguard.Listener{Listener: l, Limits: g.headerLimits, OnClose: g.closures.add}
+	conns := newCallerConns(g.callerIdleTimeout)
+	g.callerConns.Store(&conns)
 	server := &http.Server{
 		Handler:        conns.claim(handler),
 		MaxHeaderBytes: httpguard.MaxHeadBytes,
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -25,7 +25,7 @@
 			aborted = !g.finishRequests(&listeners[i], plan)
 		}
 	}
-	klog.InfoS("gateway: stopped", "took_ms", clock.Now().Sub(began).Milliseconds(), "cut", g.active.Load())
+	g.logStopped(began)
 	for _, l := range listeners {
 		if err := l.server.Close(); err != nil {
 			klog.V(1).InfoS("gateway: closing a server failed", "server", l.name, "reason", err.Error())
@@ -37,6 +37,17 @@
 	return nil
 }
 
+// logStopped logs what the stop took and what it leaves: requests in progress, connections of callers
+// that are open, those of them with bytes that nobody has read, and those that were closed since the
+// start of the process although bytes on them had got no response.
+func (g *Gateway) logStopped(began clock.Boot) {
+	open, unread := 0, 0
+	if conns := g.callerConns.Load(); conns != nil {
+		open, unread = conns.open.count(), conns.open.countUnread()
+	}
+	klog.InfoS("gateway: stopped", "took_ms", clock.Now().Sub(began).Milliseconds(), "cut", g.active.Load(), "open", open, "unread", unread, "unanswered", g.closures.unanswered.Load())
+}
+
 // finishRequests accepts no more connections and closes those of callers when their requests have
 // finished. It returns false if the plan ended before.
 func (g *Gateway) finishRequests(l *listener, plan *shutdownPlan) bool {
@@ -59,10 +70,10 @@
 	requestPoll = 20 * time.Millisecond
 )
 
-// awaitArrivingRequests closes the idle connections and waits until none is left on which a request is
-// arriving, or the plan ends. http.Server.SetKeepAlivesEnabled would close those too.
+// awaitArrivingRequests retires the idle connections and waits until none is left, also none on which a
+// request is arriving, or the plan ends. http.Server.SetKeepAlivesEnabled would close them at once.
 func (c callerConns) awaitArrivingRequests(plan *shutdownPlan) {
-	for c.idle.closeQuiet() > 0 && clock.Now() < plan.end {
+	for c.idle.retireQuiet() > 0 && clock.Now() < plan.end {
 		time.Sleep(requestPoll)
 	}
 }
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -32,6 +32,7 @@
 	// Unsettled holds the held and doubted entries.
 	Unsettled  []knowledge.UnsettledEntry `json:"unsettled,omitempty"`
 	InProgress int64                      `json:"in_progress"`
+	Callers    CallersStatus              `json:"callers"`
 	Members    []MemberStatus             `json:"members"`
 	// Endpoints holds the endpoints of all services, sorted by ID.
 	Endpoints []choice.EndpointStatus `json:"endpoints"`
@@ -39,6 +40,15 @@
 	Quarantines []QuarantineStatus `json:"quarantines,omitempty"`
 }
 
+// CallersStatus describes the connections of callers.
+type CallersStatus struct {
+	Open int `json:"open"`
+	// Closed is the number of those that were closed since the start of the process, Unanswered that
+	// of those among them on which bytes got no response.
+	Closed     int64 `json:"closed"`
+	Unanswered int64 `json:"unanswered"`
+}
+
 // MemberStatus describes another VM as this one sees it.
 type MemberStatus struct {
 	Address       string `json:"address"`
@@ -66,6 +76,7 @@
 		Position:       g.tracker.Position(),
 		Unsettled:      g.tracker.Unsettled(),
 		InProgress:     g.active.Load(),
+		Callers:        g.callersStatus(),
 		Endpoints:      g.table.Status(now),
 	}
 	for _, q := range g.crashes.Quarantines(now) {
@@ -82,6 +93,14 @@
 	return status
 }
 
+func (g *Gateway) callersStatus() CallersStatus {
+	status := CallersStatus{Closed: g.closures.closed.Load(), Unanswered: g.closures.unanswered.Load()}
+	if conns := g.callerConns.Load(); conns != nil {
+		status.Open = conns.open.count()
+	}
+	return status
+}
+
 func (g *Gateway) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	jsonhttp.Write(w, g.Status())
 }
--- a/internal/httpguard/claim.go
+++ b/internal/httpguard/claim.go
@@ -1,15 +1,35 @@
 package httpguard
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // claim arbitrates between the request that is served on a connection and whoever closes
 // the connection, such as a timer or a shutdown that takes it for idle. Its zero value is
 // an open connection without a request. It is safe for concurrent use.
 type claim struct {
 	mu sync.Mutex
-	// held reports whether a request is being served, closed whether Close was called.
+	// held reports whether a request is being served, closed whether Close was called or the
+	// end of the connection was sent, gone whether the connection was closed.
 	held   bool
 	closed bool
+	gone   bool
+	// reason is the first reason to close the connection; "" if there is none.
+	reason CloseReason
+	// retireFor is the reason for which the connection is to be retired; "" if it is not. retired
+	// reports whether its end was sent for that.
+	retireFor CloseReason
+	retired   bool
+	// readDeadline is the deadline for reads that was set last.
+	readDeadline time.Time
+}
+
+// setReason sets the reason to close the connection unless there is one. mu must be held.
+func (c *claim) setReason(reason CloseReason) {
+	if c.reason == "" {
+		c.reason = reason
+	}
 }
 
 // Claim must be called before a request that was read from the connection is handled. It
@@ -20,6 +40,9 @@
 	c.claim.mu.Lock()
 	defer c.claim.mu.Unlock()
 	c.claim.held = !c.claim.closed
+	if c.claim.held && c.claim.retireFor != "" {
+		c.dropRetirement()
+	}
 	return c.claim.held
 }
 
@@ -30,6 +53,13 @@
 	return c.claim.held
 }
 
+// setReason sets the reason to close the connection unless there is one.
+func (c *Conn) setReason(reason CloseReason) {
+	c.claim.mu.Lock()
+	defer c.claim.mu.Unlock()
+	c.claim.setReason(reason)
+}
+
 // Release must be called once the response to a claimed request has been written. It closes
 // the connection if Close was called meanwhile. Without a claim it does nothing.
 func (c *Conn) Release() {
@@ -40,8 +70,9 @@
 	}
 	c.claim.held = false
 	c.receiving.Store(len(c.pending)+len(c.ready) > 0)
+	c.responded.Store(false)
 	if c.claim.closed {
-		_ = c.Conn.Close() // Nobody is left to handle the error.
+		_ = c.closeNow() // Nobody is left to handle the error.
 	}
 }
 
@@ -53,5 +84,5 @@
 	if c.claim.held {
 		return nil
 	}
-	return c.Conn.Close()
+	return c.closeNow()
 }
--- a/internal/httpguard/conn.go
+++ b/internal/httpguard/conn.go
@@ -46,8 +46,13 @@
 	headTimer *time.Timer
 	// claim keeps the connection open while a request is served.
 	claim claim
-	// receiving reports whether bytes were read since the last response.
+	// receiving reports whether bytes were read since the last response, responded whether bytes
+	// were written since then.
 	receiving atomic.Bool
+	responded atomic.Bool
+	// OnClose is called when the connection is closed, nil for nobody. It must be set before the
+	// connection is used and must not use the connection.
+	OnClose func(*Conn, Closure)
 
 	// pending are bytes that were read and not validated yet, ready those that may be
 	// passed on.
@@ -98,7 +103,7 @@
 
 // readBody reads once from the connection into p, at most to the end of the body.
 func (c *Conn) readBody(p []byte) (int, error) {
-	count, err := c.Conn.Read(p[:min(len(p), c.body.remaining)])
+	count, err := c.receive(p[:min(len(p), c.body.remaining)])
 	c.body.remaining -= count
 	return count, err
 }
@@ -108,7 +113,7 @@
 func (c *Conn) fill() error {
 	buffer := readBuffers.Get().(*[readSize]byte)
 	defer readBuffers.Put(buffer)
-	count, err := c.Conn.Read(buffer[:])
+	count, err := c.receive(buffer[:])
 	c.pending = append(c.pending, buffer[:count]...)
 	if count > 0 {
 		c.receiving.Store(true)
@@ -117,6 +122,12 @@
 	return err
 }
 
+// Write writes a part of a response.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.responded.Store(true)
+	return c.Conn.Write(p)
+}
+
 // IsQuiet reports whether no byte of the next request has arrived, read or unread.
 func (c *Conn) IsQuiet() bool {
 	return !c.receiving.Load() && socket.IsSilent(c.Conn)
@@ -183,7 +194,7 @@
 // limit of 0 means none.
 func (c *Conn) startTimer(limit time.Duration) {
 	if c.headTimer == nil && limit > 0 && !c.claimed() {
-		c.headTimer = time.AfterFunc(limit, func() { _ = c.Conn.Close() })
+		c.headTimer = time.AfterFunc(limit, func() { c.closeFor(ClosedSlowHead) })
 	}
 }
 
@@ -201,6 +212,7 @@
 // rejectWith ends the connection with a head that net/http rejects.
 func (c *Conn) rejectWith(head string) {
 	c.stopTimer()
+	c.setReason(ClosedRefusedHead)
 	c.pending = nil
 	c.ready = []byte(head)
 	c.endErr = io.EOF
@@ -232,7 +244,7 @@
 // CloseWrite closes the write side of the connection, if it supports that, so that the
 // client can read the last response to its end.
 func (c *Conn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+	if half, ok := c.Conn.(closeWriter); ok {
 		return half.CloseWrite()
 	}
 	return nil
--- a/internal/httpguard/listener.go
+++ b/internal/httpguard/listener.go
@@ -8,6 +8,9 @@
 	// Limits returns the limits in force. It is called for each head, concurrently by
 	// several goroutines.
 	Limits func() Limits
+	// OnClose is called when a connection is closed, nil for nobody. It must not use the
+	// connection.
+	OnClose func(*Conn, Closure)
 }
 
 // Accept waits for the next connection and returns it as a guarded Conn.
@@ -16,5 +19,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return NewConn(conn, l.Limits), nil
+	guarded := NewConn(conn, l.Limits)
+	guarded.OnClose = l.OnClose
+	return guarded, nil
 }
--- a/internal/socket/silent.go
+++ b/internal/socket/silent.go
@@ -3,8 +3,6 @@
 import (
 	"net"
 	"syscall"
-
-	"golang.org/x/sys/unix"
 )
 
 // IsSilent reports whether a connection is open and has no unread bytes, whatever its deadline. A
@@ -19,10 +17,6 @@
 		return false
 	}
 	silent := false
-	err = raw.Control(func(fd uintptr) {
-		var one [1]byte
-		_, _, failed := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		silent = failed == unix.EAGAIN
-	})
+	err = raw.Control(func(fd uintptr) { _, silent = peek(fd) })
 	return err == nil && silent
 }
--- /dev/null
+++ b/internal/socket/unread.go
@@ -0,0 +1,49 @@
+package socket
+
+import (
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// HasUnread reports whether a connection has bytes that nobody has read. A connection that is no
+// socket counts as having none.
+func HasUnread(conn net.Conn) bool {
+	system, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := system.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := false
+	err = raw.Control(func(fd uintptr) { unread, _ = peek(fd) })
+	return err == nil && unread
+}
+
+// AwaitPeer waits until bytes arrive on a connection, its peer closes it, or its read deadline
+// passes. It reads nothing.
+func AwaitPeer(conn net.Conn) {
+	system, ok := conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := system.SyscallConn()
+	if err != nil {
+		return
+	}
+	// The error is that of the deadline, or of a connection that is closed already.
+	_ = raw.Read(func(fd uintptr) bool {
+		_, silent := peek(fd)
+		return !silent
+	})
+}
+
+// peek reports whether a socket has unread bytes, and whether it is open without any.
+func peek(fd uintptr) (unread, silent bool) {
+	var one [1]byte
+	count, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return err == nil && count > 0, err == unix.EAGAIN
+}
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -17,6 +17,7 @@
 	requests    metric.Int64Counter
 	sends       metric.Int64Counter
 	connections metric.Int64Counter
+	callers     metric.Int64Counter
 	promptRead  metric.Int64Counter
 	promptHeld  metric.Int64Counter
 	events      metric.Int64Counter
@@ -53,6 +54,7 @@
 		{&g.requests, "cardamompoint.gateway_requests", "Requests of callers by result code and kind."},
 		{&g.sends, "cardamompoint.gateway_sends", "Requests sent to endpoints by attempt and outcome."},
 		{&g.connections, "cardamompoint.gateway_connections", "Connections to endpoints by event."},
+		{&g.callers, "cardamompoint.gateway_caller_connections", "Closed connections of callers by reason."},
 		{&g.promptRead, "cardamompoint.gateway_prompt_read", "Shared prompt tokens that an endpoint had to prefill."},
 		{&g.promptHeld, "cardamompoint.gateway_prompt_held", "Shared prompt tokens expected in the endpoint's cache."},
 		{&g.events, "cardamompoint.gateway_events", "Pieces of streams forwarded to callers."},
@@ -109,6 +111,12 @@
 	g.connections.Add(context.Background(), 1, metric.WithAttributes(attribute.String("became", outcome)))
 }
 
+// CountCallerConnection counts a connection of a caller that was closed for a reason. unanswered
+// reports whether bytes on it got no response.
+func (g *Gateway) CountCallerConnection(reason string, unanswered bool) {
+	g.callers.Add(context.Background(), 1, metric.WithAttributes(attribute.String("closed", reason), attribute.Bool("unanswered", unanswered)))
+}
+
 // AddPromptTokens adds the shared tokens of a prompt: those expected in the endpoint's cache
 // and those that the endpoint had to compute.
 func (g *Gateway) AddPromptTokens(cached, computed int) {
--- a/metrics/gateway_test.go
+++ b/metrics/gateway_test.go
@@ -19,6 +19,7 @@
 	g.ObserveRequest("ok", "streaming", time.Second)
 	g.CountAttempt("first", "done")
 	g.CountConnection("opened")
+	g.CountCallerConnection("idle", false)
 	g.AddPromptTokens(1, 2)
 	g.ObserveChoice(time.Microsecond)
 	g.ObserveConnect(time.Millisecond)
@@ -43,7 +44,7 @@
 			t.Errorf("docs/METRICS.md lacks cardamompoint.gateway_%s", name)
 		}
 	}
-	if found != 12 {
-		t.Errorf("%d instruments are exported, want 12", found)
+	if found != 13 {
+		t.Errorf("%d instruments are exported, want 13", found)
 	}
 }
