Accept the connections that wait in the listener before it is closed

What callers saw: a connection that had been established ended without an answer when the VM stopped, and no VM had a line for it.

Cause: at the end of linger the listener was closed, and the system resets the connections that wait in it. That takes a process that is behind with accepting, as on a busy VM. Ruled out as the usual case: the queue is empty while the process gets its processor time.

What is accepted then gets an answer or a refusal like any unused connection, and "gateway: new connections are refused" says how many waited.

A connection whose handshake ends between the last look and the close is still reset; it has no line.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -31,8 +31,10 @@
 	name   string
 	net    net.Listener
 	server *http.Server
-	// conns are the connections of callers; only the listener for callers has them.
+	// conns are the connections of callers, and drain hands out those that wait in the listener; only
+	// the listener for callers has them.
 	conns callerConns
+	drain *drainListener
 }
 
 // serve opens the listeners and serves them until stop ends or a server fails.
@@ -91,7 +93,8 @@
 
 // newCallerListener returns the listener for callers. Its limits follow the configuration.
 func (g *Gateway) newCallerListener(l net.Listener, handler http.Handler) listener {
-	guarded := &httpguard.Listener{Listener: l, Limits: g.headerLimits, OnClose: g.closures.add}
+	drain := newDrainListener(l)
+	guarded := &httpguard.Listener{Listener: drain, Limits: g.headerLimits, OnClose: g.closures.add}
 	conns := newCallerConns(g.callerIdleTimeout)
 	g.callerConns.Store(&conns)
 	server := &http.Server{
@@ -103,7 +106,7 @@
 		// net/http would answer OPTIONS * with a success of its own.
 		DisableGeneralOptionsHandler: true,
 	}
-	return listener{name: frontName, net: guarded, server: server, conns: conns}
+	return listener{name: frontName, net: guarded, server: server, conns: conns, drain: drain}
 }
 
 // connectionLog logs what net/http reports about connections of callers, such as a handler that
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -51,9 +51,7 @@
 // finishRequests accepts no more connections and closes those of callers when their requests have
 // finished. It returns false if the plan ended before.
 func (g *Gateway) finishRequests(l *listener, plan *shutdownPlan) bool {
-	if err := l.net.Close(); err != nil {
-		klog.V(1).InfoS("gateway: closing a listener failed", "listener", l.name, "reason", err.Error())
-	}
+	klog.InfoS("gateway: new connections are refused", "waited", l.drain.Drain())
 	l.conns.awaitArrivingRequests(plan)
 	l.server.SetKeepAlivesEnabled(false)
 	l.conns.awaitFirstRequests(plan)
