Let workers of the soak forget idle connections

The soak reset connections only all at once, which a VM sees before the next request; no run showed what a VM makes of a connection that ends with a request. Every second worker may now forget connections that were idle for 50 to 300 ms, without notice: the next bytes reset them, and every second time the request runs all the same, so that the checks of runs and of 'not run' see a VM that takes such a reset for 'not run'. The soak prints how many requests met it.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -20,7 +20,7 @@
 // injectFault injects one random fault, or ends one.
 func (s *soak) injectFault() {
 	faults := []func(){
-		s.kill, s.freeze, s.terminate, s.reload, s.cutLink, s.cutLink, s.resetLink, s.failStore, s.publishVersions, s.publishVersions, s.setNextBehaviors, s.changeState, s.replaceWorker, s.announceLeaving, s.restoreStore,
+		s.kill, s.freeze, s.terminate, s.reload, s.cutLink, s.cutLink, s.resetLink, s.failStore, s.publishVersions, s.publishVersions, s.setNextBehaviors, s.changeState, s.replaceWorker, s.announceLeaving, s.restoreStore, s.forgetConnections,
 	}
 	faults[s.random.IntN(len(faults))]()
 }
@@ -160,6 +160,18 @@
 	slot.worker.Load().SetDefault(hosted.AnnounceLeaving)
 }
 
+// forgetConnections makes each second link to a worker forget connections that are idle for a while,
+// without notice, and reset them with the next request.
+func (s *soak) forgetConnections() {
+	after := time.Duration(50+s.random.IntN(250)) * time.Millisecond
+	first := s.random.IntN(2)
+	s.logFault("every second worker from %d on forgets connections that are idle for %v", first, after)
+	s.record.beginWorkerFault("forgets connections")
+	for i := first; i < len(s.slots); i += 2 {
+		s.slots[i].proxy.forgetTime.Store(int64(after))
+	}
+}
+
 // changeState publishes a worker as draining or as ready.
 func (s *soak) changeState() {
 	slot := s.randomSlot()
@@ -205,6 +217,7 @@
 	s.store.SetFault(hosted.FaultNone)
 	for _, proxy := range s.proxies {
 		proxy.fault.Store(int32(linkHealthy))
+		proxy.forgetTime.Store(0)
 	}
 	for _, g := range s.gateways {
 		s.resume(g)
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -25,6 +25,11 @@
 	target   string
 	listener net.Listener
 	fault    atomic.Int32
+	// forgetTime is how long a connection may be idle, in nanoseconds, until the next bytes of its
+	// caller reset it; 0 for ever. forgotten counts such resets. Every second time the bytes reach the
+	// server all the same.
+	forgetTime atomic.Int64
+	forgotten  atomic.Int64
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -90,17 +95,27 @@
 		p.mu.Lock()
 		p.conns[caller], p.conns[server] = true, true
 		p.mu.Unlock()
-		go p.forward(server, caller, false)
-		go p.forward(caller, server, true)
+		lastByte := &atomic.Int64{}
+		lastByte.Store(time.Now().UnixNano())
+		go p.forward(server, caller, false, lastByte)
+		go p.forward(caller, server, true, lastByte)
 	}
 }
 
-// forward copies one direction until either end closes.
-func (p *faultProxy) forward(to, from net.Conn, toCaller bool) {
+// forward copies one direction until either end closes. lastByte is when the connection was last used
+// in either direction, in Unix nanoseconds.
+func (p *faultProxy) forward(to, from net.Conn, toCaller bool, lastByte *atomic.Int64) {
 	defer p.closeConns(to, from)
 	buffer := make([]byte, 32<<10)
 	for {
 		count, err := from.Read(buffer)
+		if idle := time.Now().UnixNano() - lastByte.Swap(time.Now().UnixNano()); count > 0 && !toCaller && p.forgets(idle) {
+			_ = from.(*net.TCPConn).SetLinger(0)
+			if p.forgotten.Add(1)%2 == 0 {
+				_, _ = to.Write(buffer[:count])
+			}
+			return
+		}
 		for p.blocks(toCaller) {
 			time.Sleep(blockedPollPeriod)
 		}
@@ -113,6 +128,12 @@
 	}
 }
 
+// forgets reports whether a connection that was idle for the given time is forgotten.
+func (p *faultProxy) forgets(idle int64) bool {
+	limit := p.forgetTime.Load()
+	return limit > 0 && idle >= limit
+}
+
 func (p *faultProxy) blocks(toCaller bool) bool {
 	fault := linkFault(p.fault.Load())
 	return fault == linkSilent || (fault == linkOneWay && toCaller)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -124,6 +124,11 @@
 			stalled += period.to.Sub(period.from)
 		}
 	}
+	forgotten := int64(0)
+	for _, slot := range s.slots {
+		forgotten += slot.proxy.forgotten.Load()
+	}
+	s.t.Logf("%d requests met a connection that a worker had forgotten", forgotten)
 	all := to.Sub(from) * time.Duration(len(s.gateways))
 	s.t.Logf("%.1f of %.1f VM-seconds undisturbed, the host stalled for %.2f s", undisturbed.Seconds(), all.Seconds(), stalled.Seconds())
 	if undisturbed == 0 {
