--- a/cmd/cardamompoint/explain.go
+++ b/cmd/cardamompoint/explain.go
@@ -89,6 +89,9 @@
 		fmt.Fprintf(w, "quarantined parts=%s crashes=%d left_ms=%d\n", q.Parts, q.Crashes, q.LeftMS)
 	}
 	fmt.Fprintf(w, "retry budget: %s\n", explanation.RetryBudget)
+	for _, reset := range explanation.IdleResets {
+		fmt.Fprintf(w, "idle reset %s idle_ms=%d for_ms=%d\n", reset.Endpoint, reset.IdleMS, reset.ForMS)
+	}
 	for _, limit := range explanation.Limits {
 		fmt.Fprintf(w, "limit %s per_second=%.2f own_per_second=%.2f wait_ms=%d\n", limit.Endpoint, limit.PerSecond, limit.OwnPerSecond, limit.WaitMS)
 	}
