Leave a silent endpoint only for one that accepts a new connection

Callers saw a stream of a sound endpoint end after 1.8 s of silence. It was left for an endpoint to which an idle connection was kept; that this one was there counted as a proof that the endpoint accepts connections. The endpoint had forgotten it, the reset was the last execution that the route allows, and the stream ended. The VM now opens a new connection before it leaves, and the attempt uses that one.

--- a/gateway/forgetful_endpoint_test.go
+++ b/gateway/forgetful_endpoint_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -153,3 +155,52 @@
 		}
 	}
 }
+
+// TestSilentStreamIsNotGivenUpForForgottenConnection lets an engine pause in a stream while the other one
+// has forgotten its idle connection and accepts a new one: the stream must come whole.
+func TestSilentStreamIsNotGivenUpForForgottenConnection(t *testing.T) {
+	t.Parallel()
+	f := newTestFleet(t, 1)
+	g, q := f.gateways[0], query{path: "/roster/1", promptParts: chatPromptParts}
+	serving, other := "engine-1", "engine-2"
+	if warm := f.ask(context.Background(), 1, q); f.workers[other].Runs(warm.id) > 0 {
+		serving, other = other, serving
+	}
+	f.workers[serving].Events, f.workers[serving].EventInterval = 5, 3*time.Second
+	f.workers[other].Events = 5
+	address := f.address(150, workerPort)
+	f.listenRaw(address, f.forgetsFirst(f.workers[other]))
+	f.store.PutEndpoint(other, "engines", address, "ready")
+	f.eventually("the move is known", func() bool { return g.tracker.Snapshot().Endpoints[other].Address == address })
+	conn, err := g.pool.Dial(context.Background(), other, address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.pool.Put(conn)
+	got := f.ask(context.Background(), 1, q)
+	if !got.complete || !strings.HasSuffix(got.body, "id: 5\ndata: piece 5\n\n") {
+		t.Errorf("%+v", got)
+	}
+}
+
+// forgetsFirst serves a worker, but resets the first connection with its first request.
+func (f *testFleet) forgetsFirst(worker http.Handler) func(net.Conn) {
+	address := f.address(151, workerPort)
+	f.listen(address, worker)
+	var conns atomic.Int64
+	return func(conn net.Conn) {
+		defer conn.Close()
+		if conns.Add(1) == 1 {
+			_, _ = conn.Read(make([]byte, 1))
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			return
+		}
+		server, err := net.Dial("tcp", address)
+		if err != nil {
+			return
+		}
+		defer server.Close()
+		go func() { _, _ = io.Copy(server, conn) }()
+		_, _ = io.Copy(conn, server)
+	}
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -171,9 +171,9 @@
 }
 
 // isReachable reports whether the picked endpoint accepts a connection, and keeps the connection for
-// the attempt.
+// the attempt. An idle connection would not show that.
 func (c *call) isReachable(pick choice.Pick) bool {
-	conn, err := c.connect(pick)
+	conn, err := c.gateway.pool.Dial(c.r.Context(), pick.Endpoint.ID, pick.Endpoint.Address)
 	if err == nil {
 		c.gateway.pool.Put(conn)
 		return true
