--- a/gateway/silent_endpoint_test.go
+++ b/gateway/silent_endpoint_test.go
@@ -187,3 +187,25 @@
 		})
 	}
 }
+
+// TestSilentStreamIsNotCutWhenTheNextEndpointRefuses lets a sound engine pause in a stream while the other
+// one accepts connections and refuses, or fails: the caller must get the whole stream.
+func TestSilentStreamIsNotCutWhenTheNextEndpointRefuses(t *testing.T) {
+	for name, next := range map[string]hosted.Behavior{"refuses": hosted.Refuse, "fails": hosted.Fail} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newTestFleet(t, 1)
+			q := query{path: "/roster/1", promptParts: chatPromptParts}
+			serving, other := "engine-1", "engine-2"
+			if warm := f.ask(context.Background(), 1, q); f.workers[other].Runs(warm.id) > 0 {
+				serving, other = other, serving
+			}
+			f.workers[serving].Events, f.workers[serving].EventInterval = 2, 3*time.Second
+			f.workers[other].SetDefault(next)
+			got := f.ask(context.Background(), 1, q)
+			if !got.complete || !strings.HasSuffix(got.body, "id: 2\ndata: piece 2\n\n") {
+				t.Errorf("%q, complete: %t", got.body, got.complete)
+			}
+		})
+	}
+}
