Let resets of connections fade while VMs relay them

A reset is reported with its age, and the time of a report on its way did not count: eight VMs that tell each other every 25 ms, 50 ms late, knew of it for longer than 5 s. The longer a report takes, the longer a service whose endpoints are sound again would get new connections. Each report now adds 50 ms to the age. A request also asks for the retry budget only while a reset is known.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cardamompoint.example/cardamompoint/gateway/choice"
+	"cardamompoint.example/cardamompoint/gateway/reuse"
 	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/gateway/upstream"
 	"cardamompoint.example/cardamompoint/internal/clock"
@@ -69,6 +70,9 @@
 // it. A request that can't be sent once more is more careful.
 func (c *call) maxIdle(endpoint *traffic.Endpoint) time.Duration {
 	now := clock.Now()
+	if c.gateway.idleResets.InForce(now) == 0 {
+		return reuse.Unlimited
+	}
 	final := c.lastExecution() || !c.gateway.budget.Allows(c.grant.service, now)
 	endpoints := len(c.gateway.tracker.Snapshot().Ready[endpoint.Service])
 	return c.gateway.idleResets.MaxIdle(endpoint, endpoints, final, now)
--- a/gateway/reuse/report.go
+++ b/gateway/reuse/report.go
@@ -8,8 +8,13 @@
 	"cardamompoint.example/cardamompoint/internal/clock"
 )
 
-// maxReported bounds the resets in one report.
-const maxReported = 16
+const (
+	// maxReported bounds the resets in one report.
+	maxReported = 16
+	// transitTime is added to the age of a reset with each report, which may be on its way for so long:
+	// VMs that relay a reset to each other must not keep it alive.
+	transitTime = 50 * time.Millisecond
+)
 
 // FillReport adds the known resets to a report.
 func (r *Resets) FillReport(report *gossip.Report, now clock.Boot) {
@@ -39,6 +44,6 @@
 	defer r.mu.Unlock()
 	for _, told := range report.IdleResets {
 		key := traffic.Instance{ID: told.Endpoint, StartedMS: told.StartedMS}
-		r.apply(key, told.Service, time.Duration(told.IdleMS)*time.Millisecond, now.Add(-told.Age()), now)
+		r.apply(key, told.Service, time.Duration(told.IdleMS)*time.Millisecond, now.Add(-told.Age()-transitTime), now)
 	}
 }
--- a/gateway/reuse/resets_test.go
+++ b/gateway/reuse/resets_test.go
@@ -83,21 +83,40 @@
 	}
 }
 
-// TestResetsFadeWhileVMsRelayThem lets two VMs tell each other of a reset for as long as they do: it must
-// be forgotten when it is too old.
+// TestResetsFadeWhileVMsRelayThem lets VMs tell each other of a reset for as long as they know of it, with
+// reports that are on their way for a while: all must know it and forget it when it is too old.
 func TestResetsFadeWhileVMsRelayThem(t *testing.T) {
-	const period = 200 * time.Millisecond
-	vms := []*Resets{New(), New()}
+	const (
+		count = 8
+		step  = 25 * time.Millisecond
+		// delay is the time of a report on its way, in steps.
+		delay = 2
+	)
+	var vms []*Resets
+	for range count {
+		vms = append(vms, New())
+	}
 	vms[0].Record(endpoint(1), idle, start)
-	now := start
-	for ; now <= start.Add(2*memory); now = now.Add(period) {
-		for i, vm := range vms {
-			var report gossip.Report
-			vm.FillReport(&report, now)
-			vms[1-i].ApplyReport(report, now)
+	var reports []gossip.Report
+	for turn := 0; ; turn++ {
+		now := start.Add(time.Duration(turn) * step)
+		var report gossip.Report
+		vms[turn%count].FillReport(&report, now)
+		reports = append(reports, report)
+		known := 0
+		for _, vm := range vms {
+			if turn >= delay {
+				vm.ApplyReport(reports[turn-delay], now)
+			}
+			known += int(vm.InForce(now))
 		}
-		if got, want := vms[1].InForce(now) == 1, now <= start.Add(memory); got != want {
-			t.Fatalf("known %v after %v", got, now.Sub(start))
+		switch age := now.Sub(start); {
+		case age > time.Second && age < memory/2 && known < count:
+			t.Fatalf("%d VMs know of it after %v", known, age)
+		case age > memory && known > 0:
+			t.Fatalf("%d VMs know of it after %v", known, age)
+		case age > 2*memory:
+			return
 		}
 	}
 }
