Let VMs that doubt nothing tell of the outage that they saw

An endpoint that is gone comes back into use after a second outage. The entry of a restored copy is doubted until it had time to expire, and anew after an outage, since entries do not expire meanwhile. A VM that started after the return takes the copy's entries as they are. It told its followers of no doubt, so that one which had not seen the outage itself accepted the entry when its own time was over.

Before: TestDoubtLastsLongerAfterAnOutageThatOnlyAVMWithoutDoubtSaw, "ready are [draining gone ready], want [ready]". The end of the doubt is now kept and told whether or not anything is doubted; it has no effect on a VM that doubts nothing.

Tests of the package pass.

--- a/gateway/knowledge/doubted_outage_test.go
+++ b/gateway/knowledge/doubted_outage_test.go
@@ -20,3 +20,19 @@
 		}
 	}
 }
+
+// TestDoubtLastsLongerAfterAnOutageThatOnlyAVMWithoutDoubtSaw guards against an endpoint that is gone and is used again, as its entry could not expire in an outage.
+func TestDoubtLastsLongerAfterAnOutageThatOnlyAVMWithoutDoubtSaw(t *testing.T) {
+	reader, follower := NewTracker(nil), restoredTracker()
+	reader.Apply(copyUpdate(), testStart)
+	follower.Apply(copyUpdate(), testStart)
+	reader.MarkStoreLost(testStart.Add(3 * time.Second))
+	learnAt(t, follower, reader, testStart.Add(3*time.Second))
+	back := testStart.Add(4 * time.Second)
+	reader.MarkStoreRestored(back)
+	learnAt(t, follower, reader, back)
+	readNothing(follower, back.Add(HoldAfterRecovery+defaultEntryLifetime-time.Millisecond))
+	wantReady(t, follower, "ready")
+	readNothing(follower, back.Add(HoldAfterRecovery+defaultEntryLifetime))
+	wantReady(t, follower, "draining", "gone", "ready")
+}
--- a/gateway/knowledge/settling.go
+++ b/gateway/knowledge/settling.go
@@ -141,22 +141,16 @@
 // extendDoubt lets doubted entries stay doubted at least until a time. During an outage, entries may
 // not expire.
 func (s *settling) extendDoubt(until clock.Boot) {
-	if len(s.doubted) > 0 {
-		s.doubtUntil = max(s.doubtUntil, until)
-	}
+	s.doubtUntil = max(s.doubtUntil, until)
 }
 
-// doubtLeft returns how long entries stay doubted at least: the whole time during an outage, 0 if there
-// are none.
+// doubtLeft returns how long entries stay doubted at least: the whole time during an outage. A VM that
+// doubts none tells it as well, since it may be the only one that has noticed an outage.
 func (s *settling) doubtLeft(now clock.Boot) time.Duration {
-	switch {
-	case len(s.doubted) == 0:
-		return 0
-	case s.storeLost:
+	if s.storeLost {
 		return s.doubtTime()
-	default:
-		return max(s.doubtUntil.Sub(now), 0)
 	}
+	return max(s.doubtUntil.Sub(now), 0)
 }
 
 // doubt sets an entry aside. The known endpoint, if any, stays as it is. An entry of an earlier era is
--- a/gateway/knowledge/sync.go
+++ b/gateway/knowledge/sync.go
@@ -29,7 +29,7 @@
 	Held []platform.Item `json:"held,omitempty"`
 	// HoldMS is how long the responder still holds Held, in milliseconds.
 	HoldMS int64 `json:"hold_ms,omitempty"`
-	// DoubtMS is how long the responder still doubts entries, in milliseconds.
+	// DoubtMS is how long entries of a restored copy are still to be doubted, in milliseconds.
 	DoubtMS int64 `json:"doubt_ms,omitempty"`
 	// AvailableMS and AvailableUntilMS are how long ago the last span began and ended in which the
 	// store was available as far as the responder knows, in milliseconds; 0 if it knows of none.
--- a/gateway/knowledge/update.go
+++ b/gateway/knowledge/update.go
@@ -16,7 +16,7 @@
 	LastWrites map[string]traffic.Write
 	// HoldUntil is a time until which the sender of Items holds Held.
 	HoldUntil clock.Boot
-	// DoubtUntil is a time until which the sender of Items doubts entries, 0 if it doubts none.
+	// DoubtUntil is a time until which entries of a restored copy are to be doubted, 0 if none are.
 	DoubtUntil clock.Boot
 	// Full reports whether Items are all items that exist, not only the changed ones.
 	Full bool
