Keep idle connections open while a stop waits for other requests

Cause: right at the end of linger a stopping VM closed its idle connections, and a request that was on its way crossed the close. It did so although the stop went on for seconds, as it waited for other requests.

Idle connections are closed last, or shortly before the plan ends. What comes before gets an answer or a refusal with "Connection: close". Connections without a request are retired in the same step, so that one that was opened at the end of linger holds the stop no longer until it counts as aborted.

TestIdleConnectionIsServedWhileTheStopWaits failed before (9 of 10 requests cut), TestUnusedConnectionDoesNotHoldTheStop too ("requests in progress were aborted").

--- a/gateway/idle_closer.go
+++ b/gateway/idle_closer.go
@@ -48,34 +48,37 @@
 	}
 }
 
-// countSince returns the number of open connections that wait for a request since a time not before
-// earliest.
-func (i *idleCloser) countSince(earliest clock.Boot) int {
+// count returns the number of open connections that wait for a request.
+func (i *idleCloser) count() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return len(i.spans)
+}
+
+// countUnused returns the number of open connections that wait for their first request since a time not
+// before earliest.
+func (i *idleCloser) countUnused(earliest clock.Boot) int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	count := 0
 	for _, span := range i.spans {
-		if span.began >= earliest {
+		if span.first && span.began >= earliest {
 			count++
 		}
 	}
 	return count
 }
 
-// retireQuiet retires the connections that have served a request and on which no next one is arriving.
-// It returns the number of connections that have served one and wait for a next one or for their end.
+// retireQuiet retires the connections on which no request is arriving. It returns the number of
+// connections that wait for a request or for their end.
 func (i *idleCloser) retireQuiet() (open int) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for conn, span := range i.spans {
-		if span.first {
-			continue
-		}
-		open++
 		span.timer.Stop()
 		conn.(*httpguard.Conn).Retire(httpguard.ClosedForStop)
 	}
-	return open
+	return len(i.spans)
 }
 
 // expire retires a connection whose timer has fired, unless a request has begun or arrived since or
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -48,38 +48,14 @@
 	klog.InfoS("gateway: stopped", "took_ms", clock.Now().Sub(began).Milliseconds(), "cut", g.active.Load(), "open", open, "unread", unread, "unanswered", g.closures.unanswered.Load())
 }
 
-// finishRequests accepts no more connections and closes those of callers when their requests have
-// finished. It returns false if the plan ended before.
+// finishRequests accepts no more connections, waits for the requests on those of callers and closes them.
+// It returns false if the plan ended before.
 func (g *Gateway) finishRequests(l *listener, plan *shutdownPlan) bool {
 	klog.InfoS("gateway: new connections are refused", "waited", l.drain.Drain())
-	l.conns.awaitArrivingRequests(plan)
+	l.conns.awaitRequests(plan)
+	l.conns.retireAll(plan)
 	l.server.SetKeepAlivesEnabled(false)
-	l.conns.awaitFirstRequests(plan)
 	ctx, cancel := context.WithTimeout(context.Background(), plan.end.Sub(clock.Now()))
 	defer cancel()
 	return !errors.Is(l.server.Shutdown(ctx), context.DeadlineExceeded)
 }
-
-const (
-	// firstRequestWait is how long a connection without a request is kept for its first one, as
-	// in http.Server.Shutdown.
-	firstRequestWait = 5 * time.Second
-	// requestPoll is the interval between two checks for requests that are to arrive.
-	requestPoll = 20 * time.Millisecond
-)
-
-// awaitArrivingRequests retires the idle connections and waits until none is left, also none on which a
-// request is arriving, or the plan ends. http.Server.SetKeepAlivesEnabled would close them at once.
-func (c callerConns) awaitArrivingRequests(plan *shutdownPlan) {
-	for c.idle.retireQuiet() > 0 && clock.Now() < plan.end {
-		time.Sleep(requestPoll)
-	}
-}
-
-// awaitFirstRequests waits until no open connection waits for its first request, or the plan ends.
-// http.Server.Shutdown would close them without a response to a request that arrives then.
-func (c callerConns) awaitFirstRequests(plan *shutdownPlan) {
-	for clock.Now() < plan.end && c.idle.countSince(clock.Now().Add(-firstRequestWait)) > 0 {
-		time.Sleep(requestPoll)
-	}
-}
