Hand a request of a silent endpoint over only to one that takes it

What callers saw: answers cut in the middle and 502 although the endpoint at work on the request was sound, silent for a second or so and about to go on.

Cause: an endpoint was given up before the next one had accepted the request; only what the VM itself could check came first. Class: a resource is released before its replacement is secured. Ruled out: a change of the configuration alone (cut none, left none unanswered).

Now the silent endpoint is awaited while the request is sent to another one, and is left when that one begins its answer. If that one refuses, fails or is late, or the silent one goes on first, the request stays. The silent run ends within a round trip of the other one's first byte, so two endpoints do not work on one stream. Attempts have handover in log and trace.

The call of attempt in TestLeaseExpiredBeforeSendRefuses names its new form; the check is the same.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -11,33 +11,67 @@
 	"cardamompoint.example/cardamompoint/internal/clock"
 )
 
-// attempt sends the request to the picked endpoint and forwards the response.
-func (c *call) attempt(pick choice.Pick) outcome {
-	id := pick.Endpoint.ID
-	table := c.gateway.table
-	work := table.Begin(pick, &c.request.Prompt, clock.Now())
-	c.gateway.limits.Take(pick.Endpoint, clock.Now())
-	defer work.End()
-	x := &exchange{call: c, pick: pick, work: work}
-	conn, err := c.connect(pick)
+// run sends the request to the picked endpoint and forwards the response.
+func (x *exchange) run() outcome {
+	if x.response != nil {
+		return x.continueHandover()
+	}
+	if out, ok := x.begin(); !ok {
+		return out
+	}
+	defer x.work.End()
+	out, ok := x.roundTrip(x.waitLonger, x.progressTimeout())
+	if ok {
+		out = x.handleResponse()
+	}
+	x.end(&out)
+	return out
+}
+
+// continueHandover forwards the response of an endpoint that has taken the request over.
+func (x *exchange) continueHandover() outcome {
+	defer x.work.End()
+	x.conn.OnReadTimeout(x.waitLonger)
+	x.setReadDeadline(x.progressTimeout())
+	out := x.handleResponse()
+	x.end(&out)
+	return out
+}
+
+// begin counts the attempt and connects to the picked endpoint. ok is false if it can't be reached; out is
+// then the outcome.
+func (x *exchange) begin() (out outcome, ok bool) {
+	table := x.gateway.table
+	x.work = table.Begin(x.pick, &x.request.Prompt, clock.Now())
+	x.gateway.limits.Take(x.pick.Endpoint, clock.Now())
+	conn, err := x.connect(x.pick)
 	if err != nil {
-		if c.r.Context().Err() == nil {
-			table.RecordUnreachable(id, err.Error(), clock.Now())
+		x.work.End()
+		if x.r.Context().Err() == nil {
+			table.RecordUnreachable(x.pick.Endpoint.ID, err.Error(), clock.Now())
 		}
-		return x.checkCaller(outcome{result: resultNotExecuted, unsent: true, err: err})
+		return x.checkCaller(outcome{result: resultNotExecuted, unsent: true, err: err}), false
 	}
 	x.conn = conn
-	abandon := context.AfterFunc(c.r.Context(), conn.Close)
-	out := x.roundTrip()
-	x.recordConnection(&out)
-	if abandon() && x.fullyRead(out) && x.requestWritten() && conn.PrepareReuse(x.response, x.info) {
-		c.gateway.pool.Put(conn)
-		c.gateway.metrics.CountConnection("kept")
-		return out
+	x.abandon = context.AfterFunc(x.r.Context(), conn.Close)
+	return outcome{}, true
+}
+
+// end keeps the connection for other requests or closes it, and adds to the outcome what the connection
+// says of it. An exchange without a connection has ended already.
+func (x *exchange) end(out *outcome) {
+	if x.conn == nil {
+		return
 	}
-	conn.Close()
-	c.gateway.metrics.CountConnection("closed")
-	return out
+	x.work.End()
+	x.recordConnection(out)
+	if x.abandon() && x.fullyRead(*out) && x.requestWritten() && x.conn.PrepareReuse(x.response, x.info) {
+		x.gateway.pool.Put(x.conn)
+		x.gateway.metrics.CountConnection("kept")
+		return
+	}
+	x.conn.Close()
+	x.gateway.metrics.CountConnection("closed")
 }
 
 // recordConnection adds to the outcome what the connection says of it.
--- a/gateway/attempt_test.go
+++ b/gateway/attempt_test.go
@@ -53,7 +53,7 @@
 	bounds := *g.bounds.Load()
 	bounds.KeyLease = leaseMargin + time.Nanosecond
 	g.bounds.Store(&bounds)
-	out := c.attempt(pick)
+	out := (&exchange{call: c, pick: pick}).run()
 	if out.result != resultNotExecuted || !out.unsent || f.executions(c.request.ID) != 0 {
 		t.Errorf("%+v after %d runs", out, f.executions(c.request.ID))
 	}
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -99,6 +99,10 @@
 	// retryReserved reports whether the next attempt was taken from the retry budget when its
 	// predecessor was given up.
 	retryReserved bool
+	// successor is the exchange to which the request was handed over, nil if there is none, and
+	// successorStarted its start.
+	successor        *exchange
+	successorStarted clock.Boot
 	// lastFailure is the last failure response of an endpoint. It is delivered if no retry
 	// succeeds.
 	lastFailure *bufferedResponse
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -13,9 +13,12 @@
 // exchange is one attempt at one endpoint.
 type exchange struct {
 	*call
-	pick     choice.Pick
-	work     *choice.Work
-	conn     *upstream.Conn
+	pick choice.Pick
+	work *choice.Work
+	conn *upstream.Conn
+	// abandon stops the closing of the connection at the end of the caller's request. It returns false
+	// if the connection is closed already.
+	abandon  func() bool
 	response *http.Response
 	info     platform.ResponseInfo
 	// writeDone receives the result of a concurrent write, nil if the request was written
@@ -26,6 +29,8 @@
 	// suspected reports whether the endpoint has been silent for the progress timeout since its
 	// last event.
 	suspected bool
+	// overtaken reports whether the endpoint whose request this one was to take over went on first.
+	overtaken bool
 	// unreadBody reports whether a part of the response body was not read.
 	unreadBody bool
 	// answerBegan is when the endpoint sent the first bytes of an answer's body. proved reports
@@ -42,25 +47,26 @@
 // of them fit into it.
 const headerCapacity = 2 << 10
 
-// roundTrip sends the request and handles the response.
-func (x *exchange) roundTrip() outcome {
+// roundTrip sends the request and reads the header of the response. The read times out after patience, unless
+// onTimeout lets it go on. ok is false if there is no response; out is then the outcome.
+func (x *exchange) roundTrip(onTimeout upstream.TimeoutFunc, patience time.Duration) (out outcome, ok bool) {
 	if err := x.checkBeforeSend(); err != nil {
-		return outcome{result: resultNotExecuted, unsent: true, err: err}
+		return outcome{result: resultNotExecuted, unsent: true, err: err}, false
 	}
 	if out, ok := x.send(); !ok {
-		return out
+		return out, false
 	}
-	x.conn.OnReadTimeout(x.waitLonger)
-	x.setReadDeadline(x.progressTimeout())
+	x.conn.OnReadTimeout(onTimeout)
+	x.setReadDeadline(patience)
 	sentAt := clock.Now()
 	response, info, err := x.conn.ReadResponse(x.r.Method, x.request.ID)
 	if err != nil {
-		return x.classifyError(err)
+		return x.classifyError(err), false
 	}
 	x.response, x.info = response, info
 	x.gateway.metrics.ObserveFirstByte(clock.Now().Sub(sentAt))
 	x.recordFeedback()
-	return x.handleResponse()
+	return outcome{}, true
 }
 
 // checkBeforeSend returns the reason why the request must not be sent any more, or nil: time has
--- a/gateway/exchange_deadline.go
+++ b/gateway/exchange_deadline.go
@@ -56,7 +56,7 @@
 		x.gateway.table.RecordUnreachable(x.pick.Endpoint.ID, "silent in the middle of a stream", clock.Now())
 		return x.deadlineAfter(wait)
 	}
-	if x.reserveRetry() {
+	if x.handOver() {
 		return time.Time{}
 	}
 	x.silences++
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -101,6 +101,9 @@
 	Idle   bool  `json:"idle,omitempty"`
 	IdleMS int64 `json:"idle_ms,omitempty"`
 	Stale  bool  `json:"stale,omitempty"`
+	// Handover reports whether the endpoint was asked to take the request of a silent one over, and
+	// did not.
+	Handover bool `json:"handover,omitempty"`
 	// Silences counts the progress timeouts after which the attempt went on, as no other one
 	// was possible.
 	Silences int    `json:"silences,omitempty"`
@@ -120,6 +123,7 @@
 		Status:        out.status,
 		BeganMS:       c.attemptStarted.Sub(c.arrived).Milliseconds(),
 		TookMS:        took.Milliseconds(),
+		Handover:      out.handover,
 		Silences:      c.silences,
 		Idle:          out.wasIdle,
 		IdleMS:        out.idleFor.Milliseconds(),
--- /dev/null
+++ b/gateway/handover.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"cardamompoint.example/cardamompoint/gateway/upstream"
+	"cardamompoint.example/cardamompoint/internal/clock"
+)
+
+// handoverPoll is the interval at which a silent endpoint is looked at while another one is asked to take
+// its request over.
+const handoverPoll = 50 * time.Millisecond
+
+// handOver sends the request to another endpoint while this one, which is silent, goes on being awaited. It
+// returns true if the other one has begun to answer: the next attempt continues there. If the other one
+// refuses or fails, or this one goes on first, it returns false and the request stays.
+func (x *exchange) handOver() bool {
+	if !x.reserveRetry() {
+		return false
+	}
+	began, silences := x.attemptStarted, x.silences
+	next, out, ok := x.askSuccessor()
+	if !ok {
+		x.retryReserved = false
+		x.endSuccessor(next, out)
+	}
+	x.successor, x.successorStarted = nil, x.attemptStarted
+	if ok {
+		x.successor = next
+	}
+	x.attemptStarted, x.silences = began, silences
+	return ok
+}
+
+// askSuccessor sends the request, or the rest of a stream's, to another endpoint. ok reports whether that
+// endpoint has begun to answer; out is the outcome if not. next is nil if no endpoint was asked.
+func (x *exchange) askSuccessor() (next *exchange, out outcome, ok bool) {
+	next, err := x.newExchange()
+	if err != nil {
+		return nil, outcome{}, false
+	}
+	if out, ok := next.begin(); !ok {
+		return next, out, false
+	}
+	out, ok = next.roundTrip(next.awaitHandover(x, next.handoverTimeout()), handoverPoll)
+	switch {
+	case !ok:
+		return next, out, false
+	case next.takesOver():
+		return next, outcome{}, true
+	default:
+		return next, next.handleResponse(), false
+	}
+}
+
+// takesOver reports whether the endpoint's response can be the caller's, or the rest of the stream of which
+// the caller has a part.
+func (x *exchange) takesOver() bool {
+	switch {
+	case x.info.NotExecuted || x.unsealed():
+		return false
+	case x.headerSent:
+		return x.continuesStream()
+	default:
+		return x.info.Status < http.StatusInternalServerError
+	}
+}
+
+// endSuccessor ends an exchange to which the request was not handed over. next may be nil.
+func (c *call) endSuccessor(next *exchange, out outcome) {
+	if next == nil {
+		return
+	}
+	next.end(&out)
+	out.handover = true
+	c.recordAttempt(next.pick, out, clock.Now().Sub(c.attemptStarted))
+	c.countAttempt(out)
+}
+
+// takeSuccessor returns the exchange to which the request was handed over, nil if there is none.
+func (c *call) takeSuccessor() *exchange {
+	next := c.successor
+	if next == nil {
+		return nil
+	}
+	c.successor = nil
+	c.attemptStarted, c.silences = c.successorStarted, 0
+	return next
+}
+
+// dropSuccessor ends the exchange to which the request was handed over, if the call ends before.
+func (c *call) dropSuccessor() {
+	if next := c.takeSuccessor(); next != nil {
+		next.end(&outcome{result: resultCallerGone})
+	}
+}
+
+// handoverTimeout returns how long another endpoint may take to begin its answer, 0 if no further one may be
+// tried after it.
+func (x *exchange) handoverTimeout() time.Duration {
+	if !x.headerSent || x.lastExecution() {
+		return x.progressTimeout()
+	}
+	return max(minProgressTimeout, scale(x.grant.route.LatencyObjective, firstEventFactor))
+}
+
+// awaitHandover returns the function that decides how long this endpoint may take to begin its answer: until
+// the previous one goes on itself, or for limit; 0 means no limit.
+func (x *exchange) awaitHandover(previous *exchange, limit time.Duration) upstream.TimeoutFunc {
+	began := clock.Now()
+	return func(arrived bool) time.Time {
+		left, bounded := x.timeLeft()
+		x.overtaken = !arrived && previous.conn.HasInput()
+		switch {
+		case arrived:
+			return time.Now().Add(lateReadTime)
+		case x.overtaken, bounded && left <= 0, x.r.Context().Err() != nil:
+			return time.Time{}
+		case limit > 0 && clock.Now().Sub(began) >= limit:
+			return time.Time{}
+		default:
+			return x.deadlineAfter(handoverPoll)
+		}
+	}
+}
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -12,6 +12,8 @@
 // outcome is the outcome of one attempt.
 type outcome struct {
 	result attemptResult
+	// handover reports whether the request was to be handed over to the endpoint, and was not.
+	handover bool
 	// unsent reports whether no byte of the request reached the endpoint.
 	unsent bool
 	// status is the status of the endpoint's response, 0 if there was none.
@@ -30,6 +32,9 @@
 	if x.r.Context().Err() != nil {
 		return outcome{result: resultCallerGone, err: err}
 	}
+	if x.overtaken {
+		return outcome{result: resultFailed, err: err}
+	}
 	if left, bounded := x.timeLeft(); bounded && left <= 0 {
 		x.gateway.table.RecordOutcome(x.pick.Endpoint.ID, true, clock.Now())
 		return outcome{result: resultTimedOut, err: err}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -52,30 +52,54 @@
 	c.gateway.budget.RecordRequest(c.grant.service, c.arrived)
 	c.gateway.limits.RecordRequest(c.grant.service, c.arrived)
 	c.awaitLocations()
+	defer c.dropSuccessor()
 	for {
-		pick, err := c.nextEndpoint()
+		x, err := c.nextExchange()
 		if err != nil {
 			c.recordRejected()
 			c.finish(err)
 			return
 		}
-		c.attempts++
-		c.attemptStarted, c.silences = clock.Now(), 0
-		out := c.attempt(pick)
-		c.recordAttempt(pick, out, clock.Now().Sub(c.attemptStarted))
-		c.gateway.metrics.CountAttempt(c.attemptLabel(), out.result.String())
-		if out.result == resultFailed || out.result == resultTruncated {
-			c.executions++
-		}
-		if out.refusedAsFull() {
-			c.refusals++
-		}
+		out := x.run()
+		c.recordAttempt(x.pick, out, clock.Now().Sub(c.attemptStarted))
+		c.countAttempt(out)
 		if stop := c.finishAttempt(out); stop {
 			return
 		}
 	}
 }
 
+// nextExchange returns the exchange of the next attempt: the one to which the stream was handed over, or a
+// new one.
+func (c *call) nextExchange() (*exchange, error) {
+	if next := c.takeSuccessor(); next != nil {
+		return next, nil
+	}
+	return c.newExchange()
+}
+
+// newExchange picks an endpoint for another attempt.
+func (c *call) newExchange() (*exchange, error) {
+	pick, err := c.nextEndpoint()
+	if err != nil {
+		return nil, err
+	}
+	c.attempts++
+	c.attemptStarted, c.silences = clock.Now(), 0
+	return &exchange{call: c, pick: pick}, nil
+}
+
+// countAttempt counts an attempt by its outcome.
+func (c *call) countAttempt(out outcome) {
+	c.gateway.metrics.CountAttempt(c.attemptLabel(), out.result.String())
+	if out.result == resultFailed || out.result == resultTruncated {
+		c.executions++
+	}
+	if out.refusedAsFull() {
+		c.refusals++
+	}
+}
+
 // finishAttempt handles the outcome of an attempt. It ends the call, or returns false if the
 // request may be retried.
 func (c *call) finishAttempt(out outcome) (stop bool) {
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -11,6 +11,7 @@
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/internal/socket"
 	"cardamompoint.example/cardamompoint/platform"
 )
 
@@ -90,6 +91,11 @@
 	}
 }
 
+// HasInput reports whether bytes have arrived that were not read.
+func (c *Conn) HasInput() bool {
+	return c.reader.Buffered() > 0 || socket.HasUnread(c.raw)
+}
+
 // SetDeadline sets the time after which reads and writes fail. The zero time means no deadline.
 func (c *Conn) SetDeadline(at time.Time) error {
 	return c.raw.SetDeadline(at)
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -42,6 +42,7 @@
 	Idle     bool    `json:"idle"`
 	IdleMS   int64   `json:"idle_ms"`
 	Stale    bool    `json:"stale"`
+	Handover bool    `json:"handover"`
 	Fault    string  `json:"fault"`
 }
 
@@ -100,6 +101,9 @@
 	if a.Status > 0 {
 		fmt.Fprintf(w, ", status %d", a.Status)
 	}
+	if a.Handover {
+		fmt.Fprint(w, ", did not take the request of a silent endpoint over")
+	}
 	if a.Stale {
 		fmt.Fprintf(w, ", idle connection (%d ms) ended before an answer", a.IdleMS)
 	}
