Let the series tell an earlier removal of an endpoint from its leaving

A fault of the test harness.

The check now counts a VM as having noticed the leaving only if it knows a change no older than the leaving. Each VM that has noticed it does, so no reuse after a noticed leaving is left out; no bound changes.

Ruled out as a fix: not using the new entry while its deletion is held (trial). TestSyncBringsAllChanges fails with it, and rightly: the endpoint may be alive, and followers must have the state of their source.

--- a/gateway/knowledge/published_test.go
+++ b/gateway/knowledge/published_test.go
@@ -126,6 +126,8 @@
 	cut bool
 	// leftAt is when the store acknowledged, while stable, that it drains or is gone, 0 if it did not.
 	leftAt clock.Boot
+	// leftPosition is the store's position when it left last.
+	leftPosition traffic.Position
 	// renewedAt is when it last renewed its entry.
 	renewedAt clock.Boot
 }
--- a/gateway/knowledge/series_checks_test.go
+++ b/gateway/knowledge/series_checks_test.go
@@ -128,13 +128,14 @@
 const (
 	usageNone usage = iota
 	usageReady
-	// usageDropped means that the endpoint left and that the VM has noticed that.
+	// usageDropped means that the endpoint left and that the VM has noticed that: it knows a change that is
+	// no older than the leaving.
 	usageDropped
 )
 
 // checkReadmitted finds an endpoint that left, and that a VM that had noticed it uses again.
 func (s *series) checkReadmitted(r *runningVM, used map[traffic.Instance]usage) {
-	snapshot := r.tracker.Snapshot()
+	newest, snapshot := r.tracker.Newest(), r.tracker.Snapshot()
 	for _, endpoint := range s.endpoints {
 		instance := traffic.Instance{ID: endpoint.id, StartedMS: endpoint.startedMS}
 		left := endpoint.state == stateDraining || endpoint.state == stateUnlisted
@@ -146,7 +147,7 @@
 		switch {
 		case uses:
 			used[instance] = usageReady
-		case left && used[instance] == usageReady:
+		case left && used[instance] == usageReady && !endpoint.leftPosition.After(newest):
 			used[instance] = usageDropped
 		case !left:
 			used[instance] = usageNone
--- a/gateway/knowledge/series_test.go
+++ b/gateway/knowledge/series_test.go
@@ -182,6 +182,7 @@
 		s.store.remove(endpoint.id)
 	}
 	endpoint.heartbeat(s.store, now)
+	endpoint.leftPosition = s.store.position()
 	if s.impaired == 0 && now.Sub(s.troubledAt) >= stableTime {
 		endpoint.leftAt = now
 	}
