Do not take every reset for that of a forgotten connection

Resets of new connections, and of some that were idle for under 100 ms, are now kept and reported as well: an endpoint with one has another cause, and a service is suspected only if more of its endpoints reset idle connections alone. TestResetOfAConnectionInUseDoesNotCount has these cases; the one that it had before (a single early reset does not count) is part of them.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -46,12 +46,12 @@
 		return
 	}
 	sentAt, brokeAt := x.attemptStarted, clock.Now()
-	stale, idle := x.conn.Stale(err) && brokeAt.Sub(sentAt) <= maxResetDelay, x.conn.IdleFor()
+	idle, wasReset := x.conn.IdleFor(), x.conn.Unanswered(err) && (!x.conn.WasIdle() || brokeAt.Sub(sentAt) <= maxResetDelay)
 	confirmed := make(chan struct{})
 	go func() {
 		defer close(confirmed)
 		alive := x.gateway.confirmCrash(x.pick.Endpoint, x.suspects, sentAt, brokeAt)
-		if alive && stale {
+		if alive && wasReset {
 			x.gateway.idleResets.Record(x.pick.Endpoint, idle, clock.Now())
 		}
 	}()
--- a/gateway/gossip/idle_resets.go
+++ b/gateway/gossip/idle_resets.go
@@ -2,14 +2,14 @@
 
 import "time"
 
-// IdleReset reports that an endpoint has reset a connection that had been idle. VMs relay the resets
+// IdleReset reports that an endpoint has reset a connection, which may have been idle. VMs relay the resets
 // that others observed.
 type IdleReset struct {
 	// Endpoint and StartedMS identify the instance, Service is the name of its service.
 	Endpoint  string
 	StartedMS int64
 	Service   string
-	// IdleMS is how long the connection had been idle, AgeMS the time since the reset, in
+	// IdleMS is how long the connection had been idle, 0 for a new one, AgeMS the time since the reset, in
 	// milliseconds.
 	IdleMS int64
 	AgeMS  int64
@@ -22,9 +22,8 @@
 
 // Limits on decoded resets.
 const (
-	maxIdleResets    = 64
-	maxIdleResetMS   = int64(24 * time.Hour / time.Millisecond)
-	minIdleResetIdle = 1
+	maxIdleResets  = 64
+	maxIdleResetMS = int64(24 * time.Hour / time.Millisecond)
 )
 
 // idleResets writes IdleResets.
@@ -44,7 +43,7 @@
 		reset.Endpoint = r.name()
 		reset.StartedMS = r.number()
 		reset.Service = r.name()
-		reset.IdleMS = r.numberInRange(minIdleResetIdle, maxIdleResetMS)
+		reset.IdleMS = r.numberInRange(0, maxIdleResetMS)
 		reset.AgeMS = r.numberInRange(0, maxIdleResetMS)
 	})
 }
--- a/gateway/reuse/resets.go
+++ b/gateway/reuse/resets.go
@@ -16,7 +16,7 @@
 	// memory is how long a reset counts.
 	memory = 5 * time.Second
 	// minIdle is how long a connection must have been idle for its reset to count: an earlier one
-	// has another cause than that it was idle.
+	// has another cause than that it was idle, and so may the others of that endpoint.
 	minIdle = 100 * time.Millisecond
 	// usableShare is the share of the shortest idle time with a reset for which connections may be
 	// idle.
@@ -32,14 +32,19 @@
 // Unlimited is the idle time that is allowed where no reset is known.
 const Unlimited = time.Duration(math.MaxInt64)
 
-// reset is the newest reset of an endpoint's idle connections.
+// reset is the newest reset of an endpoint's connections.
 type reset struct {
 	service string
-	// idle is the shortest time for which such a connection had been idle.
+	// idle is the shortest time for which such a connection had been idle, 0 for a new one.
 	idle time.Duration
 	at   clock.Boot
 }
 
+// counts reports whether the endpoint resets connections because they were idle.
+func (r *reset) counts() bool {
+	return r.idle >= minIdle
+}
+
 // Resets keeps the resets of idle connections. It is safe for concurrent use.
 type Resets struct {
 	// known is the number of resets, for a quick look without mu.
@@ -54,11 +59,9 @@
 	return &Resets{resets: map[traffic.Instance]*reset{}}
 }
 
-// Record records that an endpoint which accepts connections has reset one that had been idle.
+// Record records that an endpoint which accepts connections has reset one that had been idle for the
+// given time, 0 for a new one.
 func (r *Resets) Record(endpoint *traffic.Endpoint, idle time.Duration, now clock.Boot) {
-	if idle < minIdle {
-		return
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.apply(endpoint.Instance(), endpoint.Service, idle, now, now)
@@ -72,6 +75,9 @@
 	}
 	known, ok := r.resets[key]
 	if ok {
+		if known.counts() && idle < minIdle {
+			klog.InfoS("endpoint: resets connections that were not idle, too", "endpoint", key.ID, "service", service)
+		}
 		known.idle, known.at = min(known.idle, idle), max(known.at, at)
 		return
 	}
@@ -80,6 +86,9 @@
 	}
 	r.resets[key] = &reset{service, idle, at}
 	r.known.Store(int64(len(r.resets)))
+	if idle < minIdle {
+		return
+	}
 	klog.InfoS("endpoint: resets idle connections", "endpoint", key.ID, "service", service, "idle_ms", idle.Milliseconds(), "for_ms", memory.Milliseconds())
 }
 
@@ -88,13 +97,15 @@
 	for key, known := range r.resets {
 		if now.Sub(known.at) > memory {
 			delete(r.resets, key)
-			klog.InfoS("endpoint: no longer resets idle connections", "endpoint", key.ID, "service", known.service)
+			if known.counts() {
+				klog.InfoS("endpoint: no longer resets idle connections", "endpoint", key.ID, "service", known.service)
+			}
 		}
 	}
 	r.known.Store(int64(len(r.resets)))
 }
 
-// InForce returns the number of endpoints with resets.
+// InForce returns the number of endpoints that reset idle connections.
 func (r *Resets) InForce(now clock.Boot) int64 {
 	if r.known.Load() == 0 {
 		return 0
@@ -102,7 +113,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expire(now)
-	return int64(len(r.resets))
+	count := int64(0)
+	for _, known := range r.resets {
+		if known.counts() {
+			count++
+		}
+	}
+	return count
 }
 
 // MaxIdle returns for how long a connection to an endpoint may have been idle before a request goes on
@@ -116,7 +133,7 @@
 	defer r.mu.Unlock()
 	r.expire(now)
 	idle := Unlimited
-	if known, ok := r.resets[endpoint.Instance()]; ok {
+	if known, ok := r.resets[endpoint.Instance()]; ok && known.counts() {
 		idle = known.idle
 	}
 	if final {
@@ -129,16 +146,21 @@
 }
 
 // serviceIdle returns the shortest idle time with a reset at a service that is suspected, Unlimited for
-// other services. The caller holds r.mu.
+// other services: also for one of whose endpoints as many reset connections that were not idle. The
+// caller holds r.mu.
 func (r *Resets) serviceIdle(service string, endpoints int) time.Duration {
-	count, shortest := 0, Unlimited
+	count, others, shortest := 0, 0, Unlimited
 	for _, known := range r.resets {
-		if known.service == service {
+		switch {
+		case known.service != service:
+		case known.counts():
 			count++
 			shortest = min(shortest, known.idle)
+		default:
+			others++
 		}
 	}
-	if count < minEndpoints || float64(count) < minEndpointShare*float64(endpoints) {
+	if count < minEndpoints || count <= others || float64(count) < minEndpointShare*float64(endpoints) {
 		return Unlimited
 	}
 	return shortest
--- a/gateway/reuse/resets_test.go
+++ b/gateway/reuse/resets_test.go
@@ -74,12 +74,27 @@
 	}
 }
 
-// TestResetOfAConnectionInUseDoesNotCount records the reset of a connection that was hardly idle.
+// TestResetOfAConnectionInUseDoesNotCount records resets of new connections and of some that were hardly
+// idle, beside those of idle ones: neither their endpoints nor a service with as many are suspected.
 func TestResetOfAConnectionInUseDoesNotCount(t *testing.T) {
-	r := New()
-	r.Record(endpoint(1), minIdle-1, start)
-	if r.InForce(start) != 0 {
-		t.Error("it counts")
+	for _, early := range []time.Duration{0, minIdle - 1} {
+		r := New()
+		for i := range 4 {
+			r.Record(endpoint(i), idle, start)
+		}
+		for i := range 2 {
+			r.Record(endpoint(i), early, start)
+		}
+		if got := r.MaxIdle(endpoint(0), 4, false, start); got != Unlimited || r.InForce(start) != 2 {
+			t.Errorf("%v at an endpoint that resets others, too; %d endpoints count", got, r.InForce(start))
+		}
+		if got := r.MaxIdle(endpoint(9), 4, true, start); got != Unlimited {
+			t.Errorf("%v at a service with as many that reset others, too", got)
+		}
+		r.Record(endpoint(5), idle, start)
+		if got := r.MaxIdle(endpoint(9), 4, true, start); got >= idle {
+			t.Errorf("%v at a service with most that reset idle ones alone", got)
+		}
 	}
 }
 
--- a/gateway/reuse/status.go
+++ b/gateway/reuse/status.go
@@ -23,7 +23,7 @@
 	r.expire(now)
 	var all []Status
 	for key, known := range r.resets {
-		if known.service == service {
+		if known.service == service && known.counts() {
 			all = append(all, Status{key.ID, known.idle.Milliseconds(), (memory - now.Sub(known.at)).Milliseconds()})
 		}
 	}
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -70,7 +70,13 @@
 // Stale reports whether the endpoint seems to have given up the idle connection before the current
 // request: it ended with err before a byte of a response came.
 func (c *Conn) Stale(err error) bool {
-	return c.wasIdle && !c.reads.received && Broke(err)
+	return c.wasIdle && c.Unanswered(err)
+}
+
+// Unanswered reports whether the connection ended with err before a byte of a response to the current
+// request came.
+func (c *Conn) Unanswered(err error) bool {
+	return !c.reads.received && Broke(err)
 }
 
 // Broke reports whether the endpoint's side ended a connection.
