Announce for how long callers may use an idle connection

Cause: callers use an idle connection for up to four fifths of the configured idle limit, 12 s there, and a stop closes it after 2.6 s to 7.5 s. Keeping it open while other requests are waited for only made the crossing rarer. A longer stop alone was ruled out: the grace period is shorter than 12 s.

Answers now carry Keep-Alive with a time that a stop can wait for, 4 s at most, and a stop keeps idle connections for that time since their last answer. Callers close them before, so that nothing is on its way at the close.

TestStopKeepsIdleConnectionsAsLongAsAnnounced fails with the announcement alone; on the code without it, it was not run.

--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -31,9 +31,7 @@
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	c := &call{gateway: g, w: w, r: r, arrived: clock.Now()}
-	if g.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	c.announceClose()
 	defer c.logRequest()
 	defer c.releaseQuota()
 	c.setWriteDeadline(refusalWriteTimeout)
--- a/gateway/idle_closer.go
+++ b/gateway/idle_closer.go
@@ -55,14 +55,14 @@
 	return len(i.spans)
 }
 
-// countUnused returns the number of open connections that wait for their first request since a time not
-// before earliest.
-func (i *idleCloser) countUnused(earliest clock.Boot) int {
+// countSince returns the number of open connections that wait for their first request, or for another
+// one, since a time not before earliest.
+func (i *idleCloser) countSince(earliest clock.Boot, first bool) int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	count := 0
 	for _, span := range i.spans {
-		if span.first && span.began >= earliest {
+		if span.first == first && span.began >= earliest {
 			count++
 		}
 	}
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -52,7 +52,7 @@
 // It returns false if the plan ended before.
 func (g *Gateway) finishRequests(l *listener, plan *shutdownPlan) bool {
 	klog.InfoS("gateway: new connections are refused", "waited", l.drain.Drain())
-	l.conns.awaitRequests(plan)
+	l.conns.awaitRequests(plan, g.keepAlive())
 	l.conns.retireAll(plan)
 	l.server.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithTimeout(context.Background(), plan.end.Sub(clock.Now()))
--- a/gateway/stop_idle_test.go
+++ b/gateway/stop_idle_test.go
@@ -49,3 +49,21 @@
 		t.Error(err)
 	}
 }
+
+// TestStopKeepsIdleConnectionsAsLongAsAnnounced guards against a stop that closes connections which callers were told they may use.
+func TestStopKeepsIdleConnectionsAsLongAsAnnounced(t *testing.T) {
+	f := newTestFleet(t, 1)
+	bounds := *f.gateways[0].bounds.Load()
+	bounds.GracePeriod = testGrace
+	f.gateways[0].setBounds(bounds)
+	conn := f.dialFront()
+	first, err := askRaw(conn, rawRequest)
+	if err != nil || first.Header.Get("Keep-Alive") != "timeout=2" {
+		t.Fatalf("%+v, %v", first, err)
+	}
+	f.beginStop(testGrace, testLinger)
+	time.Sleep(testLinger + 400*time.Millisecond)
+	if last, err := askRaw(conn, rawRequest); err != nil || !last.Close {
+		t.Errorf("%+v, %v", last, err)
+	}
+}
--- a/gateway/stopping_conns.go
+++ b/gateway/stopping_conns.go
@@ -17,19 +17,22 @@
 	requestPoll = 20 * time.Millisecond
 )
 
-// awaitRequests waits until no request is in progress and no connection waits for its first one, or the
-// plan is about to end. Idle connections stay open meanwhile: a request that is on its way to one gets
-// a response, which ends the connection.
-func (c callerConns) awaitRequests(plan *shutdownPlan) {
+// awaitRequests waits until no request is in progress, no connection waits for its first one, and callers
+// no longer use idle connections, which keepAlive was announced for, or the plan is about to end. Idle
+// connections stay open meanwhile: a request that is on its way to one gets a response, which ends the
+// connection.
+func (c callerConns) awaitRequests(plan *shutdownPlan, keepAlive time.Duration) {
 	end := plan.end.Add(-retireTime)
-	for now := clock.Now(); now < end && c.expectsRequests(now); now = clock.Now() {
+	for now := clock.Now(); now < end && c.expectsRequests(now, keepAlive); now = clock.Now() {
 		time.Sleep(requestPoll)
 	}
 }
 
-// expectsRequests reports whether a request is in progress, or a first one may still arrive.
-func (c callerConns) expectsRequests(now clock.Boot) bool {
-	return c.open.count() > c.idle.count() || c.idle.countUnused(now.Add(-firstRequestWait)) > 0
+// expectsRequests reports whether a request is in progress, or one may still arrive.
+func (c callerConns) expectsRequests(now clock.Boot, keepAlive time.Duration) bool {
+	return c.open.count() > c.idle.count() ||
+		c.idle.countSince(now.Add(-firstRequestWait), true) > 0 ||
+		c.idle.countSince(now.Add(-keepAlive-keepAliveMargin), false) > 0
 }
 
 // retireAll retires the connections without a request and waits until they are closed, or the plan ends.
