Log what was passed over for a loaded endpoint

The line of a request named the chosen endpoint and its load, but not why a less loaded one was passed over. Each attempt now has the estimated failure chance, and, above the mean load, the bound, how many candidates are above it or avoided, and load and failure chance of the candidate with the lowest load.

--- a/gateway/choice/pick.go
+++ b/gateway/choice/pick.go
@@ -77,6 +77,10 @@
 	Avoided bool
 	// FetchFrom is an endpoint to copy shared parts from, nil if there is none.
 	FetchFrom *traffic.Endpoint
+	// FaultPercent is the estimated chance that the attempt fails, in percent.
+	FaultPercent int
+	// Passed says what was passed over for an endpoint whose load is above the mean, nil for others.
+	Passed *Passed
 }
 
 // Pick chooses the cheapest candidate for a request, leaving out those for which
@@ -125,6 +129,8 @@
 	o := &c.options[chosen]
 	c.predictSource(o)
 	return Pick{
+		FaultPercent:  int(o.failure * 100),
+		Passed:        c.passedOver(o, bound),
 		Endpoint:      o.endpoint,
 		Reason:        c.reason(o, bound),
 		Load:          o.load,
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -100,6 +100,9 @@
 	// was possible.
 	Silences int    `json:"silences,omitempty"`
 	Fault    string `json:"fault,omitempty"`
+	// FaultPercent is the estimate by which the endpoint was picked.
+	FaultPercent int            `json:"fault_percent,omitempty"`
+	Passed       *choice.Passed `json:"passed,omitempty"`
 }
 
 // recordAttempt adds an attempt to the log line of the request.
@@ -116,6 +119,8 @@
 		BeganMS:       c.attemptStarted.Sub(c.arrived).Milliseconds(),
 		TookMS:        took.Milliseconds(),
 		Silences:      c.silences,
+		FaultPercent:  pick.FaultPercent,
+		Passed:        pick.Passed,
 	}
 	if c.firstEventAt >= c.attemptStarted {
 		record.FirstMS = c.firstEventAt.Sub(c.arrived).Milliseconds()
