--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -108,6 +108,9 @@
 	// was possible.
 	Silences int    `json:"silences,omitempty"`
 	Fault    string `json:"fault,omitempty"`
+	// FaultPercent is the estimate by which the endpoint was picked.
+	FaultPercent int            `json:"fault_percent,omitempty"`
+	Passed       *choice.Passed `json:"passed,omitempty"`
 }
 
 // recordAttempt adds an attempt to the log line of the request.
@@ -128,6 +131,8 @@
 		Idle:          out.wasIdle,
 		IdleMS:        out.idleFor.Milliseconds(),
 		Stale:         out.stale,
+		FaultPercent:  pick.FaultPercent,
+		Passed:        pick.Passed,
 	}
 	if c.firstEventAt >= c.attemptStarted {
 		record.FirstMS = c.firstEventAt.Sub(c.arrived).Milliseconds()
