Keep VMs from herding onto the engines that they remember as sound

Cause: all VMs remember the same engines as sound, so all prefer the same one and the same next one, and each checks the load bound against loads that lack what the others sent since they reported. Lines with passed showed estimates of 50 to 60 in 100 at idle engines six seconds after the end, and four VMs that sent eight requests to one engine within 13 ms, believing 8 to 11 there instead of 12 to 19. Ruled out: avoidance (0 avoided in the lines read), endpoints that have just started (none), sessions that return (a quarter of the requests above the bound).

While outcomes differ and few of a VM's newest requests fail, a VM now counts against the bound what the others have probably sent, takes a random part of the room at the engines that all prefer, and trusts other uncertain engines than its peers. So the bound holds for all VMs together without a message. While the trouble lasts all is as before.

--- a/gateway/choice/chooser.go
+++ b/gateway/choice/chooser.go
@@ -39,6 +39,13 @@
 	usableLoad    int
 	backlogTokens int
 	totalLoad     int
+	// ownLoad is the number of this VM's requests in totalLoad.
+	ownLoad int
+	// draw is a random number below 1, 0 if nothing is sent.
+	draw float64
+	// unseen is the number of requests that other VMs have probably sent to each sound candidate
+	// since they reported.
+	unseen float64
 	// sharedTokens is the number of tokens in the shared parts of the prompt.
 	sharedTokens int
 	// lastPartKnown reports whether some candidate holds the last shared part.
@@ -55,6 +62,12 @@
 	// lowestFailure is the lowest failure probability of the usable candidates. Failures
 	// common to all endpoints of a service don't count against one.
 	lowestFailure float64
+	// herding reports whether all VMs prefer the same candidates, as the outcomes differ, although few
+	// newest requests fail.
+	herding bool
+	// troubled reports whether many of this VM's newest requests to the service failed. Its few sound
+	// endpoints may then get more than the strict bound.
+	troubled bool
 	// commonSlowness is the median slowness of the candidates, at least 1. Slowness common to most
 	// endpoints of a service comes from its load, and does not count against one.
 	commonSlowness float64
@@ -65,6 +78,7 @@
 	c.markHolders()
 	if len(candidates) > 0 {
 		c.delays = c.table.delayModel(candidates[0].Service)
+		c.troubled = c.table.newestOf(candidates[0].Service).troubled(c.now)
 	}
 	states := c.table.statesOf(candidates)
 	for i, endpoint := range candidates {
@@ -82,6 +96,7 @@
 			outcomes:      st.outcomes.AsOf(c.now),
 		}
 		c.totalLoad += o.load
+		c.ownLoad += st.ownRequests
 		c.lastPartKnown = c.lastPartKnown || c.holdsLastPart(st)
 		c.failures.Add(o.outcomes)
 		if !o.excluded {
@@ -92,6 +107,7 @@
 		c.options = append(c.options, o)
 	}
 	c.estimateFailures()
+	c.estimateUnseen()
 	c.estimateSlowness()
 	if c.sharedTokens > 0 && !c.lastPartKnown {
 		c.rankOptions()
@@ -104,6 +120,7 @@
 // estimateFailures sets the failure probability of each candidate and the lowest one.
 func (c *chooser) estimateFailures() {
 	model := c.failures.Model()
+	c.herding = model.Differ() && !c.troubled
 	c.lowestFailure = 1
 	for i := range c.options {
 		o := &c.options[i]
@@ -115,6 +132,24 @@
 	}
 }
 
+// estimateUnseen sets the number of requests that this VM and others don't know of each other, if all
+// VMs prefer the same candidates.
+func (c *chooser) estimateUnseen() {
+	if !c.herding {
+		return
+	}
+	sound, newest := 0, 0.0
+	for i := range c.options {
+		o := &c.options[i]
+		o.newest = o.state.newest.asOf(c.now)
+		newest += o.newest
+		if !o.excluded && !o.avoided && c.excessFailure(o) <= soundExcess {
+			sound++
+		}
+	}
+	c.unseen = newest * c.peerShare() / float64(max(1, sound))
+}
+
 // estimateSlowness sets the slowness that the candidates have in common.
 func (c *chooser) estimateSlowness() {
 	all := c.table.slownessScratch[:0]
--- a/gateway/choice/option.go
+++ b/gateway/choice/option.go
@@ -11,6 +11,8 @@
 	state    *state
 	// load is the estimated number of requests in progress at the endpoint.
 	load int
+	// newest is the number of this VM's requests there that other VMs don't know of yet.
+	newest float64
 	// missingTokens is the number of shared tokens that the endpoint is not known to hold.
 	missingTokens int
 	// rank is the candidate's rank for the last shared part, from 0.
--- a/gateway/choice/passed.go
+++ b/gateway/choice/passed.go
@@ -25,7 +25,7 @@
 	lowest := chosen
 	for i := range c.options {
 		o := &c.options[i]
-		if float64(o.load) > bound {
+		if c.overBound(o, bound) {
 			passed.OverBound++
 		}
 		if o.avoided {
--- a/gateway/choice/pick.go
+++ b/gateway/choice/pick.go
@@ -16,6 +16,8 @@
 	// spareRequests is added to the load bound, which would be too tight to serve
 	// requests in a nearly idle fleet.
 	spareRequests = 2
+	// soundExcess is the excess chance of a failure up to which a candidate counts as sound.
+	soundExcess = 0.1
 	// prefillTokensPerMS is the speed at which a backlog of prompt tokens is weighed.
 	prefillTokensPerMS = 50.0
 	// copyTokensPerMS and copySetupMS are the assumed speed and setup time of copies from
@@ -92,6 +94,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := t.newChooser(request, now)
+	c.draw = t.random.Float64()
 	c.evaluate(candidates, excluded)
 	t.scratch = c.options
 	if c.usable == 0 {
@@ -107,6 +110,30 @@
 	return meanLoad + boundUtilization*(c.table.loadMultiple-1)*meanLoad + spareRequests
 }
 
+// overBound reports whether an option is above the load bound.
+func (c *chooser) overBound(o *option, bound float64) bool {
+	if float64(o.load) > bound {
+		return true
+	}
+	if !c.herding {
+		return false
+	}
+	return float64(o.load)+o.newest*c.peerShare() > c.strictBound() || c.draw*c.unseen > bound-float64(o.load)
+}
+
+// strictBound returns the load that no endpoint should exceed, with the requests that other VMs have
+// not reported yet.
+func (c *chooser) strictBound() float64 {
+	return c.table.loadMultiple*c.mean() + spareRequests
+}
+
+// peerShare returns how many requests all other VMs probably send for each request of this VM, by their
+// work in progress. A VM that has just started counts the others as equal.
+func (c *chooser) peerShare() float64 {
+	byWork := float64(c.totalLoad-c.ownLoad) / float64(c.ownLoad+1)
+	return min(byWork, float64(len(c.table.reports)))
+}
+
 // mean returns the mean load of the candidates.
 func (c *chooser) mean() float64 {
 	return float64(c.totalLoad) / float64(len(c.options))
@@ -164,7 +191,7 @@
 // reason returns the reason for picking an option.
 func (c *chooser) reason(o *option, bound float64) Reason {
 	switch {
-	case o.avoided || o.leaving || o.warmingUp || float64(o.load) > bound:
+	case o.avoided || o.leaving || o.warmingUp || c.overBound(o, bound):
 		return ReasonLast
 	case len(c.prompt.Parts) == 0:
 		return ReasonLoad
--- a/gateway/choice/state.go
+++ b/gateway/choice/state.go
@@ -23,6 +23,8 @@
 	// still to prefill for this VM and for the others.
 	prefillTokens     int
 	peerPrefillTokens int
+	// newest are this VM's newest requests.
+	newest newestRequests
 	// reportedLoad is the load that the endpoint reported last, at reportedAt.
 	// sentSinceReport is the number of requests that this VM has sent there since.
 	reportedLoad    traffic.Load
--- a/gateway/choice/table.go
+++ b/gateway/choice/table.go
@@ -32,6 +32,8 @@
 	statesByList map[**traffic.Endpoint][]*state
 	// delays are the learned delays of each service.
 	delays map[string]*estimate.DelayModel
+	// newest are this VM's newest outcomes of each service.
+	newest map[string]*newestOutcomes
 	// announcements are the locations that the next report announces.
 	announcements []gossip.PartLocation
 	// notices are what instances have announced. States of listed endpoints have a copy.
@@ -41,6 +43,9 @@
 	// random spreads the first requests of VMs to an endpoint that warms up.
 	random *rand.Rand
 
+	// optimismSeed is this VM's part of optimism.
+	optimismSeed uint64
+
 	// choiceSerial numbers the choices. scratch is the slice of options of the last
 	// choice, which the next one reuses.
 	choiceSerial uint64
@@ -67,8 +72,10 @@
 		reports:      map[string]*peerReport{},
 		statesByList: map[**traffic.Endpoint][]*state{},
 		notices:      map[traffic.Instance]notice{},
+		optimismSeed: rand.Uint64(),
 		random:       rand.New(rand.NewPCG(rand.Uint64(), 0)),
 		delays:       map[string]*estimate.DelayModel{},
+		newest:       map[string]*newestOutcomes{},
 	}
 }
 
@@ -154,6 +161,7 @@
 	st.unreachableCount = 0
 	st.avoidUntil = 0
 	st.recordOutcome(failed, now)
+	t.recordNewest(st, failed, now)
 	change, lasted := st.healthTransition(now)
 	t.mu.Unlock()
 	change.log(id, "", lasted)
@@ -166,6 +174,7 @@
 	st := t.state(id)
 	st.recordUnreachable(now)
 	st.recordOutcome(true, now)
+	t.recordNewest(st, true, now)
 	change, lasted := st.healthTransition(now)
 	t.mu.Unlock()
 	change.log(id, reason, lasted)
@@ -189,3 +198,26 @@
 	}
 	return model
 }
+
+// optimism returns by how many standard errors this VM trusts an endpoint more than its outcomes say. It
+// differs between VMs and endpoints.
+func (t *Table) optimism(s *state) float64 {
+	return maxOptimism * float64(rendezvousScore(t.optimismSeed, s.hash)>>11) / (1 << 53)
+}
+
+// newestOf returns the newest outcomes of a service. The caller holds t.mu.
+func (t *Table) newestOf(service string) *newestOutcomes {
+	newest, ok := t.newest[service]
+	if !ok {
+		newest = &newestOutcomes{}
+		t.newest[service] = newest
+	}
+	return newest
+}
+
+// recordNewest counts an outcome among the newest ones of the endpoint's service. The caller holds t.mu.
+func (t *Table) recordNewest(st *state, failed bool, now clock.Boot) {
+	if st.endpoint != nil {
+		t.newestOf(st.endpoint.Service).record(failed, now)
+	}
+}
--- a/gateway/choice/work.go
+++ b/gateway/choice/work.go
@@ -34,6 +34,7 @@
 	st.ownRequests++
 	st.sentSinceReport++
 	st.warmUp.take(now)
+	st.newest.add(now)
 	st.prefillTokens += pick.PrefillTokens
 	shared := max(1, len(prompt.Parts)-1)
 	for i, part := range prompt.Parts {
--- a/gateway/estimate/failure.go
+++ b/gateway/estimate/failure.go
@@ -92,6 +92,11 @@
 	differ bool
 }
 
+// Differ reports whether the outcomes of the endpoints differ more than by chance.
+func (m FailureModel) Differ() bool {
+	return m.differ
+}
+
 // Mean returns the chance that a request fails at an endpoint of which nothing is known.
 func (m FailureModel) Mean() float64 {
 	return m.mean
