Wait on for a silent endpoint where nothing bounds the time

What callers see: on a route without a timeout, a stream of a sound endpoint was cut after 1.8 s of silence once no other endpoint may be tried.

Cause: the time until the next look was 0 then, which the reader of the connection takes for "fail". TestSilenceEndsNoStreamWithoutATimeout failed before (cut after 1.8 s).

--- a/gateway/exchange_deadline.go
+++ b/gateway/exchange_deadline.go
@@ -61,7 +61,20 @@
 	}
 	x.silences++
 	x.gateway.table.RecordUnreachable(x.pick.Endpoint.ID, "silent, and no other endpoint may be tried", clock.Now())
-	return x.deadlineAfter(x.progressTimeout())
+	return x.deadlineAfter(x.nextLook())
+}
+
+// unboundedWait is the interval between two looks at a silent endpoint if neither the caller nor the route
+// bounds the time and no other endpoint may be tried.
+const unboundedWait = 5 * time.Second
+
+// nextLook returns after which time a silent endpoint that is waited for is looked at again. 0 means at the
+// end of the caller's time.
+func (x *exchange) nextLook() time.Duration {
+	if wait := x.progressTimeout(); wait > 0 || x.timeout > 0 {
+		return wait
+	}
+	return unboundedWait
 }
 
 const (
