Let no failure of a successor reach the caller of a silent endpoint

What callers would see: two answers in one. The handover of a silent endpoint's request treated a failure of the next endpoint like any response; one that is too long to be buffered was written to the caller, and the first endpoint's answer followed.

Cause: a response was forwarded before it was decided that it takes the request over. Now a response that does not is never read on. TestLongFailureOfASuccessorIsNotMixedWithTheAnswer failed before: status 500 with 262,155 bytes told as complete, and 262,145 bytes cut.

--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/gateway/upstream"
 	"cardamompoint.example/cardamompoint/internal/clock"
 )
@@ -50,10 +51,20 @@
 	case next.takesOver():
 		return next, outcome{}, true
 	default:
-		return next, next.handleResponse(), false
+		return next, next.decline(), false
 	}
 }
 
+// decline returns the outcome of an endpoint whose response can't take the request over. Nothing of the
+// response reaches the caller.
+func (x *exchange) decline() outcome {
+	if x.info.NotExecuted {
+		return x.handleResponse()
+	}
+	x.unreadBody = true
+	return x.classifyError(code.New(code.EndpointFault, "the endpoint answered with status %d", x.info.Status))
+}
+
 // takesOver reports whether the endpoint's response can be the caller's, or the rest of the stream of which
 // the caller has a part.
 func (x *exchange) takesOver() bool {
--- a/gateway/handover_limits_test.go
+++ b/gateway/handover_limits_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,3 +30,55 @@
 		t.Errorf("%+v", got)
 	}
 }
+
+// TestLongFailureOfASuccessorIsNotMixedWithTheAnswer guards against an answer that begins with the failure of another endpoint.
+func TestLongFailureOfASuccessorIsNotMixedWithTheAnswer(t *testing.T) {
+	for name, inBody := range map[string]bool{"silent in the body": true, "silent before the head": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newTestFleet(t, 1)
+			f.servePlain(silentFirst(inBody))
+			got := f.ask(context.Background(), 1, query{path: "/lookup/1", body: "work"})
+			if got.status != http.StatusOK || !got.complete || !strings.HasSuffix(got.body, "-rest") || len(got.body) > len("first-rest") {
+				t.Errorf("status %d, complete: %t, %d bytes", got.status, got.complete, len(got.body))
+			}
+		})
+	}
+}
+
+// silentFirst answers the first request after a silence, in the body or before the head, and fails all others with
+// a response that is too long to be buffered.
+func silentFirst(inBody bool) http.Handler {
+	var seen atomic.Int64
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Cardamompoint-Attempt-Id", r.Header.Get("Cardamompoint-Attempt-Id"))
+		w.Header().Set("Cardamompoint-Response-Seal", "x")
+		if seen.Add(1) > 1 {
+			w.WriteHeader(http.StatusInternalServerError)
+			_, _ = io.WriteString(w, strings.Repeat("e", maxBufferedBytes+1))
+			return
+		}
+		if inBody {
+			_, _ = io.WriteString(w, "first")
+			_ = http.NewResponseController(w).Flush()
+		}
+		time.Sleep(900 * time.Millisecond)
+		_, _ = io.WriteString(w, "-rest")
+	})
+}
+
+// servePlain replaces the plain endpoints by two that a handler serves.
+func (f *testFleet) servePlain(handler http.Handler) {
+	f.t.Helper()
+	for host, id := range map[int]string{120: "own-1", 121: "own-2"} {
+		f.listen(f.address(host, workerPort), handler)
+		f.store.PutEndpoint(id, "plain", f.address(host, workerPort), "ready")
+	}
+	for _, id := range plainWorkers {
+		f.store.DeleteEndpoint(id)
+	}
+	f.eventually("only these endpoints are known", func() bool {
+		ready := f.gateways[0].tracker.Snapshot().Ready["plain"]
+		return len(ready) == 2 && strings.HasPrefix(ready[0].ID, "own") && strings.HasPrefix(ready[1].ID, "own")
+	})
+}
