Heed the newest configuration in a handover, and keep the old one otherwise

What callers could see: work that may run once runs twice. A handover checks whether a second execution is allowed, then connects and waits for a prefill; a configuration that forbids it and comes meanwhile was applied, but the run in progress is counted only when it ends. Also, after a handover that failed the request kept the configuration that was asked for it, and so that configuration's timeouts and budget.

Now the question is asked again for the picked endpoint with the run in progress counted, and the request goes back to the configuration with which it was accepted. TestHandoverHeedsConfigurationThatForbidsIt failed before: handed over, 2 executions.

--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -17,18 +17,17 @@
 // returns true if the other one has begun to answer: the next attempt continues there. If the other one
 // refuses or fails, or this one goes on first, it returns false and the request stays.
 func (x *exchange) handOver() bool {
+	before := x.grant
 	if !x.reserveRetry() {
 		return false
 	}
 	began, silences := x.attemptStarted, x.silences
 	next, out, ok := x.askSuccessor()
-	if !ok {
-		x.retryReserved = false
-		x.endSuccessor(next, out)
-	}
-	x.successor, x.successorStarted = nil, x.attemptStarted
 	if ok {
-		x.successor = next
+		x.successor, x.successorStarted = next, x.attemptStarted
+	} else {
+		x.retryReserved, x.grant = false, before
+		x.endSuccessor(next, out)
 	}
 	x.attemptStarted, x.silences = began, silences
 	return ok
@@ -41,6 +40,10 @@
 	if err != nil {
 		return nil, outcome{}, false
 	}
+	if next.lastExecution() || x.conn.HasInput() {
+		x.attempts-- // The newest data forbid a second execution, or none is needed any more.
+		return nil, outcome{}, false
+	}
 	if out, ok := next.begin(); !ok {
 		return next, out, false
 	}
--- a/gateway/handover_limits_test.go
+++ b/gateway/handover_limits_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/standin/hosted"
 )
 
@@ -82,3 +83,37 @@
 		return len(ready) == 2 && strings.HasPrefix(ready[0].ID, "own") && strings.HasPrefix(ready[1].ID, "own")
 	})
 }
+
+// TestHandoverHeedsConfigurationThatForbidsIt guards against a second execution that the newest configuration forbids while the first is in progress.
+func TestHandoverHeedsConfigurationThatForbidsIt(t *testing.T) {
+	t.Parallel()
+	f := newTestFleet(t, 1)
+	g, id := f.gateways[0], "00000000000000b1"
+	c := &call{gateway: g, r: f.newRequest(context.Background(), 1, id, query{path: "/lookup/1"})}
+	c.r.RequestURI = "/lookup/1"
+	c.request = traffic.Request{ID: id, Key: "key-1"}
+	if err := c.authorize(g.tracker.Snapshot()); err != nil {
+		t.Fatal(err)
+	}
+	x, err := c.newExchange()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if out, ok := x.begin(); !ok {
+		t.Fatal(out)
+	}
+	if out, ok := x.send(); !ok {
+		t.Fatal(out)
+	}
+	f.eventually("the request is executed", func() bool { return f.executions(id) == 1 })
+	accepted := c.grant
+	f.publishChanged(2, forbidRepeats)
+	if next, _, ok := x.askSuccessor(); ok || next != nil || f.executions(id) != 1 {
+		t.Errorf("handed over: %t, %d executions", ok, f.executions(id))
+	}
+	c.grant = accepted
+	if x.handOver() || c.grant != accepted || c.attempts != 1 {
+		t.Errorf("grant of version %d after %d attempts", c.grant.version, c.attempts)
+	}
+	x.end(&outcome{result: resultCallerGone})
+}
