Await the last endpoint that may take a request over

What callers would see: a stream of a dead endpoint is lost although the next endpoint was about to go on with it. The next one was given 1.6 times the objective and then dropped; as no further one may be tried, the request waited for the dead one to the end of its time.

Cause: the run in progress at the silent endpoint was not counted when it was asked whether a further endpoint may be tried. Now the last one has no limit but the caller's time, until the silent one goes on; nor has one whose silent predecessor has ended meanwhile. TestLastPermittedSuccessorIsAwaited failed before (cut at 8 s).

--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -106,14 +106,17 @@
 // dropSuccessor ends the exchange to which the request was handed over, if the call ends before.
 func (c *call) dropSuccessor() {
 	if next := c.takeSuccessor(); next != nil {
-		next.end(&outcome{result: resultCallerGone})
+		c.endSuccessor(next, outcome{result: resultCallerGone})
 	}
 }
 
 // handoverTimeout returns how long another endpoint may take to begin its answer, 0 if no further one may be
-// tried after it.
+// tried after it: both the silent one and this one may have executed the request.
 func (x *exchange) handoverTimeout() time.Duration {
-	if !x.headerSent || x.lastExecution() {
+	if x.executions+2 >= x.grant.route.MaxExecutions || x.attempts >= maxAttempts {
+		return 0
+	}
+	if !x.headerSent {
 		return x.progressTimeout()
 	}
 	return max(minProgressTimeout, scale(x.grant.route.LatencyObjective, firstEventFactor))
@@ -131,7 +134,7 @@
 			return time.Now().Add(lateReadTime)
 		case x.overtaken, bounded && left <= 0, x.r.Context().Err() != nil:
 			return time.Time{}
-		case limit > 0 && clock.Now().Sub(began) >= limit:
+		case limit > 0 && clock.Now().Sub(began) >= limit && !previous.conn.HasEnded():
 			return time.Time{}
 		default:
 			return x.deadlineAfter(handoverPoll)
--- a/gateway/handover_limits_test.go
+++ b/gateway/handover_limits_test.go
@@ -117,3 +117,17 @@
 	}
 	x.end(&outcome{result: resultCallerGone})
 }
+
+// TestLastPermittedSuccessorIsAwaited guards against a stream that returns to a dead endpoint since the last other one is slow.
+func TestLastPermittedSuccessorIsAwaited(t *testing.T) {
+	t.Parallel()
+	f := newTestFleet(t, 1)
+	q := query{path: "/roster/1", promptParts: chatPromptParts}
+	serving, other := f.engineOf(q)
+	f.workers[serving].Events, f.workers[serving].EventInterval = 5, time.Minute
+	f.workers[other].Delay = 4 * time.Second
+	got := f.ask(context.Background(), 1, q)
+	if !got.complete || !strings.HasSuffix(got.body, "id: 5\ndata: piece 5\n\n") {
+		t.Errorf("%+v", got)
+	}
+}
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -102,6 +102,11 @@
 	return c.reader.Buffered() > 0 || socket.HasUnread(c.raw)
 }
 
+// HasEnded reports whether the endpoint has ended the connection and nothing is left to read.
+func (c *Conn) HasEnded() bool {
+	return !c.HasInput() && !socket.IsSilent(c.raw)
+}
+
 // SetDeadline sets the time after which reads and writes fail. The zero time means no deadline.
 func (c *Conn) SetDeadline(at time.Time) error {
 	return c.raw.SetDeadline(at)
