--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -287,3 +287,19 @@
 	}
 	return total
 }
+
+// servePlain replaces the plain endpoints by two that a handler serves.
+func (f *testFleet) servePlain(handler http.Handler) {
+	f.t.Helper()
+	for host, id := range map[int]string{120: "own-1", 121: "own-2"} {
+		f.listen(f.address(host, workerPort), handler)
+		f.store.PutEndpoint(id, "plain", f.address(host, workerPort), "ready")
+	}
+	for _, id := range plainWorkers {
+		f.store.DeleteEndpoint(id)
+	}
+	f.eventually("only these endpoints are known", func() bool {
+		ready := f.gateways[0].tracker.Snapshot().Ready["plain"]
+		return len(ready) == 2 && strings.HasPrefix(ready[0].ID, "own") && strings.HasPrefix(ready[1].ID, "own")
+	})
+}
--- a/gateway/long_answer_test.go
+++ b/gateway/long_answer_test.go
@@ -51,17 +51,7 @@
 		time.Sleep(700 * time.Millisecond)
 		_, _ = io.WriteString(w, "end")
 	})
-	for host, id := range map[int]string{120: "long-1", 121: "long-2"} {
-		f.listen(f.address(host, workerPort), answer)
-		f.store.PutEndpoint(id, "plain", f.address(host, workerPort), "ready")
-	}
-	for _, id := range plainWorkers {
-		f.store.DeleteEndpoint(id)
-	}
-	f.eventually("only the endpoints with long answers are known", func() bool {
-		ready := f.gateways[0].tracker.Snapshot().Ready["plain"]
-		return len(ready) == 2 && strings.HasPrefix(ready[0].ID, "long") && strings.HasPrefix(ready[1].ID, "long")
-	})
+	f.servePlain(answer)
 	if got := f.ask(context.Background(), 1, query{path: "/lookup/1", body: "work"}); !got.complete || got.body != long+"end" {
 		t.Errorf("the caller got %d bytes, complete: %t", len(got.body), got.complete)
 	}
