Count a first attempt as such after a handover

gateway_sends counted the first attempt of a request as a retry once another endpoint had been asked before it ended, since the label came from the number of attempts so far. Found by a reader of the handover.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -14,8 +14,10 @@
 type exchange struct {
 	*call
 	pick choice.Pick
-	work *choice.Work
-	conn *upstream.Conn
+	// number is the number of the attempt, from 1.
+	number int
+	work   *choice.Work
+	conn   *upstream.Conn
 	// abandon stops the closing of the connection at the end of the caller's request. It returns false
 	// if the connection is closed already.
 	abandon  func() bool
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -89,7 +89,7 @@
 	next.end(&out)
 	out.handover = true
 	c.recordAttempt(next.pick, out, clock.Now().Sub(c.attemptStarted))
-	c.countAttempt(out)
+	next.countAttempt(out)
 }
 
 // takeSuccessor returns the exchange to which the request was handed over, nil if there is none.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -39,9 +39,9 @@
 	return [...]string{"done", "not_run", "failed", "broken", "caller_gone", "late"}[r]
 }
 
-// attemptLabel returns the metric label of the current attempt.
-func (c *call) attemptLabel() string {
-	if c.attempts > 1 {
+// attemptLabel returns the metric label of an attempt.
+func (x *exchange) attemptLabel() string {
+	if x.number > 1 {
 		return "retry"
 	}
 	return "first"
@@ -62,7 +62,7 @@
 		}
 		out := x.run()
 		c.recordAttempt(x.pick, out, clock.Now().Sub(c.attemptStarted))
-		c.countAttempt(out)
+		x.countAttempt(out)
 		if stop := c.finishAttempt(out); stop {
 			return
 		}
@@ -86,17 +86,17 @@
 	}
 	c.attempts++
 	c.attemptStarted, c.silences = clock.Now(), 0
-	return &exchange{call: c, pick: pick}, nil
+	return &exchange{call: c, pick: pick, number: c.attempts}, nil
 }
 
 // countAttempt counts an attempt by its outcome.
-func (c *call) countAttempt(out outcome) {
-	c.gateway.metrics.CountAttempt(c.attemptLabel(), out.result.String())
+func (x *exchange) countAttempt(out outcome) {
+	x.gateway.metrics.CountAttempt(x.attemptLabel(), out.result.String())
 	if out.result == resultFailed || out.result == resultTruncated {
-		c.executions++
+		x.executions++
 	}
 	if out.refusedAsFull() {
-		c.refusals++
+		x.refusals++
 	}
 }
 
