--- a/gateway/choice/chooser.go
+++ b/gateway/choice/chooser.go
@@ -132,24 +132,6 @@
 	}
 }
 
-// estimateUnseen sets the number of requests that this VM and others don't know of each other, if all
-// VMs prefer the same candidates.
-func (c *chooser) estimateUnseen() {
-	if !c.herding {
-		return
-	}
-	sound, newest := 0, 0.0
-	for i := range c.options {
-		o := &c.options[i]
-		o.newest = o.state.newest.asOf(c.now)
-		newest += o.newest
-		if !o.excluded && !o.avoided && c.excessFailure(o) <= soundExcess {
-			sound++
-		}
-	}
-	c.unseen = newest * c.peerShare() / float64(max(1, sound))
-}
-
 // estimateSlowness sets the slowness that the candidates have in common.
 func (c *chooser) estimateSlowness() {
 	all := c.table.slownessScratch[:0]
--- a/gateway/choice/cost.go
+++ b/gateway/choice/cost.go
@@ -27,9 +27,6 @@
 	// failureDoubt is the number of standard errors by which an estimated failure probability
 	// is lowered, so that an endpoint keeps its load until it is clearly worse than others.
 	failureDoubt = 0.5
-	// maxOptimism is the largest number of further standard errors that a VM takes off for some
-	// endpoints, so that VMs with the same memory don't all try the same endpoint.
-	maxOptimism = 1.0
 	// defaultObjectiveMS stands for the objective of requests that have none.
 	defaultObjectiveMS = 500.0
 	// recomputeTokenMS is the cost of each shared token that is prefilled again although
@@ -72,15 +69,6 @@
 	return cost + float64(o.load)*activeRequestMS + c.promptCost(o)
 }
 
-// excessFailure returns by how much a candidate clearly fails more often than the best one.
-func (c *chooser) excessFailure(o *option) float64 {
-	doubt := failureDoubt
-	if c.herding {
-		doubt += c.table.optimism(o.state)
-	}
-	return max(0, o.failure-doubt*o.failureError-c.lowestFailure)
-}
-
 // failureCostMS returns the cost of a failed attempt, in milliseconds of delay: a request
 // that can't be sent again is lost, another one is delayed.
 func (c *chooser) failureCostMS() float64 {
--- a/gateway/choice/pick.go
+++ b/gateway/choice/pick.go
@@ -16,8 +16,6 @@
 	// spareRequests is added to the load bound, which would be too tight to serve
 	// requests in a nearly idle fleet.
 	spareRequests = 2
-	// soundExcess is the excess chance of a failure up to which a candidate counts as sound.
-	soundExcess = 0.1
 	// prefillTokensPerMS is the speed at which a backlog of prompt tokens is weighed.
 	prefillTokensPerMS = 50.0
 	// copyTokensPerMS and copySetupMS are the assumed speed and setup time of copies from
@@ -110,30 +108,6 @@
 	return meanLoad + boundUtilization*(c.table.loadMultiple-1)*meanLoad + spareRequests
 }
 
-// overBound reports whether an option is above the load bound.
-func (c *chooser) overBound(o *option, bound float64) bool {
-	if float64(o.load) > bound {
-		return true
-	}
-	if !c.herding {
-		return false
-	}
-	return float64(o.load)+o.newest*c.peerShare() > c.strictBound() || c.draw*c.unseen > bound-float64(o.load)
-}
-
-// strictBound returns the load that no endpoint should exceed, with the requests that other VMs have
-// not reported yet.
-func (c *chooser) strictBound() float64 {
-	return c.table.loadMultiple*c.mean() + spareRequests
-}
-
-// peerShare returns how many requests all other VMs probably send for each request of this VM, by their
-// work in progress. A VM that has just started counts the others as equal.
-func (c *chooser) peerShare() float64 {
-	byWork := float64(c.totalLoad-c.ownLoad) / float64(c.ownLoad+1)
-	return min(byWork, float64(len(c.table.reports)))
-}
-
 // mean returns the mean load of the candidates.
 func (c *chooser) mean() float64 {
 	return float64(c.totalLoad) / float64(len(c.options))
--- a/gateway/choice/table.go
+++ b/gateway/choice/table.go
@@ -199,12 +199,6 @@
 	return model
 }
 
-// optimism returns by how many standard errors this VM trusts an endpoint more than its outcomes say. It
-// differs between VMs and endpoints.
-func (t *Table) optimism(s *state) float64 {
-	return maxOptimism * float64(rendezvousScore(t.optimismSeed, s.hash)>>11) / (1 << 53)
-}
-
 // newestOf returns the newest outcomes of a service. The caller holds t.mu.
 func (t *Table) newestOf(service string) *newestOutcomes {
 	newest, ok := t.newest[service]
