--- a/gateway/choice/pick_test.go
+++ b/gateway/choice/pick_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -45,8 +44,7 @@
 // newSeededTable returns the Table of one of several VMs, each of which has a number.
 func newSeededTable(endpoints []*traffic.Endpoint, number int) *Table {
 	table := NewTable("d0", 2)
-	random := rand.New(rand.NewPCG(uint64(number), 42))
-	table.random, table.optimismSeed = random, random.Uint64()
+	table.Seed(uint64(number))
 	snapshot := &knowledge.Snapshot{Endpoints: map[string]*traffic.Endpoint{}}
 	for _, endpoint := range endpoints {
 		snapshot.Endpoints[endpoint.ID] = endpoint
--- a/gateway/choice/table.go
+++ b/gateway/choice/table.go
@@ -64,7 +64,7 @@
 	if multiple <= 1 {
 		multiple = defaultMultiple
 	}
-	return &Table{
+	t := &Table{
 		domain:       domain,
 		loadMultiple: multiple,
 		states:       map[string]*state{},
@@ -72,11 +72,18 @@
 		reports:      map[string]*peerReport{},
 		statesByList: map[**traffic.Endpoint][]*state{},
 		notices:      map[traffic.Instance]notice{},
-		optimismSeed: rand.Uint64(),
-		random:       rand.New(rand.NewPCG(rand.Uint64(), 0)),
 		delays:       map[string]*estimate.DelayModel{},
 		newest:       map[string]*newestOutcomes{},
 	}
+	t.Seed(rand.Uint64())
+	return t
+}
+
+// Seed makes the random parts of choices the same in each run, for simulations and tests. VMs need different
+// seeds. It must be called before the first choice.
+func (t *Table) Seed(seed uint64) {
+	t.random = rand.New(rand.NewPCG(seed, 0))
+	t.optimismSeed = t.random.Uint64()
 }
 
 // Update applies a new snapshot. It resets the health and the prompt locations of endpoints
--- a/internal/emulator/gateway_policy.go
+++ b/internal/emulator/gateway_policy.go
@@ -64,6 +64,7 @@
 	}
 	for vm := range sim.scenario.VMs {
 		table := choice.NewTable(sim.domain(vm), loadMultiple)
+		table.Seed(uint64(vm))
 		table.Update(snapshot)
 		p.tables = append(p.tables, table)
 		p.shedders = append(p.shedders, shed.New())
