Keep the start and the silences of an attempt in its exchange

They were fields of the call, so a handover had to save and restore them, and to keep the start of the successor beside it. An exchange has its own now; recording an attempt for the log line and for the metrics, which two places did one after the other, is one method. Behaviour unchanged; the tests of ./gateway pass.

--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -97,10 +97,8 @@
 	// retryReserved reports whether the next attempt was taken from the retry budget when its
 	// predecessor was given up.
 	retryReserved bool
-	// successor is the exchange to which the request was handed over, nil if there is none, and
-	// successorStarted its start.
-	successor        *exchange
-	successorStarted clock.Boot
+	// successor is the exchange to which the request was handed over, nil if there is none.
+	successor *exchange
 	// lastFailure is the last failure response of an endpoint. It is delivered if no retry
 	// succeeds.
 	lastFailure *bufferedResponse
@@ -109,12 +107,8 @@
 	headerSent  bool
 	lastEventID []byte
 
-	// silences counts the progress timeouts after which the last attempt went on.
-	silences int
-	// attemptStarted is the start of the last attempt. firstEventAt is when the first event of
-	// a stream was forwarded.
-	attemptStarted clock.Boot
-	firstEventAt   clock.Boot
+	// firstEventAt is when the first event of a stream was forwarded.
+	firstEventAt clock.Boot
 
 	// events counts the forwarded events of a stream. longestGap is the longest time between
 	// two of them.
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -45,7 +45,7 @@
 	if x.proved || !upstream.Broke(err) {
 		return
 	}
-	sentAt, brokeAt := x.attemptStarted, clock.Now()
+	sentAt, brokeAt := x.started, clock.Now()
 	idle, wasReset := x.conn.IdleFor(), x.conn.Unanswered(err) && (!x.conn.WasIdle() || brokeAt.Sub(sentAt) <= maxResetDelay)
 	confirmed := make(chan struct{})
 	go func() {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -16,8 +16,12 @@
 	pick choice.Pick
 	// number is the number of the attempt, from 1.
 	number int
-	work   *choice.Work
-	conn   *upstream.Conn
+	// started is when the attempt began.
+	started clock.Boot
+	// silences counts the progress timeouts after which the attempt went on.
+	silences int
+	work     *choice.Work
+	conn     *upstream.Conn
 	// abandon stops the closing of the connection at the end of the caller's request. It returns false
 	// if the connection is closed already.
 	abandon  func() bool
--- a/gateway/feedback.go
+++ b/gateway/feedback.go
@@ -21,7 +21,7 @@
 	if x.info.Leaving {
 		table.RecordLeaving(x.pick.Endpoint, now)
 	}
-	x.gateway.limits.RecordAnswer(x.pick.Endpoint, x.info.Limit, x.info.HasLimit, x.attemptStarted, now)
+	x.gateway.limits.RecordAnswer(x.pick.Endpoint, x.info.Limit, x.info.HasLimit, x.started, now)
 	if x.info.RetryAfter > 0 {
 		table.RecordBackoff(x.pick.Endpoint, now.Add(x.info.RetryAfter), now)
 	}
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -113,8 +113,9 @@
 	Passed       *choice.Passed `json:"passed,omitempty"`
 }
 
-// recordAttempt adds an attempt to the log line of the request.
-func (c *call) recordAttempt(pick choice.Pick, out outcome, took time.Duration) {
+// newRecord returns the record of the attempt for the log line of the request.
+func (x *exchange) newRecord(out outcome) attemptRecord {
+	pick := x.pick
 	record := attemptRecord{
 		Endpoint:      pick.Endpoint.ID,
 		Reason:        pick.Reason,
@@ -124,18 +125,18 @@
 		PrefillTokens: pick.PrefillTokens,
 		DelayMS:       int(pick.DelayMS),
 		Status:        out.status,
-		BeganMS:       c.attemptStarted.Sub(c.arrived).Milliseconds(),
-		TookMS:        took.Milliseconds(),
+		BeganMS:       x.started.Sub(x.arrived).Milliseconds(),
+		TookMS:        clock.Now().Sub(x.started).Milliseconds(),
 		Handover:      out.handover,
-		Silences:      c.silences,
+		Silences:      x.silences,
 		Idle:          out.wasIdle,
 		IdleMS:        out.idleFor.Milliseconds(),
 		Stale:         out.stale,
 		FaultPercent:  pick.FaultPercent,
 		Passed:        pick.Passed,
 	}
-	if c.firstEventAt >= c.attemptStarted {
-		record.FirstMS = c.firstEventAt.Sub(c.arrived).Milliseconds()
+	if x.firstEventAt >= x.started {
+		record.FirstMS = x.firstEventAt.Sub(x.arrived).Milliseconds()
 	}
 	if pick.FetchFrom != nil {
 		record.FetchFrom = pick.FetchFrom.ID
@@ -143,7 +144,7 @@
 	if out.err != nil {
 		record.Fault = out.err.Error()
 	}
-	c.attemptRecords = append(c.attemptRecords, record)
+	return record
 }
 
 // routeKind returns the kind of the request's route for metrics.
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -21,16 +21,16 @@
 	if !x.reserveRetry() {
 		return false
 	}
-	began, silences := x.attemptStarted, x.silences
 	next, out, ok := x.askSuccessor()
 	if ok {
-		x.successor, x.successorStarted = next, x.attemptStarted
-	} else {
-		x.retryReserved, x.grant = false, before
-		x.endSuccessor(next, out)
+		x.successor = next
+		return true
 	}
-	x.attemptStarted, x.silences = began, silences
-	return ok
+	x.retryReserved, x.grant = false, before
+	if next != nil {
+		next.endUnused(out)
+	}
+	return false
 }
 
 // askSuccessor sends the request, or the rest of a stream's, to another endpoint. ok reports whether that
@@ -81,32 +81,24 @@
 	}
 }
 
-// endSuccessor ends an exchange to which the request was not handed over. next may be nil.
-func (c *call) endSuccessor(next *exchange, out outcome) {
-	if next == nil {
-		return
-	}
-	next.end(&out)
+// endUnused ends an exchange to which the request was not handed over.
+func (x *exchange) endUnused(out outcome) {
+	x.end(&out)
 	out.handover = true
-	c.recordAttempt(next.pick, out, clock.Now().Sub(c.attemptStarted))
-	next.countAttempt(out)
+	x.record(out)
 }
 
 // takeSuccessor returns the exchange to which the request was handed over, nil if there is none.
 func (c *call) takeSuccessor() *exchange {
 	next := c.successor
-	if next == nil {
-		return nil
-	}
 	c.successor = nil
-	c.attemptStarted, c.silences = c.successorStarted, 0
 	return next
 }
 
 // dropSuccessor ends the exchange to which the request was handed over, if the call ends before.
 func (c *call) dropSuccessor() {
 	if next := c.takeSuccessor(); next != nil {
-		c.endSuccessor(next, outcome{result: resultCallerGone})
+		next.endUnused(outcome{result: resultCallerGone})
 	}
 }
 
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -61,16 +61,15 @@
 			return
 		}
 		out := x.run()
-		c.recordAttempt(x.pick, out, clock.Now().Sub(c.attemptStarted))
-		x.countAttempt(out)
-		if stop := c.finishAttempt(out); stop {
+		x.record(out)
+		if stop := x.finishAttempt(out); stop {
 			return
 		}
 	}
 }
 
-// nextExchange returns the exchange of the next attempt: the one to which the stream was handed over, or a
-// new one.
+// nextExchange returns the exchange of the next attempt: the one to which the request was handed over, or
+// a new one.
 func (c *call) nextExchange() (*exchange, error) {
 	if next := c.takeSuccessor(); next != nil {
 		return next, nil
@@ -85,12 +84,12 @@
 		return nil, err
 	}
 	c.attempts++
-	c.attemptStarted, c.silences = clock.Now(), 0
-	return &exchange{call: c, pick: pick, number: c.attempts}, nil
+	return &exchange{call: c, pick: pick, number: c.attempts, started: clock.Now()}, nil
 }
 
-// countAttempt counts an attempt by its outcome.
-func (x *exchange) countAttempt(out outcome) {
+// record adds the attempt to the log line of the request and counts it by its outcome.
+func (x *exchange) record(out outcome) {
+	x.attemptRecords = append(x.attemptRecords, x.newRecord(out))
 	x.gateway.metrics.CountAttempt(x.attemptLabel(), out.result.String())
 	if out.result == resultFailed || out.result == resultTruncated {
 		x.executions++
@@ -102,24 +101,24 @@
 
 // finishAttempt handles the outcome of an attempt. It ends the call, or returns false if the
 // request may be retried.
-func (c *call) finishAttempt(out outcome) (stop bool) {
+func (x *exchange) finishAttempt(out outcome) (stop bool) {
 	switch out.result {
 	case resultDone:
-		c.recordStreamTime()
+		x.recordStreamTime()
 		now := clock.Now()
-		c.gateway.longest.record(c.grant.service, now.Sub(c.attemptStarted), now)
-		c.result = code.OK
+		x.gateway.longest.record(x.grant.service, now.Sub(x.started), now)
+		x.result = code.OK
 		return true
 	case resultCallerGone:
-		c.finish(errCallerGone())
+		x.finish(errCallerGone())
 		return true
 	case resultTimedOut:
-		c.finish(code.New(code.DeadlineExceeded, "no response arrived within the timeout"))
+		x.finish(code.New(code.DeadlineExceeded, "no response arrived within the timeout"))
 		return true
 	}
-	if err := c.retryError(out); err != nil {
-		c.recordRejected()
-		c.finish(err)
+	if err := x.retryError(out); err != nil {
+		x.recordRejected()
+		x.finish(err)
 		return true
 	}
 	return false
--- a/gateway/shedding.go
+++ b/gateway/shedding.go
@@ -94,9 +94,9 @@
 
 // recordStreamTime reports to the Shedder how long a complete stream lasted after its first
 // event.
-func (c *call) recordStreamTime() {
-	if c.headerSent && c.firstEventAt >= c.attemptStarted {
-		c.gateway.shedders.forService(c.grant.service).RecordAnswerTime(clock.Now().Sub(c.firstEventAt))
+func (x *exchange) recordStreamTime() {
+	if x.headerSent && x.firstEventAt >= x.started {
+		x.gateway.shedders.forService(x.grant.service).RecordAnswerTime(clock.Now().Sub(x.firstEventAt))
 	}
 }
 
