Look for kept resets without a scan before each request

Whether any reset is kept was asked by counting those in force under the lock, and MaxIdle then went through them again. Resets.Empty answers it without the lock. Where only resets with another cause are kept, MaxIdle gives Unlimited, as before. The tests of gateway/reuse and ./gateway pass.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -103,10 +103,10 @@
 // maxIdle returns for how long a connection to an endpoint may have been idle before the request goes on
 // it. A request that can't be sent once more is more careful.
 func (c *call) maxIdle(endpoint *traffic.Endpoint) time.Duration {
-	now := clock.Now()
-	if c.gateway.idleResets.InForce(now) == 0 {
+	if c.gateway.idleResets.Empty() {
 		return reuse.Unlimited
 	}
+	now := clock.Now()
 	final := c.lastExecution() || !c.gateway.budget.Allows(c.grant.service, now)
 	endpoints := len(c.gateway.tracker.Snapshot().Ready[endpoint.Service])
 	return c.gateway.idleResets.MaxIdle(endpoint, endpoints, final, now)
--- a/gateway/reuse/report.go
+++ b/gateway/reuse/report.go
@@ -18,7 +18,7 @@
 
 // FillReport adds the known resets to a report.
 func (r *Resets) FillReport(report *gossip.Report, now clock.Boot) {
-	if r.known.Load() == 0 {
+	if r.Empty() {
 		return
 	}
 	r.mu.Lock()
--- a/gateway/reuse/resets.go
+++ b/gateway/reuse/resets.go
@@ -105,9 +105,14 @@
 	r.known.Store(int64(len(r.resets)))
 }
 
+// Empty reports whether no reset is kept. It takes no lock.
+func (r *Resets) Empty() bool {
+	return r.known.Load() == 0
+}
+
 // InForce returns the number of endpoints that reset idle connections.
 func (r *Resets) InForce(now clock.Boot) int64 {
-	if r.known.Load() == 0 {
+	if r.Empty() {
 		return 0
 	}
 	r.mu.Lock()
@@ -126,7 +131,7 @@
 // it. endpoints is the number of endpoints of its service. final reports whether the request fails with
 // the connection; if not, only the resets of the endpoint itself count.
 func (r *Resets) MaxIdle(endpoint *traffic.Endpoint, endpoints int, final bool, now clock.Boot) time.Duration {
-	if r.known.Load() == 0 {
+	if r.Empty() {
 		return Unlimited
 	}
 	r.mu.Lock()
