Announce the idle timeout itself, not the close time scaled back

keepAlive divided callerIdleTimeout by the factor with which that had just multiplied the configured timeout. Both read the timeout from one function now.

--- a/gateway/caller_limits.go
+++ b/gateway/caller_limits.go
@@ -33,11 +33,21 @@
 // that a caller sends around the timeout itself must not cross the close.
 const idleCloseFactor = 1.5
 
-// callerIdleTimeout returns after which idle time a caller's connection is currently closed.
-func (g *Gateway) callerIdleTimeout() time.Duration {
+// idleTimeout returns for how long callers may currently leave a connection idle, and whether the
+// configuration specifies it.
+func (g *Gateway) idleTimeout() (timeout time.Duration, configured bool) {
 	configuration := g.tracker.Snapshot().Configuration
 	if configuration == nil || configuration.Limits.IdleTimeout <= 0 {
-		return defaultIdleTimeout
+		return defaultIdleTimeout, false
+	}
+	return configuration.Limits.IdleTimeout, true
+}
+
+// callerIdleTimeout returns after which idle time a caller's connection is currently closed.
+func (g *Gateway) callerIdleTimeout() time.Duration {
+	timeout, configured := g.idleTimeout()
+	if !configured {
+		return timeout
 	}
-	return scale(configuration.Limits.IdleTimeout, idleCloseFactor)
+	return scale(timeout, idleCloseFactor)
 }
--- a/gateway/keep_alive.go
+++ b/gateway/keep_alive.go
@@ -17,7 +17,8 @@
 // can wait for them. 0 means that it is not announced.
 func (g *Gateway) keepAlive() time.Duration {
 	span := planShutdown(0, g.bounds.Load().GracePeriod, 0).end.Sub(0) - retireTime - keepAliveMargin
-	return max(0, min(maxKeepAlive, scale(g.callerIdleTimeout(), 1/idleCloseFactor), span)).Truncate(time.Second)
+	limit, _ := g.idleTimeout()
+	return max(0, min(maxKeepAlive, limit, span)).Truncate(time.Second)
 }
 
 // announceClose tells the caller when the connection of its request will be closed.
