Look at a socket in one function

IsSilent and HasUnread had the same lines to reach the file descriptor. No behaviour changed; the tests of internal/socket and internal/httpguard pass.

--- a/internal/socket/unread.go
+++ b/internal/socket/unread.go
@@ -7,20 +7,11 @@
 	"golang.org/x/sys/unix"
 )
 
-// HasUnread reports whether a connection has bytes that nobody has read. A connection that is no
+// HasUnread reports whether a connection has unread bytes. A connection that is no
 // socket counts as having none.
 func HasUnread(conn net.Conn) bool {
-	system, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := system.SyscallConn()
-	if err != nil {
-		return false
-	}
-	unread := false
-	err = raw.Control(func(fd uintptr) { unread, _ = peek(fd) })
-	return err == nil && unread
+	unread, _ := look(conn)
+	return unread
 }
 
 // AwaitPeer waits until bytes arrive on a connection, its peer closes it, or its read deadline
@@ -41,6 +32,21 @@
 	})
 }
 
+// look reports whether a connection has unread bytes, and whether it is open without any. One that is no
+// socket has none and is open.
+func look(conn net.Conn) (unread, silent bool) {
+	system, ok := conn.(syscall.Conn)
+	if !ok {
+		return false, true
+	}
+	raw, err := system.SyscallConn()
+	if err != nil {
+		return false, false
+	}
+	err = raw.Control(func(fd uintptr) { unread, silent = peek(fd) })
+	return err == nil && unread, err == nil && silent
+}
+
 // peek reports whether a socket has unread bytes, and whether it is open without any.
 func peek(fd uintptr) (unread, silent bool) {
 	var one [1]byte
