--- a/gateway/forgetful_endpoint_test.go
+++ b/gateway/forgetful_endpoint_test.go
@@ -162,10 +162,7 @@
 	t.Parallel()
 	f := newTestFleet(t, 1)
 	g, q := f.gateways[0], query{path: "/roster/1", promptParts: chatPromptParts}
-	serving, other := "engine-1", "engine-2"
-	if warm := f.ask(context.Background(), 1, q); f.workers[other].Runs(warm.id) > 0 {
-		serving, other = other, serving
-	}
+	serving, other := f.engineOf(q)
 	f.workers[serving].Events, f.workers[serving].EventInterval = 5, 3*time.Second
 	f.workers[other].Events = 5
 	address := f.address(150, workerPort)
--- a/gateway/silent_endpoint_test.go
+++ b/gateway/silent_endpoint_test.go
@@ -152,10 +152,7 @@
 func TestSilentStreamIsNotGivenUpForUnreachableEndpoint(t *testing.T) {
 	f := newTestFleet(t, 1)
 	q := query{path: "/roster/1", promptParts: chatPromptParts}
-	serving, other := "engine-1", "engine-2"
-	if warm := f.ask(context.Background(), 1, q); f.workers[other].Runs(warm.id) > 0 {
-		serving, other = other, serving
-	}
+	serving, other := f.engineOf(q)
 	f.workers[serving].Events, f.workers[serving].EventInterval = 3, 1500*time.Millisecond
 	unreachable := f.address(150, workerPort)
 	f.store.PutEndpoint(other, "engines", unreachable, "ready")
@@ -175,10 +172,7 @@
 			t.Parallel()
 			f := newTestFleet(t, 1)
 			q := query{path: "/roster/1", promptParts: chatPromptParts}
-			serving := "engine-1"
-			if warm := f.ask(context.Background(), 1, q); f.workers["engine-2"].Runs(warm.id) > 0 {
-				serving = "engine-2"
-			}
+			serving, _ := f.engineOf(q)
 			f.workers[serving].Events, f.workers[serving].EventInterval = 2, pause
 			got := f.ask(context.Background(), 1, q)
 			if !got.complete || f.executions(got.id) != wanted {
@@ -196,10 +190,7 @@
 			t.Parallel()
 			f := newTestFleet(t, 1)
 			q := query{path: "/roster/1", promptParts: chatPromptParts}
-			serving, other := "engine-1", "engine-2"
-			if warm := f.ask(context.Background(), 1, q); f.workers[other].Runs(warm.id) > 0 {
-				serving, other = other, serving
-			}
+			serving, other := f.engineOf(q)
 			f.workers[serving].Events, f.workers[serving].EventInterval = 2, 3*time.Second
 			f.workers[other].SetDefault(next)
 			got := f.ask(context.Background(), 1, q)
--- a/router/hold/table_test.go
+++ b/router/hold/table_test.go
@@ -11,9 +11,9 @@
 	"cardamompoint.example/cardamompoint/router/balance"
 )
 
-// TestStreamsEndOnce attaches, detaches, expires and ends readers in random
+// TestHomeStreamsEndOnce attaches, detaches, expires and ends readers in random
 // order: no stream may be canceled at its engine twice, and none that has a reader.
-func TestStreamsEndOnce(t *testing.T) {
+func TestHomeStreamsEndOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		canceled := map[string]int{}
 		h := NewTable(time.Hour, func(key Key) { canceled[key.StreamID]++ })
