--- a/gateway/choice/table.go
+++ b/gateway/choice/table.go
@@ -40,10 +40,10 @@
 	notices map[traffic.Instance]notice
 	// leavingGrace is how long leaving endpoints still get requests.
 	leavingGrace time.Duration
-	// random spreads the first requests of VMs to an endpoint that warms up.
+	// random spreads the first requests of VMs to an endpoint that warms up, and the choices of VMs
+	// after a trouble.
 	random *rand.Rand
-
-	// optimismSeed is this VM's part of optimism.
+	// optimismSeed decides which endpoints this VM trusts more than others do; see optimism.
 	optimismSeed uint64
 
 	// choiceSerial numbers the choices. scratch is the slice of options of the last
--- a/gateway/drain_listener.go
+++ b/gateway/drain_listener.go
@@ -11,7 +11,7 @@
 const (
 	// acceptWait is how long a listener that is drained waits for one more connection.
 	acceptWait = 20 * time.Millisecond
-	// drainWait bounds the time to drain a listener, also if nobody accepts from it.
+	// drainWait bounds the time to drain a listener, even if no goroutine accepts from it.
 	drainWait = time.Second
 )
 
--- a/gateway/open_conns.go
+++ b/gateway/open_conns.go
@@ -34,7 +34,7 @@
 	return len(o.conns)
 }
 
-// countUnread returns the number of open connections with bytes that nobody has read.
+// countUnread returns the number of open connections with unread bytes.
 func (o *openConns) countUnread() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -38,8 +38,8 @@
 }
 
 // logStopped logs what the stop took and what it leaves: requests in progress, connections of callers
-// that are open, those of them with bytes that nobody has read, and those that were closed since the
-// start of the process although bytes on them had got no response.
+// that are open, those of them with unread bytes, and those that were closed since the start of the
+// process although bytes on them had got no response.
 func (g *Gateway) logStopped(began clock.Boot) {
 	open, unread := 0, 0
 	if conns := g.callerConns.Load(); conns != nil {
--- a/gateway/stop_idle_test.go
+++ b/gateway/stop_idle_test.go
@@ -50,7 +50,7 @@
 	}
 }
 
-// TestStopKeepsIdleConnectionsAsLongAsAnnounced guards against a stop that closes connections which callers were told they may use.
+// TestStopKeepsIdleConnectionsAsLongAsAnnounced guards against a stop that closes connections before the time announced to callers.
 func TestStopKeepsIdleConnectionsAsLongAsAnnounced(t *testing.T) {
 	f := newTestFleet(t, 1)
 	bounds := *f.gateways[0].bounds.Load()
--- a/internal/httpguard/conn.go
+++ b/internal/httpguard/conn.go
@@ -50,7 +50,7 @@
 	// were written since then.
 	receiving atomic.Bool
 	responded atomic.Bool
-	// OnClose is called when the connection is closed, nil for nobody. It must be set before the
+	// OnClose, if not nil, is called when the connection is closed. It must be set before the
 	// connection is used and must not use the connection.
 	OnClose func(*Conn, Closure)
 
--- a/internal/httpguard/listener.go
+++ b/internal/httpguard/listener.go
@@ -8,8 +8,7 @@
 	// Limits returns the limits in force. It is called for each head, concurrently by
 	// several goroutines.
 	Limits func() Limits
-	// OnClose is called when a connection is closed, nil for nobody. It must not use the
-	// connection.
+	// OnClose, if not nil, is called when a connection is closed. It must not use the connection.
 	OnClose func(*Conn, Closure)
 }
 
--- a/internal/httpguard/retire_test.go
+++ b/internal/httpguard/retire_test.go
@@ -87,7 +87,7 @@
 	}
 }
 
-// TestRequestThatCrossesTheCloseIsNoticed guards against requests that end with their connection and of which nobody but the caller knows.
+// TestRequestThatCrossesTheCloseIsNoticed guards against requests that are lost with their connection unnoticed by the server.
 func TestRequestThatCrossesTheCloseIsNoticed(t *testing.T) {
 	p := newConnPair(t, testLimits)
 	go p.serve()
