Compute once per choice what keeps VMs from choosing alike

The excess chance of a failure, with a hash for each endpoint, was computed twice or three times for each candidate, the part of the other VMs and the strict bound for each candidate anew. They are fields of the candidate and of the choice now.

--- a/gateway/choice/bench_test.go
+++ b/gateway/choice/bench_test.go
@@ -30,6 +30,25 @@
 	}
 }
 
+// BenchmarkPickAfterTrouble chooses while the outcomes of the endpoints differ, although few requests fail
+// any more.
+func BenchmarkPickAfterTrouble(b *testing.B) {
+	endpoints := testEndpoints(1000)
+	table := newTestTable(endpoints)
+	now := clock.Boot(time.Hour)
+	for i, endpoint := range endpoints {
+		for range 5 {
+			table.RecordOutcome(endpoint.ID, i%10 > 0, now)
+		}
+	}
+	now = now.Add(time.Second)
+	prompt := chatPrompt(1, 1)
+	b.ReportAllocs()
+	for b.Loop() {
+		table.Pick(endpoints, Request{Prompt: prompt, Objective: testObjective}, excludeNone, now)
+	}
+}
+
 // BenchmarkReceive applies a report of a VM with work at sixty endpoints.
 func BenchmarkReceive(b *testing.B) {
 	endpoints := testEndpoints(60)
--- a/gateway/choice/chooser.go
+++ b/gateway/choice/chooser.go
@@ -62,6 +62,12 @@
 	// lowestFailure is the lowest failure probability of the usable candidates. Failures
 	// common to all endpoints of a service don't count against one.
 	lowestFailure float64
+	// peerShare is the number of requests that all other VMs probably send for each request of this VM, by
+	// their work in progress. A VM that has just started counts the others as equal.
+	peerShare float64
+	// strictBound is the load that no endpoint should exceed, with the requests that other VMs have not
+	// reported yet. It is set like unseen and peerShare only if herding is true.
+	strictBound float64
 	// herding reports whether all VMs prefer the same candidates, as the outcomes differ, although few
 	// newest requests fail.
 	herding bool
@@ -107,6 +113,7 @@
 		c.options = append(c.options, o)
 	}
 	c.estimateFailures()
+	c.estimateExcess()
 	c.estimateUnseen()
 	c.estimateSlowness()
 	if c.sharedTokens > 0 && !c.lastPartKnown {
--- a/gateway/choice/cost.go
+++ b/gateway/choice/cost.go
@@ -58,7 +58,7 @@
 	case c.overBound(o, bound):
 		cost += unseenPenaltyMS + float64(o.load)*plainRequestMS
 	}
-	cost += c.excessFailure(o) * c.failureCostMS()
+	cost += o.excess * c.failureCostMS()
 	if o.endpoint.FailureDomain != c.table.domain {
 		cost += crossDomainMS
 	}
--- a/gateway/choice/herding.go
+++ b/gateway/choice/herding.go
@@ -11,8 +11,20 @@
 	maxOptimism = 1.0
 )
 
-// estimateUnseen sets the number of requests that this VM and others don't know of each other, if all
-// VMs prefer the same candidates.
+// estimateExcess sets by how much each candidate clearly fails more often than the best one.
+func (c *chooser) estimateExcess() {
+	for i := range c.options {
+		o := &c.options[i]
+		doubt := failureDoubt
+		if c.herding {
+			doubt += c.table.optimism(o.state)
+		}
+		o.excess = max(0, o.failure-doubt*o.failureError-c.lowestFailure)
+	}
+}
+
+// estimateUnseen sets what this VM and others don't know of each other's requests, if all VMs prefer the same
+// candidates.
 func (c *chooser) estimateUnseen() {
 	if !c.herding {
 		return
@@ -22,11 +34,14 @@
 		o := &c.options[i]
 		o.newest = o.state.newest.asOf(c.now)
 		newest += o.newest
-		if !o.excluded && !o.avoided && c.excessFailure(o) <= soundExcess {
+		if !o.excluded && !o.avoided && o.excess <= soundExcess {
 			sound++
 		}
 	}
-	c.unseen = newest * c.peerShare() / float64(max(1, sound))
+	byWork := float64(c.totalLoad-c.ownLoad) / float64(c.ownLoad+1)
+	c.peerShare = min(byWork, float64(len(c.table.reports)))
+	c.strictBound = c.table.loadMultiple*c.mean() + spareRequests
+	c.unseen = newest * c.peerShare / float64(max(1, sound))
 }
 
 // overBound reports whether an option is above the load bound.
@@ -37,29 +52,7 @@
 	if !c.herding {
 		return false
 	}
-	return float64(o.load)+o.newest*c.peerShare() > c.strictBound() || c.draw*c.unseen > bound-float64(o.load)
-}
-
-// strictBound returns the load that no endpoint should exceed, with the requests that other VMs have
-// not reported yet.
-func (c *chooser) strictBound() float64 {
-	return c.table.loadMultiple*c.mean() + spareRequests
-}
-
-// peerShare returns how many requests all other VMs probably send for each request of this VM, by their
-// work in progress. A VM that has just started counts the others as equal.
-func (c *chooser) peerShare() float64 {
-	byWork := float64(c.totalLoad-c.ownLoad) / float64(c.ownLoad+1)
-	return min(byWork, float64(len(c.table.reports)))
-}
-
-// excessFailure returns by how much a candidate clearly fails more often than the best one.
-func (c *chooser) excessFailure(o *option) float64 {
-	doubt := failureDoubt
-	if c.herding {
-		doubt += c.table.optimism(o.state)
-	}
-	return max(0, o.failure-doubt*o.failureError-c.lowestFailure)
+	return float64(o.load)+o.newest*c.peerShare > c.strictBound || c.draw*c.unseen > bound-float64(o.load)
 }
 
 // optimism returns by how many standard errors this VM trusts an endpoint more than its outcomes say. It
--- a/gateway/choice/option.go
+++ b/gateway/choice/option.go
@@ -43,4 +43,6 @@
 	outcomes     estimate.Outcomes
 	failure      float64
 	failureError float64
+	// excess is by how much the candidate clearly fails more often than the best one.
+	excess float64
 }
