Show a fleet that serves nothing while waiting watches are cut

Cause: only an answered watch confirms what a gateway knows, and each watch waits 800 ms. After a cut the same watch is tried again, so a store that cuts waiting watches sooner confirms nothing while nothing changes, and the lease of all keys ends (gateway/knowledge/reader.go; gateway/caller.go, checkLease).

Nothing of the program is changed.

--- a/review/stand/gateway.go
+++ b/review/stand/gateway.go
@@ -81,6 +81,13 @@
 	return b.start(g, false)
 }
 
+// kill ends the process at once.
+func (b *bench) kill(g *gateway) {
+	b.record.line("%s gets SIGKILL", g.name)
+	_ = g.process.Process.Kill() // It may have ended.
+	<-g.exited
+}
+
 // ready reports whether the gateway answers the readiness probe with 200.
 func (g *gateway) ready() bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -26,6 +26,7 @@
 	"noworker": noWorker,
 	"refused":  refusedAfterRun,
 	"drain":    drainAfterCut,
+	"recover":  recoverBesideCuts,
 }
 
 func main() {
