Answer long prompts at a VM that starts while no endpoint is listed

Cause: such requests wait until the VM has learned where parts of prompts are cached. The wait ended with that knowledge or 200 ms after the first endpoint was listed, and with nothing that lies in the request. Evidence: the VM is ready and refuses other requests at once; the held ones have no attempt.

The wait now ends 200 ms after the request arrived and with its time, and does not begin while its service has no endpoint, as the request can only be refused. Its length is in the request's line (locations_ms) and in gateway_location_wait, and explain tells of it.

The soak restarts a VM while all workers are away.

--- a/cmd/cardamompoint/explain.go
+++ b/cmd/cardamompoint/explain.go
@@ -88,6 +88,9 @@
 	if q := explanation.Quarantine; q != nil {
 		fmt.Fprintf(w, "quarantined parts=%s crashes=%d left_ms=%d\n", q.Parts, q.Crashes, q.LeftMS)
 	}
+	if explanation.AwaitsLocations {
+		fmt.Fprintln(w, "waits for prompt locations: the VM has just started")
+	}
 	fmt.Fprintf(w, "retry budget: %s\n", explanation.RetryBudget)
 	for _, reset := range explanation.IdleResets {
 		fmt.Fprintf(w, "idle reset %s idle_ms=%d for_ms=%d\n", reset.Endpoint, reset.IdleMS, reset.ForMS)
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -88,6 +88,8 @@
 	// prefillWaited is the total time that the request waited for a prefill of its shared
 	// parts.
 	prefillWaited time.Duration
+	// locationWait is how long the request waited for the locations of its prompt's parts.
+	locationWait time.Duration
 	// attempts counts the endpoints to which the request was sent, executions those that may
 	// have executed it.
 	attempts   int
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -31,6 +31,9 @@
 	Service        string `json:"service"`
 	// Quarantine is why such a request is refused, nil if it is not.
 	Quarantine *QuarantineStatus `json:"quarantine,omitempty"`
+	// AwaitsLocations reports whether the VM has just started, so that a request with a long shared
+	// prompt waits for the locations of its parts.
+	AwaitsLocations bool `json:"awaits_locations,omitempty"`
 	// RetryBudget is the state of the service's retry budget.
 	RetryBudget budget.Status `json:"retry_budget"`
 	// Limits holds the limits that endpoints of the service have named.
@@ -67,15 +70,16 @@
 	now := clock.Now()
 	candidates := g.table.Explain(snapshot.Ready[service], choice.Request{Prompt: &request.Prompt, Objective: route.LatencyObjective, Once: !route.Retryable()}, now)
 	return &Explanation{
-		Route:          route.Name,
-		Version:        snapshot.Configuration.Version,
-		KnowledgeAgeMS: g.knowledgeAge(),
-		Service:        service,
-		Quarantine:     g.quarantineOf(request.Prompt.PartIDs(), now),
-		RetryBudget:    g.budget.Status(service, now),
-		Limits:         g.limits.Status(snapshot.Ready[service], now),
-		IdleResets:     g.idleResets.Status(service, now),
-		Candidates:     candidates,
-		Unsettled:      g.tracker.Unsettled(),
+		Route:           route.Name,
+		Version:         snapshot.Configuration.Version,
+		KnowledgeAgeMS:  g.knowledgeAge(),
+		Service:         service,
+		Quarantine:      g.quarantineOf(request.Prompt.PartIDs(), now),
+		AwaitsLocations: g.awaitsLocations(&request.Prompt, snapshot.Ready[service]),
+		RetryBudget:     g.budget.Status(service, now),
+		Limits:          g.limits.Status(snapshot.Ready[service], now),
+		IdleResets:      g.idleResets.Status(service, now),
+		Candidates:      candidates,
+		Unsettled:       g.tracker.Unsettled(),
 	}, nil
 }
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -190,6 +190,10 @@
 	fields := []any{"request", c.request.ID, "code", int(c.result), "status", c.status, "took_ms", took.Milliseconds(),
 		"repeat", c.repeatLabel(), "route", route, "workspace", workspace, "service", c.grant.service, "version", c.grant.version, "age_ms", age,
 		"waited_ms", c.prefillWaited.Milliseconds(), "pieces", c.events, "pause_ms", c.longestGap.Milliseconds(), "attempts", c.attemptRecords}
+	if c.locationWait > 0 {
+		c.gateway.metrics.ObserveLocationWait(c.locationWait)
+		fields = append(fields, "locations_ms", c.locationWait.Milliseconds())
+	}
 	if len(c.suspects) > 0 && (c.result != code.OK || len(c.attemptRecords) > 1) {
 		fields = append(fields, "parts", traffic.FormatPartIDs(c.suspects))
 	}
--- a/gateway/learner.go
+++ b/gateway/learner.go
@@ -28,11 +28,6 @@
 	learnDuration = 4 * time.Second
 	// learnInterval is the interval between two rounds of queries.
 	learnInterval = 60 * time.Millisecond
-	// maxLocationWait bounds how long requests with long shared prompts wait, once endpoints are
-	// known, for the locations of their parts. A prefill of these parts would take as long.
-	maxLocationWait = 200 * time.Millisecond
-	// longPromptTokens is the number of shared tokens from which a request waits.
-	longPromptTokens = 1000
 	// learnQueryTimeout bounds a query.
 	learnQueryTimeout = 700 * time.Millisecond
 	// minPartTokens is the size of the smallest prompt part whose location is shared.
@@ -162,15 +157,3 @@
 	l.gateway.table.AnnounceLocations(locations)
 	klog.InfoS("place: learned the cached parts of an engine", "endpoint", endpoint.ID, "parts", len(parts))
 }
-
-// awaitLocations delays a request with a long shared prompt until the VM has learned the
-// locations of prompt parts, at most until maxLocationWait after endpoints are known.
-func (c *call) awaitLocations() {
-	if c.request.Prompt.SharedTokens() < longPromptTokens {
-		return
-	}
-	select {
-	case <-c.gateway.locationsKnown:
-	case <-c.r.Context().Done():
-	}
-}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -60,6 +60,7 @@
 	watchers.Wait()
 	s.eventually("all gateways are ready again", s.allReady)
 	s.restartAllBesideResets()
+	s.restartWithoutWorkers()
 	for _, one := range s.crashCases() {
 		s.checkCrashes(one)
 	}
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -22,12 +22,14 @@
 	promptHeld  metric.Int64Counter
 	events      metric.Int64Counter
 
-	choice     metric.Float64Histogram
-	connect    metric.Float64Histogram
-	firstByte  metric.Float64Histogram
-	firstEvent metric.Float64Histogram
-	pause      metric.Float64Histogram
-	total      metric.Float64Histogram
+	choice  metric.Float64Histogram
+	connect metric.Float64Histogram
+	// locationWait is recorded for requests that waited.
+	locationWait metric.Float64Histogram
+	firstByte    metric.Float64Histogram
+	firstEvent   metric.Float64Histogram
+	pause        metric.Float64Histogram
+	total        metric.Float64Histogram
 }
 
 // gatewayBounds are the bucket boundaries of a gateway's histograms, in seconds.
@@ -76,6 +78,7 @@
 	}{
 		{&g.choice, "cardamompoint.gateway_choice", "Time to choose an endpoint."},
 		{&g.connect, "cardamompoint.gateway_connect", "Time to get a connection to an endpoint."},
+		{&g.locationWait, "cardamompoint.gateway_location_wait", "Time that a request with a long prompt waited at a VM that had just started."},
 		{&g.firstByte, "cardamompoint.gateway_first_byte", "Time from sending a request to an endpoint to the header of its answer."},
 		{&g.firstEvent, "cardamompoint.gateway_first_event", "Time from a request to the first event of its stream."},
 		{&g.pause, "cardamompoint.gateway_pause", "Longest pause between events of a stream."},
@@ -129,6 +132,11 @@
 	g.choice.Record(context.Background(), took.Seconds())
 }
 
+// ObserveLocationWait records how long a request waited for the locations of its prompt's parts.
+func (g *Gateway) ObserveLocationWait(took time.Duration) {
+	g.locationWait.Record(context.Background(), took.Seconds())
+}
+
 // ObserveConnect records the time to get a connection to an endpoint.
 func (g *Gateway) ObserveConnect(took time.Duration) {
 	g.connect.Record(context.Background(), took.Seconds())
