End the read of a caller's body with the request's time

The cause of the long prompts without an answer, on a related path: a wait of a request that nothing in the request ends. A caller that stopped in the middle of its body was held until it left, and the memory reserved for its body with it, up to the largest permitted body for each one in chunks.

The read has the request's time as its deadline. Then the caller gets 408 with code 113 (body_timeout), which is true: nothing was sent. The deadline stays set in that case, so that net/http does not wait for the rest of the body before it answers.

--- a/code/code.go
+++ b/code/code.go
@@ -21,6 +21,7 @@
 	UnknownRequest   Code = 110
 	UnknownKey       Code = 111
 	HeaderTooLarge   Code = 112
+	BodyTimeout      Code = 113
 
 	Overloaded     Code = 201
 	WorkspaceShare Code = 202
--- a/code/table.go
+++ b/code/table.go
@@ -17,6 +17,7 @@
 	{UnknownRequest, "unknown_request", http.StatusNotFound, RunUnknown, false, "The executor has no record of this request."},
 	{UnknownKey, "unknown_key", http.StatusUnauthorized, RunNo, false, "Send a key of the deployment as Authorization: Bearer KEY."},
 	{HeaderTooLarge, "header_too_large", http.StatusRequestHeaderFieldsTooLarge, RunNo, false, "Send a smaller header."},
+	{BodyTimeout, "body_timeout", http.StatusRequestTimeout, RunNo, true, "Send the whole body within the request's time."},
 	{Overloaded, "overloaded", http.StatusServiceUnavailable, RunNo, true, "Retry after the time in Retry-After."},
 	{WorkspaceShare, "workspace_share", http.StatusTooManyRequests, RunNo, true, "The workspace exceeds its share; retry after the time in Retry-After."},
 	{NoEndpoint, "no_endpoint", http.StatusServiceUnavailable, RunNo, true, "No endpoint can take the work now; retry after the time in Retry-After."},
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"cardamompoint.example/cardamompoint/code"
@@ -232,6 +233,9 @@
 	if err := c.reserveBody(limit); err != nil {
 		return err
 	}
+	if left, bounded := c.timeLeft(); bounded {
+		c.setBodyDeadline(time.Now().Add(left))
+	}
 	body, err := readAll(http.MaxBytesReader(c.w, c.r.Body, limit), c.r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -240,13 +244,25 @@
 	if errors.Is(err, httpguard.ErrMalformedBody) {
 		return code.Wrap(err, code.BadRequest, "the body can't be read")
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return code.New(code.BodyTimeout, "the body is incomplete at the end of the request's time")
+	}
 	if err != nil {
 		return code.Wrap(err, code.Canceled, "the body is incomplete")
 	}
+	c.setBodyDeadline(time.Time{}) // net/http goes on reading, to notice that the caller leaves.
 	c.body = body
 	return nil
 }
 
+// setBodyDeadline sets the deadline for reading the body; the zero time means none. net/http removes it
+// before the next request.
+func (c *call) setBodyDeadline(deadline time.Time) {
+	if err := http.NewResponseController(c.w).SetReadDeadline(deadline); err != nil {
+		c.detail = "the read deadline could not be set"
+	}
+}
+
 // reserveBody reserves quota for the body: its size, or the largest permitted size if its size
 // is not known.
 func (c *call) reserveBody(limit int64) error {
