Do not pass on refusals that may come after a run

Cause: an endpoint's failure was delivered with its status. To callers 408, 421, 429 and 503 promise that nothing ran; an endpoint's answer means that only with its statement in the header, and nothing looked at it before delivery: not for held answers, nor those delivered at once, nor long ones.

Such an answer without the statement is a failure that may have run. On a related path, an endpoint that answers 429 or 408 so takes over no request of a silent one. gateway_unconfirmed_refusals counts them.

--- a/gateway/call_test.go
+++ b/gateway/call_test.go
@@ -74,7 +74,7 @@
 // executed at most once, and a status that promises that it was not executed must be true.
 func TestAtMostOnce(t *testing.T) {
 	f := newTestFleet(t, 1)
-	faults := []hosted.Behavior{hosted.Refuse, hosted.Fail, hosted.DropConnection, hosted.Hang, hosted.Unsealed, hosted.ForeignID, hosted.Truncate, hosted.ExtraResponse}
+	faults := []hosted.Behavior{hosted.Refuse, hosted.Fail, hosted.DropConnection, hosted.Hang, hosted.Unsealed, hosted.ForeignID, hosted.Truncate, hosted.ExtraResponse, hosted.RefuseAfterRun}
 	for _, fault := range faults {
 		for round := range 3 {
 			for _, id := range []string{"plain-1", "plain-2"} {
@@ -101,7 +101,7 @@
 // must succeed at the other one.
 func TestIdempotentRequestIsTriedElsewhere(t *testing.T) {
 	f := newTestFleet(t, 1)
-	faults := []hosted.Behavior{hosted.Refuse, hosted.Fail, hosted.DropConnection, hosted.Hang, hosted.Unsealed, hosted.ForeignID, hosted.Truncate}
+	faults := []hosted.Behavior{hosted.Refuse, hosted.Fail, hosted.DropConnection, hosted.Hang, hosted.Unsealed, hosted.ForeignID, hosted.Truncate, hosted.RefuseAfterRun}
 	for _, fault := range faults {
 		f.workers["plain-1"].SetDefault(fault)
 		for range 4 {
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -72,7 +72,7 @@
 // the caller has a part.
 func (x *exchange) takesOver() bool {
 	switch {
-	case x.info.NotExecuted || x.unsealed():
+	case x.info.NotExecuted || x.info.UnconfirmedRefusal() || x.unsealed():
 		return false
 	case x.headerSent:
 		return x.continuesStream()
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -22,6 +22,8 @@
 		err := x.discardBody()
 		x.gateway.table.RecordOutcome(id, true, now)
 		return outcome{result: resultNotExecuted, status: x.info.Status, err: statusError(x.info.Status, err)}
+	case x.info.UnconfirmedRefusal():
+		return x.failUnconfirmed()
 	case x.unsealed():
 		return x.classifyError(code.New(code.EndpointFault, "the response is not sealed"))
 	case x.headerSent && !x.continuesStream():
@@ -34,6 +36,17 @@
 	}
 }
 
+// failUnconfirmed returns the outcome of a response whose status promises that the request was not executed,
+// although the endpoint does not say so. The caller must not get it: the request may have been executed.
+func (x *exchange) failUnconfirmed() outcome {
+	status := x.info.Status
+	x.gateway.metrics.CountUnconfirmedRefusal()
+	x.gateway.table.RecordOutcome(x.pick.Endpoint.ID, true, clock.Now())
+	_ = x.discardBody() // After an error the connection is not used again, nothing else.
+	err := code.New(code.EndpointFault, "the endpoint answered with status %d, but does not say that it did not run the request", status)
+	return x.checkCaller(outcome{result: resultFailed, status: status, err: err})
+}
+
 // continuesStream reports whether the response can be the rest of the stream that the caller has
 // the beginning of.
 func (x *exchange) continuesStream() bool {
--- a/gateway/scripted_endpoint_test.go
+++ b/gateway/scripted_endpoint_test.go
@@ -81,6 +81,13 @@
 	}
 }
 
+// script sets the answers to the next requests.
+func (e *scriptedEndpoint) script(answers ...string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.answers = answers
+}
+
 // next returns the answer to a request.
 func (e *scriptedEndpoint) next(id string) string {
 	e.mu.Lock()
--- a/internal/standin/hosted/behavior.go
+++ b/internal/standin/hosted/behavior.go
@@ -32,4 +32,6 @@
 	Trickle
 	// RefuseEndlessly responds that the request was not executed, with a body without end.
 	RefuseEndlessly
+	// RefuseAfterRun executes the request and responds with a status that promises the contrary.
+	RefuseAfterRun
 )
--- a/internal/standin/hosted/worker_response.go
+++ b/internal/standin/hosted/worker_response.go
@@ -30,6 +30,9 @@
 	case Fail:
 		w.seal(out)
 		out.WriteHeader(http.StatusInternalServerError)
+	case RefuseAfterRun:
+		w.seal(out)
+		out.WriteHeader(http.StatusServiceUnavailable)
 	case DropConnection:
 		panic(http.ErrAbortHandler)
 	case Hang:
