--- a/router/peer/transport.go
+++ b/router/peer/transport.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"cardamompoint.example/cardamompoint/internal/jsonhttp"
 )
 
 const (
@@ -36,8 +38,9 @@
 			}
 			return &countedConn{Conn: conn, counter: counter}, nil
 		},
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: jsonhttp.MaxHeaderBytes,
 	}
 }
--- a/router/source/client.go
+++ b/router/source/client.go
@@ -24,7 +24,7 @@
 // new http.Transport.
 func NewClient(address string, transport http.RoundTripper) *Client {
 	if transport == nil {
-		transport = &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}
+		transport = &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: jsonhttp.MaxHeaderBytes}
 	}
 	return &Client{address: address, http: &http.Client{Transport: transport}}
 }
