Leave the picked endpoint untried when a handover is not needed

Callers of a resumable stream got 504 after their whole time, though another endpoint would have served it: while an endpoint trickled, the other one was picked, was not asked since a byte had come meanwhile, and stayed among those that were tried, so that no later look found any.

Attempts and tried endpoints are given back together. TestHandoverThatIsNotNeededLeavesTheOtherEndpoint fails without the change.

--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -36,12 +36,15 @@
 // askSuccessor sends the request, or the rest of a stream's, to another endpoint. ok reports whether that
 // endpoint has begun to answer; out is the outcome if not. next is nil if no endpoint was asked.
 func (x *exchange) askSuccessor() (next *exchange, out outcome, ok bool) {
+	attempts, tried := x.attempts, x.triedEndpoints
 	next, err := x.newExchange()
 	if err != nil {
 		return nil, outcome{}, false
 	}
 	if next.lastExecution() || x.conn.HasInput() {
-		x.attempts-- // The newest data forbid a second execution, or none is needed any more.
+		// The newest data forbid a second execution, or none is needed any more. A later attempt may go
+		// to the endpoint that was picked.
+		x.attempts, x.triedEndpoints = attempts, tried
 		return nil, outcome{}, false
 	}
 	if out, ok := next.begin(); !ok {
--- a/gateway/handover_test.go
+++ b/gateway/handover_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"io"
+	"net"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
+	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/internal/standin/hosted"
+	"cardamompoint.example/cardamompoint/platform"
 )
 
 // TestSilentStreamIsNotCutByTheEndpointItWouldGoOnAt guards against a stream that leaves an endpoint which goes on later, for one that refuses, fails or stays silent.
@@ -47,6 +52,46 @@
 	f.eventually("the silent endpoint's work is abandoned", func() bool { return f.workers[serving].Abandoned(got.id) })
 }
 
+// TestHandoverThatIsNotNeededLeavesTheOtherEndpoint guards against a request that stays at a silent endpoint until its time is over, since the only other one counts as tried without having been asked.
+func TestHandoverThatIsNotNeededLeavesTheOtherEndpoint(t *testing.T) {
+	f := newTestFleet(t, 1)
+	f.listenRaw(f.address(130, workerPort), func(conn net.Conn) {
+		_, _ = io.WriteString(conn, "H") // The begin of an answer.
+		_, _ = io.Copy(io.Discard, conn)
+	})
+	c := f.newCall(query{path: "/roster/1", promptParts: chatPromptParts})
+	x, err := c.newExchange()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if x.conn, err = c.gateway.pool.Dial(context.Background(), "silent", f.address(130, workerPort)); err != nil {
+		t.Fatal(err)
+	}
+	defer x.conn.Close()
+	f.eventually("the endpoint goes on", x.conn.HasInput)
+	if next, _, ok := x.askSuccessor(); next != nil || ok {
+		t.Error("another endpoint was asked")
+	}
+	if c.attempts != 1 || len(c.triedEndpoints) != 1 {
+		t.Errorf("%d attempts, %v tried, want the first one alone", c.attempts, c.triedEndpoints)
+	}
+}
+
+// newCall returns a call of the first VM for a query, which has no caller.
+func (f *testFleet) newCall(q query) *call {
+	f.t.Helper()
+	c := &call{gateway: f.gateways[0], w: httptest.NewRecorder(), r: f.newRequest(context.Background(), 1, "00000000000000c1", q), arrived: clock.Now()}
+	request, err := platform.DecodeRequest(c.r.Header)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	c.request = request
+	if err := c.authorize(c.gateway.tracker.Snapshot()); err != nil {
+		f.t.Fatal(err)
+	}
+	return c
+}
+
 // engineOf returns the engine that serves a query and the other one.
 func (f *testFleet) engineOf(q query) (serving, other string) {
 	f.t.Helper()
