Do not take a cut watch for an outage of the store

Cause: the end of a wait counted as a failed call, and that as an outage, in which removals are held; and the next try was the same watch, so that nothing was ever confirmed. Evidence: the log alternates between "store is unavailable" and "available again", with the removal held, while the store refuses nothing; age_ms rises to the lease.

A call that ended after its connection was accepted is told apart (platform.ErrCut). The watch after a cut waits for 20 ms: its answer confirms the data, its failure is an outage as before. Later ones wait for half the time after which the store has cut, and longer again with each answer. net/http no longer repeats them unseen. gateway_cut_watches and a line tell of cuts.

TestRemovalIsInForceWhileTheStoreCutsWatches and TestDataAreConfirmedWhileTheStoreCutsWatches: 10 of 10 cases failed before. The soak's store cuts watches in half of the calm times.

--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -25,6 +25,7 @@
 		{"cardamompoint.gateway_config_version", "Version of the configuration in force, 0 if there is none.", g.configVersion},
 		{"cardamompoint.gateway_knowledge_age", "Time since the knowledge was confirmed, in milliseconds.", g.knowledgeAge},
 		{"cardamompoint.gateway_store_era", "Era of the store, which rises when the store comes back from a copy.", g.storeEra},
+		{"cardamompoint.gateway_cut_watches", "Watches that the store has cut while they waited, since the start.", g.reader.Cuts},
 		{"cardamompoint.gateway_unsettled_entries", "Endpoint entries that are held or doubted.", g.unsettledCount},
 		{"cardamompoint.gateway_members", "VMs that count as alive, this one included.", g.memberCount},
 		{"cardamompoint.gateway_endpoints", "Published endpoints that accept new requests.", g.endpointCount},
--- /dev/null
+++ b/gateway/knowledge/cut_watch_test.go
@@ -0,0 +1,90 @@
+package knowledge
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/internal/clock/clocktest"
+	"cardamompoint.example/cardamompoint/platform"
+)
+
+// cutTimes are the waits after which a store cuts watches.
+var cutTimes = []time.Duration{50 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond, watchWait - time.Millisecond}
+
+// TestRemovalIsInForceWhileTheStoreCutsWatches guards against requests that go on to an endpoint after its entry was removed, since cut watches count as an outage.
+func TestRemovalIsInForceWhileTheStoreCutsWatches(t *testing.T) {
+	for _, after := range cutTimes {
+		t.Run(after.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				clocktest.UseVirtualTime(t)
+				store := &fakeStore{items: []item{configurationItem(1, 1), endpointItem("a", 2), endpointItem("b", 3)}, revision: 3, cutAfter: after}
+				tracker := NewTracker(nil)
+				reader := NewReader(store, tracker, always, never)
+				stop := startReader(t, reader)
+				time.Sleep(2 * time.Second)
+				store.put(deletedItem("a", 4))
+				time.Sleep(time.Second)
+				if tracker.Snapshot().Endpoints["a"] != nil {
+					t.Error("a removed endpoint is still in use after a second")
+				}
+				if reader.StoreLost() {
+					t.Error("the store counts as lost")
+				}
+				stop()
+			})
+		})
+	}
+}
+
+// TestDataAreConfirmedWhileTheStoreCutsWatches guards against VMs that refuse all requests with keys since no watch is ever answered.
+func TestDataAreConfirmedWhileTheStoreCutsWatches(t *testing.T) {
+	for _, after := range cutTimes {
+		t.Run(after.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				clocktest.UseVirtualTime(t)
+				store := &fakeStore{items: []item{configurationItem(1, 1)}, revision: 1, cutAfter: after}
+				tracker := NewTracker(nil)
+				stop := startReader(t, NewReader(store, tracker, always, never))
+				time.Sleep(time.Second)
+				for range 200 {
+					time.Sleep(100 * time.Millisecond)
+					if age := tracker.Age(clock.Now()); age > StaleAfter {
+						t.Fatalf("the data were last confirmed %v ago", age)
+					}
+				}
+				const maxCalls = 20 * 21 // In each second.
+				if reads, watches := store.calls(); reads+watches > maxCalls {
+					t.Errorf("%d reads and %d watches in 21 s", reads, watches)
+				}
+				stop()
+			})
+		})
+	}
+}
+
+// TestOutageThatBeginsWithACutIsNoticed guards against entries that are dropped since the outage in which they expired went unnoticed.
+func TestOutageThatBeginsWithACutIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clocktest.UseVirtualTime(t)
+		store := &fakeStore{items: []item{configurationItem(1, 1), endpointItem("a", 2)}, revision: 2}
+		tracker := NewTracker(nil)
+		reader := NewReader(store, tracker, always, never)
+		stop := startReader(t, reader)
+		time.Sleep(2 * time.Second)
+		store.setFail(code.Wrap(platform.ErrCut, code.PlatformSilent, "the store does not answer"))
+		time.Sleep(3 * time.Second)
+		if !reader.StoreLost() {
+			t.Error("the store does not count as lost")
+		}
+		store.put(deletedItem("a", 3))
+		store.setFail(nil)
+		time.Sleep(time.Second)
+		if tracker.Snapshot().Endpoints["a"] == nil {
+			t.Error("an endpoint is dropped that could not renew its entry")
+		}
+		stop()
+	})
+}
--- a/gateway/knowledge/reader.go
+++ b/gateway/knowledge/reader.go
@@ -22,16 +22,6 @@
 }
 
 const (
-	// watchWait is how long a watch waits for a change. The data is confirmed only when a
-	// watch returns, so this bounds its age.
-	watchWait = 800 * time.Millisecond
-	// minWatchWait is how long a watch waits at least.
-	minWatchWait = 20 * time.Millisecond
-	// callTimeout is the timeout of a watch in addition to watchWait.
-	callTimeout = 600 * time.Millisecond
-	// batchPause is the pause after a watch that returned changes, so that changes in
-	// quick succession need only one call.
-	batchPause = 60 * time.Millisecond
 	// idlePause is the time between two checks whether an idle Reader should read.
 	idlePause = 50 * time.Millisecond
 	// readTimeout is the timeout of one page of a full read.
@@ -43,7 +33,7 @@
 	standbyPause = 3200 * time.Millisecond
 )
 
-// Reader feeds a Tracker from the store. Only StoreLost may be called while Run runs.
+// Reader feeds a Tracker from the store. Only StoreLost and Cuts may be called while Run runs.
 type Reader struct {
 	store   Store
 	tracker *Tracker
@@ -62,13 +52,17 @@
 	availableSince clock.Boot
 	// backoff is the pause after the last failed call.
 	backoff time.Duration
+	// watchLimit is how long a watch waits at most at present, cuts the number of watches that the store
+	// has cut.
+	watchLimit time.Duration
+	cuts       atomic.Int64
 }
 
 // NewReader returns a Reader for the tracker. It reads while shouldRead, which is called
 // often, returns true. While othersProbe returns true, it calls a lost store only rarely:
 // the VM that reaches the store passes the data on to the others.
 func NewReader(store Store, tracker *Tracker, shouldRead, othersProbe func() bool) *Reader {
-	return &Reader{store: store, tracker: tracker, shouldRead: shouldRead, othersProbe: othersProbe}
+	return &Reader{store: store, tracker: tracker, shouldRead: shouldRead, othersProbe: othersProbe, watchLimit: watchWait}
 }
 
 // Run reads until ctx ends.
@@ -214,35 +208,3 @@
 	defer cancel()
 	return r.store.Range(ctx, prefix, after)
 }
-
-// watch waits for changes after r.position and applies them.
-func (r *Reader) watch(ctx context.Context) error {
-	call, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
-	defer cancel()
-	requestedAt := clock.Now()
-	changes, err := r.store.Watch(call, "", r.position.Revision, r.watchTime(requestedAt))
-	if err != nil {
-		return err
-	}
-	if changes.Era != r.position.Era {
-		return errEraChanged
-	}
-	r.markRestored()
-	now := clock.Now()
-	r.tracker.Apply(Update{Items: changes.Items, Era: changes.Era, Revision: changes.Revision, ConfirmedAt: requestedAt, Available: r.available(now)}, now)
-	r.position.Revision = max(r.position.Revision, changes.Revision)
-	if len(changes.Items) > 0 {
-		clock.Sleep(ctx, batchPause)
-	}
-	return nil
-}
-
-// watchTime returns how long a watch waits for a change: not beyond the time at which the next read
-// is due.
-func (r *Reader) watchTime(now clock.Boot) time.Duration {
-	due, ok := r.tracker.NextRead()
-	if !ok {
-		return watchWait
-	}
-	return min(watchWait, max(minWatchWait, due.Sub(now)))
-}
--- a/gateway/knowledge/tracker_test.go
+++ b/gateway/knowledge/tracker_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/platform"
 )
@@ -235,6 +236,8 @@
 	fail     error
 	reads    int
 	watches  int
+	// cutAfter is after which wait a watch is cut, 0 if none is.
+	cutAfter time.Duration
 }
 
 func (s *fakeStore) Range(context.Context, string, string) (platform.Page, error) {
@@ -246,10 +249,15 @@
 
 func (s *fakeStore) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (platform.Changes, error) {
 	changes, err := s.since(after)
-	if err == nil && len(changes.Items) == 0 {
-		clock.Sleep(ctx, wait)
+	if err != nil || len(changes.Items) > 0 {
+		return changes, err
 	}
-	return changes, err
+	if s.cutAfter > 0 && wait > s.cutAfter {
+		clock.Sleep(ctx, s.cutAfter)
+		return platform.Changes{}, code.Wrap(platform.ErrCut, code.PlatformSilent, "the store does not answer")
+	}
+	clock.Sleep(ctx, wait)
+	return changes, nil
 }
 
 func (s *fakeStore) since(after int64) (platform.Changes, error) {
--- a/internal/soak/restored_store_test.go
+++ b/internal/soak/restored_store_test.go
@@ -66,6 +66,17 @@
 	time.Sleep(loss.away)
 }
 
+// cutWatchesSometimes lets the store cut watches that have waited for 100 to 700 ms, in half of the cases.
+// That is no outage of the store: VMs may count as undisturbed.
+func (s *soak) cutWatchesSometimes() {
+	if s.random.IntN(2) == 0 {
+		return
+	}
+	after := time.Duration(100+s.random.IntN(600)) * time.Millisecond
+	s.logFault("store: cuts watches that have waited for %v", after)
+	s.store.CutWatches(after)
+}
+
 // randomLoss draws a loss. In a quarter of the cases the store is not away at all.
 func (s *soak) randomLoss() storeLoss {
 	loss := storeLoss{
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -94,6 +94,8 @@
 // timing checks have something to check.
 func (s *soak) calmPhase() {
 	s.heal()
+	s.cutWatchesSometimes()
+	defer s.store.CutWatches(0)
 	s.restoreStoreSometimes()
 	lift := s.nameLimit(s.randomSlot())
 	defer lift()
--- a/internal/standin/hosted/store.go
+++ b/internal/standin/hosted/store.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 )
 
 // Store is a stand-in for the platform's key-value store. It is safe for concurrent use.
@@ -23,6 +24,8 @@
 	era      int64
 	fault    Fault
 	pageSize int
+	// cutAfter is after which wait watches are cut, 0 if none is.
+	cutAfter time.Duration
 	calls    int
 	// rangeCalls counts the range calls among calls.
 	rangeCalls int
@@ -106,6 +109,13 @@
 	s.compactedRevision = s.revision
 }
 
+// CutWatches cuts watches that have waited for a time from now on, 0 for none.
+func (s *Store) CutWatches(after time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cutAfter = after
+}
+
 // SetFault sets the fault of all further calls. It also applies to waiting watches.
 func (s *Store) SetFault(fault Fault) {
 	s.mu.Lock()
--- a/internal/standin/hosted/store_watch.go
+++ b/internal/standin/hosted/store_watch.go
@@ -15,6 +15,7 @@
 	revision int64
 	era      int64
 	fault    Fault
+	cutAfter time.Duration
 	// changed is closed when there is something new to see.
 	changed chan struct{}
 }
@@ -25,9 +26,11 @@
 	prefix := query.Get("prefix")
 	after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
 	wait, _ := strconv.ParseInt(query.Get("waitMs"), 10, 64)
+	state := s.watch(w, prefix, after)
 	limit := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer limit.Stop()
-	state := s.watch(w, prefix, after)
+	cut := state.cutTimer()
+	defer cut.Stop()
 	for startEra := state.era; ; state = s.watch(w, prefix, after) {
 		if state.era != startEra {
 			panic(http.ErrAbortHandler)
@@ -48,6 +51,8 @@
 		case <-limit.C:
 			writeJSON(w, map[string]any{"events": []item{}, "asOf": state.revision})
 			return
+		case <-cut.C:
+			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			return
 		}
@@ -65,10 +70,21 @@
 		revision: s.revision,
 		era:      s.era,
 		fault:    s.fault,
+		cutAfter: s.cutAfter,
 		changed:  s.changed,
 	}
 }
 
+// cutTimer returns the timer of the cut, which never fires if there is none.
+func (s *watchState) cutTimer() *time.Timer {
+	if s.cutAfter > 0 {
+		return time.NewTimer(s.cutAfter)
+	}
+	never := time.NewTimer(time.Hour)
+	never.Stop()
+	return never
+}
+
 // changesSince returns the changes after a revision to keys with the given prefix. The caller
 // must hold s.mu.
 func (s *Store) changesSince(prefix string, after int64) []item {
