Let sound workers of the soak fall silent in calm times

The users' pages say that a sound endpoint may fall silent for a second or so and go on, which is no trouble.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -107,6 +107,7 @@
 	s.publishWorker(slot, "draining")
 	for end := time.Now().Add(*soakCalm); time.Now().Before(end); {
 		s.logFault("a version in a calm phase")
+		s.silenceWorkerSometimes()
 		s.publishVersion()
 		time.Sleep(time.Duration(200+s.random.IntN(800)) * time.Millisecond)
 	}
