--- a/gateway/call_test.go
+++ b/gateway/call_test.go
@@ -213,7 +213,7 @@
 	} {
 		got := f.ask(context.Background(), 1, test.query)
 		if got.status != test.status || f.executions(got.id) != 0 {
-			t.Errorf("%s: status %d after %d runs", test.name, got.status, f.executions(got.id))
+			t.Errorf("%s: status %d after %d runs: %v", test.name, got.status, f.executions(got.id), got.err)
 		}
 	}
 }
