--- a/gateway/knowledge/cut_watch_test.go
+++ b/gateway/knowledge/cut_watch_test.go
@@ -88,3 +88,27 @@
 		stop()
 	})
 }
+
+// TestOutageEndsThoughTheStoreCutsWatches guards against VMs that take a store for lost for ever, since it cuts watches after an outage.
+func TestOutageEndsThoughTheStoreCutsWatches(t *testing.T) {
+	for _, after := range cutTimes {
+		t.Run(after.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				clocktest.UseVirtualTime(t)
+				store := &fakeStore{items: []item{configurationItem(1, 1)}, revision: 1, cutAfter: after}
+				tracker := NewTracker(nil)
+				reader := NewReader(store, tracker, always, never)
+				stop := startReader(t, reader)
+				time.Sleep(time.Second)
+				store.setFail(code.New(code.PlatformRejected, "busy"))
+				time.Sleep(3 * time.Second)
+				store.setFail(nil)
+				time.Sleep(maxRetryPause + 2*watchWait)
+				if reader.StoreLost() {
+					t.Error("the store counts as lost")
+				}
+				stop()
+			})
+		})
+	}
+}
--- a/gateway/knowledge/watch.go
+++ b/gateway/knowledge/watch.go
@@ -41,10 +41,11 @@
 		r.watchLimit = min(watchWait, time.Duration(float64(r.watchLimit)*watchGrowth))
 		return nil
 	}
-	if !errors.Is(err, platform.ErrCut) || r.lostAt != 0 || ctx.Err() != nil {
+	waited := clock.Now().Sub(began)
+	if !errors.Is(err, platform.ErrCut) || ctx.Err() != nil || r.lostAt != 0 && waited < minWatchWait {
 		return err
 	}
-	r.recordCut(clock.Now().Sub(began))
+	r.recordCut(waited)
 	clock.Sleep(ctx, cutPause)
 	return r.watchFor(ctx, minWatchWait, minWatchWait+callTimeout)
 }
