Record how long requests lie unread, when they are sent and when callers leave

Nothing told a VM that reads late from one that holds a request, or from an endpoint that reads late. The line of a request now has unread_ms (from the system's age of the last bytes on the caller's connection), and each attempt sent_ms and left_ms; gateway_unread is the histogram, explain has the longest of late. No decision changes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -53,10 +53,16 @@
 		return x.checkCaller(outcome{result: resultNotExecuted, unsent: true, err: err}), false
 	}
 	x.conn = conn
-	x.abandon = context.AfterFunc(x.r.Context(), conn.Close)
+	x.abandon = context.AfterFunc(x.r.Context(), x.callerGone)
 	return outcome{}, true
 }
 
+// callerGone ends the endpoint's work when the caller has left.
+func (x *exchange) callerGone() {
+	x.leftAt.Store(int64(clock.Now()))
+	x.conn.Close()
+}
+
 // end keeps the connection for other requests or closes it, and adds to the outcome what the connection
 // says of it. An exchange without a connection has ended already.
 func (x *exchange) end(out *outcome) {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -7,6 +7,7 @@
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/internal/httpguard"
 )
 
 // call is the state of one caller's request.
@@ -14,7 +15,11 @@
 	gateway *Gateway
 	w       http.ResponseWriter
 	r       *http.Request
+	// conn is the caller's connection.
+	conn *httpguard.Conn
+	// arrived is when the request was read, unread how long its first bytes had waited until then.
 	arrived clock.Boot
+	unread  time.Duration
 
 	request traffic.Request
 	// suspects are what may crash endpoints: the IDs of the parts of the prompt, or the fingerprint
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -24,7 +24,7 @@
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	c := &call{gateway: g, w: w, r: r, arrived: clock.Now()}
+	c := newCall(g, w, r)
 	c.announceClose()
 	defer c.logRequest()
 	defer c.releaseQuota()
@@ -37,6 +37,13 @@
 	c.run()
 }
 
+// newCall returns the call of a request that was just read.
+func newCall(g *Gateway, w http.ResponseWriter, r *http.Request) *call {
+	c := &call{gateway: g, w: w, r: r, conn: callerConn(r), arrived: clock.Now()}
+	c.unread = max(0, c.arrived.Sub(c.conn.Arrived()))
+	return c
+}
+
 const (
 	// refusalWriteTimeout bounds the time to write a refusal.
 	refusalWriteTimeout = 5 * time.Second
--- a/gateway/caller_conns.go
+++ b/gateway/caller_conns.go
@@ -33,6 +33,11 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
+// callerConn returns the connection of a caller's request.
+func callerConn(r *http.Request) *httpguard.Conn {
+	return r.Context().Value(connKey{}).(*httpguard.Conn)
+}
+
 // stateChanged must be called with each state change of a connection.
 func (c callerConns) stateChanged(conn net.Conn, state http.ConnState) {
 	if state == http.StateIdle || state == http.StateClosed {
@@ -47,7 +52,7 @@
 // as idle between the arrival of a request and the start of its handler.
 func (callerConns) claim(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conn := r.Context().Value(connKey{}).(*httpguard.Conn)
+		conn := callerConn(r)
 		if !conn.Claim() {
 			request, _ := platform.DecodeRequest(r.Header) // The ID is set in any case.
 			klog.InfoS("route: not accepted, as the connection was closed before", "request", request.ID)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"cardamompoint.example/cardamompoint/gateway/choice"
@@ -18,6 +19,10 @@
 	number int
 	// started is when the attempt began.
 	started clock.Boot
+	// sentAt is when the request was written, 0 if it was not. leftAt is when the VM noticed that the
+	// caller had left, 0 if it has not.
+	sentAt clock.Boot
+	leftAt atomic.Int64
 	// silences counts the progress timeouts after which the attempt went on.
 	silences int
 	work     *choice.Work
@@ -93,6 +98,7 @@
 	message := x.newEndpointRequest(left)
 	head := message.AppendHead(make([]byte, 0, headerCapacity))
 	x.setDeadline()
+	x.sentAt = clock.Now()
 	if len(head)+len(x.body) > asyncWriteBytes {
 		x.sendAsync(head)
 		return outcome{}, true
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -34,6 +34,9 @@
 	// AwaitsLocations reports whether the VM has just started, so that a request with a long shared
 	// prompt waits for the locations of its parts.
 	AwaitsLocations bool `json:"awaits_locations,omitempty"`
+	// UnreadMS is the longest time that a request for the service lay unread at this VM in the last 30 to 60
+	// seconds, in milliseconds.
+	UnreadMS int64 `json:"unread_ms"`
 	// RetryBudget is the state of the service's retry budget.
 	RetryBudget budget.Status `json:"retry_budget"`
 	// Limits holds the limits that endpoints of the service have named.
@@ -76,6 +79,7 @@
 		Service:         service,
 		Quarantine:      g.quarantineOf(request.Prompt.PartIDs(), now),
 		AwaitsLocations: g.awaitsLocations(&request.Prompt, snapshot.Ready[service]),
+		UnreadMS:        g.unread.expected(service, now).Milliseconds(),
 		RetryBudget:     g.budget.Status(service, now),
 		Limits:          g.limits.Status(snapshot.Ready[service], now),
 		IdleResets:      g.idleResets.Status(service, now),
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -91,10 +91,13 @@
 	DelayMS       int           `json:"delay_ms,omitempty"`
 	FetchFrom     string        `json:"fetch,omitempty"`
 	Status        int           `json:"status,omitempty"`
-	// BeganMS is when the attempt began, and FirstMS when the first event of a stream was
-	// forwarded, in milliseconds since the request arrived.
+	// BeganMS is when the attempt began, SentMS when the request was written, FirstMS when the first event of
+	// a stream was forwarded, and LeftMS when the VM noticed that the caller had left, in milliseconds since
+	// the request was read.
 	BeganMS int64 `json:"began_ms"`
+	SentMS  int64 `json:"sent_ms,omitempty"`
 	FirstMS int64 `json:"first_ms,omitempty"`
+	LeftMS  int64 `json:"left_ms,omitempty"`
 	TookMS  int64 `json:"took_ms"`
 	// Idle reports whether the connection was an idle one, IdleMS for how long, in milliseconds, and
 	// Stale whether it ended before a byte of a response came.
@@ -135,6 +138,12 @@
 		FaultPercent:  pick.FaultPercent,
 		Passed:        pick.Passed,
 	}
+	if x.sentAt > 0 {
+		record.SentMS = x.sentAt.Sub(x.arrived).Milliseconds()
+	}
+	if left := clock.Boot(x.leftAt.Load()); left > 0 {
+		record.LeftMS = left.Sub(x.arrived).Milliseconds()
+	}
 	if x.firstEventAt >= x.started {
 		record.FirstMS = x.firstEventAt.Sub(x.arrived).Milliseconds()
 	}
@@ -190,6 +199,11 @@
 	fields := []any{"request", c.request.ID, "code", int(c.result), "status", c.status, "took_ms", took.Milliseconds(),
 		"repeat", c.repeatLabel(), "route", route, "workspace", workspace, "service", c.grant.service, "version", c.grant.version, "age_ms", age,
 		"waited_ms", c.prefillWaited.Milliseconds(), "pieces", c.events, "pause_ms", c.longestGap.Milliseconds(), "attempts", c.attemptRecords}
+	c.gateway.metrics.ObserveUnread(c.unread)
+	c.gateway.unread.record(c.grant.service, c.unread, c.arrived)
+	if c.unread >= time.Millisecond {
+		fields = append(fields, "unread_ms", c.unread.Milliseconds())
+	}
 	if c.locationWait > 0 {
 		c.gateway.metrics.ObserveLocationWait(c.locationWait)
 		fields = append(fields, "locations_ms", c.locationWait.Milliseconds())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,6 +75,8 @@
 	shutdown atomic.Pointer[shutdownPlan]
 	// longest holds how long answers take.
 	longest *longestTimes
+	// unread holds how long requests lay unread before the process read them.
+	unread *longestTimes
 	// learned reports whether this VM knows the locations of prompt parts, so that peers can
 	// query it.
 	learned atomic.Bool
@@ -105,6 +107,7 @@
 		locationsKnown: make(chan struct{}),
 		shedders:       newShedders(),
 		longest:        newLongestTimes(),
+		unread:         newLongestTimes(),
 		crashes:        quarantine.NewLedger(rand.Float64()),
 		table:          choice.NewTable(settings.FailureDomain, settings.Bounds.LoadMultiple),
 	}
--- a/gateway/longest.go
+++ b/gateway/longest.go
@@ -10,7 +10,7 @@
 // longestMemory is for how long the longest time of a service counts.
 const longestMemory = 30 * time.Second
 
-// longestTimes holds how long the longest of the recent complete answers of each service took. It is
+// longestTimes holds the longest of recent times of each service, such as those of complete answers. It is
 // safe for concurrent use.
 type longestTimes struct {
 	mu        sync.Mutex
@@ -27,7 +27,7 @@
 	return &longestTimes{byService: map[string]*longestSpan{}}
 }
 
-// record records the duration of a complete answer of a service.
+// record records a time of a service.
 func (l *longestTimes) record(service string, took time.Duration, now clock.Boot) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/httpguard/claim.go
+++ b/internal/httpguard/claim.go
@@ -70,6 +70,7 @@
 	}
 	c.claim.held = false
 	c.receiving.Store(len(c.pending)+len(c.ready) > 0)
+	c.arrived = c.lastArrived // Unless bytes of the next request have been read, the next read replaces it.
 	c.responded.Store(false)
 	if c.claim.closed {
 		_ = c.closeNow() // Nobody is left to handle the error.
--- a/internal/httpguard/conn.go
+++ b/internal/httpguard/conn.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/internal/socket"
 )
 
@@ -60,6 +61,10 @@
 	ready   []byte
 	// readyBuffer is the buffer behind ready, which is reused.
 	readyBuffer []byte
+	// arrived is when the first bytes of the current request had arrived, as far as the system tells;
+	// lastArrived is that of the bytes that were read last.
+	arrived     clock.Boot
+	lastArrived clock.Boot
 	// body is the framing of the current request's body.
 	body body
 	// endErr is the error that Read returns after ready; nil while the connection goes on.
@@ -116,12 +121,28 @@
 	count, err := c.receive(buffer[:])
 	c.pending = append(c.pending, buffer[:count]...)
 	if count > 0 {
+		c.recordArrival()
 		c.receiving.Store(true)
 		return nil
 	}
 	return err
 }
 
+// recordArrival records when the bytes that were just read had arrived.
+func (c *Conn) recordArrival() {
+	unread, _ := socket.SinceArrival(c.Conn) // Where the system does not tell, they count as just arrived.
+	c.lastArrived = clock.Now().Add(-unread)
+	if !c.receiving.Load() {
+		c.arrived = c.lastArrived
+	}
+}
+
+// Arrived returns when the first bytes of the current request arrived. If more bytes came before these were
+// read, it is when the last of them did. It must be called between Claim and Release.
+func (c *Conn) Arrived() clock.Boot {
+	return c.arrived
+}
+
 // Write writes a part of a response.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.responded.Store(true)
--- a/internal/socket/silent_test.go
+++ b/internal/socket/silent_test.go
@@ -9,20 +9,7 @@
 
 // TestUnreadBytesAndTheEndOfAConnectionBreakSilence looks at an open, a written and a closed connection.
 func TestUnreadBytesAndTheEndOfAConnectionBreakSilence(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	far, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	near, err := listener.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer near.Close()
+	near, far := connect(t)
 	if !IsSilent(near) {
 		t.Error("a new connection is not silent")
 	}
@@ -39,6 +26,24 @@
 	}
 }
 
+// connect returns the two ends of a new connection.
+func connect(t *testing.T) (near, far net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	if far, err = net.Dial("tcp", listener.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	if near, err = listener.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { near.Close(); far.Close() })
+	return near, far
+}
+
 // awaitSound waits until a connection is not silent.
 func awaitSound(t *testing.T, conn net.Conn) {
 	t.Helper()
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -23,6 +23,7 @@
 	promptHeld  metric.Int64Counter
 	events      metric.Int64Counter
 
+	unread  metric.Float64Histogram
 	choice  metric.Float64Histogram
 	connect metric.Float64Histogram
 	// locationWait is recorded for requests that waited.
@@ -78,6 +79,7 @@
 		target     *metric.Float64Histogram
 		name, help string
 	}{
+		{&g.unread, "cardamompoint.gateway_unread", "Time that a request lay unread before the process read it."},
 		{&g.choice, "cardamompoint.gateway_choice", "Time to choose an endpoint."},
 		{&g.connect, "cardamompoint.gateway_connect", "Time to get a connection to an endpoint."},
 		{&g.locationWait, "cardamompoint.gateway_location_wait", "Time that a request with a long prompt waited at a VM that had just started."},
@@ -135,6 +137,11 @@
 	g.promptRead.Add(context.Background(), int64(computed))
 }
 
+// ObserveUnread records how long a request lay unread before the process read it.
+func (g *Gateway) ObserveUnread(wait time.Duration) {
+	g.unread.Record(context.Background(), wait.Seconds())
+}
+
 // ObserveChoice records the time to choose an endpoint.
 func (g *Gateway) ObserveChoice(took time.Duration) {
 	g.choice.Record(context.Background(), took.Seconds())
--- a/metrics/gateway_test.go
+++ b/metrics/gateway_test.go
@@ -21,6 +21,7 @@
 	g.CountConnection("opened")
 	g.CountCallerConnection("idle", false)
 	g.AddPromptTokens(1, 2)
+	g.ObserveUnread(time.Microsecond)
 	g.ObserveChoice(time.Microsecond)
 	g.ObserveConnect(time.Millisecond)
 	g.ObserveFirstByte(time.Millisecond)
@@ -44,7 +45,7 @@
 			t.Errorf("docs/METRICS.md lacks cardamompoint.gateway_%s", name)
 		}
 	}
-	if found != 13 {
-		t.Errorf("%d instruments are exported, want 13", found)
+	if found != 14 {
+		t.Errorf("%d instruments are exported, want 14", found)
 	}
 }
