Send no request on whose caller left before it was read

Cause: net/http tells a handler that its caller has left through a goroutine that begins to look when the request has been read. A request and the end of its connection that lie in the kernel together are read together, after a stall, a backlog or for want of processor time; the handler has chosen an endpoint and written the request on a kept connection before that goroutine had its turn. Class of fault: a decision rests on news that come by a slower path than the request itself.

Change: each request looks at its caller's socket itself, right before it is written, also in the goroutine that writes long ones, before each pick of an endpoint, and wherever the context was asked alone (retries, handovers, waits). The look sees an end behind unread bytes and reads nothing. gateway_callers_left counts such requests by whether they had been sent.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"cardamompoint.example/cardamompoint/code"
@@ -15,7 +16,7 @@
 	gateway *Gateway
 	w       http.ResponseWriter
 	r       *http.Request
-	// conn is the caller's connection.
+	// conn is the caller's connection, nil if it is not known.
 	conn *httpguard.Conn
 	// arrived is when the request was read, unread how long its first bytes had waited until then.
 	arrived clock.Boot
@@ -45,6 +46,8 @@
 	// have executed it.
 	attempts   int
 	executions int
+	// sent reports whether the request was written to an endpoint.
+	sent atomic.Bool
 	// refusals counts the endpoints that refused the request because they were full.
 	refusals int
 	// retryReserved reports whether the next attempt was taken from the retry budget when its
@@ -76,6 +79,11 @@
 	detail         string
 }
 
+// callerLeft reports whether the caller has left.
+func (c *call) callerLeft() bool {
+	return c.r.Context().Err() != nil || c.conn != nil && c.conn.CallerLeft()
+}
+
 // grant is what a configuration version permits a request.
 type grant struct {
 	// version is the version of the configuration.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -21,7 +21,7 @@
 	started clock.Boot
 	// sentAt is when the request was written, 0 if it was not. leftAt is when the VM noticed that the
 	// caller had left, 0 if it has not.
-	sentAt clock.Boot
+	sentAt atomic.Int64
 	leftAt atomic.Int64
 	// silences counts the progress timeouts after which the attempt went on.
 	silences int
@@ -98,12 +98,11 @@
 	message := x.newEndpointRequest(left)
 	head := message.AppendHead(make([]byte, 0, headerCapacity))
 	x.setDeadline()
-	x.sentAt = clock.Now()
 	if len(head)+len(x.body) > asyncWriteBytes {
 		x.sendAsync(head)
 		return outcome{}, true
 	}
-	sent, err := x.conn.Send(head, x.body)
+	sent, err := x.write(head)
 	if err == nil {
 		return outcome{}, true
 	}
@@ -117,11 +116,24 @@
 func (x *exchange) sendAsync(head []byte) {
 	x.writeDone = make(chan error, 1)
 	go func(conn *upstream.Conn) {
-		_, err := conn.Send(head, x.body)
+		sent, err := x.write(head)
+		if err != nil && !sent {
+			conn.Close() // No answer is to be awaited.
+		}
 		x.writeDone <- err
 	}(x.conn)
 }
 
+// write writes the request, unless the caller has left: it may have done so before the request was read.
+func (x *exchange) write(head []byte) (sent bool, err error) {
+	if x.callerLeft() {
+		return false, errCallerGone()
+	}
+	x.sentAt.Store(int64(clock.Now()))
+	x.sent.Store(true)
+	return x.conn.Send(head, x.body)
+}
+
 // newEndpointRequest returns the request to send. left is the time that the caller has left.
 func (x *exchange) newEndpointRequest(left time.Duration) platform.EndpointRequest {
 	message := platform.EndpointRequest{
--- a/gateway/exchange_deadline.go
+++ b/gateway/exchange_deadline.go
@@ -45,7 +45,7 @@
 // avoid the endpoint at once. This one stays for a while longer, and then leaves only for an endpoint
 // that may be tried.
 func (x *exchange) waitLonger(arrived bool) time.Time {
-	if left, bounded := x.timeLeft(); bounded && left <= 0 || x.r.Context().Err() != nil {
+	if left, bounded := x.timeLeft(); bounded && left <= 0 || x.callerLeft() {
 		return time.Time{}
 	}
 	if arrived {
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -138,8 +138,8 @@
 		FaultPercent:  pick.FaultPercent,
 		Passed:        pick.Passed,
 	}
-	if x.sentAt > 0 {
-		record.SentMS = x.sentAt.Sub(x.arrived).Milliseconds()
+	if sent := clock.Boot(x.sentAt.Load()); sent > 0 {
+		record.SentMS = sent.Sub(x.arrived).Milliseconds()
 	}
 	if left := clock.Boot(x.leftAt.Load()); left > 0 {
 		record.LeftMS = left.Sub(x.arrived).Milliseconds()
@@ -199,6 +199,9 @@
 	fields := []any{"request", c.request.ID, "code", int(c.result), "status", c.status, "took_ms", took.Milliseconds(),
 		"repeat", c.repeatLabel(), "route", route, "workspace", workspace, "service", c.grant.service, "version", c.grant.version, "age_ms", age,
 		"waited_ms", c.prefillWaited.Milliseconds(), "pieces", c.events, "pause_ms", c.longestGap.Milliseconds(), "attempts", c.attemptRecords}
+	if c.result == code.Canceled {
+		c.gateway.metrics.CountCallerLeft(c.sent.Load())
+	}
 	c.gateway.metrics.ObserveUnread(c.unread)
 	c.gateway.unread.record(c.grant.service, c.unread, c.arrived)
 	if c.unread >= time.Millisecond {
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -127,7 +127,7 @@
 		switch {
 		case arrived:
 			return time.Now().Add(lateReadTime)
-		case x.overtaken, bounded && left <= 0, x.r.Context().Err() != nil:
+		case x.overtaken, bounded && left <= 0, x.callerLeft():
 			return time.Time{}
 		case limit > 0 && clock.Now().Sub(began) >= limit && !previous.conn.HasEnded():
 			return time.Time{}
--- /dev/null
+++ b/gateway/left_caller_test.go
@@ -0,0 +1,139 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"cardamompoint.example/cardamompoint/internal/standin/hosted"
+)
+
+// requestKind is a kind of request with the text of one.
+type requestKind struct {
+	method, path, headers, body string
+}
+
+const promptHeaders = "Cardamompoint-Model: m\r\nCardamompoint-Token-Counts: 100,50\r\nCardamompoint-Prompt-Prefix: " + chatPromptParts + "\r\n"
+
+// requestKinds are the kinds of requests, one of them with a body that is written beside the reading of the answer.
+var requestKinds = map[string]requestKind{
+	"idempotent":           {http.MethodPost, "/lookup/1", "", "work"},
+	"without body":         {http.MethodGet, "/lookup/1", "", ""},
+	"non-idempotent":       {http.MethodPost, "/deposit/1", "", "work"},
+	"public":               {http.MethodPost, "/open/1", "", "work"},
+	"stream":               {http.MethodPost, "/chat/1", promptHeaders, "work"},
+	"resumable stream":     {http.MethodPost, "/roster/1", promptHeaders, "work"},
+	"stream, long request": {http.MethodPost, "/roster/1", promptHeaders, strings.Repeat("w", 3*asyncWriteBytes)},
+}
+
+// text returns a request of the kind. more is added to its headers.
+func (k requestKind) text(id, more string) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nCardamompoint-Attempt-Id: %s\r\nContent-Length: %d\r\n%s%s\r\n%s",
+		k.method, k.path, hosted.Host, hosted.Key, id, len(k.body), k.headers, more, k.body)
+}
+
+// lateListener is a listener from which the gateway accepts connections only when it is told to.
+type lateListener struct {
+	net.Listener
+	accept chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *lateListener) Accept() (net.Conn, error) {
+	<-l.accept
+	return l.Listener.Accept()
+}
+
+// listenLate opens another address for callers at the first gateway.
+func (f *testFleet) listenLate() *lateListener {
+	f.t.Helper()
+	inner, err := net.Listen("tcp", f.address(1, frontPort+500))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	late := &lateListener{Listener: inner, accept: make(chan struct{})}
+	g := f.gateways[0]
+	l := g.newCallerListener(late, http.HandlerFunc(g.serveCaller))
+	go func() { _ = l.server.Serve(l.net) }()
+	f.t.Cleanup(func() {
+		close(late.accept)
+		_ = l.server.Close()
+	})
+	return late
+}
+
+// dial connects to a listener.
+func dial(t *testing.T, address string) *net.TCPConn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn.(*net.TCPConn)
+}
+
+// keepOneEndpoint removes the second endpoint of each service, so that requests go on connections that were used
+// before.
+func (f *testFleet) keepOneEndpoint() {
+	f.t.Helper()
+	f.store.DeleteEndpoint("engine-2")
+	f.store.DeleteEndpoint("plain-2")
+	f.eventually("one endpoint of each service is known", func() bool {
+		ready := f.gateways[0].tracker.Snapshot().Ready
+		return len(ready["engines"]) == 1 && len(ready["plain"]) == 1
+	})
+}
+
+// arrivals returns how often a request has reached an endpoint.
+func (f *testFleet) arrivals(id string) int {
+	count := 0
+	for _, worker := range f.workers {
+		for _, seen := range worker.Seen() {
+			if seen.ID == id {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// TestRequestReadAfterItsCallerLeftIsNotSentOn lets callers send a request and leave before the gateway reads it.
+func TestRequestReadAfterItsCallerLeftIsNotSentOn(t *testing.T) {
+	const rounds = 3
+	f := newTestFleet(t, 1)
+	f.keepOneEndpoint()
+	listener := f.listenLate()
+	closed := func() int64 { return f.gateways[0].closures.closed.Load() }
+	for name, kind := range requestKinds {
+		for leaving, linger := range map[string]int{"close": -1, "reset": 0} {
+			late := 0
+			for round := range rounds {
+				if got := f.ask(context.Background(), 1, query{method: kind.method, path: kind.path, body: "work", promptParts: chatPromptParts}); got.status != http.StatusOK {
+					t.Fatalf("a request before got %+v", got)
+				}
+				id := fmt.Sprintf("1eft%s%s%d", strings.ReplaceAll(name, " ", ""), leaving, round)
+				conn := dial(t, listener.Addr().String())
+				io.WriteString(conn, kind.text(id, ""))
+				_ = conn.SetLinger(linger)
+				conn.Close()
+				before := closed()
+				listener.accept <- struct{}{}
+				f.eventually("the gateway closes the connection", func() bool { return closed() > before })
+				time.Sleep(5 * time.Millisecond)
+				late += f.arrivals(id)
+			}
+			if late > 0 {
+				t.Errorf("%s, %s: %d of %d requests reached endpoints", name, leaving, late, rounds)
+			}
+		}
+	}
+}
+
+// TestUnsentRestOfARequestIsDroppedWhenItsCallerLeaves sends a long request to an endpoint that reads it only after
+// TestTimeOfARequestBeginsWhenItArrives lets requests lie unread, before the connection is accepted and behind
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -29,7 +29,7 @@
 // classifyError returns the outcome of a failed exchange in which the request may have been
 // executed.
 func (x *exchange) classifyError(err error) outcome {
-	if x.r.Context().Err() != nil {
+	if x.callerLeft() {
 		return outcome{result: resultCallerGone, err: err}
 	}
 	if x.overtaken {
@@ -50,7 +50,7 @@
 
 // checkCaller changes the result of out to resultCallerGone if the caller has disconnected.
 func (x *exchange) checkCaller(out outcome) outcome {
-	if x.r.Context().Err() != nil {
+	if x.callerLeft() {
 		out.result = resultCallerGone
 	}
 	return out
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -55,6 +55,9 @@
 // checkPermitted returns the reason why the request may not be sent to any endpoint, or nil. It
 // updates the grant.
 func (c *call) checkPermitted(snapshot *knowledge.Snapshot) error {
+	if c.callerLeft() {
+		return errCallerGone()
+	}
 	if err := c.authorize(snapshot); err != nil {
 		return err
 	}
@@ -115,7 +118,7 @@
 )
 
 // waitForPrefill waits for one poll interval. It returns false if the request has waited long
-// enough or the caller is gone.
+// enough.
 func (c *call) waitForPrefill(remaining time.Duration) bool {
 	limit := defaultPrefillWait
 	if objective := c.grant.route.LatencyObjective; objective > 0 {
@@ -127,5 +130,5 @@
 	began := clock.Now()
 	clock.Sleep(c.r.Context(), min(remaining, prefillPollInterval))
 	c.prefillWaited += clock.Now().Sub(began)
-	return c.r.Context().Err() == nil
+	return true
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -126,7 +126,7 @@
 
 // retryError returns the reason why the request can't be retried at another endpoint, or nil.
 func (c *call) retryError(out outcome) error {
-	if c.r.Context().Err() != nil {
+	if c.callerLeft() {
 		return errCallerGone()
 	}
 	if c.retryReserved {
--- a/internal/httpguard/conn.go
+++ b/internal/httpguard/conn.go
@@ -149,6 +149,12 @@
 	return c.Conn.Write(p)
 }
 
+// CallerLeft reports whether the caller has closed the connection, or its sending half. net/http tells that
+// through the request's context too, but only once it has had time to look.
+func (c *Conn) CallerLeft() bool {
+	return socket.HasEnded(c.Conn)
+}
+
 // IsQuiet reports whether no byte of the next request has arrived, read or unread.
 func (c *Conn) IsQuiet() bool {
 	return !c.receiving.Load() && socket.IsSilent(c.Conn)
--- a/internal/socket/silent_test.go
+++ b/internal/socket/silent_test.go
@@ -27,21 +27,23 @@
 }
 
 // connect returns the two ends of a new connection.
-func connect(t *testing.T) (near, far net.Conn) {
+func connect(t *testing.T) (near, far *net.TCPConn) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer listener.Close()
-	if far, err = net.Dial("tcp", listener.Addr().String()); err != nil {
+	dialed, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
 		t.Fatal(err)
 	}
-	if near, err = listener.Accept(); err != nil {
+	accepted, err := listener.Accept()
+	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { near.Close(); far.Close() })
-	return near, far
+	t.Cleanup(func() { accepted.Close(); dialed.Close() })
+	return accepted.(*net.TCPConn), dialed.(*net.TCPConn)
 }
 
 // awaitSound waits until a connection is not silent.
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -18,6 +18,7 @@
 	sends       metric.Int64Counter
 	connections metric.Int64Counter
 	callers     metric.Int64Counter
+	left        metric.Int64Counter
 	unconfirmed metric.Int64Counter
 	promptRead  metric.Int64Counter
 	promptHeld  metric.Int64Counter
@@ -59,6 +60,7 @@
 		{&g.sends, "cardamompoint.gateway_sends", "Requests sent to endpoints by attempt and outcome."},
 		{&g.connections, "cardamompoint.gateway_connections", "Connections to endpoints by event."},
 		{&g.callers, "cardamompoint.gateway_caller_connections", "Closed connections of callers by reason."},
+		{&g.left, "cardamompoint.gateway_callers_left", "Requests whose callers left before the answer, by whether they had been sent to an endpoint."},
 		{&g.unconfirmed, "cardamompoint.gateway_unconfirmed_refusals", "Answers of endpoints that look like a refusal and may come after a run."},
 		{&g.promptRead, "cardamompoint.gateway_prompt_read", "Shared prompt tokens that an endpoint had to prefill."},
 		{&g.promptHeld, "cardamompoint.gateway_prompt_held", "Shared prompt tokens expected in the endpoint's cache."},
@@ -124,6 +126,12 @@
 	g.callers.Add(context.Background(), 1, metric.WithAttributes(attribute.String("closed", reason), attribute.Bool("unanswered", unanswered)))
 }
 
+// CountCallerLeft counts a request whose caller left before the answer. sent reports whether it had been sent
+// to an endpoint.
+func (g *Gateway) CountCallerLeft(sent bool) {
+	g.left.Add(context.Background(), 1, metric.WithAttributes(attribute.Bool("sent", sent)))
+}
+
 // CountUnconfirmedRefusal counts an answer whose status promises that the request was not executed, although
 // the endpoint does not say so.
 func (g *Gateway) CountUnconfirmedRefusal() {
--- a/metrics/gateway_test.go
+++ b/metrics/gateway_test.go
@@ -21,6 +21,7 @@
 	g.CountConnection("opened")
 	g.CountCallerConnection("idle", false)
 	g.AddPromptTokens(1, 2)
+	g.CountCallerLeft(false)
 	g.ObserveUnread(time.Microsecond)
 	g.ObserveChoice(time.Microsecond)
 	g.ObserveConnect(time.Millisecond)
@@ -45,7 +46,7 @@
 			t.Errorf("docs/METRICS.md lacks cardamompoint.gateway_%s", name)
 		}
 	}
-	if found != 14 {
-		t.Errorf("%d instruments are exported, want 14", found)
+	if found != 15 {
+		t.Errorf("%d instruments are exported, want 15", found)
 	}
 }
