Notice that a caller leaves also behind a second request on its connection

What callers saw: two requests at once on a connection; the caller leaves while the first is worked on.

Cause: net/http reads one byte to notice the end of a connection, and stops looking when it gets one: the second request hides the end. The guard of the connection handed that byte over.

Evidence: TestCloseBehindASecondRequestEndsTheWork, all kinds of requests; before, the work went on for the 20 s of the test (the routes wait for 120 s). TestSecondRequestOnAConnectionIsServed passed before and passes.

Change: between the end of a request's body and its answer the guard reads nothing. It waits for the end of the connection, which the system tells also behind unread bytes, and net/http learns of nothing else.

--- a/gateway/left_caller_test.go
+++ b/gateway/left_caller_test.go
@@ -90,6 +90,20 @@
 	})
 }
 
+// awaitSilentEndpoints lets all endpoints be silent, and routes wait for them for longer than the test lasts.
+func (f *testFleet) awaitSilentEndpoints() {
+	f.t.Helper()
+	for _, worker := range f.workers {
+		worker.SetDefault(hosted.Hang)
+	}
+	f.publish(2, func(configuration *hosted.Configuration) {
+		for i := range configuration.Routes {
+			configuration.Routes[i].TimeoutMS, configuration.Routes[i].LatencyGoalMS = 120_000, 120_000
+		}
+	})
+	f.eventually("the change is known", func() bool { return f.gateways[0].configVersion() == 2 })
+}
+
 // arrivals returns how often a request has reached an endpoint.
 func (f *testFleet) arrivals(id string) int {
 	count := 0
@@ -135,5 +149,39 @@
 	}
 }
 
+// TestCloseBehindASecondRequestEndsTheWork sends two requests at once and leaves while the first one is worked on.
+func TestCloseBehindASecondRequestEndsTheWork(t *testing.T) {
+	f := newTestFleet(t, 1)
+	f.keepOneEndpoint()
+	f.awaitSilentEndpoints()
+	for name, kind := range requestKinds {
+		first, second := "f1"+strings.ReplaceAll(name, " ", ""), "5ec"+strings.ReplaceAll(name, " ", "")
+		conn := dial(t, f.address(1, frontPort))
+		io.WriteString(conn, kind.text(first, "")+kind.text(second, ""))
+		f.eventually("the first request is worked on", func() bool { return f.arrivals(first) > 0 })
+		conn.Close()
+		f.eventually(name+": the work ends", func() bool {
+			return f.workers["plain-1"].Abandoned(first) || f.workers["engine-1"].Abandoned(first)
+		})
+		f.eventually("the request ends at the gateway", func() bool { return f.gateways[0].active.Load() == 0 })
+		if count := f.arrivals(second); count > 0 {
+			t.Errorf("%s: the second request reached endpoints %d times", name, count)
+		}
+	}
+}
+
+// TestSecondRequestOnAConnectionIsServed sends two requests at once and stays.
+func TestSecondRequestOnAConnectionIsServed(t *testing.T) {
+	f := newTestFleet(t, 1)
+	for name, kind := range requestKinds {
+		conn := dial(t, f.address(1, frontPort))
+		io.WriteString(conn, kind.text("a1", "")+kind.text("a2", "Connection: close\r\n"))
+		answers, err := io.ReadAll(conn)
+		if count := strings.Count(string(answers), "HTTP/1.1 200 OK"); err != nil || count != 2 {
+			t.Errorf("%s: %d answers, %v: %q", name, count, err, answers)
+		}
+	}
+}
+
 // TestUnsentRestOfARequestIsDroppedWhenItsCallerLeaves sends a long request to an endpoint that reads it only after
 // TestTimeOfARequestBeginsWhenItArrives lets requests lie unread, before the connection is accepted and behind
--- a/internal/httpguard/claim.go
+++ b/internal/httpguard/claim.go
@@ -65,6 +65,7 @@
 func (c *Conn) Release() {
 	c.claim.mu.Lock()
 	defer c.claim.mu.Unlock()
+	c.serving.Store(false)
 	if !c.claim.held {
 		return
 	}
--- a/internal/httpguard/conn.go
+++ b/internal/httpguard/conn.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"cardamompoint.example/cardamompoint/internal/clock"
@@ -47,6 +48,8 @@
 	headTimer *time.Timer
 	// claim keeps the connection open while a request is served.
 	claim claim
+	// serving reports whether a head was passed on since the last response.
+	serving atomic.Bool
 	// receiving reports whether bytes were read since the last response, responded whether bytes
 	// were written since then.
 	receiving atomic.Bool
@@ -88,6 +91,9 @@
 		if c.endErr != nil {
 			return 0, c.endErr
 		}
+		if c.awaitsEnd() {
+			return 0, c.awaitEnd()
+		}
 		c.check()
 		if len(c.ready) > 0 || c.endErr != nil {
 			continue
@@ -106,6 +112,19 @@
 	return len(c.ready) == 0 && len(c.pending) == 0 && c.endErr == nil && !c.body.chunked && c.body.remaining > 0
 }
 
+// awaitsEnd reports whether the current request has been read and not been answered. net/http then reads only to
+// notice that the caller leaves, and stops looking at the first byte that it gets.
+func (c *Conn) awaitsEnd() bool {
+	_, isSocket := c.Conn.(syscall.Conn)
+	return isSocket && c.serving.Load() && c.body.done()
+}
+
+// awaitEnd waits until the caller leaves, and leaves bytes of the next request unread. It returns an error.
+func (c *Conn) awaitEnd() error {
+	_, err := c.receiveWith(func() (int, error) { return 0, socket.AwaitEnd(c.Conn) })
+	return err
+}
+
 // readBody reads once from the connection into p, at most to the end of the body.
 func (c *Conn) readBody(p []byte) (int, error) {
 	count, err := c.receive(p[:min(len(p), c.body.remaining)])
@@ -205,6 +224,7 @@
 	}
 	c.release(end)
 	c.body = next
+	c.serving.Store(true)
 }
 
 // isOverlong reports whether the request line or the header lines of a head are longer
--- a/internal/httpguard/retire.go
+++ b/internal/httpguard/retire.go
@@ -53,8 +53,13 @@
 
 // receive reads from the connection, unless it is retired meanwhile.
 func (c *Conn) receive(p []byte) (int, error) {
+	return c.receiveWith(func() (int, error) { return c.Conn.Read(p) })
+}
+
+// receiveWith calls read until it does not time out, or the connection is retired.
+func (c *Conn) receiveWith(read func() (int, error)) (int, error) {
 	for {
-		count, err := c.Conn.Read(p)
+		count, err := read()
 		if count > 0 || err == nil {
 			return count, err
 		}
