Drop what an endpoint has not got yet of a request that is given up

What endpoints saw: the rest of a request that lay in the VM's socket, behind a full window or a slow link, came after its caller had left, and so the whole request.

Cause: the connection was closed in order, which delivers what was written before. Class of fault: a request waits in a buffer on its way, and its end is queued behind it.

Change: a connection whose answer was not read to its end is closed with a reset, which drops unsent bytes, when the caller leaves, its time is over or the attempt is given up. What the endpoint's kernel has already is out of reach: a reset does not take it back (tried: the bytes stay readable).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -60,7 +60,7 @@
 // callerGone ends the endpoint's work when the caller has left.
 func (x *exchange) callerGone() {
 	x.leftAt.Store(int64(clock.Now()))
-	x.conn.Close()
+	x.conn.Abort()
 }
 
 // end keeps the connection for other requests or closes it, and adds to the outcome what the connection
@@ -76,7 +76,11 @@
 		x.gateway.metrics.CountConnection("kept")
 		return
 	}
-	x.conn.Close()
+	if x.fullyRead(*out) {
+		x.conn.Close()
+	} else {
+		x.conn.Abort()
+	}
 	x.gateway.metrics.CountConnection("closed")
 }
 
--- a/gateway/left_caller_test.go
+++ b/gateway/left_caller_test.go
@@ -7,9 +7,13 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
+	"cardamompoint.example/cardamompoint/internal/socket"
 	"cardamompoint.example/cardamompoint/internal/standin/hosted"
 )
 
@@ -184,4 +188,54 @@
 }
 
 // TestUnsentRestOfARequestIsDroppedWhenItsCallerLeaves sends a long request to an endpoint that reads it only after
+// the caller has left.
+func TestUnsentRestOfARequestIsDroppedWhenItsCallerLeaves(t *testing.T) {
+	f := newTestFleet(t, 1)
+	f.awaitSilentEndpoints()
+	listener := f.listenWithSmallBuffer(f.address(130, workerPort))
+	f.store.PutEndpoint("slow", "plain", listener.Addr().String(), "ready")
+	f.store.DeleteEndpoint("plain-1")
+	f.store.DeleteEndpoint("plain-2")
+	f.eventually("the slow endpoint alone is known", func() bool {
+		ready := f.gateways[0].tracker.Snapshot().Ready["plain"]
+		return len(ready) == 1 && ready[0].ID == "slow"
+	})
+	for _, path := range []string{"/lookup/1", "/deposit/1"} {
+		body := strings.Repeat("w", 60_000)
+		conn := dial(t, f.address(1, frontPort))
+		io.WriteString(conn, requestKind{method: http.MethodPost, path: path, body: body}.text("a1", ""))
+		accepted, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.eventually("the request is in progress", func() bool { return f.gateways[0].active.Load() == 1 && socket.HasUnread(accepted) })
+		conn.Close()
+		f.eventually("the request ends at the gateway", func() bool { return f.gateways[0].active.Load() == 0 })
+		_ = accepted.SetReadDeadline(time.Now().Add(20 * time.Second))
+		if got, err := io.ReadAll(accepted); len(got) >= len(body) {
+			t.Errorf("%s: the endpoint got %d bytes after the caller had left: %v", path, len(got), err)
+		}
+		accepted.Close()
+	}
+}
+
+// listenWithSmallBuffer listens at an address. Its connections take few bytes before they are read.
+func (f *testFleet) listenWithSmallBuffer(address string) net.Listener {
+	f.t.Helper()
+	const bufferBytes = 4 << 10
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			if err := unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bufferBytes); err != nil {
+				f.t.Error(err)
+			}
+		})
+	}}
+	listener, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { listener.Close() })
+	return listener
+}
+
 // TestTimeOfARequestBeginsWhenItArrives lets requests lie unread, before the connection is accepted and behind
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -97,6 +97,15 @@
 	}
 }
 
+// Abort closes the connection with a reset and drops what was not sent yet, so that the endpoint does not get a
+// request whose caller has left.
+func (c *Conn) Abort() {
+	if lingering, ok := c.raw.(interface{ SetLinger(seconds int) error }); ok {
+		_ = lingering.SetLinger(0) // It fails only if the connection is closed.
+	}
+	c.Close()
+}
+
 // HasInput reports whether bytes have arrived that were not read.
 func (c *Conn) HasInput() bool {
 	return c.reader.Buffered() > 0 || socket.HasUnread(c.raw)
