Let a request's time begin when it arrives, not when it is read

Cause: the time began with the request's handler. Class of fault: a wait that the VM does not see is not counted.

Evidence: TestTimeOfARequestBeginsWhenItArrives, connections accepted late and requests behind another one, all kinds: before, each reached an endpoint, and one with 5 s was passed on with 4.999 s; after, 503 with code 207 read_late (not run: nothing was sent) and at most 4.42 s.

Change: the system says how long ago the last bytes came on the caller's connection when the first ones of a request are read; the request's time counts from there. It is a lower bound if more bytes came meanwhile. Windows of budgets and limits count from the read, as before.

--- a/code/code.go
+++ b/code/code.go
@@ -29,6 +29,7 @@
 	Draining       Code = 204
 	RetryBudget    Code = 205
 	EndpointLimits Code = 206
+	ReadLate       Code = 207
 
 	OutcomeUnknown   Code = 301
 	KeyExpired       Code = 302
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -18,9 +18,9 @@
 	r       *http.Request
 	// conn is the caller's connection, nil if it is not known.
 	conn *httpguard.Conn
-	// arrived is when the request was read, unread how long its first bytes had waited until then.
+	// arrived is when the request's first bytes arrived, readAt when its head had been read.
 	arrived clock.Boot
-	unread  time.Duration
+	readAt  clock.Boot
 
 	request traffic.Request
 	// suspects are what may crash endpoints: the IDs of the parts of the prompt, or the fingerprint
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -39,9 +39,8 @@
 
 // newCall returns the call of a request that was just read.
 func newCall(g *Gateway, w http.ResponseWriter, r *http.Request) *call {
-	c := &call{gateway: g, w: w, r: r, conn: callerConn(r), arrived: clock.Now()}
-	c.unread = max(0, c.arrived.Sub(c.conn.Arrived()))
-	return c
+	conn := callerConn(r)
+	return &call{gateway: g, w: w, r: r, conn: conn, arrived: conn.Arrived(), readAt: clock.Now()}
 }
 
 const (
@@ -81,6 +80,9 @@
 	if limit := request.Timeout; limit > 0 && (c.timeout <= 0 || limit < c.timeout) {
 		c.timeout = limit
 	}
+	if left, bounded := c.timeLeft(); bounded && left <= 0 {
+		return code.New(code.ReadLate, "the request's time was over when it was read").After(retryAfterShort)
+	}
 	if err := c.checkShutdown(); err != nil {
 		return err
 	}
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -93,7 +93,7 @@
 	Status        int           `json:"status,omitempty"`
 	// BeganMS is when the attempt began, SentMS when the request was written, FirstMS when the first event of
 	// a stream was forwarded, and LeftMS when the VM noticed that the caller had left, in milliseconds since
-	// the request was read.
+	// the request arrived.
 	BeganMS int64 `json:"began_ms"`
 	SentMS  int64 `json:"sent_ms,omitempty"`
 	FirstMS int64 `json:"first_ms,omitempty"`
@@ -202,10 +202,11 @@
 	if c.result == code.Canceled {
 		c.gateway.metrics.CountCallerLeft(c.sent.Load())
 	}
-	c.gateway.metrics.ObserveUnread(c.unread)
-	c.gateway.unread.record(c.grant.service, c.unread, c.arrived)
-	if c.unread >= time.Millisecond {
-		fields = append(fields, "unread_ms", c.unread.Milliseconds())
+	unread := c.readAt.Sub(c.arrived)
+	c.gateway.metrics.ObserveUnread(unread)
+	c.gateway.unread.record(c.grant.service, unread, c.readAt)
+	if unread >= time.Millisecond {
+		fields = append(fields, "unread_ms", unread.Milliseconds())
 	}
 	if c.locationWait > 0 {
 		c.gateway.metrics.ObserveLocationWait(c.locationWait)
--- a/gateway/left_caller_test.go
+++ b/gateway/left_caller_test.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -239,3 +241,62 @@
 }
 
 // TestTimeOfARequestBeginsWhenItArrives lets requests lie unread, before the connection is accepted and behind
+// another request.
+func TestTimeOfARequestBeginsWhenItArrives(t *testing.T) {
+	const unread = 600 * time.Millisecond
+	f := newTestFleet(t, 1)
+	f.keepOneEndpoint()
+	late := f.listenLate()
+	f.workers["plain-1"].Delay = unread
+	for name, kind := range requestKinds {
+		id := strings.ReplaceAll(name, " ", "")
+		for what, send := range map[string]func(text string) *net.TCPConn{
+			"not accepted": func(text string) *net.TCPConn {
+				conn := dial(t, late.Addr().String())
+				io.WriteString(conn, text)
+				time.Sleep(unread)
+				late.accept <- struct{}{}
+				return conn
+			},
+			"behind another": func(text string) *net.TCPConn {
+				conn := dial(t, f.address(1, frontPort))
+				io.WriteString(conn, requestKinds["idempotent"].text("f1"+id, ""))
+				f.eventually("the first request is worked on", func() bool { return f.arrivals("f1"+id) > 0 })
+				io.WriteString(conn, text)
+				if _, err := http.ReadResponse(bufio.NewReaderSize(conn, 1), nil); err != nil {
+					t.Error(err)
+				}
+				return conn
+			},
+		} {
+			over := send(kind.text("0"+what[:1]+id, "Connection: close\r\nCardamompoint-Request-Deadline: 400\r\n"))
+			answer, _ := io.ReadAll(over)
+			if !strings.Contains(string(answer), " 503 ") || !strings.Contains(string(answer), "read_late") || f.arrivals("0"+what[:1]+id) > 0 {
+				t.Errorf("%s, %s: its time was over, and it reached %d endpoints: %q", name, what, f.arrivals("0"+what[:1]+id), answer)
+			}
+		}
+		_, _ = io.ReadAll(func() *net.TCPConn {
+			conn := dial(t, late.Addr().String())
+			io.WriteString(conn, kind.text("1"+id, "Connection: close\r\nCardamompoint-Request-Deadline: 5000\r\n"))
+			time.Sleep(unread)
+			late.accept <- struct{}{}
+			return conn
+		}())
+		if left := f.deadlineOf("1" + id); left <= 0 || left > 5*time.Second-unread+20*time.Millisecond {
+			t.Errorf("%s: the endpoint was told %v, want 5 s less %v", name, left, unread)
+		}
+	}
+}
+
+// deadlineOf returns the time that an endpoint was given for a request, 0 if none got it.
+func (f *testFleet) deadlineOf(id string) time.Duration {
+	for _, worker := range f.workers {
+		for _, seen := range worker.Seen() {
+			if seen.ID == id {
+				left, _ := strconv.ParseFloat(seen.Header.Get("Cardamompoint-Request-Deadline"), 64)
+				return time.Duration(left * float64(time.Millisecond))
+			}
+		}
+	}
+	return 0
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -49,8 +49,8 @@
 
 // run sends the request to one endpoint after another until the caller has a response.
 func (c *call) run() {
-	c.gateway.budget.RecordRequest(c.grant.service, c.arrived)
-	c.gateway.limits.RecordRequest(c.grant.service, c.arrived)
+	c.gateway.budget.RecordRequest(c.grant.service, c.readAt)
+	c.gateway.limits.RecordRequest(c.grant.service, c.readAt)
 	c.awaitLocations()
 	defer c.dropSuccessor()
 	for {
