Drop requests to routers whose senders left before they were read

Cancels, outcomes and revocations are executed whoever waits for their answer. Not covered here: a second request on a connection hides a close, as net/http stops looking at its first byte.

--- a/router/callers.go
+++ b/router/callers.go
@@ -5,18 +5,22 @@
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+	"cardamompoint.example/cardamompoint/router/peer"
 )
 
 // callersMux returns the handler of the callers' API.
 func (r *Router) callersMux() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/chat/completions", r.serveCompletion)
-	mux.HandleFunc("GET /v1/streams/{stream}", r.serveResume)
+	work := func(pattern string, handler http.HandlerFunc) {
+		mux.Handle(pattern, peer.DropAbandoned(handler))
+	}
+	work("POST /v1/chat/completions", r.serveCompletion)
+	work("GET /v1/streams/{stream}", r.serveResume)
 	mux.HandleFunc("DELETE /v1/streams/{stream}", r.serveCancel)
 	mux.HandleFunc("POST /v1/tickets", r.serveTicket)
 	mux.HandleFunc("GET /v1/outcomes/{workspace}/{key}", r.serveOutcome)
 	mux.HandleFunc("DELETE /v1/outcomes/{workspace}/{key}", r.serveRevoke)
-	mux.HandleFunc("/v1/services/{workspace}/{path...}", r.serveService)
+	work("/v1/services/{workspace}/{path...}", r.serveService)
 	mux.HandleFunc("/", func(w http.ResponseWriter, request *http.Request) {
 		r.writeError(w, code.New(code.UnknownRoute, "no route for %s %s", request.Method, request.URL.Path))
 	})
