Keep a test from starting a VM at an address that does not exist

TestLaterStartReadsNothing failed once: it looked for a VM that ranks after the first one and went on to host 339, which is no address. Ranks follow the network that the test got; the first VM of one network in a hundred ranks after almost all others. The VM that is started need only rank after the better one of the two that run, which is one case in four thousand, and that case says so.

--- a/gateway/seeds_test.go
+++ b/gateway/seeds_test.go
@@ -48,16 +48,23 @@
 	return &reads
 }
 
-// lowerRankedNumber returns the number of a VM that ranks after the first VM for reading the
-// store.
+// lowerRankedNumber returns the number of a VM that ranks after the best of the first two VMs for reading the
+// store. Numbers from endpointHosts on are those of endpoints.
 func (f *testFleet) lowerRankedNumber() int {
-	first := f.gateways[0].ownRank()
-	for number := 3; ; number++ {
+	f.t.Helper()
+	const endpointHosts = 100
+	best := f.gateways[0].ownRank()
+	if second := f.gateways[1].ownRank(); second.Before(best) {
+		best = second
+	}
+	for number := 3; number < endpointHosts; number++ {
 		ip := fmt.Sprintf("%s.0.%d", f.network, number)
-		if first.Before(gossip.RankOf(ip, f.gateways[0].settings.Capacity)) {
+		if best.Before(gossip.RankOf(ip, f.gateways[0].settings.Capacity)) {
 			return number
 		}
 	}
+	f.t.Fatalf("no VM in %s ranks after the first two", f.network)
+	return 0
 }
 
 // TestStartWithoutSeedsReadsTheStore starts a VM whose seeds are not running.
