--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -61,6 +61,7 @@
 	s.eventually("all gateways are ready again", s.allReady)
 	s.restartAllBesideResets()
 	s.restartWithoutWorkers()
+	s.leaveStoppedVM()
 	for _, one := range s.crashCases() {
 		s.checkCrashes(one)
 	}
