Say that the caller closed its connection when it left before its request was read

Operators saw gateway_caller_connections{closed="response", unanswered="true"} and a line "bytes of a caller got no answer" for callers that had left, when the look at the socket came before net/http noticed. Found in a play with 1,200 callers of a stopped process. The look records the reason now.

The soak waits until all threads of the process stand still: a request that is read between the signal and that is not one of a stopped VM (seen in the same play: 8 such callers got no 503).

--- a/internal/httpguard/conn.go
+++ b/internal/httpguard/conn.go
@@ -171,7 +171,11 @@
 // CallerLeft reports whether the caller has closed the connection, or its sending half. net/http tells that
 // through the request's context too, but only once it has had time to look.
 func (c *Conn) CallerLeft() bool {
-	return socket.HasEnded(c.Conn)
+	left := socket.HasEnded(c.Conn)
+	if left {
+		c.setReason(ClosedByCaller)
+	}
+	return left
 }
 
 // IsQuiet reports whether no byte of the next request has arrived, read or unread.
--- a/internal/soak/left_callers_test.go
+++ b/internal/soak/left_callers_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"syscall"
 	"time"
 
@@ -47,6 +50,7 @@
 	endFault := s.record.beginFault(g.number, "freeze")
 	defer endFault()
 	_ = g.command.Process.Signal(syscall.SIGSTOP)
+	s.eventually("the process stands still", func() bool { return isStopped(g.command.Process.Pid) })
 	began := time.Now()
 	gone := map[string]goneCaller{}
 	for number := range goneCallers {
@@ -78,6 +82,18 @@
 	}
 }
 
+// isStopped reports whether all threads of a process stand still.
+func isStopped(pid int) bool {
+	threads, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	for _, thread := range threads {
+		stat, err := os.ReadFile(thread)
+		if _, state, ok := bytes.Cut(stat, []byte(") ")); err == nil && ok && !bytes.HasPrefix(state, []byte("T")) {
+			return false
+		}
+	}
+	return len(threads) > 0
+}
+
 // sendToStopped sends a request to a VM whose process stands still.
 func (s *soak) sendToStopped(g *gatewayVM, path, id string, how leaving) goneCaller {
 	address := s.ip(g.number) + ":7001"
