--- a/internal/httpguard/conn.go
+++ b/internal/httpguard/conn.go
@@ -168,8 +168,8 @@
 	return c.Conn.Write(p)
 }
 
-// CallerLeft reports whether the caller has closed the connection, or its sending half. net/http tells that
-// through the request's context too, but only once it has had time to look.
+// CallerLeft reports whether the caller has closed the connection, or its sending half. It looks at the socket,
+// so the result may be ahead of the request's context, which net/http cancels in another goroutine.
 func (c *Conn) CallerLeft() bool {
 	left := socket.HasEnded(c.Conn)
 	if left {
--- a/internal/soak/left_callers_test.go
+++ b/internal/soak/left_callers_test.go
@@ -122,7 +122,7 @@
 	c.conn.Close()
 }
 
-// checkRefused checks that a caller that stays is told that its request was not run.
+// checkRefused checks that a caller that stays gets status 503 for its request.
 func (s *soak) checkRefused(id string, caller goneCaller) {
 	if caller.how != staysTooLong {
 		return
