--- a/gateway/traffic/configuration.go
+++ b/gateway/traffic/configuration.go
@@ -88,6 +88,8 @@
 	Priority int
 	// MaxExecutions is the maximum number of endpoints that may execute one request.
 	MaxExecutions int
+	// Regions are the regions whose endpoints may execute the requests; none means all.
+	Regions []string
 	// TrafficSplit lists the services that receive the route's requests, with their weights.
 	TrafficSplit []Share
 }
@@ -138,6 +140,11 @@
 	Name string
 	// Engine is set for services whose endpoints run language models, and nil otherwise.
 	Engine *Engine
+	// WarmUpTime is how long an endpoint warms up after its start; 0 if it does not.
+	WarmUpTime time.Duration
+	// WarmUpRate is the number of requests per second that an endpoint can take from all VMs together
+	// while it warms up; 0 if it is not limited.
+	WarmUpRate float64
 }
 
 // Engine describes the language model engines of a service.
@@ -154,6 +161,8 @@
 	// Priority overrides the priority of the route if HasPriority is true.
 	Priority    int
 	HasPriority bool
+	// Regions are the regions whose endpoints may execute the workspace's requests; none means all.
+	Regions []string
 }
 
 // Limits bounds what a caller may send. A zero value means that no limit is configured.
--- a/gateway/traffic/load.go
+++ b/gateway/traffic/load.go
@@ -7,4 +7,7 @@
 	Waiting int
 	// Slots is the number of requests that it processes concurrently.
 	Slots int
+	// Contention is how long work takes on the endpoint's host at this moment, as a multiple of the
+	// usual time; 0 if the endpoint does not state it.
+	Contention float64
 }
--- a/gateway/traffic/settings.go
+++ b/gateway/traffic/settings.go
@@ -67,4 +67,11 @@
 	// LoadMultiple bounds the load of one endpoint, as a multiple of the mean load of its
 	// service.
 	LoadMultiple float64
+	// WarmUpExcess and WarmUpSlack bound the requests of all VMs to an endpoint within a second while it
+	// warms up: a multiple of its Service.WarmUpRate and a constant number on top.
+	WarmUpExcess float64
+	WarmUpSlack  float64
+	// MaxEvacuationDelay bounds the delay after which an evacuated failure domain receives no new
+	// requests; 0 if failure domains are not evacuated.
+	MaxEvacuationDelay time.Duration
 }
