Send no requests to evacuated failure domains

The operator can evacuate a failure domain with a key in the store. Gateways read it with the configuration, in the same call, and exchange it as a whole; the state at the newest position of the store is in force. Endpoints of such domains get no first sends, retries, handovers or list calls; streams in progress there go on. After a store came back from a copy, an order is kept for the time that the operator has to write it again.

Evacuations appear in status, explain, a gauge and log lines.

--- /dev/null
+++ b/gateway/evacuation_test.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// TestEvacuatedDomainGetsNoRequests evacuates the failure domain of all endpoints. It guards against requests that still
+// reach them, refusals that do not tell when to come back, and endpoints that stay unused after the evacuation.
+func TestEvacuatedDomainGetsNoRequests(t *testing.T) {
+	const gateways = 2
+	f := newTestFleet(t, gateways)
+	domain := f.gateways[0].tracker.Snapshot().Endpoints["plain-1"].FailureDomain
+	f.store.Put("op/evacuate/"+domain, []byte("{}"))
+	f.eventually("both VMs apply the evacuation", func() bool { return f.evacuatedDomains() == gateways })
+	from := time.Now()
+	for number := range 2 * gateways {
+		for _, q := range []query{{path: "/lookup/1", body: "work"}, {path: "/deposit/1", body: "work"}, {path: "/chat/1", promptParts: "a1:400,b2:50"}} {
+			got := f.ask(context.Background(), 1+number%gateways, q)
+			if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+				t.Errorf("%s: status %d, Retry-After %q", q.path, got.status, got.header.Get("Retry-After"))
+			}
+		}
+	}
+	for id, worker := range f.workers {
+		if count := requestsSince(worker, from); count > 0 {
+			t.Errorf("%s got %d requests", id, count)
+		}
+	}
+	if status := f.gateways[0].Status().Evacuations; len(status) != 1 || status[0].FailureDomain != domain || status[0].Endpoints != len(f.workers) {
+		t.Errorf("the status has %+v", status)
+	}
+	f.store.Delete("op/evacuate/" + domain)
+	f.eventually("both VMs end the evacuation", func() bool { return f.evacuatedDomains() == 0 })
+	if got := f.ask(context.Background(), 1, query{path: "/lookup/1", body: "work"}); got.status != http.StatusOK {
+		t.Errorf("after the evacuation: status %d", got.status)
+	}
+}
+
+// evacuatedDomains returns the number of evacuations that all VMs apply.
+func (f *testFleet) evacuatedDomains() int {
+	total := 0
+	for _, g := range f.gateways {
+		total += len(g.tracker.Snapshot().Evacuated)
+	}
+	return total
+}
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -47,6 +47,8 @@
 	Candidates []choice.Candidate `json:"candidates"`
 	// Unsettled holds the held and doubted entries.
 	Unsettled []knowledge.UnsettledEntry `json:"unsettled,omitempty"`
+	// Evacuations holds the failure domains whose endpoints are no candidates.
+	Evacuations []EvacuationStatus `json:"evacuations,omitempty"`
 }
 
 func (g *Gateway) serveExplain(w http.ResponseWriter, r *http.Request) {
@@ -85,5 +87,6 @@
 		IdleResets:      g.idleResets.Status(service, now),
 		Candidates:      candidates,
 		Unsettled:       g.tracker.Unsettled(),
+		Evacuations:     evacuationStatus(snapshot, now),
 	}, nil
 }
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -27,6 +27,7 @@
 		{"cardamompoint.gateway_store_era", "Era of the store, which rises when the store comes back from a copy.", g.storeEra},
 		{"cardamompoint.gateway_cut_watches", "Watches that the store has cut while they waited, since the start.", g.reader.Cuts},
 		{"cardamompoint.gateway_unsettled_entries", "Endpoint entries that are held or doubted.", g.unsettledCount},
+		{"cardamompoint.gateway_evacuated_domains", "Failure domains whose endpoints get no new requests by order of the operator.", g.evacuatedDomains},
 		{"cardamompoint.gateway_members", "VMs that count as alive, this one included.", g.memberCount},
 		{"cardamompoint.gateway_endpoints", "Published endpoints that accept new requests.", g.endpointCount},
 		{"cardamompoint.gateway_idle_connections", "Idle connections to endpoints.", func() int64 { return int64(g.pool.Idle()) }},
@@ -67,6 +68,10 @@
 	return int64(len(g.tracker.Unsettled()))
 }
 
+func (g *Gateway) evacuatedDomains() int64 {
+	return int64(len(g.tracker.Snapshot().Evacuated))
+}
+
 func (g *Gateway) memberCount() int64 {
 	return int64(g.vmCount())
 }
--- a/gateway/knowledge/model_store_test.go
+++ b/gateway/knowledge/model_store_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"strings"
 	"sync"
 	"time"
 
@@ -88,7 +89,7 @@
 	s.fullReads++
 	page := platform.Page{Era: s.era, Revision: s.revision}
 	for _, item := range s.items {
-		if item.Key == prefix || prefix == platform.EndpointPrefix && item.Key != platform.ConfigurationKey {
+		if strings.HasPrefix(item.Key, prefix) {
 			page.Items = append(page.Items, item)
 		}
 	}
--- a/gateway/knowledge/reader.go
+++ b/gateway/knowledge/reader.go
@@ -148,7 +148,7 @@
 // starts after the revision of the first page.
 func (r *Reader) readAll(ctx context.Context) error {
 	requestedAt := clock.Now()
-	items, first, err := r.readPrefix(ctx, platform.ConfigurationKey)
+	items, first, err := r.readPrefix(ctx, platform.OperatorPrefix)
 	if err != nil {
 		return err
 	}
@@ -162,7 +162,7 @@
 	r.markRestored()
 	items = append(items, endpoints...)
 	now := clock.Now()
-	r.tracker.Apply(Update{Items: items, Full: true, Era: first.Era, Revision: first.Revision, ConfirmedAt: requestedAt, Available: r.available(now)}, now)
+	r.tracker.Apply(Update{Items: items, Full: true, EvacuationsComplete: true, Era: first.Era, Revision: first.Revision, ConfirmedAt: requestedAt, Available: r.available(now)}, now)
 	r.position = first
 	klog.InfoS("config: full read complete", "revision", first.Revision, "era", first.Era, "items", len(items))
 	return nil
--- a/gateway/knowledge/snapshot.go
+++ b/gateway/knowledge/snapshot.go
@@ -15,17 +15,26 @@
 	// Ready are the endpoints of each service that accept new requests, sorted by
 	// ID.
 	Ready map[string][]*traffic.Endpoint
+	// Evacuated are the evacuations in force by failure domain.
+	Evacuated map[string]Evacuation
 	// Position is the position in the store's history that the snapshot is complete up to.
 	Position traffic.Position
 }
 
-// newSnapshot returns a snapshot of a configuration, which may be nil, and the endpoints by key. It
-// leaves out endpoints whose addresses are reserved; reserved may be nil.
-func newSnapshot(configuration *traffic.Configuration, endpoints map[string]*traffic.Endpoint, position traffic.Position, reserved func(string) bool) *Snapshot {
+// IsEvacuated reports whether an endpoint gets no new requests because its failure domain is evacuated.
+func (s *Snapshot) IsEvacuated(endpoint *traffic.Endpoint) bool {
+	_, evacuated := s.Evacuated[endpoint.FailureDomain]
+	return evacuated
+}
+
+// newSnapshot returns a snapshot of a configuration, which may be nil, the endpoints by key and the evacuations by
+// failure domain. It leaves out endpoints whose addresses are reserved; reserved may be nil.
+func newSnapshot(configuration *traffic.Configuration, endpoints map[string]*traffic.Endpoint, evacuated map[string]Evacuation, position traffic.Position, reserved func(string) bool) *Snapshot {
 	snapshot := &Snapshot{
 		Configuration: configuration,
 		Endpoints:     make(map[string]*traffic.Endpoint, len(endpoints)),
 		Ready:         map[string][]*traffic.Endpoint{},
+		Evacuated:     evacuated,
 		Position:      position,
 	}
 	for _, endpoint := range endpoints {
@@ -33,7 +42,7 @@
 			continue
 		}
 		snapshot.Endpoints[endpoint.ID] = endpoint
-		if !endpoint.Draining {
+		if !endpoint.Draining && !snapshot.IsEvacuated(endpoint) {
 			snapshot.Ready[endpoint.Service] = append(snapshot.Ready[endpoint.Service], endpoint)
 		}
 	}
--- a/gateway/knowledge/sync.go
+++ b/gateway/knowledge/sync.go
@@ -23,6 +23,8 @@
 	ConfigurationPosition traffic.Position `json:"configuration_position,omitzero"`
 	// Entries are entries of endpoints, and deletions.
 	Entries []platform.Item `json:"entries,omitempty"`
+	// Evacuations are all evacuations in force.
+	Evacuations []platform.Item `json:"evacuations,omitempty"`
 	// LastWrites are the last known writes of deleted entries by key, in full responses.
 	LastWrites map[string]traffic.Write `json:"last_writes,omitempty"`
 	// Held are the deletions that the responder holds.
@@ -101,6 +103,7 @@
 	if request.Position.Era <= t.position.Era {
 		response.Full = request.Position.IsZero() || t.entries.deletionsSince.After(request.Position)
 		response.Entries = t.entries.since(request.Position, response.Full, now)
+		response.Evacuations = t.evacuations.items()
 		if response.Full {
 			response.LastWrites = t.entries.lastWrites()
 		}
@@ -131,7 +134,8 @@
 // update converts a response to an Update. requestedAt is when the request was sent, receivedAt when the
 // response had arrived.
 func (s *SyncResponse) update(requestedAt, receivedAt clock.Boot) (Update, error) {
-	update := Update{Items: s.Entries, Held: s.Held, LastWrites: s.LastWrites, Full: s.Full, Era: s.Position.Era, Revision: s.Position.Revision, Newest: s.Newest, DeletionsFinal: true}
+	update := Update{Items: s.Entries, Held: s.Held, LastWrites: s.LastWrites, Full: s.Full, Era: s.Position.Era, Revision: s.Position.Revision, Newest: s.Newest, DeletionsFinal: true, EvacuationsComplete: true}
+	update.Items = append(update.Items, s.Evacuations...)
 	if len(s.Configuration) > 0 {
 		value, err := decompress(s.Configuration)
 		if err != nil {
--- a/gateway/knowledge/tracker.go
+++ b/gateway/knowledge/tracker.go
@@ -24,9 +24,11 @@
 	newest atomic.Pointer[traffic.Position]
 
 	mu sync.Mutex
-	// configuration is the configuration in force, entries are the entries of the endpoints.
+	// configuration is the configuration in force, entries are the entries of the endpoints, evacuations
+	// those of failure domains.
 	configuration configuration
 	entries       *entries
+	evacuations   *evacuations
 	// position is the position in the store's history that the data is complete up to.
 	position traffic.Position
 	// confirmAfter is the time from which on reads of a restored store confirm the data; 0 if the
@@ -49,9 +51,10 @@
 		onChange = func(*Snapshot) {}
 	}
 	t := &Tracker{
-		entries:  newEntries(),
-		updated:  make(chan struct{}),
-		onChange: onChange,
+		entries:     newEntries(),
+		evacuations: newEvacuations(),
+		updated:     make(chan struct{}),
+		onChange:    onChange,
 	}
 	t.snapshot.Store(&Snapshot{})
 	t.newest.Store(&traffic.Position{})
@@ -107,6 +110,7 @@
 	changed := t.applyConfiguration(&update)
 	if goesOn {
 		changed = t.applyEntries(&update, now) || changed
+		changed = t.applyEvacuations(&update, now) || changed
 		t.confirm(&update)
 	}
 	if changed || t.snapshot.Load().Position.IsZero() {
@@ -132,6 +136,7 @@
 		t.confirmAfter = now.Add(rewriteTime)
 	}
 	t.entries.beginEra(update.Position(), now)
+	t.evacuations.beginEra(now)
 	t.position = traffic.Position{Era: update.Era}
 	return true
 }
@@ -163,6 +168,26 @@
 	return changed
 }
 
+// applyEvacuations applies the evacuations of an update, unless a later state is known. It reports whether that
+// changed anything. The caller holds the lock.
+func (t *Tracker) applyEvacuations(update *Update, now clock.Boot) bool {
+	if t.position.After(update.Position()) {
+		return false
+	}
+	changed := false
+	if update.EvacuationsComplete {
+		changed = t.evacuations.replace(update.Items, update.Era, now)
+	} else {
+		changed = t.evacuations.apply(update.Items, t.position, now)
+	}
+	for _, item := range update.Items {
+		if _, ok := platform.EvacuatedDomain(item.Key); ok {
+			t.entries.recordPosition(item.Position())
+		}
+	}
+	return changed
+}
+
 // confirm records the position that an update is complete up to, and the time of its confirmation.
 // The caller holds the lock.
 func (t *Tracker) confirm(update *Update) {
@@ -250,13 +275,14 @@
 }
 
 // Expire removes the held endpoints that did not renew their entries by the end of
-// HoldAfterRecovery, accepts doubted entries that still stand, and drops old tombstones. It must be
-// called every few hundred milliseconds.
+// HoldAfterRecovery, accepts doubted entries that still stand, drops old tombstones, and ends evacuations that a
+// restored store lacks. It must be called every few hundred milliseconds.
 func (t *Tracker) Expire(now clock.Boot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.entries.expireTombstones(now)
-	if t.entries.settle(clock.Boot(t.confirmed.Load()), now) {
+	expired := t.evacuations.expire(t.position.Era, now)
+	if t.entries.settle(clock.Boot(t.confirmed.Load()), now) || expired {
 		t.publish()
 		t.announce()
 	}
@@ -264,7 +290,7 @@
 
 // publish stores a new snapshot and passes it to onChange. The caller holds the lock.
 func (t *Tracker) publish() {
-	next := newSnapshot(t.configuration.decoded, t.entries.endpoints, t.position, t.reserved)
+	next := newSnapshot(t.configuration.decoded, t.entries.endpoints, t.evacuations.copyByDomain(), t.position, t.reserved)
 	t.snapshot.Store(next)
 	t.onChange(next)
 }
--- a/gateway/knowledge/update.go
+++ b/gateway/knowledge/update.go
@@ -20,6 +20,8 @@
 	DoubtUntil clock.Boot
 	// Full reports whether Items are all items that exist, not only the changed ones.
 	Full bool
+	// EvacuationsComplete reports whether Items have all evacuations that are in force.
+	EvacuationsComplete bool
 	// Era and Revision are the position that Items are complete up to.
 	Era      int64
 	Revision int64
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -91,12 +91,28 @@
 func (c *call) noEndpoint(snapshot *knowledge.Snapshot, now clock.Boot) error {
 	after, limited := c.gateway.limits.RetryAfter(c.grant.service, snapshot.Ready[c.grant.service], now)
 	if !limited {
+		if c.allEvacuated(snapshot) {
+			return code.New(code.NoEndpoint, "all endpoints of the service are in evacuated failure domains").After(retryAfterStale)
+		}
 		return code.New(code.NoEndpoint, "no endpoint of the service is available").After(c.retryAfterBackoff(snapshot, now))
 	}
 	c.gateway.shedders.forService(c.grant.service).RecordRejected(now)
 	return code.New(code.EndpointLimits, "all endpoints of the service have named limits that are reached").After(after)
 }
 
+// allEvacuated reports whether no endpoint of the service accepts requests and evacuations are a reason.
+func (c *call) allEvacuated(snapshot *knowledge.Snapshot) bool {
+	if len(snapshot.Evacuated) == 0 || len(snapshot.Ready[c.grant.service]) > 0 {
+		return false
+	}
+	for _, endpoint := range snapshot.Endpoints {
+		if endpoint.Service == c.grant.service && snapshot.IsEvacuated(endpoint) {
+			return true
+		}
+	}
+	return false
+}
+
 // retryAfterBackoff returns when a caller for whom no endpoint is left should retry: when the
 // first endpoint accepts requests again, if all have requested a backoff.
 func (c *call) retryAfterBackoff(snapshot *knowledge.Snapshot, now clock.Boot) time.Duration {
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -33,10 +33,12 @@
 	// Position is the position in the store's history that this VM's data is complete up to.
 	Position traffic.Position `json:"position"`
 	// Unsettled holds the held and doubted entries.
-	Unsettled  []knowledge.UnsettledEntry `json:"unsettled,omitempty"`
-	InProgress int64                      `json:"in_progress"`
-	Callers    CallersStatus              `json:"callers"`
-	Members    []MemberStatus             `json:"members"`
+	Unsettled []knowledge.UnsettledEntry `json:"unsettled,omitempty"`
+	// Evacuations holds the evacuations in force, sorted by failure domain.
+	Evacuations []EvacuationStatus `json:"evacuations,omitempty"`
+	InProgress  int64              `json:"in_progress"`
+	Callers     CallersStatus      `json:"callers"`
+	Members     []MemberStatus     `json:"members"`
 	// Endpoints holds the endpoints of all services, sorted by ID.
 	Endpoints []choice.EndpointStatus `json:"endpoints"`
 	// Quarantines holds the prompt parts on which engines crash.
@@ -79,6 +81,7 @@
 		StoreAvailableMS: g.tracker.StoreAvailable().Milliseconds(),
 		Position:         g.tracker.Position(),
 		Unsettled:        g.tracker.Unsettled(),
+		Evacuations:      evacuationStatus(g.tracker.Snapshot(), now),
 		InProgress:       g.active.Load(),
 		Callers:          g.callersStatus(),
 		Endpoints:        g.table.Status(now),
