Run requests only in the regions that their route and workspace allow

A route and a workspace may restrict the regions of the endpoints. The filter holds for all attempts and for the engines that prompt parts are copied from. Where no endpoint is left, callers get 208 region_empty, not run. Without a restriction nothing changes.

--- a/code/code.go
+++ b/code/code.go
@@ -30,6 +30,7 @@
 	RetryBudget    Code = 205
 	EndpointLimits Code = 206
 	ReadLate       Code = 207
+	RegionEmpty    Code = 208
 
 	OutcomeUnknown   Code = 301
 	KeyExpired       Code = 302
--- a/gateway/choice/chooser.go
+++ b/gateway/choice/chooser.go
@@ -17,7 +17,7 @@
 func (t *Table) newChooser(request Request, now clock.Boot) *chooser {
 	t.choiceSerial++
 	objectiveMS := float64(request.Objective) / float64(time.Millisecond)
-	return &chooser{table: t, prompt: request.Prompt, objectiveMS: objectiveMS, once: request.Once, now: now, options: t.scratch[:0]}
+	return &chooser{table: t, prompt: request.Prompt, objectiveMS: objectiveMS, once: request.Once, allowsSource: request.AllowsSource, now: now, options: t.scratch[:0]}
 }
 
 // chooser compares the candidates of one request. It is valid only while the table's
@@ -29,7 +29,9 @@
 	objectiveMS float64
 	// once reports whether the request is lost if this attempt fails.
 	once bool
-	now  clock.Boot
+	// allowsSource reports whether prompt parts may be copied from an endpoint; nil allows all.
+	allowsSource func(*traffic.Endpoint) bool
+	now          clock.Boot
 
 	options []option
 	// usable is the number of options that are not excluded, usableLoad their load, and
@@ -202,7 +204,7 @@
 	var first [lowestRank]*option
 	for i := range c.options {
 		o := &c.options[i]
-		if o.avoided {
+		if o.avoided || !c.sourceAllowed(o.endpoint) {
 			continue
 		}
 		o.score = rendezvousScore(key, o.state.hash)
--- a/gateway/choice/request.go
+++ b/gateway/choice/request.go
@@ -15,4 +15,6 @@
 	// Once reports whether the request can't be sent to another endpoint once this one may
 	// have run it.
 	Once bool
+	// AllowsSource reports whether prompt parts may be copied from an endpoint; nil allows all.
+	AllowsSource func(*traffic.Endpoint) bool
 }
--- a/gateway/choice/source.go
+++ b/gateway/choice/source.go
@@ -25,7 +25,7 @@
 // addSource adds the endpoint of a location to c.sources if it is reachable and has
 // probably prefilled the part.
 func (c *chooser) addSource(st *state, at *location) {
-	if st.sourceSerial == c.table.choiceSerial || st.endpoint == nil || c.now < st.avoidUntil {
+	if st.sourceSerial == c.table.choiceSerial || st.endpoint == nil || c.now < st.avoidUntil || !c.sourceAllowed(st.endpoint) {
 		return
 	}
 	if st.prefillTokens+st.peerPrefillTokens > 0 && c.now.Sub(at.sentAt) < assumedPrefillTime {
@@ -35,6 +35,11 @@
 	c.sources = append(c.sources, source{st.endpoint, st.missingTokens})
 }
 
+// sourceAllowed reports whether the request allows copies of prompt parts from an endpoint.
+func (c *chooser) sourceAllowed(endpoint *traffic.Endpoint) bool {
+	return c.allowsSource == nil || c.allowsSource(endpoint)
+}
+
 // sortSources sorts the sources by what they hold, the most first.
 func (c *chooser) sortSources() {
 	slices.SortStableFunc(c.sources, func(a, b source) int { return cmp.Compare(a.missingTokens, b.missingTokens) })
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -7,6 +7,8 @@
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/gateway/choice"
 	"cardamompoint.example/cardamompoint/gateway/knowledge"
+	"cardamompoint.example/cardamompoint/gateway/region"
+	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
 )
 
@@ -80,15 +82,45 @@
 func (c *call) choose(snapshot *knowledge.Snapshot, now clock.Boot) (choice.Pick, bool) {
 	candidates := snapshot.Ready[c.grant.service]
 	limited := c.gateway.limits.InForce() > 0
+	regions := c.regions()
 	excluded := func(id string) bool {
-		return slices.Contains(c.triedEndpoints, id) || limited && !c.gateway.limits.Allows(snapshot.Endpoints[id], now)
+		return slices.Contains(c.triedEndpoints, id) || limited && !c.gateway.limits.Allows(snapshot.Endpoints[id], now) ||
+			regions.Any() && !regions.Allows(c.gateway.regionOf(snapshot.Endpoints[id]))
 	}
 	request := choice.Request{Prompt: &c.request.Prompt, Objective: c.grant.route.LatencyObjective, Once: c.lastExecution()}
+	if regions.Any() {
+		request.AllowsSource = func(endpoint *traffic.Endpoint) bool { return regions.Allows(c.gateway.regionOf(endpoint)) }
+	}
 	return c.gateway.table.Pick(candidates, request, excluded, now)
 }
 
+// regions returns the regions in which the request may be executed.
+func (c *call) regions() region.Restriction {
+	var workspace []string
+	if c.grant.workspace != nil {
+		workspace = c.grant.workspace.Regions
+	}
+	return region.NewRestriction(c.grant.route.Regions, workspace)
+}
+
+// regionOf returns the region of an endpoint, "" if the settings don't name the one of its failure domain.
+func (g *Gateway) regionOf(endpoint *traffic.Endpoint) string {
+	return g.settings.Regions[endpoint.FailureDomain]
+}
+
+// outsideRegions reports whether the service has endpoints that accept requests, but none in the regions in which the
+// request may be executed.
+func (c *call) outsideRegions(snapshot *knowledge.Snapshot) bool {
+	regions, ready := c.regions(), snapshot.Ready[c.grant.service]
+	allowed := func(endpoint *traffic.Endpoint) bool { return regions.Allows(c.gateway.regionOf(endpoint)) }
+	return len(ready) > 0 && !slices.ContainsFunc(ready, allowed)
+}
+
 // noEndpoint returns the refusal of a request for which no endpoint is left.
 func (c *call) noEndpoint(snapshot *knowledge.Snapshot, now clock.Boot) error {
+	if c.outsideRegions(snapshot) {
+		return code.New(code.RegionEmpty, "no endpoint of the service is in an allowed region").After(retryAfterStale)
+	}
 	after, limited := c.gateway.limits.RetryAfter(c.grant.service, snapshot.Ready[c.grant.service], now)
 	if !limited {
 		if c.allEvacuated(snapshot) {
--- a/internal/standin/hosted/configuration.go
+++ b/internal/standin/hosted/configuration.go
@@ -21,18 +21,24 @@
 	Public        bool    `json:"public"`
 	Sticky        bool    `json:"sticky"`
 	Resume        bool    `json:"resumeStreams"`
+	// AllowedRegions restricts the regions of the endpoints.
+	AllowedRegions []string `json:"allowedRegions,omitempty"`
 }
 
 // Service is a service of a Configuration.
 type Service struct {
 	Name   string         `json:"name"`
 	Engine map[string]any `json:"engine,omitempty"`
+	// ColdStartS and ColdPerS describe how endpoints warm up.
+	ColdStartS float64 `json:"coldStartS,omitempty"`
+	ColdPerS   float64 `json:"coldPerS,omitempty"`
 }
 
 // Tenant is a workspace of a Configuration, with its keys.
 type Tenant struct {
-	Name string   `json:"name"`
-	Keys []string `json:"keys"`
+	Name           string   `json:"name"`
+	Keys           []string `json:"keys"`
+	AllowedRegions []string `json:"allowedRegions,omitempty"`
 }
 
 // Configuration is the document that operators publish.
