Keep the rate that services state for cold endpoints

A service may publish how many requests per second an endpoint takes while it is cold. Each VM now sends to such an endpoint in turns that come up at fixed intervals and expire, so that the fleet keeps the rate in each second without messages. Endpoints count as cold by their entries, and after an evacuation. Services that publish no rate are handled as before.

With token buckets that save unused turns, the test that lets all VMs begin at the same moment fails.

--- a/code/code.go
+++ b/code/code.go
@@ -31,6 +31,7 @@
 	EndpointLimits Code = 206
 	ReadLate       Code = 207
 	RegionEmpty    Code = 208
+	EndpointsCold  Code = 209
 
 	OutcomeUnknown   Code = 301
 	KeyExpired       Code = 302
--- a/code/table.go
+++ b/code/table.go
@@ -26,6 +26,7 @@
 	{EndpointLimits, "endpoint_limits", http.StatusServiceUnavailable, RunNo, true, "All endpoints have named limits that are reached; retry after the time in Retry-After."},
 	{ReadLate, "read_late", http.StatusServiceUnavailable, RunNo, true, "The request's time was over when it was read; send it again after the time in Retry-After."},
 	{RegionEmpty, "region_empty", http.StatusServiceUnavailable, RunNo, true, "No endpoint in the regions that the route and the workspace allow can take the work; retry after the time in Retry-After."},
+	{EndpointsCold, "endpoints_cold", http.StatusServiceUnavailable, RunNo, true, "All endpoints have just started or are cold and take no more requests now; retry after the time in Retry-After."},
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, RunUnknown, true, "Request the outcome with the same key; do not send the work under a new key before the outcome is known."},
 	{KeyExpired, "key_expired", http.StatusGone, RunUnknown, false, "The key is too old to be checked; look up the work in the service itself."},
 	{InProgress, "in_progress", http.StatusConflict, RunUnknown, true, "Another attempt with this key is in progress; request the outcome after the time in Retry-After."},
--- a/gateway/choice/table.go
+++ b/gateway/choice/table.go
@@ -102,12 +102,12 @@
 		st, ok := t.states[id]
 		if ok && st.endpoint != nil && st.endpoint.SameInstance(endpoint) {
 			st.endpoint = endpoint
-			st.warmUp.report(endpoint.WarmUpLeft, t.random, now)
+			st.warmUp.report(warmUpLeft(snapshot, endpoint), t.random, now)
 			continue
 		}
 		next := newState(id)
 		next.endpoint = endpoint
-		next.warmUp.report(endpoint.WarmUpLeft, t.random, now)
+		next.warmUp.report(warmUpLeft(snapshot, endpoint), t.random, now)
 		next.notice = t.notices[endpoint.Instance()]
 		if ok {
 			next.ownRequests, next.peerRequests = st.ownRequests, st.peerRequests
--- a/gateway/choice/warm_up.go
+++ b/gateway/choice/warm_up.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"cardamompoint.example/cardamompoint/gateway/knowledge"
 	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
 )
@@ -26,6 +27,17 @@
 	at     clock.Boot
 }
 
+// warmUpLeft returns the rest of an endpoint's warm-up phase, 0 if its service states what endpoints take in it: package
+// warmup then limits the requests.
+func warmUpLeft(snapshot *knowledge.Snapshot, endpoint *traffic.Endpoint) time.Duration {
+	if snapshot.Configuration != nil {
+		if service := snapshot.Configuration.Services[endpoint.Service]; service != nil && service.WarmUpRate > 0 {
+			return 0
+		}
+	}
+	return endpoint.WarmUpLeft
+}
+
 // report applies the rest of the phase that the endpoint has published. A later report may only
 // shorten the phase, as an entry may be read long after it was written.
 func (w *warmUp) report(left time.Duration, random *rand.Rand, now clock.Boot) {
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -10,6 +10,7 @@
 	"cardamompoint.example/cardamompoint/gateway/limit"
 	"cardamompoint.example/cardamompoint/gateway/reuse"
 	"cardamompoint.example/cardamompoint/gateway/traffic"
+	"cardamompoint.example/cardamompoint/gateway/warmup"
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
 	"cardamompoint.example/cardamompoint/platform"
@@ -41,6 +42,8 @@
 	RetryBudget budget.Status `json:"retry_budget"`
 	// Limits holds the limits that endpoints of the service have named.
 	Limits []limit.Status `json:"limits,omitempty"`
+	// WarmUps holds the cold endpoints of the service.
+	WarmUps []warmup.Status `json:"warm_ups,omitempty"`
 	// IdleResets holds the endpoints of the service that reset idle connections lately.
 	IdleResets []reuse.Status `json:"idle_resets,omitempty"`
 	// Candidates holds the endpoints in order of preference.
@@ -84,6 +87,7 @@
 		UnreadMS:        g.unread.expected(service, now).Milliseconds(),
 		RetryBudget:     g.budget.Status(service, now),
 		Limits:          g.limits.Status(snapshot.Ready[service], now),
+		WarmUps:         g.warmUps.Status(snapshot.Ready[service], now),
 		IdleResets:      g.idleResets.Status(service, now),
 		Candidates:      candidates,
 		Unsettled:       g.tracker.Unsettled(),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"cardamompoint.example/cardamompoint/gateway/reuse"
 	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/gateway/upstream"
+	"cardamompoint.example/cardamompoint/gateway/warmup"
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/metrics"
 	"cardamompoint.example/cardamompoint/platform"
@@ -38,6 +39,8 @@
 	members *gossip.Table
 	// limits keeps the requests to endpoints below the limits that they name.
 	limits *limit.Limiter
+	// warmUps keeps the requests to cold endpoints below what these take.
+	warmUps *warmup.Limiter
 	// idleResets keeps the endpoints that reset idle connections.
 	idleResets *reuse.Resets
 	// crashes finds prompt parts on which engines crash.
@@ -121,7 +124,8 @@
 	g.metrics = instruments
 	g.closures.metrics = instruments
 	g.droppedLines = func() int64 { return 0 }
-	g.tracker = knowledge.NewTracker(g.table.Update)
+	g.warmUps = warmup.New(g.warmUpVMs, g.warmUpBounds, g.rankTieBreaker^uint64(g.incarnation))
+	g.tracker = knowledge.NewTracker(g.applySnapshot)
 	g.tracker.SetEntryLifetime(settings.EntryLifetime)
 	g.members = gossip.NewTable(settings.IP, seedIPs(settings.Seeds))
 	g.tracker.SetReserved(newOwnAddresses(settings, g.members).contains)
@@ -205,6 +209,29 @@
 	return g.members.FleetSize(clock.Now())
 }
 
+// applySnapshot applies a new snapshot of the store.
+func (g *Gateway) applySnapshot(snapshot *knowledge.Snapshot) {
+	g.table.Update(snapshot)
+	g.warmUps.Update(snapshot, clock.Now())
+}
+
+// unknownFleetSize is the number of VMs that a VM assumes to share cold endpoints while it knows none of the others.
+const unknownFleetSize = 300
+
+// warmUpVMs returns the number of VMs that share cold endpoints.
+func (g *Gateway) warmUpVMs() int {
+	count, known := g.fleetSize()
+	if !known && !g.settings.FirstStart {
+		return unknownFleetSize
+	}
+	return count
+}
+
+func (g *Gateway) warmUpBounds() warmup.Bounds {
+	bounds := g.bounds.Load()
+	return warmup.Bounds{Excess: bounds.WarmUpExcess, Slack: bounds.WarmUpSlack}
+}
+
 // vmCount returns the number of VMs that are alive, this one included.
 func (g *Gateway) vmCount() int {
 	count, _ := g.members.CountAlive(clock.Now())
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -35,6 +35,7 @@
 		{"cardamompoint.gateway_retry_budget", "Retries that are still allowed now, the minimum over all services.", g.minRetryBudget},
 		{"cardamompoint.gateway_retry_budget_vms", "VMs that share the fixed part of the retry budget.", func() int64 { return int64(g.budget.FleetSize()) }},
 		{"cardamompoint.gateway_limited_endpoints", "Endpoints with a limit on their requests.", g.limits.InForce},
+		{"cardamompoint.gateway_cold_endpoints", "Endpoints that are cold and take a limited number of requests.", func() int64 { return g.warmUps.Cold(clock.Now()) }},
 		{"cardamompoint.gateway_quarantines", "Prompt parts and requests that are refused because endpoints crash under them.", g.quarantineCount},
 		{"cardamompoint.gateway_log_lines_dropped", "Log lines that were dropped.", func() int64 { return g.droppedLines() }},
 	}
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -81,10 +81,11 @@
 // choose picks an endpoint that was not tried yet. It returns false if none is left.
 func (c *call) choose(snapshot *knowledge.Snapshot, now clock.Boot) (choice.Pick, bool) {
 	candidates := snapshot.Ready[c.grant.service]
-	limited := c.gateway.limits.InForce() > 0
+	limited, anyCold := c.gateway.limits.InForce() > 0, c.gateway.warmUps.AnyCold(now)
 	regions := c.regions()
 	excluded := func(id string) bool {
 		return slices.Contains(c.triedEndpoints, id) || limited && !c.gateway.limits.Allows(snapshot.Endpoints[id], now) ||
+			anyCold && !c.gateway.warmUps.Allows(snapshot.Endpoints[id], now) ||
 			regions.Any() && !regions.Allows(c.gateway.regionOf(snapshot.Endpoints[id]))
 	}
 	request := choice.Request{Prompt: &c.request.Prompt, Objective: c.grant.route.LatencyObjective, Once: c.lastExecution()}
@@ -121,6 +122,10 @@
 	if c.outsideRegions(snapshot) {
 		return code.New(code.RegionEmpty, "no endpoint of the service is in an allowed region").After(retryAfterStale)
 	}
+	if after, limited := c.gateway.warmUps.RetryAfter(c.grant.service, snapshot.Ready[c.grant.service], now); limited {
+		c.gateway.shedders.forService(c.grant.service).RecordRejected(now)
+		return code.New(code.EndpointsCold, "all endpoints of the service are cold and take no more requests now").After(after)
+	}
 	after, limited := c.gateway.limits.RetryAfter(c.grant.service, snapshot.Ready[c.grant.service], now)
 	if !limited {
 		if c.allEvacuated(snapshot) {
--- /dev/null
+++ b/gateway/warmup/limiter.go
@@ -0,0 +1,207 @@
+package warmup
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"cardamompoint.example/cardamompoint/gateway/knowledge"
+	"cardamompoint.example/cardamompoint/gateway/traffic"
+	"cardamompoint.example/cardamompoint/internal/clock"
+)
+
+// Limiter limits the requests of this VM to cold endpoints. It is safe for concurrent use.
+type Limiter struct {
+	// countVMs returns the number of VMs that share an endpoint, this one included.
+	countVMs func() int
+	// bounds returns the bounds of the settings.
+	bounds func() Bounds
+	// coldUntil is the latest clock.Boot at which any known endpoint is cold.
+	coldUntil atomic.Int64
+
+	mu        sync.Mutex
+	endpoints map[traffic.Instance]*endpoint
+	// evacuated are the failure domains that were evacuated in the last snapshot.
+	evacuated map[string]bool
+	// random spreads the turns of VMs.
+	random *rand.Rand
+	// promised is the latest retry time that was given to a refused caller, by service.
+	promised map[string]clock.Boot
+	// vms is the result of countVMs at countedAt.
+	vms       int
+	countedAt clock.Boot
+}
+
+// endpoint is an endpoint of a service that states what cold endpoints take.
+type endpoint struct {
+	// until is when the endpoint is warm.
+	until clock.Boot
+	// entry is the position of its entry, left how long it stays cold by that.
+	entry traffic.Position
+	left  time.Duration
+	// perSecond is what it takes from all VMs together while it is cold.
+	perSecond float64
+	turns     turns
+}
+
+// New returns a Limiter. countVMs returns the number of VMs that share an endpoint, this one included; both functions
+// must be safe for concurrent use. The seed must differ between VMs.
+func New(countVMs func() int, bounds func() Bounds, seed uint64) *Limiter {
+	return &Limiter{
+		countVMs:  countVMs,
+		bounds:    bounds,
+		endpoints: map[traffic.Instance]*endpoint{},
+		evacuated: map[string]bool{},
+		random:    rand.New(rand.NewPCG(seed, 0)),
+		promised:  map[string]clock.Boot{},
+	}
+}
+
+// Update applies a new snapshot.
+func (l *Limiter) Update(snapshot *knowledge.Snapshot, now clock.Boot) {
+	if snapshot.Configuration == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	listed := make(map[traffic.Instance]bool, len(l.endpoints))
+	for _, entry := range snapshot.Endpoints {
+		service := snapshot.Configuration.Services[entry.Service]
+		if service == nil || service.WarmUpRate <= 0 {
+			continue
+		}
+		listed[entry.Instance()] = true
+		known := l.apply(entry, service.WarmUpRate, now)
+		if l.evacuated[entry.FailureDomain] && !snapshot.IsEvacuated(entry) {
+			// Endpoints lose their caches while they get no requests. Their entries may show that later.
+			l.setCold(entry, known, service.WarmUpTime, now)
+		}
+	}
+	for instance := range l.endpoints {
+		if !listed[instance] {
+			delete(l.endpoints, instance)
+		}
+	}
+	clear(l.evacuated)
+	for domain := range snapshot.Evacuated {
+		l.evacuated[domain] = true
+	}
+}
+
+// apply applies the entry of an endpoint. The caller holds l.mu.
+func (l *Limiter) apply(entry *traffic.Endpoint, perSecond float64, now clock.Boot) *endpoint {
+	known, ok := l.endpoints[entry.Instance()]
+	if !ok {
+		known = &endpoint{}
+		l.endpoints[entry.Instance()] = known
+	}
+	known.perSecond = perSecond
+	if known.entry == entry.Position {
+		return known
+	}
+	before := known.left
+	known.entry, known.left = entry.Position, entry.WarmUpLeft
+	switch {
+	case entry.WarmUpLeft <= 0:
+		known.until = 0
+	case entry.WarmUpLeft > before:
+		l.setCold(entry, known, entry.WarmUpLeft, now) // It has just started, or turned cold again.
+	default:
+		known.until = min(known.until, now.Add(entry.WarmUpLeft)) // An entry may be read long after it was written.
+	}
+	return known
+}
+
+// setCold counts an endpoint as cold for a time. The caller holds l.mu.
+func (l *Limiter) setCold(entry *traffic.Endpoint, known *endpoint, left time.Duration, now clock.Boot) {
+	if now >= known.until {
+		period := l.period(known, now)
+		known.turns = turns{next: now.Add(time.Duration(l.random.Float64() * float64(period)))}
+		klog.InfoS("warmup: endpoint is cold", "endpoint", entry.ID, "left_ms", left.Milliseconds(), "per_second", known.perSecond, "turn_ms", period.Milliseconds())
+	}
+	known.until = max(known.until, now.Add(left))
+	l.coldUntil.Store(max(l.coldUntil.Load(), int64(known.until)))
+}
+
+// countTTL is how long a number of VMs is used: a choice asks for it once for each cold endpoint.
+const countTTL = 100 * time.Millisecond
+
+// period returns the time between two turns of this VM at a cold endpoint. The caller holds l.mu.
+func (l *Limiter) period(known *endpoint, now clock.Boot) time.Duration {
+	if l.vms == 0 || now.Sub(l.countedAt) >= countTTL {
+		l.vms, l.countedAt = max(1, l.countVMs()), now
+	}
+	rate := fleetRate(known.perSecond, l.bounds()) / float64(l.vms)
+	return max(1, time.Duration(float64(time.Second)/rate))
+}
+
+// AnyCold reports whether any known endpoint is cold.
+func (l *Limiter) AnyCold(now clock.Boot) bool {
+	return int64(now) < l.coldUntil.Load()
+}
+
+// Allows reports whether this VM may send a request to an endpoint now.
+func (l *Limiter) Allows(entry *traffic.Endpoint, now clock.Boot) bool {
+	if !l.AnyCold(now) {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.cold(entry, now)
+	return known == nil || known.turns.wait(l.period(known, now), now) == 0
+}
+
+// Take counts a request that is sent to an endpoint.
+func (l *Limiter) Take(entry *traffic.Endpoint, now clock.Boot) {
+	if !l.AnyCold(now) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if known := l.cold(entry, now); known != nil {
+		known.turns.use(l.period(known, now), now)
+	}
+}
+
+// cold returns what is known of a cold endpoint, nil for any other. The caller holds l.mu.
+func (l *Limiter) cold(entry *traffic.Endpoint, now clock.Boot) *endpoint {
+	known := l.endpoints[entry.Instance()]
+	if known == nil || now >= known.until {
+		return nil
+	}
+	return known
+}
+
+// minRetryAfter and maxRetryAfter bound RetryAfter.
+const (
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 10 * time.Second
+)
+
+// RetryAfter returns how long a caller should wait that is refused because all endpoints of a service are cold and have
+// no turn for this VM. limited is false if some endpoint is not cold. Successive callers get increasing times, so that
+// they return at the rate of the turns.
+func (l *Limiter) RetryAfter(service string, entries []*traffic.Endpoint, now clock.Boot) (after time.Duration, limited bool) {
+	if !l.AnyCold(now) || len(entries) == 0 {
+		return 0, false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	perSecond, first := 0.0, maxRetryAfter
+	for _, entry := range entries {
+		known := l.cold(entry, now)
+		if known == nil {
+			return 0, false
+		}
+		period := l.period(known, now)
+		perSecond += 1 / period.Seconds()
+		first = min(first, known.turns.wait(period, now), known.until.Sub(now))
+	}
+	next := max(l.promised[service].Add(time.Duration(float64(time.Second)/perSecond)), now.Add(first))
+	next = min(next, now.Add(maxRetryAfter))
+	l.promised[service] = next
+	return max(next.Sub(now), minRetryAfter), true
+}
