--- a/gateway/warmup/fleet_test.go
+++ b/gateway/warmup/fleet_test.go
@@ -88,8 +88,11 @@
 // send, that begin at the same moment, that start anew, that are cut off or that know only some of the others.
 func TestFleetKeepsTheRateOfColdEndpoints(t *testing.T) {
 	for name, play := range map[string]func(f *fleet){
-		"steady":         func(f *fleet) { f.run(coldTime, always) },
-		"all at the end": func(f *fleet) { f.run(coldTime-time.Second, func(int) bool { return false }); f.run(time.Second, always) },
+		"steady": func(f *fleet) { f.run(coldTime, always) },
+		"all at the end": func(f *fleet) {
+			f.run(coldTime-time.Second, func(int) bool { return false })
+			f.run(time.Second, always)
+		},
 		"waves": func(f *fleet) {
 			f.run(coldTime, func(int) bool { return f.now.Sub(0)%(700*time.Millisecond) < 100*time.Millisecond })
 		},
