Check a stored configuration before it is published

The decoder keeps the published services and workspaces in their order, since the lookup tables lack replaced services and workspaces without keys. How requests are matched does not change.

The flags of 'check' are local now, so that the subcommand refuses those that it does not use.

--- a/cmd/cardamompoint/check.go
+++ b/cmd/cardamompoint/check.go
@@ -21,12 +21,13 @@
 		Description: "Each fault is printed with its number, the file and the JSON path.\n" +
 			"The exit code is 2 if there is a fault.",
 		Flags: []cli.Flag{
-			&cli.StringSliceFlag{Name: "settings", Usage: "a settings `FILE`; may be given several times"},
-			&cli.StringSliceFlag{Name: "platform", Usage: "a gateway's settings `FILE`; may be given several times"},
-			&cli.StringSliceFlag{Name: "configuration", Usage: "a stored gateway configuration as a `FILE`; may be given several times"},
-			&cli.StringFlag{Name: "published", Usage: "a `DIR` with workspaces/NAME/template.json, workspaces/NAME/parameters.json, models/NAME.json and vms.json"},
+			&cli.StringSliceFlag{Name: "settings", Local: true, Usage: "a settings `FILE`; may be given several times"},
+			&cli.StringSliceFlag{Name: "platform", Local: true, Usage: "a gateway's settings `FILE`; may be given several times"},
+			&cli.StringSliceFlag{Name: "configuration", Local: true, Usage: "a stored gateway configuration as a `FILE`; may be given several times"},
+			&cli.StringFlag{Name: "published", Local: true, Usage: "a `DIR` with workspaces/NAME/template.json, workspaces/NAME/parameters.json, models/NAME.json and vms.json"},
 		},
-		Action: func(_ context.Context, c *cli.Command) error { return runCheck(c) },
+		Commands: []*cli.Command{checkConfigurationCommand()},
+		Action:   func(_ context.Context, c *cli.Command) error { return runCheck(c) },
 	}
 }
 
--- /dev/null
+++ b/gateway/configcheck/field.go
@@ -0,0 +1,20 @@
+package configcheck
+
+import (
+	"fmt"
+	"reflect"
+)
+
+// field is a field of an entry with its shown value.
+type field struct {
+	name  string
+	value string
+}
+
+// newField returns a field. The zero value is shown as "none".
+func newField(name string, value any) field {
+	if reflect.ValueOf(value).IsZero() {
+		return field{name, none}
+	}
+	return field{name, fmt.Sprint(value)}
+}
--- a/gateway/traffic/configuration.go
+++ b/gateway/traffic/configuration.go
@@ -21,6 +21,10 @@
 	HasWorkspaces bool
 	// Limits bounds what a caller may send.
 	Limits Limits
+	// PublishedServices and PublishedWorkspaces hold all services and workspaces in the order of the document, for checks
+	// of it. Services and Workspaces lack those that a later one replaces, and workspaces without keys.
+	PublishedServices   []*Service
+	PublishedWorkspaces []PublishedWorkspace
 
 	byHost map[string][]*Route
 }
