--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -280,6 +280,7 @@
 	defer g.reports.Close()
 	go g.pruneConnections(background)
 	go newLearner(g).run(background)
+	go (&findingLog{tracker: g.tracker, settings: g.settings}).run(background)
 	return g.serve(stop)
 }
 
