--- a/cmd/cardamompoint/explain.go
+++ b/cmd/cardamompoint/explain.go
@@ -100,8 +100,8 @@
 	}
 	printUnsettled(w, explanation.Unsettled)
 	for i, candidate := range explanation.Candidates {
-		fmt.Fprintf(w, "%3d %s %s %s cost_ms=%.0f load=%d missing=%d reading=%d delay_ms=%.0f fetch=%s fault_percent=%d outcomes=%.1f slowness=%.2f avoided=%t\n",
-			i+1, candidate.Endpoint, candidate.FailureDomain, candidate.Reason, candidate.CostMS, candidate.Load, candidate.MissingTokens, candidate.PrefillTokens, candidate.DelayMS, candidate.FetchFrom, candidate.FaultPercent, candidate.Outcomes, candidate.Slowness, candidate.Avoided)
+		fmt.Fprintf(w, "%3d %s %s %s cost_ms=%.0f load=%d missing=%d reading=%d delay_ms=%.0f fetch=%s fault_percent=%d outcomes=%.1f slowness=%.2f contention=%.2f avoided=%t\n",
+			i+1, candidate.Endpoint, candidate.FailureDomain, candidate.Reason, candidate.CostMS, candidate.Load, candidate.MissingTokens, candidate.PrefillTokens, candidate.DelayMS, candidate.FetchFrom, candidate.FaultPercent, candidate.Outcomes, candidate.Slowness, candidate.Contention, candidate.Avoided)
 	}
 	return nil
 }
--- a/gateway/choice/chooser.go
+++ b/gateway/choice/chooser.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"cardamompoint.example/cardamompoint/gateway/contention"
 	"cardamompoint.example/cardamompoint/gateway/estimate"
 	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
@@ -79,12 +80,15 @@
 	// commonSlowness is the median slowness of the candidates, at least 1. Slowness common to most
 	// endpoints of a service comes from its load, and does not count against one.
 	commonSlowness float64
+	// commonContention is what hosts of the service usually state, at least 1.
+	commonContention float64
 }
 
 // evaluate fills c.options with the load, health and estimated delay of each candidate.
 func (c *chooser) evaluate(candidates []*traffic.Endpoint, excluded func(string) bool) {
 	c.markHolders()
 	if len(candidates) > 0 {
+		c.commonContention = c.table.contention.Common(candidates[0].Service)
 		c.delays = c.table.delayModel(candidates[0].Service)
 		c.troubled = c.table.newestOf(candidates[0].Service).troubled(c.now)
 	}
@@ -102,6 +106,7 @@
 			leaving:       st.notice.leavingAt != 0,
 			excluded:      excluded(endpoint.ID) || st.notice.blocks(c.now, c.table.leavingGrace),
 			outcomes:      st.outcomes.AsOf(c.now),
+			contention:    st.contention.Factor(c.commonContention, c.now),
 		}
 		c.totalLoad += o.load
 		c.ownLoad += st.ownRequests
@@ -242,11 +247,12 @@
 // estimate sets how many tokens the endpoint would have to prefill, where it would copy
 // shared parts from, and how long it would take to begin an answer, apart from what all
 // endpoints take without a backlog. An endpoint that is faster than others is not preferred:
-// its ratio says as much about its load.
+// its ratio says as much about its load. Learned slowness includes past contention, so the larger of both counts.
 func (c *chooser) estimate(o *option) {
 	o.slowness = max(1, o.outcomes.Slowness()/c.commonSlowness)
 	if len(c.prompt.Parts) == 0 {
-		o.delayMS = o.slowness * c.delays.ExpectMS(0)
+		expectedMS := c.delays.ExpectMS(0)
+		o.delayMS = max(o.slowness*expectedMS, expectedMS+contention.ExtraMS(o.contention, expectedMS))
 		return
 	}
 	copyMS := 0.0
@@ -257,7 +263,8 @@
 	}
 	o.prefillTokens = o.recomputeTokens + c.requestTokens()
 	o.backlogTokens = o.state.prefillTokens + o.state.peerPrefillTokens + o.prefillTokens
-	extraMS := (o.slowness - 1) * c.delays.ExpectMS(float64(o.backlogTokens))
+	expectedMS := c.delays.ExpectMS(float64(o.backlogTokens))
+	extraMS := max((o.slowness-1)*expectedMS, contention.ExtraMS(o.contention, expectedMS))
 	o.delayMS = copyMS + float64(o.backlogTokens)/prefillTokensPerMS + extraMS
 }
 
--- a/gateway/choice/explain.go
+++ b/gateway/choice/explain.go
@@ -35,6 +35,9 @@
 	// Slowness is how long the endpoint takes to begin an answer, as a multiple of what is
 	// expected of its service.
 	Slowness float64 `json:"slowness"`
+	// Contention is how long work is expected to take on the endpoint's host now, as a multiple of what hosts of the
+	// service usually state.
+	Contention float64 `json:"contention"`
 	// Avoided reports whether the endpoint is being avoided for a while.
 	Avoided bool `json:"avoided"`
 	// Leaving reports whether the endpoint has announced that it is about to stop,
@@ -86,6 +89,7 @@
 		FaultPercent:  int(o.failure * 100),
 		Outcomes:      math.Round(10*o.outcomes.Total()) / 10,
 		Slowness:      math.Round(100*o.slowness) / 100,
+		Contention:    math.Round(100*o.contention) / 100,
 		Avoided:       o.avoided,
 		Leaving:       o.leaving,
 		Excluded:      o.excluded,
--- a/gateway/choice/option.go
+++ b/gateway/choice/option.go
@@ -27,6 +27,9 @@
 	prefillTokens int
 	backlogTokens int
 	delayMS       float64
+	// contention is how long work is expected to take on the endpoint's host now, as a multiple of what hosts of the
+	// service usually state, at least 1.
+	contention float64
 	// slowness is how long the endpoint takes as a multiple of what most candidates take, at least 1.
 	slowness float64
 	// score is the rendezvous score for the last shared part.
--- a/gateway/choice/pick.go
+++ b/gateway/choice/pick.go
@@ -79,6 +79,8 @@
 	FetchFrom *traffic.Endpoint
 	// FaultPercent is the estimated chance that the attempt fails, in percent.
 	FaultPercent int
+	// Contention is how long work is expected to take on the endpoint's host, as a multiple of the usual time.
+	Contention float64
 	// Passed says what was passed over for an endpoint whose load is above the mean, nil for others.
 	Passed *Passed
 }
@@ -131,6 +133,7 @@
 	c.predictSource(o)
 	return Pick{
 		FaultPercent:  int(o.failure * 100),
+		Contention:    o.contention,
 		Passed:        c.passedOver(o, bound),
 		Endpoint:      o.endpoint,
 		Reason:        c.reason(o, bound),
--- a/gateway/choice/report.go
+++ b/gateway/choice/report.go
@@ -32,8 +32,8 @@
 	maxReportedOutcomes = 24
 )
 
-// FillReport adds this VM's work, the outcomes of its requests and pending announcements of
-// locations to a report. In a large fleet, whose reports have heartbeats, it also adds loads
+// FillReport adds this VM's work, the outcomes of its requests, the contention that endpoints stated, and pending
+// announcements of locations to a report. In a large fleet, whose reports have heartbeats, it also adds loads
 // that endpoints reported.
 func (t *Table) FillReport(report *gossip.Report, now clock.Boot) {
 	t.mu.Lock()
@@ -44,6 +44,7 @@
 		}
 	}
 	t.fillOutcomes(report, now)
+	t.contention.FillReport(report, now)
 	if len(report.Heartbeats) > 0 {
 		t.fillEndpointLoads(report, now)
 	}
@@ -96,6 +97,7 @@
 	if len(report.Outcomes) > 0 {
 		t.applyOutcomes(previous, report.Outcomes, now)
 	}
+	t.applyContentions(report.Contentions, now)
 	for _, load := range report.EndpointLoads {
 		t.applyEndpointLoad(load, now)
 	}
--- a/gateway/choice/state.go
+++ b/gateway/choice/state.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"cardamompoint.example/cardamompoint/gateway/contention"
 	"cardamompoint.example/cardamompoint/gateway/estimate"
 	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
@@ -44,6 +45,8 @@
 	avoidUntil clock.Boot
 	// notice is what the endpoint's instance has announced.
 	notice notice
+	// contention is what the instance stated last about its host.
+	contention contention.Statement
 	// warmUp is the endpoint's phase after its start.
 	warmUp warmUp
 	// lostAt is when the endpoint stopped answering, failingAt when it began to fail most
--- a/gateway/choice/table.go
+++ b/gateway/choice/table.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"cardamompoint.example/cardamompoint/gateway/contention"
 	"cardamompoint.example/cardamompoint/gateway/estimate"
 	"cardamompoint.example/cardamompoint/gateway/gossip"
 	"cardamompoint.example/cardamompoint/gateway/knowledge"
@@ -38,6 +39,8 @@
 	announcements []gossip.PartLocation
 	// notices are what instances have announced. States of listed endpoints have a copy.
 	notices map[traffic.Instance]notice
+	// contention holds what instances have stated about their hosts. States of listed endpoints have a copy.
+	contention *contention.Tracker
 	// leavingGrace is how long leaving endpoints still get requests.
 	leavingGrace time.Duration
 	// random spreads the first requests of VMs to an endpoint that warms up, and the choices of VMs
@@ -72,6 +75,7 @@
 		reports:      map[string]*peerReport{},
 		statesByList: map[**traffic.Endpoint][]*state{},
 		notices:      map[traffic.Instance]notice{},
+		contention:   contention.NewTracker(),
 		delays:       map[string]*estimate.DelayModel{},
 		newest:       map[string]*newestOutcomes{},
 	}
@@ -109,6 +113,7 @@
 		next.endpoint = endpoint
 		next.warmUp.report(warmUpLeft(snapshot, endpoint), t.random, now)
 		next.notice = t.notices[endpoint.Instance()]
+		next.contention = t.contention.Newest(endpoint.Instance())
 		if ok {
 			next.ownRequests, next.peerRequests = st.ownRequests, st.peerRequests
 			next.prefillTokens, next.peerPrefillTokens = st.prefillTokens, st.peerPrefillTokens
--- a/gateway/feedback.go
+++ b/gateway/feedback.go
@@ -6,7 +6,7 @@
 	"cardamompoint.example/cardamompoint/internal/clock"
 )
 
-// recordFeedback records the load, the backoff, the limit and the shutdown that the endpoint
+// recordFeedback records the load, the contention, the backoff, the limit and the shutdown that the endpoint
 // announces with its response. It ignores responses from another instance at the address, and
 // unsealed responses.
 func (x *exchange) recordFeedback() {
@@ -17,6 +17,7 @@
 	table := x.gateway.table
 	if x.info.HasLoad {
 		table.RecordLoad(x.pick.Endpoint.ID, x.info.Load, now)
+		table.RecordContention(x.pick.Endpoint, x.info.Load.Contention, now)
 	}
 	if x.info.Leaving {
 		table.RecordLeaving(x.pick.Endpoint, now)
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -112,8 +113,11 @@
 	Silences int    `json:"silences,omitempty"`
 	Fault    string `json:"fault,omitempty"`
 	// FaultPercent is the estimate by which the endpoint was picked.
-	FaultPercent int            `json:"fault_percent,omitempty"`
-	Passed       *choice.Passed `json:"passed,omitempty"`
+	FaultPercent int `json:"fault_percent,omitempty"`
+	// ContentionPercent is the time that work was expected to take on the endpoint's host, in percent of the usual
+	// one, 0 if that is 100.
+	ContentionPercent int            `json:"contention_percent,omitempty"`
+	Passed            *choice.Passed `json:"passed,omitempty"`
 }
 
 // newRecord returns the record of the attempt for the log line of the request.
@@ -147,6 +151,9 @@
 	if x.firstEventAt >= x.started {
 		record.FirstMS = x.firstEventAt.Sub(x.arrived).Milliseconds()
 	}
+	if percent := int(math.Round(100 * pick.Contention)); percent > 100 {
+		record.ContentionPercent = percent
+	}
 	if pick.FetchFrom != nil {
 		record.FetchFrom = pick.FetchFrom.ID
 	}
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -36,6 +36,7 @@
 		{"cardamompoint.gateway_retry_budget_vms", "VMs that share the fixed part of the retry budget.", func() int64 { return int64(g.budget.FleetSize()) }},
 		{"cardamompoint.gateway_limited_endpoints", "Endpoints with a limit on their requests.", g.limits.InForce},
 		{"cardamompoint.gateway_cold_endpoints", "Endpoints that are cold and take a limited number of requests.", func() int64 { return g.warmUps.Cold(clock.Now()) }},
+		{"cardamompoint.gateway_contended_endpoints", "Endpoints whose hosts take at least 15 percent longer than usual at the moment.", func() int64 { return g.table.Contended(clock.Now()) }},
 		{"cardamompoint.gateway_quarantines", "Prompt parts and requests that are refused because endpoints crash under them.", g.quarantineCount},
 		{"cardamompoint.gateway_log_lines_dropped", "Log lines that were dropped.", func() int64 { return g.droppedLines() }},
 	}
--- a/gateway/gossip/codec.go
+++ b/gateway/gossip/codec.go
@@ -40,7 +40,7 @@
 	w.name(report.FailureDomain)
 	w.number(int64(report.Capacity))
 	w.number(int64(report.KnownVMs))
-	w.flags(report.Leaving, report.HasPartLocations, report.MembershipOnly, report.StoreLost, report.hasCrashFields(), report.hasLimitFields(), len(report.IdleResets) > 0)
+	w.flags(report.Leaving, report.HasPartLocations, report.MembershipOnly, report.StoreLost, report.hasCrashFields(), report.hasLimitFields(), len(report.IdleResets) > 0, len(report.Contentions) > 0)
 	w.number(report.ConfigVersion)
 	w.number(report.Newest.Era)
 	w.number(report.Newest.Revision)
@@ -99,6 +99,9 @@
 	if len(report.IdleResets) > 0 {
 		w.idleResets(report)
 	}
+	if len(report.Contentions) > 0 {
+		w.contentions(report)
+	}
 }
 
 // decoder decodes reports. It is not safe for concurrent use.
@@ -119,14 +122,14 @@
 	r := &d.reader
 	r.reset(datagram[1:])
 	var report Report
-	var hasCrashFields, hasLimitFields, hasIdleResets bool
+	var hasCrashFields, hasLimitFields, hasIdleResets, hasContentions bool
 	report.Address = r.name()
 	report.Incarnation = r.number()
 	report.Sequence = r.numberInRange(0, math.MaxInt64)
 	report.FailureDomain = r.name()
 	report.Capacity = int(r.numberInRange(0, maxRequests))
 	report.KnownVMs = int(r.numberInRange(0, maxKnownVMs))
-	r.flags(&report.Leaving, &report.HasPartLocations, &report.MembershipOnly, &report.StoreLost, &hasCrashFields, &hasLimitFields, &hasIdleResets)
+	r.flags(&report.Leaving, &report.HasPartLocations, &report.MembershipOnly, &report.StoreLost, &hasCrashFields, &hasLimitFields, &hasIdleResets, &hasContentions)
 	report.ConfigVersion = r.numberInRange(0, math.MaxInt64)
 	report.Newest.Era = r.numberInRange(0, math.MaxInt64)
 	report.Newest.Revision = r.numberInRange(0, math.MaxInt64)
@@ -142,6 +145,9 @@
 	if hasIdleResets {
 		r.idleResets(&report)
 	}
+	if hasContentions {
+		r.contentions(&report)
+	}
 	if err := r.end(); err != nil {
 		return Report{}, err
 	}
--- a/gateway/gossip/codec_test.go
+++ b/gateway/gossip/codec_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"reflect"
 	"testing"
@@ -72,6 +73,31 @@
 	return report
 }
 
+// contentionReport returns a typical report together with the statements of 21 contended hosts.
+func contentionReport(random *rand.Rand) *Report {
+	report := typicalReport(random)
+	for i := range 21 {
+		report.Contentions = append(report.Contentions, EndpointContention{
+			Endpoint: report.EndpointLoads[i].Endpoint, StartedMS: 1767778491000 + random.Int64N(1e9), Percent: 100 + random.IntN(900), AgeMS: random.Int64N(301),
+		})
+	}
+	return report
+}
+
+// TestOtherReportsAreEncodedAsBefore guards against reports without contention that VMs of an earlier version read
+// otherwise: the checksum is that of the encoding before the list was added.
+func TestOtherReportsAreEncodedAsBefore(t *testing.T) {
+	enc, random, sum := newEncoder(), rand.New(rand.NewPCG(6, 6)), fnv.New64a()
+	for range 20 {
+		for _, report := range []*Report{{Address: "a"}, typicalReport(random), crashReport(random), limitReport(random), resetReport(random)} {
+			_, _ = sum.Write(enc.encode(report)) // A hash returns no error.
+		}
+	}
+	if got, want := sum.Sum64(), uint64(0xad483d0e3a0d3db3); got != want {
+		t.Errorf("the checksum is %#x, want %#x", got, want)
+	}
+}
+
 // TestReportsSurviveEncoding encodes and decodes empty and full reports in turn with one
 // encoder and one decoder: neither may keep state of an earlier report.
 func TestReportsSurviveEncoding(t *testing.T) {
@@ -79,7 +105,7 @@
 	dec := newDecoder()
 	random := rand.New(rand.NewPCG(4, 4))
 	for range 50 {
-		for _, report := range []*Report{{Address: "a"}, typicalReport(random), crashReport(random), limitReport(random), resetReport(random)} {
+		for _, report := range []*Report{{Address: "a"}, typicalReport(random), crashReport(random), limitReport(random), resetReport(random), contentionReport(random)} {
 			raw := enc.encode(report)
 			if got, err := dec.decode(raw); err != nil || !reflect.DeepEqual(got, *report) {
 				t.Fatalf("%+v was decoded as %+v, %v", report, got, err)
@@ -100,6 +126,7 @@
 	t.Logf("%d bytes", len(raw))
 	t.Logf("%d bytes with 48 limits", len(enc.encode(limitReport(rand.New(rand.NewPCG(1, 1))))))
 	t.Logf("%d bytes with 16 resets", len(enc.encode(resetReport(rand.New(rand.NewPCG(1, 1))))))
+	t.Logf("%d bytes with 21 contended hosts", len(enc.encode(contentionReport(rand.New(rand.NewPCG(1, 1))))))
 	t.Logf("%d bytes with two quarantines", len(enc.encode(crashReport(rand.New(rand.NewPCG(1, 1))))))
 }
 
@@ -114,6 +141,7 @@
 	f.Add(append([]byte(nil), enc.encode(limitReport(rand.New(rand.NewPCG(1, 2))))...))
 	f.Add(append([]byte(nil), enc.encode(crashReport(rand.New(rand.NewPCG(1, 2))))...))
 	f.Add(append([]byte(nil), enc.encode(resetReport(rand.New(rand.NewPCG(1, 2))))...))
+	f.Add(append([]byte(nil), enc.encode(contentionReport(rand.New(rand.NewPCG(1, 2))))...))
 	f.Add([]byte(`{"a":"x"}`))
 	f.Fuzz(func(t *testing.T, datagram []byte) {
 		dec := newDecoder()
--- a/gateway/gossip/report.go
+++ b/gateway/gossip/report.go
@@ -58,6 +58,9 @@
 	Demands []ServiceDemand
 	// IdleResets are resets of idle connections by endpoints, as any VM saw them.
 	IdleResets []IdleReset
+	// Contentions are statements of contended hosts, and of those that are no longer contended, as any VM
+	// received them.
+	Contentions []EndpointContention
 }
 
 // Heartbeat reports when a VM was last heard from, directly or through other VMs.
