--- a/gateway/knowledge/evacuations_test.go
+++ b/gateway/knowledge/evacuations_test.go
@@ -203,3 +203,20 @@
 	}
 	return clock.Now().Sub(began)
 }
+
+// TestChangesArePreparedBeforeRequestsSeeThem guards against requests that see the endpoints of a new snapshot while the
+// function that limits cold ones among them has not been told of them.
+func TestChangesArePreparedBeforeRequestsSeeThem(t *testing.T) {
+	var tracker *Tracker
+	calls := 0
+	tracker = NewTracker(func(next *Snapshot) {
+		calls++
+		if tracker.Snapshot() == next {
+			t.Error("the snapshot is visible before onChange has returned")
+		}
+	})
+	tracker.Apply(Update{Full: true, EvacuationsComplete: true, Revision: 10, Items: []platform.Item{configurationItem(1, 1), domainItem("a1", "a", 2)}}, testStart)
+	if calls != 1 || tracker.Snapshot().Endpoints["a1"] == nil {
+		t.Errorf("%d calls, endpoints %v", calls, tracker.Snapshot().Endpoints)
+	}
+}
--- a/gateway/knowledge/tracker.go
+++ b/gateway/knowledge/tracker.go
@@ -44,8 +44,8 @@
 }
 
 // NewTracker returns an empty Tracker. onChange, which may be nil, is called with each new
-// snapshot, one call at a time and with the Tracker's lock held; it must not block nor
-// call methods that take the lock.
+// snapshot before Snapshot returns it, one call at a time and with the Tracker's lock held; it
+// must not block nor call methods that take the lock.
 func NewTracker(onChange func(*Snapshot)) *Tracker {
 	if onChange == nil {
 		onChange = func(*Snapshot) {}
@@ -288,9 +288,10 @@
 	}
 }
 
-// publish stores a new snapshot and passes it to onChange. The caller holds the lock.
+// publish passes a new snapshot to onChange and stores it. onChange comes first, so that no request is sent to an
+// endpoint that has just returned before its limits are known. The caller holds the lock.
 func (t *Tracker) publish() {
 	next := newSnapshot(t.configuration.decoded, t.entries.endpoints, t.evacuations.copyByDomain(), t.position, t.reserved)
-	t.snapshot.Store(next)
 	t.onChange(next)
+	t.snapshot.Store(next)
 }
