Check the newest evacuations before each list call

A VM that starts asks engines one after the other for their cached parts, each for up to 700 ms.

TestEvacuationEndsListCalls got 2 calls without the change, 1 is allowed.

--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"cardamompoint.example/cardamompoint/gateway/gossip"
+	"cardamompoint.example/cardamompoint/internal/clock"
 )
 
 // TestEvacuatedDomainGetsNoRequests evacuates the failure domain of all endpoints. It guards against requests that still
@@ -47,3 +51,34 @@
 	}
 	return total
 }
+
+// TestEvacuationEndsListCalls evacuates the failure domain of all engines while a VM that has just started asks them one
+// after the other for their cached parts, the first of which is slow. It guards against list calls to engines that were
+// evacuated since the VM began.
+func TestEvacuationEndsListCalls(t *testing.T) {
+	f := newTestFleet(t, 1)
+	g := f.gateways[0]
+	domain := g.tracker.Snapshot().Endpoints["engine-1"].FailureDomain
+	var calls atomic.Int64
+	slow := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if calls.Add(1) == 1 {
+			f.store.Put("op/evacuate/"+domain, []byte("{}"))
+			f.eventually("the VM applies the evacuation", func() bool { return f.evacuatedDomains() == 1 })
+		}
+		w.WriteHeader(http.StatusNotFound)
+	})
+	for i, id := range []string{"engine-1", "engine-2"} {
+		f.listen(f.address(130+i, workerPort), slow)
+		f.store.PutEndpoint(id, "engines", f.address(130+i, workerPort), "ready")
+	}
+	f.eventually("the VM knows the slow engines", func() bool {
+		known := g.tracker.Snapshot().Endpoints
+		return known["engine-1"].Address == f.address(130, workerPort) && known["engine-2"].Address == f.address(131, workerPort)
+	})
+	l := newLearner(g)
+	l.queries = gossip.NewQueryCoordinator(g.members, clock.Now().Add(-time.Minute)) // So that all engines are due.
+	l.queryEngines(context.Background(), g.tracker.Snapshot())
+	if got := calls.Load(); got != 1 {
+		t.Errorf("%d list calls, want 1", got)
+	}
+}
--- a/gateway/learner.go
+++ b/gateway/learner.go
@@ -131,7 +131,8 @@
 func (l *learner) queryEngines(ctx context.Context, snapshot *knowledge.Snapshot) {
 	for _, endpoint := range snapshot.Endpoints {
 		service := snapshot.Configuration.Services[endpoint.Service]
-		if service == nil || service.Engine == nil || snapshot.IsEvacuated(endpoint) {
+		// The queries before this one may have taken long, so the newest evacuations count.
+		if service == nil || service.Engine == nil || l.gateway.tracker.Snapshot().IsEvacuated(endpoint) {
 			continue
 		}
 		if l.queries.ShouldQuery(endpoint.ID, clock.Now()) {
