Check evacuations once more before a request is sent

Between the choice of an endpoint and the request a connection is opened, which takes up to 400 ms, and longer at a VM that gets no processor time. A failure domain that was evacuated meanwhile still got the request. It goes to another endpoint now, as one that was not sent.

TestEvacuatedBeforeSendRefuses fails without the change.

--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -52,6 +52,23 @@
 	return total
 }
 
+// TestEvacuatedBeforeSendRefuses evacuates the failure domain between the selection of an endpoint and the attempt. It
+// guards against a request that reaches the endpoint later than the bound because its VM was slow in between.
+func TestEvacuatedBeforeSendRefuses(t *testing.T) {
+	f := newTestFleet(t, 1)
+	c := f.newCall(query{path: "/deposit/1"})
+	c.suspects = []uint64{1}
+	x, err := c.newExchange()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.store.Put("op/evacuate/"+x.pick.Endpoint.FailureDomain, []byte("{}"))
+	f.eventually("the VM applies the evacuation", func() bool { return f.evacuatedDomains() == 1 })
+	if out := x.run(); out.result != resultNotExecuted || !out.unsent || f.executions(c.request.ID) != 0 {
+		t.Errorf("%+v after %d runs", out, f.executions(c.request.ID))
+	}
+}
+
 // TestEvacuationEndsListCalls evacuates the failure domain of all engines while a VM that has just started asks them one
 // after the other for their cached parts, the first of which is slow. It guards against list calls to engines that were
 // evacuated since the VM began.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/gateway/choice"
 	"cardamompoint.example/cardamompoint/gateway/upstream"
 	"cardamompoint.example/cardamompoint/internal/clock"
@@ -61,7 +62,7 @@
 // roundTrip sends the request and reads the header of the response. The read times out after patience, unless
 // onTimeout lets it go on. ok is false if there is no response; out is then the outcome.
 func (x *exchange) roundTrip(onTimeout upstream.TimeoutFunc, patience time.Duration) (out outcome, ok bool) {
-	if err := x.checkBeforeSend(); err != nil {
+	if err := x.checkEndpoint(); err != nil {
 		return outcome{result: resultNotExecuted, unsent: true, err: err}, false
 	}
 	if out, ok := x.send(); !ok {
@@ -89,6 +90,14 @@
 	return c.checkShutdown()
 }
 
+// checkEndpoint returns the reason why the picked endpoint must not get the request any more, or nil.
+func (x *exchange) checkEndpoint() error {
+	if x.gateway.tracker.Snapshot().IsEvacuated(x.pick.Endpoint) {
+		return code.New(code.NoEndpoint, "the failure domain of the endpoint was evacuated")
+	}
+	return x.checkBeforeSend()
+}
+
 // send writes the request. ok is false if the write failed; out is then the outcome.
 func (x *exchange) send() (out outcome, ok bool) {
 	left, bounded := x.timeLeft()
