Use the turn of a cold endpoint when it is picked

Requests that arrived together all found the same turn at a cold endpoint, as it was used only when the attempt began: each VM could send a batch of requests for one turn. Take now uses the turn together with the check, right after the choice; a request that finds it used chooses again. Load shedding decides once a request.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -44,7 +44,6 @@
 	table := x.gateway.table
 	x.work = table.Begin(x.pick, &x.request.Prompt, clock.Now())
 	x.gateway.limits.Take(x.pick.Endpoint, clock.Now())
-	x.gateway.warmUps.Take(x.pick.Endpoint, clock.Now())
 	conn, err := x.connect(x.pick)
 	if err != nil {
 		x.work.End()
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -12,10 +12,11 @@
 	"cardamompoint.example/cardamompoint/internal/clock"
 )
 
-// nextEndpoint picks the endpoint of the next attempt on the basis of the newest data. It waits
-// for a short time while the endpoint processes the prefill of the same shared parts for
-// another request.
+// nextEndpoint picks the endpoint of the next attempt on the basis of the newest data, and uses a turn
+// if it is cold. It waits for a short time while the endpoint processes the prefill of the same shared
+// parts for another request.
 func (c *call) nextEndpoint() (choice.Pick, error) {
+	admitted := false
 	for {
 		pick, err := c.pickEndpoint()
 		if err != nil {
@@ -24,8 +25,14 @@
 		if pick.PrefillWait > 0 && c.waitForPrefill(pick.PrefillWait) {
 			continue
 		}
-		if err := c.shed(pick); err != nil {
-			return pick, err
+		if !admitted {
+			if err := c.shed(pick); err != nil {
+				return pick, err
+			}
+			admitted = true
+		}
+		if !c.gateway.warmUps.Take(pick.Endpoint, clock.Now()) {
+			continue // Another request has used the turn since the choice.
 		}
 		c.triedEndpoints = append(c.triedEndpoints, pick.Endpoint.ID)
 		if shared := c.request.Prompt.SharedTokens(); shared > 0 {
--- a/gateway/warmup/limiter.go
+++ b/gateway/warmup/limiter.go
@@ -154,16 +154,24 @@
 	return known == nil || known.turns.wait(l.period(known, now), now) == 0
 }
 
-// Take counts a request that is sent to an endpoint.
-func (l *Limiter) Take(entry *traffic.Endpoint, now clock.Boot) {
+// Take uses a turn for a request to an endpoint. It returns false if there is none: another request may have used it since
+// Allows was called. An endpoint that is not cold needs none.
+func (l *Limiter) Take(entry *traffic.Endpoint, now clock.Boot) bool {
 	if !l.AnyCold(now) {
-		return
+		return true
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if known := l.cold(entry, now); known != nil {
-		known.turns.use(l.period(known, now), now)
+	known := l.cold(entry, now)
+	if known == nil {
+		return true
+	}
+	period := l.period(known, now)
+	if known.turns.wait(period, now) > 0 {
+		return false
 	}
+	known.turns.use(period, now)
+	return true
 }
 
 // cold returns what is known of a cold endpoint, nil for any other. The caller holds l.mu.
