Refuse by the state of the endpoints in allowed regions

A request that is restricted to regions got 203 no_endpoint with a fixed retry time when all endpoints there were cold, or had reached limits that they named, while an endpoint in a forbidden region was not: the refusal looked at all endpoints of the service. It looks at the allowed ones now.

TestConcurrentRequestsShareTurns got 203 without the change, 209 is right.

--- a/gateway/cold_endpoint_test.go
+++ b/gateway/cold_endpoint_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/clock"
 	"cardamompoint.example/cardamompoint/internal/standin/hosted"
 	"cardamompoint.example/cardamompoint/platform"
@@ -33,7 +34,8 @@
 }
 
 // TestConcurrentRequestsShareTurns picks an endpoint for a second request before the first one is sent. It guards against
-// requests that arrive together and all use the same turn at a cold endpoint.
+// requests that arrive together and all use the same turn at a cold endpoint, and against a refusal with another code
+// because an endpoint in a forbidden region is warm.
 func TestConcurrentRequestsShareTurns(t *testing.T) {
 	f := newColdFleet(t)
 	next := func() (*exchange, error) { return f.newCall(query{path: "/lookup/1"}).newExchange() }
@@ -43,5 +45,7 @@
 	})
 	if x, err := next(); err == nil {
 		t.Errorf("a second request goes to %s", x.pick.Endpoint.ID)
+	} else if got := code.Of(err); got.Code != code.EndpointsCold || got.RetryAfterMS == 0 {
+		t.Errorf("refused with %+v, want code %d with a retry time", got, code.EndpointsCold)
 	}
 }
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -116,24 +116,33 @@
 	return g.settings.Regions[endpoint.FailureDomain]
 }
 
-// outsideRegions reports whether the service has endpoints that accept requests, but none in the regions in which the
-// request may be executed.
-func (c *call) outsideRegions(snapshot *knowledge.Snapshot) bool {
-	regions, ready := c.regions(), snapshot.Ready[c.grant.service]
-	allowed := func(endpoint *traffic.Endpoint) bool { return regions.Allows(c.gateway.regionOf(endpoint)) }
-	return len(ready) > 0 && !slices.ContainsFunc(ready, allowed)
+// allowedEndpoints returns those of the given endpoints that are in the regions in which the request may be executed.
+func (c *call) allowedEndpoints(endpoints []*traffic.Endpoint) []*traffic.Endpoint {
+	regions := c.regions()
+	if !regions.Any() {
+		return endpoints
+	}
+	var allowed []*traffic.Endpoint
+	for _, endpoint := range endpoints {
+		if regions.Allows(c.gateway.regionOf(endpoint)) {
+			allowed = append(allowed, endpoint)
+		}
+	}
+	return allowed
 }
 
 // noEndpoint returns the refusal of a request for which no endpoint is left.
 func (c *call) noEndpoint(snapshot *knowledge.Snapshot, now clock.Boot) error {
-	if c.outsideRegions(snapshot) {
+	ready := snapshot.Ready[c.grant.service]
+	allowed := c.allowedEndpoints(ready)
+	if len(allowed) == 0 && len(ready) > 0 {
 		return code.New(code.RegionEmpty, "no endpoint of the service is in an allowed region").After(retryAfterStale)
 	}
-	if after, limited := c.gateway.warmUps.RetryAfter(c.grant.service, snapshot.Ready[c.grant.service], now); limited {
+	if after, limited := c.gateway.warmUps.RetryAfter(c.grant.service, allowed, now); limited {
 		c.gateway.shedders.forService(c.grant.service).RecordRejected(now)
 		return code.New(code.EndpointsCold, "all endpoints of the service are cold and take no more requests now").After(after)
 	}
-	after, limited := c.gateway.limits.RetryAfter(c.grant.service, snapshot.Ready[c.grant.service], now)
+	after, limited := c.gateway.limits.RetryAfter(c.grant.service, allowed, now)
 	if !limited {
 		if c.allEvacuated(snapshot) {
 			return code.New(code.NoEndpoint, "all endpoints of the service are in evacuated failure domains").After(retryAfterStale)
