Ignore entries that are listed again in a later era

Endpoints that had just returned from an evacuation counted as warm as soon as the store came back from a copy: their entries, written before, were listed at new positions and looked like new ones that state no rest.

TestSameWriteInALaterEraStatesNothingNew fails without the change.

--- a/gateway/warmup/fleet_test.go
+++ b/gateway/warmup/fleet_test.go
@@ -88,8 +88,11 @@
 // send, that begin at the same moment, that start anew, that are cut off or that know only some of the others.
 func TestFleetKeepsTheRateOfColdEndpoints(t *testing.T) {
 	for name, play := range map[string]func(f *fleet){
-		"steady":         func(f *fleet) { f.run(coldTime, always) },
-		"all at the end": func(f *fleet) { f.run(coldTime-time.Second, func(int) bool { return false }); f.run(time.Second, always) },
+		"steady": func(f *fleet) { f.run(coldTime, always) },
+		"all at the end": func(f *fleet) {
+			f.run(coldTime-time.Second, func(int) bool { return false })
+			f.run(time.Second, always)
+		},
 		"waves": func(f *fleet) {
 			f.run(coldTime, func(int) bool { return f.now.Sub(0)%(700*time.Millisecond) < 100*time.Millisecond })
 		},
@@ -188,6 +191,42 @@
 	check("warm after the evacuation", 0)
 }
 
+// coldLeft returns for how long the endpoint is cold for the first VM.
+func coldLeft(f *fleet) time.Duration {
+	if status := f.limiters[0].Status([]*traffic.Endpoint{f.endpoint}, f.now); len(status) == 1 {
+		return time.Duration(status[0].LeftMS) * time.Millisecond
+	}
+	return 0
+}
+
+// TestSameWriteInALaterEraStatesNothingNew lets the store come back from a copy, so that all entries are listed again at
+// other positions. It guards against endpoints that return from an evacuation and count as warm by an entry from before
+// it, and against endpoints that count as cold by an old entry.
+func TestSameWriteInALaterEraStatesNothingNew(t *testing.T) {
+	f := newFleet(60, 1)
+	write := func(left time.Duration, sequence, era int64) {
+		next := *f.endpoint
+		next.WarmUpLeft, next.StartedMS, next.Sequence, next.Position = left, 1, sequence, traffic.Position{Era: era, Revision: sequence}
+		f.endpoint = &next
+		f.limiters[0].Update(f.snapshot(), f.now)
+	}
+	write(coldTime, 1, 1)
+	f.now = f.now.Add(time.Minute)
+	write(coldTime, 1, 2)
+	if got := coldLeft(f); got != 0 {
+		t.Errorf("an old entry that is listed again: cold for %v", got)
+	}
+	write(0, 2, 2)
+	evacuated := f.snapshot()
+	evacuated.Evacuated = map[string]knowledge.Evacuation{"d": {FailureDomain: "d"}}
+	f.limiters[0].Update(evacuated, f.now)
+	f.limiters[0].Update(f.snapshot(), f.now)
+	write(0, 2, 3)
+	if got := coldLeft(f); got != coldTime {
+		t.Errorf("after the evacuation: cold for %v, want %v", got, coldTime)
+	}
+}
+
 // TestRefusedCallersReturnAtTheRateOfTurns guards against refusals of which all callers return at the same moment, and
 // against refusals while an endpoint is warm.
 func TestRefusedCallersReturnAtTheRateOfTurns(t *testing.T) {
--- a/gateway/warmup/limiter.go
+++ b/gateway/warmup/limiter.go
@@ -39,9 +39,10 @@
 type endpoint struct {
 	// until is when the endpoint is warm.
 	until clock.Boot
-	// entry is the position of its entry, left how long it stays cold by that.
-	entry traffic.Position
-	left  time.Duration
+	// entry is the position of its entry, sequence the write of that, left how long it stays cold by that.
+	entry    traffic.Position
+	sequence int64
+	left     time.Duration
 	// perSecond is what it takes from all VMs together while it is cold.
 	perSecond float64
 	turns     turns
@@ -99,11 +100,14 @@
 		l.endpoints[entry.Instance()] = known
 	}
 	known.perSecond = perSecond
-	if known.entry == entry.Position {
+	// A store that came back from a copy lists the same write at another position.
+	sameWrite := entry.StartedMS != 0 && entry.Sequence != 0 && entry.Sequence == known.sequence && entry.WarmUpLeft == known.left
+	if known.entry == entry.Position || sameWrite {
+		known.entry = entry.Position
 		return known
 	}
 	before := known.left
-	known.entry, known.left = entry.Position, entry.WarmUpLeft
+	known.entry, known.sequence, known.left = entry.Position, entry.Sequence, entry.WarmUpLeft
 	switch {
 	case entry.WarmUpLeft <= 0:
 		known.until = 0
