Notice endpoints that turn cold again for no longer than before

An endpoint that turned cold a second time got an unlimited number of requests if its entry stated the same rest as the one before, or a shorter one: such an entry counted as one of the same cold time that was read late. It counts as that only if its rest is at most a second more than what is left by the entry before.

TestEndpointTurnsColdAgainAsBefore fails without the change.

--- a/gateway/warmup/fleet_test.go
+++ b/gateway/warmup/fleet_test.go
@@ -191,6 +191,29 @@
 	check("warm after the evacuation", 0)
 }
 
+// TestEndpointTurnsColdAgainAsBefore guards against an endpoint that counts as warm although it turned cold again, for
+// no longer than the last time, and wrote no entry in between; and against a late entry that lets it count as cold again.
+func TestEndpointTurnsColdAgainAsBefore(t *testing.T) {
+	for name, c := range map[string]struct {
+		after, left, want time.Duration
+	}{
+		"as long as before":       {10 * time.Second, coldTime, coldTime},
+		"shorter":                 {10 * time.Second, 2 * time.Second, 2 * time.Second},
+		"again before it is warm": {2 * time.Second, coldTime, coldTime},
+		"late entry":              {3200 * time.Millisecond, 700 * time.Millisecond, 0},
+	} {
+		f := newFleet(60, 1)
+		f.now = f.now.Add(c.after)
+		next := *f.endpoint
+		next.WarmUpLeft, next.Position.Revision = c.left, f.endpoint.Position.Revision+1
+		f.endpoint = &next
+		f.limiters[0].Update(f.snapshot(), f.now)
+		if got := coldLeft(f); got != c.want {
+			t.Errorf("%s: cold for %v, want %v", name, got, c.want)
+		}
+	}
+}
+
 // coldLeft returns for how long the endpoint is cold for the first VM.
 func coldLeft(f *fleet) time.Duration {
 	if status := f.limiters[0].Status([]*traffic.Endpoint{f.endpoint}, f.now); len(status) == 1 {
--- a/gateway/warmup/limiter.go
+++ b/gateway/warmup/limiter.go
@@ -92,6 +92,10 @@
 	}
 }
 
+// maxEntryDelay is how long after it was written an entry is usually read at most. An entry that states a longer rest than
+// is expected by the one before, and by more than this, shows that the endpoint has turned cold again.
+const maxEntryDelay = time.Second
+
 // apply applies the entry of an endpoint. The caller holds l.mu.
 func (l *Limiter) apply(entry *traffic.Endpoint, perSecond float64, now clock.Boot) *endpoint {
 	known, ok := l.endpoints[entry.Instance()]
@@ -106,12 +110,12 @@
 		known.entry = entry.Position
 		return known
 	}
-	before := known.left
+	before, expected := known.left, max(0, known.until.Sub(now))
 	known.entry, known.sequence, known.left = entry.Position, entry.Sequence, entry.WarmUpLeft
 	switch {
 	case entry.WarmUpLeft <= 0:
 		known.until = 0
-	case entry.WarmUpLeft > before:
+	case entry.WarmUpLeft >= before, entry.WarmUpLeft > expected+maxEntryDelay:
 		l.setCold(entry, known, entry.WarmUpLeft, now) // It has just started, or turned cold again.
 	default:
 		known.until = min(known.until, now.Add(entry.WarmUpLeft)) // An entry may be read long after it was written.
