--- a/gateway/warmup/fleet_test.go
+++ b/gateway/warmup/fleet_test.go
@@ -191,6 +191,65 @@
 	check("warm after the evacuation", 0)
 }
 
+// TestEndpointTurnsColdAgainAsBefore guards against an endpoint that counts as warm although it turned cold again, for
+// no longer than the last time, and wrote no entry in between; and against a late entry that lets it count as cold again.
+func TestEndpointTurnsColdAgainAsBefore(t *testing.T) {
+	for name, c := range map[string]struct {
+		after, left, want time.Duration
+	}{
+		"as long as before":       {10 * time.Second, coldTime, coldTime},
+		"shorter":                 {10 * time.Second, 2 * time.Second, 2 * time.Second},
+		"again before it is warm": {2 * time.Second, coldTime, coldTime},
+		"late entry":              {3200 * time.Millisecond, 700 * time.Millisecond, 0},
+	} {
+		f := newFleet(60, 1)
+		f.now = f.now.Add(c.after)
+		next := *f.endpoint
+		next.WarmUpLeft, next.Position.Revision = c.left, f.endpoint.Position.Revision+1
+		f.endpoint = &next
+		f.limiters[0].Update(f.snapshot(), f.now)
+		if got := coldLeft(f); got != c.want {
+			t.Errorf("%s: cold for %v, want %v", name, got, c.want)
+		}
+	}
+}
+
+// coldLeft returns for how long the endpoint is cold for the first VM.
+func coldLeft(f *fleet) time.Duration {
+	if status := f.limiters[0].Status([]*traffic.Endpoint{f.endpoint}, f.now); len(status) == 1 {
+		return time.Duration(status[0].LeftMS) * time.Millisecond
+	}
+	return 0
+}
+
+// TestSameWriteInALaterEraStatesNothingNew lets the store come back from a copy, so that all entries are listed again at
+// other positions. It guards against endpoints that return from an evacuation and count as warm by an entry from before
+// it, and against endpoints that count as cold by an old entry.
+func TestSameWriteInALaterEraStatesNothingNew(t *testing.T) {
+	f := newFleet(60, 1)
+	write := func(left time.Duration, sequence, era int64) {
+		next := *f.endpoint
+		next.WarmUpLeft, next.StartedMS, next.Sequence, next.Position = left, 1, sequence, traffic.Position{Era: era, Revision: sequence}
+		f.endpoint = &next
+		f.limiters[0].Update(f.snapshot(), f.now)
+	}
+	write(coldTime, 1, 1)
+	f.now = f.now.Add(time.Minute)
+	write(coldTime, 1, 2)
+	if got := coldLeft(f); got != 0 {
+		t.Errorf("an old entry that is listed again: cold for %v", got)
+	}
+	write(0, 2, 2)
+	evacuated := f.snapshot()
+	evacuated.Evacuated = map[string]knowledge.Evacuation{"d": {FailureDomain: "d"}}
+	f.limiters[0].Update(evacuated, f.now)
+	f.limiters[0].Update(f.snapshot(), f.now)
+	write(0, 2, 3)
+	if got := coldLeft(f); got != coldTime {
+		t.Errorf("after the evacuation: cold for %v, want %v", got, coldTime)
+	}
+}
+
 // TestRefusedCallersReturnAtTheRateOfTurns guards against refusals of which all callers return at the same moment, and
 // against refusals while an endpoint is warm.
 func TestRefusedCallersReturnAtTheRateOfTurns(t *testing.T) {
--- a/gateway/warmup/limiter.go
+++ b/gateway/warmup/limiter.go
@@ -39,9 +39,10 @@
 type endpoint struct {
 	// until is when the endpoint is warm.
 	until clock.Boot
-	// entry is the position of its entry, left how long it stays cold by that.
-	entry traffic.Position
-	left  time.Duration
+	// entry is the position of its entry, sequence the write of that, left how long it stays cold by that.
+	entry    traffic.Position
+	sequence int64
+	left     time.Duration
 	// perSecond is what it takes from all VMs together while it is cold.
 	perSecond float64
 	turns     turns
@@ -91,6 +92,10 @@
 	}
 }
 
+// maxEntryDelay is how long after it was written an entry is usually read at most. An entry that states a longer rest than
+// is expected by the one before, and by more than this, shows that the endpoint has turned cold again.
+const maxEntryDelay = time.Second
+
 // apply applies the entry of an endpoint. The caller holds l.mu.
 func (l *Limiter) apply(entry *traffic.Endpoint, perSecond float64, now clock.Boot) *endpoint {
 	known, ok := l.endpoints[entry.Instance()]
@@ -99,15 +104,18 @@
 		l.endpoints[entry.Instance()] = known
 	}
 	known.perSecond = perSecond
-	if known.entry == entry.Position {
+	// A store that came back from a copy lists the same write at another position.
+	sameWrite := entry.StartedMS != 0 && entry.Sequence != 0 && entry.Sequence == known.sequence && entry.WarmUpLeft == known.left
+	if known.entry == entry.Position || sameWrite {
+		known.entry = entry.Position
 		return known
 	}
-	before := known.left
-	known.entry, known.left = entry.Position, entry.WarmUpLeft
+	before, expected := known.left, max(0, known.until.Sub(now))
+	known.entry, known.sequence, known.left = entry.Position, entry.Sequence, entry.WarmUpLeft
 	switch {
 	case entry.WarmUpLeft <= 0:
 		known.until = 0
-	case entry.WarmUpLeft > before:
+	case entry.WarmUpLeft >= before, entry.WarmUpLeft > expected+maxEntryDelay:
 		l.setCold(entry, known, entry.WarmUpLeft, now) // It has just started, or turned cold again.
 	default:
 		known.until = min(known.until, now.Add(entry.WarmUpLeft)) // An entry may be read long after it was written.
@@ -154,16 +162,24 @@
 	return known == nil || known.turns.wait(l.period(known, now), now) == 0
 }
 
-// Take counts a request that is sent to an endpoint.
-func (l *Limiter) Take(entry *traffic.Endpoint, now clock.Boot) {
+// Take uses a turn for a request to an endpoint. It returns false if there is none: another request may have used it since
+// Allows was called. An endpoint that is not cold needs none.
+func (l *Limiter) Take(entry *traffic.Endpoint, now clock.Boot) bool {
 	if !l.AnyCold(now) {
-		return
+		return true
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if known := l.cold(entry, now); known != nil {
-		known.turns.use(l.period(known, now), now)
+	known := l.cold(entry, now)
+	if known == nil {
+		return true
+	}
+	period := l.period(known, now)
+	if known.turns.wait(period, now) > 0 {
+		return false
 	}
+	known.turns.use(period, now)
+	return true
 }
 
 // cold returns what is known of a cold endpoint, nil for any other. The caller holds l.mu.
