--- a/gateway/shed/decision.go
+++ b/gateway/shed/decision.go
@@ -6,6 +6,8 @@
 type Decision struct {
 	// Refused reports whether the request must not be sent.
 	Refused bool
+	// Reason is the criterion that decided, ReasonNone if the request is not refused.
+	Reason Reason
 	// Rank is the request's priority, plus 10 for each level that its workspace is over
 	// its share. The lowest rank is served first.
 	Rank int
--- a/internal/emulator/kind.go
+++ b/internal/emulator/kind.go
@@ -7,8 +7,9 @@
 	Name string
 	// Priority is the priority at engines; 0 is the most urgent.
 	Priority int
-	// Value is the value of an answer within the objective.
-	Value float64
+	// Value is the value of an answer within the objective, LateValue that of a later one.
+	Value     float64
+	LateValue float64
 	// Rate is the number of requests per second and engine at a Load of 1.
 	Rate float64
 	// RootTokens is the size of the prompt part that all requests of the kind share,
@@ -36,3 +37,13 @@
 		{Name: "tag", Priority: 2, Value: 0.4, Rate: 6, RootTokens: 1500, SubjectTokens: 540, UniqueTokens: 360, Subjects: 4, AnswerTokens: 25, Objective: 1500 * time.Millisecond, Timeout: 3 * time.Second},
 	}
 }
+
+// scarceKinds returns the request kinds that compete for capacity in the first deployment of
+// docs/SCARCE-CAPACITY.md, the most urgent first.
+func scarceKinds() []Kind {
+	return []Kind{
+		{Name: "chat", Priority: 0, Value: 3.4, LateValue: 0.42, Rate: 8, RootTokens: 500, SubjectTokens: 199, UniqueTokens: 130, Subjects: 20, AnswerTokens: 290, Objective: 500 * time.Millisecond, Timeout: 12 * time.Second},
+		{Name: "tag", Priority: 1, Value: 0.45, LateValue: 0.14, Rate: 6, RootTokens: 1500, SubjectTokens: 541, UniqueTokens: 360, Subjects: 4, AnswerTokens: 25, Objective: 500 * time.Millisecond, Timeout: 3 * time.Second},
+		{Name: "plan", Priority: 2, Value: 2.1, LateValue: 0.92, Rate: 6, RootTokens: 2000, SubjectTokens: 8512, UniqueTokens: 1300, Subjects: 6, AnswerTokens: 380, Objective: 2 * time.Second, Timeout: 15 * time.Second},
+	}
+}
--- a/internal/emulator/request.go
+++ b/internal/emulator/request.go
@@ -61,3 +61,13 @@
 func (r *Request) sharedParts() []traffic.Part {
 	return r.Prompt.Parts[:len(r.Prompt.Parts)-1]
 }
+
+// size returns the size of the request: its unique tokens plus 10 times its answer tokens.
+func (r *Request) size() int {
+	return r.UniqueTokens + 10*r.AnswerTokens
+}
+
+// inTime reports whether the caller got the answer, and its begin within the objective.
+func (r *Request) inTime() bool {
+	return r.outcome == Served && r.firstTokenAt.Sub(r.ArrivesAt) <= r.Kind.Objective
+}
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -29,6 +29,7 @@
 	// BusyTime is the total time of all steps of all engines.
 	BusyTime time.Duration
 
+	kinds    []Kind
 	requests []*Request
 }
 
@@ -60,7 +61,7 @@
 // the value of all.
 func (r *Result) Value() float64 {
 	total, inTime := 0.0, 0.0
-	for _, kind := range Kinds() {
+	for _, kind := range r.kinds {
 		shares := r.Kind(kind.Name)
 		total += kind.Value * float64(shares.Requests)
 		inTime += kind.Value * float64(shares.Requests) * shares.InTime
@@ -68,6 +69,51 @@
 	return inTime / total
 }
 
+// Worth returns the value of all served requests, in time or late, as a share of the value that all
+// requests have in time. The value of a request grows with its size, less than the work does.
+func (r *Result) Worth() float64 {
+	return r.worth(true)
+}
+
+// WorthInTime returns the same without late answers.
+func (r *Result) WorthInTime() float64 {
+	return r.worth(false)
+}
+
+func (r *Result) worth(late bool) float64 {
+	means := r.meanSizes()
+	total, got := 0.0, 0.0
+	for _, req := range r.requests {
+		factor := min(4, 0.3+0.7*float64(req.size())/means[req.Kind.Name])
+		total += factor * req.Kind.Value
+		switch {
+		case req.inTime():
+			got += factor * req.Kind.Value
+		case late && req.outcome == Served:
+			got += factor * req.Kind.LateValue
+		}
+	}
+	return got / total
+}
+
+// meanSizes returns the mean size of the requests of each kind.
+func (r *Result) meanSizes() map[string]float64 {
+	sums, counts := map[string]float64{}, map[string]float64{}
+	for _, req := range r.requests {
+		sums[req.Kind.Name] += float64(req.size())
+		counts[req.Kind.Name]++
+	}
+	for name := range sums {
+		sums[name] /= counts[name]
+	}
+	return sums
+}
+
+// largestKind returns the name of the kind with the largest prompts.
+func (r *Result) largestKind() string {
+	return slices.MaxFunc(r.kinds, func(a, b Kind) int { return cmp.Compare(a.SubjectTokens, b.SubjectTokens) }).Name
+}
+
 // All returns the shares of all requests.
 func (r *Result) All() Shares {
 	return r.shares(func(*Request) bool { return true })
@@ -108,13 +154,13 @@
 	var sizes []int
 	for _, req := range r.requests {
 		if req.Kind.Name == name {
-			sizes = append(sizes, req.UniqueTokens+10*req.AnswerTokens)
+			sizes = append(sizes, req.size())
 		}
 	}
 	slices.SortFunc(sizes, cmp.Compare[int])
 	minSize := sizes[len(sizes)*9/10]
 	return r.shares(func(req *Request) bool {
-		return req.Kind.Name == name && req.UniqueTokens+10*req.AnswerTokens >= minSize
+		return req.Kind.Name == name && req.size() >= minSize
 	})
 }
 
@@ -130,7 +176,7 @@
 			continue
 		}
 		shares.Served++
-		if req.firstTokenAt.Sub(req.ArrivesAt) <= req.Kind.Objective {
+		if req.inTime() {
 			shares.InTime++
 		}
 	}
@@ -147,12 +193,12 @@
 func (r *Result) String() string {
 	var line strings.Builder
 	fmt.Fprintf(&line, "%-27s %-18s %.3f ", r.Scenario, r.Policy, r.Value())
-	for _, kind := range Kinds() {
+	for _, kind := range r.kinds {
 		shares := r.Kind(kind.Name)
 		fmt.Fprintf(&line, " %.2f/%.2f", shares.Served, shares.InTime)
 	}
 	small, domain := r.smallWorkspaces(), r.WorstDomain()
-	fmt.Fprintf(&line, "  %.2f/%.2f %.2f/%.2f  %.2f", small.Served, small.InTime, domain.Served, domain.InTime, r.Largest("roster").Served)
+	fmt.Fprintf(&line, "  %.2f/%.2f %.2f/%.2f  %.2f", small.Served, small.InTime, domain.Served, domain.InTime, r.Largest(r.largestKind()).Served)
 	refusalMS := 0.0
 	if r.Refusals > 0 {
 		refusalMS = r.RefusalTime.Seconds() * 1000 / float64(r.Refusals)
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -28,9 +28,13 @@
 	FloodFactor  float64
 	HotShare     float64
 	DomainFactor float64
-	// BurstFactor multiplies the request rate for BurstFor, from burstStart on.
+	// BurstFactor multiplies the request rate for BurstFor, from burstStart on. BurstKind is the
+	// name of the kind that bursts, "" for all.
 	BurstFactor float64
 	BurstFor    time.Duration
+	BurstKind   string
+	// Kinds are the kinds of requests, nil for Kinds().
+	Kinds []Kind
 	// LongFactor multiplies the unique tokens of one request in ten.
 	LongFactor float64
 }
@@ -60,11 +64,38 @@
 	}
 }
 
+// ScarceScenarios returns scenarios in which kinds of different work compete for capacity. At a Load of 1 the
+// engines are just able to serve all requests.
+func ScarceScenarios(seed uint64) []Scenario {
+	scarce := func(name string) Scenario {
+		s := Calm(seed)
+		s.Name, s.Kinds, s.Load = name, scarceKinds(), 1
+		s.Slots, s.Queue, s.CacheTokens = 64, 16, 460_322
+		return s
+	}
+	long, chats, overload := scarce("burst of the long kind"), scarce("burst of chats"), scarce("overload of 2 times")
+	long.BurstKind, long.BurstFactor, long.BurstFor = "plan", 2.6, 6*time.Second
+	chats.BurstKind, chats.BurstFactor, chats.BurstFor = "chat", 1.9, 6*time.Second
+	overload.Load = 2
+	return []Scenario{long, chats, overload}
+}
+
+// kinds returns the kinds of requests of the scenario.
+func (s Scenario) kinds() []Kind {
+	if s.Kinds == nil {
+		return Kinds()
+	}
+	return s.Kinds
+}
+
 // burstStart is the time from the first request to the begin of a burst.
 const burstStart = 4 * time.Second
 
-// inBurst reports whether requests that arrive at the given time belong to the burst.
-func (s Scenario) inBurst(at clock.Boot) bool {
+// inBurst reports whether requests of a kind that arrive at the given time belong to the burst.
+func (s Scenario) inBurst(kind *Kind, at clock.Boot) bool {
+	if s.BurstKind != "" && s.BurstKind != kind.Name {
+		return false
+	}
 	since := at.Sub(startTime.Add(burstStart))
 	return since >= 0 && since < s.BurstFor
 }
--- a/internal/emulator/simulation.go
+++ b/internal/emulator/simulation.go
@@ -27,7 +27,7 @@
 		schedule: schedule{now: startTime},
 		scenario: s,
 		policy:   policy,
-		result:   &Result{Scenario: s.Name, Policy: policy.Name()},
+		result:   &Result{Scenario: s.Name, Policy: policy.Name(), kinds: s.kinds()},
 		random:   rand.New(rand.NewPCG(s.Seed, 99)),
 	}
 	for i := range s.Engines {
--- a/internal/emulator/workload.go
+++ b/internal/emulator/workload.go
@@ -21,7 +21,7 @@
 func (s Scenario) generateRequests() []*Request {
 	random := rand.New(rand.NewPCG(s.Seed, 17))
 	var requests []*Request
-	for number, kind := range Kinds() {
+	for number, kind := range s.kinds() {
 		requests = append(requests, s.generateKind(random, uint64(number+1), &kind)...)
 	}
 	slices.SortStableFunc(requests, func(a, b *Request) int { return cmp.Compare(a.ArrivesAt, b.ArrivesAt) })
@@ -37,7 +37,7 @@
 	serial := number << 40
 	for at := startTime; at < startTime.Add(s.Duration); {
 		pace := rate + extra
-		if s.inBurst(at) {
+		if s.inBurst(kind, at) {
 			pace *= s.BurstFactor
 		}
 		at = at.Add(time.Duration(random.ExpFloat64() / pace * float64(time.Second)))
