Refuse hopeless requests at once and late ones first of their rank

A request that can no longer meet the objective of its own route goes after those of its priority that can, and one whose answer clearly can't begin in its caller's time is refused at once. Refusals name the criterion that decided, which the counter gateway_shed has as its label.

--- a/gateway/shed/deadline.go
+++ b/gateway/shed/deadline.go
@@ -11,7 +11,7 @@
 	maxDelayRatio = 2
 )
 
-// isLate reports whether a request that has already waited can't meet its route's objective.
+// isLate reports whether a request whose caller has waited can no longer meet its route's objective.
 func isLate(r Request, waited time.Duration) bool {
 	return r.Objective > 0 && waited+r.Delay > r.Objective
 }
--- a/gateway/shed/rank_counts.go
+++ b/gateway/shed/rank_counts.go
@@ -1,44 +1,45 @@
 package shed
 
-// rankCounts counts the requests of one rank by their chance to meet their objective.
+// lateServedFactor is the share of the late requests of a rank that is served at least, relative to the least
+// share of the rank. The larger it is, the less of the value is served in time in an overload; the smaller, the
+// fewer callers that return are served.
+const lateServedFactor = 1.0 / 3
+
+// rankCounts counts the requests of one rank: those that can meet their objective and the late ones.
 type rankCounts struct {
-	inTime, late classCounts
+	inTime, late float64
 }
 
-// minServedShareLate is the share of the late requests of a rank that is served at least, relative to
-// the share of all requests.
-const minServedShareLate = 0.4
+// add counts a request.
+func (c *rankCounts) add(late bool) {
+	if late {
+		c.late++
+		return
+	}
+	c.inTime++
+}
 
 // total returns the number of requests of the rank.
 func (c *rankCounts) total() float64 {
-	return c.inTime.total() + c.late.total()
-}
-
-// of returns the counts of the late requests or of the others.
-func (c *rankCounts) of(late bool) *classCounts {
-	if late {
-		return &c.late
-	}
-	return &c.inTime
+	return c.inTime + c.late
 }
 
 // decay multiplies all counts.
 func (c *rankCounts) decay(factor float64) {
-	c.inTime.decay(factor)
-	c.late.decay(factor)
+	c.inTime *= factor
+	c.late *= factor
 }
 
 // refusalProbability returns the probability with which late requests of the rank, or the others, are
-// refused, if those of the whole rank are refused with the given one. The late ones are refused first.
-func (c *rankCounts) refusalProbability(late bool, probability, excess float64) float64 {
-	refused, lateRequests := probability*c.total(), c.late.total()
-	ofLate := 0.0
-	if lateRequests > 0 {
-		maxRefused := max(probability, 1-minServedShareLate*(1-excess))
-		ofLate = min(maxRefused, refused/lateRequests)
+// refused, if those of the whole rank are refused with the given one, at most maxOfRank. The late ones are
+// refused first.
+func (c *rankCounts) refusalProbability(late bool, ofRank, maxOfRank float64) float64 {
+	refused, ofLate := ofRank*c.total(), 0.0
+	if c.late > 0 {
+		ofLate = min(1-lateServedFactor*(1-maxOfRank), refused/c.late)
 	}
-	if late {
+	if late || c.inTime <= 0 {
 		return ofLate
 	}
-	return min(probability, max(0, refused-ofLate*lateRequests)/max(c.inTime.total(), 1e-9))
+	return max(0, refused-ofLate*c.late) / c.inTime
 }
--- a/gateway/shed/reason.go
+++ b/gateway/shed/reason.go
@@ -14,22 +14,17 @@
 	ReasonLate
 	// ReasonHopeless means that the answer can't come within the caller's time.
 	ReasonHopeless
-	// ReasonWork means that the request needs more work for its value than others of its rank.
-	ReasonWork
 )
 
 // String returns the name of the reason.
 func (r Reason) String() string {
-	return [...]string{"none", "excess", "share", "late", "hopeless", "work"}[r]
+	return [...]string{"none", "excess", "share", "late", "hopeless"}[r]
 }
 
 // reasonOf returns why a request of a rank is refused. byRank reports whether an average request of
-// the rank would be refused too, byDeadline whether an average one of those with the same chance to be
-// in time would be.
-func reasonOf(of rank, byRank, byDeadline bool) Reason {
+// the rank would be refused too.
+func reasonOf(of rank, byRank bool) Reason {
 	switch {
-	case !byDeadline:
-		return ReasonWork
 	case !byRank:
 		return ReasonLate
 	case of.level() > 0:
--- a/gateway/shed/request.go
+++ b/gateway/shed/request.go
@@ -11,11 +11,6 @@
 	// Cost is the estimated work of the request. Its unit must be the same for all
 	// requests of a service.
 	Cost float64
-	// Work is the work at the picked endpoint: the prompt tokens to prefill there and the weighted
-	// output tokens. Size is the same for an endpoint that holds all shared parts. Both are 0 if the
-	// request has no prompt.
-	Work float64
-	Size float64
 	// Delay is the expected time until the picked endpoint begins the answer.
 	Delay time.Duration
 	// Draw is a uniformly distributed number that decides among requests of equal rank.
--- a/gateway/shed/shedder.go
+++ b/gateway/shed/shedder.go
@@ -48,21 +48,19 @@
 	totalWork       float64
 	// timeouts are the longest recent times that callers of each route had left.
 	timeouts timeouts
-	// routes are the usual sizes and work of the requests of each route.
-	routes routes
 	// overload is the time in which requests were refused last.
 	overload overload
 	// answerTime is the smoothed time that endpoints take to send an answer after its
 	// first token.
 	answerTime time.Duration
 	// objective is the smoothed objective of the requests. One value is used for all in the
-	// measure of the excess, so that only the rank and the class decide which are refused first.
+	// measure of the excess, so that only the rank decides which requests are refused first.
 	objective time.Duration
 }
 
 // New returns a Shedder that has seen no request.
 func New() *Shedder {
-	return &Shedder{workByWorkspace: map[string]float64{}, timeouts: timeouts{}, routes: routes{}}
+	return &Shedder{workByWorkspace: map[string]float64{}, timeouts: timeouts{}}
 }
 
 // Decide counts an arriving request and decides whether it is refused.
@@ -71,12 +69,11 @@
 	defer s.mu.Unlock()
 	s.decay(now)
 	s.objective = smooth(s.objective, r.Objective)
-	waited := s.timeouts.waited(r)
-	late := isLate(r, waited)
-	of, class := newRank(s.recordWork(r), r), s.routes.classify(r)
+	late := isLate(r, s.timeouts.waited(r))
+	of := newRank(s.recordWork(r), r)
 	counts := &s.arrivedByRank[of]
 	s.arrived++
-	counts.of(late)[class]++
+	counts.add(late)
 	wait := s.expectedWait(r)
 	startWait, fullWait := waitBounds(r.Occupancy)
 	decision := Decision{Rank: int(of), OverShare: of.level() > 0, Excess: max(s.rejected/s.arrived, waitExcess(wait, startWait, fullWait))}
@@ -85,19 +82,18 @@
 		return decision
 	}
 	ofRank := s.refusalProbability(of, decision.Excess)
-	probability := counts.refusalProbability(late, ofRank, decision.Excess)
-	ofClass := counts.of(late).refusalProbability(class, probability)
+	probability := counts.refusalProbability(late, ofRank, of.maxRefusedShare(decision.Excess))
 	draw := float64(r.Draw) / math.MaxUint64
 	switch {
 	case s.isHopeless(r):
-		decision.Reason, ofClass = ReasonHopeless, 1
-	case draw >= ofClass:
-		return decision
+		decision.Reason, probability = ReasonHopeless, 1
+	case draw < probability:
+		decision.Reason = reasonOf(of, draw < ofRank)
 	default:
-		decision.Reason = reasonOf(of, draw < ofRank, draw < probability)
+		return decision
 	}
 	decision.Refused = true
-	decision.RetryAfter = s.overload.retryAfter(r, ofClass, now)
+	decision.RetryAfter = s.overload.retryAfter(r, probability, now)
 	s.rejected += s.refusalWeight(now)
 	return decision
 }
--- a/gateway/shedding.go
+++ b/gateway/shedding.go
@@ -51,6 +51,7 @@
 		Cost:      estimateCost(&c.request.Prompt),
 		Draw:      xxhash.Sum64String(c.request.ID),
 		Backlog:   time.Duration(pick.BacklogMS * float64(time.Millisecond)),
+		Delay:     time.Duration(pick.DelayMS * float64(time.Millisecond)),
 		Objective: c.grant.route.LatencyObjective,
 		Occupancy: pick.UsableMean / float64(max(1, pick.Endpoint.Slots)),
 	}
@@ -64,12 +65,13 @@
 	if !decision.Refused {
 		return nil
 	}
+	c.gateway.metrics.CountShed(decision.Reason.String())
 	reason := code.Overloaded
 	if decision.OverShare {
 		reason = code.WorkspaceShare
 	}
-	return code.New(reason, "%.0f%% of the requests for %s exceed its capacity, rank %d has precedence; %.0f%% of the slots are occupied",
-		100*decision.Excess, c.grant.service, decision.Rank, 100*request.Occupancy).After(decision.RetryAfter)
+	return code.New(reason, "%.0f%% of the requests for %s exceed its capacity; refused by %s, rank %d; %.0f%% of the slots are occupied",
+		100*decision.Excess, c.grant.service, decision.Reason, decision.Rank, 100*request.Occupancy).After(decision.RetryAfter)
 }
 
 // estimateCost estimates the work of a request for an endpoint, in thousands of prompt tokens.
--- a/internal/emulator/gateway_policy.go
+++ b/internal/emulator/gateway_policy.go
@@ -33,8 +33,6 @@
 	NoShedding bool
 	// ReturnAtOnce lets refused callers ignore the time given in a refusal and return soon.
 	ReturnAtOnce bool
-	// PriorityOnly hides the work and the expected delay of requests from the Shedders.
-	PriorityOnly bool
 
 	sim *Simulation
 	// shedders and tables have one element for each VM.
@@ -153,15 +151,11 @@
 		Cost:      1 + float64(r.UniqueTokens)/1000,
 		Draw:      p.sim.random.Uint64(),
 		Backlog:   time.Duration(pick.BacklogMS * float64(time.Millisecond)),
+		Delay:     time.Duration(pick.DelayMS * float64(time.Millisecond)),
 		Objective: r.Kind.Objective,
 		TimeLeft:  p.sim.timeLeft(r),
 		Occupancy: pick.Mean / float64(pick.Endpoint.Slots),
 	}
-	if !p.PriorityOnly {
-		request.Delay = time.Duration(pick.DelayMS * float64(time.Millisecond))
-		request.Size = float64(r.size())
-		request.Work = float64(pick.PrefillTokens + r.size() - r.UniqueTokens)
-	}
 	return p.shedders[r.VM].Decide(request, p.sim.now)
 }
 
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -80,6 +80,7 @@
 	return r.worth(false)
 }
 
+// worth returns the value of the requests served in time, and of late ones if late is true.
 func (r *Result) worth(late bool) float64 {
 	means := r.meanSizes()
 	total, got := 0.0, 0.0
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -20,6 +20,7 @@
 	callers     metric.Int64Counter
 	left        metric.Int64Counter
 	unconfirmed metric.Int64Counter
+	shed        metric.Int64Counter
 	promptRead  metric.Int64Counter
 	promptHeld  metric.Int64Counter
 	events      metric.Int64Counter
@@ -62,6 +63,7 @@
 		{&g.callers, "cardamompoint.gateway_caller_connections", "Closed connections of callers by reason."},
 		{&g.left, "cardamompoint.gateway_callers_left", "Requests whose callers left before the answer, by whether they had been sent to an endpoint."},
 		{&g.unconfirmed, "cardamompoint.gateway_unconfirmed_refusals", "Answers of endpoints that look like a refusal and may come after a run."},
+		{&g.shed, "cardamompoint.gateway_shed", "Requests refused because of excess load, by the criterion that decided."},
 		{&g.promptRead, "cardamompoint.gateway_prompt_read", "Shared prompt tokens that an endpoint had to prefill."},
 		{&g.promptHeld, "cardamompoint.gateway_prompt_held", "Shared prompt tokens expected in the endpoint's cache."},
 		{&g.events, "cardamompoint.gateway_events", "Pieces of streams forwarded to callers."},
@@ -138,6 +140,12 @@
 	g.unconfirmed.Add(context.Background(), 1)
 }
 
+// CountShed counts a request that was refused because of excess load. reason is the name of the criterion
+// that decided: "excess", "share", "late" or "hopeless".
+func (g *Gateway) CountShed(reason string) {
+	g.shed.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
+}
+
 // AddPromptTokens adds the shared tokens of a prompt: those expected in the endpoint's cache
 // and those that the endpoint had to compute.
 func (g *Gateway) AddPromptTokens(cached, computed int) {
--- a/metrics/gateway_test.go
+++ b/metrics/gateway_test.go
@@ -22,6 +22,7 @@
 	g.CountCallerConnection("idle", false)
 	g.AddPromptTokens(1, 2)
 	g.CountCallerLeft(false)
+	g.CountShed("late")
 	g.ObserveUnread(time.Microsecond)
 	g.ObserveChoice(time.Microsecond)
 	g.ObserveConnect(time.Millisecond)
@@ -46,7 +47,7 @@
 			t.Errorf("docs/METRICS.md lacks cardamompoint.gateway_%s", name)
 		}
 	}
-	if found != 15 {
-		t.Errorf("%d instruments are exported, want 15", found)
+	if found != 16 {
+		t.Errorf("%d instruments are exported, want 16", found)
 	}
 }
