--- /dev/null
+++ b/gateway/shed/rank_counts.go
@@ -0,0 +1,45 @@
+package shed
+
+// lateServedFactor is the share of the late requests of a rank that is served at least, relative to the least
+// share of the rank. The larger it is, the less of the value is served in time in an overload; the smaller, the
+// fewer callers that return are served.
+const lateServedFactor = 1.0 / 3
+
+// rankCounts counts the requests of one rank: those that can meet their objective and the late ones.
+type rankCounts struct {
+	inTime, late float64
+}
+
+// add counts a request.
+func (c *rankCounts) add(late bool) {
+	if late {
+		c.late++
+		return
+	}
+	c.inTime++
+}
+
+// total returns the number of requests of the rank.
+func (c *rankCounts) total() float64 {
+	return c.inTime + c.late
+}
+
+// decay multiplies all counts.
+func (c *rankCounts) decay(factor float64) {
+	c.inTime *= factor
+	c.late *= factor
+}
+
+// refusalProbability returns the probability with which late requests of the rank, or the others, are
+// refused, if those of the whole rank are refused with the given one, at most maxOfRank. The late ones are
+// refused first.
+func (c *rankCounts) refusalProbability(late bool, ofRank, maxOfRank float64) float64 {
+	refused, ofLate := ofRank*c.total(), 0.0
+	if c.late > 0 {
+		ofLate = min(1-lateServedFactor*(1-maxOfRank), refused/c.late)
+	}
+	if late || c.inTime <= 0 {
+		return ofLate
+	}
+	return max(0, refused-ofLate*c.late) / c.inTime
+}
--- a/gateway/shed/request.go
+++ b/gateway/shed/request.go
@@ -11,6 +11,8 @@
 	// Cost is the estimated work of the request. Its unit must be the same for all
 	// requests of a service.
 	Cost float64
+	// Delay is the expected time until the picked endpoint begins the answer.
+	Delay time.Duration
 	// Draw is a uniformly distributed number that decides among requests of equal rank.
 	Draw uint64
 	// Backlog is the mean time that endpoints need to prefill the prompts they have, and
--- a/internal/emulator/gateway_policy.go
+++ b/internal/emulator/gateway_policy.go
@@ -151,6 +151,7 @@
 		Cost:      1 + float64(r.UniqueTokens)/1000,
 		Draw:      p.sim.random.Uint64(),
 		Backlog:   time.Duration(pick.BacklogMS * float64(time.Millisecond)),
+		Delay:     time.Duration(pick.DelayMS * float64(time.Millisecond)),
 		Objective: r.Kind.Objective,
 		TimeLeft:  p.sim.timeLeft(r),
 		Occupancy: pick.Mean / float64(pick.Endpoint.Slots),
