Let the soak evacuate failure domains

In half of the calm times the operator evacuates a failure domain of workers and takes that back. The soak checks that no request of an undisturbed VM reaches these workers later than the bound after the acknowledgement. The stand-in workers of the soak get three failure domains, none of which is that of the VMs, so that costs between them stay equal.

--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -7,5 +7,6 @@
 // store and workers (worker_slot_test.go), and the proxies in front of them (proxy_test.go).
 // One history records all that callers and workers saw and which faults affected which VM
 // when (undisturbed_test.go). The checks are pure functions of the history (history_test.go,
-// worker_signals_test.go, time_test.go); history_red_test.go shows that each of them can fail.
+// worker_signals_test.go, time_test.go, evacuation_test.go); history_red_test.go shows that each
+// of them can fail.
 package soak
--- a/internal/soak/history_red_test.go
+++ b/internal/soak/history_red_test.go
@@ -41,8 +41,9 @@
 		h.record.readiness = append(h.record.readiness, readinessSample{0, call.sent, false})
 	}
 	h.record.drainPeriods = []drainPeriod{{worker: "w1", from: start.Add(-time.Minute)}}
+	h.evacuations = []evacuationPeriod{{workers: map[string]bool{"w1": true}, from: start.Add(-maxEvacuationDelay), to: start.Add(time.Minute)}}
 	h.record.rewritten = map[string]time.Time{"/version-1/": start}
-	for _, name := range []string{"config in time", "rewritten in time", "drain in time", "readiness in time", "served in time"} {
+	for _, name := range []string{"config in time", "rewritten in time", "drain in time", "evacuated in time", "readiness in time", "served in time"} {
 		if violations := historyChecks[name](h); len(violations) > 0 {
 			t.Errorf("%s: %q", name, violations)
 		}
@@ -133,6 +134,10 @@
 			h.seen[0].Header = http.Header{"Cardamompoint-Expect-Instance": {"w1"}}
 			h.record.drainPeriods = []drainPeriod{{worker: "w1", from: h.calls[0].sent.Add(-maxConfigDelay - drainTime - time.Millisecond)}}
 		}},
+		"a request to an evacuated worker": {"evacuated in time", func(h *callHistory) {
+			from := h.calls[0].sent.Add(-maxEvacuationDelay - time.Millisecond)
+			h.evacuations = []evacuationPeriod{{workers: map[string]bool{"w1": true}, from: from, to: h.calls[1].sent}}
+		}},
 		"an unready VM": {"readiness in time", func(h *callHistory) {
 			for i := range 8 {
 				at := h.calls[0].sent.Add(time.Duration(i) * readinessPeriod)
--- a/internal/soak/history_test.go
+++ b/internal/soak/history_test.go
@@ -70,7 +70,9 @@
 	removed map[string]time.Time
 	// limits are the periods in which workers named a limit.
 	limits []limitPeriod
-	record *faultRecord
+	// evacuations are the periods in which failure domains were evacuated.
+	evacuations []evacuationPeriod
+	record      *faultRecord
 }
 
 // historyChecks are all checks by name.
@@ -89,6 +91,7 @@
 	"config in time":    checkConfigInTime,
 	"rewritten in time": checkRewrittenInTime,
 	"drain in time":     checkDrainInTime,
+	"evacuated in time": checkEvacuatedInTime,
 	"readiness in time": checkReadyInTime,
 	"served in time":    checkServedInTime,
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -106,12 +106,14 @@
 	slot := s.randomSlot()
 	s.logFault("worker at %s: drains in a calm phase", slot.public)
 	s.publishWorker(slot, "draining")
+	endEvacuation := s.evacuateSometimes(slot)
 	for end := time.Now().Add(*soakCalm); time.Now().Before(end); {
 		s.logFault("a version in a calm phase")
 		s.silenceWorkerSometimes()
 		s.publishVersion()
 		time.Sleep(time.Duration(200+s.random.IntN(800)) * time.Millisecond)
 	}
+	endEvacuation()
 	s.publishWorker(slot, "ready")
 }
 
--- a/internal/soak/worker_slot_test.go
+++ b/internal/soak/worker_slot_test.go
@@ -11,8 +11,10 @@
 // workerSlot is one address at which workers serve, one after the other.
 type workerSlot struct {
 	service string
-	public  string
-	worker  atomic.Pointer[hosted.Worker]
+	// domain is the failure domain of the workers.
+	domain string
+	public string
+	worker atomic.Pointer[hosted.Worker]
 	// announcesLeaving reports whether the current worker announces that it leaves.
 	announcesLeaving bool
 	// all are the workers that served there, in order.
@@ -30,7 +32,8 @@
 	if service == "plain" {
 		host += 120
 	}
-	slot := &workerSlot{service: service, public: fmt.Sprintf("%s.251.%d:7200", s.net, host)}
+	slot := &workerSlot{service: service, domain: fmt.Sprint("domain-of-workers-", number%workerDomains), public: fmt.Sprintf("%s.251.%d:7200", s.net, host)}
+	s.store.SetDomain(slot.public, slot.domain)
 	s.slots = append(s.slots, slot)
 	s.startWorker(slot)
 	direct := fmt.Sprintf("%s.252.%d:7200", s.net, host)
--- a/internal/standin/hosted/configuration.go
+++ b/internal/standin/hosted/configuration.go
@@ -54,8 +54,12 @@
 const (
 	configurationKey = "op/config"
 	endpointPrefix   = "servers/"
+	evacuationPrefix = "op/evacuate/"
 )
 
+// defaultDomain is the failure domain of the VMs, and of endpoints whose address has no other one.
+const defaultDomain = "domain-a"
+
 // Names in the default configuration.
 const (
 	Host      = "desk.example"
@@ -110,16 +114,37 @@
 		registered = s.newRegistration()
 	}
 	registered.service, registered.address, registered.state, registered.left = service, address, state, false
+	registered.domain = defaultDomain
+	if domain, ok := s.domains[address]; ok {
+		registered.domain = domain
+	}
 	return s.register(id, registered)
 }
 
+// SetDomain sets the failure domain of the endpoints at an address, for entries that are written from now on.
+func (s *Store) SetDomain(address, domain string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.domains[address] = domain
+}
+
+// Evacuate writes the operator's order to evacuate a failure domain, and returns its revision.
+func (s *Store) Evacuate(domain string) int64 {
+	return s.Put(evacuationPrefix+domain, []byte("{}"))
+}
+
+// EndEvacuation takes the order back.
+func (s *Store) EndEvacuation(domain string) {
+	s.Delete(evacuationPrefix + domain)
+}
+
 // RestartEndpoint writes the entry of an endpoint that has started again under its ID, and
 // returns its revision.
 func (s *Store) RestartEndpoint(id string) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before, restarted := s.registrations[id], s.newRegistration()
-	restarted.service, restarted.address, restarted.state = before.service, before.address, "ready"
+	restarted.service, restarted.address, restarted.domain, restarted.state = before.service, before.address, before.domain, "ready"
 	return s.register(id, restarted)
 }
 
@@ -198,6 +223,7 @@
 retrySlack = 54
 reuseWindowS = 10
 capFactor = 2
+evacuateMs = 2500
 [platform]
 address = %[7]q
 form = "read"
--- a/internal/standin/hosted/registration.go
+++ b/internal/standin/hosted/registration.go
@@ -6,6 +6,7 @@
 type registration struct {
 	service string
 	address string
+	domain  string
 	state   string
 	// bornMS is the Unix time in milliseconds at which the endpoint started.
 	bornMS int64
@@ -17,6 +18,6 @@
 
 // entry returns the value that the endpoint writes under its key.
 func (r registration) entry() []byte {
-	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"domain-a","version":"v1","slots":8,"state":%q,"coldLeftMs":0,"born":%d,"sequence":%d}`,
-		r.service, r.address, r.state, r.bornMS, r.sequence)
+	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":8,"state":%q,"coldLeftMs":0,"born":%d,"sequence":%d}`,
+		r.service, r.address, r.domain, r.state, r.bornMS, r.sequence)
 }
--- a/internal/standin/hosted/store.go
+++ b/internal/standin/hosted/store.go
@@ -33,6 +33,8 @@
 	// the endpoints by ID. Restore leaves both: they belong to the writers.
 	configuration []byte
 	registrations map[string]registration
+	// domains are the failure domains of endpoints by address, where they are not defaultDomain.
+	domains map[string]string
 	// lastBirthMS is the time of the last start of an endpoint.
 	lastBirthMS int64
 }
@@ -49,7 +51,7 @@
 
 // NewStore returns an empty Store.
 func NewStore() *Store {
-	return &Store{changed: make(chan struct{}), items: map[string]item{}, revision: 1, era: firstEra, pageSize: pageSize, registrations: map[string]registration{}}
+	return &Store{changed: make(chan struct{}), items: map[string]item{}, revision: 1, era: firstEra, pageSize: pageSize, registrations: map[string]registration{}, domains: map[string]string{}}
 }
 
 // Put writes an item and returns its revision.
