Draw the turns at cold endpoints again when the fleet is known

A VM that knew no other one when an endpoint turned cold drew its first turn for 300 VMs, up to 36 s later, and kept it after it had heard of the others: it hardly used cold endpoints.

TestTurnsFollowTheSizeOfTheFleet fails without the change.

--- a/gateway/warmup/fleet_test.go
+++ b/gateway/warmup/fleet_test.go
@@ -250,6 +250,20 @@
 	}
 }
 
+// TestTurnsFollowTheSizeOfTheFleet guards against a VM that hardly uses cold endpoints since it knew no other VM when
+// they turned cold.
+func TestTurnsFollowTheSizeOfTheFleet(t *testing.T) {
+	f := newFleet(7, 1)
+	f.known[0] = 300
+	f.start(0)
+	f.now = f.now.Add(countTTL)
+	f.known[0] = 7
+	f.run(coldTime-countTTL, func(vm int) bool { return vm == 0 })
+	if got := len(f.sent); got < 2 {
+		t.Errorf("the VM sent %d requests in %v", got, coldTime)
+	}
+}
+
 // TestRefusedCallersReturnAtTheRateOfTurns guards against refusals of which all callers return at the same moment, and
 // against refusals while an endpoint is warm.
 func TestRefusedCallersReturnAtTheRateOfTurns(t *testing.T) {
--- a/gateway/warmup/limiter.go
+++ b/gateway/warmup/limiter.go
@@ -127,7 +127,7 @@
 func (l *Limiter) setCold(entry *traffic.Endpoint, known *endpoint, left time.Duration, now clock.Boot) {
 	if now >= known.until {
 		period := l.period(known, now)
-		known.turns = turns{next: now.Add(time.Duration(l.random.Float64() * float64(period)))}
+		known.turns = l.drawTurns(period, now)
 		klog.InfoS("warmup: endpoint is cold", "endpoint", entry.ID, "left_ms", left.Milliseconds(), "per_second", known.perSecond, "turn_ms", period.Milliseconds())
 	}
 	known.until = max(known.until, now.Add(left))
@@ -159,7 +159,22 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.cold(entry, now)
-	return known == nil || known.turns.wait(l.period(known, now), now) == 0
+	return known == nil || l.wait(known, now) == 0
+}
+
+// wait returns how long it takes until this VM has a turn at a cold endpoint. A turn that was drawn for a larger fleet is
+// drawn again: a VM that has just started assumes many others. The caller holds l.mu.
+func (l *Limiter) wait(known *endpoint, now clock.Boot) time.Duration {
+	period := l.period(known, now)
+	if known.turns.next.Sub(now) > period {
+		known.turns = l.drawTurns(period, now)
+	}
+	return known.turns.wait(period, now)
+}
+
+// drawTurns returns turns that begin at random, so that those of many VMs are spread. The caller holds l.mu.
+func (l *Limiter) drawTurns(period time.Duration, now clock.Boot) turns {
+	return turns{next: now.Add(time.Duration(l.random.Float64() * float64(period)))}
 }
 
 // Take uses a turn for a request to an endpoint. It returns false if there is none: another request may have used it since
@@ -174,11 +189,10 @@
 	if known == nil {
 		return true
 	}
-	period := l.period(known, now)
-	if known.turns.wait(period, now) > 0 {
+	if l.wait(known, now) > 0 {
 		return false
 	}
-	known.turns.use(period, now)
+	known.turns.use(l.period(known, now), now)
 	return true
 }
 
@@ -214,7 +228,7 @@
 		}
 		period := l.period(known, now)
 		perSecond += 1 / period.Seconds()
-		first = min(first, known.turns.wait(period, now), known.until.Sub(now))
+		first = min(first, l.wait(known, now), known.until.Sub(now))
 	}
 	next := max(l.promised[service].Add(time.Duration(float64(time.Second)/perSecond)), now.Add(first))
 	next = min(next, now.Add(maxRetryAfter))
--- a/gateway/warmup/status.go
+++ b/gateway/warmup/status.go
@@ -28,7 +28,7 @@
 			continue
 		}
 		period := l.period(known, now)
-		all = append(all, Status{entry.ID, known.until.Sub(now).Milliseconds(), known.perSecond, period.Milliseconds(), known.turns.wait(period, now).Milliseconds()})
+		all = append(all, Status{entry.ID, known.until.Sub(now).Milliseconds(), known.perSecond, period.Milliseconds(), l.wait(known, now).Milliseconds()})
 	}
 	return all
 }
