--- a/internal/soak/history_test.go
+++ b/internal/soak/history_test.go
@@ -72,7 +72,7 @@
 	limits []limitPeriod
 	// evacuations are the periods in which failure domains were evacuated.
 	evacuations []evacuationPeriod
-	record *faultRecord
+	record      *faultRecord
 }
 
 // historyChecks are all checks by name.
--- a/internal/soak/worker_slot_test.go
+++ b/internal/soak/worker_slot_test.go
@@ -14,7 +14,7 @@
 	// domain is the failure domain of the workers.
 	domain string
 	public string
-	worker  atomic.Pointer[hosted.Worker]
+	worker atomic.Pointer[hosted.Worker]
 	// announcesLeaving reports whether the current worker announces that it leaves.
 	announcesLeaving bool
 	// all are the workers that served there, in order.
