Name restrictions, decay, cold endpoints and test counters plainly

Restriction.Any could be read as "any region is allowed". "home" in tests had another meaning than in the glossary. Only names, their comments and the layout of one condition change.

--- a/gateway/choice/contention_test.go
+++ b/gateway/choice/contention_test.go
@@ -13,14 +13,14 @@
 )
 
 // picksChecksum plays a seeded sequence of choices with failures and slow endpoints, and returns a checksum
-// of the picks and their delays. state is called before each choice.
-func picksChecksum(state func(table *Table, endpoint *traffic.Endpoint, now clock.Boot)) string {
+// of the picks and their delays. beforePick is called before each choice.
+func picksChecksum(beforePick func(table *Table, endpoint *traffic.Endpoint, now clock.Boot)) string {
 	endpoints := testEndpoints(30)
 	table, now, sum := newTestTable(endpoints), clock.Boot(time.Hour), fnv.New64a()
 	for request := range uint64(1500) {
 		now = now.Add(7 * time.Millisecond)
 		prompt := []*traffic.Prompt{{}, shortPrompt(request%90, request), chatPrompt(request%50, request)}[request%3]
-		state(table, endpoints[request%30], now)
+		beforePick(table, endpoints[request%30], now)
 		pick, _ := table.Pick(endpoints, Request{Prompt: prompt, Objective: testObjective, Once: request%5 == 0}, excludeNone, now)
 		fmt.Fprint(sum, pick.Endpoint.ID, pick.Reason, pick.DelayMS, pick.PrefillTokens)
 		slow := time.Duration(1)
@@ -68,41 +68,44 @@
 // contendedFleet plays VMs that send requests to engines, 15 in 100 of whose hosts are contended at any moment.
 type contendedFleet struct {
 	*herd
-	// until are the ends of the periods of contention, homes the engines that served each long chat last.
-	until map[string]clock.Boot
-	homes map[uint64]string
-	// contended are the short requests that reached contended hosts, even is how many would have in even shares. long
-	// are the long chats whose engine was contended, moved those of them that lost parts they had there.
-	contended, long, moved int
-	even                   float64
+	// contendedUntil are the ends of the periods of contention, lastEngines the engines that served each long chat last.
+	contendedUntil map[string]clock.Boot
+	lastEngines    map[uint64]string
+	// contended is the number of short requests that reached contended hosts, expected the number with requests spread
+	// evenly over all hosts.
+	contended int
+	expected  float64
+	// long is the number of long chats whose last engine was contended, moved the number of those that were sent to an
+	// engine without all of their parts.
+	long, moved int
 }
 
-// play sends requests for a time; those of the first half don't count.
+// play sends requests for a duration; those of the first half don't count.
 func (f *contendedFleet) play(duration time.Duration) {
 	f.contention = func(id string) float64 {
-		if f.now < f.until[id] {
+		if f.now < f.contendedUntil[id] {
 			return contendedFactor
 		}
 		return 1
 	}
-	begins := contendedShare / (1 - contendedShare) * float64(contendedPause) / float64(contendedPeriod)
+	startProbability := contendedShare / (1 - contendedShare) * float64(contendedPause) / float64(contendedPeriod)
 	for ; f.now.Sub(f.began) < duration; f.now = f.now.Add(contendedPause) {
 		hosts := 0
 		for _, endpoint := range f.endpoints {
-			if f.now >= f.until[endpoint.ID] && f.random.Float64() < begins {
-				f.until[endpoint.ID] = f.now.Add(contendedPeriod/2 + time.Duration(f.random.Int64N(int64(contendedPeriod))))
+			if f.now >= f.contendedUntil[endpoint.ID] && f.random.Float64() < startProbability {
+				f.contendedUntil[endpoint.ID] = f.now.Add(contendedPeriod/2 + time.Duration(f.random.Int64N(int64(contendedPeriod))))
 			}
-			if f.now < f.until[endpoint.ID] {
+			if f.now < f.contendedUntil[endpoint.ID] {
 				hosts++
 			}
 		}
-		f.events()
+		f.runDueEvents()
 		f.request(float64(hosts)/float64(len(f.endpoints)), f.now.Sub(f.began) > duration/2)
 	}
 }
 
 // request sends a request from a random VM: one in four is of a long chat, the others are short. share is the share of
-// the hosts that are contended.
+// the hosts that are contended, counts reports whether the result is counted.
 func (f *contendedFleet) request(share float64, counts bool) {
 	vm, chat, isLong := f.random.IntN(len(f.tables)), f.random.Uint64N(150), f.random.IntN(4) == 0
 	prompt := shortPrompt(f.random.Uint64N(400), f.random.Uint64())
@@ -110,16 +113,16 @@
 		prompt = chatPrompt(chat, f.random.Uint64())
 	}
 	pick, _ := f.tables[vm].Pick(f.endpoints, Request{Prompt: prompt, Objective: 400 * time.Millisecond}, excludeNone, f.now)
-	home := f.homes[chat]
+	last := f.lastEngines[chat]
 	switch {
 	case isLong:
-		f.homes[chat] = pick.Endpoint.ID
-		if counts && home != "" && f.contention(home) > 1 {
+		f.lastEngines[chat] = pick.Endpoint.ID
+		if counts && last != "" && f.contention(last) > 1 {
 			f.long++
 			f.moved += min(1, pick.MissingTokens)
 		}
 	case counts:
-		f.even += share
+		f.expected += share
 		if f.contention(pick.Endpoint.ID) > 1 {
 			f.contended++
 		}
@@ -133,10 +136,10 @@
 // contended hosts that get more.
 func TestFleetAvoidsContendedHosts(t *testing.T) {
 	for vms, part := range map[int]float64{7: 0.75, 60: 0.9, 112: 0.97, 300: 1.05} {
-		f := &contendedFleet{herd: newHerd(vms, 140, 0, trouble{}, 1), until: map[string]clock.Boot{}, homes: map[uint64]string{}}
+		f := &contendedFleet{herd: newHerd(vms, 140, 0, trouble{}, 1), contendedUntil: map[string]clock.Boot{}, lastEngines: map[uint64]string{}}
 		f.play(10 * time.Second)
-		t.Logf("%d VMs: %d short requests reached contended hosts, %.2f of an even share; %d of %d long chats moved; %d of %d requests above the bound", vms, f.contended, float64(f.contended)/f.even, f.moved, f.long, f.over, f.sent)
-		if float64(f.contended) > part*f.even || f.moved*10 > f.long || f.over*100 > 3*f.sent {
+		t.Logf("%d VMs: %d short requests reached contended hosts, %.2f of an even share; %d of %d long chats moved; %d of %d requests above the bound", vms, f.contended, float64(f.contended)/f.expected, f.moved, f.long, f.over, f.sent)
+		if float64(f.contended) > part*f.expected || f.moved*10 > f.long || f.over*100 > 3*f.sent {
 			t.Errorf("%d VMs: want at most %.2f of an even share, 10 in 100 long chats and 3 in 100 requests", vms, part)
 		}
 	}
--- a/gateway/choice/herd_test.go
+++ b/gateway/choice/herd_test.go
@@ -140,14 +140,14 @@
 func (h *herd) run(perSecond int) {
 	pause := time.Second / time.Duration(perSecond)
 	for h.now.Sub(h.began) < h.lasts+calmFor {
-		h.events()
+		h.runDueEvents()
 		h.send()
 		h.now = h.now.Add(pause)
 	}
 }
 
-// events lets all happen that is due.
-func (h *herd) events() {
+// runDueEvents runs the events whose time has come.
+func (h *herd) runDueEvents() {
 	for last := len(h.due) - 1; h.due[last].at <= h.now; last = len(h.due) - 1 {
 		next := h.due[last]
 		h.due = h.due[:last]
--- a/gateway/contention/statement.go
+++ b/gateway/contention/statement.go
@@ -17,15 +17,15 @@
 	// maxFactor bounds what one statement counts, as single answers are bounded in package estimate: with the 100
 	// that an endpoint can state, a single faulty value would count for more than a second.
 	maxFactor = 10.0
-	// remainderStep is the resolution of the age.
-	remainderStep = 5 * time.Millisecond
+	// decayStep is the resolution of the age in decayByAge.
+	decayStep = 5 * time.Millisecond
 )
 
-// remainders are the parts of an excess that are left by age, in steps. Without them a choice among 1,000 endpoints
-// computes an exponential for each contended one, 30 ns each.
-var remainders = func() (all [lifetime/remainderStep + 1]float64) {
+// decayByAge holds the factor by which an excess has decayed at each age, in steps of decayStep. Without it a choice among
+// 1,000 endpoints computes an exponential for each contended one, 30 ns each.
+var decayByAge = func() (all [lifetime/decayStep + 1]float64) {
 	for step := range all {
-		all[step] = estimate.Decay(time.Duration(step)*remainderStep, HalfLife)
+		all[step] = estimate.Decay(time.Duration(step)*decayStep, HalfLife)
 	}
 	return all
 }()
@@ -50,14 +50,14 @@
 	if s.factor <= common {
 		return 1
 	}
-	return s.faded(common, now)
+	return s.decayed(common, now)
 }
 
-// faded returns the Factor of a statement above common.
-func (s Statement) faded(common float64, now clock.Boot) float64 {
+// decayed returns the Factor of a statement above common.
+func (s Statement) decayed(common float64, now clock.Boot) float64 {
 	age := now.Sub(s.at)
 	if age > lifetime {
 		return 1
 	}
-	return 1 + (s.factor/common-1)*remainders[max(0, age)/remainderStep]
+	return 1 + (s.factor/common-1)*decayByAge[max(0, age)/decayStep]
 }
--- a/gateway/contention/tracker.go
+++ b/gateway/contention/tracker.go
@@ -35,12 +35,12 @@
 // Record records what an endpoint stated with an answer to this VM: the multiple of the usual time.
 func (t *Tracker) Record(endpoint *traffic.Endpoint, stated float64, now clock.Boot) {
 	statement := newStatement(stated, now)
-	heard, ok := t.services[endpoint.Service]
+	own, ok := t.services[endpoint.Service]
 	if !ok {
-		heard = &recent{common: 1}
-		t.services[endpoint.Service] = heard
+		own = &recent{common: 1}
+		t.services[endpoint.Service] = own
 	}
-	heard.add(statement.factor)
+	own.add(statement.factor)
 	t.apply(endpoint.Instance(), endpoint.Service, statement, now)
 }
 
@@ -87,8 +87,8 @@
 // Common returns what hosts of a service usually state, at least 1: a contention that they share comes from the load
 // of the service and counts against none.
 func (t *Tracker) Common(service string) float64 {
-	if heard, ok := t.services[service]; ok {
-		return heard.common
+	if own, ok := t.services[service]; ok {
+		return own.common
 	}
 	return 1
 }
--- a/gateway/contention/tracker_test.go
+++ b/gateway/contention/tracker_test.go
@@ -32,8 +32,8 @@
 	return len(report.Contentions)
 }
 
-// TestStatementsFade guards against old statements that count like new ones, and against values that are out of range.
-func TestStatementsFade(t *testing.T) {
+// TestStatementsDecay guards against old statements that count like new ones, and against values that are out of range.
+func TestStatementsDecay(t *testing.T) {
 	for _, c := range []struct{ stated, common, after, want float64 }{
 		{2.5, 1, 0, 2.5}, {2.5, 1, 300, 1.75}, {2.5, 1, 600, 1.375}, {2.5, 1, 1501, 1}, {2.5, 2.5, 0, 1}, {3, 2, 0, 1.5},
 		{1, 1, 0, 1}, {0.1, 1, 0, 1}, {-1, 1, 0, 1}, {100, 1, 0, maxFactor}, {math.Inf(1), 1, 0, maxFactor}, {2.5, 1, -50, 2.5},
@@ -47,7 +47,7 @@
 
 // TestExtraIsBoundedByThePeriod guards against a long prefill that is expected to be slow to its end.
 func TestExtraIsBoundedByThePeriod(t *testing.T) {
-	for _, c := range []struct{ factor, workMS, want float64 }{{1, 5000, 0}, {2.5, 0, 0}, {2.5, 40, 60}, {2.5, 5000, 0.6 * restMS}} {
+	for _, c := range []struct{ factor, workMS, want float64 }{{1, 5000, 0}, {2.5, 0, 0}, {2.5, 40, 60}, {2.5, 5000, 0.6 * remainingMS}} {
 		if got := ExtraMS(c.factor, c.workMS); math.Abs(got-c.want) > 1e-9 {
 			t.Errorf("%+v: %v", c, got)
 		}
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -16,7 +16,7 @@
 // if it is cold. It waits for a short time while the endpoint processes the prefill of the same shared
 // parts for another request.
 func (c *call) nextEndpoint() (choice.Pick, error) {
-	admitted := false
+	admitted := false // shed counts each call as a new request, so it is called once.
 	for {
 		pick, err := c.pickEndpoint()
 		if err != nil {
@@ -90,14 +90,16 @@
 	candidates := snapshot.Ready[c.grant.service]
 	limited, anyCold := c.gateway.limits.InForce() > 0, c.gateway.warmUps.AnyCold(now)
 	regions := c.regions()
+	inAllowedRegion := func(endpoint *traffic.Endpoint) bool { return regions.Allows(c.gateway.regionOf(endpoint)) }
 	excluded := func(id string) bool {
-		return slices.Contains(c.triedEndpoints, id) || limited && !c.gateway.limits.Allows(snapshot.Endpoints[id], now) ||
+		return slices.Contains(c.triedEndpoints, id) ||
+			limited && !c.gateway.limits.Allows(snapshot.Endpoints[id], now) ||
 			anyCold && !c.gateway.warmUps.Allows(snapshot.Endpoints[id], now) ||
-			regions.Any() && !regions.Allows(c.gateway.regionOf(snapshot.Endpoints[id]))
+			regions.Restricts() && !inAllowedRegion(snapshot.Endpoints[id])
 	}
 	request := choice.Request{Prompt: &c.request.Prompt, Objective: c.grant.route.LatencyObjective, Once: c.lastExecution()}
-	if regions.Any() {
-		request.AllowsSource = func(endpoint *traffic.Endpoint) bool { return regions.Allows(c.gateway.regionOf(endpoint)) }
+	if regions.Restricts() {
+		request.AllowsSource = inAllowedRegion
 	}
 	return c.gateway.table.Pick(candidates, request, excluded, now)
 }
@@ -119,7 +121,7 @@
 // allowedEndpoints returns those of the given endpoints that are in the regions in which the request may be executed.
 func (c *call) allowedEndpoints(endpoints []*traffic.Endpoint) []*traffic.Endpoint {
 	regions := c.regions()
-	if !regions.Any() {
+	if !regions.Restricts() {
 		return endpoints
 	}
 	var allowed []*traffic.Endpoint
--- a/gateway/region/restriction.go
+++ b/gateway/region/restriction.go
@@ -14,8 +14,8 @@
 	return Restriction{route: route, workspace: workspace}
 }
 
-// Any reports whether the restriction forbids any region.
-func (r Restriction) Any() bool {
+// Restricts reports whether any region is forbidden.
+func (r Restriction) Restricts() bool {
 	return len(r.route) > 0 || len(r.workspace) > 0
 }
 
@@ -25,7 +25,7 @@
 	return allows(r.route, name) && allows(r.workspace, name)
 }
 
-// allows reports whether a list of regions, of which an empty one allows all, allows a region.
+// allows reports whether a list of regions allows a region. An empty list allows all.
 func allows(list []string, name string) bool {
 	return len(list) == 0 || name != "" && slices.Contains(list, name)
 }
--- a/gateway/region/restriction_test.go
+++ b/gateway/region/restriction_test.go
@@ -26,7 +26,7 @@
 		if got := r.Allows(c.region); got != c.want {
 			t.Errorf("route %v, workspace %v: %q allowed is %v", c.route, c.workspace, c.region, got)
 		}
-		if got := r.Any(); got != (c.route != nil || c.workspace != nil) {
+		if got := r.Restricts(); got != (c.route != nil || c.workspace != nil) {
 			t.Errorf("route %v, workspace %v: restricted is %v", c.route, c.workspace, got)
 		}
 	}
--- a/gateway/region_test.go
+++ b/gateway/region_test.go
@@ -13,17 +13,17 @@
 func TestRequestStaysInAllowedRegions(t *testing.T) {
 	f := newTestFleet(t, 1)
 	g := f.gateways[0]
-	home := g.settings.Regions[g.tracker.Snapshot().Endpoints["plain-1"].FailureDomain]
+	ownRegion := g.settings.Regions[g.tracker.Snapshot().Endpoints["plain-1"].FailureDomain]
 	version := int64(100)
 	for _, c := range []struct {
 		route, workspace []string
 		status           int
 	}{
-		{[]string{home}, nil, http.StatusOK},
+		{[]string{ownRegion}, nil, http.StatusOK},
 		{[]string{"elsewhere"}, nil, http.StatusServiceUnavailable},
 		{nil, []string{"elsewhere"}, http.StatusServiceUnavailable},
-		{[]string{home}, []string{"elsewhere"}, http.StatusServiceUnavailable},
-		{[]string{"elsewhere", home}, []string{home}, http.StatusOK},
+		{[]string{ownRegion}, []string{"elsewhere"}, http.StatusServiceUnavailable},
+		{[]string{"elsewhere", ownRegion}, []string{ownRegion}, http.StatusOK},
 	} {
 		version++
 		f.publish(version, func(configuration *hosted.Configuration) {
--- a/gateway/warmup/limiter.go
+++ b/gateway/warmup/limiter.go
@@ -22,8 +22,8 @@
 	// coldUntil is the latest clock.Boot at which any known endpoint is cold.
 	coldUntil atomic.Int64
 
-	mu        sync.Mutex
-	endpoints map[traffic.Instance]*endpoint
+	mu      sync.Mutex
+	warmUps map[traffic.Instance]*warmUp
 	// evacuated are the failure domains that were evacuated in the last snapshot.
 	evacuated map[string]bool
 	// random spreads the turns of VMs.
@@ -35,15 +35,16 @@
 	countedAt clock.Boot
 }
 
-// endpoint is an endpoint of a service that states what cold endpoints take.
-type endpoint struct {
-	// until is when the endpoint is warm.
-	until clock.Boot
-	// entry is the position of its entry, sequence the write of that, left how long it stays cold by that.
-	entry    traffic.Position
-	sequence int64
-	left     time.Duration
-	// perSecond is what it takes from all VMs together while it is cold.
+// warmUp is what is known of an endpoint whose service publishes a warm-up rate.
+type warmUp struct {
+	// coldUntil is when the endpoint becomes warm.
+	coldUntil clock.Boot
+	// position and sequence are those of the endpoint's last entry, statedLeft is how long the endpoint stays cold
+	// according to it.
+	position   traffic.Position
+	sequence   int64
+	statedLeft time.Duration
+	// perSecond is the number of requests per second that the endpoint takes from all VMs together while it is cold.
 	perSecond float64
 	turns     turns
 }
@@ -54,7 +55,7 @@
 	return &Limiter{
 		countVMs:  countVMs,
 		bounds:    bounds,
-		endpoints: map[traffic.Instance]*endpoint{},
+		warmUps:   map[traffic.Instance]*warmUp{},
 		evacuated: map[string]bool{},
 		random:    rand.New(rand.NewPCG(seed, 0)),
 		promised:  map[string]clock.Boot{},
@@ -68,22 +69,22 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	listed := make(map[traffic.Instance]bool, len(l.endpoints))
-	for _, entry := range snapshot.Endpoints {
-		service := snapshot.Configuration.Services[entry.Service]
+	listed := make(map[traffic.Instance]bool, len(l.warmUps))
+	for _, endpoint := range snapshot.Endpoints {
+		service := snapshot.Configuration.Services[endpoint.Service]
 		if service == nil || service.WarmUpRate <= 0 {
 			continue
 		}
-		listed[entry.Instance()] = true
-		known := l.apply(entry, service.WarmUpRate, now)
-		if l.evacuated[entry.FailureDomain] && !snapshot.IsEvacuated(entry) {
+		listed[endpoint.Instance()] = true
+		known := l.apply(endpoint, service.WarmUpRate, now)
+		if l.evacuated[endpoint.FailureDomain] && !snapshot.IsEvacuated(endpoint) {
 			// Endpoints lose their caches while they get no requests. Their entries may show that later.
-			l.setCold(entry, known, service.WarmUpTime, now)
+			l.setCold(endpoint, known, service.WarmUpTime, now)
 		}
 	}
-	for instance := range l.endpoints {
+	for instance := range l.warmUps {
 		if !listed[instance] {
-			delete(l.endpoints, instance)
+			delete(l.warmUps, instance)
 		}
 	}
 	clear(l.evacuated)
@@ -92,53 +93,53 @@
 	}
 }
 
-// maxEntryDelay is how long after it was written an entry is usually read at most. An entry that states a longer rest than
-// is expected by the one before, and by more than this, shows that the endpoint has turned cold again.
+// maxEntryDelay is the longest usual time between the write and the read of an entry. An entry that states a remaining
+// time which exceeds the expected one by more than this shows that the endpoint has turned cold again.
 const maxEntryDelay = time.Second
 
-// apply applies the entry of an endpoint. The caller holds l.mu.
-func (l *Limiter) apply(entry *traffic.Endpoint, perSecond float64, now clock.Boot) *endpoint {
-	known, ok := l.endpoints[entry.Instance()]
+// apply applies the entry of an endpoint and returns what is known of it. The caller holds l.mu.
+func (l *Limiter) apply(endpoint *traffic.Endpoint, perSecond float64, now clock.Boot) *warmUp {
+	known, ok := l.warmUps[endpoint.Instance()]
 	if !ok {
-		known = &endpoint{}
-		l.endpoints[entry.Instance()] = known
+		known = &warmUp{}
+		l.warmUps[endpoint.Instance()] = known
 	}
 	known.perSecond = perSecond
 	// A store that came back from a copy lists the same write at another position.
-	sameWrite := entry.StartedMS != 0 && entry.Sequence != 0 && entry.Sequence == known.sequence && entry.WarmUpLeft == known.left
-	if known.entry == entry.Position || sameWrite {
-		known.entry = entry.Position
+	sameWrite := endpoint.StartedMS != 0 && endpoint.Sequence != 0 && endpoint.Sequence == known.sequence && endpoint.WarmUpLeft == known.statedLeft
+	if known.position == endpoint.Position || sameWrite {
+		known.position = endpoint.Position
 		return known
 	}
-	before, expected := known.left, max(0, known.until.Sub(now))
-	known.entry, known.sequence, known.left = entry.Position, entry.Sequence, entry.WarmUpLeft
+	before, expected := known.statedLeft, max(0, known.coldUntil.Sub(now))
+	known.position, known.sequence, known.statedLeft = endpoint.Position, endpoint.Sequence, endpoint.WarmUpLeft
 	switch {
-	case entry.WarmUpLeft <= 0:
-		known.until = 0
-	case entry.WarmUpLeft >= before, entry.WarmUpLeft > expected+maxEntryDelay:
-		l.setCold(entry, known, entry.WarmUpLeft, now) // It has just started, or turned cold again.
+	case endpoint.WarmUpLeft <= 0:
+		known.coldUntil = 0
+	case endpoint.WarmUpLeft >= before, endpoint.WarmUpLeft > expected+maxEntryDelay:
+		l.setCold(endpoint, known, endpoint.WarmUpLeft, now) // It has just started, or turned cold again.
 	default:
-		known.until = min(known.until, now.Add(entry.WarmUpLeft)) // An entry may be read long after it was written.
+		known.coldUntil = min(known.coldUntil, now.Add(endpoint.WarmUpLeft)) // An entry may be read long after it was written.
 	}
 	return known
 }
 
 // setCold counts an endpoint as cold for a time. The caller holds l.mu.
-func (l *Limiter) setCold(entry *traffic.Endpoint, known *endpoint, left time.Duration, now clock.Boot) {
-	if now >= known.until {
+func (l *Limiter) setCold(endpoint *traffic.Endpoint, known *warmUp, left time.Duration, now clock.Boot) {
+	if now >= known.coldUntil {
 		period := l.period(known, now)
 		known.turns = turns{next: now.Add(time.Duration(l.random.Float64() * float64(period)))}
-		klog.InfoS("warmup: endpoint is cold", "endpoint", entry.ID, "left_ms", left.Milliseconds(), "per_second", known.perSecond, "turn_ms", period.Milliseconds())
+		klog.InfoS("warmup: endpoint is cold", "endpoint", endpoint.ID, "left_ms", left.Milliseconds(), "per_second", known.perSecond, "turn_ms", period.Milliseconds())
 	}
-	known.until = max(known.until, now.Add(left))
-	l.coldUntil.Store(max(l.coldUntil.Load(), int64(known.until)))
+	known.coldUntil = max(known.coldUntil, now.Add(left))
+	l.coldUntil.Store(max(l.coldUntil.Load(), int64(known.coldUntil)))
 }
 
 // countTTL is how long a number of VMs is used: a choice asks for it once for each cold endpoint.
 const countTTL = 100 * time.Millisecond
 
 // period returns the time between two turns of this VM at a cold endpoint. The caller holds l.mu.
-func (l *Limiter) period(known *endpoint, now clock.Boot) time.Duration {
+func (l *Limiter) period(known *warmUp, now clock.Boot) time.Duration {
 	if l.vms == 0 || now.Sub(l.countedAt) >= countTTL {
 		l.vms, l.countedAt = max(1, l.countVMs()), now
 	}
@@ -152,25 +153,25 @@
 }
 
 // Allows reports whether this VM may send a request to an endpoint now.
-func (l *Limiter) Allows(entry *traffic.Endpoint, now clock.Boot) bool {
+func (l *Limiter) Allows(endpoint *traffic.Endpoint, now clock.Boot) bool {
 	if !l.AnyCold(now) {
 		return true
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := l.cold(entry, now)
+	known := l.cold(endpoint, now)
 	return known == nil || known.turns.wait(l.period(known, now), now) == 0
 }
 
 // Take uses a turn for a request to an endpoint. It returns false if there is none: another request may have used it since
 // Allows was called. An endpoint that is not cold needs none.
-func (l *Limiter) Take(entry *traffic.Endpoint, now clock.Boot) bool {
+func (l *Limiter) Take(endpoint *traffic.Endpoint, now clock.Boot) bool {
 	if !l.AnyCold(now) {
 		return true
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := l.cold(entry, now)
+	known := l.cold(endpoint, now)
 	if known == nil {
 		return true
 	}
@@ -183,9 +184,9 @@
 }
 
 // cold returns what is known of a cold endpoint, nil for any other. The caller holds l.mu.
-func (l *Limiter) cold(entry *traffic.Endpoint, now clock.Boot) *endpoint {
-	known := l.endpoints[entry.Instance()]
-	if known == nil || now >= known.until {
+func (l *Limiter) cold(endpoint *traffic.Endpoint, now clock.Boot) *warmUp {
+	known := l.warmUps[endpoint.Instance()]
+	if known == nil || now >= known.coldUntil {
 		return nil
 	}
 	return known
@@ -200,21 +201,21 @@
 // RetryAfter returns how long a caller should wait that is refused because all endpoints of a service are cold and have
 // no turn for this VM. limited is false if some endpoint is not cold. Successive callers get increasing times, so that
 // they return at the rate of the turns.
-func (l *Limiter) RetryAfter(service string, entries []*traffic.Endpoint, now clock.Boot) (after time.Duration, limited bool) {
-	if !l.AnyCold(now) || len(entries) == 0 {
+func (l *Limiter) RetryAfter(service string, endpoints []*traffic.Endpoint, now clock.Boot) (after time.Duration, limited bool) {
+	if !l.AnyCold(now) || len(endpoints) == 0 {
 		return 0, false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	perSecond, first := 0.0, maxRetryAfter
-	for _, entry := range entries {
-		known := l.cold(entry, now)
+	for _, endpoint := range endpoints {
+		known := l.cold(endpoint, now)
 		if known == nil {
 			return 0, false
 		}
 		period := l.period(known, now)
 		perSecond += 1 / period.Seconds()
-		first = min(first, known.turns.wait(period, now), known.until.Sub(now))
+		first = min(first, known.turns.wait(period, now), known.coldUntil.Sub(now))
 	}
 	next := max(l.promised[service].Add(time.Duration(float64(time.Second)/perSecond)), now.Add(first))
 	next = min(next, now.Add(maxRetryAfter))
--- a/gateway/warmup/status.go
+++ b/gateway/warmup/status.go
@@ -18,17 +18,17 @@
 }
 
 // Status returns the cold ones among the given endpoints, in their order.
-func (l *Limiter) Status(entries []*traffic.Endpoint, now clock.Boot) []Status {
+func (l *Limiter) Status(endpoints []*traffic.Endpoint, now clock.Boot) []Status {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var all []Status
-	for _, entry := range entries {
-		known := l.cold(entry, now)
+	for _, endpoint := range endpoints {
+		known := l.cold(endpoint, now)
 		if known == nil {
 			continue
 		}
 		period := l.period(known, now)
-		all = append(all, Status{entry.ID, known.until.Sub(now).Milliseconds(), known.perSecond, period.Milliseconds(), known.turns.wait(period, now).Milliseconds()})
+		all = append(all, Status{endpoint.ID, known.coldUntil.Sub(now).Milliseconds(), known.perSecond, period.Milliseconds(), known.turns.wait(period, now).Milliseconds()})
 	}
 	return all
 }
@@ -41,8 +41,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	count := int64(0)
-	for _, known := range l.endpoints {
-		if now < known.until {
+	for _, known := range l.warmUps {
+		if now < known.coldUntil {
 			count++
 		}
 	}
