Share logic that stood twice

Packages choice and warmup decide by one method whether a service limits the requests to cold endpoints. The check of configurations records first indexes in one function and checks keys in a function of its own; its methods that add findings are named for that. Tests of cold endpoints share the write of an entry and the evacuation; what they check is unchanged.

--- a/gateway/choice/warm_up.go
+++ b/gateway/choice/warm_up.go
@@ -27,13 +27,11 @@
 	at     clock.Boot
 }
 
-// warmUpLeft returns the rest of an endpoint's warm-up phase, 0 if its service states what endpoints take in it: package
+// warmUpLeft returns the remaining time of an endpoint's warm-up phase, 0 if its service publishes a warm-up rate: package
 // warmup then limits the requests.
 func warmUpLeft(snapshot *knowledge.Snapshot, endpoint *traffic.Endpoint) time.Duration {
-	if snapshot.Configuration != nil {
-		if service := snapshot.Configuration.Services[endpoint.Service]; service != nil && service.WarmUpRate > 0 {
-			return 0
-		}
+	if snapshot.Configuration != nil && snapshot.Configuration.Services[endpoint.Service].HasWarmUpRate() {
+		return 0
 	}
 	return endpoint.WarmUpLeft
 }
--- a/gateway/configcheck/checker.go
+++ b/gateway/configcheck/checker.go
@@ -18,19 +18,19 @@
 	// limit bounds the findings of each severity that are kept, total counts all.
 	limit int
 	total int
-	// used has the services that get requests from at least one route.
+	// used holds the services that get requests from at least one route.
 	used map[string]bool
 }
 
 // Check returns the findings of a configuration, errors first, each severity in the order of the document. settings has
-// the regions of the failure domains; without it, nil, names of regions are not checked.
+// the regions of the failure domains; if it is nil, names of regions are not checked.
 func Check(configuration *traffic.Configuration, settings *traffic.Settings) []Finding {
 	findings, _ := CheckFirst(configuration, settings, math.MaxInt)
 	return findings
 }
 
 // CheckFirst returns the first findings that Check returns, at most limit, and the number of all. Findings that it leaves
-// out cost no text, so that a gateway can check a large configuration with faults in each entry.
+// out are counted without building their text, so that a gateway can check a large configuration with faults in each entry.
 func CheckFirst(configuration *traffic.Configuration, settings *traffic.Settings, limit int) (findings []Finding, total int) {
 	c := &checker{configuration: configuration, limit: limit, used: map[string]bool{}}
 	c.checkRoutes()
@@ -49,19 +49,21 @@
 func CheckVersion(next, inForce *traffic.Configuration) []Finding {
 	c := &checker{limit: 1}
 	if next.Version <= inForce.Version {
-		c.warn(outsideLists(platform.FieldVersion), "version %d is not above %d, the one in force, so gateways ignore it", next.Version, inForce.Version)
+		c.addWarning(outsideLists(platform.FieldVersion), "version %d is not above %d, the one in force, so gateways ignore it", next.Version, inForce.Version)
 	}
 	return c.warnings
 }
 
-func (c *checker) fail(at place, format string, args ...any) {
+// addError adds an error, with its text only if it is kept.
+func (c *checker) addError(at place, format string, args ...any) {
 	c.total++
 	if len(c.errors) < c.limit {
 		c.errors = append(c.errors, Finding{Severity: SeverityError, Code: code.InvalidDocument, Path: at.String(), Text: fmt.Sprintf(format, args...)})
 	}
 }
 
-func (c *checker) warn(at place, format string, args ...any) {
+// addWarning adds a warning, with its text only if it is kept.
+func (c *checker) addWarning(at place, format string, args ...any) {
 	c.total++
 	if len(c.warnings) < c.limit {
 		c.warnings = append(c.warnings, Finding{Severity: SeverityWarning, Path: at.String(), Text: fmt.Sprintf(format, args...)})
@@ -75,23 +77,27 @@
 	for i, route := range c.configuration.Routes {
 		host, _ := splitPort(route.Host)
 		key := match{strings.ToLower(host), route.Prefix}
-		if first, ok := matches[key]; ok {
-			c.fail(inRoute(i, platform.FieldPrefix), "route %q has the host and prefix of route %q at %s, so only one of them gets requests",
+		if first, repeated := recordFirst(matches, key, i); repeated {
+			c.addError(inRoute(i, platform.FieldPrefix), "route %q has the host and prefix of route %q at %s, so only one of them gets requests",
 				route.Name, c.configuration.Routes[first].Name, inRoute(first, ""))
-		} else {
-			matches[key] = i
 		}
-		if first, ok := names[route.Name]; ok {
-			c.warn(inRoute(i, platform.FieldName), "route %q has the name of the one at %s", route.Name, inRoute(first, ""))
-		} else {
-			names[route.Name] = i
+		if first, repeated := recordFirst(names, route.Name, i); repeated {
+			c.addWarning(inRoute(i, platform.FieldName), "route %q has the name of the one at %s", route.Name, inRoute(first, ""))
 		}
 		c.checkMatch(i, route)
 		c.checkSplit(i, route)
-		c.checkTimes(i, route)
+		c.checkRouteLimits(i, route)
 	}
 }
 
+// recordFirst records i as the first index of a key. If the key has one already, it returns that and true.
+func recordFirst[K comparable](indexes map[K]int, key K, i int) (first int, repeated bool) {
+	if first, repeated = indexes[key]; !repeated {
+		indexes[key] = i
+	}
+	return first, repeated
+}
+
 // splitPort returns a host without its port, and whether it has one. Colons of an IPv6 address in brackets begin no port.
 func splitPort(host string) (name string, hasPort bool) {
 	at := strings.LastIndexByte(host, ':')
@@ -104,17 +110,17 @@
 // checkMatch checks whether requests can match the host and the prefix of a route.
 func (c *checker) checkMatch(i int, route *traffic.Route) {
 	if route.Host == "" {
-		c.fail(inRoute(i, platform.FieldHost), "route %q can never match, since it has no host", route.Name)
+		c.addError(inRoute(i, platform.FieldHost), "route %q can never match, since it has no host", route.Name)
 	} else if _, hasPort := splitPort(route.Host); hasPort {
-		c.fail(inRoute(i, platform.FieldHost), "route %q can never match, since its host %q has a port", route.Name, route.Host)
+		c.addError(inRoute(i, platform.FieldHost), "route %q can never match, since its host %q has a port", route.Name, route.Host)
 	}
 	switch {
 	case route.Prefix == "":
-		c.warn(inRoute(i, platform.FieldPrefix), "route %q has no prefix and matches all paths", route.Name)
+		c.addWarning(inRoute(i, platform.FieldPrefix), "route %q has no prefix and matches all paths", route.Name)
 	case !strings.HasPrefix(route.Prefix, "/"):
-		c.fail(inRoute(i, platform.FieldPrefix), "route %q can never match, since its prefix %q does not begin with a slash", route.Name, route.Prefix)
+		c.addError(inRoute(i, platform.FieldPrefix), "route %q can never match, since its prefix %q does not begin with a slash", route.Name, route.Prefix)
 	case !strings.HasSuffix(route.Prefix, "/"):
-		c.warn(inRoute(i, platform.FieldPrefix), "the prefix %q of route %q does not end with a slash, so it also matches longer names", route.Prefix, route.Name)
+		c.addWarning(inRoute(i, platform.FieldPrefix), "the prefix %q of route %q does not end with a slash, so it also matches longer names", route.Prefix, route.Name)
 	}
 }
 
@@ -126,29 +132,29 @@
 			positive, c.used[share.Service] = true, true
 		}
 		if share.Weight < 0 {
-			c.fail(inRoute(i, platform.FieldTrafficSplit), "route %q gives service %q the negative weight %d", route.Name, share.Service, share.Weight)
+			c.addError(inRoute(i, platform.FieldTrafficSplit), "route %q gives service %q the negative weight %d", route.Name, share.Service, share.Weight)
 		}
 		if c.configuration.Services[share.Service] == nil {
-			c.warn(inRoute(i, ""), "route %q names service %q, which is not defined", route.Name, share.Service)
+			c.addWarning(inRoute(i, ""), "route %q names service %q, which is not defined", route.Name, share.Service)
 		}
 	}
 	if !positive {
-		c.fail(inRoute(i, platform.FieldTrafficSplit), "route %q has no service with a positive weight, so its requests are refused", route.Name)
+		c.addError(inRoute(i, platform.FieldTrafficSplit), "route %q has no service with a positive weight, so its requests are refused", route.Name)
 	}
 }
 
-// checkTimes checks limits of a route that contradict each other.
-func (c *checker) checkTimes(i int, route *traffic.Route) {
+// checkRouteLimits finds limits of a route that contradict each other.
+func (c *checker) checkRouteLimits(i int, route *traffic.Route) {
 	if route.Timeout > 0 && route.LatencyObjective > route.Timeout {
-		c.warn(inRoute(i, platform.FieldObjective), "the objective of route %q, %v, is above its timeout, %v", route.Name, route.LatencyObjective, route.Timeout)
+		c.addWarning(inRoute(i, platform.FieldObjective), "the objective of route %q, %v, is above its timeout, %v", route.Name, route.LatencyObjective, route.Timeout)
 	}
 	// The event gap of other routes has no effect.
 	if route.Stream && route.Timeout > 0 && route.MaxEventGap > route.Timeout {
-		c.warn(inRoute(i, platform.FieldEventGap), "the event gap of route %q, %v, is above its timeout, %v", route.Name, route.MaxEventGap, route.Timeout)
+		c.addWarning(inRoute(i, platform.FieldEventGap), "the event gap of route %q, %v, is above its timeout, %v", route.Name, route.MaxEventGap, route.Timeout)
 	}
 	// Streams that are not resumed run only once, too, but are commonly published with several executions.
 	if !route.Retryable() && !route.Stream && route.MaxExecutions > 1 {
-		c.warn(inRoute(i, platform.FieldMaxExecutions), "route %q allows %d executions, but its requests may run only once", route.Name, route.MaxExecutions)
+		c.addWarning(inRoute(i, platform.FieldMaxExecutions), "route %q allows %d executions, but its requests may run only once", route.Name, route.MaxExecutions)
 	}
 }
 
@@ -159,17 +165,17 @@
 	}
 	for i, service := range c.configuration.PublishedServices {
 		if last[service.Name] != i {
-			c.fail(inService(i, ""), "service %q is defined again at %s, which replaces it", service.Name, inService(last[service.Name], ""))
+			c.addError(inService(i, ""), "service %q is defined again at %s, which replaces it", service.Name, inService(last[service.Name], ""))
 			continue
 		}
 		if !c.used[service.Name] {
-			c.warn(inService(i, ""), "no route uses service %q", service.Name)
+			c.addWarning(inService(i, ""), "no route uses service %q", service.Name)
 		}
 		if service.WarmUpRate > 0 && service.WarmUpTime == 0 {
-			c.warn(inService(i, platform.FieldWarmUpRate), "service %q has a warm-up rate, but no warm-up time", service.Name)
+			c.addWarning(inService(i, platform.FieldWarmUpRate), "service %q has a warm-up rate, but no warm-up time", service.Name)
 		}
 		if service.WarmUpTime > 0 && service.WarmUpRate == 0 {
-			c.warn(inService(i, platform.FieldWarmUpTime), "service %q has a warm-up time, but no warm-up rate", service.Name)
+			c.addWarning(inService(i, platform.FieldWarmUpTime), "service %q has a warm-up time, but no warm-up rate", service.Name)
 		}
 	}
 }
@@ -177,7 +183,7 @@
 func (c *checker) checkLimits() {
 	limits := &c.configuration.Limits
 	if limits.IdleTimeout > 0 && limits.HeaderTimeout > limits.IdleTimeout {
-		c.warn(outsideLists(platform.FieldLimits+"."+platform.FieldHeaderTimeout), "the header timeout, %v, is above the idle timeout, %v", limits.HeaderTimeout, limits.IdleTimeout)
+		c.addWarning(outsideLists(platform.FieldLimits+"."+platform.FieldHeaderTimeout), "the header timeout, %v, is above the idle timeout, %v", limits.HeaderTimeout, limits.IdleTimeout)
 	}
 }
 
@@ -185,25 +191,29 @@
 	holders := make(map[string]int, len(c.configuration.Workspaces))
 	names := make(map[string]int, len(c.configuration.PublishedWorkspaces))
 	for i, workspace := range c.configuration.PublishedWorkspaces {
-		if first, ok := names[workspace.Name]; ok {
-			c.warn(inWorkspace(i, platform.FieldName), "workspace %q has the name of the one at %s", workspace.Name, inWorkspace(first, ""))
-		} else {
-			names[workspace.Name] = i
+		if first, repeated := recordFirst(names, workspace.Name, i); repeated {
+			c.addWarning(inWorkspace(i, platform.FieldName), "workspace %q has the name of the one at %s", workspace.Name, inWorkspace(first, ""))
 		}
 		if len(workspace.Keys) == 0 {
-			c.warn(inWorkspace(i, platform.FieldKeys), "workspace %q has no keys, so no request belongs to it", workspace.Name)
+			c.addWarning(inWorkspace(i, platform.FieldKeys), "workspace %q has no keys, so no request belongs to it", workspace.Name)
+		}
+		c.checkKeys(i, workspace, holders)
+	}
+}
+
+// checkKeys finds empty keys of a workspace and those that an earlier one holds too. holders are the indexes of the
+// workspaces that hold each key.
+func (c *checker) checkKeys(i int, workspace traffic.PublishedWorkspace, holders map[string]int) {
+	for k, key := range workspace.Keys {
+		at := inWorkspace(i, platform.FieldKeys)
+		at.key = k + 1
+		if key == "" {
+			c.addError(at, "workspace %q has an empty key, so requests without a key belong to it", workspace.Name)
 		}
-		for k, key := range workspace.Keys {
-			at := inWorkspace(i, platform.FieldKeys)
-			at.key = k + 1
-			if key == "" {
-				c.fail(at, "workspace %q has an empty key, so requests without a key belong to it", workspace.Name)
-			}
-			if holder, ok := holders[key]; ok && holder != i {
-				c.fail(at, "a key of workspace %q is also held by workspace %q at %s, and only the last holder counts",
-					workspace.Name, c.configuration.PublishedWorkspaces[holder].Name, inWorkspace(holder, ""))
-			}
-			holders[key] = i
+		if holder, ok := holders[key]; ok && holder != i {
+			c.addError(at, "a key of workspace %q is also held by workspace %q at %s, and only the last holder counts",
+				workspace.Name, c.configuration.PublishedWorkspaces[holder].Name, inWorkspace(holder, ""))
 		}
+		holders[key] = i
 	}
 }
--- a/gateway/configcheck/entry.go
+++ b/gateway/configcheck/entry.go
@@ -12,11 +12,11 @@
 	// name identifies the entry within its list.
 	name   string
 	fields []field
-	// keys are secrets, of which only numbers may be shown.
+	// keys are secrets: only their number may be shown.
 	keys []string
 }
 
-// none is the shown value of what does not exist.
+// none is the value that is shown for a missing field or entry.
 const none = "none"
 
 // describe returns the fields that have a value, and the number of keys.
--- a/gateway/configcheck/field.go
+++ b/gateway/configcheck/field.go
@@ -11,7 +11,8 @@
 	value string
 }
 
-// newField returns a field. The zero value is shown as "none".
+// newField returns a field. The zero value is shown as "none", so fields whose zero value has a meaning of its own, such as
+// the priority, are built without newField.
 func newField(name string, value any) field {
 	if reflect.ValueOf(value).IsZero() {
 		return field{name, none}
--- a/gateway/configcheck/regions.go
+++ b/gateway/configcheck/regions.go
@@ -28,7 +28,7 @@
 			texts[key] = text
 		}
 		if text != "" {
-			c.warn(inRoute(i, platform.FieldRegions), "route %q has no region in common with %s", route.Name, text)
+			c.addWarning(inRoute(i, platform.FieldRegions), "route %q has no region in common with %s", route.Name, text)
 		}
 	}
 }
@@ -62,7 +62,7 @@
 	check := func(at place, entry, name string, regions []string) {
 		for _, region := range regions {
 			if !known[region] {
-				c.warn(at, "%s %q allows region %q, which no failure domain of the settings is in", entry, name, region)
+				c.addWarning(at, "%s %q allows region %q, which no failure domain of the settings is in", entry, name, region)
 			}
 		}
 	}
--- a/gateway/configcheck/severity.go
+++ b/gateway/configcheck/severity.go
@@ -1,6 +1,6 @@
 package configcheck
 
-// Severity tells how a finding affects requests.
+// Severity is how serious a finding is.
 type Severity string
 
 // Values of Severity.
--- a/gateway/traffic/configuration.go
+++ b/gateway/traffic/configuration.go
@@ -144,13 +144,19 @@
 	Name string
 	// Engine is set for services whose endpoints run language models, and nil otherwise.
 	Engine *Engine
-	// WarmUpTime is how long an endpoint warms up after its start; 0 if it does not.
+	// WarmUpTime is how long an endpoint is cold after its start; 0 if it is not.
 	WarmUpTime time.Duration
 	// WarmUpRate is the number of requests per second that an endpoint can take from all VMs together
-	// while it warms up; 0 if it is not limited.
+	// while it is cold; 0 if that is not limited.
 	WarmUpRate float64
 }
 
+// HasWarmUpRate reports whether the service limits the requests to cold endpoints. A service that is not defined, nil, does
+// not. Packages choice and warmup must agree on it, so that exactly one of them limits the requests to an endpoint.
+func (s *Service) HasWarmUpRate() bool {
+	return s != nil && s.WarmUpRate > 0
+}
+
 // Engine describes the language model engines of a service.
 type Engine struct {
 	// Slots is the number of requests that one engine processes concurrently.
--- a/gateway/warmup/fleet_test.go
+++ b/gateway/warmup/fleet_test.go
@@ -20,12 +20,12 @@
 
 var testBounds = Bounds{Excess: 1.5, Slack: 5}
 
-// fleet plays VMs that want to send to one endpoint, which turns cold at its begin.
+// fleet simulates VMs that send to one endpoint, which is cold at first.
 type fleet struct {
 	now      clock.Boot
 	random   *rand.Rand
 	limiters []*Limiter
-	// known is how many VMs each VM believes in.
+	// known is the number of VMs that each VM knows, itself included.
 	known    []int
 	endpoint *traffic.Endpoint
 	sent     []clock.Boot
@@ -58,6 +58,23 @@
 	}
 }
 
+// writeEntry writes an entry of the endpoint, which the first VM reads at once. left is how long the endpoint stays cold.
+func (f *fleet) writeEntry(left time.Duration) {
+	next := *f.endpoint
+	next.WarmUpLeft = left
+	next.Position.Revision++
+	f.endpoint = &next
+	f.limiters[0].Update(f.snapshot(), f.now)
+}
+
+// evacuate evacuates the endpoint's failure domain for the first VM and ends the evacuation at once.
+func (f *fleet) evacuate() {
+	evacuated := f.snapshot()
+	evacuated.Evacuated = map[string]knowledge.Evacuation{"d": {FailureDomain: "d"}}
+	f.limiters[0].Update(evacuated, f.now)
+	f.limiters[0].Update(f.snapshot(), f.now)
+}
+
 // run lets each VM send whenever it may while wants returns true.
 func (f *fleet) run(duration time.Duration, wants func(vm int) bool) {
 	for end := f.now.Add(duration); f.now < end; f.now = f.now.Add(10 * time.Millisecond) {
@@ -70,8 +87,8 @@
 	}
 }
 
-// most returns the largest number of requests in one second.
-func (f *fleet) most() int {
+// maxPerSecond returns the largest number of requests in one second.
+func (f *fleet) maxPerSecond() int {
 	most, first := 0, 0
 	for i, at := range f.sent {
 		for at.Sub(f.sent[first]) >= time.Second {
@@ -120,8 +137,8 @@
 			for seed := range uint64(20) {
 				f := newFleet(vms, seed)
 				play(f)
-				most = max(most, f.most())
-				if f.most() > maxPerSecond {
+				most = max(most, f.maxPerSecond())
+				if f.maxPerSecond() > maxPerSecond {
 					exceeded++
 				}
 			}
@@ -153,41 +170,27 @@
 // evacuation, shows that it is not, and against one that counts as cold for longer than its entries state.
 func TestEndpointTurnsColdAgain(t *testing.T) {
 	f := newFleet(60, 1)
-	l := f.limiters[0]
-	entry := func(left time.Duration) {
-		next := *f.endpoint
-		next.WarmUpLeft, next.Position.Revision = left, f.endpoint.Position.Revision+1
-		f.endpoint = &next
-		l.Update(f.snapshot(), f.now)
-	}
 	check := func(step string, want time.Duration) {
 		t.Helper()
-		left := time.Duration(0)
-		if status := l.Status([]*traffic.Endpoint{f.endpoint}, f.now); len(status) == 1 {
-			left = time.Duration(status[0].LeftMS) * time.Millisecond
-		}
-		if left != want {
+		if left := coldLeft(f); left != want {
 			t.Errorf("%s: cold for %v, want %v", step, left, want)
 		}
 	}
 	check("started", coldTime)
 	f.now = f.now.Add(time.Second)
-	entry(2500 * time.Millisecond)
+	f.writeEntry(2500 * time.Millisecond)
 	check("late entry", 2*time.Second)
-	entry(time.Second)
+	f.writeEntry(time.Second)
 	check("early entry", time.Second)
 	f.now = f.now.Add(2 * time.Second)
 	check("warm", 0)
-	entry(0)
-	entry(coldTime)
+	f.writeEntry(0)
+	f.writeEntry(coldTime)
 	check("cold again", coldTime)
-	entry(0)
-	snapshot := f.snapshot()
-	snapshot.Evacuated = map[string]knowledge.Evacuation{"d": {FailureDomain: "d"}}
-	l.Update(snapshot, f.now)
-	l.Update(f.snapshot(), f.now)
+	f.writeEntry(0)
+	f.evacuate()
 	check("evacuation ended", coldTime)
-	entry(0)
+	f.writeEntry(0)
 	check("warm after the evacuation", 0)
 }
 
@@ -204,10 +207,7 @@
 	} {
 		f := newFleet(60, 1)
 		f.now = f.now.Add(c.after)
-		next := *f.endpoint
-		next.WarmUpLeft, next.Position.Revision = c.left, f.endpoint.Position.Revision+1
-		f.endpoint = &next
-		f.limiters[0].Update(f.snapshot(), f.now)
+		f.writeEntry(c.left)
 		if got := coldLeft(f); got != c.want {
 			t.Errorf("%s: cold for %v, want %v", name, got, c.want)
 		}
@@ -240,10 +240,7 @@
 		t.Errorf("an old entry that is listed again: cold for %v", got)
 	}
 	write(0, 2, 2)
-	evacuated := f.snapshot()
-	evacuated.Evacuated = map[string]knowledge.Evacuation{"d": {FailureDomain: "d"}}
-	f.limiters[0].Update(evacuated, f.now)
-	f.limiters[0].Update(f.snapshot(), f.now)
+	f.evacuate()
 	write(0, 2, 3)
 	if got := coldLeft(f); got != coldTime {
 		t.Errorf("after the evacuation: cold for %v, want %v", got, coldTime)
--- a/gateway/warmup/limiter.go
+++ b/gateway/warmup/limiter.go
@@ -72,7 +72,7 @@
 	listed := make(map[traffic.Instance]bool, len(l.warmUps))
 	for _, endpoint := range snapshot.Endpoints {
 		service := snapshot.Configuration.Services[endpoint.Service]
-		if service == nil || service.WarmUpRate <= 0 {
+		if !service.HasWarmUpRate() {
 			continue
 		}
 		listed[endpoint.Instance()] = true
