--- a/gateway/choice/bench_test.go
+++ b/gateway/choice/bench_test.go
@@ -30,7 +30,7 @@
 	}
 }
 
-// BenchmarkPickContended chooses among endpoints all of which state their contention; 150 are contended.
+// BenchmarkPickContended chooses among 1,000 endpoints that all state their contention, of which none or 150 are contended.
 func BenchmarkPickContended(b *testing.B) {
 	for _, contended := range []int{0, 150} {
 		b.Run(fmt.Sprint("contended=", contended), func(b *testing.B) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -215,7 +215,8 @@
 	g.warmUps.Update(snapshot, clock.Now())
 }
 
-// unknownFleetSize is the number of VMs that a VM assumes to share cold endpoints while it knows none of the others.
+// unknownFleetSize is the number of VMs that a VM assumes to share cold endpoints while it knows none of the others. It is
+// that of the largest fleet under test; a number that is too large only lowers this VM's rate.
 const unknownFleetSize = 300
 
 // warmUpVMs returns the number of VMs that share cold endpoints.
--- a/gateway/knowledge/evacuations.go
+++ b/gateway/knowledge/evacuations.go
@@ -29,8 +29,9 @@
 	e.keepUntil = now.Add(rewriteTime)
 }
 
-// replace puts the evacuations among items, which are all of the given era of the store, into force, and ends the
-// others. It reports whether anything changed.
+// replace puts the evacuations among items into force and ends the others. items must have all evacuations of the given
+// era of the store. Those of earlier eras, which other VMs pass on, count until keepUntil. It reports whether anything
+// changed.
 func (e *evacuations) replace(items []platform.Item, era int64, now clock.Boot) bool {
 	listed := map[string]bool{}
 	changed := false
--- a/gateway/knowledge/tracker.go
+++ b/gateway/knowledge/tracker.go
@@ -180,6 +180,7 @@
 	} else {
 		changed = t.evacuations.apply(update.Items, t.position, now)
 	}
+	// Without this, Newest would not show the change, and other VMs would not ask for it.
 	for _, item := range update.Items {
 		if _, ok := platform.EvacuatedDomain(item.Key); ok {
 			t.entries.recordPosition(item.Position())
--- a/gateway/shed/rank_counts.go
+++ b/gateway/shed/rank_counts.go
@@ -30,8 +30,8 @@
 	c.late *= factor
 }
 
-// refusalProbability returns the probability with which late requests of the rank, or the others, are
-// refused, if those of the whole rank are refused with the given one, at most maxOfRank. The late ones are
+// refusalProbability returns the probability with which the late requests of the rank, or those in time, are
+// refused. ofRank is the mean probability for the whole rank, which is at most maxOfRank. The late requests are
 // refused first.
 func (c *rankCounts) refusalProbability(late bool, ofRank, maxOfRank float64) float64 {
 	refused, ofLate := ofRank*c.total(), 0.0
--- a/gateway/traffic/settings.go
+++ b/gateway/traffic/settings.go
@@ -68,7 +68,7 @@
 	// service.
 	LoadMultiple float64
 	// WarmUpExcess and WarmUpSlack bound the requests of all VMs to an endpoint within a second while it
-	// warms up: a multiple of its Service.WarmUpRate and a constant number on top.
+	// is cold: a multiple of its Service.WarmUpRate and a constant number on top.
 	WarmUpExcess float64
 	WarmUpSlack  float64
 	// MaxEvacuationDelay bounds the delay after which an evacuated failure domain receives no new
--- a/gateway/warmup/rate.go
+++ b/gateway/warmup/rate.go
@@ -10,7 +10,7 @@
 	// turns that were kept for longer could all be used in the same second by many VMs.
 	turnLifetime = 250 * time.Millisecond
 	// deviations is by how many standard deviations the bound on the requests in a second exceeds their expected
-	// number: the begins of the VMs' turns are random.
+	// number: the turns of each VM start at a random time.
 	deviations = 3.0
 )
 
@@ -22,7 +22,7 @@
 
 // fleetRate returns the number of requests per second that all VMs together may send to a cold endpoint that takes
 // perSecond: at most as many, and so few that a second rarely has more than the bounds allow. The requests that may
-// arrive within a second are those of the turns that come up in it or have not expired at its begin.
+// arrive within a second are those of the turns that come up in it or have not expired at its start.
 func fleetRate(perSecond float64, bounds Bounds) float64 {
 	limit := perSecond*bounds.Excess + bounds.Slack
 	if limit <= 0 {
--- a/internal/emulator/request.go
+++ b/internal/emulator/request.go
@@ -67,7 +67,7 @@
 	return r.UniqueTokens + 10*r.AnswerTokens
 }
 
-// inTime reports whether the caller got the answer, and its begin within the objective.
+// inTime reports whether the caller got the answer and its first token arrived within the objective.
 func (r *Request) inTime() bool {
 	return r.outcome == Served && r.firstTokenAt.Sub(r.ArrivesAt) <= r.Kind.Objective
 }
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -70,12 +70,12 @@
 }
 
 // Worth returns the value of all served requests, in time or late, as a share of the value that all
-// requests have in time. The value of a request grows with its size, less than the work does.
+// requests have in time. Unlike in Value, the value of a request grows with its size.
 func (r *Result) Worth() float64 {
 	return r.worth(true)
 }
 
-// WorthInTime returns the same without late answers.
+// WorthInTime returns Worth without the value of late answers.
 func (r *Result) WorthInTime() float64 {
 	return r.worth(false)
 }
@@ -85,6 +85,7 @@
 	means := r.meanSizes()
 	total, got := 0.0, 0.0
 	for _, req := range r.requests {
+		// The value grows less than the size does, as docs/SCARCE-CAPACITY.md states.
 		factor := min(4, 0.3+0.7*float64(req.size())/means[req.Kind.Name])
 		total += factor * req.Kind.Value
 		switch {
--- a/internal/soak/evacuation_test.go
+++ b/internal/soak/evacuation_test.go
@@ -10,7 +10,7 @@
 	workerDomains = 3
 	// maxEvacuationDelay is the bound in the settings that package hosted writes.
 	maxEvacuationDelay = 2500 * time.Millisecond
-	// maxEvacuationStart bounds the random time from the begin of a calm phase until a failure domain is evacuated.
+	// maxEvacuationStart bounds the random time from the start of a calm phase until a failure domain is evacuated.
 	maxEvacuationStart = time.Second
 	// silenceSlack is for requests that were sent within the bound and wait at a link that falls silent.
 	silenceSlack = maxSilence
