Let the route's priority decide among requests of equal priority

Where a workspace has a priority, load shedding gave all its requests one rank, so its urgent chats were refused as often as its long reports. Among requests of equal priority the one of the more urgent route now goes first. Nothing changes where workspaces have no priority.

--- a/gateway/shed/decision.go
+++ b/gateway/shed/decision.go
@@ -8,8 +8,8 @@
 	Refused bool
 	// Reason is the criterion that decided, ReasonNone if the request is not refused.
 	Reason Reason
-	// Rank is the request's priority, plus 10 for each level that its workspace is over
-	// its share. The lowest rank is served first.
+	// Rank is ten times the request's priority and the priority of its route, plus 100 for each level that its
+	// workspace is over its share. The lowest rank is served first.
 	Rank int
 	// OverShare reports whether the workspace uses more than its share.
 	OverShare bool
--- a/gateway/shed/rank.go
+++ b/gateway/shed/rank.go
@@ -2,14 +2,17 @@
 
 import "math"
 
-// A rank combines how far a workspace is over its share and the request's priority. Any
+// A rank combines how far a workspace is over its share, the request's priority, and the priority of its route, which
+// decides among requests of equal priority: where a workspace has a priority, all its requests have that. Any
 // workspace within its share ranks before all that are over it.
 const (
 	priorities = 10
+	// levelRanks is the number of ranks within one level.
+	levelRanks = priorities * priorities
 	// overShareLevels is the number of levels of workspaces that use more than their
 	// share.
 	overShareLevels = 3
-	ranks           = priorities * (1 + overShareLevels)
+	ranks           = levelRanks * (1 + overShareLevels)
 	// overShareFactor is the multiple of an even share from which a workspace is over its
 	// share. Each further level starts at twice the work of the one before.
 	overShareFactor = 4.0
@@ -29,11 +32,15 @@
 
 // newRank returns the rank of a request.
 func newRank(level int, r Request) rank {
-	return rank(level*priorities + min(max(r.Priority, 0), priorities-1))
+	return rank(level*levelRanks + clampPriority(r.Priority)*priorities + clampPriority(r.RoutePriority))
+}
+
+func clampPriority(priority int) int {
+	return min(max(priority, 0), priorities-1)
 }
 
 // level returns how far the workspace is over its share, 0 if it is within it.
-func (r rank) level() int { return int(r) / priorities }
+func (r rank) level() int { return int(r) / levelRanks }
 
 // maxRefusedShare returns the share of the requests of the rank that may be refused.
 func (r rank) maxRefusedShare(excess float64) float64 {
@@ -50,7 +57,9 @@
 func (s *Shedder) refusalProbability(of rank, excess float64) float64 {
 	remaining := excess * s.arrived
 	for other := rank(ranks - 1); other > of && remaining > 0; other-- {
-		remaining -= other.maxRefusedShare(excess) * s.arrivedByRank[other].total()
+		if total := s.arrivedByRank[other].total(); total > 0 {
+			remaining -= other.maxRefusedShare(excess) * total
+		}
 	}
 	arrived := s.arrivedByRank[of].total()
 	if remaining <= 0 || arrived <= 0 {
--- a/gateway/shed/request.go
+++ b/gateway/shed/request.go
@@ -6,8 +6,10 @@
 type Request struct {
 	// Workspace is the name of the request's workspace, "" for requests without a key.
 	Workspace string
-	// Priority is the priority at endpoints, from 0 (most urgent) to 9.
+	// Priority is the priority at endpoints, from 0 (most urgent) to 9: that of the workspace if it has one.
 	Priority int
+	// RoutePriority is the priority of the route, from 0 (most urgent) to 9.
+	RoutePriority int
 	// Cost is the estimated work of the request. Its unit must be the same for all
 	// requests of a service.
 	Cost float64
--- a/gateway/shedding.go
+++ b/gateway/shedding.go
@@ -46,14 +46,15 @@
 		return nil
 	}
 	request := shed.Request{
-		Priority:  c.priority(),
-		Route:     c.grant.route.Name,
-		Cost:      estimateCost(&c.request.Prompt),
-		Draw:      xxhash.Sum64String(c.request.ID),
-		Backlog:   time.Duration(pick.BacklogMS * float64(time.Millisecond)),
-		Delay:     time.Duration(pick.DelayMS * float64(time.Millisecond)),
-		Objective: c.grant.route.LatencyObjective,
-		Occupancy: pick.UsableMean / float64(max(1, pick.Endpoint.Slots)),
+		Priority:      c.priority(),
+		RoutePriority: c.grant.route.Priority,
+		Route:         c.grant.route.Name,
+		Cost:          estimateCost(&c.request.Prompt),
+		Draw:          xxhash.Sum64String(c.request.ID),
+		Backlog:       time.Duration(pick.BacklogMS * float64(time.Millisecond)),
+		Delay:         time.Duration(pick.DelayMS * float64(time.Millisecond)),
+		Objective:     c.grant.route.LatencyObjective,
+		Occupancy:     pick.UsableMean / float64(max(1, pick.Endpoint.Slots)),
 	}
 	if c.grant.workspace != nil {
 		request.Workspace = c.grant.workspace.Name
