Refuse no requests in time because of a rounding error

A rank with many late requests and a decayed count of those in time near 0 could refuse a third of those in time: the difference of the refused number and that of the late ones was a rounding error, divided by the count. Requests in time are refused only once the late ones are refused up to their bound now.

Found by a random seed of TestRefusalsCoverTheExcessInOrder; TestFewRequestsInTimeAreNotRefusedByRounding fails without the change.

--- a/gateway/shed/deadline_test.go
+++ b/gateway/shed/deadline_test.go
@@ -57,6 +57,19 @@
 	}
 }
 
+// TestFewRequestsInTimeAreNotRefusedByRounding guards against refusals of requests in time that only a rounding error of
+// the late ones' share explains.
+func TestFewRequestsInTimeAreNotRefusedByRounding(t *testing.T) {
+	for _, late := range []float64{0.3, 0.7, 1, 3, 7, 49.9} {
+		counts := rankCounts{inTime: 1e-16, late: late}
+		for ofRank := 0.01; ofRank < 0.5; ofRank += 0.0317 {
+			if got := counts.refusalProbability(false, ofRank, 0.5125); got > 0 {
+				t.Errorf("%v late requests, %v of the rank refused: %v of those in time", late, ofRank, got)
+			}
+		}
+	}
+}
+
 // TestRefusalsCoverTheExcessInOrder checks for arbitrary mixes that the refused share is the excess, that urgent
 // requests and those in time are refused least, and that late ones do not starve.
 func TestRefusalsCoverTheExcessInOrder(t *testing.T) {
--- a/gateway/shed/rank_counts.go
+++ b/gateway/shed/rank_counts.go
@@ -34,12 +34,16 @@
 // refused. ofRank is the mean probability for the whole rank, which is at most maxOfRank. The late requests are
 // refused first.
 func (c *rankCounts) refusalProbability(late bool, ofRank, maxOfRank float64) float64 {
-	refused, ofLate := ofRank*c.total(), 0.0
-	if c.late > 0 {
-		ofLate = min(1-lateServedFactor*(1-maxOfRank), refused/c.late)
+	refused := ofRank * c.total()
+	maxOfLate := 1 - lateServedFactor*(1-maxOfRank)
+	if refused <= maxOfLate*c.late {
+		if !late {
+			return 0
+		}
+		return refused / c.late
 	}
 	if late || c.inTime <= 0 {
-		return ofLate
+		return maxOfLate
 	}
-	return max(0, refused-ofLate*c.late) / c.inTime
+	return min(ofRank, (refused-maxOfLate*c.late)/c.inTime)
 }
