--- a/gateway/knowledge/evacuations_test.go
+++ b/gateway/knowledge/evacuations_test.go
@@ -204,8 +204,8 @@
 	return clock.Now().Sub(began)
 }
 
-// TestChangesArePreparedBeforeRequestsSeeThem guards against requests that see the endpoints of a new snapshot while the
-// function that limits cold ones among them has not been told of them.
+// TestChangesArePreparedBeforeRequestsSeeThem guards against requests to endpoints of a new snapshot that onChange has not
+// received yet: cold ones among them would not be limited.
 func TestChangesArePreparedBeforeRequestsSeeThem(t *testing.T) {
 	var tracker *Tracker
 	calls := 0
