--- a/review/stand2/order.go
+++ b/review/stand2/order.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -13,16 +14,20 @@
 	// streamEvents is the number of events of each stream, eventGap the time between two of them.
 	streamEvents = 40
 	eventGap     = 30 * time.Millisecond
-	// stopAfter is the number of events after which the worker that stops sends no more of a stream.
-	stopAfter = 6
-	// silence is for how long that worker stays silent.
-	silence = 8 * time.Second
-	// callers is the number of clients, each of which sends a stream after the other.
-	callers = 12
+	// troubleTime is how long one of the workers is in trouble. It then fails faultyRequests of every faultyOf requests: it
+	// stops after stopAfter events, and goes on at the end of that time.
+	troubleTime    = 6500 * time.Millisecond
+	faultyRequests = 2
+	faultyOf       = 5
+	stopAfter      = 6
+	// workers is the number of workers, callers that of clients, each of which sends streamsEach streams one after the other.
+	workers     = 7
+	callers     = 36
+	streamsEach = 4
 )
 
-// runOrder sends streams that may be resumed. One of six workers stops in the middle of an event and is silent from then
-// on, unless trouble is false. It checks that no piece of a stream is missing or comes twice.
+// runOrder sends streams that may be resumed. One of the workers stops in the middle of an event of some of them, unless
+// trouble is false. It checks that no piece of a stream is missing or comes twice.
 func runOrder(r *record, trouble bool) int {
 	d, err := newDeployment(r, 3)
 	if err != nil {
@@ -30,12 +35,15 @@
 	}
 	defer d.close()
 	d.store.put("op/config", configuration(1))
-	for i := range 6 {
-		stops := trouble && i == 0
+	var begun atomic.Int64 // When the first stream began, in Unix milliseconds.
+	var requests atomic.Int64
+	for i := range workers {
+		inTrouble := trouble && i == 0
 		w, err := d.startWorker("llm", i+1, d.zones[i%3], func(_ *worker, q *http.Request) behavior {
 			b := behavior{status: http.StatusOK, events: streamEvents, gap: eventGap, stopAfter: -1}
-			if stops && q.Header.Get("Last-Event-Id") == "" {
-				b.stopAfter, b.silence = stopAfter, silence
+			left := troubleTime - time.Since(time.UnixMilli(begun.Load()))
+			if inTrouble && left > 0 && last(q) == 0 && requests.Add(1)%faultyOf < faultyRequests {
+				b.stopAfter, b.silence = stopAfter, left
 			}
 			return b
 		})
@@ -54,13 +62,14 @@
 		return failed(fmt.Errorf("the gateways are not ready"))
 	}
 	time.Sleep(time.Second)
+	begun.Store(time.Now().UnixMilli())
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	served, broken := 0, 0
 	for n := range callers {
 		wg.Go(func() {
 			g := d.gateways[n%len(d.gateways)]
-			for range 4 {
+			for range streamsEach {
 				err := oneStream(d, g)
 				mu.Lock()
 				if err == nil {
