--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet_test.go
@@ -1,4 +1,4 @@
-package main
+package stand2
 
 import (
 	"fmt"
