Log after which event each attempt goes on, and which it forwarded last

The line of a request had the number of pieces as a whole, so it did not tell whether the first endpoint's piece was forwarded before the second one was asked (a wrong Last-Event-Id), after it (forwarded too late), or whether the second one repeated it. Change: each attempt has after (the event after which it was asked to go on), last_id and last_ms (the last event that was forwarded since it began). TestPassedEventAllocatesNothing passes.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -36,6 +36,8 @@
 	// writeDone receives the result of a concurrent write, nil if the request was written
 	// before the response was read.
 	writeDone chan error
+	// resumedAfter is the ID of the event after which the endpoint was asked to go on.
+	resumedAfter string
 	// answering reports whether the endpoint has sent the first event of a stream.
 	answering bool
 	// suspected reports whether the endpoint has been silent for the progress timeout since its
@@ -104,6 +106,7 @@
 	if bounded && left <= 0 {
 		return outcome{result: resultTimedOut}, false
 	}
+	x.resumedAfter = string(x.lastEventID)
 	message := x.newEndpointRequest(left)
 	head := message.AppendHead(make([]byte, 0, headerCapacity))
 	x.setDeadline()
@@ -155,7 +158,7 @@
 		Instance:    x.pick.Endpoint.ID,
 		Timeout:     left,
 		Priority:    x.priority(),
-		LastEventID: string(x.lastEventID),
+		LastEventID: x.resumedAfter,
 	}
 	if x.pick.FetchFrom != nil {
 		message.FetchAddress = x.pick.FetchFrom.Address
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -93,13 +93,18 @@
 	FetchFrom     string        `json:"fetch,omitempty"`
 	Status        int           `json:"status,omitempty"`
 	// BeganMS is when the attempt began, SentMS when the request was written, FirstMS when the first event of
-	// a stream was forwarded, and LeftMS when the VM noticed that the caller had left, in milliseconds since
-	// the request arrived.
+	// a stream was forwarded, LastMS when the last event since then was, and LeftMS when the VM noticed that the
+	// caller had left, in milliseconds since the request arrived.
 	BeganMS int64 `json:"began_ms"`
 	SentMS  int64 `json:"sent_ms,omitempty"`
 	FirstMS int64 `json:"first_ms,omitempty"`
+	LastMS  int64 `json:"last_ms,omitempty"`
 	LeftMS  int64 `json:"left_ms,omitempty"`
 	TookMS  int64 `json:"took_ms"`
+	// After is the ID of the event after which the endpoint was asked to go on, and LastID that of the event
+	// that was forwarded at LastMS.
+	After  string `json:"after,omitempty"`
+	LastID string `json:"last_id,omitempty"`
 	// Idle reports whether the connection was an idle one, IdleMS for how long, in milliseconds, and
 	// Stale whether it ended before a byte of a response came.
 	Idle   bool  `json:"idle,omitempty"`
@@ -141,6 +146,7 @@
 		Stale:         out.stale,
 		FaultPercent:  pick.FaultPercent,
 		Passed:        pick.Passed,
+		After:         x.resumedAfter,
 	}
 	if sent := clock.Boot(x.sentAt.Load()); sent > 0 {
 		record.SentMS = sent.Sub(x.arrived).Milliseconds()
@@ -151,6 +157,10 @@
 	if x.firstEventAt >= x.started {
 		record.FirstMS = x.firstEventAt.Sub(x.arrived).Milliseconds()
 	}
+	if x.lastEventAt >= x.started {
+		record.LastMS = x.lastEventAt.Sub(x.arrived).Milliseconds()
+		record.LastID = string(x.lastEventID)
+	}
 	if percent := int(math.Round(100 * pick.Contention)); percent > 100 {
 		record.ContentionPercent = percent
 	}
