Forward no event of an endpoint after its stream was handed over

Cause: an endpoint sends an event and then stops in the middle of the next chunk. The body of net/http goes on reading once it has the size of that chunk (or the size 0 of the last one), and holds the event that it has decoded until that read ends. The stream is handed over from within the read, with the ID of the last event that was forwarded, which lacks the held one. When the successor answers, the read fails and returns the held event with its error; EventReader hands out the event first, and forwardStream forwarded it, although the successor was asked for it too. Before the first event the same mixed the head of the first endpoint with the events of the second. Change: forwardStream drops what a read returns that has handed the stream over. The successor was asked to go on after the last forwarded event, so nothing is missing and nothing comes twice, whatever the decoder held. Related paths: answers that are held (forwardBuffered) are dropped on an error; one that is passed on without events is never handed over; package router asks the next engine after the read has ended, with the last line that it delivered.

Scripted endpoints of tests no longer use up an answer for a VM's own requests, such as that for the list of cached parts.

--- a/gateway/scripted_endpoint_test.go
+++ b/gateway/scripted_endpoint_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 )
@@ -13,7 +15,8 @@
 type scriptedEndpoint struct {
 	mu sync.Mutex
 	// answers are the answers to the next requests, in order; the last one is repeated. In them
-	// $ID is the ID of the request, $FIRST that of the first one. An answer that ends with $CLOSE closes the connection.
+	// $ID is the ID of the request, $FIRST that of the first one, and $REST are the events after the one that the
+	// request says its caller has. An answer that ends with $CLOSE closes the connection.
 	answers []string
 	// seen are the IDs of the requests received.
 	seen []string
@@ -74,7 +77,13 @@
 		if _, err := io.Copy(io.Discard, request.Body); err != nil {
 			return
 		}
-		text, closing := strings.CutSuffix(e.next(request.Header.Get("Cardamompoint-Attempt-Id")), closeMark)
+		id := request.Header.Get("Cardamompoint-Attempt-Id")
+		if id == "" {
+			_, _ = io.WriteString(conn, noCallersRequest)
+			continue
+		}
+		text, closing := strings.CutSuffix(e.next(id), closeMark)
+		text = strings.ReplaceAll(text, "$REST", eventsAfter(request.Header.Get("Last-Event-Id")))
 		if _, err := io.WriteString(conn, text); err != nil || closing {
 			return
 		}
@@ -101,6 +110,26 @@
 	return strings.ReplaceAll(text, "$FIRST", e.seen[0])
 }
 
+// noCallersRequest answers a VM's own requests, such as that for the list of cached parts.
+const noCallersRequest = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+
+// scriptedEvents is the number of events of a scripted stream.
+const scriptedEvents = 4
+
+// eventsAfter returns the events of a scripted stream after the one with the given ID, all if it is empty.
+func eventsAfter(id string) string {
+	last, _ := strconv.Atoi(id)
+	text := ""
+	for number := last + 1; number <= scriptedEvents; number++ {
+		text += scriptedEvent(number)
+	}
+	return text
+}
+
+func scriptedEvent(number int) string {
+	return fmt.Sprintf("id: %d\ndata: piece %d\n\n", number, number)
+}
+
 // received returns how often a request was received.
 func (e *scriptedEndpoint) received(id string) int {
 	e.mu.Lock()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -30,6 +30,9 @@
 		if err != nil {
 			return x.failStream(err)
 		}
+		if x.successor != nil {
+			continue // The read that handed the stream over has failed. The successor sends these events again.
+		}
 		if !x.answering {
 			x.answering = true
 			x.work.PrefillDone()
