Hand over requests of endpoints that fall silent within a line

Callers waited until their time was over, and got 504 or a stream that was cut, though another endpoint was sound.

Cause: HasInput also counted bytes in the read buffer. While a read waits for the rest of a status line, a header or the size of a chunk, its begin lies there, so the silent endpoint seemed to go on: askSuccessor gave up before it sent anything, each time after a retry had been taken from the budget. Change: only bytes that the socket holds unread count. The exchange is always within a read when it is asked, so whatever is in the buffer has been looked at.

Tests, each failed before: TestRequestLeavesAnEndpointThatIsSilentWithinAHead (504 after 2 s and 8 s) and the case "within the size of a chunk" of TestHandedOverStreamHasEachEventOnce (cut after 8 s, eight silences, two retries taken). Measured: these three times, and all tests of handovers and silent endpoints with -race twice: passed.

--- a/gateway/handover_events_test.go
+++ b/gateway/handover_events_test.go
@@ -22,6 +22,7 @@
 var silentWithinAChunk = map[string]string{
 	"after the size of a chunk":          eventChunk(1) + "20\r\n",
 	"after the size of the second chunk": eventChunk(1) + eventChunk(2) + "20\r\n",
+	"within the size of a chunk":         eventChunk(1) + eventChunk(2) + "2",
 	"after the size of the last chunk":   eventChunk(1) + eventChunk(2) + eventChunk(3) + eventChunk(4) + "0\r\n",
 	"within an event":                    eventChunk(1) + eventChunk(2) + "20\r\nid: 3\ndata: pie",
 }
--- a/gateway/handover_test.go
+++ b/gateway/handover_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -77,6 +78,30 @@
 	}
 }
 
+// TestRequestLeavesAnEndpointThatIsSilentWithinAHead guards against a request that stays at a silent endpoint until its time is over, since the begin of a line that was read counts as a sign of life.
+func TestRequestLeavesAnEndpointThatIsSilentWithinAHead(t *testing.T) {
+	const partOfAHead = "HTTP/1.1 200 OK\r\nCardamompoint-Att"
+	for name, c := range map[string]struct {
+		service  string
+		replaced []string
+		query    query
+		answer   string
+		want     string
+	}{
+		"lookup": {"plain", plainWorkers, query{path: "/lookup/1"}, wholeBody, "right"},
+		"stream": {"engines", engineIDs, query{path: "/roster/1", promptParts: chatPromptParts}, streamHead + "\r\n$REST" + closeMark, eventsAfter("")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newTestFleet(t, 1)
+			f.replaceByScripted(c.service, c.replaced, partOfAHead, c.answer)
+			if got := f.ask(context.Background(), 1, c.query); got.status != http.StatusOK || got.body != c.want {
+				t.Errorf("the caller got %d, %q", got.status, got.body)
+			}
+		})
+	}
+}
+
 // newCall returns a call of the first VM for a query, which has no caller.
 func (f *testFleet) newCall(q query) *call {
 	f.t.Helper()
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -106,9 +106,10 @@
 	c.Close()
 }
 
-// HasInput reports whether bytes have arrived that were not read.
+// HasInput reports whether bytes have arrived since the last read of the connection. The begin of a line, which
+// a read keeps while it waits for the rest, does not count.
 func (c *Conn) HasInput() bool {
-	return c.reader.Buffered() > 0 || socket.HasUnread(c.raw)
+	return socket.HasUnread(c.raw)
 }
 
 // HasEnded reports whether the endpoint has ended the connection and nothing is left to read.
