Forward events though the endpoint stops in the framing after them

Cause: the decoder of net/http for bodies in chunks goes on to the next chunk in the same read as soon as its size has arrived, and to the trailer behind the size 0, and waits there while it holds data that it has decoded. Change: bodies in chunks are decoded by upstream.chunkedBody, whose Read waits only while it has nothing to return. Chunks that have arrived are still read together. There is no hook to keep the library's decoder: its source can't tell whether data is held. Related paths: package router reads lines through an http.Client, so a line can wait there in the same way. Nothing wrong comes of it, as the next engine is asked only after the read has ended.

--- a/gateway/scripted_endpoint_test.go
+++ b/gateway/scripted_endpoint_test.go
@@ -29,11 +29,18 @@
 func (f *testFleet) replaceByScripted(service string, replaced []string, answers ...string) *scriptedEndpoint {
 	f.t.Helper()
 	e := &scriptedEndpoint{answers: answers}
+	f.replaceByRaw(service, replaced, e.serve)
+	return e
+}
+
+// replaceByRaw replaces the endpoints of a service by two whose connections are served by a function.
+func (f *testFleet) replaceByRaw(service string, replaced []string, serve func(net.Conn)) {
+	f.t.Helper()
 	for _, id := range replaced {
 		f.store.DeleteEndpoint(id)
 	}
 	for host, id := range map[int]string{120: "scripted-1", 121: "scripted-2"} {
-		f.listenRaw(f.address(host, workerPort), e.serve)
+		f.listenRaw(f.address(host, workerPort), serve)
 		f.store.PutEndpoint(id, service, f.address(host, workerPort), "ready")
 	}
 	f.eventually("only the scripted endpoints are known", func() bool {
@@ -44,7 +51,6 @@
 		}
 		return len(f.gateways[0].tracker.Snapshot().Ready[service]) == 2
 	})
-	return e
 }
 
 // listenRaw serves each connection to an address until the test ends.
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -156,6 +156,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
+		c.replaceBody(response)
 		info := platform.DecodeResponse(response)
 		if info.ID == id {
 			return response, info, nil
@@ -167,6 +168,13 @@
 	return nil, platform.ResponseInfo{}, code.New(code.EndpointFault, "the responses belong to other requests")
 }
 
+// replaceBody replaces the body of a response in chunks by one that holds nothing back.
+func (c *Conn) replaceBody(response *http.Response) {
+	if len(response.TransferEncoding) > 0 && response.Body != http.NoBody {
+		response.Body = &chunkedBody{source: c.reader}
+	}
+}
+
 // EndsWithConnection reports whether a response has neither a length nor chunks, so that the end of
 // its connection is the end of its body.
 func EndsWithConnection(response *http.Response) bool {
