Take no part of an answer for whole whose connection was reset during the upload

Cause: the request is written while the answer is read. The system returns the error of a reset to one operation only. If the write gets it, the read sees the end of the connection, which completes an answer without a length. With 8 KB the write has ended before, so the read gets the error. The figure of writes that fail is in the test of the writer: the write ends with ECONNRESET, the read with the part and no error. Change: socket.Writer keeps the error with which a write found the connection broken. At the end of a body that ends with its connection, the write is ended, which takes no time, and its error is the body's. EPIPE does not count: then the endpoint closed its side in order before. Answers with a length or in chunks are not concerned.

TestAnswerThatEndsInOrderDuringAnUploadIsComplete, TestErrorOfAResetThatAWriteGotIsKept, TestOrderlyEndIsNoErrorDuringAWrite.

--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -27,6 +27,7 @@
 	// key is the key of the endpoint in the pool.
 	key     string
 	raw     net.Conn
+	writer  *socket.Writer
 	reads   *patientReader
 	limiter *headerLimiter
 	reader  *bufio.Reader
@@ -48,7 +49,7 @@
 	limiter := &headerLimiter{source: reads}
 	now := clock.Now()
 	return &Conn{
-		key: key, raw: raw, reads: reads, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes),
+		key: key, raw: raw, writer: socket.NewWriter(raw), reads: reads, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes),
 		idleSince: now, idleDeadline: now.Add(defaultIdleTimeout),
 	}
 }
@@ -137,8 +138,7 @@
 // Send writes a request. sent reports whether any byte may have been sent, even if err is not
 // nil.
 func (c *Conn) Send(head, body []byte) (sent bool, err error) {
-	pieces := net.Buffers{head, body}
-	written, err := pieces.WriteTo(c.raw)
+	written, err := c.writer.WriteAll(net.Buffers{head, body})
 	return written > 0, err
 }
 
@@ -168,10 +168,15 @@
 	return nil, platform.ResponseInfo{}, code.New(code.EndpointFault, "the responses belong to other requests")
 }
 
-// replaceBody replaces the body of a response in chunks by one that holds nothing back.
+// replaceBody replaces the body of a response in chunks by one that holds nothing back, and that of a response
+// which ends with its connection by one that is complete only if the endpoint has closed that in order.
 func (c *Conn) replaceBody(response *http.Response) {
-	if len(response.TransferEncoding) > 0 && response.Body != http.NoBody {
+	switch {
+	case response.Body == http.NoBody:
+	case len(response.TransferEncoding) > 0:
 		response.Body = &chunkedBody{source: c.reader}
+	case EndsWithConnection(response):
+		response.Body = &closeDelimitedBody{ReadCloser: response.Body, writer: c.writer}
 	}
 }
 
