router: take no part of an answer for whole whose connection was reset during the call

Callers of package router could get a part of a plain service's answer as complete, for the same reason as at gateways: http.Transport writes the call while it reads the answer, and the write can take the error of the reset. The window is smaller, as the transport closes the connection when a write fails. Change: the connections of calls are socket.Conn, whose Read asks the writer at the end. Related: answers of engines end with a final line, those of routers are signed, so no end of a connection completes them.

--- a/router/endpoint/service_client.go
+++ b/router/endpoint/service_client.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
+	"cardamompoint.example/cardamompoint/internal/socket"
 )
 
 // The headers of calls to plain services. The service must return RequestHeader
@@ -34,13 +36,32 @@
 
 // NewServiceClient returns a ServiceClient that uses a copy of transport. The
 // copy opens a new connection for each call, so that no call is sent on a dead
-// idle connection.
+// idle connection, and takes no connection that is reset for one that ends.
 func NewServiceClient(transport *http.Transport) *ServiceClient {
 	fresh := transport.Clone()
 	fresh.DisableKeepAlives = true
+	fresh.DialContext = checkEnds(fresh.DialContext)
 	return &ServiceClient{http: &http.Client{Transport: fresh, CheckRedirect: returnRedirect}}
 }
 
+// dialFunc is the type of http.Transport.DialContext.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// checkEnds returns a function that dials with dial, or with a net.Dialer if that is nil, and returns connections whose
+// reads tell a reset from an end.
+func checkEnds(dial dialFunc) dialFunc {
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return socket.NewConn(conn), nil
+	}
+}
+
 // returnRedirect makes http.Client return redirects instead of following them.
 func returnRedirect(*http.Request, []*http.Request) error {
 	return http.ErrUseLastResponse
