Leave the error of a reset to the read when a connection is looked at

Callers could get a part of an answer as a complete one also without an upload: the endpoint falls silent in an answer without a length, the request is offered to another endpoint, the first one resets the connection meanwhile, and the other one refuses. Found while looking for further operations that take the error of a reset.

Cause: internal/socket looked by receiving with MSG_PEEK, which takes the error of a connection that broke. The read that followed saw its end, which completes an answer without a length. Change: looks poll the socket and ask how many bytes are unread (SIOCINQ), which takes no error. A poll that a signal interrupts is repeated.

--- a/gateway/reset_answer_test.go
+++ b/gateway/reset_answer_test.go
@@ -7,7 +7,9 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"cardamompoint.example/cardamompoint/internal/standin/hosted"
 )
@@ -103,3 +105,33 @@
 		}
 	}
 }
+
+// TestAnswerThatIsResetDuringAHandoverIsNotComplete guards against the part of an answer without a length that looks complete, as a
+// look at the silent connection took the error of the reset. The other endpoint refuses, so the request stays.
+func TestAnswerThatIsResetDuringAHandoverIsNotComplete(t *testing.T) {
+	const silence, refusedAfter = 700 * time.Millisecond, 1200 * time.Millisecond
+	f := newTestFleet(t, 1)
+	f.publishChanged(2, allowSlowMachine)
+	var requests atomic.Int32
+	f.replaceByRaw("plain", plainWorkers, func(conn net.Conn) {
+		defer conn.Close()
+		id, err := readRequestHead(conn)
+		if err != nil {
+			return
+		}
+		if requests.Add(1) > 1 {
+			time.Sleep(refusedAfter - silence)
+			_, _ = io.WriteString(conn, strings.ReplaceAll(refusal, "$FIRST", id))
+			return
+		}
+		_, _ = io.WriteString(conn, strings.ReplaceAll(closeDelimitedHead+"\r\npart", "$ID", id))
+		time.Sleep(silence)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	})
+	if got := f.ask(context.Background(), 1, query{path: "/lookup/1"}); got.status == http.StatusOK {
+		t.Errorf("the caller got %q, complete: %t", got.body, got.complete)
+	}
+	if requests.Load() < 2 {
+		t.Error("no other endpoint was asked")
+	}
+}
--- a/internal/socket/end.go
+++ b/internal/socket/end.go
@@ -44,7 +44,6 @@
 	if !unread {
 		return !silent
 	}
-	events := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-	count, err := unix.Poll(events, 0)
-	return err == nil && count > 0
+	ended, err := isReady(fd, unix.POLLRDHUP)
+	return err == nil && ended
 }
--- a/internal/socket/unread.go
+++ b/internal/socket/unread.go
@@ -47,9 +47,24 @@
 	return err == nil && unread, err == nil && silent
 }
 
-// peek reports whether a socket has unread bytes, and whether it is open without any.
+// peek reports whether a socket has unread bytes, and whether it is open without any. It leaves the error of a
+// connection that broke to the next read.
 func peek(fd uintptr) (unread, silent bool) {
-	var one [1]byte
-	count, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	return err == nil && count > 0, err == unix.EAGAIN
+	ready, err := isReady(fd, unix.POLLIN|unix.POLLRDHUP)
+	if err != nil || !ready {
+		return false, err == nil
+	}
+	size, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ)
+	return err == nil && size > 0, false
+}
+
+// isReady reports whether one of the given events, an error or the end of both sides has occurred on a socket.
+func isReady(fd uintptr, events int16) (bool, error) {
+	for {
+		polled := []unix.PollFd{{Fd: int32(fd), Events: events}}
+		count, err := unix.Poll(polled, 0)
+		if err != unix.EINTR {
+			return count > 0, err
+		}
+	}
 }
