router: treat an answer whose status HTTP does not allow as a fault of the service

Package router took answers of a plain service with any status: it would pass 600 to 999 on, and for those below 100 net/http panics when the header is written (by reading). The check, which gateways use too, is package httpstatus.

--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -11,6 +11,7 @@
 
 	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/clock"
+	"cardamompoint.example/cardamompoint/internal/httpstatus"
 	"cardamompoint.example/cardamompoint/internal/socket"
 	"cardamompoint.example/cardamompoint/platform"
 )
@@ -153,7 +154,7 @@
 		if err != nil {
 			return nil, platform.ResponseInfo{}, code.Wrap(err, code.EndpointFault, "the response could not be read")
 		}
-		if !isValidStatus(response.StatusCode) {
+		if !httpstatus.IsValid(response.StatusCode) {
 			return nil, platform.ResponseInfo{}, code.New(code.EndpointFault, "the status %03d is not valid", response.StatusCode)
 		}
 		if response.StatusCode < http.StatusOK {
@@ -171,17 +172,6 @@
 	return nil, platform.ResponseInfo{}, code.New(code.EndpointFault, "the responses belong to other requests")
 }
 
-// The statuses that HTTP allows.
-const (
-	minStatus = 100
-	maxStatus = 599
-)
-
-// isValidStatus reports whether an endpoint may answer with a status. No request asks for another protocol.
-func isValidStatus(status int) bool {
-	return status >= minStatus && status <= maxStatus && status != http.StatusSwitchingProtocols
-}
-
 // replaceBody replaces the body of a response in chunks by one that holds nothing back, and that of a response
 // which ends with its connection by one that is complete only if the endpoint has closed that in order.
 func (c *Conn) replaceBody(response *http.Response) {
--- a/router/endpoint/service_client.go
+++ b/router/endpoint/service_client.go
@@ -9,6 +9,7 @@
 	"strconv"
 
 	"cardamompoint.example/cardamompoint/code"
+	"cardamompoint.example/cardamompoint/internal/httpstatus"
 	"cardamompoint.example/cardamompoint/internal/jsonhttp"
 	"cardamompoint.example/cardamompoint/internal/socket"
 )
@@ -104,6 +105,9 @@
 	if got := response.Header.Get(RequestHeader); got != requestID {
 		return Answer{}, code.New(code.EndpointFault, "the answer belongs to request %q", got)
 	}
+	if !httpstatus.IsValid(response.StatusCode) {
+		return Answer{}, code.New(code.EndpointFault, "the status %03d of the answer is not valid", response.StatusCode)
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 	if err != nil {
 		return Answer{}, code.Wrap(err, code.EndpointFault, "the answer was interrupted")
--- a/router/endpoint/service_client_reset_test.go
+++ b/router/endpoint/service_client_reset_test.go
@@ -14,25 +14,12 @@
 // concurrent write of the call took the error of the reset.
 func TestAnswerThatIsResetDuringACallIsNoAnswer(t *testing.T) {
 	const rounds, bodyBytes = 200, 3 << 20
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go answerAndReset(conn)
-		}
-	}()
+	address := listen(t, answerAndReset)
 	client := NewServiceClient(&http.Transport{})
 	complete := 0
 	for range rounds {
 		call := Call{RequestID: "r1", Method: http.MethodPost, Path: "/work", Body: bytes.Repeat([]byte("x"), bodyBytes)}
-		if _, err := client.Call(context.Background(), listener.Addr().String(), call); err == nil {
+		if _, err := client.Call(context.Background(), address, call); err == nil {
 			complete++
 		}
 	}
@@ -50,3 +37,23 @@
 	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+RequestHeader+": r1\r\n\r\npart")
 	_ = conn.(*net.TCPConn).SetLinger(0)
 }
+
+// listen serves each connection to the returned address until the test ends.
+func listen(t *testing.T, serve func(net.Conn)) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
