Schedule the retries that limits and cold endpoints refuse in one place

Clean-up: RetryAfter of gateway/limit and gateway/warmup ended with the same lines and constants. No change of behaviour; both packages' tests pass.

--- a/gateway/limit/limiter.go
+++ b/gateway/limit/limiter.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"cardamompoint.example/cardamompoint/gateway/retryafter"
 	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
 )
@@ -50,8 +51,8 @@
 	peers map[string]map[string]demand
 	// shares are this VM's parts of the demand, by service.
 	shares map[string]cachedShare
-	// promised is the latest retry time given to a refused caller, by service.
-	promised map[string]clock.Boot
+	// retries are the retry times of refused callers.
+	retries *retryafter.Schedule
 }
 
 // New returns a Limiter. countVMs returns the number of VMs that share the limits, this one
@@ -64,7 +65,7 @@
 		own:      map[string]*demand{},
 		peers:    map[string]map[string]demand{},
 		shares:   map[string]cachedShare{},
-		promised: map[string]clock.Boot{},
+		retries:  retryafter.NewSchedule(),
 	}
 }
 
@@ -173,12 +174,6 @@
 	return known
 }
 
-// minRetryAfter and maxRetryAfter bound RetryAfter.
-const (
-	minRetryAfter = 100 * time.Millisecond
-	maxRetryAfter = 10 * time.Second
-)
-
 // RetryAfter returns how long a caller should wait that is refused because all endpoints of a
 // service have reached their limits. limited is false if some endpoint has no limit. Successive
 // callers get increasing times, so that they return at the rate that the limits allow.
@@ -188,7 +183,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	total, first := 0.0, maxRetryAfter
+	total, first := 0.0, retryafter.Max
 	for _, endpoint := range endpoints {
 		known := l.limitOf(endpoint)
 		if known == nil {
@@ -199,8 +194,5 @@
 		total += rate
 		first = min(first, known.bucket.wait(rate))
 	}
-	next := max(l.promised[service].Add(time.Duration(float64(time.Second)/total)), now.Add(first))
-	next = min(next, now.Add(maxRetryAfter))
-	l.promised[service] = next
-	return max(next.Sub(now), minRetryAfter), true
+	return l.retries.Next(service, total, first, now), true
 }
--- a/gateway/warmup/limiter.go
+++ b/gateway/warmup/limiter.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"cardamompoint.example/cardamompoint/gateway/knowledge"
+	"cardamompoint.example/cardamompoint/gateway/retryafter"
 	"cardamompoint.example/cardamompoint/gateway/traffic"
 	"cardamompoint.example/cardamompoint/internal/clock"
 )
@@ -28,8 +29,8 @@
 	evacuated map[string]bool
 	// random spreads the turns of VMs.
 	random *rand.Rand
-	// promised is the latest retry time that was given to a refused caller, by service.
-	promised map[string]clock.Boot
+	// retries are the retry times of refused callers.
+	retries *retryafter.Schedule
 	// vms is the result of countVMs at countedAt.
 	vms       int
 	countedAt clock.Boot
@@ -58,7 +59,7 @@
 		warmUps:   map[traffic.Instance]*warmUp{},
 		evacuated: map[string]bool{},
 		random:    rand.New(rand.NewPCG(seed, 0)),
-		promised:  map[string]clock.Boot{},
+		retries:   retryafter.NewSchedule(),
 	}
 }
 
@@ -206,12 +207,6 @@
 	return known
 }
 
-// minRetryAfter and maxRetryAfter bound RetryAfter.
-const (
-	minRetryAfter = 100 * time.Millisecond
-	maxRetryAfter = 10 * time.Second
-)
-
 // RetryAfter returns how long a caller should wait that is refused because all endpoints of a service are cold and have
 // no turn for this VM. limited is false if some endpoint is not cold. Successive callers get increasing times, so that
 // they return at the rate of the turns.
@@ -221,7 +216,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	perSecond, first := 0.0, maxRetryAfter
+	perSecond, first := 0.0, retryafter.Max
 	for _, endpoint := range endpoints {
 		known := l.cold(endpoint, now)
 		if known == nil {
@@ -231,8 +226,5 @@
 		perSecond += 1 / period.Seconds()
 		first = min(first, l.wait(known, now), known.coldUntil.Sub(now))
 	}
-	next := max(l.promised[service].Add(time.Duration(float64(time.Second)/perSecond)), now.Add(first))
-	next = min(next, now.Add(maxRetryAfter))
-	l.promised[service] = next
-	return max(next.Sub(now), minRetryAfter), true
+	return l.retries.Next(service, perSecond, first, now), true
 }
