--- a/gateway/handover_events_test.go
+++ b/gateway/handover_events_test.go
@@ -63,19 +63,11 @@
 func TestEventOfAReadThatHandedOverIsNotForwarded(t *testing.T) {
 	f := newTestFleet(t, 1)
 	f.listenRaw(f.address(130, workerPort), func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
-	c := f.newCall(query{path: "/roster/1", promptParts: chatPromptParts})
-	x, err := c.newExchange()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if x.conn, err = c.gateway.pool.Dial(context.Background(), "silent", f.address(130, workerPort)); err != nil {
-		t.Fatal(err)
-	}
-	defer x.conn.Close()
-	x.work = c.gateway.table.Begin(x.pick, &c.request.Prompt, clock.Now())
+	x := f.dialExchange(query{path: "/roster/1", promptParts: chatPromptParts}, f.address(130, workerPort))
+	x.work = x.gateway.table.Begin(x.pick, &x.request.Prompt, clock.Now())
 	defer x.work.End()
 	x.response, x.info.Status = &http.Response{Body: &handingOverBody{x: x}}, http.StatusOK
-	if out := x.forwardStream(); out.result != resultFailed || c.headerSent || c.events > 0 {
-		t.Errorf("%+v after %d events, header sent: %t", out, c.events, c.headerSent)
+	if out := x.forwardStream(); out.result != resultFailed || x.headerSent || x.events > 0 {
+		t.Errorf("%+v after %d events, header sent: %t", out, x.events, x.headerSent)
 	}
 }
--- a/gateway/handover_test.go
+++ b/gateway/handover_test.go
@@ -60,21 +60,13 @@
 		_, _ = io.WriteString(conn, "H") // The begin of an answer.
 		_, _ = io.Copy(io.Discard, conn)
 	})
-	c := f.newCall(query{path: "/roster/1", promptParts: chatPromptParts})
-	x, err := c.newExchange()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if x.conn, err = c.gateway.pool.Dial(context.Background(), "silent", f.address(130, workerPort)); err != nil {
-		t.Fatal(err)
-	}
-	defer x.conn.Close()
+	x := f.dialExchange(query{path: "/roster/1", promptParts: chatPromptParts}, f.address(130, workerPort))
 	f.eventually("the endpoint goes on", x.conn.HasInput)
 	if next, _, ok := x.askSuccessor(); next != nil || ok {
 		t.Error("another endpoint was asked")
 	}
-	if c.attempts != 1 || len(c.triedEndpoints) != 1 {
-		t.Errorf("%d attempts, %v tried, want the first one alone", c.attempts, c.triedEndpoints)
+	if x.attempts != 1 || len(x.triedEndpoints) != 1 {
+		t.Errorf("%d attempts, %v tried, want the first one alone", x.attempts, x.triedEndpoints)
 	}
 }
 
@@ -102,6 +94,20 @@
 	}
 }
 
+// dialExchange returns the first exchange of a new call, whose connection leads to the given address.
+func (f *testFleet) dialExchange(q query, address string) *exchange {
+	f.t.Helper()
+	x, err := f.newCall(q).newExchange()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if x.conn, err = x.gateway.pool.Dial(context.Background(), "dialed", address); err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(x.conn.Close)
+	return x
+}
+
 // newCall returns a call of the first VM for a query, which has no caller.
 func (f *testFleet) newCall(q query) *call {
 	f.t.Helper()
--- a/gateway/reset_answer_test.go
+++ b/gateway/reset_answer_test.go
@@ -37,6 +37,7 @@
 	}{
 		"lookup":           {"plain", plainWorkers, query{path: "/lookup/1"}, "\r\npart"},
 		"deposit":          {"plain", plainWorkers, query{path: "/deposit/1"}, "\r\npart"},
+		"long answer":      {"plain", plainWorkers, query{path: "/deposit/1"}, "\r\n" + strings.Repeat("x", maxBufferedBytes+1)},
 		"stream":           {"engines", engineIDs, query{path: "/chat/1", promptParts: chatPromptParts}, "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: one\n\n"},
 		"resumable stream": {"engines", engineIDs, query{path: "/roster/1", promptParts: chatPromptParts}, "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: one\n\n"},
 	} {
--- a/internal/socket/end.go
+++ b/internal/socket/end.go
@@ -12,16 +12,8 @@
 // broke, also if unread bytes lie before the end. It reads nothing. A connection that is no socket counts
 // as open.
 func HasEnded(conn net.Conn) bool {
-	system, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := system.SyscallConn()
-	if err != nil {
-		return true
-	}
 	ended := false
-	err = raw.Control(func(fd uintptr) { ended = hasEnded(fd) })
+	_, err := control(conn, func(fd uintptr) { ended = hasEnded(fd) })
 	return err != nil || ended
 }
 
--- a/internal/socket/unread.go
+++ b/internal/socket/unread.go
@@ -32,18 +32,26 @@
 	})
 }
 
+// control calls f with the descriptor of a connection. isSocket is false if it has none.
+func control(conn net.Conn, f func(fd uintptr)) (isSocket bool, err error) {
+	system, isSocket := conn.(syscall.Conn)
+	if !isSocket {
+		return false, nil
+	}
+	raw, err := system.SyscallConn()
+	if err != nil {
+		return true, err
+	}
+	return true, raw.Control(f)
+}
+
 // look reports whether a connection has unread bytes, and whether it is open without any. One that is no
 // socket has none and is open.
 func look(conn net.Conn) (unread, silent bool) {
-	system, ok := conn.(syscall.Conn)
-	if !ok {
+	isSocket, err := control(conn, func(fd uintptr) { unread, silent = peek(fd) })
+	if !isSocket {
 		return false, true
 	}
-	raw, err := system.SyscallConn()
-	if err != nil {
-		return false, false
-	}
-	err = raw.Control(func(fd uintptr) { unread, silent = peek(fd) })
 	return err == nil && unread, err == nil && silent
 }
 
