Let workers of the soak answer with invalid statuses and stop within a chunk

Two more behaviors of the stand-in, drawn like the others, and a check that no caller gets a status outside of those that HTTP allows (its own case in TestSoakChecksCanFail). Resets of answers without a length stay out of the soak: its proxy before each worker ends a connection in order where the worker resets it.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -145,7 +145,7 @@
 // randomBehavior returns a random behavior other than AnnounceLeaving.
 func (s *soak) randomBehavior() hosted.Behavior {
 	for {
-		if behavior := hosted.Behavior(s.random.IntN(int(hosted.RefuseAfterRun) + 1)); behavior != hosted.AnnounceLeaving {
+		if behavior := hosted.Behavior(s.random.IntN(int(hosted.Behaviors))); behavior != hosted.AnnounceLeaving {
 			return behavior
 		}
 	}
--- a/internal/soak/history_red_test.go
+++ b/internal/soak/history_red_test.go
@@ -78,6 +78,7 @@
 		"a lookup executed three times":             {"runs", func(h *callHistory) { h.seen = append(h.seen, h.seen[1], h.seen[1]) }},
 		"a not-run status after an execution":       {"not run", func(h *callHistory) { h.calls[0].status = http.StatusServiceUnavailable }},
 		"an answer to another request":              {"answers", func(h *callHistory) { h.calls[0].body = "answer to z" }},
+		"a status that HTTP does not allow":         {"answers", func(h *callHistory) { h.calls[0].status = 600 }},
 		"a truncated answer that ended as complete": {"answers", func(h *callHistory) { h.calls[0].body = "answer" }},
 		"a revoked key": {"keys", func(h *callHistory) {
 			h.calls[0].key, h.calls[0].sent = "old", h.calls[0].sent.Add(keyLease+time.Millisecond)
--- a/internal/soak/history_test.go
+++ b/internal/soak/history_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"cardamompoint.example/cardamompoint/internal/httpstatus"
 	"cardamompoint.example/cardamompoint/internal/standin/hosted"
 )
 
@@ -144,13 +145,16 @@
 }
 
 // checkAnswers checks that each caller receives a prefix of the answer to its own request, and
-// all of it if the response ended without an error.
+// all of it if the response ended without an error, and that no status is invalid.
 func checkAnswers(h *callHistory) (violations []string) {
 	stream := ""
 	for event := 1; event <= streamEvents; event++ {
 		stream += fmt.Sprintf("id: %d\ndata: piece %d\n\n", event, event)
 	}
 	for _, call := range h.calls {
+		if call.status > 0 && !httpstatus.IsValid(call.status) {
+			violations = append(violations, fmt.Sprintf("%s %s: status %d", call.path, call.id, call.status))
+		}
 		if call.status != http.StatusOK {
 			continue
 		}
--- a/internal/standin/hosted/behavior.go
+++ b/internal/standin/hosted/behavior.go
@@ -34,4 +34,10 @@
 	RefuseEndlessly
 	// RefuseAfterRun executes the request and responds with a status that promises the contrary.
 	RefuseAfterRun
+	// InvalidStatus executes the request and responds with a status that HTTP does not allow.
+	InvalidStatus
+	// StopWithinChunk executes a stream, falls silent after the size of a chunk, and closes the connection later.
+	StopWithinChunk
+	// Behaviors is the number of behaviors.
+	Behaviors
 )
--- a/internal/standin/hosted/worker_response.go
+++ b/internal/standin/hosted/worker_response.go
@@ -33,6 +33,8 @@
 	case RefuseAfterRun:
 		w.seal(out)
 		out.WriteHeader(http.StatusServiceUnavailable)
+	case InvalidStatus:
+		respondWithInvalidStatus(out, id)
 	case DropConnection:
 		panic(http.ErrAbortHandler)
 	case Hang:
--- a/internal/standin/hosted/worker_stream.go
+++ b/internal/standin/hosted/worker_stream.go
@@ -32,6 +32,10 @@
 			w.abandon(id)
 			return
 		}
+		if behavior == StopWithinChunk && event > first+w.Events/2 {
+			w.stopWithinChunk(control, id)
+			return
+		}
 		select {
 		case <-time.After(w.EventInterval):
 		case <-r.Context().Done():
