--- a/gateway/handover_test.go
+++ b/gateway/handover_test.go
@@ -57,7 +57,7 @@
 func TestHandoverThatIsNotNeededLeavesTheOtherEndpoint(t *testing.T) {
 	f := newTestFleet(t, 1)
 	f.listenRaw(f.address(130, workerPort), func(conn net.Conn) {
-		_, _ = io.WriteString(conn, "H") // The begin of an answer.
+		_, _ = io.WriteString(conn, "H") // The beginning of an answer.
 		_, _ = io.Copy(io.Discard, conn)
 	})
 	x := f.dialExchange(query{path: "/roster/1", promptParts: chatPromptParts}, f.address(130, workerPort))
@@ -70,7 +70,7 @@
 	}
 }
 
-// TestRequestLeavesAnEndpointThatIsSilentWithinAHead guards against a request that stays at a silent endpoint until its time is over, since the begin of a line that was read counts as a sign of life.
+// TestRequestLeavesAnEndpointThatIsSilentWithinAHead guards against a request that stays at a silent endpoint until its time is over, since the beginning of a line that was read counts as a sign of life.
 func TestRequestLeavesAnEndpointThatIsSilentWithinAHead(t *testing.T) {
 	const partOfAHead = "HTTP/1.1 200 OK\r\nCardamompoint-Att"
 	for name, c := range map[string]struct {
--- a/gateway/knowledge/entries.go
+++ b/gateway/knowledge/entries.go
@@ -208,7 +208,7 @@
 }
 
 // settle removes the held endpoints that did not renew their entries in time, and accepts the
-// doubted entries that still stand. confirmed is the begin of the last read. It reports whether there
+// doubted entries that still stand. confirmed is the beginning of the last read. It reports whether there
 // was any.
 func (e *entries) settle(confirmed, now clock.Boot) bool {
 	settled := false
--- a/gateway/knowledge/restore_test.go
+++ b/gateway/knowledge/restore_test.go
@@ -65,7 +65,7 @@
 			time.Sleep(time.Millisecond)
 		}
 		if took := clock.Now().Sub(began); took < rewriteTime || took > rewriteTime+3*minWatchWait {
-			t.Errorf("confirmed %v after the begin of the era, want %v", took, rewriteTime)
+			t.Errorf("confirmed %v after the beginning of the era, want %v", took, rewriteTime)
 		}
 		stop()
 	})
--- a/gateway/knowledge/settling.go
+++ b/gateway/knowledge/settling.go
@@ -86,7 +86,7 @@
 	return returnedAt
 }
 
-// returnedAt returns when the store returned for a VM that reaches it at now: the begin of the known span,
+// returnedAt returns when the store returned for a VM that reaches it at now: the beginning of the known span,
 // if others have reached the store since this VM lost it and so lately that no entry has expired in a
 // further outage since: endpoints renew their entries three times in the lifetime of an entry.
 func (s *settling) returnedAt(now clock.Boot) clock.Boot {
@@ -180,7 +180,7 @@
 }
 
 // dueDeletions returns the held deletions if they are to be applied: a read that began after the hold
-// shows that the endpoints did not write their entries again. confirmed is the begin of the last read.
+// shows that the endpoints did not write their entries again. confirmed is the beginning of the last read.
 func (s *settling) dueDeletions(confirmed clock.Boot) map[string]platform.Item {
 	if s.storeLost || confirmed < s.holdUntil {
 		return nil
@@ -189,7 +189,7 @@
 }
 
 // dueEntries returns the doubted entries if they are to be applied: a read that began when their time
-// was over shows that they still stand. confirmed is the begin of the last read.
+// was over shows that they still stand. confirmed is the beginning of the last read.
 func (s *settling) dueEntries(confirmed clock.Boot) map[string]platform.Item {
 	if s.storeLost || confirmed < s.doubtUntil {
 		return nil
@@ -197,7 +197,7 @@
 	return s.doubted
 }
 
-// nextRead returns the time at which a read has to begin to settle the first items, given the begin
+// nextRead returns the time at which a read has to begin to settle the first items, given the beginning
 // of the last read; ok is false if nothing is unsettled.
 func (s *settling) nextRead(confirmed clock.Boot) (at clock.Boot, ok bool) {
 	if len(s.held) > 0 && confirmed < s.holdUntil {
--- a/gateway/knowledge/tracker.go
+++ b/gateway/knowledge/tracker.go
@@ -145,7 +145,7 @@
 // one can't tell how long ago the store came back.
 const firstEra = 1
 
-// rewriteTime is how long after the begin of an era the store may lack what the operator had written
+// rewriteTime is how long after the beginning of an era the store may lack what the operator had written
 // before. Reads that began earlier confirm nothing: the copy may lack a change that this VM has
 // missed, too.
 const rewriteTime = 1500 * time.Millisecond
--- a/gateway/shed/overload_test.go
+++ b/gateway/shed/overload_test.go
@@ -9,7 +9,7 @@
 	"cardamompoint.example/cardamompoint/internal/clock"
 )
 
-// TestReturnsFollowTheOverload refuses callers that are mostly refused at the begin of an overload,
+// TestReturnsFollowTheOverload refuses callers that are mostly refused at the beginning of an overload,
 // two seconds into it, and after a pause.
 func TestReturnsFollowTheOverload(t *testing.T) {
 	const spread = 1 << 31 // The middle of the possible values.
@@ -31,7 +31,7 @@
 	}
 	now = now.Add(2 * overloadGap)
 	if wait := o.retryAfter(caller, 1, now); wait != minRetryAfter {
-		t.Errorf("at the begin of the next overload: %v", wait)
+		t.Errorf("at the beginning of the next overload: %v", wait)
 	}
 }
 
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -108,7 +108,7 @@
 	c.Close()
 }
 
-// HasInput reports whether bytes have arrived since the last read of the connection. The begin of a line, which
+// HasInput reports whether bytes have arrived since the last read of the connection. The beginning of a line, which
 // a read keeps while it waits for the rest, does not count.
 func (c *Conn) HasInput() bool {
 	return socket.HasUnread(c.raw)
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -88,7 +88,7 @@
 	return s.Kinds
 }
 
-// burstStart is the time from the first request to the begin of a burst.
+// burstStart is the time from the first request to the beginning of a burst.
 const burstStart = 4 * time.Second
 
 // inBurst reports whether requests of a kind that arrive at the given time belong to the burst.
--- a/internal/jsonhttp/depth.go
+++ b/internal/jsonhttp/depth.go
@@ -38,7 +38,7 @@
 	}
 }
 
-// open handles the begin of an array or object, which is in out already.
+// open handles the beginning of an array or object, which is in out already.
 func (b *depthBounder) open() {
 	b.depth++
 	if b.depth == b.level {
