Review 3: let the channels between machines go silent, too, in case 11

Cause: with silent channels to the store alone, the worker was used late only for some tenths of a second, and only at some moments of a watch.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -9,4 +9,4 @@
         exit 2
     fi
 done
-exec target/review3/stand3 silent-store target/cardamompoint "$here/record.txt"
+exec target/review3/stand3 silent-channels target/cardamompoint "$here/record.txt"
--- a/review/stand3/fleet.go
+++ b/review/stand3/fleet.go
@@ -24,9 +24,11 @@
 // machine is a machine of the system and the process on it.
 type machine struct {
 	name, ip, zone string
-	process        *exec.Cmd
-	exited         chan struct{}
-	failure        error
+	// peerPort is the first of the ports for other machines.
+	peerPort int
+	process  *exec.Cmd
+	exited   chan struct{}
+	failure  error
 }
 
 func (m *machine) front() string { return fmt.Sprintf("%s:%d", m.ip, frontPort) }
@@ -71,6 +73,8 @@
 				name: fmt.Sprintf("front-%s-%d", zones[at], number),
 				ip:   fmt.Sprintf("%s.%d.%d", network, at+1, number),
 				zone: zones[at],
+
+				peerPort: peerPort(len(f.machines)),
 			})
 		}
 	}
@@ -81,7 +85,7 @@
 func (f *fleet) settings(m *machine, bootstrap bool) []byte {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "nodeName = %q\nrole = \"gateway\"\nmachineClass = \"front\"\nserves = [\"front\",\"control\"]\n", m.name)
-	fmt.Fprintf(&b, "ip = %q\nzone = %q\nregion = \"klang-valley\"\ninternalPorts = [7340,7355]\n", m.ip, m.zone)
+	fmt.Fprintf(&b, "ip = %q\nzone = %q\nregion = \"klang-valley\"\ninternalPorts = [%d,7355]\n", m.ip, m.zone, m.peerPort)
 	fmt.Fprintf(&b, "seeds = [\"%s.1.1:%d\",\"%s.2.1:%d\",\"%s.3.1:%d\"]\n", f.network, controlPort, f.network, controlPort, f.network, controlPort)
 	fmt.Fprintf(&b, "bootstrap = %t\ncountsAsLoss = false\ndiscovery = \"platform\"\nentry = \"vip\"\nheartbeatMs = 1200\n", bootstrap)
 	b.WriteString("contracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"engine\",\"stream\",\"tenants\",\"platform\"]\n")
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -17,7 +17,7 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(*record, string, bool) (bool, error){
-	"silent-store": silentStore,
+	"silent-channels": silentChannels,
 }
 
 func main() {
--- a/review/stand3/silent_store.go
+++ b/review/stand3/silent_channels.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"time"
 )
@@ -42,6 +43,7 @@
 	runs    *runs
 	workers []*worker
 	fleet   *fleet
+	links   *links
 	load    *load
 }
 
@@ -67,6 +69,9 @@
 	}
 	d.store.put("op/config", configuration(7))
 	d.fleet = newFleet(r, program, dir, d.network, []int{3, 2, 2})
+	if d.links, err = newLinks(d.fleet.machines); err != nil {
+		return d, err
+	}
 	if err := d.fleet.startAll(); err != nil {
 		return d, err
 	}
@@ -90,6 +95,9 @@
 			_ = w.server.Close()
 		}
 	}
+	if d.links != nil {
+		d.links.close()
+	}
 	if d.store.server != nil {
 		_ = d.store.server.Close()
 	}
@@ -100,8 +108,14 @@
 	fmt.Println("logs:", d.dir)
 }
 
-// silentStore lets all open channels to the store go silent while workers are replaced. The rule is DRAIN.
-func silentStore(r *record, program string, trouble bool) (bool, error) {
+// goSilent lets all open channels between the machines and to the store go silent for good. New ones work.
+func (d *deployment) goSilent() {
+	d.record.write("channels", "go silent", "to_store", d.store.goSilent(), "between_machines", d.links.goSilent())
+}
+
+// silentChannels lets all open channels between the machines and to the store go silent while workers are replaced. The
+// rule is DRAIN.
+func silentChannels(r *record, program string, trouble bool) (bool, error) {
 	d, err := newDeployment(r, program)
 	if d != nil {
 		defer d.close()
@@ -116,14 +130,14 @@
 		if d.store.channels() == len(d.fleet.machines) || !trouble {
 			break
 		}
-		r.write("store", "channels go silent", "channels", d.store.goSilent())
+		d.goSilent()
 		time.Sleep(12 * time.Second)
 	}
 	leaving, silentAt, goneAt, err := d.release(trouble)
 	if err != nil {
 		return false, err
 	}
-	time.Sleep(drain + 900*time.Millisecond)
+	time.Sleep(drain + 1700*time.Millisecond) // It serves for 2 s longer than drainMs.
 	leaving.exit()
 	time.Sleep(3 * time.Second)
 	d.load.end()
@@ -142,10 +156,10 @@
 		return nil, silentAt, goneAt, err
 	}
 	d.store.put("servers/"+first.id, first.entry("ready"))
-	time.Sleep(150 * time.Millisecond)
+	time.Sleep(time.Duration(100+rand.IntN(800)) * time.Millisecond)
 	silentAt = time.Now()
 	if trouble {
-		d.record.write("store", "channels go silent", "channels", d.store.goSilent())
+		d.goSilent()
 	}
 	time.Sleep(100 * time.Millisecond)
 	leaving = d.workers[0]
