--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -18,6 +18,7 @@
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(*record, string, bool) (bool, error){
 	"silent-channels": silentChannels,
+	"cut-watches":     cutWatches,
 }
 
 func main() {
--- a/review/stand3/store.go
+++ b/review/stand3/store.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
+	"log"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sort"
@@ -35,7 +38,8 @@
 	// silent holds the channels that have gone silent for good: nothing is answered on them.
 	silent map[net.Conn]bool
 	open   map[net.Conn]bool
-	calls  int
+	// cutShare is the share of the watches that are cut at some moment while they wait.
+	cutShare float64
 }
 
 func newStore(r *record) *store {
@@ -59,6 +63,7 @@
 			return context.WithValue(ctx, connKey{}, conn)
 		},
 		ConnState: s.stateChanged,
+		ErrorLog:  log.New(io.Discard, "", 0),
 	}
 	go func() { _ = s.server.Serve(listener) }()
 	return nil
@@ -159,7 +164,6 @@
 		AsOf  int64  `json:"asOf"`
 	}{Items: []item{}}
 	s.mu.Lock()
-	s.calls++
 	for key, stored := range s.items {
 		if strings.HasPrefix(key, prefix) && key > after {
 			page.Items = append(page.Items, stored)
@@ -178,8 +182,10 @@
 	prefix := r.URL.Query().Get("prefix")
 	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
 	waitMS, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
-	timer := time.NewTimer(time.Duration(waitMS) * time.Millisecond)
+	wait := time.Duration(waitMS) * time.Millisecond
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	cut := s.cutAfter(wait)
 	for expired := false; ; {
 		events, asOf, changed := s.since(prefix, after)
 		if len(events) > 0 || expired {
@@ -190,17 +196,36 @@
 		case <-changed:
 		case <-timer.C:
 			expired = true
+		case <-cut:
+			s.record.write("store", "cuts a watch", "from", r.RemoteAddr)
+			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			return
 		}
 	}
 }
 
+// setCutShare sets the share of the watches that are cut while they wait.
+func (s *store) setCutShare(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cutShare = share
+}
+
+// cutAfter returns a channel that fires when a watch is to be cut, nil if it is not.
+func (s *store) cutAfter(wait time.Duration) <-chan time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if rand.Float64() >= s.cutShare {
+		return nil
+	}
+	return time.After(time.Duration(rand.Int64N(int64(wait) + 1)))
+}
+
 // since returns the events after a revision, and a channel that is closed at the next change.
 func (s *store) since(prefix string, after int64) ([]item, int64, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls++
 	events := []item{}
 	for _, change := range s.history {
 		if change.Revision > after && strings.HasPrefix(change.Key, prefix) {
