--- a/review/stand3/cut_watches_test.go
+++ b/review/stand3/cut_watches_test.go
@@ -32,7 +32,7 @@
 	if trouble {
 		d.store.setCutShare(cutShare)
 	}
-	d.load = startLoad(r, d.fleet.machines, 12, host, path, keyText)
+	d.load = startLoad(r, d.fleet.machines, 12, host, depositPath, keyText)
 	time.Sleep(4 * time.Second)
 	// The new worker starts first, then the old one leaves. Soon after that the next new one starts.
 	if err := d.register(len(zones)); err != nil {
--- a/review/stand3/silent_channels_test.go
+++ b/review/stand3/silent_channels_test.go
@@ -14,10 +14,10 @@
 )
 
 const (
-	host    = "ficu95.example"
-	path    = "/puxa403/"
-	keyText = "n2ctnfzs989anu6wsjnb"
-	service = "wuno96b"
+	host        = "ficu95.example"
+	depositPath = "/puxa403/"
+	keyText     = "n2ctnfzs989anu6wsjnb"
+	service     = "wuno96b"
 )
 
 // configuration returns a configuration with one route of a plain service whose requests may run once.
@@ -25,7 +25,7 @@
 	return map[string]any{
 		"version": version,
 		"routes": []any{map[string]any{
-			"name": "r-2yhvz3p", "hostname": host, "prefix": path, "kind": "non_idempotent", "timeoutMs": 1200, "latencyGoalMs": 150,
+			"name": "r-2yhvz3p", "hostname": host, "prefix": depositPath, "kind": "non_idempotent", "timeoutMs": 1200, "latencyGoalMs": 150,
 			"priority": 2, "service": service, "maxAttempts": 1, "public": false, "sticky": false, "resumeStreams": false,
 		}},
 		"services": []any{map[string]any{"name": service, "healthPath": "/health", "maxConns": 100, "protocol": "h1", "tls": false}},
@@ -123,7 +123,7 @@
 	if err != nil {
 		return false, err
 	}
-	d.load = startLoad(r, d.fleet.machines, 25, host, path, keyText)
+	d.load = startLoad(r, d.fleet.machines, 25, host, depositPath, keyText)
 	time.Sleep(6 * time.Second)
 	// Machines that don't read the store otherwise read it once when channels go silent, and keep a channel to it.
 	for range 3 {
