--- a/review/stand3/main_test.go
+++ b/review/stand3/main_test.go
@@ -15,8 +15,10 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(r *record, program string, trouble bool) (bool, error){
-	"silent-channels": silentChannels,
-	"cut-watches":     cutWatches,
+	"silent-channels":   silentChannels,
+	"cut-watches":       cutWatches,
+	"slow-engine-order": slowEngineOrder,
+	"slow-engine-twice": slowEngineTwice,
 }
 
 // TestMain plays the case that the arguments name: a case, the gateway program and the path of its record. go test names
