--- /dev/null
+++ b/review/12/run.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Shows case 12. Build first: the command of deploy/system.toml, then review/build-3.sh.
+set -uo pipefail
+here="$(cd "$(dirname "$0")" && pwd)"
+cd "$here/../.."
+for program in target/cardamompoint target/review-3; do
+    if [ ! -x "$program" ]; then
+        echo "not built: $program"
+        exit 2
+    fi
+done
+exec target/review-3 slow-lookups target/cardamompoint "$here/record.txt"
--- a/review/stand3/engine_test.go
+++ b/review/stand3/engine_test.go
@@ -73,7 +73,8 @@
 	}
 }
 
-func (e *engine) serve() error {
+// serve listens, and answers on each channel until it ends.
+func (e *engine) serve(answers func(*engine, net.Conn)) error {
 	var err error
 	if e.listener, err = net.Listen("tcp", e.address); err != nil {
 		return err
@@ -87,7 +88,10 @@
 			e.mu.Lock()
 			e.open[conn] = true
 			e.mu.Unlock()
-			go e.serveConn(conn)
+			go func() {
+				defer e.drop(conn)
+				answers(e, conn)
+			}()
 		}
 	}()
 	return nil
@@ -102,13 +106,16 @@
 	}
 }
 
-func (e *engine) serveConn(conn net.Conn) {
-	defer func() {
-		e.mu.Lock()
-		delete(e.open, conn)
-		e.mu.Unlock()
-		_ = conn.Close()
-	}()
+// drop closes a channel.
+func (e *engine) drop(conn net.Conn) {
+	e.mu.Lock()
+	delete(e.open, conn)
+	e.mu.Unlock()
+	_ = conn.Close()
+}
+
+// stream answers with streams on a channel until it ends.
+func (e *engine) stream(conn net.Conn) {
 	reader := bufio.NewReader(conn)
 	for {
 		request, err := http.ReadRequest(reader)
--- a/review/stand3/main_test.go
+++ b/review/stand3/main_test.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(r *record, program string, trouble bool) (bool, error){
 	"silent-channels":   silentChannels,
 	"cut-watches":       cutWatches,
+	"slow-lookups":      slowLookups,
 	"slow-engine-order": slowEngineOrder,
 	"slow-engine-twice": slowEngineTwice,
 }
--- a/review/stand3/slow_engine_test.go
+++ b/review/stand3/slow_engine_test.go
@@ -46,6 +46,9 @@
 	deployment
 	engines []*engine
 	runsAt  *engineRuns
+	// configuration is what the operator publishes, answers how the engines answer on a channel.
+	configuration map[string]any
+	answers       func(*engine, net.Conn)
 }
 
 func (s *streams) start(program string) error {
@@ -65,13 +68,13 @@
 			address: fmt.Sprintf("%s.8.%d:%d", s.network, at+1, workerPort), open: map[net.Conn]bool{}, runs: s.runsAt,
 		}
 		e.slowness.Store(1)
-		if err := e.serve(); err != nil {
+		if err := e.serve(s.answers); err != nil {
 			return err
 		}
 		s.engines = append(s.engines, e)
 		s.store.put("servers/"+e.id, e.entry())
 	}
-	s.store.put("op/config", streamConfiguration())
+	s.store.put("op/config", s.configuration)
 	s.fleet = newFleet(s.record, program, s.dir, s.network, []int{3, 2, 2})
 	if s.links, err = newLinks(s.fleet.machines); err != nil {
 		return err
@@ -184,7 +187,8 @@
 }
 
 func newStreams(r *record) *streams {
-	return &streams{deployment: deployment{record: r, store: newStore(r), runs: &runs{}}, runsAt: &engineRuns{byID: map[string][]*engineRun{}}}
+	return &streams{deployment: deployment{record: r, store: newStore(r), runs: &runs{}}, runsAt: &engineRuns{byID: map[string][]*engineRun{}},
+		configuration: streamConfiguration(), answers: (*engine).stream}
 }
 
 // What a client got.
