Read nothing more of a response after a read of it has failed

Cause: a request is handed over from within a read of the silent endpoint's response, which fails then. net/http's parser drops that error: bufio.Reader.ReadLine returns the beginning of a line in its place, and net/textproto looks for a continued line after each header without regard to it. It read again, and patientReader asked its timeout function again. So the head was read on, with a line taken for two, and that response was the caller's although another endpoint had taken the request over.

Change: stickyReader, between the parsers and the connection, returns the error of a failed read from then on, so that no parser can read on, that of a body neither; such a connection is not used again.

The other way weighed, taking a head whole from the connection before it is parsed, covers heads alone and adds a scan and a copy to each response.

--- a/gateway/scripted_endpoint_test.go
+++ b/gateway/scripted_endpoint_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 )
 
 // scriptedEndpoint is an endpoint that answers with given bytes, whatever the protocol says.
@@ -16,14 +17,22 @@
 	mu sync.Mutex
 	// answers are the answers to the next requests, in order; the last one is repeated. In them
 	// $ID is the ID of the request, $FIRST that of the first one, and $REST are the events after the one that the
-	// request says its caller has. An answer that ends with $CLOSE closes the connection.
+	// request says its caller has. An answer pauses for scriptedPause at each $PAUSE, and one that ends with $CLOSE closes
+	// the connection.
 	answers []string
 	// seen are the IDs of the requests received.
 	seen []string
 }
 
-// closeMark ends an answer after which the connection is closed.
-const closeMark = "$CLOSE"
+const (
+	// closeMark ends an answer after which the connection is closed.
+	closeMark = "$CLOSE"
+	// pauseMark is where an answer pauses.
+	pauseMark = "$PAUSE"
+	// scriptedPause is longer than a VM waits for a lookup before it asks another endpoint; twice as long is longer than it
+	// waits for a stream.
+	scriptedPause = 900 * time.Millisecond
+)
 
 // replaceByScripted replaces the endpoints of a service by two that answer from one script.
 func (f *testFleet) replaceByScripted(service string, replaced []string, answers ...string) *scriptedEndpoint {
@@ -40,8 +49,7 @@
 		f.store.DeleteEndpoint(id)
 	}
 	for host, id := range map[int]string{120: "scripted-1", 121: "scripted-2"} {
-		f.listenRaw(f.address(host, workerPort), serve)
-		f.store.PutEndpoint(id, service, f.address(host, workerPort), "ready")
+		f.addRaw(id, service, host, serve)
 	}
 	f.eventually("only the scripted endpoints are known", func() bool {
 		for _, endpoint := range f.gateways[0].tracker.Snapshot().Ready[service] {
@@ -53,6 +61,13 @@
 	})
 }
 
+// addRaw adds an endpoint whose connections are served by a function.
+func (f *testFleet) addRaw(id, service string, host int, serve func(net.Conn)) {
+	f.t.Helper()
+	f.listenRaw(f.address(host, workerPort), serve)
+	f.store.PutEndpoint(id, service, f.address(host, workerPort), "ready")
+}
+
 // listenRaw serves each connection to an address until the test ends.
 func (f *testFleet) listenRaw(address string, serve func(net.Conn)) {
 	f.t.Helper()
@@ -90,12 +105,25 @@
 		}
 		text, closing := strings.CutSuffix(e.next(id), closeMark)
 		text = strings.ReplaceAll(text, "$REST", eventsAfter(request.Header.Get("Last-Event-Id")))
-		if _, err := io.WriteString(conn, text); err != nil || closing {
+		if err := writeWithPauses(conn, text); err != nil || closing {
 			return
 		}
 	}
 }
 
+// writeWithPauses writes an answer.
+func writeWithPauses(conn net.Conn, text string) error {
+	for i, part := range strings.Split(text, pauseMark) {
+		if i > 0 {
+			time.Sleep(scriptedPause)
+		}
+		if _, err := io.WriteString(conn, part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // script sets the answers to the next requests.
 func (e *scriptedEndpoint) script(answers ...string) {
 	e.mu.Lock()
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -31,6 +31,7 @@
 	writer  *socket.Writer
 	reads   *patientReader
 	limiter *headerLimiter
+	sticky  *stickyReader
 	reader  *bufio.Reader
 	// reused reports whether the connection has served a request before.
 	reused bool
@@ -48,9 +49,11 @@
 func newConn(key string, raw net.Conn) *Conn {
 	reads := &patientReader{conn: raw}
 	limiter := &headerLimiter{source: reads}
+	sticky := &stickyReader{source: limiter}
 	now := clock.Now()
 	return &Conn{
-		key: key, raw: raw, writer: socket.NewWriter(raw), reads: reads, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes),
+		key: key, raw: raw, writer: socket.NewWriter(raw), reads: reads, limiter: limiter,
+		sticky: sticky, reader: bufio.NewReaderSize(sticky, readBufferBytes),
 		idleSince: now, idleDeadline: now.Add(defaultIdleTimeout),
 	}
 }
@@ -125,7 +128,7 @@
 }
 
 // SetReadDeadline sets the time after which reads fail, unless the function set with OnReadTimeout
-// lets them go on. The zero time means no deadline.
+// lets them go on. The zero time means no deadline. Once a read has failed, all later ones do.
 func (c *Conn) SetReadDeadline(at time.Time) error {
 	return c.raw.SetReadDeadline(at)
 }
@@ -199,7 +202,7 @@
 // PrepareReuse must be called after a complete response was read. It reports whether the
 // connection may be reused, and prepares it for that.
 func (c *Conn) PrepareReuse(response *http.Response, info platform.ResponseInfo) bool {
-	if response.Close || c.reader.Buffered() > 0 || EndsWithConnection(response) {
+	if response.Close || c.sticky.err != nil || c.reader.Buffered() > 0 || EndsWithConnection(response) {
 		return false
 	}
 	if err := c.raw.SetDeadline(time.Time{}); err != nil {
