Report the read that failed within a head, not what the parser made of its part

What is wrong: an endpoint that closes or resets its connection within a line of a head counts as one that answers a malformed response, and one that is given up for its silence there as one that failed. So it is not looked at as one that may have crashed, which delays the quarantine of requests under which endpoints crash, and it is not avoided as a silent one is.

Change: ReadResponse reports the error of the failed read if there is one.

--- a/gateway/upstream/chunked_body.go
+++ b/gateway/upstream/chunked_body.go
@@ -153,7 +153,7 @@
 	return strconv.ParseUint(string(digits), 16, 64)
 }
 
-// unexpectedEnd returns err, or io.ErrUnexpectedEOF for io.EOF: a body in chunks never ends with its connection.
+// unexpectedEnd returns err, or io.ErrUnexpectedEOF for io.EOF: neither a head nor a body in chunks ends with its connection.
 func unexpectedEnd(err error) error {
 	if err == io.EOF {
 		return io.ErrUnexpectedEOF
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -148,14 +148,14 @@
 
 // ReadResponse reads the header of the response to the request with the given ID. It skips
 // interim responses and responses to earlier requests, up to maxStaleResponses in total. Errors
-// have the code code.EndpointFault.
+// have the code code.EndpointFault and wrap that of the connection, if it failed.
 func (c *Conn) ReadResponse(method, id string) (*http.Response, platform.ResponseInfo, error) {
 	for range maxStaleResponses + 1 {
 		c.limiter.begin()
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		c.limiter.end()
 		if err != nil {
-			return nil, platform.ResponseInfo{}, code.Wrap(err, code.EndpointFault, "the response could not be read")
+			return nil, platform.ResponseInfo{}, code.Wrap(c.sticky.cause(err), code.EndpointFault, "the response could not be read")
 		}
 		if !httpstatus.IsValid(response.StatusCode) {
 			return nil, platform.ResponseInfo{}, code.New(code.EndpointFault, "the status %03d is not valid", response.StatusCode)
--- a/gateway/upstream/failed_read_test.go
+++ b/gateway/upstream/failed_read_test.go
@@ -1,12 +1,17 @@
 package upstream
 
 import (
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
+	"cardamompoint.example/cardamompoint/code"
 	"cardamompoint.example/cardamompoint/internal/fleettest"
 	"cardamompoint.example/cardamompoint/internal/socket"
 )
@@ -24,8 +29,8 @@
 	for name, response := range responsesByFraming {
 		t.Run(name, func(t *testing.T) {
 			for place := range len(response) {
-				if body, ok := readGivenUpAt(t, response, place); ok {
-					t.Errorf("given up after %q: the body is %q", response[:place], body)
+				if err := readGivenUpAt(t, response, place); !errors.Is(err, os.ErrDeadlineExceeded) {
+					t.Errorf("given up after %q: %v", response[:place], err)
 				}
 			}
 		})
@@ -33,8 +38,8 @@
 }
 
 // readGivenUpAt reads a response of which the first bytes, as many as given, arrive, and whose read is given up then. The rest
-// arrives after that, and further reads would be let go on. ok reports whether the response could be read all the same.
-func readGivenUpAt(t *testing.T, response string, place int) (body string, ok bool) {
+// arrives after that, and further reads would be let go on. It returns the error of reading the response.
+func readGivenUpAt(t *testing.T, response string, place int) error {
 	t.Helper()
 	near, far := fleettest.Connect(t)
 	defer near.Close()
@@ -54,15 +59,45 @@
 	if err := conn.SetReadDeadline(time.Now().Add(time.Millisecond)); err != nil {
 		t.Fatal(err)
 	}
-	got, info, err := conn.ReadResponse(http.MethodGet, "a1")
+	return readWhole(t, conn)
+}
+
+// readWhole reads a response and its body. It returns the first error, and one that has the body if there was none.
+func readWhole(t *testing.T, conn *Conn) error {
+	t.Helper()
+	response, info, err := conn.ReadResponse(http.MethodGet, "a1")
 	if err != nil {
-		return "", false
+		return err
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil && conn.PrepareReuse(response, info) {
+		t.Errorf("the connection may be reused after %v", err)
+	}
+	if err == nil {
+		return fmt.Errorf("no error, the body is %q", body)
 	}
-	raw, err := io.ReadAll(got.Body)
-	if conn.PrepareReuse(got, info) {
-		t.Errorf("given up after %q: the connection may be reused", response[:place])
+	return err
+}
+
+// TestEndWithinAHeadIsReported guards against an endpoint that crashes within a line of a head and is not looked at for that, as the
+// response counts as malformed.
+func TestEndWithinAHeadIsReported(t *testing.T) {
+	head, _, _ := strings.Cut(shortResponse, "right")
+	for how, linger := range map[string]int{"closed": -1, "reset": 0} {
+		t.Run(how, func(t *testing.T) {
+			for place := 1; place < len(head); place++ {
+				near, far := fleettest.Connect(t)
+				arrive(t, near, far, head[:place])
+				_ = far.SetLinger(linger)
+				far.Close()
+				conn := newConn("a", near)
+				if err := readWhole(t, conn); !Broke(err) || !code.Is(err, code.EndpointFault) {
+					t.Errorf("%s after %q: %v", how, head[:place], err)
+				}
+				near.Close()
+			}
+		})
 	}
-	return string(raw), err == nil
 }
 
 // arrive sends text from far and waits until near can read it.
--- a/gateway/upstream/sticky_reader.go
+++ b/gateway/upstream/sticky_reader.go
@@ -20,3 +20,12 @@
 	r.err = err
 	return count, err
 }
+
+// cause returns the error of the read that has failed, or err if none has. err is what a parser reports: that may be
+// what it made of the bytes before the failed read.
+func (r *stickyReader) cause(err error) error {
+	if r.err == nil {
+		return err
+	}
+	return unexpectedEnd(r.err)
+}
