Fail each read of a response whose request was handed over

Cause: forwardStream skipped the events of an endpoint whose stream had been handed over, since its read must have failed, and took the end of those for the end of the stream. roundTrip and forwardBuffered used the result of such a read if it had no error, and waitLonger handed the request over again, to a third endpoint, forgetting the second. Class of fault: an assumption about the caller of a function, where a check is cheap.

Change: checkHandover turns the result of each read into an error once there is a successor, whatever the read returned, and waitLonger ends the read. The attempt's fault in the log says that the request was handed over; until now it said "i/o timeout" as for other silences.

Result: TestResponseOfAReadThatHandedOverIsNotForwarded (TestEventOfAReadThatHandedOverIsNotForwarded with more cases) and TestRequestIsHandedOverOnce failed before (2 of 4 cases; a third endpoint was asked) and pass.

--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -28,7 +28,7 @@
 		return x.forwardUnbuffered(nil)
 	}
 	body, err := io.ReadAll(io.LimitReader(x.response.Body, maxBufferedBytes+1))
-	if err != nil {
+	if err := x.checkHandover(err); err != nil {
 		return x.classifyError(err)
 	}
 	if len(body) > maxBufferedBytes {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -74,7 +74,7 @@
 	x.setReadDeadline(patience)
 	sentAt := clock.Now()
 	response, info, err := x.conn.ReadResponse(x.r.Method, x.request.ID)
-	if err != nil {
+	if err := x.checkHandover(err); err != nil {
 		return x.classifyError(err), false
 	}
 	x.response, x.info = response, info
--- a/gateway/exchange_deadline.go
+++ b/gateway/exchange_deadline.go
@@ -41,10 +41,13 @@
 const lateReadTime = 10 * time.Millisecond
 
 // waitLonger returns until when to wait on for an endpoint that has been silent for the progress
-// timeout, or the zero time if the request is to be sent to another endpoint instead. Other requests
+// timeout, or the zero time if the request is to be sent to another endpoint instead, or has been. Other requests
 // avoid the endpoint at once. This one stays for a while longer, and then leaves only for an endpoint
 // that may be tried.
 func (x *exchange) waitLonger(arrived bool) time.Time {
+	if x.successor != nil {
+		return time.Time{}
+	}
 	if left, bounded := x.timeLeft(); bounded && left <= 0 || x.callerLeft() {
 		return time.Time{}
 	}
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"os"
 	"time"
 
 	"cardamompoint.example/cardamompoint/code"
@@ -91,6 +92,15 @@
 	x.record(out)
 }
 
+// checkHandover returns err, the result of a read of the response, or an error if the request was handed over during the
+// read. The response is not the caller's then, even if the read has not failed.
+func (x *exchange) checkHandover(err error) error {
+	if x.successor == nil {
+		return err
+	}
+	return code.Wrap(os.ErrDeadlineExceeded, code.EndpointFault, "the request was handed over to another endpoint")
+}
+
 // takeSuccessor returns the exchange to which the request was handed over, nil if there is none.
 func (c *call) takeSuccessor() *exchange {
 	next := c.successor
--- a/gateway/handover_events_test.go
+++ b/gateway/handover_events_test.go
@@ -42,32 +42,69 @@
 	}
 }
 
-// handingOverBody is a response body with one event, whose read hands the stream over before it returns.
+// handingOverBody is a response body whose first read hands the request over before it returns.
 type handingOverBody struct {
 	x    *exchange
+	text string
+	// err is what the reads return with the text and after it.
+	err  error
 	read bool
 }
 
 func (b *handingOverBody) Read(p []byte) (int, error) {
 	if b.read {
-		return 0, os.ErrDeadlineExceeded
+		return 0, b.err
 	}
 	b.read = true
 	b.x.successor = &exchange{call: b.x.call}
-	return copy(p, scriptedEvent(1)), os.ErrDeadlineExceeded
+	return copy(p, b.text), b.err
 }
 
 func (b *handingOverBody) Close() error { return nil }
 
-// TestEventOfAReadThatHandedOverIsNotForwarded guards against an event that is forwarded after another endpoint was asked for it.
-func TestEventOfAReadThatHandedOverIsNotForwarded(t *testing.T) {
+// TestResponseOfAReadThatHandedOverIsNotForwarded guards against an event or an answer that is forwarded after another endpoint was asked for it, and
+// against a stream that ends as complete without the events of such a read, whatever that read returned.
+func TestResponseOfAReadThatHandedOverIsNotForwarded(t *testing.T) {
+	for name, c := range map[string]struct {
+		query   query
+		text    string
+		forward func(*exchange) outcome
+	}{
+		"stream": {query{path: "/roster/1", promptParts: chatPromptParts}, scriptedEvent(1), (*exchange).forwardStream},
+		"lookup": {query{path: "/lookup/1"}, "right", (*exchange).forwardBuffered},
+	} {
+		for _, err := range []error{os.ErrDeadlineExceeded, io.EOF} {
+			t.Run(fmt.Sprintf("%s, %v", name, err), func(t *testing.T) {
+				x := silentExchange(t, c.query)
+				body := &handingOverBody{x: x, text: c.text, err: err}
+				x.response, x.info.Status = &http.Response{Body: body, ContentLength: -1, TransferEncoding: []string{"chunked"}}, http.StatusOK
+				if out := c.forward(x); out.result != resultFailed || x.status != 0 || x.headerSent || x.events > 0 {
+					t.Errorf("%+v after %d events, header sent: %t", out, x.events, x.headerSent)
+				}
+			})
+		}
+	}
+}
+
+// TestRequestIsHandedOverOnce guards against a third endpoint that is asked, and a second one that is forgotten, as a read goes on after its request
+// was handed over.
+func TestRequestIsHandedOverOnce(t *testing.T) {
+	x := silentExchange(t, query{path: "/lookup/1"})
+	successor := &exchange{call: x.call}
+	x.successor = successor
+	if next := x.waitLonger(false); !next.IsZero() || x.successor != successor || x.attempts != 1 {
+		t.Errorf("the read goes on until %v, %d attempts, the successor is kept: %t", next, x.attempts, x.successor == successor)
+	}
+}
+
+// silentExchange returns the first exchange of a new call, whose endpoint sends nothing.
+func silentExchange(t *testing.T, q query) *exchange {
+	t.Helper()
 	f := newTestFleet(t, 1)
 	f.listenRaw(f.address(130, workerPort), func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
-	x := f.dialExchange(query{path: "/roster/1", promptParts: chatPromptParts}, f.address(130, workerPort))
+	x := f.dialExchange(q, f.address(130, workerPort))
+	x.suspects = []uint64{1}
 	x.work = x.gateway.table.Begin(x.pick, &x.request.Prompt, clock.Now())
-	defer x.work.End()
-	x.response, x.info.Status = &http.Response{Body: &handingOverBody{x: x}}, http.StatusOK
-	if out := x.forwardStream(); out.result != resultFailed || x.headerSent || x.events > 0 {
-		t.Errorf("%+v after %d events, header sent: %t", out, x.events, x.headerSent)
-	}
+	t.Cleanup(x.work.End)
+	return x
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -21,6 +21,7 @@
 		x.suspected = false
 		x.setReadDeadline(x.progressTimeout())
 		piece, lastID, err := events.Next()
+		err = x.checkHandover(err)
 		if errors.Is(err, io.EOF) && !x.answering && upstream.EndsWithConnection(x.response) {
 			err = io.ErrUnexpectedEOF // The end of a connection alone does not complete a stream.
 		}
@@ -30,9 +31,6 @@
 		if err != nil {
 			return x.failStream(err)
 		}
-		if x.successor != nil {
-			continue // The read that handed the stream over has failed. The successor sends these events again.
-		}
 		if !x.answering {
 			x.answering = true
 			x.work.PrefillDone()
