router: report the read that failed within a line, not the part of the line

What is wrong: a call whose caller leaves, or whose engine or home falls silent, in the middle of a line ends as one that answers a line that can't be decoded, and as a lost connection though its caller had left.

No part of a JSON object is one, so no wrong token came of it.

Change: after a failed read the last line is no token. A line that lacks its line end is still read at an orderly end.

--- a/router/endpoint/line_reader.go
+++ b/router/endpoint/line_reader.go
@@ -86,6 +86,10 @@
 func readLines(ctx context.Context, body io.Reader, w *watchdog, validator *LineValidator, sink Sink) error {
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(make([]byte, 0, lineBufferBytes), maxLineBytes)
+	scanner.Split(func(data []byte, atEOF bool) (int, []byte, error) {
+		// After a failed read, the last line may be only the beginning of one.
+		return bufio.ScanLines(data, atEOF && scanner.Err() == nil)
+	})
 	for scanner.Scan() {
 		w.stop()
 		done, err := handleLine(scanner.Bytes(), w, validator, sink)
--- a/router/endpoint/line_reader_test.go
+++ b/router/endpoint/line_reader_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -96,6 +97,12 @@
 	s.line(endpoint.Line{RequestID: "r", StreamID: "s", Offset: s.next, Final: &endpoint.Final{Tokens: s.next}})
 }
 
+// partOfALine writes the beginning of a line.
+func (s *lineScript) partOfALine() {
+	io.WriteString(s.w, `{"offset`)
+	http.NewResponseController(s.w).Flush()
+}
+
 func (s *lineScript) hang() { <-s.r.Context().Done() }
 
 func TestSilenceIsAConnectionError(t *testing.T) {
@@ -134,6 +141,26 @@
 	})
 }
 
+// TestFailedReadWithinALineIsReported guards against a call that ends within a line and counts as one that answers a malformed line, or, if
+// its caller has left, as a lost connection.
+func TestFailedReadWithinALineIsReported(t *testing.T) {
+	script := func(s *lineScript) {
+		s.tokens(3)
+		s.partOfALine()
+		s.hang()
+	}
+	runEngine(t, script, func(t *testing.T, e *testEngine) {
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Second, cancel)
+		if err := e.generate(ctx); endpoint.IsConnectionError(err) || !code.Is(err, code.Canceled) || e.tokens != 3 {
+			t.Errorf("canceled after %d tokens: %v", e.tokens, err)
+		}
+		if err := e.generate(t.Context()); !endpoint.IsConnectionError(err) || !strings.Contains(err.Error(), "no line in time") {
+			t.Errorf("silent after %d tokens: %v", e.tokens, err)
+		}
+	})
+}
+
 func TestEmptyLinesPreventSilenceTimeout(t *testing.T) {
 	script := func(s *lineScript) {
 		for range 25 {
