--- a/gateway/upstream/close_delimited_body.go
+++ b/gateway/upstream/close_delimited_body.go
@@ -16,11 +16,5 @@
 // Read implements io.Reader. At the end of a connection that broke it returns the error of that.
 func (b *closeDelimitedBody) Read(p []byte) (int, error) {
 	count, err := b.ReadCloser.Read(p)
-	if err != io.EOF {
-		return count, err
-	}
-	if broken := b.writer.EndError(); broken != nil {
-		return count, broken
-	}
-	return count, io.EOF
+	return count, b.writer.ReadError(err)
 }
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -1,9 +1,6 @@
 package socket
 
-import (
-	"io"
-	"net"
-)
+import "net"
 
 // Conn is a connection whose Read returns io.EOF only if the peer has closed its side in order, also while a write is
 // in progress.
@@ -21,13 +18,7 @@
 // it ends a write in progress.
 func (c *Conn) Read(p []byte) (int, error) {
 	count, err := c.Conn.Read(p)
-	if err != io.EOF {
-		return count, err
-	}
-	if broken := c.writer.EndError(); broken != nil {
-		return count, broken
-	}
-	return count, io.EOF
+	return count, c.writer.ReadError(err)
 }
 
 // Write implements net.Conn.
--- a/internal/socket/writer.go
+++ b/internal/socket/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -44,13 +45,19 @@
 // longPast is a deadline that ends an operation in progress.
 var longPast = time.Unix(1, 0)
 
-// EndError returns the error by which the connection broke if a write got that, nil if the peer has closed its side in
-// order. It ends a write in progress. It must be called only after a read has returned io.EOF.
-func (w *Writer) EndError() error {
+// ReadError returns the error of a read of the connection. In place of io.EOF that is the error by which the connection
+// broke if a write got that. At the end of the connection it ends a write in progress.
+func (w *Writer) ReadError(err error) error {
+	if err != io.EOF {
+		return err
+	}
 	_ = w.conn.SetWriteDeadline(longPast) // It fails only if the connection is closed, which ends the write too.
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.broken
+	if w.broken != nil {
+		return w.broken
+	}
+	return io.EOF
 }
 
 // breaks reports whether a write failed with the error of a connection that broke, and not with a later one: that of
--- a/internal/socket/writer_test.go
+++ b/internal/socket/writer_test.go
@@ -27,7 +27,7 @@
 	if text, err := io.ReadAll(near); string(text) != "part" || err != nil {
 		t.Fatalf("read %q, %v; the system tells both sides", text, err)
 	}
-	if err := writer.EndError(); !errors.Is(err, syscall.ECONNRESET) {
+	if err := writer.ReadError(io.EOF); !errors.Is(err, syscall.ECONNRESET) {
 		t.Errorf("got %v", err)
 	}
 }
@@ -42,7 +42,7 @@
 	if text, err := io.ReadAll(near); string(text) != "whole" || err != nil {
 		t.Fatalf("read %q, %v", text, err)
 	}
-	if err := writer.EndError(); err != nil {
+	if err := writer.ReadError(io.EOF); err != io.EOF {
 		t.Errorf("got %v", err)
 	}
 	if err := <-written; err == nil {
