--- a/gateway/upstream/chunked_body.go
+++ b/gateway/upstream/chunked_body.go
@@ -150,7 +150,11 @@
 	if len(digits) > maxSizeDigits {
 		return 0, code.New(code.EndpointFault, "the size of a chunk is too long")
 	}
-	return strconv.ParseUint(string(digits), 16, 64)
+	size, err := strconv.ParseUint(string(digits), 16, 64)
+	if err != nil {
+		return 0, code.New(code.EndpointFault, "the size %q of a chunk is no hexadecimal number", digits)
+	}
+	return size, nil
 }
 
 // unexpectedEnd returns err, or io.ErrUnexpectedEOF for io.EOF: neither a head nor a body in chunks ends with its connection.
