--- a/gateway/paused_head_test.go
+++ b/gateway/paused_head_test.go
@@ -110,12 +110,8 @@
 func (e *abandonedEndpoints) serve(conn net.Conn) {
 	const giveUp = 5 * time.Second
 	defer conn.Close()
-	id, err := readRequestHead(conn)
-	if err != nil {
-		return
-	}
-	if id == "" {
-		_, _ = io.WriteString(conn, noCallersRequest)
+	id, ok := readCallersRequest(conn)
+	if !ok {
 		return
 	}
 	_, _ = io.WriteString(conn, strings.ReplaceAll(streamHead, "$ID", id))
--- a/gateway/reset_answer_test.go
+++ b/gateway/reset_answer_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -62,27 +61,14 @@
 // answerAndReset answers a request whose body it does not read, and resets the connection.
 func answerAndReset(conn net.Conn, answer string) {
 	defer conn.Close()
-	id, err := readRequestHead(conn)
-	if err != nil {
-		return
-	}
-	if id == "" {
-		_, _ = io.WriteString(conn, noCallersRequest)
+	id, ok := readCallersRequest(conn)
+	if !ok {
 		return
 	}
 	_, _ = io.WriteString(conn, strings.ReplaceAll(answer, "$ID", id))
 	_ = conn.(*net.TCPConn).SetLinger(0)
 }
 
-// readRequestHead reads the head of a request, and little more, and returns the request's ID.
-func readRequestHead(conn net.Conn) (id string, err error) {
-	request, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return "", err
-	}
-	return request.Header.Get("Cardamompoint-Attempt-Id"), nil
-}
-
 // TestAnswerThatEndsInOrderDuringAnUploadIsComplete guards against whole answers that are taken for broken ones, as the endpoint did not read the rest of the request.
 func TestAnswerThatEndsInOrderDuringAnUploadIsComplete(t *testing.T) {
 	f := newTestFleet(t, 1)
@@ -91,8 +77,8 @@
 	t.Cleanup(func() { close(ended) })
 	f.replaceByRaw("plain", plainWorkers, func(conn net.Conn) {
 		defer conn.Close()
-		id, err := readRequestHead(conn)
-		if err != nil {
+		id, ok := readCallersRequest(conn)
+		if !ok {
 			return
 		}
 		_, _ = io.WriteString(conn, strings.ReplaceAll(closeDelimitedHead+"\r\nwhole", "$ID", id))
@@ -116,8 +102,8 @@
 	var requests atomic.Int32
 	f.replaceByRaw("plain", plainWorkers, func(conn net.Conn) {
 		defer conn.Close()
-		id, err := readRequestHead(conn)
-		if err != nil {
+		id, ok := readCallersRequest(conn)
+		if !ok {
 			return
 		}
 		if requests.Add(1) > 1 {
--- a/gateway/scripted_endpoint_test.go
+++ b/gateway/scripted_endpoint_test.go
@@ -144,6 +144,20 @@
 	return strings.ReplaceAll(text, "$FIRST", e.seen[0])
 }
 
+// readCallersRequest reads the head of the first request on a connection, and little more, and returns the request's ID. It answers
+// a VM's own request; ok is false then.
+func readCallersRequest(conn net.Conn) (id string, ok bool) {
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return "", false
+	}
+	id = request.Header.Get("Cardamompoint-Attempt-Id")
+	if id == "" {
+		_, _ = io.WriteString(conn, noCallersRequest)
+	}
+	return id, id != ""
+}
+
 // noCallersRequest answers a VM's own requests, such as that for the list of cached parts.
 const noCallersRequest = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
 
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -46,13 +45,8 @@
 func serveInTwoParts(conn net.Conn, begin, rest string, received <-chan struct{}) {
 	const giveUp = 5 * time.Second
 	defer conn.Close()
-	request, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
-	id := request.Header.Get("Cardamompoint-Attempt-Id")
-	if id == "" {
-		_, _ = io.WriteString(conn, noCallersRequest)
+	id, ok := readCallersRequest(conn)
+	if !ok {
 		return
 	}
 	_, _ = io.WriteString(conn, strings.ReplaceAll(streamHead, "$ID", id)+"Transfer-Encoding: chunked\r\n\r\n"+begin)
