Let scripted answers pause until the next endpoint is asked

The tests of paused heads gave a pause of 0.9 or 1.8 s, which a busy machine can spend before the other endpoint is asked, and had 1.5 s for a lookup. The pause ends a while after the other endpoint was asked now, however long that takes, and requests have 15 s.

--- a/gateway/paused_head_test.go
+++ b/gateway/paused_head_test.go
@@ -23,6 +23,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newTestFleet(t, 1)
+			f.publishChanged(2, allowSlowMachine)
 			e := f.replaceByScripted("plain", plainWorkers, first, wholeBody)
 			got := f.ask(context.Background(), 1, query{path: "/lookup/1"})
 			if got.status != http.StatusOK || got.body != "right" || !got.complete {
@@ -50,7 +51,8 @@
 		t.Run(headLines[count-1], func(t *testing.T) {
 			t.Parallel()
 			f := newTestFleet(t, 1)
-			e := f.replaceByScripted("engines", engineIDs, begin+pauseMark+pauseMark+rest+"\r\n"+events, streamHead+"\r\n$REST"+closeMark)
+			f.publishChanged(2, allowSlowMachine)
+			e := f.replaceByScripted("engines", engineIDs, begin+pauseMark+rest+"\r\n"+events, streamHead+"\r\n$REST"+closeMark)
 			got := f.ask(context.Background(), 1, query{path: "/roster/1", promptParts: chatPromptParts})
 			if got.status != http.StatusOK || got.body != eventsAfter("") || !got.complete {
 				t.Errorf("the caller got %d, %q, complete: %t", got.status, got.body, got.complete)
@@ -74,6 +76,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newTestFleet(t, 1)
+			f.publishChanged(2, allowSlowMachine)
 			f.replaceByScripted("plain", plainWorkers, first, wholeBody)
 			if got := f.ask(context.Background(), 1, query{path: "/lookup/1"}); got.status != http.StatusOK || got.body != "right" {
 				t.Errorf("the caller got %d, %q", got.status, got.body)
@@ -86,6 +89,7 @@
 // after the second has taken the request over, and against a third endpoint that is asked then.
 func TestEndpointIsAbandonedOnceItsRequestIsHandedOver(t *testing.T) {
 	f := newTestFleet(t, 1)
+	f.publishChanged(2, allowSlowMachine)
 	e := &abandonedEndpoints{abandoned: make(chan struct{})}
 	f.replaceByRaw("engines", engineIDs, e.serve)
 	f.addRaw("scripted-3", "engines", 122, e.serve)
@@ -108,7 +112,7 @@
 
 // serve answers the first request on a connection.
 func (e *abandonedEndpoints) serve(conn net.Conn) {
-	const giveUp = 5 * time.Second
+	const giveUp = 10 * time.Second
 	defer conn.Close()
 	id, ok := readCallersRequest(conn)
 	if !ok {
--- a/gateway/scripted_endpoint_test.go
+++ b/gateway/scripted_endpoint_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"cardamompoint.example/cardamompoint/internal/fleettest"
 )
 
 // scriptedEndpoint is an endpoint that answers with given bytes, whatever the protocol says.
@@ -17,8 +19,8 @@
 	mu sync.Mutex
 	// answers are the answers to the next requests, in order; the last one is repeated. In them
 	// $ID is the ID of the request, $FIRST that of the first one, and $REST are the events after the one that the
-	// request says its caller has. An answer pauses for scriptedPause at each $PAUSE, and one that ends with $CLOSE closes
-	// the connection.
+	// request says its caller has. An answer pauses at $PAUSE until another request was received, and one that ends with
+	// $CLOSE closes the connection.
 	answers []string
 	// seen are the IDs of the requests received.
 	seen []string
@@ -27,11 +29,10 @@
 const (
 	// closeMark ends an answer after which the connection is closed.
 	closeMark = "$CLOSE"
-	// pauseMark is where an answer pauses.
+	// pauseMark is where an answer pauses until another request was received.
 	pauseMark = "$PAUSE"
-	// scriptedPause is longer than a VM waits for a lookup before it asks another endpoint; twice as long is longer than it
-	// waits for a stream.
-	scriptedPause = 900 * time.Millisecond
+	// pauseTail is how long such a pause goes on, so that a VM has the answer to the other request.
+	pauseTail = 250 * time.Millisecond
 )
 
 // replaceByScripted replaces the endpoints of a service by two that answer from one script.
@@ -105,23 +106,30 @@
 		}
 		text, closing := strings.CutSuffix(e.next(id), closeMark)
 		text = strings.ReplaceAll(text, "$REST", eventsAfter(request.Header.Get("Last-Event-Id")))
-		if err := writeWithPauses(conn, text); err != nil || closing {
+		if err := e.writeWithPause(conn, text); err != nil || closing {
 			return
 		}
 	}
 }
 
-// writeWithPauses writes an answer.
-func writeWithPauses(conn net.Conn, text string) error {
-	for i, part := range strings.Split(text, pauseMark) {
-		if i > 0 {
-			time.Sleep(scriptedPause)
-		}
-		if _, err := io.WriteString(conn, part); err != nil {
-			return err
-		}
+// writeWithPause writes an answer, with a pause if it has one.
+func (e *scriptedEndpoint) writeWithPause(conn net.Conn, text string) error {
+	begin, rest, pauses := strings.Cut(text, pauseMark)
+	if _, err := io.WriteString(conn, begin); err != nil || !pauses {
+		return err
 	}
-	return nil
+	before := e.requests()
+	fleettest.Eventually(func() bool { return e.requests() > before })
+	time.Sleep(pauseTail)
+	_, err := io.WriteString(conn, rest)
+	return err
+}
+
+// requests returns the number of requests received.
+func (e *scriptedEndpoint) requests() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.seen)
 }
 
 // script sets the answers to the next requests.
