Let the seed of a table choose the outcomes in its reports

Cause: a report of a large fleet has the outcomes of at most 24 endpoints, and the order of a map chose them, so a play with a seed differed from run to run.

Change: the outcomes are a sample that the random source of the table draws from the sorted endpoints. A table that is not seeded draws as randomly as before, and now independently of which endpoints are neighbours in the map. As all endpoints are looked at now, those whose outcomes have faded are left out before the decay is computed. No check or bound is changed.

--- a/gateway/choice/bench_test.go
+++ b/gateway/choice/bench_test.go
@@ -69,6 +69,24 @@
 }
 
 // BenchmarkReceive applies a report of a VM with work at sixty endpoints.
+// BenchmarkFillReport fills a report of a VM of a large fleet that knows 12,000 endpoints, has sent a request to each
+// of them, and to 300 of them recently.
+func BenchmarkFillReport(b *testing.B) {
+	endpoints, now := testEndpoints(12_000), clock.Boot(time.Hour)
+	table := newTestTable(endpoints)
+	for i, endpoint := range endpoints {
+		at := now.Add(-time.Minute)
+		if i%40 == 0 {
+			at = now
+		}
+		table.RecordOutcome(endpoint.ID, false, at)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		table.FillReport(&gossip.Report{Heartbeats: []gossip.Heartbeat{{}}}, now)
+	}
+}
+
 func BenchmarkReceive(b *testing.B) {
 	endpoints := testEndpoints(60)
 	table := newTestTable(endpoints)
--- a/gateway/choice/report.go
+++ b/gateway/choice/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"cardamompoint.example/cardamompoint/gateway/estimate"
@@ -38,12 +39,16 @@
 func (t *Table) FillReport(report *gossip.Report, now clock.Boot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	var served []string
 	for id, st := range t.states {
 		if st.ownRequests > 0 {
 			report.Work = append(report.Work, gossip.EndpointWork{Endpoint: id, Requests: st.ownRequests, PrefillTokens: st.prefillTokens})
 		}
+		if st.hasReportableOutcomes(now) {
+			served = append(served, id)
+		}
 	}
-	t.fillOutcomes(report, now)
+	t.fillOutcomes(report, served, now)
 	t.contention.FillReport(report, now)
 	if len(report.Heartbeats) > 0 {
 		t.fillEndpointLoads(report, now)
@@ -52,18 +57,29 @@
 	t.announcements = nil
 }
 
-// fillOutcomes adds the outcomes of this VM's requests. In a large fleet these are samples:
-// those of some endpoints, chosen regardless of what their outcomes are.
-func (t *Table) fillOutcomes(report *gossip.Report, now clock.Boot) {
-	large := len(report.Heartbeats) > 0
-	for id, st := range t.states {
-		if large && len(report.Outcomes) == maxReportedOutcomes {
-			return // The order of a map is random.
-		}
-		if own := st.ownOutcomes.AsOf(now); own.Total() >= minReportedOutcomes {
-			report.Outcomes = append(report.Outcomes, reportedOutcomes(id, own))
-		}
+// fillOutcomes adds the outcomes of this VM's requests to endpoints, which it reorders. In a large fleet these are
+// samples: those of some endpoints, chosen regardless of what their outcomes are.
+func (t *Table) fillOutcomes(report *gossip.Report, endpoints []string, now clock.Boot) {
+	if len(report.Heartbeats) > 0 {
+		endpoints = t.sample(endpoints, maxReportedOutcomes)
+	}
+	for _, id := range endpoints {
+		report.Outcomes = append(report.Outcomes, reportedOutcomes(id, t.states[id].ownOutcomes.AsOf(now)))
+	}
+}
+
+// sample returns at most limit random entries of a list, which it reorders. The same entries in any order give the
+// same sample for the same seed.
+func (t *Table) sample(list []string, limit int) []string {
+	if len(list) <= limit {
+		return list
+	}
+	slices.Sort(list)
+	for at := range limit {
+		from := at + t.random.IntN(len(list)-at)
+		list[at], list[from] = list[from], list[at]
 	}
+	return list[:limit]
 }
 
 // normalSlowness is the deviation from the expected delays up to which it is not reported.
--- a/gateway/choice/state.go
+++ b/gateway/choice/state.go
@@ -120,3 +120,8 @@
 	s.unreachableCount++
 	s.avoidUntil = now.Add(pause)
 }
+
+// hasReportableOutcomes reports whether the endpoint had enough of this VM's recent requests to report their outcomes.
+func (s *state) hasReportableOutcomes(now clock.Boot) bool {
+	return !s.ownOutcomes.Faded(now) && s.ownOutcomes.AsOf(now).Total() >= minReportedOutcomes
+}
--- a/gateway/choice/table.go
+++ b/gateway/choice/table.go
@@ -44,7 +44,7 @@
 	// leavingGrace is how long leaving endpoints still get requests.
 	leavingGrace time.Duration
 	// random spreads the first requests of VMs to an endpoint that warms up, and the choices of VMs
-	// after a trouble.
+	// after a trouble. It also chooses the outcomes that a report of a large fleet has.
 	random *rand.Rand
 	// optimismSeed decides which endpoints this VM trusts more than others do; see optimism.
 	optimismSeed uint64
@@ -83,8 +83,8 @@
 	return t
 }
 
-// Seed makes the random parts of choices the same in each run, for simulations and tests. VMs need different
-// seeds. It must be called before the first choice.
+// Seed makes the random parts of choices and reports the same in each run, for simulations and tests. VMs need
+// different seeds. It must be called before the first choice.
 func (t *Table) Seed(seed uint64) {
 	t.random = rand.New(rand.NewPCG(seed, 0))
 	t.optimismSeed = t.random.Uint64()
--- a/gateway/estimate/outcomes.go
+++ b/gateway/estimate/outcomes.go
@@ -47,6 +47,14 @@
 	return Outcomes{Good: o.Good * factor, Failed: o.Failed * factor, Timed: o.Timed * factor, Ratios: o.Ratios * factor, at: now}
 }
 
+// fadedAfter is the age from which less than a millionth of a count is left.
+const fadedAfter = 20 * HalfLife
+
+// Faded reports whether the counts are so old that less than a millionth of them is left. It costs less than AsOf.
+func (o Outcomes) Faded(now clock.Boot) bool {
+	return now.Sub(o.at) > fadedAfter
+}
+
 // Record counts one request.
 func (o *Outcomes) Record(failed bool, now clock.Boot) {
 	*o = o.AsOf(now)
