Put the comment of BenchmarkReceive back above it

Cause: BenchmarkFillReport was added between the comment and its function. Change: the comment stands above BenchmarkReceive.

--- a/gateway/choice/bench_test.go
+++ b/gateway/choice/bench_test.go
@@ -68,7 +68,6 @@
 	}
 }
 
-// BenchmarkReceive applies a report of a VM with work at sixty endpoints.
 // BenchmarkFillReport fills a report of a VM of a large fleet that knows 12,000 endpoints, has sent a request to each
 // of them, and to 300 of them recently.
 func BenchmarkFillReport(b *testing.B) {
@@ -87,6 +86,7 @@
 	}
 }
 
+// BenchmarkReceive applies a report of a VM with work at sixty endpoints.
 func BenchmarkReceive(b *testing.B) {
 	endpoints := testEndpoints(60)
 	table := newTestTable(endpoints)
